--- a/cmake/saltvanemodule.cmake
+++ b/cmake/saltvanemodule.cmake
@@ -3,7 +3,11 @@
 # Builds src/<name>/*.cpp and internal/*.cpp as the library saltvane_<name>,
 # and tests/*.cpp as the test program saltvane_<name>_tests.
 # saltvane_program does the same for a binary that main.cpp starts.
-set(SALTVANE_WARNINGS -Wall -Wextra -Wpedantic -Werror -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers)
+set(SALTVANE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers)
+# Warnings stop developers and CI, not a user's build with another compiler or optimisation.
+if(NOT SALTVANE_PROGRAMS_ONLY)
+  list(APPEND SALTVANE_WARNINGS -Werror)
+endif()
 
 function(saltvane_target_options target)
   target_compile_options(${target} PRIVATE ${SALTVANE_WARNINGS})
@@ -15,7 +19,7 @@
 
 function(saltvane_tests name)
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-  if(NOT tests)
+  if(NOT tests OR SALTVANE_PROGRAMS_ONLY)
     return()
   endif()
   add_executable(saltvane_${name}_tests ${tests})
--- a/src/control/controltypes.h
+++ b/src/control/controltypes.h
@@ -13,7 +13,9 @@
 #include "model/message.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -62,9 +64,25 @@
 struct ChangeReplicas {
     std::vector<ReplicaInfo> replicas; ///< Differs from the one before by one replica.
 };
+/// Replaces the route plan whole, if `base` is the version in force.
+struct ReplacePlan {
+    BundleVersion base; ///< 0: there is none yet.
+    BundleVersion version;
+    std::string content; ///< As the operator sent it.
+};
+/// Closes a zone's targets for every route, or opens them again.
+struct SetEvacuation {
+    ZoneName zone;
+    bool isEvacuated = false;
+};
+/// A target that said it leaves: it gets no new work from any host again. Ids are never used twice.
+struct RetireTarget {
+    TargetId target;
+};
 /// Opens a leader's term.
 struct NoOperation { };
-using Command = std::variant<ProposeBundle, ApproveBundle, RevertBundle, ClaimKey, ChangeReplicas, NoOperation>;
+using Command = std::variant<ProposeBundle, ApproveBundle, RevertBundle, ClaimKey, ChangeReplicas, NoOperation,
+    ReplacePlan, SetEvacuation, RetireTarget>;
 
 enum class BundleState { Proposed, InForce, Superseded };
 
@@ -82,6 +100,16 @@
     std::optional<BundleVersion> revertOf;
 };
 
+/// The replicated routing orders.
+struct RoutingState {
+    BundleVersion planVersion; ///< 0: no plan yet.
+    std::string planContent;
+    LogPosition planPosition; ///< Where the plan came into force.
+    std::set<ZoneName> evacuatedZones;
+    std::deque<TargetId> retiredTargets; ///< Oldest first.
+    LogPosition ordersPosition; ///< Of the last change of zones or targets.
+};
+
 /// Why the control part refuses an operator's request.
 enum class ControlErrorKind {
     NotCurrent, ///< No proof from a quorum: the host may be cut off.
--- a/src/control/icontrolreplica.h
+++ b/src/control/icontrolreplica.h
@@ -51,10 +51,16 @@
     [[nodiscard]] virtual std::vector<const BundleRecord*> bundles() const = 0;
     /// The version in force; none before the first.
     [[nodiscard]] virtual const BundleRecord* inForce() const = 0;
+    /// The route plan in force and the standing orders about zones and targets.
+    [[nodiscard]] virtual const RoutingState& routing() const = 0;
+    /// Control hosts that a replica outside of the group asks to be let in, beside those of the settings.
+    virtual void setJoinHosts(std::vector<HostId> hosts) = 0;
 };
 
 /// Parses and checks a bundle's text; given by settings, so that control knows no YAML.
 using BundleParser = std::function<Result<model::Bundle, Findings>(std::string_view content)>;
+/// Checks a route plan's text and gives the version that it states.
+using PlanChecker = std::function<Result<BundleVersion, Findings>(std::string_view content)>;
 
 struct ControlReplicaOptions {
     HostId self;
@@ -63,6 +69,11 @@
     std::vector<HostId> bootstrapHosts; ///< Control hosts of the settings: the first replicas of an empty deployment.
     std::vector<model::Operator> bootstrapOperators; ///< Who may sign the first bundle.
     BundleParser parseBundle;
+    PlanChecker checkPlan;
+    /// False: never writes the first configuration; an empty disk only joins.
+    bool mayFound = true;
+    /// Takes in control hosts that the settings don't name, and lets go of those that stay away.
+    bool isMembershipOpen = false;
     std::function<int64_t()> wallClockUnixMs; ///< Read only by a leader when it appends.
     Duration electionTimeout = 600ms; ///< Jittered up to twice.
     Duration leaderHeartbeat = 100ms;
--- a/src/control/internal/commandcodec.cpp
+++ b/src/control/internal/commandcodec.cpp
@@ -51,6 +51,19 @@
     return {{"kind", "replicas"}, {"replicas", replicasToJson(command.replicas)}};
 }
 
+Json toJson(const ReplacePlan& command)
+{
+    return {{"kind", "plan"}, {"base", command.base.value}, {"version", command.version.value},
+        {"content", command.content}};
+}
+
+Json toJson(const SetEvacuation& command)
+{
+    return {{"kind", "evacuation"}, {"zone", command.zone.value()}, {"isEvacuated", command.isEvacuated}};
+}
+
+Json toJson(const RetireTarget& command) { return {{"kind", "retire"}, {"target", command.target.value()}}; }
+
 Json toJson(const NoOperation& /*command*/) { return {{"kind", "none"}}; }
 
 Decoded finish(const FieldReader& reader, Command command)
@@ -107,6 +120,30 @@
     return finish(reader, ChangeReplicas {*std::move(replicas)});
 }
 
+Decoded decodePlan(const Json& json)
+{
+    ReplacePlan command;
+    FieldReader reader(json, 4);
+    reader.read("base", command.base).read("version", command.version).read("content", command.content);
+    return finish(reader, std::move(command));
+}
+
+Decoded decodeEvacuation(const Json& json)
+{
+    SetEvacuation command;
+    FieldReader reader(json, 3);
+    reader.read("zone", command.zone).read("isEvacuated", command.isEvacuated);
+    return finish(reader, std::move(command));
+}
+
+Decoded decodeRetire(const Json& json)
+{
+    RetireTarget command;
+    FieldReader reader(json, 2);
+    reader.read("target", command.target);
+    return finish(reader, std::move(command));
+}
+
 Decoded decodeNone(const Json& json) { return finish(FieldReader(json, 1), NoOperation {}); }
 
 struct Decoder {
@@ -119,6 +156,9 @@
     Decoder {"revert", &decodeRevert},
     Decoder {"claim", &decodeClaim},
     Decoder {"replicas", &decodeReplicas},
+    Decoder {"plan", &decodePlan},
+    Decoder {"evacuation", &decodeEvacuation},
+    Decoder {"retire", &decodeRetire},
     Decoder {"none", &decodeNone},
 };
 
--- a/src/control/internal/controlreplica.h
+++ b/src/control/internal/controlreplica.h
@@ -42,6 +42,8 @@
     [[nodiscard]] bool isVoter() const override;
     [[nodiscard]] std::vector<const BundleRecord*> bundles() const override;
     [[nodiscard]] const BundleRecord* inForce() const override;
+    [[nodiscard]] const RoutingState& routing() const override { return state_.routing().state(); }
+    void setJoinHosts(std::vector<HostId> hosts) override { joining_.setHosts(std::move(hosts)); }
 
 private:
     template <typename Kind> void dispatch(const model::Delivery& delivery, const Kind& message, Timestamp now);
--- a/src/control/internal/controlstate.cpp
+++ b/src/control/internal/controlstate.cpp
@@ -16,8 +16,11 @@
 namespace saltvane::control {
 
 namespace {
-constexpr uint64_t SnapshotFormat = 1;
-constexpr size_t SnapshotFields = 6;
+constexpr uint64_t SnapshotFormat = 2;
+constexpr size_t SnapshotFields = 7;
+/// Without routing orders; still read.
+constexpr uint64_t OlderSnapshotFormat = 1;
+constexpr size_t OlderSnapshotFields = 6;
 } // namespace
 
 void ControlState::apply(const model::LogEntry& entry)
@@ -32,6 +35,8 @@
                     applied.outcome = claims_.apply(kind);
                 else if constexpr (std::is_same_v<Kind, ChangeReplicas>)
                     configuration_ = {.index = entry.index, .replicas = kind.replicas};
+                else if constexpr (IsRoutingCommand<Kind>)
+                    applied.outcome = routing_.apply(kind, applied.position);
                 else if constexpr (!std::is_same_v<Kind, NoOperation>)
                     applied.outcome = bundles_.apply(kind, applied.position);
             },
@@ -56,7 +61,7 @@
 {
     return encodeCbor({{"format", SnapshotFormat}, {"bundles", bundles_.toJson()}, {"claims", claims_.toJson()},
         {"claimClock", claims_.clock()}, {"replicas", replicasToJson(configuration_.replicas)},
-        {"replicasIndex", configuration_.index.value}});
+        {"replicasIndex", configuration_.index.value}, {"routing", routing_.toJson()}});
 }
 
 std::optional<ControlState> ControlState::decode(std::string_view snapshot)
@@ -67,13 +72,18 @@
     uint64_t format = 0;
     int64_t clock = 0;
     ControlState state;
-    FieldReader reader(*json, SnapshotFields);
+    const bool hasRouting = json->is_object() && json->contains("routing");
+    FieldReader reader(*json, hasRouting ? SnapshotFields : OlderSnapshotFields);
     reader.read("format", format).read("claimClock", clock).read("replicasIndex", state.configuration_.index);
     std::optional<BundleTable> bundles = BundleTable::fromJson(reader.array("bundles"));
     std::optional<ClaimTable> claims = ClaimTable::fromJson(reader.array("claims"), clock);
     std::optional<std::vector<ReplicaInfo>> replicas = replicasFromJson(reader.array("replicas"));
-    if (!reader.isOk() || format != SnapshotFormat || !bundles || !claims || !replicas)
+    std::optional<RoutingTable> routing = hasRouting ? RoutingTable::fromJson(json->at("routing")) : RoutingTable {};
+    if (!reader.isOk() || format != (hasRouting ? SnapshotFormat : OlderSnapshotFormat))
         return std::nullopt;
+    if (!bundles || !claims || !replicas || !routing)
+        return std::nullopt;
+    state.routing_ = *std::move(routing);
     state.bundles_ = *std::move(bundles);
     state.claims_ = *std::move(claims);
     state.configuration_.replicas = *std::move(replicas);
@@ -95,6 +105,7 @@
         return;
     bundles_ = std::move(state->bundles_);
     claims_ = std::move(state->claims_);
+    routing_ = std::move(state->routing_);
     configuration_ = std::move(state->configuration_);
 }
 
--- a/src/control/internal/controlstate.h
+++ b/src/control/internal/controlstate.h
@@ -8,6 +8,7 @@
 #include "control/internal/bundletable.h"
 #include "control/internal/claimtable.h"
 #include "control/internal/istatemachine.h"
+#include "control/internal/routingtable.h"
 
 #include <variant>
 #include <vector>
@@ -20,7 +21,7 @@
     std::variant<std::monostate, BundleOutcome, ClaimOutcome> outcome;
 };
 
-/// The replicated state: bundles, claims and replicas.
+/// The replicated state: bundles, claims, routing orders and replicas.
 class ControlState final : public IStateMachine {
 public:
     void apply(const model::LogEntry& entry) override;
@@ -31,6 +32,7 @@
 
     [[nodiscard]] const BundleTable& bundles() const { return bundles_; }
     [[nodiscard]] const ClaimTable& claims() const { return claims_; }
+    [[nodiscard]] const RoutingTable& routing() const { return routing_; }
     /// Entries applied since the last call, in order; those that a snapshot brought are not among them.
     [[nodiscard]] std::vector<AppliedEntry> takeApplied();
 
@@ -39,6 +41,7 @@
 
     BundleTable bundles_;
     ClaimTable claims_;
+    RoutingTable routing_;
     Configuration configuration_;
     std::vector<AppliedEntry> applied_;
 };
--- a/src/control/internal/joining.cpp
+++ b/src/control/internal/joining.cpp
@@ -47,6 +47,7 @@
     std::set<HostId> hosts(options_.bootstrapHosts.begin(), options_.bootstrapHosts.end());
     for (const ReplicaInfo& info : consensus_.context().configurations.latest().replicas)
         hosts.insert(info.host);
+    hosts.insert(otherHosts_.begin(), otherHosts_.end());
     hosts.erase(options_.self);
     for (const HostId& host : hosts)
         ask(host, {});
@@ -76,7 +77,7 @@
 
 void Joining::startDeployment(Timestamp now)
 {
-    if (!consensus_.isUnwritten() || coordinator() != options_.self)
+    if (!options_.mayFound || !consensus_.isUnwritten() || coordinator() != options_.self)
         return;
     const std::set<HostId> hosts(options_.bootstrapHosts.begin(), options_.bootstrapHosts.end());
     ChangeReplicas first;
--- a/src/control/internal/joining.h
+++ b/src/control/internal/joining.h
@@ -21,6 +21,8 @@
 
     void handle(const HostId& from, const model::JoinRequest& request, Timestamp now);
     void tick(Timestamp now);
+    /// Other control hosts to ask, beside those of the settings.
+    void setHosts(std::vector<HostId> hosts) { otherHosts_ = std::move(hosts); }
 
 private:
     struct Answer {
@@ -38,6 +40,7 @@
     Timestamp nextAskAt_ {};
     bool hasAsked_ = false;
     std::map<HostId, Answer> answers_;
+    std::vector<HostId> otherHosts_;
 };
 
 } // namespace saltvane::control
--- a/src/control/internal/operatorrequests.cpp
+++ b/src/control/internal/operatorrequests.cpp
@@ -34,7 +34,16 @@
 
 template <typename Kind>
 constexpr bool IsOperatorCommand
-    = std::is_same_v<Kind, ProposeBundle> || std::is_same_v<Kind, ApproveBundle> || std::is_same_v<Kind, RevertBundle>;
+    = std::is_same_v<Kind,
+          ProposeBundle> || std::is_same_v<Kind, ApproveBundle> || std::is_same_v<Kind, RevertBundle> || IsRoutingCommand<Kind>;
+
+template <typename Kind> std::optional<BundleOutcome> knownAnswer(const ControlState& state, const Kind& command)
+{
+    if constexpr (IsRoutingCommand<Kind>)
+        return state.routing().answerFor(command);
+    else
+        return state.bundles().answerFor(command);
+}
 
 } // namespace
 
@@ -85,7 +94,7 @@
             if constexpr (!IsOperatorCommand<Kind>) {
                 answer(waiting.submission, errorOf(ControlErrorKind::Invalid, "not an operator's request"));
             } else {
-                if (std::optional<BundleOutcome> known = state_.bundles().answerFor(command))
+                if (std::optional<BundleOutcome> known = knownAnswer(state_, command))
                     return answer(waiting.submission, *std::move(known));
                 if (std::optional<ControlError> fault = faultOf(command))
                     return answer(waiting.submission, *std::move(fault));
@@ -128,6 +137,23 @@
     return signatureFault(command.author, revertText(command), command.signature);
 }
 
+std::optional<ControlError> OperatorRequests::faultOf(const ReplacePlan& command)
+{
+    if (command.content.size() > LargestContent)
+        return errorOf(ControlErrorKind::Invalid, "the plan is larger than 3.5 MiB");
+    if (!options_.checkPlan)
+        return errorOf(ControlErrorKind::Invalid, "this deployment takes signed bundles, not plans");
+    const Result<BundleVersion, Findings> version = options_.checkPlan(command.content);
+    if (!version) {
+        ControlError error = errorOf(ControlErrorKind::Invalid, "the plan has findings");
+        error.findings = version.error().items();
+        return error;
+    }
+    if (version.value() != command.version)
+        return errorOf(ControlErrorKind::Invalid, "the plan states another version than the request");
+    return std::nullopt;
+}
+
 std::optional<ControlError> OperatorRequests::signatureFault(
     const OperatorName& signer, std::string_view text, std::string_view signature)
 {
--- a/src/control/internal/operatorrequests.h
+++ b/src/control/internal/operatorrequests.h
@@ -48,6 +48,9 @@
     [[nodiscard]] std::optional<ControlError> faultOf(const ProposeBundle& command);
     [[nodiscard]] std::optional<ControlError> faultOf(const ApproveBundle& command);
     [[nodiscard]] std::optional<ControlError> faultOf(const RevertBundle& command);
+    [[nodiscard]] std::optional<ControlError> faultOf(const ReplacePlan& command);
+    [[nodiscard]] static std::optional<ControlError> faultOf(const SetEvacuation& /*command*/) { return {}; }
+    [[nodiscard]] static std::optional<ControlError> faultOf(const RetireTarget& /*command*/) { return {}; }
     [[nodiscard]] std::optional<ControlError> signatureFault(
         const OperatorName& signer, std::string_view text, std::string_view signature);
     [[nodiscard]] const std::vector<model::Operator>& operators();
--- a/src/control/internal/replicachanges.cpp
+++ b/src/control/internal/replicachanges.cpp
@@ -15,6 +15,12 @@
 namespace {
 /// A joiner asks several times a second; one that fell silent is not added.
 constexpr Duration JoinerMemory = 2s;
+/// With another host waiting to take its place: longer than a restart of the process takes.
+constexpr Duration ReplaceAfter = 3s;
+/// Without one: longer than outages that the host comes back from with its disk.
+constexpr Duration RemoveAfter = 20s;
+/// A group is never made smaller than what survives the loss of one.
+constexpr size_t LeastReplicas = 3;
 } // namespace
 
 ReplicaChanges::ReplicaChanges(const ControlReplicaOptions& options, Consensus& consensus)
@@ -25,7 +31,8 @@
 
 void ReplicaChanges::handle(const HostId& from, const model::JoinRequest& request, Timestamp now)
 {
-    const bool isControlHost = std::ranges::find(options_.bootstrapHosts, from) != options_.bootstrapHosts.end();
+    const bool isControlHost = options_.isMembershipOpen
+        || std::ranges::find(options_.bootstrapHosts, from) != options_.bootstrapHosts.end();
     if (!consensus_.isLeader() || !isControlHost || request.host != from || from == options_.self)
         return;
     joiners_[from] = {.replica = request.replica, .askedAt = now};
@@ -34,20 +41,56 @@
 void ReplicaChanges::tick(Timestamp now)
 {
     std::erase_if(joiners_, [&](const auto& item) { return now - item.second.askedAt > JoinerMemory; });
+    noteSilence(now);
     const Configuration& latest = consensus_.context().configurations.latest();
     const bool isChanging = latest.index > consensus_.context().commit;
     if (!consensus_.isEstablished() || isChanging)
         return;
-    if (std::optional<std::vector<ReplicaInfo>> replicas = nextChange())
+    if (std::optional<std::vector<ReplicaInfo>> replicas = nextChange(now))
         consensus_.propose(encodeCommand(ChangeReplicas {*std::move(replicas)}));
 }
 
-std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextChange() const
+std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextChange(Timestamp now) const
 {
     const Configuration& configuration = consensus_.context().configurations.latest();
     if (std::optional<std::vector<ReplicaInfo>> promotion = nextPromotion(configuration))
         return promotion;
-    return nextJoin(configuration);
+    if (std::optional<std::vector<ReplicaInfo>> join = nextJoin(configuration, now))
+        return join;
+    return withoutSilent(configuration, RemoveAfter, now);
+}
+
+void ReplicaChanges::noteSilence(Timestamp now)
+{
+    if (!options_.isMembershipOpen || !consensus_.isEstablished())
+        return silentSince_.clear();
+    for (const ReplicaInfo& info : consensus_.context().configurations.latest().replicas) {
+        const bool isHeard = info.host == options_.self
+            || consensus_.replicator().wasHeardWithin(info.replica, options_.electionTimeout);
+        if (isHeard)
+            silentSince_.erase(info.replica);
+        else
+            silentSince_.emplace(info.replica, now);
+    }
+}
+
+std::optional<std::vector<ReplicaInfo>> ReplicaChanges::withoutSilent(
+    const Configuration& configuration, Duration limit, Timestamp now) const
+{
+    const ReplicaInfo* longest = nullptr;
+    Timestamp since = now - limit;
+    for (const ReplicaInfo& info : configuration.replicas) {
+        const auto silent = silentSince_.find(info.replica);
+        if (silent == silentSince_.end() || silent->second > since)
+            continue;
+        since = silent->second;
+        longest = &info;
+    }
+    if (longest == nullptr || configuration.replicas.size() <= LeastReplicas)
+        return std::nullopt;
+    std::vector<ReplicaInfo> replicas = configuration.replicas;
+    std::erase_if(replicas, [&](const ReplicaInfo& info) { return info.replica == longest->replica; });
+    return replicas;
 }
 
 std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextPromotion(const Configuration& configuration) const
@@ -65,12 +108,17 @@
     return std::nullopt;
 }
 
-std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextJoin(const Configuration& configuration) const
+std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextJoin(
+    const Configuration& configuration, Timestamp now) const
 {
     for (const auto& [joinerHost, joiner] : joiners_) {
         const HostId& host = joinerHost;
         if (configuration.find(joiner.replica))
             continue;
+        if (!configuration.findHost(host)) {
+            if (std::optional<std::vector<ReplicaInfo>> freed = withoutSilent(configuration, ReplaceAfter, now))
+                return freed;
+        }
         std::vector<ReplicaInfo> replicas = configuration.replicas;
         if (configuration.findHost(host))
             std::erase_if(replicas, [&](const ReplicaInfo& info) { return info.host == host; });
--- a/src/control/internal/replicachanges.h
+++ b/src/control/internal/replicachanges.h
@@ -15,7 +15,8 @@
 namespace saltvane::control {
 
 /// A leader's changes of the replicas, one at a time: the replica of a disk that is gone leaves, the new one of the
-/// same host joins as a learner, and votes once it holds everything committed when it joined.
+/// same host joins as a learner, and votes once it holds everything committed when it joined. With an open membership
+/// replicas that stay silent leave too: at once when another host asks to join, else after a long time.
 class ReplicaChanges {
 public:
     ReplicaChanges(const ControlReplicaOptions& options, Consensus& consensus);
@@ -29,13 +30,19 @@
         Timestamp askedAt;
     };
 
-    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextChange() const;
-    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextJoin(const Configuration& configuration) const;
+    void noteSilence(Timestamp now);
+    /// The replicas without the one that was silent longest, at least for `limit`.
+    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> withoutSilent(
+        const Configuration& configuration, Duration limit, Timestamp now) const;
+    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextChange(Timestamp now) const;
+    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextJoin(
+        const Configuration& configuration, Timestamp now) const;
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextPromotion(const Configuration& configuration) const;
 
     const ControlReplicaOptions& options_;
     Consensus& consensus_;
     std::map<HostId, Joiner> joiners_;
+    std::map<model::ReplicaId, Timestamp> silentSince_; ///< As this leader sees it.
 };
 
 } // namespace saltvane::control
--- /dev/null
+++ b/src/control/internal/routingtable.cpp
@@ -0,0 +1,157 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "control/internal/routingtable.h"
+
+#include "control/icontrolreplica.h"
+#include "control/internal/fieldreader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace saltvane::control {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Two days of changes at the size the users expect (2,500 a day).
+constexpr size_t KeptPlanDigests = 5000;
+/// Ids of targets that left; far more than leave within the time a host could be cut off.
+constexpr size_t KeptRetiredTargets = 8192;
+constexpr size_t RoutingFields = 9;
+
+ControlError errorOf(ControlErrorKind kind, std::string message)
+{
+    return {.kind = kind, .message = std::move(message), .leader = {}, .findings = {}};
+}
+
+} // namespace
+
+BundleRecord RoutingTable::record(BundleVersion version) const
+{
+    return {.version = version, .state = BundleState::InForce, .approved = state_.planPosition};
+}
+
+bool RoutingTable::wasTaken(const ReplacePlan& command) const
+{
+    const std::string digest = contentDigest(command.content);
+    return std::ranges::any_of(
+        taken_, [&](const TakenPlan& plan) { return plan.version == command.version && plan.digest == digest; });
+}
+
+std::optional<BundleOutcome> RoutingTable::answerFor(const ReplacePlan& command) const
+{
+    if (wasTaken(command))
+        return record(command.version);
+    if (command.base != state_.planVersion)
+        return errorOf(ControlErrorKind::Conflict,
+            "version " + std::to_string(state_.planVersion.value) + " is in force, the change builds on "
+                + std::to_string(command.base.value));
+    if (command.version <= state_.planVersion)
+        return errorOf(ControlErrorKind::Invalid,
+            "version must be over " + std::to_string(state_.planVersion.value) + ", which is in force");
+    return std::nullopt;
+}
+
+std::optional<BundleOutcome> RoutingTable::answerFor(const SetEvacuation& command) const
+{
+    if (state_.evacuatedZones.contains(command.zone) == command.isEvacuated)
+        return record(state_.planVersion);
+    return std::nullopt;
+}
+
+std::optional<BundleOutcome> RoutingTable::answerFor(const RetireTarget& command) const
+{
+    if (std::ranges::find(state_.retiredTargets, command.target) != state_.retiredTargets.end())
+        return record(state_.planVersion);
+    return std::nullopt;
+}
+
+BundleOutcome RoutingTable::apply(const ReplacePlan& command, LogPosition position)
+{
+    if (std::optional<BundleOutcome> known = answerFor(command))
+        return *std::move(known);
+    state_.planVersion = command.version;
+    state_.planContent = command.content;
+    state_.planPosition = position;
+    taken_.push_back({.version = command.version, .digest = contentDigest(command.content)});
+    if (taken_.size() > KeptPlanDigests)
+        taken_.pop_front();
+    return record(command.version);
+}
+
+BundleOutcome RoutingTable::apply(const SetEvacuation& command, LogPosition position)
+{
+    if (std::optional<BundleOutcome> known = answerFor(command))
+        return *std::move(known);
+    if (command.isEvacuated)
+        state_.evacuatedZones.insert(command.zone);
+    else
+        state_.evacuatedZones.erase(command.zone);
+    state_.ordersPosition = position;
+    return record(state_.planVersion);
+}
+
+BundleOutcome RoutingTable::apply(const RetireTarget& command, LogPosition position)
+{
+    if (std::optional<BundleOutcome> known = answerFor(command))
+        return *std::move(known);
+    state_.retiredTargets.push_back(command.target);
+    if (state_.retiredTargets.size() > KeptRetiredTargets)
+        state_.retiredTargets.pop_front();
+    state_.ordersPosition = position;
+    return record(state_.planVersion);
+}
+
+Json RoutingTable::toJson() const
+{
+    Json zones = Json::array();
+    for (const ZoneName& zone : state_.evacuatedZones)
+        zones.push_back(zone.value());
+    Json targets = Json::array();
+    for (const TargetId& target : state_.retiredTargets)
+        targets.push_back(target.value());
+    Json taken = Json::array();
+    for (const TakenPlan& plan : taken_)
+        taken.push_back({{"version", plan.version.value}, {"digest", plan.digest}});
+    return {{"version", state_.planVersion.value}, {"content", state_.planContent},
+        {"planTerm", state_.planPosition.term.value}, {"planIndex", state_.planPosition.index.value},
+        {"ordersTerm", state_.ordersPosition.term.value}, {"ordersIndex", state_.ordersPosition.index.value},
+        {"evacuated", std::move(zones)}, {"retired", std::move(targets)}, {"taken", std::move(taken)}};
+}
+
+std::optional<RoutingTable> RoutingTable::fromJson(const Json& json)
+{
+    RoutingTable table;
+    RoutingState& state = table.state_;
+    FieldReader reader(json, RoutingFields);
+    reader.read("version", state.planVersion).read("content", state.planContent);
+    reader.read("planTerm", state.planPosition.term).read("planIndex", state.planPosition.index);
+    reader.read("ordersTerm", state.ordersPosition.term).read("ordersIndex", state.ordersPosition.index);
+    for (const Json& zone : reader.array("evacuated")) {
+        if (!zone.is_string())
+            return std::nullopt;
+        state.evacuatedZones.emplace(zone.get<std::string>());
+    }
+    for (const Json& target : reader.array("retired")) {
+        if (!target.is_string())
+            return std::nullopt;
+        state.retiredTargets.emplace_back(target.get<std::string>());
+    }
+    for (const Json& item : reader.array("taken")) {
+        TakenPlan plan;
+        FieldReader fields(item, 2);
+        fields.read("version", plan.version).read("digest", plan.digest);
+        if (!fields.isOk())
+            return std::nullopt;
+        table.taken_.push_back(std::move(plan));
+    }
+    if (!reader.isOk())
+        return std::nullopt;
+    return table;
+}
+
+} // namespace saltvane::control
--- /dev/null
+++ b/src/gateway/internal/decisionlog.h
@@ -0,0 +1,35 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "gateway/internal/requestrunner.h"
+#include "host/hosttypes.h"
+
+#include <string>
+#include <vector>
+
+namespace saltvane::gateway {
+
+/// Log lines of decisions on requests, bounded: failures and refusals first, of the rest one in many; a line says how
+/// many were left out.
+class DecisionLog {
+public:
+    void note(const Decision& decision, Timestamp now);
+    /// Lines that came up since the last call.
+    [[nodiscard]] std::vector<host::LogLine> take(Timestamp now);
+
+private:
+    [[nodiscard]] bool mayWrite(const Decision& decision);
+
+    std::vector<host::LogLine> lines_;
+    double balance_ = 0;
+    Timestamp filledAt_ {};
+    uint64_t answered_ = 0;
+    uint64_t leftOut_ = 0;
+    Timestamp toldAt_ {};
+};
+
+} // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/internal/exchange.h
@@ -0,0 +1,53 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "gateway/internal/routetable.h"
+#include "requests/exchangetypes.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace saltvane::gateway {
+
+/// One caller's request on its way.
+struct Exchange {
+    enum class Phase {
+        ReceivingBody, ///< Nothing was sent yet.
+        AwaitingHead, ///< Sent to a target.
+        ReceivingAnswer, ///< The head came; the answer is gathered whole.
+        Streaming ///< The answer is passed on as it comes.
+    };
+
+    requests::HttpHandle handle;
+    RequestId id; ///< Of the caller's try.
+    std::string method;
+    std::string path;
+    std::vector<model::Header> headers; ///< End-to-end ones, without the deadline.
+    std::string body;
+    std::optional<uint64_t> object; ///< Hash of the object the request is about.
+    model::Route route; ///< As of its arrival; a new plan changes nothing for it.
+    ServiceName service;
+    BundleVersion planVersion;
+    Timestamp startedAt;
+    Timestamp deadline; ///< The earlier of the caller's and the route's.
+
+    Phase phase = Phase::ReceivingBody;
+    requests::DispatchId dispatch;
+    TargetId target;
+    Timestamp sentAt;
+    Timestamp checkAt; ///< When a silent target is doubted.
+    double loadAtStart = 0;
+    std::vector<TargetId> tried;
+    model::Reason lastReason = model::Reason::None;
+    requests::HttpRespond answer; ///< As far as it came.
+    bool isAnswerStarted = false; ///< Its head went to the caller.
+    bool mayHaveRun = false; ///< A byte may have reached a target that did not say it has not run it.
+};
+
+} // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -0,0 +1,272 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/gatewaycore.h"
+
+#include "settings/routeplanformat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace saltvane::gateway {
+
+namespace {
+
+/// Time limits of requests are met to this precision.
+constexpr Duration GatewayTick = 20ms;
+constexpr Duration SplitPeriod = 200ms;
+/// Plans are pulled this often where none is pushed: well under the time in which one has to be in force.
+constexpr Duration PlanPullPeriod = 500ms;
+
+/// Of all hosts' allowance for repeats one gateway spends this part: the rest is for the others and for chance.
+constexpr double UsedPartOfRatio = 0.5;
+constexpr double PartOfSlack = 0.05;
+
+/// Callers keep look-up answers for a TTL, some longer: a leaving gateway serves on meanwhile.
+constexpr double TtlsToStay = 1.5;
+/// Before the stop's limit, for what is still on its way.
+constexpr Duration StopReserve = 500ms;
+
+std::vector<HostId> hostsOf(const std::vector<model::Address>& addresses)
+{
+    std::vector<HostId> hosts;
+    for (const model::Address& address : addresses)
+        hosts.emplace_back(toString(address));
+    return hosts;
+}
+
+model::HostRecord recordOf(const settings::RoutedHostSettings& settings, Incarnation incarnation)
+{
+    return {
+        .host = settings.host(),
+        .incarnation = incarnation,
+        .zone = settings.zone,
+        .region = settings.region,
+        .linkAddress = settings.linkAddress,
+        .entryAddress = settings.frontAddress,
+        .isControl = false,
+        .state = model::HostState::Joining,
+    };
+}
+
+} // namespace
+
+GatewayCore::GatewayCore(const GatewayOptions& options)
+    : settings_(options.settings)
+    , self_(settings_.host())
+    , incarnation_(options.incarnation)
+    , roster_(
+          membership::makeHostRoster({.self = recordOf(settings_, incarnation_), .seeds = hostsOf(settings_.seeds)}))
+    , holder_(control::makeBundleHolder({.self = self_, .pullPeriod = PlanPullPeriod, .counters = &counters_}))
+    , targets_(self_, settings_.zones)
+    , split_(settings_.region, settings_.shiftCap)
+    , placement_(targets_, split_, settings_.zone, settings_.region, options.seed)
+    , retryBudget_(steering::makeRetryBudget({.retriesPerAnswer = settings_.retries.ratio * UsedPartOfRatio,
+          .largestBalance = settings_.retries.slack * PartOfSlack,
+          .initialBalance = settings_.retries.slack * PartOfSlack}))
+    , runner_({.headers = settings_.headers,
+          .targets = targets_,
+          .placement = placement_,
+          .split = split_,
+          .retryBudget = *retryBudget_,
+          .counters = counters_,
+          .onDecided = [this](const Decision& decision, Timestamp now) { decisions_.note(decision, now); }})
+{
+}
+
+Duration GatewayCore::tickPeriod() const { return GatewayTick; }
+
+void GatewayCore::handle(host::Event event, Timestamp now)
+{
+    std::visit([&](auto&& one) { accept(std::forward<decltype(one)>(one), now); }, std::move(event));
+    gather(now);
+}
+
+void GatewayCore::tick(Timestamp now)
+{
+    roster_->tick(now);
+    updateSources(now);
+    holder_->tick(now);
+    installPlan(now);
+    updateState();
+    targets_.expire(now);
+    if (routes_ && now >= nextSplitAt_) {
+        nextSplitAt_ = now + SplitPeriod;
+        split_.tick(routes_->plan(), targets_, now);
+    }
+    runner_.tick(now);
+    updateLinks();
+    updateStop(now);
+    gather(now);
+}
+
+std::vector<host::Action> GatewayCore::takeActions() { return std::exchange(actions_, {}); }
+
+void GatewayCore::accept(requests::HttpEvent event, Timestamp now)
+{
+    const auto handle = std::visit([](const auto& one) { return one.handle; }, event);
+    if (requests::listenerOf(handle) == static_cast<uint8_t>(Listener::Readiness))
+        return answerReadiness(event);
+    runner_.handle(std::move(event), now);
+}
+
+void GatewayCore::answerReadiness(const requests::HttpEvent& event)
+{
+    const auto* started = std::get_if<requests::HttpRequestStarted>(&event);
+    if (started == nullptr)
+        return;
+    constexpr int StatusOk = 200;
+    constexpr int StatusUnavailable = 503;
+    std::string text = isReady() ? "ready\n" : "not ready\n";
+    const uint64_t length = text.size();
+    actions_.emplace_back(requests::Action(requests::HttpRespond {.handle = started->handle,
+        .status = isReady() ? StatusOk : StatusUnavailable,
+        .headers = {{.name = "Content-Type", .value = "text/plain; charset=utf-8"}},
+        .bodyLength = length,
+        .bytes = std::move(text)}));
+}
+
+bool GatewayCore::isReady() const { return routes_ != nullptr && !stopAskedAt_; }
+
+void GatewayCore::accept(requests::TargetEvent event, Timestamp now) { runner_.handle(std::move(event), now); }
+
+void GatewayCore::accept(const model::Delivery& delivery, Timestamp now)
+{
+    roster_->handle(delivery, now);
+    holder_->handle(delivery, now);
+    installPlan(now);
+    if (const auto* report = std::get_if<model::TargetReport>(&delivery.message))
+        targets_.note(*report, now);
+}
+
+void GatewayCore::accept(const host::LinkUp& up, Timestamp now) { roster_->noteLinkUp(up.host, now); }
+
+void GatewayCore::accept(const host::LinkDown& down, Timestamp /*now*/)
+{
+    log(host::LogSeverity::Warning, "event=registry_lost peer=" + down.host.value());
+}
+
+void GatewayCore::accept(host::StopRequested /*stop*/, Timestamp now)
+{
+    if (stopAskedAt_)
+        return;
+    stopAskedAt_ = now;
+    log(host::LogSeverity::Info, "event=stopping in_flight=" + std::to_string(runner_.inFlight()));
+    runner_.startLeaving();
+    updateState();
+}
+
+void GatewayCore::installPlan(Timestamp now)
+{
+    if (!holder_->isReady())
+        return;
+    std::optional<control::IBundleHolder::InForce> installed = holder_->takeInstalled();
+    if (!installed)
+        return;
+    Result<model::RoutePlan, Findings> plan = settings::parseRoutePlan(installed->content, "plan");
+    if (!plan)
+        return log(
+            host::LogSeverity::Error, "event=plan_unreadable version=" + std::to_string(installed->version.value));
+    routes_ = std::make_shared<RouteTable>(std::move(plan.value()));
+    runner_.install(routes_);
+    log(host::LogSeverity::Info,
+        "event=plan_in_force version=" + std::to_string(installed->version.value)
+            + " index=" + std::to_string(installed->position.index.value)
+            + " routes=" + std::to_string(routes_->plan().routes.size())
+            + " age_ms=" + std::to_string(holder_->age(now).count() / 1'000'000));
+}
+
+/// Registry hosts to pull the plan from, nearest first.
+void GatewayCore::updateSources(Timestamp now)
+{
+    constexpr Duration HeardLately = 1s;
+    std::vector<const membership::RosterEntry*> registries = roster_->heardWithin(HeardLately, now);
+    std::erase_if(registries, [](const auto* entry) { return !entry->record.isControl; });
+    const auto nearness = [this](const membership::RosterEntry* entry) {
+        if (entry->record.zone == settings_.zone)
+            return 0;
+        return entry->record.region == settings_.region ? 1 : 2;
+    };
+    std::ranges::stable_sort(registries, {}, nearness);
+    std::vector<HostId> sources;
+    for (const membership::RosterEntry* entry : registries)
+        sources.push_back(entry->record.host);
+    if (sources.empty())
+        sources = roster_->controlHosts();
+    holder_->setPeers(sources, {}, now);
+}
+
+void GatewayCore::updateState()
+{
+    if (stopAskedAt_)
+        return roster_->setState(model::HostState::Leaving);
+    roster_->setState(isReady() ? model::HostState::Serving : model::HostState::Joining);
+}
+
+void GatewayCore::updateLinks()
+{
+    std::vector<HostId> hosts = roster_->controlHosts();
+    if (hosts == linkedHosts_)
+        return;
+    linkedHosts_ = std::move(hosts);
+    host::LinksWanted wanted;
+    for (const HostId& host : linkedHosts_) {
+        if (const auto address = model::parseAddress(host.value()))
+            wanted.peers.push_back({.host = host, .address = *address});
+    }
+    actions_.emplace_back(std::move(wanted));
+}
+
+void GatewayCore::updateStop(Timestamp now)
+{
+    if (!stopAskedAt_ || isStopTold_)
+        return;
+    const Duration limit = settings_.limits.stopTimeLimit - StopReserve;
+    const Duration stay = std::min(fromSeconds(toSeconds(settings_.lookUpTtl) * TtlsToStay), limit);
+    const Duration waited = now - *stopAskedAt_;
+    if (waited < stay || (runner_.inFlight() > 0 && waited < limit))
+        return;
+    isStopTold_ = true;
+    actions_.emplace_back(host::StopFinished {.requestsCut = static_cast<uint32_t>(runner_.inFlight())});
+}
+
+void GatewayCore::gather(Timestamp now)
+{
+    for (requests::Action& action : runner_.takeActions())
+        actions_.emplace_back(std::move(action));
+    for (model::Outgoing& outgoing : roster_->takeOutgoing())
+        actions_.emplace_back(requests::Action(std::move(outgoing)));
+    for (model::Outgoing& outgoing : holder_->takeOutgoing())
+        actions_.emplace_back(requests::Action(std::move(outgoing)));
+    for (host::LogLine& line : decisions_.take(now))
+        actions_.emplace_back(std::move(line));
+}
+
+void GatewayCore::log(host::LogSeverity severity, std::string text)
+{
+    actions_.emplace_back(host::LogLine {.severity = severity, .module = "gateway", .text = std::move(text)});
+}
+
+host::HostStatus GatewayCore::status(Timestamp now) const
+{
+    return {
+        .host = self_,
+        .incarnation = incarnation_,
+        .state = stopAskedAt_ ? model::HostState::Leaving
+                              : (isReady() ? model::HostState::Serving : model::HostState::Joining),
+        .isCutOff = holder_->isCutOff(now),
+        .inForceVersion = routes_ ? routes_->plan().version : BundleVersion {},
+        .stateAge = holder_->age(now),
+        .requestsInFlight = static_cast<uint32_t>(runner_.inFlight()),
+        .dispatchesInFlight = static_cast<uint32_t>(runner_.inFlight()),
+    };
+}
+
+std::unique_ptr<host::IHostCore> makeGateway(const GatewayOptions& options)
+{
+    return std::make_unique<GatewayCore>(options);
+}
+
+} // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/internal/gatewaycore.h
@@ -0,0 +1,71 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "control/ibundleholder.h"
+#include "gateway/igateway.h"
+#include "gateway/internal/decisionlog.h"
+#include "gateway/internal/placement.h"
+#include "gateway/internal/regionsplit.h"
+#include "gateway/internal/requestrunner.h"
+#include "gateway/internal/targetset.h"
+#include "membership/ihostroster.h"
+
+namespace saltvane::gateway {
+
+/// A gateway without I/O.
+class GatewayCore final : public host::IHostCore {
+public:
+    explicit GatewayCore(const GatewayOptions& options);
+
+    void handle(host::Event event, Timestamp now) override;
+    void tick(Timestamp now) override;
+    [[nodiscard]] std::vector<host::Action> takeActions() override;
+    [[nodiscard]] host::HostStatus status(Timestamp now) const override;
+    [[nodiscard]] const model::Counters& counters() const override { return counters_; }
+    [[nodiscard]] Duration tickPeriod() const override;
+
+private:
+    void accept(requests::HttpEvent event, Timestamp now);
+    void accept(requests::TargetEvent event, Timestamp now);
+    void accept(const model::Delivery& delivery, Timestamp now);
+    void accept(const host::LinkUp& up, Timestamp now);
+    void accept(const host::LinkDown& down, Timestamp now);
+    void accept(const control::StorageDone& /*done*/, Timestamp /*now*/) { }
+    void accept(const control::StorageFailed& /*failed*/, Timestamp /*now*/) { }
+    void accept(host::StopRequested stop, Timestamp now);
+
+    void answerReadiness(const requests::HttpEvent& event);
+    [[nodiscard]] bool isReady() const;
+    void installPlan(Timestamp now);
+    void updateSources(Timestamp now);
+    void updateLinks();
+    void updateState();
+    void updateStop(Timestamp now);
+    void gather(Timestamp now);
+    void log(host::LogSeverity severity, std::string text);
+
+    settings::RoutedHostSettings settings_;
+    HostId self_;
+    Incarnation incarnation_;
+    model::Counters counters_;
+    std::unique_ptr<membership::IHostRoster> roster_;
+    std::unique_ptr<control::IBundleHolder> holder_;
+    TargetSet targets_;
+    RegionSplit split_;
+    Placement placement_;
+    std::unique_ptr<steering::IRetryBudget> retryBudget_;
+    DecisionLog decisions_;
+    RequestRunner runner_;
+    std::shared_ptr<const RouteTable> routes_;
+    std::vector<HostId> linkedHosts_;
+    std::vector<host::Action> actions_;
+    Timestamp nextSplitAt_ {};
+    std::optional<Timestamp> stopAskedAt_;
+    bool isStopTold_ = false;
+};
+
+} // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/internal/placement.cpp
@@ -0,0 +1,177 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <xxhash.h>
+
+namespace saltvane::gateway {
+
+namespace {
+
+constexpr Duration FirstGuess = 200ms; ///< Of a service's time to answer, before any came.
+constexpr double UsualTimeWeight = 0.05; ///< Of one answer.
+constexpr double SlownessWeight = 0.1;
+constexpr double LeastSlowness = 0.3;
+constexpr double MostSlowness = 20;
+
+/// Of an object's targets so many are weighed against each other; the first keeps it warm, so the others must be
+/// quicker by these factors.
+constexpr std::array<double, 3> ChoiceBias {1.0, 1.6, 2.2};
+/// Targets queue some requests beyond their slots and refuse the rest.
+constexpr double MostLoadPerSlot = 3;
+/// Of the objective, by rank: how late an answer may be expected so that the request is still worth its place.
+constexpr std::array<double, 3> LatenessByRank {2.5, 2.0, 1.5};
+constexpr double PartOfTimeLeft = 0.9;
+
+/// Single requests that may leave the region their object belongs to, per request sent, and how many may add up.
+constexpr double DetoursPerRequest = 0.02;
+constexpr double MostDetours = 4;
+
+constexpr Duration LeastRetryAfter = 100ms;
+constexpr Duration MostRetryAfter = 400ms;
+
+uint64_t mix(uint64_t left, uint64_t right)
+{
+    const std::array<uint64_t, 2> both {left, right};
+    return XXH64(both.data(), sizeof(both), 0);
+}
+
+/// A hash as a number from 0 to under 1.
+double unit(uint64_t hash)
+{
+    constexpr int UnusedBits = 11;
+    return static_cast<double>(hash >> UnusedBits) * 0x1p-53;
+}
+
+double latenessOf(uint32_t rank) { return LatenessByRank.at(std::min<size_t>(rank, LatenessByRank.size() - 1)); }
+
+} // namespace
+
+Placement::Placement(
+    const TargetSet& targets, const RegionSplit& split, ZoneName zone, RegionName region, uint64_t seed)
+    : targets_(targets)
+    , split_(split)
+    , zone_(std::move(zone))
+    , region_(std::move(region))
+    , random_(seed)
+{
+}
+
+Duration Placement::usualTime(const ServiceName& service) const
+{
+    const auto found = usualTimes_.find(service);
+    return found == usualTimes_.end() ? FirstGuess : found->second;
+}
+
+Duration Placement::estimate(const GatewayTarget& target, const ServiceName& service, Timestamp now) const
+{
+    const double perSlot = (target.load(now) + 1) / std::max(target.record.slots, 1U);
+    return fromSeconds(toSeconds(usualTime(service)) * target.slowness * std::max(1.0, perSlot));
+}
+
+void Placement::noteAnswer(GatewayTarget& target, Duration taken, double loadAtStart, Timestamp now)
+{
+    target.noteAnswered(now);
+    const double perSlot = (loadAtStart + 1) / std::max(target.record.slots, 1U);
+    const double expected = toSeconds(usualTime(target.record.service)) * std::max(1.0, perSlot);
+    const double ratio = std::clamp(toSeconds(taken) / std::max(expected, 1e-4), LeastSlowness, MostSlowness);
+    target.slowness += SlownessWeight * (ratio - target.slowness);
+    if (perSlot > 1)
+        return;
+    const auto [found, isFirst] = usualTimes_.try_emplace(target.record.service, taken);
+    if (!isFirst)
+        found->second += fromSeconds(UsualTimeWeight * toSeconds(taken - found->second));
+}
+
+bool Placement::isPermitted(const GatewayTarget& target, const PlacementQuery& query) const
+{
+    const std::vector<RegionName>& regions = query.route.permittedRegions;
+    if (!regions.empty() && std::ranges::find(regions, target.region) == regions.end())
+        return false;
+    return std::ranges::find(query.tried, target.id()) == query.tried.end();
+}
+
+bool Placement::fits(const GatewayTarget& target, Duration estimate, const PlacementQuery& query, Timestamp now) const
+{
+    if (target.load(now) + 1 > target.record.slots * MostLoadPerSlot)
+        return false;
+    const Duration left = fromSeconds(toSeconds(query.left) * PartOfTimeLeft);
+    if (query.route.objective <= Duration::zero())
+        return estimate <= left;
+    const Duration wanted = fromSeconds(toSeconds(query.route.objective) * latenessOf(query.route.rank));
+    return estimate <= std::min(left, wanted - query.elapsed);
+}
+
+GatewayTarget* Placement::best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const
+{
+    const size_t choices = std::min(candidates.size(), ChoiceBias.size());
+    const auto middle = candidates.begin() + static_cast<ptrdiff_t>(choices);
+    std::ranges::partial_sort(candidates, middle, std::ranges::greater {}, &Candidate::rank);
+    GatewayTarget* chosen = nullptr;
+    double least = 0;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        // Past the object's own targets any that has room will do.
+        if (i >= choices && chosen != nullptr)
+            break;
+        GatewayTarget& target = *candidates[i].target;
+        const Duration expected = estimate(target, query.service.name, now);
+        const double cost = toSeconds(expected) * ChoiceBias.at(std::min(i, ChoiceBias.size() - 1));
+        if (!fits(target, expected, query, now) || (chosen != nullptr && cost >= least))
+            continue;
+        chosen = &target;
+        least = cost;
+    }
+    return chosen;
+}
+
+bool Placement::trySpendDetour(Timestamp /*now*/)
+{
+    if (detours_ < 1)
+        return false;
+    detours_ -= 1;
+    return true;
+}
+
+std::variant<GatewayTarget*, PlacementRefusal> Placement::choose(const PlacementQuery& query, Timestamp now)
+{
+    const uint64_t object = query.object ? mix(*query.object, 0) : random_();
+    Candidates zone;
+    Candidates region;
+    Candidates away;
+    for (GatewayTarget* target : targets_.ofService(query.service.name)) {
+        if (!targets_.isUsable(*target, query.service, now) || !isPermitted(*target, query))
+            continue;
+        const bool isHome = target->region == region_;
+        const bool isNear = isHome && target->record.zone == zone_ && query.route.kind == model::RouteKind::LargeRead;
+        Candidates& group = isNear ? zone : (isHome ? region : away);
+        group.push_back({.target = target, .rank = mix(target->hash, object)});
+    }
+    if (zone.empty() && region.empty() && away.empty())
+        return PlacementRefusal {.reason = model::Reason::NoTarget, .retryAfter = MostRetryAfter};
+    detours_ = std::min(detours_ + DetoursPerRequest, MostDetours);
+    const bool hasHome = !zone.empty() || !region.empty();
+    const bool isHome = hasHome && (away.empty() || unit(object) < split_.homeShare(query.service.name));
+    const std::array<Candidates*, 3> groups
+        = isHome ? std::array {&zone, &region, &away} : std::array {&away, &zone, &region};
+    bool isDetour = false;
+    for (Candidates* group : groups) {
+        const bool isOwnRegion = group != &away;
+        isDetour = isOwnRegion != isHome;
+        if (group->empty())
+            continue;
+        GatewayTarget* target = best(*group, query, now);
+        if (target != nullptr && (!isDetour || !hasHome || trySpendDetour(now)))
+            return target;
+    }
+    const Duration usual = usualTime(query.service.name);
+    return PlacementRefusal {.reason = isDetour ? model::Reason::NoRoom : model::Reason::ShiftCapReached,
+        .retryAfter = std::clamp(usual, LeastRetryAfter, MostRetryAfter)};
+}
+
+} // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/internal/regionsplit.cpp
@@ -0,0 +1,96 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/regionsplit.h"
+
+#include <algorithm>
+#include <set>
+
+namespace saltvane::gateway {
+
+namespace {
+
+/// The cap holds from one window of two seconds to the next; a third of it is left to chance and to single requests.
+constexpr double CapWindowSeconds = 2;
+constexpr double UsedPartOfCap = 0.5;
+constexpr double LongestStepSeconds = 1;
+/// Of the region's slots: above, requests leave the region; below, they come back.
+constexpr double HighLoad = 0.85;
+constexpr double LowLoad = 0.65;
+/// A region with this multiple of its even share of all slots needs no other region before it has seen any load.
+constexpr double EvenShareMargin = 1.4;
+/// A smaller part of the slots than before is a loss of targets, not a change of load.
+constexpr double LossRatio = 0.8;
+
+} // namespace
+
+RegionSplit::RegionSplit(RegionName region, double shiftCap)
+    : region_(std::move(region))
+    , stepPerSecond_(shiftCap * UsedPartOfCap / CapWindowSeconds)
+{
+}
+
+RegionSplit::Room RegionSplit::roomOf(
+    const model::RoutedService& service, const TargetSet& targets, Timestamp now) const
+{
+    Room room;
+    std::set<RegionName> regions;
+    for (const GatewayTarget* target : targets.ofService(service.name)) {
+        const bool isCounted = targets.isUsable(*target, service, now) && !target->isSlowStarting(now);
+        if (!isCounted)
+            continue;
+        regions.insert(target->region);
+        room.allSlots += target->record.slots;
+        if (target->region != region_)
+            continue;
+        room.homeSlots += target->record.slots;
+        room.homeLoad += target->load(now);
+    }
+    room.regions = regions.size();
+    return room;
+}
+
+void RegionSplit::move(State& state, const Room& room, double largestStep) const
+{
+    const double before = state.homeSlots;
+    state.homeSlots = room.homeSlots;
+    if (room.homeSlots <= 0) {
+        state.share = 0;
+        return;
+    }
+    if (!state.isUsed || (before <= 0 && state.share <= 0)) {
+        const double evenShare = room.allSlots / static_cast<double>(std::max<size_t>(room.regions, 1));
+        state.share = std::min(1.0, room.homeSlots / evenShare * EvenShareMargin);
+        return;
+    }
+    if (room.homeSlots < before * LossRatio) {
+        state.share *= room.homeSlots / before;
+        return;
+    }
+    const double load = room.homeLoad / room.homeSlots;
+    if (load > HighLoad)
+        state.share -= largestStep;
+    else if (load < LowLoad)
+        state.share += largestStep;
+    state.share = std::clamp(state.share, 0.0, 1.0);
+}
+
+void RegionSplit::tick(const model::RoutePlan& plan, const TargetSet& targets, Timestamp now)
+{
+    const double seconds = std::min(toSeconds(now - movedAt_), LongestStepSeconds);
+    movedAt_ = now;
+    for (const model::RoutedService& service : plan.services)
+        move(states_[service.name], roomOf(service, targets, now), stepPerSecond_ * seconds);
+}
+
+double RegionSplit::homeShare(const ServiceName& service) const
+{
+    const auto found = states_.find(service);
+    return found == states_.end() ? 1 : found->second.share;
+}
+
+void RegionSplit::noteUsed(const ServiceName& service) { states_[service].isUsed = true; }
+
+} // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/internal/regionsplit.h
@@ -0,0 +1,49 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "gateway/internal/targetset.h"
+
+#include <map>
+
+namespace saltvane::gateway {
+
+/// How much of each service's requests this gateway keeps in its own region. The share follows the load of the
+/// region's targets, but never faster than the shift cap allows; only the loss of targets moves it at once.
+class RegionSplit {
+public:
+    RegionSplit(RegionName region, double shiftCap);
+
+    /// Moves every service's share by what its targets' load asks for.
+    void tick(const model::RoutePlan& plan, const TargetSet& targets, Timestamp now);
+    /// Share of requests, by object, that stay in the region: 1 where nothing is known of the service.
+    [[nodiscard]] double homeShare(const ServiceName& service) const;
+    /// Requests went to this service: its share is not free to jump any more.
+    void noteUsed(const ServiceName& service);
+
+private:
+    struct State {
+        double share = 1;
+        double homeSlots = 0;
+        bool isUsed = false;
+    };
+    struct Room {
+        double homeSlots = 0;
+        double homeLoad = 0;
+        double allSlots = 0;
+        size_t regions = 0;
+    };
+
+    [[nodiscard]] Room roomOf(const model::RoutedService& service, const TargetSet& targets, Timestamp now) const;
+    void move(State& state, const Room& room, double largestStep) const;
+
+    RegionName region_;
+    double stepPerSecond_;
+    std::map<ServiceName, State> states_;
+    Timestamp movedAt_ {};
+};
+
+} // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/internal/requestrunner.cpp
@@ -0,0 +1,480 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/requestrunner.h"
+
+#include "requests/headerfilter.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <xxhash.h>
+
+namespace saltvane::gateway {
+
+namespace {
+
+constexpr Duration UsualDeadline = 30s; ///< Of callers that state none.
+constexpr double LargestDeadlineMs = 3.6e6;
+/// Answers up to it are gathered whole, so that a request whose answer breaks off can be repeated.
+constexpr uint64_t LargestGathered = 1024 * 1024;
+/// A target is doubted when it takes longer than this many times the usual, and this part of the objective.
+constexpr double DoubtFactor = 4;
+constexpr double DoubtPartOfObjective = 1.0;
+/// A repeat needs at least this much time to be of use.
+constexpr Duration LeastTimeToRepeat = 30ms;
+constexpr Duration UsualRetryAfter = 200ms;
+constexpr Duration StopRetryAfter = 50ms; ///< Other gateways serve meanwhile.
+
+constexpr int StatusNotFound = 404;
+constexpr int StatusTooLarge = 413;
+constexpr int StatusMisdirected = 421;
+/// The one status by which callers know that a request has not run.
+constexpr int StatusUnavailable = 503;
+
+std::string_view valueOf(const std::vector<model::Header>& headers, std::string_view name)
+{
+    for (const model::Header& header : headers) {
+        if (model::isSameFieldName(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+std::optional<Duration> parseMilliseconds(std::string_view text)
+{
+    double value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc {} || !std::isfinite(value) || value < 0)
+        return std::nullopt;
+    return fromSeconds(std::min(value, LargestDeadlineMs) / 1000);
+}
+
+std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::max<int64_t>(std::chrono::floor<std::chrono::milliseconds>(duration).count(), 1));
+}
+
+std::string secondsText(Duration duration)
+{
+    // Thousandths are all that a caller can use.
+    std::string text = std::to_string(toSeconds(duration));
+    return text.substr(0, text.size() - 3);
+}
+
+std::optional<uint64_t> objectHash(std::string_view object)
+{
+    if (object.empty())
+        return std::nullopt;
+    return XXH64(object.data(), object.size(), 0);
+}
+
+} // namespace
+
+RequestRunner::RequestRunner(Options options)
+    : options_(std::move(options))
+{
+}
+
+void RequestRunner::handle(requests::HttpEvent event, Timestamp now)
+{
+    std::visit([&](const auto& one) { accept(one, now); }, event);
+}
+
+void RequestRunner::handle(requests::TargetEvent event, Timestamp now)
+{
+    std::visit(
+        [&](auto& one) {
+            if (Exchange* exchange = find(one.dispatch))
+                accept(one, *exchange, now);
+        },
+        event);
+}
+
+std::vector<requests::Action> RequestRunner::takeActions() { return std::exchange(actions_, {}); }
+
+Exchange* RequestRunner::find(requests::HttpHandle handle) const
+{
+    const auto found = exchanges_.find(handle);
+    return found == exchanges_.end() ? nullptr : found->second.get();
+}
+
+Exchange* RequestRunner::find(requests::DispatchId dispatch) const
+{
+    const auto found = dispatches_.find(dispatch);
+    return found == dispatches_.end() ? nullptr : found->second;
+}
+
+std::unique_ptr<Exchange> RequestRunner::makeExchange(
+    const requests::HttpRequestStarted& request, PlannedRoute& route, Timestamp now) const
+{
+    const settings::HeaderNames& names = options_.headers;
+    auto exchange = std::make_unique<Exchange>();
+    exchange->handle = request.handle;
+    exchange->id = RequestId(valueOf(request.headers, names.requestId));
+    exchange->method = request.method;
+    exchange->path = request.path;
+    exchange->headers = requests::endToEndHeaders(request.headers);
+    std::erase_if(exchange->headers, [&](const model::Header& header) {
+        return model::isSameFieldName(header.name, names.deadline)
+            || model::isSameFieldName(header.name, names.expectedTarget)
+            || model::isSameFieldName(header.name, "Expect");
+    });
+    if (route.route.hasAffinity)
+        exchange->object = objectHash(valueOf(request.headers, names.object));
+    exchange->route = route.route;
+    exchange->service = route.nextService();
+    exchange->planVersion = routes_->plan().version;
+    exchange->startedAt = now;
+    const Duration stated = parseMilliseconds(valueOf(request.headers, names.deadline)).value_or(UsualDeadline);
+    exchange->deadline = now + std::min(stated, route.route.timeout);
+    return exchange;
+}
+
+void RequestRunner::accept(const requests::HttpRequestStarted& request, Timestamp now)
+{
+    options_.counters.add(model::Counter::Requests);
+    if (!routes_)
+        return refuseAtOnce(request.handle, 0, model::Reason::NotReady, UsualRetryAfter);
+    PlannedRoute* route = routes_->find(valueOf(request.headers, "Host"), request.path);
+    if (route == nullptr)
+        return refuseAtOnce(request.handle, StatusNotFound, model::Reason::UnknownService, Duration::zero());
+    if (request.bodyLength.value_or(0) > routes_->plan().limits.bodyBytes)
+        return refuseAtOnce(request.handle, StatusTooLarge, model::Reason::BodyTooLarge, Duration::zero());
+    std::unique_ptr<Exchange> made = makeExchange(request, *route, now);
+    Exchange& exchange = *made;
+    exchanges_.emplace(request.handle, std::move(made));
+    deadlines_.emplace(exchange.deadline, exchange.handle);
+    if (request.bodyLength == 0)
+        dispatch(exchange, now);
+}
+
+void RequestRunner::accept(const requests::HttpRequestBody& body, Timestamp now)
+{
+    Exchange* exchange = find(body.handle);
+    if (exchange == nullptr || exchange->phase != Exchange::Phase::ReceivingBody)
+        return;
+    exchange->body += body.bytes;
+    if (exchange->body.size() > routes_->plan().limits.bodyBytes) {
+        refuseAtOnce(body.handle, StatusTooLarge, model::Reason::BodyTooLarge, Duration::zero());
+        return erase(*exchange);
+    }
+    if (!body.isLast) {
+        actions_.emplace_back(requests::HttpRequestWindow {.handle = body.handle, .bytes = body.bytes.size()});
+        return;
+    }
+    dispatch(*exchange, now);
+}
+
+void RequestRunner::accept(const requests::HttpRequestAborted& aborted, Timestamp now)
+{
+    Exchange* exchange = find(aborted.handle);
+    if (exchange == nullptr)
+        return;
+    options_.onDecided(
+        {.exchange = *exchange, .outcome = model::Outcome::Unknown, .reason = model::Reason::ClientGone}, now);
+    if (exchange->dispatch.value != 0)
+        actions_.emplace_back(requests::TargetCancel {.dispatch = exchange->dispatch});
+    erase(*exchange);
+}
+
+void RequestRunner::accept(const requests::HttpResponseProgress& progress, Timestamp /*now*/)
+{
+    const Exchange* exchange = find(progress.handle);
+    if (exchange != nullptr && exchange->phase == Exchange::Phase::Streaming && exchange->dispatch.value != 0)
+        actions_.emplace_back(requests::TargetResponseWindow {.dispatch = exchange->dispatch, .bytes = progress.bytes});
+}
+
+void RequestRunner::accept(const requests::HttpResponseDone& /*done*/, Timestamp /*now*/) { }
+
+void RequestRunner::dispatch(Exchange& exchange, Timestamp now)
+{
+    const model::RoutedService* service = routes_->plan().findService(exchange.service);
+    if (service == nullptr)
+        return refuse(exchange, model::Reason::UnknownService, UsualRetryAfter, now);
+    const auto choice = options_.placement.choose({.route = exchange.route,
+                                                      .service = *service,
+                                                      .object = exchange.object,
+                                                      .elapsed = now - exchange.startedAt,
+                                                      .left = exchange.deadline - now,
+                                                      .tried = exchange.tried},
+        now);
+    if (const auto* refusal = std::get_if<PlacementRefusal>(&choice))
+        return refuse(exchange, refusal->reason, refusal->retryAfter, now);
+    send(exchange, *std::get<GatewayTarget*>(choice), *service, now);
+}
+
+void RequestRunner::send(Exchange& exchange, GatewayTarget& target, const model::RoutedService& service, Timestamp now)
+{
+    exchange.loadAtStart = target.load(now);
+    options_.targets.noteSent(target, service, now);
+    options_.split.noteUsed(service.name);
+    options_.counters.add(model::Counter::Dispatches);
+    exchange.phase = Exchange::Phase::AwaitingHead;
+    exchange.dispatch = {++lastDispatch_};
+    exchange.target = target.id();
+    exchange.tried.push_back(target.id());
+    exchange.sentAt = now;
+    dispatches_.emplace(exchange.dispatch, &exchange);
+
+    const double usual = toSeconds(options_.placement.usualTime(service.name)) * std::max(target.slowness, 1.0);
+    const double patience = std::max(usual * DoubtFactor, toSeconds(exchange.route.objective) * DoubtPartOfObjective);
+    exchange.checkAt = now + fromSeconds(patience);
+    if (exchange.checkAt < exchange.deadline)
+        doubts_.emplace(exchange.checkAt, exchange.handle);
+
+    std::vector<model::Header> headers = exchange.headers;
+    headers.push_back({.name = options_.headers.deadline, .value = millisecondsText(exchange.deadline - now)});
+    headers.push_back({.name = options_.headers.expectedTarget, .value = target.id().value()});
+    actions_.emplace_back(requests::TargetStart {.dispatch = exchange.dispatch,
+        .target = target.id(),
+        .address = target.record.address,
+        .method = exchange.method,
+        .path = exchange.path,
+        .headers = std::move(headers),
+        .bodyLength = exchange.body.size(),
+        .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce});
+    if (!exchange.body.empty())
+        actions_.emplace_back(
+            requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body, .isLast = true});
+}
+
+void RequestRunner::releaseTarget(Exchange& exchange)
+{
+    if (exchange.dispatch.value == 0)
+        return;
+    dispatches_.erase(exchange.dispatch);
+    doubts_.erase({exchange.checkAt, exchange.handle});
+    exchange.dispatch = {};
+    GatewayTarget* target = options_.targets.find(exchange.target);
+    if (target != nullptr && target->inFlight > 0)
+        --target->inFlight;
+}
+
+void RequestRunner::accept(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
+{
+    GatewayTarget* target = options_.targets.find(exchange.target);
+    const std::string_view load = valueOf(head.headers, options_.headers.load);
+    if (target != nullptr && !load.empty())
+        target->noteLoad(load, now);
+    const bool isNotRun = !valueOf(head.headers, options_.headers.notRun).empty();
+    if (isNotRun || head.status == StatusMisdirected)
+        return noteRefusedByTarget(exchange, head.status, now);
+    // A surplus answer of an earlier request carries another id.
+    if (valueOf(head.headers, options_.headers.requestId) != exchange.id.value()) {
+        actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
+        exchange.mayHaveRun = true;
+        return tryElsewhere(exchange, model::Reason::TargetFailed, now);
+    }
+    if (target != nullptr)
+        options_.placement.noteAnswer(*target, now - exchange.sentAt, exchange.loadAtStart, now);
+    doubts_.erase({exchange.checkAt, exchange.handle});
+    exchange.phase = Exchange::Phase::ReceivingAnswer;
+    exchange.answer = {.handle = exchange.handle,
+        .status = head.status,
+        .headers = requests::endToEndHeaders(head.headers),
+        .bodyLength = head.bodyLength,
+        .isLast = false};
+    if (head.bodyLength.value_or(0) > LargestGathered)
+        startStreaming(exchange);
+}
+
+void RequestRunner::startStreaming(Exchange& exchange)
+{
+    exchange.phase = Exchange::Phase::Streaming;
+    exchange.isAnswerStarted = true;
+    exchange.answer.isLast = false;
+    respond(std::move(exchange.answer));
+    exchange.answer = {};
+}
+
+void RequestRunner::noteRefusedByTarget(Exchange& exchange, int status, Timestamp now)
+{
+    actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
+    if (status == StatusMisdirected)
+        options_.targets.noteGone(exchange.target);
+    else if (GatewayTarget* target = options_.targets.find(exchange.target))
+        target->noteFull(now);
+    tryElsewhere(exchange, model::Reason::TargetShed, now);
+}
+
+void RequestRunner::accept(requests::TargetResponseBody& body, Exchange& exchange, Timestamp /*now*/)
+{
+    if (exchange.phase == Exchange::Phase::Streaming) {
+        actions_.emplace_back(requests::HttpResponseBody {.handle = exchange.handle, .bytes = std::move(body.bytes)});
+        return;
+    }
+    actions_.emplace_back(requests::TargetResponseWindow {.dispatch = exchange.dispatch, .bytes = body.bytes.size()});
+    exchange.answer.bytes += body.bytes;
+    if (exchange.answer.bytes.size() > LargestGathered)
+        startStreaming(exchange);
+}
+
+void RequestRunner::accept(requests::TargetResponseDone& /*done*/, Exchange& exchange, Timestamp now)
+{
+    releaseTarget(exchange);
+    const int status = exchange.answer.status;
+    if (exchange.phase == Exchange::Phase::Streaming) {
+        actions_.emplace_back(requests::HttpResponseBody {.handle = exchange.handle, .isLast = true});
+    } else {
+        exchange.answer.bodyLength = exchange.answer.bytes.size();
+        exchange.answer.isLast = true;
+        respond(std::move(exchange.answer));
+    }
+    options_.counters.add(model::Counter::RequestsAnswered);
+    options_.retryBudget.noteAnswered(now);
+    finish(exchange, {.exchange = exchange, .outcome = model::Outcome::Answered, .status = status}, now);
+}
+
+void RequestRunner::accept(requests::TargetRequestProgress& /*progress*/, Exchange& /*exchange*/, Timestamp /*now*/) { }
+
+void RequestRunner::accept(requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
+{
+    if (GatewayTarget* target = options_.targets.find(exchange.target))
+        target->noteFailure(now, !failed.mayHaveReachedTarget);
+    if (exchange.isAnswerStarted) {
+        actions_.emplace_back(requests::HttpAbort {.handle = exchange.handle});
+        options_.counters.add(model::Counter::BrokenBodies);
+        releaseTarget(exchange);
+        return finish(exchange, {.exchange = exchange, .reason = model::Reason::TargetFailed}, now);
+    }
+    exchange.mayHaveRun = exchange.mayHaveRun || failed.mayHaveReachedTarget;
+    tryElsewhere(
+        exchange, failed.mayHaveReachedTarget ? model::Reason::TargetFailed : model::Reason::ConnectFailed, now);
+}
+
+bool RequestRunner::mayTryElsewhere(const Exchange& exchange, Timestamp now)
+{
+    const bool mayRepeat = exchange.route.kind != model::RouteKind::AtMostOnce || !exchange.mayHaveRun;
+    if (!mayRepeat || exchange.tried.size() >= exchange.route.attempts)
+        return false;
+    return exchange.deadline - now >= LeastTimeToRepeat && options_.retryBudget.trySpend(now);
+}
+
+void RequestRunner::tryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now)
+{
+    exchange.lastReason = reason;
+    releaseTarget(exchange);
+    exchange.answer = {};
+    if (mayTryElsewhere(exchange, now)) {
+        options_.counters.add(model::Counter::Retries);
+        options_.counters.addRetry(reason);
+        return dispatch(exchange, now);
+    }
+    giveUp(exchange, reason, now);
+}
+
+void RequestRunner::doubt(Exchange& exchange, Timestamp now)
+{
+    GatewayTarget* target = options_.targets.find(exchange.target);
+    // One that answers others is only slow.
+    if (target != nullptr && target->answeredAt >= exchange.sentAt)
+        return;
+    if (target != nullptr)
+        target->noteFailure(now, false);
+    const bool mayRepeat = exchange.route.kind != model::RouteKind::AtMostOnce;
+    if (!mayRepeat || !mayTryElsewhere(exchange, now))
+        return;
+    exchange.mayHaveRun = true;
+    exchange.lastReason = model::Reason::TargetStalled;
+    actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
+    releaseTarget(exchange);
+    options_.counters.add(model::Counter::Retries);
+    options_.counters.addRetry(model::Reason::TargetStalled);
+    dispatch(exchange, now);
+}
+
+void RequestRunner::tick(Timestamp now)
+{
+    while (!doubts_.empty() && doubts_.begin()->first <= now) {
+        const requests::HttpHandle handle = doubts_.begin()->second;
+        doubts_.erase(doubts_.begin());
+        if (Exchange* exchange = find(handle))
+            doubt(*exchange, now);
+    }
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        Exchange* exchange = find(deadlines_.begin()->second);
+        deadlines_.erase(deadlines_.begin());
+        if (exchange == nullptr)
+            continue;
+        if (exchange->dispatch.value != 0) {
+            exchange->mayHaveRun = true;
+            actions_.emplace_back(requests::TargetCancel {.dispatch = exchange->dispatch});
+        }
+        if (exchange->isAnswerStarted) {
+            actions_.emplace_back(requests::HttpAbort {.handle = exchange->handle});
+            finish(*exchange, {.exchange = *exchange, .reason = model::Reason::DeadlineExceeded}, now);
+            continue;
+        }
+        giveUp(*exchange, model::Reason::DeadlineExceeded, now);
+    }
+}
+
+/// After the last try: "not run" only where that is known.
+void RequestRunner::giveUp(Exchange& exchange, model::Reason reason, Timestamp now)
+{
+    if (!exchange.mayHaveRun)
+        return refuse(exchange, reason, UsualRetryAfter, now);
+    options_.counters.add(model::Counter::RequestsUnknown);
+    options_.counters.addUnknown(reason);
+    const int status = model::httpStatus(model::Outcome::Unknown, reason);
+    refuseAtOnce(exchange.handle, status, reason, Duration::zero());
+    finish(
+        exchange, {.exchange = exchange, .outcome = model::Outcome::Unknown, .reason = reason, .status = status}, now);
+}
+
+void RequestRunner::refuse(Exchange& exchange, model::Reason reason, Duration retryAfter, Timestamp now)
+{
+    if (exchange.mayHaveRun) // A repeat found no place; the first try may have run.
+        return giveUp(exchange, exchange.lastReason, now);
+    refuseAtOnce(exchange.handle, 0, reason, retryAfter);
+    finish(exchange,
+        {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = reason, .status = StatusUnavailable}, now);
+}
+
+void RequestRunner::refuseAtOnce(requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter)
+{
+    const bool isNotRun = status == 0;
+    if (isNotRun) {
+        status = StatusUnavailable;
+        options_.counters.add(model::Counter::RequestsNotRun);
+        options_.counters.addRefusal(reason);
+    }
+    std::string text = std::string(model::toString(reason)) + "\n";
+    const uint64_t length = text.size();
+    requests::HttpRespond answer {.handle = handle,
+        .status = status,
+        .headers = {{.name = "Content-Type", .value = "text/plain; charset=utf-8"},
+            {.name = std::string(requests::ReasonHeader), .value = std::string(model::toString(reason))}},
+        .bodyLength = length,
+        .bytes = std::move(text)};
+    if (isNotRun)
+        answer.headers.push_back({.name = std::string(requests::RetryAfterHeader),
+            .value = secondsText(isLeaving_ ? StopRetryAfter : retryAfter)});
+    respond(std::move(answer));
+}
+
+void RequestRunner::respond(requests::HttpRespond answer)
+{
+    if (isLeaving_)
+        answer.headers.push_back({.name = "Connection", .value = "close"});
+    actions_.emplace_back(std::move(answer));
+}
+
+void RequestRunner::finish(Exchange& exchange, Decision decision, Timestamp now)
+{
+    options_.onDecided(decision, now);
+    erase(exchange);
+}
+
+void RequestRunner::erase(Exchange& exchange)
+{
+    releaseTarget(exchange);
+    deadlines_.erase({exchange.deadline, exchange.handle});
+    const requests::HttpHandle handle = exchange.handle;
+    exchanges_.erase(handle);
+}
+
+} // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/internal/requestrunner.h
@@ -0,0 +1,105 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "gateway/internal/exchange.h"
+#include "gateway/internal/placement.h"
+#include "gateway/internal/targetset.h"
+#include "host/hosttypes.h"
+#include "model/counters.h"
+#include "settings/routedhostsettings.h"
+#include "steering/iretrybudget.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace saltvane::gateway {
+
+/// How one request ended, for the log.
+struct Decision {
+    const Exchange& exchange;
+    model::Outcome outcome = model::Outcome::Unknown;
+    model::Reason reason = model::Reason::None;
+    int status = 0;
+};
+
+/// The life of callers' requests: body, choice of a target, dispatch, repeats, answer, time limits.
+class RequestRunner {
+public:
+    struct Options {
+        settings::HeaderNames headers;
+        TargetSet& targets;
+        Placement& placement;
+        RegionSplit& split;
+        steering::IRetryBudget& retryBudget;
+        model::Counters& counters;
+        std::function<void(const Decision&, Timestamp)> onDecided;
+    };
+    explicit RequestRunner(Options options);
+
+    void install(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
+    /// From now on every answer asks the caller to leave its connection.
+    void startLeaving() { isLeaving_ = true; }
+
+    void handle(requests::HttpEvent event, Timestamp now);
+    void handle(requests::TargetEvent event, Timestamp now);
+    /// Ends what is over its time; doubts targets that are silent.
+    void tick(Timestamp now);
+    [[nodiscard]] std::vector<requests::Action> takeActions();
+    [[nodiscard]] size_t inFlight() const { return exchanges_.size(); }
+
+private:
+    using Exchanges = std::unordered_map<requests::HttpHandle, std::unique_ptr<Exchange>>;
+
+    void accept(const requests::HttpRequestStarted& request, Timestamp now);
+    void accept(const requests::HttpRequestBody& body, Timestamp now);
+    void accept(const requests::HttpRequestAborted& aborted, Timestamp now);
+    void accept(const requests::HttpResponseProgress& progress, Timestamp now);
+    void accept(const requests::HttpResponseDone& done, Timestamp now);
+    void accept(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now);
+    void accept(requests::TargetResponseBody& body, Exchange& exchange, Timestamp now);
+    void accept(requests::TargetResponseDone& done, Exchange& exchange, Timestamp now);
+    void accept(requests::TargetRequestProgress& progress, Exchange& exchange, Timestamp now);
+    void accept(requests::TargetFailed& failed, Exchange& exchange, Timestamp now);
+
+    [[nodiscard]] std::unique_ptr<Exchange> makeExchange(
+        const requests::HttpRequestStarted& request, PlannedRoute& route, Timestamp now) const;
+    /// Chooses a target and sends the request; refuses it where none can be had.
+    void dispatch(Exchange& exchange, Timestamp now);
+    void send(Exchange& exchange, GatewayTarget& target, const model::RoutedService& service, Timestamp now);
+    /// The target refused it, or failed: elsewhere, or the end.
+    void tryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now);
+    [[nodiscard]] bool mayTryElsewhere(const Exchange& exchange, Timestamp now);
+    /// The current target has nothing more to do with it.
+    void releaseTarget(Exchange& exchange);
+    void doubt(Exchange& exchange, Timestamp now);
+    void noteRefusedByTarget(Exchange& exchange, int status, Timestamp now);
+    void startStreaming(Exchange& exchange);
+
+    void refuse(Exchange& exchange, model::Reason reason, Duration retryAfter, Timestamp now);
+    void giveUp(Exchange& exchange, model::Reason reason, Timestamp now);
+    void refuseAtOnce(requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter);
+    void respond(requests::HttpRespond answer);
+    void finish(Exchange& exchange, Decision decision, Timestamp now);
+    void erase(Exchange& exchange);
+    [[nodiscard]] Exchange* find(requests::HttpHandle handle) const;
+    [[nodiscard]] Exchange* find(requests::DispatchId dispatch) const;
+
+    Options options_;
+    std::shared_ptr<const RouteTable> routes_;
+    Exchanges exchanges_;
+    std::unordered_map<requests::DispatchId, Exchange*> dispatches_;
+    std::set<std::pair<Timestamp, requests::HttpHandle>> deadlines_;
+    std::set<std::pair<Timestamp, requests::HttpHandle>> doubts_;
+    uint64_t lastDispatch_ = 0;
+    bool isLeaving_ = false;
+    std::vector<requests::Action> actions_;
+};
+
+} // namespace saltvane::gateway
--- a/src/host/ihostcore.h
+++ b/src/host/ihostcore.h
@@ -29,6 +29,8 @@
     virtual void handle(Event event, Timestamp now) = 0;
     virtual void tick(Timestamp now) = 0;
     [[nodiscard]] virtual std::vector<Action> takeActions() = 0;
+    /// How often tick is to be called.
+    [[nodiscard]] virtual Duration tickPeriod() const { return TickPeriod; }
     [[nodiscard]] virtual HostStatus status(Timestamp now) const = 0;
     [[nodiscard]] virtual const model::Counters& counters() const = 0;
 };
--- /dev/null
+++ b/src/membership/internal/hostroster.cpp
@@ -0,0 +1,136 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "membership/internal/hostroster.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace saltvane::membership {
+
+HostRoster::HostRoster(HostRosterOptions options)
+    : options_(std::move(options))
+{
+}
+
+void HostRoster::handle(const model::Delivery& delivery, Timestamp now)
+{
+    if (const auto* heartbeat = std::get_if<model::Heartbeat>(&delivery.message)) {
+        if (heartbeat->record.host == delivery.from)
+            note(heartbeat->record, now);
+        return;
+    }
+    const auto* report = std::get_if<model::ZoneReport>(&delivery.message);
+    if (report == nullptr)
+        return;
+    for (size_t i = 0; i < report->hosts.size() && i < report->ages.size(); ++i)
+        note(report->hosts[i], now - std::min(report->ages[i], options_.memory));
+}
+
+void HostRoster::note(const model::HostRecord& record, Timestamp heardAt)
+{
+    if (record.host == options_.self.host)
+        return;
+    const auto [found, isNew] = entries_.try_emplace(record.host, RosterEntry {.record = record, .heardAt = heardAt});
+    RosterEntry& known = found->second;
+    const bool isNewer
+        = std::tie(record.incarnation, record.sequence) > std::tie(known.record.incarnation, known.record.sequence);
+    if (isNewer)
+        known.record = record;
+    if (record.incarnation == known.record.incarnation)
+        known.heardAt = std::max(known.heardAt, heardAt);
+    hasNews_ = hasNews_ || (isNew && record.isControl);
+}
+
+void HostRoster::noteLinkUp(const HostId& host, Timestamp /*now*/) { sendHeartbeat(host); }
+
+void HostRoster::setState(model::HostState state)
+{
+    if (options_.self.state == state)
+        return;
+    options_.self.state = state;
+    sendHeartbeats();
+}
+
+void HostRoster::sendHeartbeat(const HostId& to)
+{
+    ++options_.self.sequence;
+    outgoing_.push_back({.to = to, .message = model::Heartbeat {.record = options_.self}});
+}
+
+void HostRoster::sendHeartbeats()
+{
+    for (const HostId& host : controlHosts())
+        sendHeartbeat(host);
+}
+
+void HostRoster::sendReports(Timestamp now)
+{
+    model::ZoneReport report {.zone = options_.self.zone, .relay = options_.self.host};
+    for (const auto& [host, entry] : entries_) {
+        if (!entry.record.isControl)
+            continue;
+        report.hosts.push_back(entry.record);
+        report.ages.push_back(now - entry.heardAt);
+    }
+    for (const auto& [host, entry] : entries_)
+        outgoing_.push_back({.to = host, .message = report});
+}
+
+void HostRoster::forget(Timestamp now)
+{
+    std::erase_if(entries_, [&](const auto& item) { return now - item.second.heardAt > options_.memory; });
+}
+
+void HostRoster::tick(Timestamp now)
+{
+    if (now >= nextHeartbeatAt_) {
+        nextHeartbeatAt_ = now + options_.heartbeatPeriod;
+        forget(now);
+        sendHeartbeats();
+    }
+    if (!options_.self.isControl || (now < nextReportAt_ && !hasNews_))
+        return;
+    hasNews_ = false;
+    nextReportAt_ = now + options_.reportPeriod;
+    sendReports(now);
+}
+
+std::vector<model::Outgoing> HostRoster::takeOutgoing() { return std::exchange(outgoing_, {}); }
+
+std::vector<HostId> HostRoster::controlHosts() const
+{
+    std::set<HostId> hosts(options_.seeds.begin(), options_.seeds.end());
+    for (const auto& [host, entry] : entries_) {
+        if (entry.record.isControl)
+            hosts.insert(host);
+    }
+    hosts.erase(options_.self.host);
+    return {hosts.begin(), hosts.end()};
+}
+
+std::vector<const RosterEntry*> HostRoster::heardWithin(Duration age, Timestamp now) const
+{
+    std::vector<const RosterEntry*> heard;
+    for (const auto& [host, entry] : entries_) {
+        if (now - entry.heardAt <= age)
+            heard.push_back(&entry);
+    }
+    return heard;
+}
+
+const RosterEntry* HostRoster::find(const HostId& host) const
+{
+    const auto found = entries_.find(host);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::unique_ptr<IHostRoster> makeHostRoster(HostRosterOptions options)
+{
+    return std::make_unique<HostRoster>(std::move(options));
+}
+
+} // namespace saltvane::membership
--- /dev/null
+++ b/src/membership/internal/hostroster.h
@@ -0,0 +1,43 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "membership/ihostroster.h"
+
+#include <map>
+#include <set>
+
+namespace saltvane::membership {
+
+class HostRoster final : public IHostRoster {
+public:
+    explicit HostRoster(HostRosterOptions options);
+
+    void handle(const model::Delivery& delivery, Timestamp now) override;
+    void noteLinkUp(const HostId& host, Timestamp now) override;
+    void setState(model::HostState state) override;
+    void tick(Timestamp now) override;
+    [[nodiscard]] std::vector<model::Outgoing> takeOutgoing() override;
+    [[nodiscard]] std::vector<HostId> controlHosts() const override;
+    [[nodiscard]] std::vector<const RosterEntry*> heardWithin(Duration age, Timestamp now) const override;
+    [[nodiscard]] const RosterEntry* find(const HostId& host) const override;
+
+private:
+    void note(const model::HostRecord& record, Timestamp heardAt);
+    void sendHeartbeat(const HostId& to);
+    void sendHeartbeats();
+    void sendReports(Timestamp now);
+    void forget(Timestamp now);
+
+    HostRosterOptions options_;
+    std::map<HostId, RosterEntry> entries_;
+    std::vector<model::Outgoing> outgoing_;
+    Timestamp nextHeartbeatAt_ {};
+    Timestamp nextReportAt_ {};
+    bool hasNews_ = true;
+};
+
+} // namespace saltvane::membership
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -4,6 +4,7 @@
  * Copyright (c) 2026 the saltvane authors
  */
 #include "membership/icredits.h"
+#include "membership/ihostroster.h"
 #include "membership/ihosttable.h"
 #include "membership/internal/creditissuer.h"
 #include "membership/internal/creditwallet.h"
--- /dev/null
+++ b/src/model/internal/routeplan.cpp
@@ -0,0 +1,94 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "model/routeplan.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace saltvane::model {
+
+namespace {
+
+/// An objective that far beyond the time limit can only be a slip of the pen.
+constexpr Duration LargestObjectiveExcess = 60s;
+
+class PlanChecker {
+public:
+    PlanChecker(const RoutePlan& plan, const std::string& source)
+        : plan_(plan)
+        , source_(source)
+    {
+    }
+
+    Findings check()
+    {
+        checkServices();
+        for (size_t i = 0; i < plan_.routes.size(); ++i)
+            checkRoute(plan_.routes[i], "routes[" + std::to_string(i) + "]");
+        return std::move(findings_);
+    }
+
+private:
+    void fail(std::string field, std::string message)
+    {
+        findings_.add({.place = {.source = source_}, .field = std::move(field), .message = std::move(message)});
+    }
+
+    void checkServices()
+    {
+        for (size_t i = 0; i < plan_.services.size(); ++i) {
+            if (plan_.services[i].name.isEmpty())
+                fail("services[" + std::to_string(i) + "].name", "must not be empty");
+        }
+    }
+
+    void checkRoute(const Route& route, const std::string& field)
+    {
+        if (route.attempts == 0)
+            fail(field + ".attempts", "must be at least 1");
+        if (route.objective >= route.timeout + LargestObjectiveExcess)
+            fail(field + ".objective_ms", "lies a minute or more beyond timeout_ms");
+        checkWeights(route, field);
+    }
+
+    void checkWeights(const Route& route, const std::string& field)
+    {
+        double sum = 0;
+        for (const ServiceWeight& item : route.services) {
+            if (plan_.findService(item.service) == nullptr)
+                fail(field + ".service", "no such service: '" + item.service.value() + "'");
+            if (!std::isfinite(item.weight) || item.weight < 0)
+                fail(field + ".split", "a weight must be a number from 0");
+            else
+                sum += item.weight;
+        }
+        if (sum <= 0)
+            fail(field + ".split", "the weights sum to 0");
+    }
+
+    const RoutePlan& plan_;
+    const std::string& source_;
+    Findings findings_;
+};
+
+} // namespace
+
+std::string_view toString(RouteKind kind)
+{
+    static constexpr std::array<std::string_view, 3> Names {"repeatable", "at_most_once", "large_read"};
+    return Names.at(static_cast<size_t>(kind));
+}
+
+const RoutedService* RoutePlan::findService(const ServiceName& name) const
+{
+    const auto found = std::ranges::find(services, name, &RoutedService::name);
+    return found == services.end() ? nullptr : &*found;
+}
+
+Findings checkRoutePlan(const RoutePlan& plan, const std::string& source) { return PlanChecker(plan, source).check(); }
+
+} // namespace saltvane::model
--- /dev/null
+++ b/src/model/targetmessages.h
@@ -0,0 +1,41 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "base/ids.h"
+#include "base/timetypes.h"
+#include "model/hostmessages.h"
+
+#include <cstdint>
+#include <vector>
+
+/// What control hosts tell gateways of the targets that report to them.
+namespace saltvane::model {
+
+/// One start of a target, as it last reported.
+struct TargetRecord {
+    TargetId target; ///< Of this start; never used again.
+    ServiceName service;
+    Address address;
+    ZoneName zone;
+    uint32_t slots = 0; ///< Requests it works on at once.
+    bool isLeaving = false;
+    Duration slowStartLeft {}; ///< How long it stays slow, counted from the report.
+    uint64_t sequence = 0; ///< Of the target's reports; a higher one replaces a lower one.
+    Duration age {}; ///< Since the report came in.
+    HostId slowStartHost; ///< The only gateway that may use it while it is slow; empty: none is known.
+    auto operator<=>(const TargetRecord&) const = default;
+};
+
+/// From a control host to a gateway: what changed since its last report, or everything.
+struct TargetReport {
+    LogPosition orders; ///< The standing orders are as of here; older ones are void.
+    std::vector<ZoneName> evacuatedZones; ///< All of them.
+    std::vector<TargetId> retired; ///< Targets that get no new work from now on.
+    std::vector<TargetRecord> targets;
+};
+
+} // namespace saltvane::model
--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -47,6 +47,8 @@
     settings::Limits limits;
     EventSink sink;
     model::Counters* counters = nullptr;
+    uint8_t listener = 0; ///< Marks the exchanges' handles (requests::listenerOf).
+    bool isMetricsServed = true; ///< False: GET /metrics is a request like any other.
     /// Answers GET /metrics at the edge, so that the core needs no text format.
     std::function<std::string()> metricsText;
 };
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -47,6 +47,7 @@
 
 HttpServer::HttpServer(HttpServerOptions options)
     : options_(std::move(options))
+    , lastHandle_(requests::firstHandleOf(options_.listener).value)
     , clientWatch_(options_.loop, [this](HttpConnection& connection) { clientGone(connection); })
     , runTask_(options_.loop, TaskOrder::AfterIo, [this] { run(); })
     , pollWatcher_(options_.loop, [this](int) { runTask_.schedule(); })
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -80,7 +80,7 @@
     std::unordered_map<requests::HttpHandle, std::unique_ptr<HttpExchange>> exchanges_;
     HttpExchanges progressing_; ///< Exchanges whose answer's body went on.
     HttpConnections connections_;
-    uint64_t lastHandle_ = 0;
+    uint64_t lastHandle_;
     MHD_Daemon* daemon_ = nullptr;
     bool isStopping_ = false;
     model::Address boundAddress_;
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -146,7 +146,7 @@
 
 bool HttpServer::answerAtEdge(HttpExchange& exchange) const
 {
-    if (!options_.metricsText || !isMetricsRequest(exchange.head()))
+    if (!options_.isMetricsServed || !options_.metricsText || !isMetricsRequest(exchange.head()))
         return false;
     std::string text = options_.metricsText();
     const uint64_t length = text.size();
--- /dev/null
+++ b/src/registry/internal/calls.cpp
@@ -0,0 +1,172 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "registry/internal/calls.h"
+
+#include "registry/internal/lookups.h"
+
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace saltvane::registry {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view TargetsPrefix = "/v1/targets/";
+constexpr std::string_view BeatSuffix = "/heartbeat";
+constexpr std::string_view LeaveSuffix = "/leave";
+constexpr std::string_view EvacuationsPrefix = "/v1/evacuations/";
+constexpr std::string_view PlanPath = "/v1/plan";
+constexpr std::string_view EntryPath = "/v1/entry";
+constexpr std::string_view StatusPath = "/v1/status";
+constexpr std::string_view RetryAfterSeconds = "0.2"; ///< About the time of an election's first round.
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusRedirect = 307;
+constexpr int StatusUnavailable = 503;
+
+std::string_view headerValue(const std::vector<model::Header>& headers, std::string_view name)
+{
+    for (const model::Header& header : headers) {
+        if (model::isSameFieldName(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+BundleVersion parseVersion(std::string_view text)
+{
+    BundleVersion version;
+    std::from_chars(text.data(), text.data() + text.size(), version.value);
+    return version;
+}
+
+Call readTargetCall(std::string_view path)
+{
+    path.remove_prefix(TargetsPrefix.size());
+    if (path.ends_with(BeatSuffix))
+        return TargetBeatCall {TargetId(path.substr(0, path.size() - BeatSuffix.size()))};
+    if (path.ends_with(LeaveSuffix))
+        return TargetLeaveCall {TargetId(path.substr(0, path.size() - LeaveSuffix.size()))};
+    return UnknownCall {};
+}
+
+Call readEvacuationCall(std::string_view method, std::string_view path)
+{
+    const ZoneName zone(path.substr(EvacuationsPrefix.size()));
+    if (method == "PUT")
+        return EvacuationCall {.zone = zone, .isEvacuated = true};
+    if (method == "DELETE")
+        return EvacuationCall {.zone = zone, .isEvacuated = false};
+    return UnknownCall {};
+}
+
+/// A required field of a target's report.
+template <typename Value>
+Value read(const Json& json, const char* key, bool (Json::*isType)() const noexcept, Findings& findings)
+{
+    const auto found = json.find(key);
+    if (found != json.end() && (*found.*isType)())
+        return found->get<Value>();
+    findings.add({.place = {.source = "heartbeat"}, .field = key, .message = "is missing or of another type"});
+    return {};
+}
+
+} // namespace
+
+Call readCall(const requests::HttpRequestStarted& request, const settings::HeaderNames& headers)
+{
+    const std::string_view path = pathOf(request.path);
+    const std::string& method = request.method;
+    if (method == "GET" && path == EntryPath)
+        return LookUpCall {.zone = queryValue(request.path, "zone"), .region = queryValue(request.path, "region")};
+    if (method == "POST" && path.starts_with(TargetsPrefix))
+        return readTargetCall(path);
+    if (method == "PUT" && path == PlanPath)
+        return ReplacePlanCall {.base = parseVersion(headerValue(request.headers, headers.planBase))};
+    if (method == "GET" && path == PlanPath)
+        return ReadPlanCall {};
+    if (path.starts_with(EvacuationsPrefix))
+        return readEvacuationCall(method, path);
+    if (method == "GET" && path == StatusPath)
+        return StatusCall {};
+    return UnknownCall {};
+}
+
+Result<model::TargetRecord, Findings> readTargetBeat(const TargetId& target, std::string_view body)
+{
+    Findings findings;
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        findings.add({.place = {.source = "heartbeat"}, .field = "", .message = "must be a JSON object"});
+        return findings;
+    }
+    model::TargetRecord record {.target = target};
+    record.service = ServiceName(read<std::string>(json, "service", &Json::is_string, findings));
+    record.zone = ZoneName(read<std::string>(json, "zone", &Json::is_string, findings));
+    record.slots = read<uint32_t>(json, "slots", &Json::is_number, findings);
+    record.sequence = read<uint64_t>(json, "sequence", &Json::is_number, findings);
+    record.isLeaving = read<std::string>(json, "state", &Json::is_string, findings) == "leaving";
+    const double slowMs = json.value("slow_start_left_ms", 0.0);
+    record.slowStartLeft = fromSeconds(slowMs / 1000);
+    const std::string address = read<std::string>(json, "address", &Json::is_string, findings);
+    if (const auto parsed = model::parseAddress(address))
+        record.address = *parsed;
+    else
+        findings.add({.place = {.source = "heartbeat"}, .field = "address", .message = "must be an IP and a port"});
+    if (!findings.isEmpty())
+        return findings;
+    return record;
+}
+
+BundleVersion statedVersion(std::string_view plan)
+{
+    const Json json = Json::parse(plan, nullptr, false);
+    if (!json.is_object() || !json.contains("version") || !json["version"].is_number_unsigned())
+        return {};
+    return {json["version"].get<uint64_t>()};
+}
+
+requests::HttpRespond jsonAnswer(requests::HttpHandle handle, int status, std::string body)
+{
+    const uint64_t length = body.size();
+    return {.handle = handle,
+        .status = status,
+        .headers = {{.name = "Content-Type", .value = "application/json"}},
+        .bodyLength = length,
+        .bytes = std::move(body)};
+}
+
+requests::HttpRespond errorAnswer(requests::HttpHandle handle, int status, std::string_view message)
+{
+    return jsonAnswer(handle, status, Json {{"error", message}}.dump());
+}
+
+requests::HttpRespond findingsAnswer(requests::HttpHandle handle, const std::vector<Finding>& findings)
+{
+    Json list = Json::array();
+    for (const Finding& finding : findings)
+        list.push_back(toString(finding));
+    return jsonAnswer(handle, StatusBadRequest, Json {{"error", "findings"}, {"findings", list}}.dump());
+}
+
+requests::HttpRespond laterAnswer(requests::HttpHandle handle, std::string_view message)
+{
+    requests::HttpRespond answer = errorAnswer(handle, StatusUnavailable, message);
+    answer.headers.push_back({.name = "Retry-After", .value = std::string(RetryAfterSeconds)});
+    return answer;
+}
+
+requests::HttpRespond redirectAnswer(requests::HttpHandle handle, const model::Address& address, std::string_view path)
+{
+    requests::HttpRespond answer = errorAnswer(handle, StatusRedirect, "another control host leads");
+    answer.headers.push_back({.name = "Location", .value = "http://" + toString(address) + std::string(path)});
+    return answer;
+}
+
+} // namespace saltvane::registry
--- /dev/null
+++ b/src/registry/internal/calls.h
@@ -0,0 +1,60 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "base/finding.h"
+#include "base/result.h"
+#include "control/controltypes.h"
+#include "model/targetmessages.h"
+#include "requests/exchangetypes.h"
+#include "settings/routedhostsettings.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// The registry's HTTP interface (docs/ROUTES.md): calls read into typed requests, outcomes written as answers.
+namespace saltvane::registry {
+
+struct LookUpCall {
+    std::string zone;
+    std::string region;
+};
+struct TargetBeatCall {
+    TargetId target;
+};
+struct TargetLeaveCall {
+    TargetId target;
+};
+struct ReplacePlanCall {
+    BundleVersion base;
+};
+struct ReadPlanCall { };
+struct EvacuationCall {
+    ZoneName zone;
+    bool isEvacuated = false;
+};
+struct StatusCall { };
+struct UnknownCall { };
+using Call = std::variant<LookUpCall, TargetBeatCall, TargetLeaveCall, ReplacePlanCall, ReadPlanCall, EvacuationCall,
+    StatusCall, UnknownCall>;
+
+/// By method, path and headers alone.
+[[nodiscard]] Call readCall(const requests::HttpRequestStarted& request, const settings::HeaderNames& headers);
+[[nodiscard]] Result<model::TargetRecord, Findings> readTargetBeat(const TargetId& target, std::string_view body);
+/// The version that a plan's text states, without its checks; 0 where there is none.
+[[nodiscard]] BundleVersion statedVersion(std::string_view plan);
+
+[[nodiscard]] requests::HttpRespond jsonAnswer(requests::HttpHandle handle, int status, std::string body);
+[[nodiscard]] requests::HttpRespond errorAnswer(requests::HttpHandle handle, int status, std::string_view message);
+[[nodiscard]] requests::HttpRespond findingsAnswer(requests::HttpHandle handle, const std::vector<Finding>& findings);
+/// 503 with the time after which the same call may succeed.
+[[nodiscard]] requests::HttpRespond laterAnswer(requests::HttpHandle handle, std::string_view message);
+[[nodiscard]] requests::HttpRespond redirectAnswer(
+    requests::HttpHandle handle, const model::Address& address, std::string_view path);
+
+} // namespace saltvane::registry
--- /dev/null
+++ b/src/registry/internal/registrycore.cpp
@@ -0,0 +1,488 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "registry/internal/registrycore.h"
+
+#include "registry/internal/lookups.h"
+#include "settings/routeplanformat.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace saltvane::registry {
+
+namespace {
+
+/// The replicated log's timers need no finer steps.
+constexpr Duration RegistryTick = 20ms;
+/// Reports of targets are gathered for so long.
+constexpr Duration ReportPeriod = 100ms;
+/// Gateways heard of within it are sent reports and plans.
+constexpr Duration GatewayMemory = 4s;
+/// A planned stop waits so long for answers and messages on their way.
+constexpr Duration StopDelay = 300ms;
+constexpr Duration LongestStop = 2s;
+/// Of the newest retired targets, told to a gateway that starts.
+constexpr size_t RetiredTold = 512;
+constexpr size_t LargestBody = 4 * 1024 * 1024;
+
+constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 412;
+constexpr int StatusTooLarge = 413;
+
+/// Decisions of the log need no wall clock here: it only dates entries for people.
+int64_t noWallClock() { return 0; }
+
+Result<BundleVersion, Findings> checkPlan(std::string_view content)
+{
+    const Result<model::RoutePlan, Findings> plan = settings::parseRoutePlan(content, "plan");
+    if (!plan)
+        return plan.error();
+    return plan.value().version;
+}
+
+Result<model::Bundle, Findings> refuseBundle(std::string_view /*content*/)
+{
+    Findings findings;
+    findings.add({.place = {}, .field = "", .message = "a registry takes route plans, not bundles"});
+    return findings;
+}
+
+std::vector<HostId> hostsOf(const std::vector<model::Address>& addresses)
+{
+    std::vector<HostId> hosts;
+    for (const model::Address& address : addresses)
+        hosts.emplace_back(toString(address));
+    return hosts;
+}
+
+model::HostRecord recordOf(const settings::RoutedHostSettings& settings, Incarnation incarnation)
+{
+    return {
+        .host = settings.host(),
+        .incarnation = incarnation,
+        .zone = settings.zone,
+        .region = settings.region,
+        .linkAddress = settings.linkAddress,
+        .entryAddress = settings.controlAddress,
+        .isControl = true,
+        .state = model::HostState::Serving,
+    };
+}
+
+} // namespace
+
+RegistryCore::RegistryCore(const RegistryOptions& options, std::unique_ptr<control::IControlReplica> replica,
+    model::Counters* counters, std::unique_ptr<model::Counters> ownCounters)
+    : settings_(options.settings)
+    , self_(settings_.host())
+    , incarnation_(options.incarnation)
+    , counters_(std::move(ownCounters))
+    , replica_(std::move(replica))
+    , roster_(
+          membership::makeHostRoster({.self = recordOf(settings_, incarnation_), .seeds = hostsOf(settings_.seeds)}))
+    , holder_(control::makeBundleHolder({.self = self_, .counters = counters}))
+    , targets_(settings_.zones)
+    , orders_(*replica_)
+{
+}
+
+Duration RegistryCore::tickPeriod() const { return RegistryTick; }
+
+void RegistryCore::handle(host::Event event, Timestamp now)
+{
+    std::visit([&](auto&& one) { accept(std::forward<decltype(one)>(one), now); }, std::move(event));
+    settle(now);
+}
+
+void RegistryCore::tick(Timestamp now)
+{
+    replica_->tick(now);
+    replica_->setJoinHosts(roster_->controlHosts());
+    roster_->tick(now);
+    targets_.tick(now);
+    orders_.retryWaiting(now);
+    noteLeader(now);
+    distribute(now);
+    reportTargets(now);
+    updateLinks();
+    settle(now);
+    const bool isStopDue = stopAt_ && now >= *stopAt_ && (orders_.isEmpty() || now >= *stopAt_ + LongestStop);
+    if (isStopDue)
+        actions_.emplace_back(host::StopFinished {});
+}
+
+std::vector<host::Action> RegistryCore::takeActions() { return std::exchange(actions_, {}); }
+
+void RegistryCore::accept(requests::HttpEvent event, Timestamp now)
+{
+    std::visit([&](const auto& one) { accept(one, now); }, event);
+}
+
+void RegistryCore::accept(const requests::HttpRequestStarted& request, Timestamp now)
+{
+    OpenCall& open = calls_[request.handle];
+    open = {.call = readCall(request, settings_.headers), .path = request.path, .isBodyWhole = request.bodyLength == 0};
+    if (open.isBodyWhole)
+        std::visit([&](const auto& call) { run(request.handle, call, open, now); }, Call(open.call));
+}
+
+void RegistryCore::accept(const requests::HttpRequestBody& body, Timestamp now)
+{
+    const auto found = calls_.find(body.handle);
+    if (found == calls_.end())
+        return;
+    OpenCall& open = found->second;
+    if (open.body.size() + body.bytes.size() > LargestBody)
+        return answer(errorAnswer(body.handle, StatusTooLarge, "the body is too large"));
+    open.body += body.bytes;
+    actions_.emplace_back(
+        requests::Action(requests::HttpRequestWindow {.handle = body.handle, .bytes = body.bytes.size()}));
+    open.isBodyWhole = body.isLast;
+    if (open.isBodyWhole)
+        std::visit([&](const auto& call) { run(body.handle, call, open, now); }, Call(open.call));
+}
+
+void RegistryCore::accept(const requests::HttpRequestAborted& aborted, Timestamp /*now*/)
+{
+    calls_.erase(aborted.handle);
+    orders_.forget(aborted.handle);
+}
+
+void RegistryCore::accept(const model::Delivery& delivery, Timestamp now)
+{
+    const bool isGatewayReport = std::holds_alternative<model::Heartbeat>(delivery.message);
+    roster_->handle(delivery, now);
+    holder_->handle(delivery, now);
+    replica_->handle(delivery, now);
+    if (!isGatewayReport || std::get<model::Heartbeat>(delivery.message).record.isControl)
+        return;
+    if (!toldAll_.insert(delivery.from).second)
+        return;
+    model::TargetReport report = makeReport();
+    const control::RoutingState& routing = replica_->routing();
+    const size_t skipped = routing.retiredTargets.size() - std::min(routing.retiredTargets.size(), RetiredTold);
+    report.retired.assign(
+        routing.retiredTargets.begin() + static_cast<ptrdiff_t>(skipped), routing.retiredTargets.end());
+    report.targets = targets_.all(gateways(now), now);
+    send({{.to = delivery.from, .message = std::move(report)}});
+}
+
+void RegistryCore::accept(const host::LinkUp& up, Timestamp now)
+{
+    toldAll_.erase(up.host);
+    roster_->noteLinkUp(up.host, now);
+}
+
+void RegistryCore::accept(const host::LinkDown& down, Timestamp /*now*/)
+{
+    toldAll_.erase(down.host);
+    log(host::LogSeverity::Warning, "event=peer_lost peer=" + down.host.value());
+}
+
+void RegistryCore::accept(const control::StorageDone& done, Timestamp now) { replica_->handle(done, now); }
+
+void RegistryCore::accept(const control::StorageFailed& failed, Timestamp now)
+{
+    log(host::LogSeverity::Error, "event=storage_failed reason=\"" + failed.message + "\"");
+    replica_->handle(failed, now);
+}
+
+void RegistryCore::accept(host::StopRequested /*stop*/, Timestamp now)
+{
+    if (stopAt_)
+        return;
+    log(host::LogSeverity::Info, "event=stopping");
+    roster_->setState(model::HostState::Leaving);
+    stopAt_ = now + StopDelay;
+}
+
+void RegistryCore::run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& /*open*/, Timestamp now)
+{
+    const std::vector<model::Address> addresses = gatewaysFor(*roster_, call.zone, call.region, now);
+    counters_->add(addresses.empty() ? model::Counter::LookUpsRefused : model::Counter::LookUps);
+    if (addresses.empty())
+        return answer(laterAnswer(handle, "no gateway is known"));
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const model::Address& address : addresses)
+        hosts.push_back(toString(address));
+    const nlohmann::json body {{"hosts", std::move(hosts)}, {"ttl_s", toSeconds(settings_.lookUpTtl)}};
+    answer(jsonAnswer(handle, StatusOk, body.dump()));
+}
+
+bool RegistryCore::isRetired(const TargetId& target) const { return retired_.contains(target); }
+
+void RegistryCore::run(requests::HttpHandle handle, const TargetBeatCall& call, OpenCall& open, Timestamp now)
+{
+    Result<model::TargetRecord, Findings> beat = readTargetBeat(call.target, open.body);
+    if (!beat) {
+        counters_->add(model::Counter::AnnouncementsRefused);
+        return answer(findingsAnswer(handle, beat.error().items()));
+    }
+    counters_->add(model::Counter::Announcements);
+    const bool isLeaving = beat.value().isLeaving || isRetired(call.target);
+    const bool mustRetire = isLeaving && !isRetired(call.target);
+    beat.value().isLeaving = isLeaving;
+    if (!targets_.note(std::move(beat.value()), now))
+        counters_->add(model::Counter::StaleMessages);
+    if (mustRetire)
+        return orders_.submit(handle, control::RetireTarget {.target = call.target}, now);
+    answer(jsonAnswer(handle, StatusOk, "{}"));
+}
+
+void RegistryCore::run(requests::HttpHandle handle, const TargetLeaveCall& call, OpenCall& /*open*/, Timestamp now)
+{
+    targets_.remove(call.target);
+    if (isRetired(call.target))
+        return answer(jsonAnswer(handle, StatusOk, "{}"));
+    orders_.submit(handle, control::RetireTarget {.target = call.target}, now);
+}
+
+void RegistryCore::run(requests::HttpHandle handle, const ReplacePlanCall& call, OpenCall& open, Timestamp now)
+{
+    log(host::LogSeverity::Info,
+        "event=plan_order base=" + std::to_string(call.base.value) + " bytes=" + std::to_string(open.body.size()));
+    orders_.submit(handle,
+        control::ReplacePlan {.base = call.base, .version = statedVersion(open.body), .content = std::move(open.body)},
+        now);
+}
+
+void RegistryCore::run(requests::HttpHandle handle, ReadPlanCall /*call*/, OpenCall& /*open*/, Timestamp now)
+{
+    const control::RoutingState& routing = replica_->routing();
+    if (!replica_->isCurrent(now) || routing.planContent.empty()) {
+        counters_->add(model::Counter::NotCurrentAnswers);
+        return answer(laterAnswer(handle, "no plan, or no proof that it is the newest"));
+    }
+    answer(jsonAnswer(handle, StatusOk, routing.planContent));
+}
+
+void RegistryCore::run(requests::HttpHandle handle, const EvacuationCall& call, OpenCall& /*open*/, Timestamp now)
+{
+    orders_.submit(handle, control::SetEvacuation {.zone = call.zone, .isEvacuated = call.isEvacuated}, now);
+}
+
+void RegistryCore::run(requests::HttpHandle handle, StatusCall /*call*/, OpenCall& /*open*/, Timestamp now)
+{
+    answer(jsonAnswer(handle, StatusOk, statusText(now)));
+}
+
+void RegistryCore::run(requests::HttpHandle handle, UnknownCall /*call*/, OpenCall& /*open*/, Timestamp /*now*/)
+{
+    answer(errorAnswer(handle, StatusNotFound, "no such call"));
+}
+
+std::string RegistryCore::statusText(Timestamp now) const
+{
+    nlohmann::json replicas = nlohmann::json::array();
+    for (const control::ReplicaInfo& info : replica_->replicas())
+        replicas.push_back({{"host", info.host.value()}, {"voter", info.isVoter}});
+    return nlohmann::json {{"leader", replica_->leaderHost().value()}, {"current", replica_->isCurrent(now)},
+        {"term", replica_->term().value}, {"commit", replica_->commitIndex().value},
+        {"plan", replica_->routing().planVersion.value}, {"targets", targets_.size()},
+        {"gateways", gateways(now).size()}, {"replicas", std::move(replicas)}}
+        .dump();
+}
+
+void RegistryCore::answer(requests::HttpRespond respond)
+{
+    calls_.erase(respond.handle);
+    actions_.emplace_back(requests::Action(std::move(respond)));
+}
+
+requests::HttpRespond RegistryCore::answerOf(const OrderAnswer& order, const OpenCall& open) const
+{
+    if (std::holds_alternative<OrderDone>(order.outcome))
+        return jsonAnswer(order.handle, StatusOk, "{}");
+    if (const auto* unanswered = std::get_if<OrderUnanswered>(&order.outcome))
+        return laterAnswer(order.handle, unanswered->reason);
+    if (const auto* elsewhere = std::get_if<OrderElsewhere>(&order.outcome)) {
+        const membership::RosterEntry* leader = roster_->find(elsewhere->leader);
+        if (leader == nullptr)
+            return laterAnswer(order.handle, "the control leader's address is not known yet");
+        return redirectAnswer(order.handle, leader->record.entryAddress, open.path);
+    }
+    const control::ControlError& error = std::get<OrderRefused>(order.outcome).error;
+    if (error.kind == control::ControlErrorKind::Conflict)
+        return errorAnswer(order.handle, StatusConflict, error.message);
+    if (!error.findings.empty())
+        return findingsAnswer(order.handle, error.findings);
+    return errorAnswer(order.handle, StatusBadRequest, error.message);
+}
+
+void RegistryCore::answerOrders()
+{
+    for (const OrderAnswer& order : orders_.takeAnswers()) {
+        const auto found = calls_.find(order.handle);
+        if (found == calls_.end())
+            continue;
+        requests::HttpRespond respond = answerOf(order, found->second);
+        log(host::LogSeverity::Info,
+            "event=order_answered path=" + found->second.path + " status=" + std::to_string(respond.status)
+                + " plan=" + std::to_string(replica_->routing().planVersion.value)
+                + " commit=" + std::to_string(replica_->commitIndex().value));
+        answer(std::move(respond));
+    }
+}
+
+void RegistryCore::settle(Timestamp now)
+{
+    noteOrders(now);
+    orders_.tick(now);
+    answerOrders();
+    for (control::StorageWrite& write : replica_->takeWrites())
+        actions_.emplace_back(std::move(write));
+    send(replica_->takeOutgoing());
+    send(roster_->takeOutgoing());
+    send(holder_->takeOutgoing());
+}
+
+void RegistryCore::noteOrders(Timestamp now)
+{
+    const control::RoutingState& routing = replica_->routing();
+    if (routing.planVersion.value != 0 && (!holder_->isReady() || holder_->age(now) > RegistryTick))
+        distribute(now);
+    if (routing.ordersPosition == ordersSeen_)
+        return;
+    ordersSeen_ = routing.ordersPosition;
+    model::TargetReport report = makeReport();
+    for (const TargetId& target : routing.retiredTargets) {
+        if (retired_.insert(target).second)
+            report.retired.push_back(target);
+    }
+    for (const Gateway& gateway : gateways(now))
+        send({{.to = gateway.host, .message = report}});
+}
+
+void RegistryCore::distribute(Timestamp now)
+{
+    std::vector<HostId> receivers;
+    if (replica_->isLeader()) {
+        for (const Gateway& gateway : gateways(now))
+            receivers.push_back(gateway.host);
+    }
+    holder_->setPeers({}, receivers, now);
+    const control::RoutingState& routing = replica_->routing();
+    std::optional<control::IBundleHolder::ControlView> view;
+    if (routing.planVersion.value != 0 && replica_->proofAge(now) != Duration::max()) {
+        view = {.position = routing.planPosition,
+            .version = routing.planVersion,
+            .content = routing.planContent,
+            .proofAge = replica_->proofAge(now)};
+    }
+    holder_->setControlView(view, now);
+    holder_->tick(now);
+    (void)holder_->takeInstalled(); // This host serves no requests by it.
+}
+
+model::TargetReport RegistryCore::makeReport() const
+{
+    const control::RoutingState& routing = replica_->routing();
+    return {.orders = routing.ordersPosition,
+        .evacuatedZones = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()}};
+}
+
+void RegistryCore::reportTargets(Timestamp now)
+{
+    if (now < nextReportAt_)
+        return;
+    nextReportAt_ = now + ReportPeriod;
+    const std::vector<Gateway> receivers = gateways(now);
+    model::TargetReport report = makeReport();
+    report.targets = targets_.takeNews(receivers, now);
+    if (report.targets.empty())
+        return;
+    for (const Gateway& gateway : receivers)
+        send({{.to = gateway.host, .message = report}});
+}
+
+std::vector<Gateway> RegistryCore::gateways(Timestamp now) const
+{
+    std::vector<Gateway> known;
+    for (const membership::RosterEntry* entry : roster_->heardWithin(GatewayMemory, now)) {
+        const model::HostRecord& record = entry->record;
+        if (!record.isControl)
+            known.push_back({.host = record.host, .zone = record.zone, .region = record.region});
+    }
+    return known;
+}
+
+void RegistryCore::updateLinks()
+{
+    std::vector<HostId> hosts = roster_->controlHosts();
+    if (hosts == linkedHosts_)
+        return;
+    linkedHosts_ = std::move(hosts);
+    host::LinksWanted wanted;
+    for (const HostId& host : linkedHosts_) {
+        if (const auto address = model::parseAddress(host.value()))
+            wanted.peers.push_back({.host = host, .address = *address});
+    }
+    actions_.emplace_back(std::move(wanted));
+}
+
+void RegistryCore::noteLeader(Timestamp now)
+{
+    if (replica_->leaderHost() == leader_)
+        return;
+    leader_ = replica_->leaderHost();
+    log(host::LogSeverity::Info,
+        "event=" + std::string(leader_.isEmpty() ? "leader_lost" : "leader_known") + " leader=" + leader_.value()
+            + " term=" + std::to_string(replica_->term().value) + " voters="
+            + std::to_string(replica_->replicas().size()) + " current=" + (replica_->isCurrent(now) ? "yes" : "no"));
+}
+
+void RegistryCore::log(host::LogSeverity severity, std::string text)
+{
+    actions_.emplace_back(host::LogLine {.severity = severity, .module = "registry", .text = std::move(text)});
+}
+
+void RegistryCore::send(std::vector<model::Outgoing> outgoing)
+{
+    for (model::Outgoing& one : outgoing)
+        actions_.emplace_back(requests::Action(std::move(one)));
+}
+
+host::HostStatus RegistryCore::status(Timestamp now) const
+{
+    return {
+        .host = self_,
+        .incarnation = incarnation_,
+        .state = stopAt_ ? model::HostState::Leaving : model::HostState::Serving,
+        .isControlLeader = replica_->isLeader(),
+        .isControlCurrent = replica_->isCurrent(now),
+        .controlLeader = replica_->leaderHost(),
+        .inForce = replica_->routing().planPosition,
+        .inForceVersion = replica_->routing().planVersion,
+        .stateAge = replica_->proofAge(now),
+    };
+}
+
+std::unique_ptr<host::IHostCore> makeRegistry(const RegistryOptions& options)
+{
+    auto counters = std::make_unique<model::Counters>();
+    std::unique_ptr<control::IControlReplica> replica = control::makeControlReplica({
+        .self = options.settings.host(),
+        .incarnation = options.incarnation,
+        .recovered = options.recovered,
+        .bootstrapHosts = hostsOf(options.settings.seeds),
+        .parseBundle = refuseBundle,
+        .checkPlan = checkPlan,
+        .mayFound = options.settings.isFirstStart,
+        .isMembershipOpen = true,
+        .wallClockUnixMs = noWallClock,
+        .seed = options.seed,
+        .counters = counters.get(),
+    });
+    if (!replica)
+        return nullptr;
+    model::Counters* shared = counters.get();
+    return std::make_unique<RegistryCore>(options, std::move(replica), shared, std::move(counters));
+}
+
+} // namespace saltvane::registry
--- /dev/null
+++ b/src/registry/internal/registrycore.h
@@ -0,0 +1,102 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "control/ibundleholder.h"
+#include "membership/ihostroster.h"
+#include "registry/internal/calls.h"
+#include "registry/internal/orders.h"
+#include "registry/internal/targetbook.h"
+#include "registry/iregistry.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace saltvane::registry {
+
+/// A registry host without I/O.
+class RegistryCore final : public host::IHostCore {
+public:
+    explicit RegistryCore(const RegistryOptions& options, std::unique_ptr<control::IControlReplica> replica,
+        model::Counters* counters, std::unique_ptr<model::Counters> ownCounters);
+
+    void handle(host::Event event, Timestamp now) override;
+    void tick(Timestamp now) override;
+    [[nodiscard]] std::vector<host::Action> takeActions() override;
+    [[nodiscard]] host::HostStatus status(Timestamp now) const override;
+    [[nodiscard]] const model::Counters& counters() const override { return *counters_; }
+    [[nodiscard]] Duration tickPeriod() const override;
+
+private:
+    /// A call whose body comes in, or whose order is on its way.
+    struct OpenCall {
+        Call call;
+        std::string path;
+        std::string body;
+        bool isBodyWhole = false;
+    };
+
+    void accept(requests::HttpEvent event, Timestamp now);
+    void accept(const requests::HttpRequestStarted& request, Timestamp now);
+    void accept(const requests::HttpRequestBody& body, Timestamp now);
+    void accept(const requests::HttpRequestAborted& aborted, Timestamp now);
+    void accept(const requests::HttpResponseProgress& /*progress*/, Timestamp /*now*/) { }
+    void accept(const requests::HttpResponseDone& /*done*/, Timestamp /*now*/) { }
+    void accept(const requests::TargetEvent& /*event*/, Timestamp /*now*/) { }
+    void accept(const model::Delivery& delivery, Timestamp now);
+    void accept(const host::LinkUp& up, Timestamp now);
+    void accept(const host::LinkDown& down, Timestamp now);
+    void accept(const control::StorageDone& done, Timestamp now);
+    void accept(const control::StorageFailed& failed, Timestamp now);
+    void accept(host::StopRequested stop, Timestamp now);
+
+    void run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& open, Timestamp now);
+    void run(requests::HttpHandle handle, const TargetBeatCall& call, OpenCall& open, Timestamp now);
+    void run(requests::HttpHandle handle, const TargetLeaveCall& call, OpenCall& open, Timestamp now);
+    void run(requests::HttpHandle handle, const ReplacePlanCall& call, OpenCall& open, Timestamp now);
+    void run(requests::HttpHandle handle, ReadPlanCall call, OpenCall& open, Timestamp now);
+    void run(requests::HttpHandle handle, const EvacuationCall& call, OpenCall& open, Timestamp now);
+    void run(requests::HttpHandle handle, StatusCall call, OpenCall& open, Timestamp now);
+    void run(requests::HttpHandle handle, UnknownCall call, OpenCall& open, Timestamp now);
+
+    void answer(requests::HttpRespond respond);
+    void answerOrders();
+    [[nodiscard]] requests::HttpRespond answerOf(const OrderAnswer& order, const OpenCall& open) const;
+    [[nodiscard]] std::string statusText(Timestamp now) const;
+    [[nodiscard]] bool isRetired(const TargetId& target) const;
+
+    void settle(Timestamp now);
+    void noteOrders(Timestamp now);
+    void distribute(Timestamp now);
+    void reportTargets(Timestamp now);
+    [[nodiscard]] model::TargetReport makeReport() const;
+    [[nodiscard]] std::vector<Gateway> gateways(Timestamp now) const;
+    void updateLinks();
+    void noteLeader(Timestamp now);
+    void log(host::LogSeverity severity, std::string text);
+    void send(std::vector<model::Outgoing> outgoing);
+
+    settings::RoutedHostSettings settings_;
+    HostId self_;
+    Incarnation incarnation_;
+    std::unique_ptr<model::Counters> counters_;
+    std::unique_ptr<control::IControlReplica> replica_;
+    std::unique_ptr<membership::IHostRoster> roster_;
+    std::unique_ptr<control::IBundleHolder> holder_;
+    TargetBook targets_;
+    Orders orders_;
+    std::unordered_map<requests::HttpHandle, OpenCall> calls_;
+    std::set<TargetId> retired_; ///< As of ordersSeen_.
+    LogPosition ordersSeen_;
+    std::set<HostId> toldAll_; ///< Gateways that have every target, or it is on its way to them.
+    Timestamp nextReportAt_ {};
+    HostId leader_;
+    std::vector<HostId> linkedHosts_;
+    std::vector<host::Action> actions_;
+    std::optional<Timestamp> stopAt_;
+};
+
+} // namespace saltvane::registry
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -21,6 +21,19 @@
 
 /// One HTTP exchange with a caller, on this host.
 using HttpHandle = Number<struct HttpHandleTag>;
+/// Which of a host's listening addresses an exchange came in at, by the order of its servers.
+[[nodiscard]] inline uint8_t listenerOf(HttpHandle handle)
+{
+    constexpr int ListenerShift = 56;
+    return static_cast<uint8_t>(handle.value >> ListenerShift);
+}
+/// The number that handles of a listener count up from.
+[[nodiscard]] inline HttpHandle firstHandleOf(uint8_t listener)
+{
+    constexpr int ListenerShift = 56;
+    return {static_cast<uint64_t>(listener) << ListenerShift};
+}
+
 /// One HTTP exchange with a target, on this host.
 using DispatchId = Number<struct DispatchIdTag>;
 
--- a/src/requests/internal/callerwriter.cpp
+++ b/src/requests/internal/callerwriter.cpp
@@ -5,7 +5,7 @@
  */
 #include "requests/internal/callerwriter.h"
 
-#include "requests/internal/headerfilter.h"
+#include "requests/headerfilter.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/requests/internal/headerfilter.cpp
+++ b/src/requests/internal/headerfilter.cpp
@@ -3,7 +3,7 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
-#include "requests/internal/headerfilter.h"
+#include "requests/headerfilter.h"
 
 #include <algorithm>
 #include <array>
@@ -53,19 +53,6 @@
         && isSameFieldName(field.substr(0, InternalPrefix.size()), InternalPrefix);
 }
 
-std::vector<model::Header> endToEnd(std::span<const model::Header> headers)
-{
-    const std::vector<std::string_view> options = connectionOptions(headers);
-    std::vector<model::Header> kept;
-    kept.reserve(headers.size() + 2);
-    for (const model::Header& header : headers) {
-        if (isNamed(HopByHopFields, header.name) || isNamed(options, header.name))
-            continue;
-        kept.push_back(header);
-    }
-    return kept;
-}
-
 } // namespace
 
 std::vector<std::string_view> fieldValues(std::span<const model::Header> headers, std::string_view name)
@@ -78,9 +65,22 @@
     return values;
 }
 
+std::vector<model::Header> endToEndHeaders(std::span<const model::Header> headers)
+{
+    const std::vector<std::string_view> options = connectionOptions(headers);
+    std::vector<model::Header> kept;
+    kept.reserve(headers.size() + 2);
+    for (const model::Header& header : headers) {
+        if (isNamed(HopByHopFields, header.name) || isNamed(options, header.name))
+            continue;
+        kept.push_back(header);
+    }
+    return kept;
+}
+
 std::vector<model::Header> forwardableHeaders(std::span<const model::Header> headers)
 {
-    std::vector<model::Header> kept = endToEnd(headers);
+    std::vector<model::Header> kept = endToEndHeaders(headers);
     std::erase_if(kept, [](const model::Header& header) {
         if (isSameFieldName(header.name, "Expect"))
             return true;
@@ -91,7 +91,7 @@
 
 std::vector<model::Header> answerHeaders(std::span<const model::Header> headers)
 {
-    std::vector<model::Header> kept = endToEnd(headers);
+    std::vector<model::Header> kept = endToEndHeaders(headers);
     std::erase_if(kept, [](const model::Header& header) { return isInternal(header.name); });
     return kept;
 }
--- a/src/requests/internal/intake.cpp
+++ b/src/requests/internal/intake.cpp
@@ -5,9 +5,9 @@
  */
 #include "requests/internal/intake.h"
 
+#include "requests/headerfilter.h"
 #include "requests/internal/answerrelay.h"
 #include "requests/internal/forwarder.h"
-#include "requests/internal/headerfilter.h"
 #include "requests/internal/keyedrequests.h"
 #include "requests/internal/requestparser.h"
 #include "requests/internal/settler.h"
--- a/src/requests/internal/keyedrequests.cpp
+++ b/src/requests/internal/keyedrequests.cpp
@@ -5,10 +5,10 @@
  */
 #include "requests/internal/keyedrequests.h"
 
+#include "requests/headerfilter.h"
 #include "requests/internal/callerwriter.h"
 #include "requests/internal/fingerprint.h"
 #include "requests/internal/forwarder.h"
-#include "requests/internal/headerfilter.h"
 #include "requests/internal/settler.h"
 
 #include <algorithm>
--- a/src/requests/internal/ownerrequests.cpp
+++ b/src/requests/internal/ownerrequests.cpp
@@ -4,7 +4,7 @@
  * Copyright (c) 2026 the saltvane authors
  */
 #include "requests/internal/ownerrequests.h"
-#include "requests/internal/headerfilter.h"
+#include "requests/headerfilter.h"
 
 #include "requests/internal/ownerheaders.h"
 
--- a/src/requests/internal/requestparser.cpp
+++ b/src/requests/internal/requestparser.cpp
@@ -5,7 +5,7 @@
  */
 #include "requests/internal/requestparser.h"
 
-#include "requests/internal/headerfilter.h"
+#include "requests/headerfilter.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/requests/tests/entryfixture.cpp
+++ b/src/requests/tests/entryfixture.cpp
@@ -5,7 +5,7 @@
  */
 #include "requests/tests/entryfixture.h"
 
-#include "requests/internal/headerfilter.h"
+#include "requests/headerfilter.h"
 
 namespace saltvane::requests {
 
--- a/src/requests/tests/stormtests.cpp
+++ b/src/requests/tests/stormtests.cpp
@@ -3,7 +3,7 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
-#include "requests/internal/headerfilter.h"
+#include "requests/headerfilter.h"
 #include "requests/tests/entryfixture.h"
 #include "requests/tests/stormchecker.h"
 
--- a/src/saltvaned/internal/commandline.cpp
+++ b/src/saltvaned/internal/commandline.cpp
@@ -5,6 +5,7 @@
  */
 #include "saltvaned/internal/commandline.h"
 
+#include <cstdlib>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
@@ -16,8 +17,9 @@
     commandLine.setExceptionHandling(false);
     TCLAP::SwitchArg check(
         "", "check", "Check the settings, print every finding with its place, and exit", commandLine);
-    TCLAP::UnlabeledValueArg<std::string> settings(
-        "settings", "Settings file (docs/SETTINGS.md)", true, "", "SETTINGS.yaml", commandLine);
+    TCLAP::UnlabeledValueArg<std::string> settings("settings",
+        "Settings file (docs/SETTINGS.md); by default the one that SALTVANE_CONFIG names", false, "", "SETTINGS.yaml",
+        commandLine);
     try {
         commandLine.parse(argc, argv);
     } catch (const TCLAP::ArgException& error) {
@@ -26,7 +28,15 @@
     } catch (const TCLAP::ExitException& exit) {
         return exit.getExitStatus();
     }
-    return CommandLine {.settingsPath = settings.getValue(), .isCheckOnly = check.getValue()};
+    std::string path = settings.getValue();
+    const char* const named = std::getenv(SettingsVariable);
+    if (path.empty() && named != nullptr)
+        path = named;
+    if (path.empty()) {
+        std::cerr << "saltvaned: no settings file: name one, or set " << SettingsVariable << "\n";
+        return ExitUsage;
+    }
+    return CommandLine {.settingsPath = std::move(path), .isCheckOnly = check.getValue()};
 }
 
 } // namespace saltvane::saltvaned
--- a/src/saltvaned/internal/commandline.h
+++ b/src/saltvaned/internal/commandline.h
@@ -16,6 +16,9 @@
 inline constexpr int ExitFailure = 1; ///< Something outside failed: a port, the data folder, the stop's time limit.
 inline constexpr int ExitUsage = 2; ///< Wrong arguments or settings with findings.
 
+/// Environment variable that names the settings file where the arguments don't.
+inline constexpr const char* SettingsVariable = "SALTVANE_CONFIG";
+
 struct CommandLine {
     std::string settingsPath;
     bool isCheckOnly = false;
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -6,10 +6,13 @@
 #include "saltvaned/internal/daemon.h"
 
 #include "base/log.h"
+#include "gateway/igateway.h"
+#include "registry/iregistry.h"
 #include "saltvaned/internal/accesslog.h"
 #include "saltvaned/internal/commandline.h"
 #include "saltvaned/internal/metricstext.h"
 
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <sodium.h>
@@ -19,6 +22,10 @@
 
 namespace {
 
+constexpr Duration UsualConnectTimeout = 1s;
+/// Three lost round trips between far regions; a target that takes longer is tried elsewhere.
+constexpr Duration GatewayConnectTimeout = 600ms;
+
 Timestamp monotonicNow()
 {
     return Timestamp(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
@@ -58,7 +65,7 @@
     ev_signal_stop(loop_, &interruptSignal_);
     linkHub_.reset();
     targetClient_.reset();
-    httpServer_.reset();
+    httpServers_.clear();
     ev_loop_destroy(loop_);
 }
 
@@ -75,61 +82,153 @@
     return daemon;
 }
 
+Result<std::unique_ptr<Daemon>, IoError> Daemon::start(const settings::RoutedHostSettings& settings)
+{
+    std::unique_ptr<Daemon> daemon(new Daemon);
+    const Result<Done, IoError> opened = daemon->openAdapters(settings);
+    if (!opened)
+        return opened.error();
+    daemon->startWatchers();
+    LOG_TAGGED(INFO, "saltvaned") << "event=started host=" << settings.host().value()
+                                  << " role=" << (settings.isGateway ? "gateway" : "registry")
+                                  << " zone=" << settings.zone.value() << " seeds=" << settings.seeds.size()
+                                  << " first_start=" << (settings.isFirstStart ? "yes" : "no");
+    return daemon;
+}
+
 Result<Done, IoError> Daemon::openAdapters(const settings::HostSettings& settings)
 {
     const Incarnation incarnation = incarnationOfThisStart();
     std::optional<control::RecoveredState> recovered;
     if (settings.isControl) {
-        Result<std::unique_ptr<net::IDataFolder>, IoError> folder = net::openDataFolder(settings.dataFolder);
-        if (!folder)
-            return folder.error();
-        dataFolder_ = std::move(folder.value());
-        for (const std::string& warning : dataFolder_->warnings())
-            LOG_TAGGED(WARNING, "net") << "event=data_folder_warning " << warning;
+        if (auto opened = openDataFolder(settings.dataFolder); !opened)
+            return opened;
         recovered = dataFolder_->recovered();
     }
-
     core_ = host::makeHostCore({.settings = settings,
         .incarnation = incarnation,
         .recovered = std::move(recovered),
         .seed = randomSeed(),
         .wallClockUnixMs = wallClockUnixMs});
+    const auto linked = openLinks({.host = settings.host,
+        .incarnation = incarnation,
+        .deployment = settings.deployment,
+        .linkKey = settings.linkKey,
+        .address = settings.linkAddress});
+    if (!linked)
+        return linked;
+    if (auto opened = openTargetClient(UsualConnectTimeout); !opened)
+        return opened;
+    return openHttpServer(settings.entryAddress, settings.limits, true);
+}
 
-    const net::EventSink sink = [this](host::Event event) { deliver(std::move(event)); };
-    Result<std::unique_ptr<net::ILinkHub>, IoError> linkHub = net::makeLinkHub({.loop = loop_,
-        .self = settings.host,
+Result<Done, IoError> Daemon::openAdapters(const settings::RoutedHostSettings& settings)
+{
+    const Incarnation incarnation = incarnationOfThisStart();
+    if (settings.isRegistry) {
+        if (auto opened = openDataFolder(settings.dataFolder); !opened)
+            return opened;
+    }
+    core_ = makeRoutedCore(settings, incarnation);
+    if (!core_)
+        return IoError {.place = settings.dataFolder, .message = "holds no state of this version"};
+    const auto linked = openLinks({.host = settings.host(),
         .incarnation = incarnation,
         .deployment = settings.deployment,
         .linkKey = settings.linkKey,
-        .listenAddress = settings.linkAddress,
-        .sink = sink,
+        .address = settings.linkAddress});
+    if (!linked)
+        return linked;
+    if (auto opened = openTargetClient(GatewayConnectTimeout); settings.isGateway && !opened)
+        return opened;
+    // In the order of gateway::Listener and registry::Listener.
+    const std::array<model::Address, 2> addresses = settings.isGateway
+        ? std::array {settings.frontAddress, settings.readinessAddress}
+        : std::array {settings.controlAddress, settings.directoryAddress};
+    for (const model::Address& address : addresses) {
+        if (auto opened = openHttpServer(address, settings.limits, false); !opened)
+            return opened;
+    }
+    if (settings.metricsAddress.port == 0)
+        return Done {};
+    return openHttpServer(settings.metricsAddress, settings.limits, true);
+}
+
+std::unique_ptr<host::IHostCore> Daemon::makeRoutedCore(
+    const settings::RoutedHostSettings& settings, Incarnation incarnation) const
+{
+    if (settings.isGateway)
+        return gateway::makeGateway({.settings = settings, .incarnation = incarnation, .seed = randomSeed()});
+    return registry::makeRegistry({.settings = settings,
+        .incarnation = incarnation,
+        .recovered = dataFolder_->recovered(),
+        .seed = randomSeed()});
+}
+
+Result<Done, IoError> Daemon::openDataFolder(const std::string& path)
+{
+    Result<std::unique_ptr<net::IDataFolder>, IoError> folder = net::openDataFolder(path);
+    if (!folder)
+        return folder.error();
+    dataFolder_ = std::move(folder.value());
+    for (const std::string& warning : dataFolder_->warnings())
+        LOG_TAGGED(WARNING, "net") << "event=data_folder_warning " << warning;
+    return Done {};
+}
+
+Result<Done, IoError> Daemon::openLinks(const LinkIdentity& identity)
+{
+    Result<std::unique_ptr<net::ILinkHub>, IoError> linkHub = net::makeLinkHub({.loop = loop_,
+        .self = identity.host,
+        .incarnation = identity.incarnation,
+        .deployment = identity.deployment,
+        .linkKey = identity.linkKey,
+        .listenAddress = identity.address,
+        .sink = [this](host::Event event) { deliver(std::move(event)); },
         .counters = &adapterCounters_});
     if (!linkHub)
         return linkHub.error();
     linkHub_ = std::move(linkHub.value());
+    return Done {};
+}
 
-    Result<std::unique_ptr<net::ITargetClient>, IoError> targetClient
-        = net::makeTargetClient({.loop = loop_, .sink = sink});
+Result<Done, IoError> Daemon::openTargetClient(Duration connectTimeout)
+{
+    Result<std::unique_ptr<net::ITargetClient>, IoError> targetClient = net::makeTargetClient({.loop = loop_,
+        .sink = [this](host::Event event) { deliver(std::move(event)); },
+        .connectTimeout = connectTimeout});
     if (!targetClient)
         return targetClient.error();
     targetClient_ = std::move(targetClient.value());
+    return Done {};
+}
 
+Result<Done, IoError> Daemon::openHttpServer(
+    const model::Address& address, const settings::Limits& limits, bool isMetricsServed)
+{
     Result<std::unique_ptr<net::IHttpServer>, IoError> httpServer = net::makeHttpServer({.loop = loop_,
-        .address = settings.entryAddress,
-        .limits = settings.limits,
-        .sink = sink,
+        .address = address,
+        .limits = limits,
+        .sink = [this](host::Event event) { deliver(std::move(event)); },
         .counters = &adapterCounters_,
+        .listener = static_cast<uint8_t>(httpServers_.size()),
+        .isMetricsServed = isMetricsServed,
         .metricsText
         = [this] { return metricsText(core_->counters(), adapterCounters_, core_->status(monotonicNow())); }});
     if (!httpServer)
         return httpServer.error();
-    httpServer_ = std::move(httpServer.value());
+    httpServers_.push_back(std::move(httpServer.value()));
     return Done {};
 }
 
+net::IHttpServer& Daemon::serverOf(requests::HttpHandle handle) const
+{
+    return *httpServers_.at(requests::listenerOf(handle));
+}
+
 void Daemon::startWatchers()
 {
-    ev_timer_init(&tickTimer_, onTick, 0.0, toSeconds(host::TickPeriod));
+    ev_timer_init(&tickTimer_, onTick, 0.0, toSeconds(core_->tickPeriod()));
     ev_signal_init(&terminateSignal_, onSignal, SIGTERM);
     ev_signal_init(&interruptSignal_, onSignal, SIGINT);
     tickTimer_.data = this;
@@ -190,10 +289,10 @@
 {
     struct Visitor {
         Daemon& daemon;
-        void operator()(requests::HttpRespond& item) { daemon.httpServer_->carryOut(std::move(item)); }
-        void operator()(requests::HttpResponseBody& item) { daemon.httpServer_->carryOut(std::move(item)); }
-        void operator()(requests::HttpAbort& item) { daemon.httpServer_->carryOut(item); }
-        void operator()(requests::HttpRequestWindow& item) { daemon.httpServer_->carryOut(item); }
+        void operator()(requests::HttpRespond& item) { daemon.serverOf(item.handle).carryOut(std::move(item)); }
+        void operator()(requests::HttpResponseBody& item) { daemon.serverOf(item.handle).carryOut(std::move(item)); }
+        void operator()(requests::HttpAbort& item) { daemon.serverOf(item.handle).carryOut(item); }
+        void operator()(requests::HttpRequestWindow& item) { daemon.serverOf(item.handle).carryOut(item); }
         void operator()(requests::TargetStart& item) { daemon.targetClient_->carryOut(std::move(item)); }
         void operator()(requests::TargetRequestBody& item) { daemon.targetClient_->carryOut(std::move(item)); }
         void operator()(requests::TargetResponseWindow& item) { daemon.targetClient_->carryOut(item); }
@@ -240,7 +339,8 @@
     isFinished_ = true;
     exitCode_ = finished.requestsCut == 0 ? ExitOk : ExitFailure;
     LOG_TAGGED(INFO, "saltvaned") << "event=stopped requests_cut=" << finished.requestsCut;
-    httpServer_->stopAccepting();
+    for (const auto& server : httpServers_)
+        server->stopAccepting();
     ev_break(loop_, EVBREAK_ALL);
 }
 
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -8,11 +8,12 @@
 #include "base/result.h"
 #include "host/ihostcore.h"
 #include "net/inetadapters.h"
-#include "settings/hostsettings.h"
+#include "settings/routedhostsettings.h"
 
 #include <deque>
 #include <ev.h>
 #include <memory>
+#include <vector>
 
 namespace saltvane::saltvaned {
 
@@ -21,6 +22,7 @@
 class Daemon {
 public:
     [[nodiscard]] static Result<std::unique_ptr<Daemon>, IoError> start(const settings::HostSettings& settings);
+    [[nodiscard]] static Result<std::unique_ptr<Daemon>, IoError> start(const settings::RoutedHostSettings& settings);
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
@@ -31,7 +33,26 @@
 private:
     Daemon();
 
+    /// How other hosts know this one.
+    struct LinkIdentity {
+        HostId host;
+        Incarnation incarnation;
+        std::string deployment;
+        std::string linkKey;
+        model::Address address;
+    };
+
     Result<Done, IoError> openAdapters(const settings::HostSettings& settings);
+    Result<Done, IoError> openAdapters(const settings::RoutedHostSettings& settings);
+    Result<Done, IoError> openDataFolder(const std::string& path);
+    Result<Done, IoError> openLinks(const LinkIdentity& identity);
+    Result<Done, IoError> openTargetClient(Duration connectTimeout);
+    /// Each call opens the next listener.
+    Result<Done, IoError> openHttpServer(
+        const model::Address& address, const settings::Limits& limits, bool isMetricsServed);
+    [[nodiscard]] std::unique_ptr<host::IHostCore> makeRoutedCore(
+        const settings::RoutedHostSettings& settings, Incarnation incarnation) const;
+    [[nodiscard]] net::IHttpServer& serverOf(requests::HttpHandle handle) const;
     void startWatchers();
     void deliver(host::Event event);
     void drainEvents();
@@ -52,7 +73,7 @@
     ev_signal interruptSignal_ {};
     std::unique_ptr<host::IHostCore> core_;
     std::unique_ptr<net::IDataFolder> dataFolder_;
-    std::unique_ptr<net::IHttpServer> httpServer_;
+    std::vector<std::unique_ptr<net::IHttpServer>> httpServers_; ///< By listener.
     std::unique_ptr<net::ITargetClient> targetClient_;
     std::unique_ptr<net::ILinkHub> linkHub_;
     model::Counters adapterCounters_;
--- a/src/saltvaned/main.cpp
+++ b/src/saltvaned/main.cpp
@@ -5,7 +5,7 @@
  */
 #include "saltvaned/internal/commandline.h"
 #include "saltvaned/internal/daemon.h"
-#include "settings/hostsettings.h"
+#include "settings/routedhostsettings.h"
 
 #include <glog/logging.h>
 #include <iostream>
@@ -23,9 +23,10 @@
     return saltvaned::ExitUsage;
 }
 
-int runDaemon(const settings::HostSettings& settings)
+int runDaemon(const settings::AnyHostSettings& settings)
 {
-    Result<std::unique_ptr<saltvaned::Daemon>, IoError> daemon = saltvaned::Daemon::start(settings);
+    Result<std::unique_ptr<saltvaned::Daemon>, IoError> daemon
+        = std::visit([](const auto& kind) { return saltvaned::Daemon::start(kind); }, settings);
     if (!daemon) {
         std::cerr << daemon.error().place << ": " << daemon.error().message << "\n";
         return saltvaned::ExitFailure;
@@ -44,8 +45,8 @@
         std::cerr << "saltvaned: libsodium could not be initialised\n";
         return saltvaned::ExitFailure;
     }
-    const Result<settings::HostSettings, Findings> settings
-        = settings::loadHostSettings(commandLine.value().settingsPath);
+    const Result<settings::AnyHostSettings, Findings> settings
+        = settings::loadAnyHostSettings(commandLine.value().settingsPath);
     if (!settings)
         return reportFindings(settings.error());
     if (commandLine.value().isCheckOnly) {
--- /dev/null
+++ b/src/settings/internal/routedhostparser.cpp
@@ -0,0 +1,193 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "settings/internal/textfile.h"
+#include "settings/internal/yamlreader.h"
+#include "settings/routedhostsettings.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace saltvane::settings {
+
+namespace {
+
+constexpr size_t LeastKeyBytes = 32;
+constexpr IntegerRange PortRange {.least = 1, .most = 65535};
+constexpr DurationRange TtlRange {.least = 100ms, .most = 1h};
+constexpr DurationRange StopRange {.least = 100ms, .most = 1h};
+
+struct HeaderField {
+    std::string_view key;
+    std::string HeaderNames::*name;
+};
+constexpr std::array HeaderFields {
+    HeaderField {"request_id", &HeaderNames::requestId},
+    HeaderField {"deadline", &HeaderNames::deadline},
+    HeaderField {"object", &HeaderNames::object},
+    HeaderField {"expected_target", &HeaderNames::expectedTarget},
+    HeaderField {"load", &HeaderNames::load},
+    HeaderField {"not_run", &HeaderNames::notRun},
+    HeaderField {"plan_base", &HeaderNames::planBase},
+};
+
+class RoutedHostParser {
+public:
+    explicit RoutedHostParser(YamlReader& root)
+        : root_(root)
+    {
+    }
+
+    RoutedHostSettings parse()
+    {
+        readRoles();
+        readPlace();
+        readAddresses();
+        readSeeds();
+        readHeaders();
+        readLimits();
+        root_.finish();
+        return std::move(settings_);
+    }
+
+private:
+    void readRoles()
+    {
+        settings_.deployment = root_.text("deployment");
+        for (const PlacedText& role : root_.texts("roles", Presence::Required)) {
+            settings_.isGateway = settings_.isGateway || role.text == "gateway";
+            settings_.isRegistry = settings_.isRegistry || role.text == "registry";
+            if (role.text != "gateway" && role.text != "registry")
+                root_.failItem("roles", role.place, "must be gateway or registry");
+        }
+        if (settings_.isGateway == settings_.isRegistry)
+            root_.fail("roles", "must name one of gateway and registry");
+        settings_.isFirstStart = readFlag("first_start");
+        settings_.dataFolder = root_.text("data_folder", "");
+        if (settings_.isRegistry && settings_.dataFolder.empty())
+            root_.fail("data_folder", "is needed by the registry role");
+        settings_.linkKey = root_.text("link_key");
+        if (settings_.linkKey.size() < LeastKeyBytes)
+            root_.fail("link_key", "must have at least 32 bytes");
+    }
+
+    bool readFlag(std::string_view key)
+    {
+        const std::string text = root_.text(key, "false");
+        if (text != "true" && text != "false")
+            root_.fail(key, "must be true or false");
+        return text == "true";
+    }
+
+    void readPlace()
+    {
+        settings_.zone = ZoneName(root_.text("zone"));
+        settings_.region = RegionName(root_.text("region"));
+        for (YamlReader& entry : root_.mappings("zones", Presence::Required)) {
+            settings_.zones.emplace(entry.text("zone"), entry.text("region"));
+            entry.finish();
+        }
+        settings_.zones.emplace(settings_.zone, settings_.region);
+    }
+
+    void readAddresses()
+    {
+        settings_.linkAddress = root_.address("link_address");
+        if (settings_.isGateway) {
+            settings_.frontAddress = root_.address("front_address");
+            settings_.readinessAddress = root_.address("readiness_address");
+        } else {
+            settings_.controlAddress = root_.address("control_address");
+            settings_.directoryAddress = root_.address("directory_address");
+        }
+        if (root_.has("metrics_address"))
+            settings_.metricsAddress = root_.address("metrics_address");
+    }
+
+    /// Seeds may be known by another port than that of their links, which is then the same on all hosts.
+    void readSeeds()
+    {
+        const auto port = static_cast<uint16_t>(root_.integer("seed_link_port", PortRange, settings_.linkAddress.port));
+        for (const PlacedText& seed : root_.texts("seeds", Presence::Optional)) {
+            if (const auto address = model::parseAddress(seed.text))
+                settings_.seeds.push_back({.ip = address->ip, .port = port});
+            else
+                root_.failItem("seeds", seed.place, std::string(AddressRule));
+        }
+    }
+
+    void readHeaders()
+    {
+        auto headers = root_.mapping("headers", Presence::Optional);
+        if (!headers)
+            return;
+        for (const HeaderField& field : HeaderFields)
+            settings_.headers.*field.name = headers->text(field.key, settings_.headers.*field.name);
+        headers->finish();
+    }
+
+    void readLimits()
+    {
+        settings_.retries.ratio = root_.decimal("retry_ratio", settings_.retries.ratio);
+        settings_.retries.slack = root_.decimal("retry_slack", settings_.retries.slack);
+        settings_.shiftCap = root_.decimal("shift_cap", settings_.shiftCap);
+        settings_.lookUpTtl = root_.duration("look_up_ttl_s", 1s, settings_.lookUpTtl, TtlRange);
+        settings_.limits.stopTimeLimit
+            = root_.duration("stop_time_limit_s", 1s, settings_.limits.stopTimeLimit, StopRange);
+    }
+
+    YamlReader& root_;
+    RoutedHostSettings settings_;
+};
+
+} // namespace
+
+namespace {
+
+/// Whether the text names a role of a routed host.
+bool isRoutedHost(std::string_view text)
+{
+    YamlContext context {"settings"};
+    auto root = YamlReader::parse(text, context);
+    if (!root)
+        return false;
+    const std::vector<PlacedText> roles = root->texts("roles", Presence::Optional);
+    return std::ranges::any_of(
+        roles, [](const PlacedText& role) { return role.text == "gateway" || role.text == "registry"; });
+}
+
+template <typename Settings> Result<AnyHostSettings, Findings> asAny(const Result<Settings, Findings>& settings)
+{
+    if (!settings)
+        return settings.error();
+    return AnyHostSettings(settings.value());
+}
+
+} // namespace
+
+Result<RoutedHostSettings, Findings> parseRoutedHostSettings(std::string_view text, std::string_view sourceName)
+{
+    YamlContext context {std::string(sourceName)};
+    auto root = YamlReader::parse(text, context);
+    if (!root)
+        return context.takeFindings();
+    RoutedHostSettings settings = RoutedHostParser(*root).parse();
+    if (context.hasFindings())
+        return context.takeFindings();
+    return settings;
+}
+
+Result<AnyHostSettings, Findings> loadAnyHostSettings(const std::string& path)
+{
+    const auto content = readTextFile(path);
+    if (!content)
+        return fileFinding(content.error());
+    if (isRoutedHost(content.value()))
+        return asAny(parseRoutedHostSettings(content.value(), path));
+    return asAny(parseHostSettings(content.value(), path));
+}
+
+} // namespace saltvane::settings
--- /dev/null
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -0,0 +1,62 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "wire/internal/targetmessagecodec.h"
+
+namespace saltvane::wire {
+
+namespace {
+
+Offset<fbs::TargetRecord> encodeRecord(Builder& builder, const model::TargetRecord& record)
+{
+    const auto target = encodeName(builder, record.target);
+    const auto service = encodeName(builder, record.service);
+    const auto address = encode(builder, record.address);
+    const auto zone = encodeName(builder, record.zone);
+    const auto host = encodeName(builder, record.slowStartHost);
+    return fbs::CreateTargetRecord(builder, target, service, address, zone, record.slots, record.isLeaving,
+        encodeDuration(record.slowStartLeft), record.sequence, encodeDuration(record.age), host);
+}
+
+model::TargetRecord decodeRecord(FieldReader& reader, const fbs::TargetRecord& record)
+{
+    model::TargetRecord decoded {
+        .target = reader.name<TargetId>(record.target(), "TargetRecord.target"),
+        .service = reader.name<ServiceName>(record.service(), "TargetRecord.service"),
+        .address = decodeAddress(reader, record.address(), "TargetRecord.address"),
+        .zone = reader.name<ZoneName>(record.zone(), "TargetRecord.zone"),
+        .slots = record.slots(),
+        .isLeaving = record.is_leaving(),
+        .slowStartLeft = reader.duration(record.slow_start_left(), "TargetRecord.slowStartLeft"),
+        .sequence = record.sequence(),
+        .age = reader.duration(record.age(), "TargetRecord.age"),
+        .slowStartHost = reader.name<HostId>(record.slow_start_host(), "TargetRecord.slowStartHost"),
+    };
+    reader.require(!decoded.target.isEmpty(), "TargetRecord.target");
+    return decoded;
+}
+
+} // namespace
+
+Offset<fbs::TargetReport> encode(Builder& builder, const model::TargetReport& message)
+{
+    const auto zones = encodeNames(builder, message.evacuatedZones);
+    const auto retired = encodeNames(builder, message.retired);
+    const auto targets = encodeTables<fbs::TargetRecord>(builder, message.targets, encodeRecord);
+    const fbs::LogPosition orders = encodePosition(message.orders);
+    return fbs::CreateTargetReport(builder, &orders, zones, retired, targets);
+}
+
+model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message)
+{
+    return {
+        .orders = decodePosition(message.orders()),
+        .evacuatedZones = decodeNames<ZoneName>(reader, message.evacuated_zones(), "TargetReport.evacuatedZones"),
+        .retired = decodeNames<TargetId>(reader, message.retired(), "TargetReport.retired"),
+        .targets = decodeTables<model::TargetRecord>(reader, message.targets(), "TargetReport.targets", decodeRecord),
+    };
+}
+
+} // namespace saltvane::wire
--- /dev/null
+++ b/src/wire/internal/targetmessagecodec.h
@@ -0,0 +1,18 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "model/targetmessages.h"
+#include "wire/internal/commoncodec.h"
+
+/// Messages about targets that report to control hosts (model/targetmessages.h).
+namespace saltvane::wire {
+
+[[nodiscard]] Offset<fbs::TargetReport> encode(Builder& builder, const model::TargetReport& message);
+/// Values out of range are noted in `reader`.
+[[nodiscard]] model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message);
+
+} // namespace saltvane::wire
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -146,6 +146,23 @@
     messages.emplace_back(BundleCurrent {.position = {.term = {5}, .index = {60}}, .age = 40ms, .pull = 4});
 }
 
+void addTargetMessages(std::vector<Message>& messages)
+{
+    messages.emplace_back(TargetReport {.orders = {.term = {5}, .index = {61}},
+        .evacuatedZones = {ZoneName("zone-a")},
+        .retired = {TargetId("target-1"), TargetId("target-2")},
+        .targets = {{.target = TargetId("target-3"),
+            .service = ServiceName("quotes"),
+            .address = {.ip = "127.0.0.9", .port = 9000},
+            .zone = ZoneName("zone-b"),
+            .slots = 9,
+            .isLeaving = true,
+            .slowStartLeft = 3s,
+            .sequence = 17,
+            .age = 250ms,
+            .slowStartHost = HostId("host-a")}}});
+}
+
 } // namespace
 
 std::vector<Message> sampleMessages()
@@ -154,6 +171,7 @@
     addHostMessages(messages);
     addRequestMessages(messages);
     addControlMessages(messages);
+    addTargetMessages(messages);
     return messages;
 }
 
