--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -43,6 +43,7 @@
     Timestamp sentAt;
     Timestamp checkAt; ///< When a silent target is doubted.
     double loadAtStart = 0;
+    bool wasWarm = false; ///< The target was believed to have the object warm.
     std::vector<TargetId> tried;
     model::Reason lastReason = model::Reason::None;
     requests::HttpRespond answer; ///< As far as it came.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -148,6 +148,12 @@
     log(host::LogSeverity::Warning, "event=registry_lost peer=" + down.host.value());
 }
 
+void GatewayCore::accept(const host::SeedsChanged& changed, Timestamp /*now*/)
+{
+    log(host::LogSeverity::Info, "event=seeds_changed count=" + std::to_string(changed.seeds.size()));
+    roster_->setSeeds(hostsOf(changed.seeds));
+}
+
 void GatewayCore::accept(host::StopRequested /*stop*/, Timestamp now)
 {
     if (stopAskedAt_)
@@ -226,6 +232,8 @@
     const Duration limit = settings_.limits.stopTimeLimit - StopReserve;
     const Duration stay = std::min(fromSeconds(toSeconds(settings_.lookUpTtl) * TtlsToStay), limit);
     const Duration waited = now - *stopAskedAt_;
+    if (waited >= stay)
+        runner_.startRefusing();
     if (waited < stay || (runner_.inFlight() > 0 && waited < limit))
         return;
     isStopTold_ = true;
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -37,6 +37,7 @@
     void accept(const control::StorageDone& /*done*/, Timestamp /*now*/) { }
     void accept(const control::StorageFailed& /*failed*/, Timestamp /*now*/) { }
     void accept(host::StopRequested stop, Timestamp now);
+    void accept(const host::SeedsChanged& changed, Timestamp now);
 
     void answerReadiness(const requests::HttpEvent& event);
     [[nodiscard]] bool isReady() const;
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -14,15 +14,18 @@
 
 namespace {
 
-constexpr Duration FirstGuess = 200ms; ///< Of a service's time to answer, before any came.
+/// Of a service's times to answer, before any came.
+constexpr Duration FirstWarmGuess = 150ms;
+constexpr Duration FirstColdGuess = 500ms;
 constexpr double UsualTimeWeight = 0.05; ///< Of one answer.
 constexpr double SlownessWeight = 0.1;
 constexpr double LeastSlowness = 0.3;
 constexpr double MostSlowness = 20;
 
-/// Of an object's targets so many are weighed against each other; the first keeps it warm, so the others must be
-/// quicker by these factors.
-constexpr std::array<double, 3> ChoiceBias {1.0, 1.6, 2.2};
+/// Of an object's targets so many are weighed against each other. The first is taken to be warm: other gateways send
+/// the object there as well. The others must be quicker by a margin, so that objects don't wander.
+constexpr size_t ChoicesWeighed = 3;
+constexpr double MarginOfOthers = 1.25;
 /// Targets queue some requests beyond their slots and refuse the rest.
 constexpr double MostLoadPerSlot = 3;
 /// Of the objective, by rank: how late an answer may be expected so that the request is still worth its place.
@@ -63,30 +66,42 @@
 {
 }
 
-Duration Placement::usualTime(const ServiceName& service) const
+Placement::UsualTimes Placement::usualTimes(const ServiceName& service) const
 {
     const auto found = usualTimes_.find(service);
-    return found == usualTimes_.end() ? FirstGuess : found->second;
+    return found == usualTimes_.end() ? UsualTimes {.warm = FirstWarmGuess, .cold = FirstColdGuess} : found->second;
 }
 
-Duration Placement::estimate(const GatewayTarget& target, const ServiceName& service, Timestamp now) const
+bool Placement::isWarm(const std::optional<uint64_t>& object, const GatewayTarget& target, Timestamp now) const
 {
-    const double perSlot = (target.load(now) + 1) / std::max(target.record.slots, 1U);
-    return fromSeconds(toSeconds(usualTime(service)) * target.slowness * std::max(1.0, perSlot));
+    return object && warmObjects_.isWarm(*object, target.hash, now);
 }
 
-void Placement::noteAnswer(GatewayTarget& target, Duration taken, double loadAtStart, Timestamp now)
+Duration Placement::estimate(
+    const GatewayTarget& target, const ServiceName& service, bool isWarm, Timestamp now) const
+{
+    const UsualTimes usual = usualTimes(service);
+    const double slots = std::max(target.record.slots, 1U);
+    const double waiting = std::max(0.0, target.load(now) + 1 - slots) / slots;
+    const double work = toSeconds(isWarm ? usual.warm : usual.cold);
+    return fromSeconds((work + waiting * toSeconds(usual.warm)) * target.slowness);
+}
+
+void Placement::noteAnswer(GatewayTarget& target, const Answer& answer, Timestamp now)
 {
     target.noteAnswered(now);
-    const double perSlot = (loadAtStart + 1) / std::max(target.record.slots, 1U);
-    const double expected = toSeconds(usualTime(target.record.service)) * std::max(1.0, perSlot);
-    const double ratio = std::clamp(toSeconds(taken) / std::max(expected, 1e-4), LeastSlowness, MostSlowness);
+    if (answer.object)
+        warmObjects_.note(*answer.object, target.hash, now);
+    UsualTimes& usual
+        = usualTimes_.try_emplace(target.record.service, usualTimes(target.record.service)).first->second;
+    Duration& learnt = answer.wasWarm ? usual.warm : usual.cold;
+    const double slots = std::max(target.record.slots, 1U);
+    const double waiting = std::max(0.0, answer.loadAtStart + 1 - slots) / slots;
+    const double expected = toSeconds(learnt) + waiting * toSeconds(usual.warm);
+    const double ratio = std::clamp(toSeconds(answer.taken) / std::max(expected, 1e-4), LeastSlowness, MostSlowness);
     target.slowness += SlownessWeight * (ratio - target.slowness);
-    if (perSlot > 1)
-        return;
-    const auto [found, isFirst] = usualTimes_.try_emplace(target.record.service, taken);
-    if (!isFirst)
-        found->second += fromSeconds(UsualTimeWeight * toSeconds(taken - found->second));
+    if (waiting <= 0)
+        learnt += fromSeconds(UsualTimeWeight * toSeconds(answer.taken - learnt));
 }
 
 bool Placement::isPermitted(const GatewayTarget& target, const PlacementQuery& query) const
@@ -102,7 +117,7 @@
     if (target.load(now) + 1 > target.record.slots * MostLoadPerSlot)
         return false;
     const Duration left = fromSeconds(toSeconds(query.left) * PartOfTimeLeft);
-    if (query.route.objective <= Duration::zero())
+    if (query.isRepeat || query.route.objective <= Duration::zero())
         return estimate <= left;
     const Duration wanted = fromSeconds(toSeconds(query.route.objective) * latenessOf(query.route.rank));
     return estimate <= std::min(left, wanted - query.elapsed);
@@ -110,7 +125,7 @@
 
 GatewayTarget* Placement::best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const
 {
-    const size_t choices = std::min(candidates.size(), ChoiceBias.size());
+    const size_t choices = std::min(candidates.size(), ChoicesWeighed);
     const auto middle = candidates.begin() + static_cast<ptrdiff_t>(choices);
     std::ranges::partial_sort(candidates, middle, std::ranges::greater {}, &Candidate::rank);
     GatewayTarget* chosen = nullptr;
@@ -120,8 +135,9 @@
         if (i >= choices && chosen != nullptr)
             break;
         GatewayTarget& target = *candidates[i].target;
-        const Duration expected = estimate(target, query.service.name, now);
-        const double cost = toSeconds(expected) * ChoiceBias.at(std::min(i, ChoiceBias.size() - 1));
+        const bool isWarmHere = i == 0 || isWarm(query.object, target, now);
+        const Duration expected = estimate(target, query.service.name, isWarmHere, now);
+        const double cost = toSeconds(expected) * (i == 0 ? 1 : MarginOfOthers);
         if (!fits(target, expected, query, now) || (chosen != nullptr && cost >= least))
             continue;
         chosen = &target;
@@ -147,7 +163,7 @@
     for (GatewayTarget* target : targets_.ofService(query.service.name)) {
         if (!targets_.isUsable(*target, query.service, now) || !isPermitted(*target, query))
             continue;
-        const bool isHome = target->region == region_;
+        const bool isHome = target->region == region_ || query.route.kind != model::RouteKind::LargeRead;
         const bool isNear = isHome && target->record.zone == zone_ && query.route.kind == model::RouteKind::LargeRead;
         Candidates& group = isNear ? zone : (isHome ? region : away);
         group.push_back({.target = target, .rank = mix(target->hash, object)});
@@ -169,7 +185,7 @@
         if (target != nullptr && (!isDetour || !hasHome || trySpendDetour(now)))
             return target;
     }
-    const Duration usual = usualTime(query.service.name);
+    const Duration usual = usualTimes(query.service.name).warm;
     return PlacementRefusal {.reason = isDetour ? model::Reason::NoRoom : model::Reason::ShiftCapReached,
         .retryAfter = std::clamp(usual, LeastRetryAfter, MostRetryAfter)};
 }
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -7,6 +7,7 @@
 
 #include "gateway/internal/regionsplit.h"
 #include "gateway/internal/targetset.h"
+#include "gateway/internal/warmobjects.h"
 #include "model/reasons.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -25,6 +26,7 @@
     std::optional<uint64_t> object; ///< Hash of the request's object; none: any target will do.
     Duration elapsed {}; ///< Since the request came in.
     Duration left {}; ///< Until its deadline.
+    bool isRepeat = false; ///< It was taken on already: also a late answer is wanted.
     std::span<const TargetId> tried;
 };
 
@@ -40,10 +42,21 @@
     Placement(const TargetSet& targets, const RegionSplit& split, ZoneName zone, RegionName region, uint64_t seed);
 
     [[nodiscard]] std::variant<GatewayTarget*, PlacementRefusal> choose(const PlacementQuery& query, Timestamp now);
-    /// An answer's head came in: teaches how long the service takes.
-    void noteAnswer(GatewayTarget& target, Duration taken, double loadAtStart, Timestamp now);
-    /// Time to answer that is usual for the service on an idle target.
-    [[nodiscard]] Duration usualTime(const ServiceName& service) const;
+    /// What an answer's head teaches of the target and its service.
+    struct Answer {
+        std::optional<uint64_t> object;
+        Duration taken {}; ///< Since the request was sent.
+        double loadAtStart = 0; ///< Of the target, before this request.
+        bool wasWarm = false; ///< As it was believed then.
+    };
+    void noteAnswer(GatewayTarget& target, const Answer& answer, Timestamp now);
+    [[nodiscard]] bool isWarm(const std::optional<uint64_t>& object, const GatewayTarget& target, Timestamp now) const;
+    /// Time that a service's targets take when idle, by what they have warm.
+    struct UsualTimes {
+        Duration warm {};
+        Duration cold {};
+    };
+    [[nodiscard]] UsualTimes usualTimes(const ServiceName& service) const;
 
 private:
     struct Candidate {
@@ -52,7 +65,9 @@
     };
     using Candidates = std::vector<Candidate>;
 
-    [[nodiscard]] Duration estimate(const GatewayTarget& target, const ServiceName& service, Timestamp now) const;
+    /// Time to the answer's head: waiting for a slot, then the work.
+    [[nodiscard]] Duration estimate(
+        const GatewayTarget& target, const ServiceName& service, bool isWarm, Timestamp now) const;
     [[nodiscard]] GatewayTarget* best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const;
     [[nodiscard]] bool fits(
         const GatewayTarget& target, Duration estimate, const PlacementQuery& query, Timestamp now) const;
@@ -64,7 +79,8 @@
     ZoneName zone_;
     RegionName region_;
     boost::random::mt19937_64 random_;
-    std::map<ServiceName, Duration> usualTimes_;
+    std::map<ServiceName, UsualTimes> usualTimes_;
+    WarmObjects warmObjects_;
     double detours_ = 0; ///< Requests that may run in another region than their object says.
     uint64_t chosen_ = 0;
 };
--- a/src/gateway/internal/regionsplit.cpp
+++ b/src/gateway/internal/regionsplit.cpp
@@ -56,11 +56,9 @@
 {
     const double before = state.homeSlots;
     state.homeSlots = room.homeSlots;
-    if (room.homeSlots <= 0) {
-        state.share = 0;
-        return;
-    }
-    if (!state.isUsed || (before <= 0 && state.share <= 0)) {
+    if (room.homeSlots <= 0)
+        return; // All of them go elsewhere meanwhile, whatever the share says.
+    if (!state.isUsed || before <= 0) {
         const double evenShare = room.allSlots / static_cast<double>(std::max<size_t>(room.regions, 1));
         state.share = std::min(1.0, room.homeSlots / evenShare * EvenShareMargin);
         return;
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -21,10 +21,13 @@
 /// Answers up to it are gathered whole, so that a request whose answer breaks off can be repeated.
 constexpr uint64_t LargestGathered = 1024 * 1024;
 /// A target is doubted when it takes longer than this many times the usual, and this part of the objective.
-constexpr double DoubtFactor = 4;
+constexpr double DoubtFactor = 2;
 constexpr double DoubtPartOfObjective = 1.0;
 /// A repeat needs at least this much time to be of use.
 constexpr Duration LeastTimeToRepeat = 30ms;
+/// A connection that rested longer may be about to be closed by the target, and a request lost with it.
+constexpr Duration LongestIdle = 4s;
+constexpr Duration LongestIdleForOnce = 2s;
 constexpr Duration UsualRetryAfter = 200ms;
 constexpr Duration StopRetryAfter = 50ms; ///< Other gateways serve meanwhile.
 
@@ -136,6 +139,8 @@
 void RequestRunner::accept(const requests::HttpRequestStarted& request, Timestamp now)
 {
     options_.counters.add(model::Counter::Requests);
+    if (isRefusing_)
+        return refuseAtOnce(request.handle, 0, model::Reason::Stopping, StopRetryAfter);
     if (!routes_)
         return refuseAtOnce(request.handle, 0, model::Reason::NotReady, UsualRetryAfter);
     PlannedRoute* route = routes_->find(valueOf(request.headers, "Host"), request.path);
@@ -189,25 +194,32 @@
 
 void RequestRunner::accept(const requests::HttpResponseDone& /*done*/, Timestamp /*now*/) { }
 
-void RequestRunner::dispatch(Exchange& exchange, Timestamp now)
+std::variant<GatewayTarget*, PlacementRefusal> RequestRunner::choose(const Exchange& exchange, Timestamp now)
 {
     const model::RoutedService* service = routes_->plan().findService(exchange.service);
     if (service == nullptr)
-        return refuse(exchange, model::Reason::UnknownService, UsualRetryAfter, now);
-    const auto choice = options_.placement.choose({.route = exchange.route,
-                                                      .service = *service,
-                                                      .object = exchange.object,
-                                                      .elapsed = now - exchange.startedAt,
-                                                      .left = exchange.deadline - now,
-                                                      .tried = exchange.tried},
+        return PlacementRefusal {.reason = model::Reason::UnknownService, .retryAfter = UsualRetryAfter};
+    return options_.placement.choose({.route = exchange.route,
+                                         .service = *service,
+                                         .object = exchange.object,
+                                         .elapsed = now - exchange.startedAt,
+                                         .left = exchange.deadline - now,
+                                         .isRepeat = !exchange.tried.empty(),
+                                         .tried = exchange.tried},
         now);
+}
+
+void RequestRunner::dispatch(Exchange& exchange, Timestamp now)
+{
+    const auto choice = choose(exchange, now);
     if (const auto* refusal = std::get_if<PlacementRefusal>(&choice))
         return refuse(exchange, refusal->reason, refusal->retryAfter, now);
-    send(exchange, *std::get<GatewayTarget*>(choice), *service, now);
+    send(exchange, *std::get<GatewayTarget*>(choice), now);
 }
 
-void RequestRunner::send(Exchange& exchange, GatewayTarget& target, const model::RoutedService& service, Timestamp now)
+void RequestRunner::send(Exchange& exchange, GatewayTarget& target, Timestamp now)
 {
+    const model::RoutedService& service = *routes_->plan().findService(exchange.service);
     exchange.loadAtStart = target.load(now);
     options_.targets.noteSent(target, service, now);
     options_.split.noteUsed(service.name);
@@ -219,7 +231,8 @@
     exchange.sentAt = now;
     dispatches_.emplace(exchange.dispatch, &exchange);
 
-    const double usual = toSeconds(options_.placement.usualTime(service.name)) * std::max(target.slowness, 1.0);
+    exchange.wasWarm = options_.placement.isWarm(exchange.object, target, now);
+    const double usual = toSeconds(options_.placement.usualTimes(service.name).cold) * std::max(target.slowness, 1.0);
     const double patience = std::max(usual * DoubtFactor, toSeconds(exchange.route.objective) * DoubtPartOfObjective);
     exchange.checkAt = now + fromSeconds(patience);
     if (exchange.checkAt < exchange.deadline)
@@ -235,7 +248,8 @@
         .path = exchange.path,
         .headers = std::move(headers),
         .bodyLength = exchange.body.size(),
-        .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce});
+        .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce,
+        .reuseIdleLimit = exchange.route.kind == model::RouteKind::AtMostOnce ? LongestIdleForOnce : LongestIdle});
     if (!exchange.body.empty())
         actions_.emplace_back(
             requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body, .isLast = true});
@@ -269,7 +283,12 @@
         return tryElsewhere(exchange, model::Reason::TargetFailed, now);
     }
     if (target != nullptr)
-        options_.placement.noteAnswer(*target, now - exchange.sentAt, exchange.loadAtStart, now);
+        options_.placement.noteAnswer(*target,
+            {.object = exchange.object,
+                .taken = now - exchange.sentAt,
+                .loadAtStart = exchange.loadAtStart,
+                .wasWarm = exchange.wasWarm},
+            now);
     doubts_.erase({exchange.checkAt, exchange.handle});
     exchange.phase = Exchange::Phase::ReceivingAnswer;
     exchange.answer = {.handle = exchange.handle,
@@ -374,8 +393,10 @@
         return;
     if (target != nullptr)
         target->noteFailure(now, false);
+    // The target may still answer: it is left only for another one that can take the request.
+    const auto choice = choose(exchange, now);
     const bool mayRepeat = exchange.route.kind != model::RouteKind::AtMostOnce;
-    if (!mayRepeat || !mayTryElsewhere(exchange, now))
+    if (!mayRepeat || std::holds_alternative<PlacementRefusal>(choice) || !mayTryElsewhere(exchange, now))
         return;
     exchange.mayHaveRun = true;
     exchange.lastReason = model::Reason::TargetStalled;
@@ -383,7 +404,7 @@
     releaseTarget(exchange);
     options_.counters.add(model::Counter::Retries);
     options_.counters.addRetry(model::Reason::TargetStalled);
-    dispatch(exchange, now);
+    send(exchange, *std::get<GatewayTarget*>(choice), now);
 }
 
 void RequestRunner::tick(Timestamp now)
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -46,6 +46,8 @@
     void install(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
     /// From now on every answer asks the caller to leave its connection.
     void startLeaving() { isLeaving_ = true; }
+    /// From now on new requests are refused, so that those under way can end before the process does.
+    void startRefusing() { isRefusing_ = true; }
 
     void handle(requests::HttpEvent event, Timestamp now);
     void handle(requests::TargetEvent event, Timestamp now);
@@ -72,7 +74,8 @@
         const requests::HttpRequestStarted& request, PlannedRoute& route, Timestamp now) const;
     /// Chooses a target and sends the request; refuses it where none can be had.
     void dispatch(Exchange& exchange, Timestamp now);
-    void send(Exchange& exchange, GatewayTarget& target, const model::RoutedService& service, Timestamp now);
+    [[nodiscard]] std::variant<GatewayTarget*, PlacementRefusal> choose(const Exchange& exchange, Timestamp now);
+    void send(Exchange& exchange, GatewayTarget& target, Timestamp now);
     /// The target refused it, or failed: elsewhere, or the end.
     void tryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now);
     [[nodiscard]] bool mayTryElsewhere(const Exchange& exchange, Timestamp now);
@@ -99,6 +102,7 @@
     std::set<std::pair<Timestamp, requests::HttpHandle>> doubts_;
     uint64_t lastDispatch_ = 0;
     bool isLeaving_ = false;
+    bool isRefusing_ = false;
     std::vector<requests::Action> actions_;
 };
 
--- /dev/null
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -0,0 +1,187 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gatewayfixture.h"
+
+#include <utility>
+
+namespace saltvane::gateway::test {
+
+namespace {
+
+const HostId Registry("10.0.0.9:7000");
+constexpr Duration Tick = 20ms;
+
+settings::RoutedHostSettings sampleSettings()
+{
+    settings::RoutedHostSettings settings;
+    settings.deployment = "test";
+    settings.isGateway = true;
+    settings.zone = ZoneName("north-a");
+    settings.region = RegionName("north");
+    settings.zones = {{ZoneName("north-a"), RegionName("north")}, {ZoneName("north-b"), RegionName("north")},
+        {ZoneName("south-a"), RegionName("south")}};
+    settings.linkAddress = {.ip = "10.0.0.1", .port = 7000};
+    settings.seeds = {{.ip = "10.0.0.9", .port = 7000}};
+    settings.frontAddress = {.ip = "10.0.0.1", .port = 8000};
+    settings.readinessAddress = {.ip = "10.0.0.1", .port = 8001};
+    settings.retries = {.ratio = 0.2, .slack = 100};
+    settings.limits.stopTimeLimit = 6s;
+    return settings;
+}
+
+} // namespace
+
+GatewayFixture::GatewayFixture()
+    : gateway_(makeGateway({.settings = sampleSettings(), .incarnation = {1}}))
+{
+    advance(Tick);
+}
+
+void GatewayFixture::handle(host::Event event)
+{
+    gateway_->handle(std::move(event), now_);
+    gather();
+}
+
+void GatewayFixture::gather()
+{
+    for (host::Action& action : gateway_->takeActions()) {
+        if (std::holds_alternative<host::StopFinished>(action))
+            isStopFinished_ = true;
+        auto* const request = std::get_if<requests::Action>(&action);
+        if (request == nullptr)
+            continue;
+        if (auto* start = std::get_if<requests::TargetStart>(request))
+            starts_.push_back(std::move(*start));
+        else if (auto* response = std::get_if<requests::HttpRespond>(request))
+            responses_.push_back(std::move(*response));
+        else if (std::holds_alternative<requests::TargetCancel>(*request))
+            ++cancels_;
+    }
+}
+
+void GatewayFixture::advance(Duration duration)
+{
+    const Timestamp end = now_ + duration;
+    while (now_ < end) {
+        now_ = std::min(end, now_ + Tick);
+        gateway_->tick(now_);
+        gather();
+    }
+}
+
+void GatewayFixture::installPlan(uint64_t version, const std::string& extraRoutes)
+{
+    const std::string content = R"({"version":)" + std::to_string(version) + R"(,"routes":[
+        {"name":"read","host":"prices.example","path_prefix":"/read/","kind":"repeatable","timeout_ms":1500,
+         "objective_ms":400,"rank":1,"service":"quotes","attempts":2,"affinity":true},
+        {"name":"write","host":"prices.example","path_prefix":"/write/","kind":"at_most_once","timeout_ms":2000,
+         "objective_ms":500,"rank":0,"service":"quotes","attempts":2,"affinity":true},
+        {"name":"file","host":"prices.example","path_prefix":"/file/","kind":"large_read","timeout_ms":2000,
+         "objective_ms":500,"rank":2,"service":"files","attempts":2})"
+        + extraRoutes + R"(],"services":[
+        {"name":"quotes","probe_path":"/health","connections":100,"slow_start_s":3,"slow_start_per_s":5},
+        {"name":"files","probe_path":"/health","connections":100,"slow_start_s":3,"slow_start_per_s":5}]})";
+    handle(model::Delivery {.from = Registry,
+        .fromIncarnation = {1},
+        .message = model::BundlePush {
+            .position = {.term = {1}, .index = {++position_}}, .version = {version}, .content = content, .age = 10ms}});
+    // The proof that it is current comes with a pull; without one a host takes what it was given after a second.
+    handle(model::Delivery {.from = Registry,
+        .fromIncarnation = {1},
+        .message = model::BundleCurrent {.position = {.term = {1}, .index = {position_}}, .age = 10ms, .pull = 1}});
+    advance(Tick);
+}
+
+model::TargetRecord GatewayFixture::target(
+    const std::string& id, const std::string& service, const std::string& zone)
+{
+    static uint16_t port = 9000;
+    return {.target = TargetId(id),
+        .service = ServiceName(service),
+        .address = {.ip = "10.0.1.1", .port = ++port},
+        .zone = ZoneName(zone),
+        .slots = 3,
+        .sequence = 1};
+}
+
+void GatewayFixture::report(model::TargetReport report)
+{
+    handle(model::Delivery {.from = Registry, .fromIncarnation = {1}, .message = std::move(report)});
+}
+
+void GatewayFixture::reportTargets(std::vector<model::TargetRecord> records)
+{
+    report({.targets = std::move(records)});
+}
+
+requests::HttpHandle GatewayFixture::request(const CallerRequest& caller)
+{
+    const requests::HttpHandle handle {++lastHandle_};
+    std::vector<model::Header> headers {{.name = "Host", .value = caller.host},
+        {.name = "Saltvane-Request-Id", .value = caller.id}, {.name = "Saltvane-Object", .value = caller.object},
+        {.name = "Saltvane-Deadline-Ms", .value = caller.deadlineMs}, {.name = "Connection", .value = "keep-alive"}};
+    this->handle(requests::HttpEvent(requests::HttpRequestStarted {.handle = handle,
+        .method = caller.method,
+        .path = caller.path,
+        .headers = std::move(headers),
+        .bodyLength = caller.body.size()}));
+    if (!caller.body.empty())
+        this->handle(requests::HttpEvent(
+            requests::HttpRequestBody {.handle = handle, .bytes = caller.body, .isLast = true}));
+    return handle;
+}
+
+void GatewayFixture::abort(requests::HttpHandle handle)
+{
+    this->handle(requests::HttpEvent(requests::HttpRequestAborted {.handle = handle}));
+}
+
+void GatewayFixture::answer(const requests::TargetStart& start, const TargetAnswer& from)
+{
+    std::vector<model::Header> headers {{.name = "Saltvane-Request-Id", .value = from.id}};
+    headers.insert(headers.end(), from.more.begin(), from.more.end());
+    handle(requests::TargetEvent(requests::TargetResponseHead {.dispatch = start.dispatch,
+        .status = from.status,
+        .headers = std::move(headers),
+        .bodyLength = from.body.size()}));
+    handle(requests::TargetEvent(requests::TargetResponseBody {.dispatch = start.dispatch, .bytes = from.body}));
+    handle(requests::TargetEvent(requests::TargetResponseDone {.dispatch = start.dispatch}));
+}
+
+void GatewayFixture::fail(const requests::TargetStart& start, bool mayHaveReachedTarget)
+{
+    handle(requests::TargetEvent(requests::TargetFailed {
+        .dispatch = start.dispatch, .mayHaveReachedTarget = mayHaveReachedTarget, .message = "test"}));
+}
+
+void GatewayFixture::askToStop() { handle(host::StopRequested {}); }
+
+std::vector<requests::TargetStart> GatewayFixture::takeStarts() { return std::exchange(starts_, {}); }
+
+std::optional<requests::HttpRespond> GatewayFixture::takeResponse()
+{
+    if (responses_.empty())
+        return std::nullopt;
+    requests::HttpRespond first = std::move(responses_.front());
+    responses_.erase(responses_.begin());
+    return first;
+}
+
+size_t GatewayFixture::takeCancels() { return std::exchange(cancels_, 0); }
+
+bool GatewayFixture::takeStopFinished() { return std::exchange(isStopFinished_, false); }
+
+std::string GatewayFixture::header(const std::vector<model::Header>& headers, const std::string& name)
+{
+    for (const model::Header& one : headers) {
+        if (model::isSameFieldName(one.name, name))
+            return one.value;
+    }
+    return {};
+}
+
+} // namespace saltvane::gateway::test
--- /dev/null
+++ b/src/gateway/tests/gatewayfixture.h
@@ -0,0 +1,74 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "gateway/igateway.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace saltvane::gateway::test {
+
+/// A gateway in virtual time with the registry, callers and targets played by the test.
+class GatewayFixture : public testing::Test {
+protected:
+    GatewayFixture();
+
+    /// Two services, "quotes" and "files"; routes of every kind at host "prices.example".
+    void installPlan(uint64_t version, const std::string& extraRoutes = {});
+    [[nodiscard]] static model::TargetRecord target(
+        const std::string& id, const std::string& service = "quotes", const std::string& zone = "north-a");
+    void report(model::TargetReport report);
+    void reportTargets(std::vector<model::TargetRecord> records);
+
+    struct CallerRequest {
+        std::string method = "GET";
+        std::string path = "/read/1";
+        std::string id = "try-1";
+        std::string object = "7";
+        std::string deadlineMs = "2000";
+        std::string body;
+        std::string host = "prices.example";
+    };
+    requests::HttpHandle request(const CallerRequest& caller);
+    void abort(requests::HttpHandle handle);
+    struct TargetAnswer {
+        int status = 200;
+        std::string id = "try-1";
+        std::string body = "answer";
+        std::vector<model::Header> more;
+    };
+    void answer(const requests::TargetStart& start, const TargetAnswer& from);
+    void fail(const requests::TargetStart& start, bool mayHaveReachedTarget);
+    void advance(Duration duration);
+    void askToStop();
+
+    /// What the gateway did since the last look.
+    [[nodiscard]] std::vector<requests::TargetStart> takeStarts();
+    [[nodiscard]] std::optional<requests::HttpRespond> takeResponse();
+    [[nodiscard]] size_t takeCancels();
+    [[nodiscard]] bool takeStopFinished();
+    [[nodiscard]] static std::string header(const std::vector<model::Header>& headers, const std::string& name);
+
+    Timestamp now_ {100s};
+    std::unique_ptr<host::IHostCore> gateway_;
+
+private:
+    void handle(host::Event event);
+    void gather();
+
+    uint64_t lastHandle_ = 0;
+    uint64_t position_ = 0;
+    std::vector<requests::TargetStart> starts_;
+    std::vector<requests::HttpRespond> responses_;
+    size_t cancels_ = 0;
+    bool isStopFinished_ = false;
+};
+
+} // namespace saltvane::gateway::test
--- /dev/null
+++ b/src/gateway/tests/requesttests.cpp
@@ -0,0 +1,223 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gatewayfixture.h"
+
+namespace saltvane::gateway::test {
+
+namespace {
+
+class RequestTest : public GatewayFixture { };
+
+const model::Header NotRun {.name = "Saltvane-Not-Run", .value = "1"};
+
+} // namespace
+
+TEST_F(RequestTest, WithoutAPlanNothingIsServedAndNothingIsDenied)
+{
+    request({});
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_FALSE(header(response->headers, "Retry-After").empty());
+}
+
+TEST_F(RequestTest, TheAnswerComesBackUnchanged)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({});
+    const auto starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(header(starts[0].headers, "Saltvane-Expect-Target"), "t-1");
+    EXPECT_EQ(header(starts[0].headers, "Saltvane-Request-Id"), "try-1");
+    EXPECT_EQ(header(starts[0].headers, "Connection"), "");
+    EXPECT_LE(std::stoi(header(starts[0].headers, "Saltvane-Deadline-Ms")), 1500);
+    answer(starts[0], {.status = 203, .more = {{.name = "Signature", .value = "abc"}}});
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 203);
+    EXPECT_EQ(response->bytes, "answer");
+    EXPECT_EQ(header(response->headers, "Signature"), "abc");
+}
+
+TEST_F(RequestTest, TheLongestPrefixDecides)
+{
+    installPlan(1,
+        R"(,{"name":"deep","host":"prices.example","path_prefix":"/read/deep/","kind":"repeatable",
+            "timeout_ms":1500,"service":"files","attempts":1})");
+    reportTargets({target("t-1"), target("f-1", "files")});
+    request({.path = "/read/deep/1?x=/read/"});
+    request({.path = "/read/deeper"});
+    const auto starts = takeStarts();
+    ASSERT_EQ(starts.size(), 2U);
+    EXPECT_EQ(starts[0].target, TargetId("f-1"));
+    EXPECT_EQ(starts[1].target, TargetId("t-1"));
+}
+
+TEST_F(RequestTest, WithoutARouteItIsNotFound)
+{
+    installPlan(1);
+    request({.path = "/other/"});
+    request({.host = "other.example"});
+    EXPECT_EQ(takeResponse()->status, 404);
+    EXPECT_EQ(takeResponse()->status, 404);
+}
+
+TEST_F(RequestTest, AtMostOnceIsNotSentAgainOnceAByteMayHaveArrived)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({.method = "POST", .path = "/write/1", .body = "x"});
+    const auto starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    fail(starts[0], true);
+    EXPECT_TRUE(takeStarts().empty());
+    EXPECT_EQ(takeResponse()->status, 502);
+}
+
+TEST_F(RequestTest, AtMostOnceGoesElsewhereWhenTheTargetHasNotRunIt)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({.method = "POST", .path = "/write/1", .body = "x"});
+    const auto first = takeStarts();
+    answer(first.at(0), {.status = 503, .more = {NotRun}});
+    const auto second = takeStarts();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second[0].target, first[0].target);
+    // Its attempts are used up; the promise that it has not run is true.
+    answer(second[0], {.status = 503, .more = {NotRun}});
+    const auto response = takeResponse();
+    EXPECT_EQ(response->status, 503);
+    EXPECT_FALSE(header(response->headers, "Retry-After").empty());
+    EXPECT_TRUE(takeStarts().empty());
+}
+
+TEST_F(RequestTest, ARepeatThatFoundNoPlaceIsNotCalledNotRun)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({});
+    fail(takeStarts().at(0), true);
+    EXPECT_EQ(takeResponse()->status, 502);
+}
+
+TEST_F(RequestTest, RepeatableIsSentToAnotherTargetAfterAFailure)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({});
+    const auto first = takeStarts();
+    fail(first.at(0), true);
+    const auto second = takeStarts();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second[0].target, first[0].target);
+    answer(second[0], {});
+    EXPECT_EQ(takeResponse()->status, 200);
+}
+
+TEST_F(RequestTest, TheAnswerOfAnotherRequestIsNotPassedOn)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({.method = "POST", .path = "/write/1"});
+    answer(takeStarts().at(0), {.id = "try-0", .body = "foreign"});
+    const auto response = takeResponse();
+    EXPECT_EQ(response->status, 502);
+    EXPECT_EQ(response->bytes.find("foreign"), std::string::npos);
+    EXPECT_EQ(takeCancels(), 1U);
+}
+
+TEST_F(RequestTest, AMisdirectedTargetIsNotUsedAgain)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({.method = "POST", .path = "/write/1"});
+    const auto first = takeStarts();
+    answer(first.at(0), {.status = 421, .id = ""});
+    const TargetId gone = first[0].target;
+    EXPECT_EQ(takeStarts().size(), 1U);
+    for (int i = 0; i < 20; ++i)
+        request({.object = std::to_string(i)});
+    for (const requests::TargetStart& start : takeStarts())
+        EXPECT_NE(start.target, gone);
+}
+
+TEST_F(RequestTest, ACallerThatLeavesCancelsItsTargetsWork)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    const requests::HttpHandle handle = request({});
+    ASSERT_EQ(takeStarts().size(), 1U);
+    abort(handle);
+    EXPECT_EQ(takeCancels(), 1U);
+    EXPECT_FALSE(takeResponse());
+}
+
+TEST_F(RequestTest, TheRoutesTimeLimitEndsARequest)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({.method = "POST", .path = "/write/1", .deadlineMs = "9000"});
+    ASSERT_EQ(takeStarts().size(), 1U);
+    advance(1900ms);
+    EXPECT_FALSE(takeResponse());
+    advance(200ms);
+    EXPECT_EQ(takeResponse()->status, 504);
+    EXPECT_EQ(takeCancels(), 1U);
+}
+
+// Found on the users' bench: a silent target was left although no other could take the request, which ended in a 504
+// while its target was at work.
+TEST_F(RequestTest, ASilentTargetIsLeftOnlyForOneThatCanTakeTheRequest)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({});
+    const auto starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    advance(1400ms);
+    EXPECT_EQ(takeCancels(), 0U);
+    EXPECT_FALSE(takeResponse());
+    answer(starts[0], {});
+    EXPECT_EQ(takeResponse()->status, 200);
+}
+
+TEST_F(RequestTest, ASilentTargetIsLeftForAnother)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({});
+    const auto first = takeStarts();
+    advance(1300ms);
+    const auto second = takeStarts();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second[0].target, first.at(0).target);
+    EXPECT_EQ(takeCancels(), 1U);
+}
+
+// Found on the users' bench: a request taken 5.3 s after the stop was asked for was cut off by the end of the process.
+TEST_F(RequestTest, AStoppingGatewayRefusesNewRequestsOnceItsStayIsOver)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    askToStop();
+    request({});
+    const auto early = takeStarts();
+    ASSERT_EQ(early.size(), 1U); // Callers still hold look-up answers.
+    advance(3100ms);
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+    (void)takeResponse(); // Of the first, at its time limit.
+    const auto refused = takeResponse();
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->status, 503);
+    EXPECT_EQ(header(refused->headers, "Connection"), "close");
+    advance(100ms);
+    EXPECT_TRUE(takeStopFinished());
+}
+
+} // namespace saltvane::gateway::test
--- /dev/null
+++ b/src/gateway/tests/targettests.cpp
@@ -0,0 +1,178 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gatewayfixture.h"
+
+#include <map>
+
+namespace saltvane::gateway::test {
+
+namespace {
+
+class TargetTest : public GatewayFixture { };
+
+} // namespace
+
+TEST_F(TargetTest, ARetiredTargetGetsNoNewWorkAndNeverComesBack)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    reportTargets({record});
+    report({.orders = {.term = {1}, .index = {5}}, .retired = {TargetId("t-1")}});
+    request({});
+    EXPECT_EQ(takeResponse()->status, 503);
+    record.sequence = 9;
+    reportTargets({record});
+    request({});
+    EXPECT_EQ(takeResponse()->status, 503);
+}
+
+TEST_F(TargetTest, OlderOrdersChangeNothing)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    report({.orders = {.term = {1}, .index = {5}}, .evacuatedZones = {ZoneName("north-a")}});
+    report({.orders = {.term = {1}, .index = {4}}});
+    request({});
+    EXPECT_EQ(takeResponse()->status, 503);
+}
+
+TEST_F(TargetTest, AZoneOpenedAgainWaitsForWordOfItsTargets)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    reportTargets({record});
+    report({.orders = {.term = {1}, .index = {5}}, .evacuatedZones = {ZoneName("north-a")}});
+    report({.orders = {.term = {1}, .index = {6}}});
+    request({});
+    EXPECT_EQ(takeResponse()->status, 503); // It may have turned slow meanwhile.
+    record.sequence = 2;
+    reportTargets({record});
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+TEST_F(TargetTest, ASlowTargetIsUsedByItsOwnGatewayOnlyAndWithinItsRate)
+{
+    installPlan(1);
+    model::TargetRecord own = target("t-1");
+    own.slowStartLeft = 3s;
+    own.slowStartHost = HostId("10.0.0.1:7000");
+    reportTargets({own});
+    size_t sent = 0;
+    for (int i = 0; i < 100; ++i) {
+        request({.object = std::to_string(i), .deadlineMs = "20000"});
+        for (const requests::TargetStart& start : takeStarts()) {
+            ++sent;
+            answer(start, {});
+        }
+        advance(20ms);
+    }
+    // 5 a second, a fifth less, for two seconds.
+    EXPECT_GE(sent, 6U);
+    EXPECT_LE(sent, 10U);
+}
+
+TEST_F(TargetTest, ASlowTargetOfAnotherGatewayIsLeftAlone)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    record.slowStartLeft = 3s;
+    record.slowStartHost = HostId("10.0.0.2:7000");
+    reportTargets({record});
+    request({});
+    EXPECT_EQ(takeResponse()->status, 503);
+    advance(3100ms);
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+TEST_F(TargetTest, AnObjectStaysWithItsTarget)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2"), target("t-3"), target("t-4", "quotes", "south-a")});
+    std::map<std::string, TargetId> places;
+    for (int round = 0; round < 5; ++round) {
+        for (int object = 0; object < 20; ++object) {
+            const std::string name = std::to_string(object);
+            request({.object = name});
+            const auto starts = takeStarts();
+            ASSERT_EQ(starts.size(), 1U);
+            const auto [place, isFirst] = places.emplace(name, starts[0].target);
+            EXPECT_EQ(place->second, starts[0].target);
+            advance(100ms);
+            answer(starts[0], {});
+        }
+    }
+}
+
+TEST_F(TargetTest, AFailingTargetIsEjectedAndTriedAgain)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({});
+    fail(takeStarts().at(0), false);
+    EXPECT_EQ(takeResponse()->status, 503); // Provably not run.
+    request({});
+    EXPECT_EQ(takeResponse()->status, 503);
+    advance(300ms);
+    request({});
+    request({.object = "8"});
+    const auto trial = takeStarts();
+    ASSERT_EQ(trial.size(), 1U); // One request tells whether it is back.
+    answer(trial[0], {});
+    request({.object = "9"});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+TEST_F(TargetTest, LargeAnswersStayInTheZone)
+{
+    installPlan(1);
+    reportTargets({target("near", "files", "north-a"), target("b-1", "files", "north-b"),
+        target("b-2", "files", "north-b"), target("far", "files", "south-a")});
+    for (int i = 0; i < 10; ++i) {
+        request({.path = "/file/x", .object = std::to_string(i)});
+        const auto starts = takeStarts();
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_EQ(starts[0].target, TargetId("near"));
+        advance(50ms);
+        answer(starts[0], {});
+    }
+}
+
+TEST_F(TargetTest, WeightsDivideARoute)
+{
+    installPlan(1,
+        R"(,{"name":"split","host":"prices.example","path_prefix":"/split/","kind":"repeatable","timeout_ms":1500,
+            "attempts":1,"split":[{"service":"quotes","weight":3},{"service":"files","weight":1}]})");
+    reportTargets({target("t-1"), target("f-1", "files")});
+    std::map<TargetId, int> counts;
+    for (int i = 0; i < 40; ++i) {
+        request({.path = "/split/x", .object = std::to_string(i)});
+        const auto starts = takeStarts();
+        ASSERT_EQ(starts.size(), 1U);
+        ++counts[starts[0].target];
+        answer(starts[0], {});
+    }
+    EXPECT_EQ(counts[TargetId("t-1")], 30);
+    EXPECT_EQ(counts[TargetId("f-1")], 10);
+}
+
+TEST_F(TargetTest, PermittedRegionsBind)
+{
+    installPlan(1,
+        R"(,{"name":"home","host":"prices.example","path_prefix":"/home/","kind":"repeatable","timeout_ms":1500,
+            "attempts":1,"service":"quotes","permitted_regions":["south"]})");
+    reportTargets({target("t-1")});
+    request({.path = "/home/x"});
+    EXPECT_EQ(takeResponse()->status, 503);
+    reportTargets({target("t-2", "quotes", "south-a")});
+    request({.path = "/home/x"});
+    const auto starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target, TargetId("t-2"));
+}
+
+} // namespace saltvane::gateway::test
--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -28,8 +28,13 @@
 /// SIGTERM: planned stop. A second one, or the time limit, ends what is left.
 struct StopRequested { };
 
+/// The settings name other seeds now. Nothing else of them changes while a process runs.
+struct SeedsChanged {
+    std::vector<model::Address> seeds;
+};
+
 using Event = std::variant<requests::HttpEvent, requests::TargetEvent, model::Delivery, LinkUp, LinkDown,
-    control::StorageDone, control::StorageFailed, StopRequested>;
+    control::StorageDone, control::StorageFailed, StopRequested, SeedsChanged>;
 
 /// Keep a link to this address; the host id may be empty for a seed. Repeated each time the set changes.
 struct LinksWanted {
--- a/src/host/internal/hostcore.h
+++ b/src/host/internal/hostcore.h
@@ -44,6 +44,7 @@
     void accept(const control::StorageDone& done, Timestamp now);
     void accept(const control::StorageFailed& failed, Timestamp now);
     void accept(StopRequested stop, Timestamp now);
+    void accept(const SeedsChanged& /*changed*/, Timestamp /*now*/) { } ///< Its hosts are listed in its settings.
 
     // Systems, in the order of the table in hostcore.cpp.
     void tickControl(Timestamp now);
--- a/src/membership/ihostroster.h
+++ b/src/membership/ihostroster.h
@@ -27,6 +27,7 @@
     /// Heartbeat and ZoneReport.
     virtual void handle(const model::Delivery& delivery, Timestamp now) = 0;
     virtual void noteLinkUp(const HostId& host, Timestamp now) = 0;
+    virtual void setSeeds(std::vector<HostId> seeds) = 0;
     /// Told at once to all when it changed.
     virtual void setState(model::HostState state) = 0;
     virtual void tick(Timestamp now) = 0;
--- a/src/membership/internal/hostroster.h
+++ b/src/membership/internal/hostroster.h
@@ -18,6 +18,7 @@
 
     void handle(const model::Delivery& delivery, Timestamp now) override;
     void noteLinkUp(const HostId& host, Timestamp now) override;
+    void setSeeds(std::vector<HostId> seeds) override { options_.seeds = std::move(seeds); }
     void setState(model::HostState state) override;
     void tick(Timestamp now) override;
     [[nodiscard]] std::vector<model::Outgoing> takeOutgoing() override;
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-constexpr long ReceiveBuffer = 64 * 1024;
-constexpr long SendBuffer = 64 * 1024;
+// Of each transfer in flight.
+constexpr long ReceiveBuffer = 16 * 1024;
+constexpr long SendBuffer = 16 * 1024;
 
 /// Set by this class from the request's framing, or never sent to a target.
 constexpr std::array<std::string_view, 4> OwnHeaders {"Content-Length", "Transfer-Encoding", "Expect", "Connection"};
@@ -97,8 +98,10 @@
     curl_easy_setopt(transfer_, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connectMs));
     curl_easy_setopt(transfer_, CURLOPT_BUFFERSIZE, ReceiveBuffer);
     curl_easy_setopt(transfer_, CURLOPT_UPLOAD_BUFFERSIZE, SendBuffer);
-    if (!options_.start.isRepeatable)
+    if (needsOwnConnection())
         setOwnConnection();
+    else if (options_.start.reuseIdleLimit > Duration::zero())
+        setReuseLimit();
     curl_easy_setopt(transfer_, CURLOPT_HEADERFUNCTION, &TargetExchange::onHeader);
     curl_easy_setopt(transfer_, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(transfer_, CURLOPT_WRITEFUNCTION, &TargetExchange::onBody);
@@ -109,6 +112,17 @@
     curl_easy_setopt(transfer_, CURLOPT_PREREQDATA, this);
 }
 
+bool TargetExchange::needsOwnConnection() const
+{
+    return !options_.start.isRepeatable && options_.start.reuseIdleLimit <= Duration::zero();
+}
+
+void TargetExchange::setReuseLimit()
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(options_.start.reuseIdleLimit).count();
+    curl_easy_setopt(transfer_, CURLOPT_MAXAGE_CONN, static_cast<long>(seconds));
+}
+
 void TargetExchange::setOwnConnection()
 {
     // A pool of connections used once would outgrow what a target holds, and closing each the usual way would use up
@@ -156,7 +170,7 @@
         addHeader(header.value.empty() ? header.name + ";" : header.name + ": " + header.value);
     }
     addHeader("Expect:");
-    if (!request.isRepeatable)
+    if (needsOwnConnection())
         addHeader("Connection: close");
     if (!hasHeader(request.headers, "Accept"))
         addHeader("Accept:");
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -55,7 +55,9 @@
 
     [[nodiscard]] bool isSendable() const;
     void setOptions();
+    [[nodiscard]] bool needsOwnConnection() const;
     void setOwnConnection();
+    void setReuseLimit();
     void setMethod();
     void addHeaders();
     void addHeader(const std::string& line);
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -193,6 +193,12 @@
     replica_->handle(failed, now);
 }
 
+void RegistryCore::accept(const host::SeedsChanged& changed, Timestamp /*now*/)
+{
+    log(host::LogSeverity::Info, "event=seeds_changed count=" + std::to_string(changed.seeds.size()));
+    roster_->setSeeds(hostsOf(changed.seeds));
+}
+
 void RegistryCore::accept(host::StopRequested /*stop*/, Timestamp now)
 {
     if (stopAt_)
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -52,6 +52,7 @@
     void accept(const control::StorageDone& done, Timestamp now);
     void accept(const control::StorageFailed& failed, Timestamp now);
     void accept(host::StopRequested stop, Timestamp now);
+    void accept(const host::SeedsChanged& changed, Timestamp now);
 
     void run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& open, Timestamp now);
     void run(requests::HttpHandle handle, const TargetBeatCall& call, OpenCall& open, Timestamp now);
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -133,6 +133,8 @@
     std::vector<model::Header> headers;
     std::optional<uint64_t> bodyLength;
     bool isRepeatable = false; ///< Otherwise the adapter uses a connection that no request used before.
+    /// Over 0: whether repeatable or not, only connections that rested no longer are used again.
+    Duration reuseIdleLimit {};
 };
 struct TargetRequestBody {
     DispatchId dispatch;
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <csignal>
 #include <sodium.h>
+#include <sys/stat.h>
 #include <utility>
 
 namespace saltvane::saltvaned {
@@ -26,6 +27,19 @@
 /// Three lost round trips between far regions; a target that takes longer is tried elsewhere.
 constexpr Duration GatewayConnectTimeout = 600ms;
 
+/// How often the settings file is looked at: it may change without a signal.
+constexpr Duration SettingsPeriod = 2s;
+
+/// When a file was changed last, in nanoseconds; 0 where it can't be read.
+int64_t changeTimeOf(const std::string& path)
+{
+    constexpr int64_t NanosecondsPerSecond = 1'000'000'000;
+    struct stat info { };
+    if (::stat(path.c_str(), &info) != 0)
+        return 0;
+    return info.st_mtim.tv_sec * NanosecondsPerSecond + info.st_mtim.tv_nsec;
+}
+
 Timestamp monotonicNow()
 {
     return Timestamp(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
@@ -63,6 +77,8 @@
     ev_timer_stop(loop_, &tickTimer_);
     ev_signal_stop(loop_, &terminateSignal_);
     ev_signal_stop(loop_, &interruptSignal_);
+    ev_signal_stop(loop_, &hangUpSignal_);
+    ev_timer_stop(loop_, &settingsTimer_);
     linkHub_.reset();
     targetClient_.reset();
     httpServers_.clear();
@@ -82,13 +98,16 @@
     return daemon;
 }
 
-Result<std::unique_ptr<Daemon>, IoError> Daemon::start(const settings::RoutedHostSettings& settings)
+Result<std::unique_ptr<Daemon>, IoError> Daemon::start(
+    const settings::RoutedHostSettings& settings, const std::string& settingsPath)
 {
     std::unique_ptr<Daemon> daemon(new Daemon);
     const Result<Done, IoError> opened = daemon->openAdapters(settings);
     if (!opened)
         return opened.error();
     daemon->startWatchers();
+    daemon->seeds_ = settings.seeds;
+    daemon->watchSettings(settingsPath);
     LOG_TAGGED(INFO, "saltvaned") << "event=started host=" << settings.host().value()
                                   << " role=" << (settings.isGateway ? "gateway" : "registry")
                                   << " zone=" << settings.zone.value() << " seeds=" << settings.seeds.size()
@@ -237,6 +256,38 @@
     ev_timer_start(loop_, &tickTimer_);
     ev_signal_start(loop_, &terminateSignal_);
     ev_signal_start(loop_, &interruptSignal_);
+    ev_signal_init(&hangUpSignal_, onHangUp, SIGHUP);
+    hangUpSignal_.data = this;
+    ev_signal_start(loop_, &hangUpSignal_);
+}
+
+void Daemon::watchSettings(const std::string& path)
+{
+    settingsPath_ = path;
+    settingsChangedAt_ = changeTimeOf(path);
+    ev_timer_init(&settingsTimer_, onSettingsTimer, toSeconds(SettingsPeriod), toSeconds(SettingsPeriod));
+    settingsTimer_.data = this;
+    ev_timer_start(loop_, &settingsTimer_);
+}
+
+void Daemon::reloadSettings()
+{
+    if (settingsPath_.empty())
+        return;
+    settingsChangedAt_ = changeTimeOf(settingsPath_);
+    const Result<settings::AnyHostSettings, Findings> read = settings::loadAnyHostSettings(settingsPath_);
+    if (!read) {
+        for (const Finding& finding : read.error().items())
+            LOG_TAGGED(WARNING, "saltvaned") << "event=settings_kept finding=\"" << toString(finding) << "\"";
+        return;
+    }
+    const auto* routed = std::get_if<settings::RoutedHostSettings>(&read.value());
+    LOG_TAGGED(INFO, "saltvaned") << "event=settings_read changed="
+                                  << (routed != nullptr && routed->seeds != seeds_ ? "seeds" : "nothing");
+    if (routed == nullptr || routed->seeds == seeds_)
+        return;
+    seeds_ = routed->seeds;
+    deliver(host::SeedsChanged {.seeds = seeds_});
 }
 
 int Daemon::run()
@@ -259,6 +310,18 @@
     static_cast<Daemon*>(watcher->data)->deliver(host::StopRequested {});
 }
 
+void Daemon::onHangUp(struct ev_loop* /*loop*/, ev_signal* watcher, int /*events*/)
+{
+    static_cast<Daemon*>(watcher->data)->reloadSettings();
+}
+
+void Daemon::onSettingsTimer(struct ev_loop* /*loop*/, ev_timer* watcher, int /*events*/)
+{
+    auto* daemon = static_cast<Daemon*>(watcher->data);
+    if (changeTimeOf(daemon->settingsPath_) != daemon->settingsChangedAt_)
+        daemon->reloadSettings();
+}
+
 void Daemon::deliver(host::Event event)
 {
     events_.push_back(std::move(event));
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -22,7 +22,9 @@
 class Daemon {
 public:
     [[nodiscard]] static Result<std::unique_ptr<Daemon>, IoError> start(const settings::HostSettings& settings);
-    [[nodiscard]] static Result<std::unique_ptr<Daemon>, IoError> start(const settings::RoutedHostSettings& settings);
+    /// Reads the file again when it changes, and on SIGHUP.
+    [[nodiscard]] static Result<std::unique_ptr<Daemon>, IoError> start(
+        const settings::RoutedHostSettings& settings, const std::string& settingsPath);
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
@@ -56,6 +58,8 @@
     void startWatchers();
     void deliver(host::Event event);
     void drainEvents();
+    void reloadSettings();
+    void watchSettings(const std::string& path);
     void carryOutActions();
 
     void carryOut(requests::Action action);
@@ -66,11 +70,18 @@
 
     static void onTick(struct ev_loop* loop, ev_timer* watcher, int events);
     static void onSignal(struct ev_loop* loop, ev_signal* watcher, int events);
+    static void onHangUp(struct ev_loop* loop, ev_signal* watcher, int events);
+    static void onSettingsTimer(struct ev_loop* loop, ev_timer* watcher, int events);
 
     struct ev_loop* loop_ = nullptr;
     ev_timer tickTimer_ {};
     ev_signal terminateSignal_ {};
     ev_signal interruptSignal_ {};
+    ev_signal hangUpSignal_ {};
+    ev_timer settingsTimer_ {};
+    std::string settingsPath_; ///< Empty: its changes are not followed.
+    int64_t settingsChangedAt_ = 0; ///< Of the file, nanoseconds.
+    std::vector<model::Address> seeds_;
     std::unique_ptr<host::IHostCore> core_;
     std::unique_ptr<net::IDataFolder> dataFolder_;
     std::vector<std::unique_ptr<net::IHttpServer>> httpServers_; ///< By listener.
--- a/src/saltvaned/main.cpp
+++ b/src/saltvaned/main.cpp
@@ -23,10 +23,17 @@
     return saltvaned::ExitUsage;
 }
 
-int runDaemon(const settings::AnyHostSettings& settings)
+Result<std::unique_ptr<saltvaned::Daemon>, IoError> startDaemon(
+    const settings::AnyHostSettings& settings, const std::string& path)
 {
-    Result<std::unique_ptr<saltvaned::Daemon>, IoError> daemon
-        = std::visit([](const auto& kind) { return saltvaned::Daemon::start(kind); }, settings);
+    if (const auto* routed = std::get_if<settings::RoutedHostSettings>(&settings))
+        return saltvaned::Daemon::start(*routed, path);
+    return saltvaned::Daemon::start(std::get<settings::HostSettings>(settings));
+}
+
+int runDaemon(const settings::AnyHostSettings& settings, const std::string& path)
+{
+    Result<std::unique_ptr<saltvaned::Daemon>, IoError> daemon = startDaemon(settings, path);
     if (!daemon) {
         std::cerr << daemon.error().place << ": " << daemon.error().message << "\n";
         return saltvaned::ExitFailure;
@@ -55,5 +62,5 @@
     }
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    return runDaemon(settings.value());
+    return runDaemon(settings.value(), commandLine.value().settingsPath);
 }
