--- a/src/control/internal/replicachanges.cpp
+++ b/src/control/internal/replicachanges.cpp
@@ -19,6 +19,8 @@
 constexpr Duration ReplaceAfter = 3s;
 /// Without one: longer than outages that the host comes back from with its disk.
 constexpr Duration RemoveAfter = 20s;
+/// In a planned replacement the new host joins so long before the old one stops, at most.
+constexpr Duration PlannedReplacement = 10s;
 /// A group is never made smaller than what survives the loss of one.
 constexpr size_t LeastReplicas = 3;
 } // namespace
@@ -50,14 +52,14 @@
         consensus_.propose(encodeCommand(ChangeReplicas {*std::move(replicas)}));
 }
 
-std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextChange(Timestamp now) const
+std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextChange(Timestamp now)
 {
     const Configuration& configuration = consensus_.context().configurations.latest();
     if (std::optional<std::vector<ReplicaInfo>> promotion = nextPromotion(configuration))
         return promotion;
     if (std::optional<std::vector<ReplicaInfo>> join = nextJoin(configuration, now))
         return join;
-    return withoutSilent(configuration, RemoveAfter, now);
+    return withoutSilent(configuration, false, now);
 }
 
 void ReplicaChanges::noteSilence(Timestamp now)
@@ -74,20 +76,29 @@
     }
 }
 
+Duration ReplicaChanges::patience(Timestamp silentSince, bool hasJoiner) const
+{
+    const bool isReplaced = joinedAt_ && *joinedAt_ >= silentSince - PlannedReplacement;
+    return hasJoiner || isReplaced ? ReplaceAfter : RemoveAfter;
+}
+
 std::optional<std::vector<ReplicaInfo>> ReplicaChanges::withoutSilent(
-    const Configuration& configuration, Duration limit, Timestamp now) const
+    const Configuration& configuration, bool hasJoiner, Timestamp now)
 {
     const ReplicaInfo* longest = nullptr;
-    Timestamp since = now - limit;
+    Timestamp since = now;
     for (const ReplicaInfo& info : configuration.replicas) {
         const auto silent = silentSince_.find(info.replica);
-        if (silent == silentSince_.end() || silent->second > since)
+        if (silent == silentSince_.end() || now - silent->second < patience(silent->second, hasJoiner)
+            || silent->second > since)
             continue;
         since = silent->second;
         longest = &info;
     }
     if (longest == nullptr || configuration.replicas.size() <= LeastReplicas)
         return std::nullopt;
+    if (!hasJoiner)
+        joinedAt_.reset();
     std::vector<ReplicaInfo> replicas = configuration.replicas;
     std::erase_if(replicas, [&](const ReplicaInfo& info) { return info.replica == longest->replica; });
     return replicas;
@@ -108,22 +119,23 @@
     return std::nullopt;
 }
 
-std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextJoin(
-    const Configuration& configuration, Timestamp now) const
+std::optional<std::vector<ReplicaInfo>> ReplicaChanges::nextJoin(const Configuration& configuration, Timestamp now)
 {
     for (const auto& [joinerHost, joiner] : joiners_) {
         const HostId& host = joinerHost;
         if (configuration.find(joiner.replica))
             continue;
         if (!configuration.findHost(host)) {
-            if (std::optional<std::vector<ReplicaInfo>> freed = withoutSilent(configuration, ReplaceAfter, now))
+            if (std::optional<std::vector<ReplicaInfo>> freed = withoutSilent(configuration, true, now))
                 return freed;
         }
         std::vector<ReplicaInfo> replicas = configuration.replicas;
         if (configuration.findHost(host))
             std::erase_if(replicas, [&](const ReplicaInfo& info) { return info.host == host; });
-        else
+        else {
             replicas.push_back({.replica = joiner.replica, .host = host, .isVoter = false});
+            joinedAt_ = now;
+        }
         return replicas;
     }
     return std::nullopt;
--- a/src/control/internal/replicachanges.h
+++ b/src/control/internal/replicachanges.h
@@ -31,18 +31,19 @@
     };
 
     void noteSilence(Timestamp now);
-    /// The replicas without the one that was silent longest, at least for `limit`.
+    /// The replicas without the one that was silent longest, and long enough. `hasJoiner`: another host waits.
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> withoutSilent(
-        const Configuration& configuration, Duration limit, Timestamp now) const;
-    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextChange(Timestamp now) const;
-    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextJoin(
-        const Configuration& configuration, Timestamp now) const;
+        const Configuration& configuration, bool hasJoiner, Timestamp now);
+    [[nodiscard]] Duration patience(Timestamp silentSince, bool hasJoiner) const;
+    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextChange(Timestamp now);
+    [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextJoin(const Configuration& configuration, Timestamp now);
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextPromotion(const Configuration& configuration) const;
 
     const ControlReplicaOptions& options_;
     Consensus& consensus_;
     std::map<HostId, Joiner> joiners_;
     std::map<model::ReplicaId, Timestamp> silentSince_; ///< As this leader sees it.
+    std::optional<Timestamp> joinedAt_; ///< A host new to the group; nobody has left for it yet.
 };
 
 } // namespace saltvane::control
--- /dev/null
+++ b/src/registry/tests/ordertests.cpp
@@ -0,0 +1,120 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "registrycluster.h"
+
+#include <gtest/gtest.h>
+
+namespace saltvane::registry::test {
+
+namespace {
+
+int statusOf(const std::optional<RegistryCluster::Answer>& answer) { return answer ? answer->status : 0; }
+
+} // namespace
+
+TEST(OrderTest, APlanIsReplacedOnItsBaseOnly)
+{
+    RegistryCluster cluster(6);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(3), "0")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(5), "2")), 412);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(5), "3")), 200);
+    EXPECT_EQ(cluster.order("GET", "/v1/plan")->body, planText(5));
+}
+
+TEST(OrderTest, OfTwoPlansOnOneBaseOneWins)
+{
+    RegistryCluster cluster(6);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    const std::string other = planText(2) + " ";
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(2), "1")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", other, "1")), 412);
+    EXPECT_EQ(cluster.order("GET", "/v1/plan")->body, planText(2));
+}
+
+TEST(OrderTest, APlanSentAgainGetsItsAnswerAgainAlsoAfterALaterOne)
+{
+    RegistryCluster cluster(6);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(2), "1")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    EXPECT_EQ(cluster.order("GET", "/v1/plan")->body, planText(2));
+}
+
+TEST(OrderTest, AnInvalidPlanIsRefusedWithItsPlaces)
+{
+    RegistryCluster cluster(3);
+    const auto unknown = cluster.order("PUT", "/v1/plan", planText(1, "nobody"), "0");
+    EXPECT_EQ(statusOf(unknown), 400);
+    EXPECT_NE(unknown->body.find("routes[0].service"), std::string::npos);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1).substr(0, 40), "0")), 400);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(4), "0")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(4, "quotes") + " ", "4")), 400);
+}
+
+TEST(OrderTest, AFollowerNamesTheLeader)
+{
+    RegistryCluster cluster(6);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    cluster.run(1s);
+    const size_t leader = *cluster.leader();
+    const auto answer = cluster.call((leader + 1) % 6, "PUT", "/v1/evacuations/north-a");
+    ASSERT_EQ(statusOf(answer), 307);
+    bool namesLeader = false;
+    for (const model::Header& header : answer->headers)
+        namesLeader = namesLeader
+            || header.value == "http://10.0.0." + std::to_string(leader + 1) + ":8000/v1/evacuations/north-a";
+    EXPECT_TRUE(namesLeader);
+}
+
+TEST(OrderTest, AHostThatIsCutOffAnswersNoPlanAndTakesNoOrder)
+{
+    RegistryCluster cluster(6);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    cluster.run(1s);
+    const size_t leader = *cluster.leader();
+    cluster.isolate(leader);
+    cluster.run(2s);
+    EXPECT_EQ(statusOf(cluster.call(leader, "GET", "/v1/plan")), 503);
+    EXPECT_EQ(statusOf(cluster.call(leader, "PUT", "/v1/plan", planText(2), "1")), 503);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(3), "1")), 200);
+    cluster.heal();
+    cluster.run(2s);
+    EXPECT_EQ(statusOf(cluster.call(leader, "GET", "/v1/plan")), 200);
+    EXPECT_EQ(cluster.call(leader, "GET", "/v1/plan")->body, planText(3));
+}
+
+TEST(OrderTest, ALeavingTargetIsAcknowledgedOnceRetiredAndAllGatewaysAreTold)
+{
+    RegistryCluster cluster(6);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    for (size_t number = 0; number < 6; ++number)
+        cluster.gatewayHeartbeat(number, "10.0.1.1:7000", "north-a", "north");
+    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", beatText(1))), 200);
+    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", beatText(2, "leaving"))), 200);
+    cluster.run(300ms);
+    size_t told = 0;
+    for (const model::Message& message : cluster.takeSentTo("10.0.1.1:7000")) {
+        const auto* report = std::get_if<model::TargetReport>(&message);
+        if (report != nullptr && !report->retired.empty())
+            ++told;
+    }
+    EXPECT_EQ(told, 6U); // From every host, so that the loss of one changes nothing.
+    // Any host acknowledges it now, also without the log.
+    EXPECT_EQ(statusOf(cluster.call((*cluster.leader() + 1) % 6, "POST", "/v1/targets/t-1/leave")), 200);
+}
+
+TEST(OrderTest, EvacuationsAreOrders)
+{
+    RegistryCluster cluster(6);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/evacuations/north-a")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/evacuations/north-a")), 200);
+    EXPECT_EQ(statusOf(cluster.order("DELETE", "/v1/evacuations/north-a")), 200);
+    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/evacuations/north-a")), 404);
+}
+
+} // namespace saltvane::registry::test
--- /dev/null
+++ b/src/registry/tests/registrycluster.cpp
@@ -0,0 +1,308 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "registrycluster.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace saltvane::registry::test {
+
+namespace {
+
+constexpr Duration Step = 10ms;
+constexpr Duration MessageDelay = 5ms;
+constexpr size_t Seeds = 3;
+
+const std::map<ZoneName, RegionName> Zones {{ZoneName("north-a"), RegionName("north")},
+    {ZoneName("south-a"), RegionName("south")}, {ZoneName("west-a"), RegionName("west")}};
+
+model::Address addressOf(size_t number) { return {.ip = "10.0.0." + std::to_string(number + 1), .port = 7000}; }
+
+settings::RoutedHostSettings settingsOf(size_t number, bool isFirstStart)
+{
+    settings::RoutedHostSettings settings;
+    settings.deployment = "test";
+    settings.isRegistry = true;
+    auto zone = Zones.begin();
+    std::advance(zone, static_cast<ptrdiff_t>(number % Zones.size()));
+    settings.zone = zone->first;
+    settings.region = zone->second;
+    settings.zones = Zones;
+    settings.linkAddress = addressOf(number);
+    for (size_t seed = 0; seed < Seeds; ++seed)
+        settings.seeds.push_back(addressOf(seed));
+    settings.controlAddress = {.ip = settings.linkAddress.ip, .port = 8000};
+    settings.directoryAddress = {.ip = settings.linkAddress.ip, .port = 8001};
+    settings.isFirstStart = isFirstStart;
+    return settings;
+}
+
+} // namespace
+
+std::string planText(uint64_t version, const std::string& service)
+{
+    return R"({"version":)" + std::to_string(version)
+        + R"(,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"repeatable","timeout_ms":1000,"attempts":2,"service":")"
+        + service + R"("}],"services":[{"name":"quotes","probe_path":"/health"}]})";
+}
+
+std::string beatText(uint64_t sequence, const std::string& state, int slowMs)
+{
+    return nlohmann::json {{"service", "quotes"}, {"address", "10.9.0.1:9000"}, {"zone", "north-a"}, {"version", "v1"},
+        {"slots", 3}, {"state", state}, {"slow_start_left_ms", slowMs}, {"sequence", sequence}}
+        .dump();
+}
+
+RegistryCluster::RegistryCluster(size_t hosts)
+    : hosts_(hosts)
+{
+    for (size_t number = 0; number < hosts; ++number)
+        start(number, true);
+}
+
+HostId RegistryCluster::idOf(size_t number) { return HostId(toString(addressOf(number))); }
+
+std::optional<size_t> RegistryCluster::numberOf(const HostId& host) const
+{
+    for (size_t number = 0; number < hosts_.size(); ++number) {
+        if (idOf(number) == host)
+            return number;
+    }
+    return std::nullopt;
+}
+
+void RegistryCluster::start(size_t number, bool isFirstStart)
+{
+    Host& host = hosts_.at(number);
+    if (host.disk.isNewDisk && host.disk.replica.isEmpty())
+        host.disk.replica = model::ReplicaId("replica-" + std::to_string(++lastReplica_));
+    host.incarnation = {++lastIncarnation_};
+    host.core = makeRegistry({.settings = settingsOf(number, isFirstStart),
+        .incarnation = host.incarnation,
+        .recovered = host.disk,
+        .seed = lastIncarnation_});
+    host.wanted.clear();
+}
+
+size_t RegistryCluster::addHost()
+{
+    hosts_.emplace_back();
+    start(hosts_.size() - 1, false);
+    return hosts_.size() - 1;
+}
+
+void RegistryCluster::kill(size_t number)
+{
+    hosts_.at(number).core.reset();
+    std::erase_if(links_, [&](const auto& link) {
+        const bool isOf = link.first == number || link.second == number;
+        const size_t other = link.first == number ? link.second : link.first;
+        if (isOf && hosts_[other].core)
+            hosts_[other].core->handle(host::LinkDown {.host = idOf(number)}, now_);
+        return isOf;
+    });
+    std::erase_if(inFlight_, [&](const InFlight& one) { return one.from == number || one.to == number; });
+}
+
+void RegistryCluster::wipeDisk(size_t number) { hosts_.at(number).disk = {}; }
+
+void RegistryCluster::connect()
+{
+    for (size_t from = 0; from < hosts_.size(); ++from) {
+        for (size_t to = 0; to < hosts_.size(); ++to) {
+            const bool isCut = isolated_.contains(from) != isolated_.contains(to);
+            const std::pair link = std::minmax(from, to);
+            if (isCut || from == to || !hosts_[from].core || !hosts_[to].core || links_.contains(link)
+                || !hosts_[from].wanted.contains(idOf(to)))
+                continue;
+            links_.insert(link);
+            hosts_[from].core->handle(host::LinkUp {.host = idOf(to), .incarnation = hosts_[to].incarnation}, now_);
+            hosts_[to].core->handle(host::LinkUp {.host = idOf(from), .incarnation = hosts_[from].incarnation}, now_);
+        }
+    }
+}
+
+void RegistryCluster::write(Host& host, const control::StorageWrite& write)
+{
+    control::RecoveredState& disk = host.disk;
+    disk.isNewDisk = false;
+    if (write.hardState)
+        disk.hardState = *write.hardState;
+    if (write.truncateFrom)
+        std::erase_if(disk.entries, [&](const model::LogEntry& entry) { return entry.index >= *write.truncateFrom; });
+    if (write.snapshot) {
+        disk.snapshot = *write.snapshot;
+        disk.snapshotIndex = write.snapshotIndex;
+        disk.snapshotTerm = write.snapshotTerm;
+        std::erase_if(disk.entries, [&](const model::LogEntry& entry) { return entry.index <= write.snapshotIndex; });
+    }
+    disk.entries.insert(disk.entries.end(), write.append.begin(), write.append.end());
+}
+
+void RegistryCluster::post(size_t from, const model::Outgoing& outgoing)
+{
+    const std::optional<size_t> to = numberOf(outgoing.to);
+    if (!to) {
+        sentToGateways_[outgoing.to].push_back(outgoing.message);
+        return;
+    }
+    if (links_.contains(std::minmax(from, *to)))
+        inFlight_.push_back({.at = now_ + MessageDelay,
+            .from = from,
+            .to = *to,
+            .fromIncarnation = hosts_[from].incarnation,
+            .message = outgoing.message});
+}
+
+void RegistryCluster::pump(size_t number)
+{
+    Host& host = hosts_[number];
+    for (bool isBusy = true; isBusy && host.core;) {
+        isBusy = false;
+        for (host::Action& action : host.core->takeActions()) {
+            isBusy = true;
+            if (const auto* writing = std::get_if<control::StorageWrite>(&action)) {
+                write(host, *writing);
+                host.core->handle(control::StorageDone {.sequence = writing->sequence}, now_);
+            } else if (const auto* links = std::get_if<host::LinksWanted>(&action)) {
+                host.wanted.clear();
+                for (const auto& peer : links->peers)
+                    host.wanted.insert(peer.host);
+            } else if (auto* request = std::get_if<requests::Action>(&action)) {
+                if (const auto* outgoing = std::get_if<model::Outgoing>(request))
+                    post(number, *outgoing);
+                else if (auto* response = std::get_if<requests::HttpRespond>(request))
+                    responses_.insert_or_assign(response->handle, std::move(*response));
+            }
+        }
+    }
+}
+
+void RegistryCluster::deliver()
+{
+    std::vector<InFlight> due;
+    std::erase_if(inFlight_, [&](InFlight& one) {
+        if (one.at > now_)
+            return false;
+        due.push_back(std::move(one));
+        return true;
+    });
+    for (InFlight& one : due) {
+        const bool isCut = isolated_.contains(one.from) != isolated_.contains(one.to);
+        if (isCut || !hosts_[one.to].core)
+            continue;
+        hosts_[one.to].core->handle(
+            model::Delivery {
+                .from = idOf(one.from), .fromIncarnation = one.fromIncarnation, .message = std::move(one.message)},
+            now_);
+        pump(one.to);
+    }
+}
+
+void RegistryCluster::run(Duration duration)
+{
+    const Timestamp end = now_ + duration;
+    while (now_ < end) {
+        now_ += Step;
+        connect();
+        deliver();
+        for (size_t number = 0; number < hosts_.size(); ++number) {
+            if (!hosts_[number].core)
+                continue;
+            hosts_[number].core->tick(now_);
+            pump(number);
+        }
+    }
+}
+
+bool RegistryCluster::runUntil(const std::function<bool()>& condition, Duration limit)
+{
+    const Timestamp end = now_ + limit;
+    while (!condition()) {
+        if (now_ >= end)
+            return false;
+        run(Step);
+    }
+    return true;
+}
+
+std::optional<RegistryCluster::Answer> RegistryCluster::call(size_t number, const std::string& method,
+    const std::string& path, const std::string& body, const std::string& planBase, Duration limit)
+{
+    const requests::HttpHandle handle {++lastHandle_};
+    host::IHostCore& core = *hosts_.at(number).core;
+    core.handle(requests::HttpEvent(requests::HttpRequestStarted {.handle = handle,
+                    .method = method,
+                    .path = path,
+                    .headers = {{.name = "Saltvane-Plan-Base", .value = planBase}},
+                    .bodyLength = body.size()}),
+        now_);
+    if (!body.empty())
+        core.handle(
+            requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = body, .isLast = true}), now_);
+    pump(number);
+    if (!runUntil([&] { return responses_.contains(handle); }, limit))
+        return std::nullopt;
+    const requests::HttpRespond response = responses_.extract(handle).mapped();
+    return Answer {.status = response.status, .body = response.bytes, .headers = response.headers};
+}
+
+std::optional<RegistryCluster::Answer> RegistryCluster::order(
+    const std::string& method, const std::string& path, const std::string& body, const std::string& planBase)
+{
+    if (!runUntil([this] { return leader().has_value(); }))
+        return std::nullopt;
+    return call(*leader(), method, path, body, planBase);
+}
+
+void RegistryCluster::gatewayHeartbeat(
+    size_t number, const std::string& host, const std::string& zone, const std::string& region, model::HostState state)
+{
+    const model::Address address = *model::parseAddress(host);
+    model::HostRecord record {.host = HostId(host),
+        .incarnation = {1},
+        .sequence = ++gatewaySequence_,
+        .zone = ZoneName(zone),
+        .region = RegionName(region),
+        .linkAddress = address,
+        .entryAddress = {.ip = address.ip, .port = 80},
+        .state = state};
+    hosts_.at(number).core->handle(
+        model::Delivery {
+            .from = HostId(host), .fromIncarnation = {1}, .message = model::Heartbeat {.record = std::move(record)}},
+        now_);
+    pump(number);
+}
+
+std::vector<model::Message> RegistryCluster::takeSentTo(const std::string& host)
+{
+    return std::exchange(sentToGateways_[HostId(host)], {});
+}
+
+std::optional<size_t> RegistryCluster::leader() const
+{
+    for (size_t number = 0; number < hosts_.size(); ++number) {
+        if (!hosts_[number].core || isolated_.contains(number))
+            continue;
+        const host::HostStatus seen = status(number);
+        if (seen.isControlLeader && seen.isControlCurrent)
+            return number;
+    }
+    return std::nullopt;
+}
+
+size_t RegistryCluster::votersAt(size_t number)
+{
+    const auto answer = call(number, "GET", "/v1/status");
+    size_t voters = 0;
+    const nlohmann::json status = nlohmann::json::parse(answer->body);
+    for (const auto& replica : status["replicas"])
+        voters += replica["voter"].get<bool>() ? 1 : 0;
+    return voters;
+}
+
+} // namespace saltvane::registry::test
--- /dev/null
+++ b/src/registry/tests/registrycluster.h
@@ -0,0 +1,101 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "registry/iregistry.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace saltvane::registry::test {
+
+/// Registry hosts over a network in virtual time. Disks sync at once and keep what was written; messages take a fixed
+/// time. Gateways are played by the test.
+class RegistryCluster {
+public:
+    /// The first three of the hosts are everyone's seeds.
+    explicit RegistryCluster(size_t hosts);
+
+    void run(Duration duration);
+    [[nodiscard]] bool runUntil(const std::function<bool()>& condition, Duration limit = 20s);
+
+    void start(size_t number, bool isFirstStart);
+    void kill(size_t number);
+    void wipeDisk(size_t number);
+    /// A further host, at an address of its own.
+    size_t addHost();
+    void isolate(size_t number) { isolated_.insert(number); }
+    void heal() { isolated_.clear(); }
+
+    /// Status and body of the answer to a call; none within `limit`.
+    struct Answer {
+        int status = 0;
+        std::string body;
+        std::vector<model::Header> headers;
+    };
+    std::optional<Answer> call(size_t number, const std::string& method, const std::string& path,
+        const std::string& body = {}, const std::string& planBase = {}, Duration limit = 2s);
+    /// At the leader.
+    std::optional<Answer> order(const std::string& method, const std::string& path, const std::string& body = {},
+        const std::string& planBase = {});
+
+    /// A gateway's heartbeat, sent to one host.
+    void gatewayHeartbeat(size_t number, const std::string& host, const std::string& zone, const std::string& region,
+        model::HostState state = model::HostState::Serving);
+    /// Messages that hosts sent to this gateway since the last call.
+    [[nodiscard]] std::vector<model::Message> takeSentTo(const std::string& host);
+
+    [[nodiscard]] std::optional<size_t> leader() const;
+    [[nodiscard]] host::HostStatus status(size_t number) const { return hosts_.at(number).core->status(now_); }
+    [[nodiscard]] static HostId idOf(size_t number);
+    [[nodiscard]] size_t votersAt(size_t number);
+    [[nodiscard]] Timestamp now() const { return now_; }
+
+private:
+    struct Host {
+        std::unique_ptr<host::IHostCore> core;
+        Incarnation incarnation;
+        control::RecoveredState disk;
+        std::set<HostId> wanted;
+    };
+    struct InFlight {
+        Timestamp at;
+        size_t from = 0;
+        size_t to = 0;
+        Incarnation fromIncarnation;
+        model::Message message;
+    };
+
+    void pump(size_t number);
+    void write(Host& host, const control::StorageWrite& write);
+    void post(size_t from, const model::Outgoing& outgoing);
+    void deliver();
+    void connect();
+    [[nodiscard]] std::optional<size_t> numberOf(const HostId& host) const;
+
+    Timestamp now_ {100s};
+    std::vector<Host> hosts_;
+    std::vector<InFlight> inFlight_;
+    std::set<std::pair<size_t, size_t>> links_;
+    std::set<size_t> isolated_;
+    std::map<HostId, std::vector<model::Message>> sentToGateways_;
+    std::map<requests::HttpHandle, requests::HttpRespond> responses_;
+    uint64_t lastHandle_ = 0;
+    uint64_t lastIncarnation_ = 0;
+    uint64_t lastReplica_ = 0;
+    uint64_t gatewaySequence_ = 0;
+};
+
+/// A plan with one route and one service.
+[[nodiscard]] std::string planText(uint64_t version, const std::string& service = "quotes");
+[[nodiscard]] std::string beatText(uint64_t sequence, const std::string& state = "ready", int slowMs = 0);
+
+} // namespace saltvane::registry::test
