--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -26,6 +26,8 @@
 
 /// Callers keep look-up answers for a TTL, some longer: a leaving gateway serves on meanwhile.
 constexpr double TtlsToStay = 1.5;
+/// Bytes given to the network reach the callers within it.
+constexpr Duration AnswerSettling = 100ms;
 /// Before the stop's limit, for what is still on its way.
 constexpr Duration StopReserve = 500ms;
 
@@ -234,7 +236,10 @@
     const Duration waited = now - *stopAskedAt_;
     if (waited >= stay)
         runner_.startRefusing();
-    if (waited < stay || (runner_.inFlight() > 0 && waited < limit))
+    if (runner_.inFlight() > 0 || runner_.answersOnTheirWay() > 0)
+        busyAt_ = now;
+    const bool isBusy = now - busyAt_ < AnswerSettling;
+    if (waited < stay || (isBusy && waited < limit))
         return;
     isStopTold_ = true;
     actions_.emplace_back(host::StopFinished {.requestsCut = static_cast<uint32_t>(runner_.inFlight())});
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -66,6 +66,7 @@
     std::vector<host::Action> actions_;
     Timestamp nextSplitAt_ {};
     std::optional<Timestamp> stopAskedAt_;
+    Timestamp busyAt_ {}; ///< When a request or an answer was last under way.
     bool isStopTold_ = false;
 };
 
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -175,6 +175,7 @@
 
 void RequestRunner::accept(const requests::HttpRequestAborted& aborted, Timestamp now)
 {
+    answering_.erase(aborted.handle);
     Exchange* exchange = find(aborted.handle);
     if (exchange == nullptr)
         return;
@@ -192,7 +193,10 @@
         actions_.emplace_back(requests::TargetResponseWindow {.dispatch = exchange->dispatch, .bytes = progress.bytes});
 }
 
-void RequestRunner::accept(const requests::HttpResponseDone& /*done*/, Timestamp /*now*/) { }
+void RequestRunner::accept(const requests::HttpResponseDone& done, Timestamp /*now*/)
+{
+    answering_.erase(done.handle);
+}
 
 std::variant<GatewayTarget*, PlacementRefusal> RequestRunner::choose(const Exchange& exchange, Timestamp now)
 {
@@ -354,7 +358,7 @@
     if (GatewayTarget* target = options_.targets.find(exchange.target))
         target->noteFailure(now, !failed.mayHaveReachedTarget);
     if (exchange.isAnswerStarted) {
-        actions_.emplace_back(requests::HttpAbort {.handle = exchange.handle});
+        abort(exchange);
         options_.counters.add(model::Counter::BrokenBodies);
         releaseTarget(exchange);
         return finish(exchange, {.exchange = exchange, .reason = model::Reason::TargetFailed}, now);
@@ -425,7 +429,7 @@
             actions_.emplace_back(requests::TargetCancel {.dispatch = exchange->dispatch});
         }
         if (exchange->isAnswerStarted) {
-            actions_.emplace_back(requests::HttpAbort {.handle = exchange->handle});
+            abort(*exchange);
             finish(*exchange, {.exchange = *exchange, .reason = model::Reason::DeadlineExceeded}, now);
             continue;
         }
@@ -481,9 +485,16 @@
 {
     if (isLeaving_)
         answer.headers.push_back({.name = "Connection", .value = "close"});
+    answering_.insert(answer.handle);
     actions_.emplace_back(std::move(answer));
 }
 
+void RequestRunner::abort(const Exchange& exchange)
+{
+    answering_.erase(exchange.handle);
+    actions_.emplace_back(requests::HttpAbort {.handle = exchange.handle});
+}
+
 void RequestRunner::finish(Exchange& exchange, Decision decision, Timestamp now)
 {
     options_.onDecided(decision, now);
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace saltvane::gateway {
@@ -55,6 +56,8 @@
     void tick(Timestamp now);
     [[nodiscard]] std::vector<requests::Action> takeActions();
     [[nodiscard]] size_t inFlight() const { return exchanges_.size(); }
+    /// Answers that are not yet with their callers whole.
+    [[nodiscard]] size_t answersOnTheirWay() const { return answering_.size(); }
 
 private:
     using Exchanges = std::unordered_map<requests::HttpHandle, std::unique_ptr<Exchange>>;
@@ -89,6 +92,7 @@
     void giveUp(Exchange& exchange, model::Reason reason, Timestamp now);
     void refuseAtOnce(requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter);
     void respond(requests::HttpRespond answer);
+    void abort(const Exchange& exchange);
     void finish(Exchange& exchange, Decision decision, Timestamp now);
     void erase(Exchange& exchange);
     [[nodiscard]] Exchange* find(requests::HttpHandle handle) const;
@@ -100,6 +104,7 @@
     std::unordered_map<requests::DispatchId, Exchange*> dispatches_;
     std::set<std::pair<Timestamp, requests::HttpHandle>> deadlines_;
     std::set<std::pair<Timestamp, requests::HttpHandle>> doubts_;
+    std::unordered_set<requests::HttpHandle> answering_;
     uint64_t lastDispatch_ = 0;
     bool isLeaving_ = false;
     bool isRefusing_ = false;
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -140,6 +140,11 @@
     this->handle(requests::HttpEvent(requests::HttpRequestAborted {.handle = handle}));
 }
 
+void GatewayFixture::deliverAnswer(requests::HttpHandle handle)
+{
+    this->handle(requests::HttpEvent(requests::HttpResponseDone {.handle = handle}));
+}
+
 void GatewayFixture::answer(const requests::TargetStart& start, const TargetAnswer& from)
 {
     std::vector<model::Header> headers {{.name = "Saltvane-Request-Id", .value = from.id}};
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -38,6 +38,8 @@
     };
     requests::HttpHandle request(const CallerRequest& caller);
     void abort(requests::HttpHandle handle);
+    /// The caller has the whole answer.
+    void deliverAnswer(requests::HttpHandle handle);
     struct TargetAnswer {
         int status = 200;
         std::string id = "try-1";
--- a/src/gateway/tests/requesttests.cpp
+++ b/src/gateway/tests/requesttests.cpp
@@ -216,7 +216,24 @@
     ASSERT_TRUE(refused);
     EXPECT_EQ(refused->status, 503);
     EXPECT_EQ(header(refused->headers, "Connection"), "close");
-    advance(100ms);
+    deliverAnswer({1});
+    deliverAnswer({2});
+    advance(200ms);
+    EXPECT_TRUE(takeStopFinished());
+}
+
+// Found on the users' bench: the process ended while a large answer was still on its way to the caller.
+TEST_F(RequestTest, AStopWaitsForAnswersOnTheirWay)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    const requests::HttpHandle handle = request({});
+    askToStop();
+    answer(takeStarts().at(0), {});
+    advance(4s);
+    EXPECT_FALSE(takeStopFinished());
+    deliverAnswer(handle);
+    advance(200ms);
     EXPECT_TRUE(takeStopFinished());
 }
 
