--- /dev/null
+++ b/src/base/logtext.cpp
@@ -0,0 +1,23 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "base/logtext.h"
+
+namespace saltvane {
+
+std::string logWord(std::string_view text)
+{
+    if (text.empty())
+        return "-";
+    std::string clean(text);
+    for (char& character : clean) {
+        const bool isPlain = character > ' ' && character < '\x7f' && character != '"' && character != '=';
+        if (!isPlain)
+            character = '_';
+    }
+    return clean;
+}
+
+} // namespace saltvane
--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -5,6 +5,8 @@
  */
 #include "gateway/internal/decisionlog.h"
 
+#include "base/logtext.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -17,8 +19,6 @@
 constexpr uint64_t OneAnsweredIn = 64;
 constexpr Duration LeftOutPeriod = 5s;
 
-int64_t millisecondsOf(Duration duration) { return std::chrono::round<std::chrono::milliseconds>(duration).count(); }
-
 } // namespace
 
 bool DecisionLog::mayWrite(const Decision& decision)
@@ -41,17 +41,27 @@
     if (!mayWrite(decision))
         return;
     const Exchange& exchange = decision.exchange;
-    std::string text = "event=request id=" + exchange.id.value() + " route=" + exchange.route.name.value() + " kind="
-        + std::string(model::toString(exchange.route.kind)) + " plan=" + std::to_string(exchange.planVersion.value)
-        + " service=" + exchange.service.value() + " target=" + exchange.target.value() + " tries="
-        + std::to_string(exchange.tried.size()) + " load=" + std::to_string(static_cast<int>(exchange.loadAtStart))
-        + " outcome=" + std::string(model::toString(decision.outcome))
-        + " reason=" + std::string(model::toString(decision.reason)) + " status=" + std::to_string(decision.status)
-        + " ms=" + std::to_string(millisecondsOf(now - exchange.startedAt));
+    LogText line("request");
+    line.add("id", exchange.id.value())
+        .add("route", exchange.route.name.value())
+        .add("kind", model::toString(exchange.route.kind))
+        .add("plan", exchange.planVersion.value)
+        .add("service", exchange.service.value())
+        .add("target", exchange.target.value())
+        .add("tries", exchange.tried.size())
+        .add("load", static_cast<int>(exchange.loadAtStart))
+        .addMilliseconds("load_age_ms", exchange.loadAge)
+        .addMilliseconds("target_age_ms", exchange.targetAge)
+        .add("known", exchange.targetsKnown)
+        .add("usable", exchange.targetsUsable)
+        .add("outcome", model::toString(decision.outcome))
+        .add("reason", model::toString(decision.reason))
+        .add("status", decision.status)
+        .addMilliseconds("ms", now - exchange.startedAt);
     const bool isAnswered = decision.outcome == model::Outcome::Answered;
     lines_.push_back({.severity = isAnswered ? host::LogSeverity::Info : host::LogSeverity::Warning,
         .module = "gateway",
-        .text = std::move(text)});
+        .text = line.text()});
 }
 
 std::vector<host::LogLine> DecisionLog::take(Timestamp now)
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -46,6 +46,11 @@
     bool wasWarm = false; ///< The target was believed to have the object warm.
     std::vector<TargetId> tried;
     model::Reason lastReason = model::Reason::None;
+    // For the log: what the last choice went by.
+    Duration targetAge {}; ///< Since the target's last report.
+    Duration loadAge {}; ///< Since its last word of its load.
+    uint32_t targetsKnown = 0;
+    uint32_t targetsUsable = 0;
     requests::HttpRespond answer; ///< As far as it came.
     bool isAnswerStarted = false; ///< Its head went to the caller.
     bool mayHaveRun = false; ///< A byte may have reached a target that did not say it has not run it.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -74,6 +74,7 @@
           .split = split_,
           .retryBudget = *retryBudget_,
           .counters = counters_,
+          .latencies = latencies_,
           .onDecided = [this](const Decision& decision, Timestamp now) { decisions_.note(decision, now); }})
 {
 }
@@ -274,6 +275,7 @@
         .stateAge = holder_->age(now),
         .requestsInFlight = static_cast<uint32_t>(runner_.inFlight()),
         .dispatchesInFlight = static_cast<uint32_t>(runner_.inFlight()),
+        .targetsKnown = static_cast<uint32_t>(targets_.size()),
     };
 }
 
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -26,6 +26,7 @@
     [[nodiscard]] std::vector<host::Action> takeActions() override;
     [[nodiscard]] host::HostStatus status(Timestamp now) const override;
     [[nodiscard]] const model::Counters& counters() const override { return counters_; }
+    [[nodiscard]] std::span<const model::StageLatency> latencies() const override { return latencies_.all(); }
     [[nodiscard]] Duration tickPeriod() const override;
 
 private:
@@ -59,6 +60,7 @@
     RegionSplit split_;
     Placement placement_;
     std::unique_ptr<steering::IRetryBudget> retryBudget_;
+    RequestLatencies latencies_;
     DecisionLog decisions_;
     RequestRunner runner_;
     std::shared_ptr<const RouteTable> routes_;
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -77,8 +77,7 @@
     return object && warmObjects_.isWarm(*object, target.hash, now);
 }
 
-Duration Placement::estimate(
-    const GatewayTarget& target, const ServiceName& service, bool isWarm, Timestamp now) const
+Duration Placement::estimate(const GatewayTarget& target, const ServiceName& service, bool isWarm, Timestamp now) const
 {
     const UsualTimes usual = usualTimes(service);
     const double slots = std::max(target.record.slots, 1U);
@@ -92,8 +91,7 @@
     target.noteAnswered(now);
     if (answer.object)
         warmObjects_.note(*answer.object, target.hash, now);
-    UsualTimes& usual
-        = usualTimes_.try_emplace(target.record.service, usualTimes(target.record.service)).first->second;
+    UsualTimes& usual = usualTimes_.try_emplace(target.record.service, usualTimes(target.record.service)).first->second;
     Duration& learnt = answer.wasWarm ? usual.warm : usual.cold;
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, answer.loadAtStart + 1 - slots) / slots;
@@ -168,8 +166,10 @@
         Candidates& group = isNear ? zone : (isHome ? region : away);
         group.push_back({.target = target, .rank = mix(target->hash, object)});
     }
-    if (zone.empty() && region.empty() && away.empty())
-        return PlacementRefusal {.reason = model::Reason::NoTarget, .retryAfter = MostRetryAfter};
+    const auto known = static_cast<uint32_t>(targets_.ofService(query.service.name).size());
+    const auto usable = static_cast<uint32_t>(zone.size() + region.size() + away.size());
+    if (usable == 0)
+        return PlacementRefusal {.reason = model::Reason::NoTarget, .retryAfter = MostRetryAfter, .known = known};
     detours_ = std::min(detours_ + DetoursPerRequest, MostDetours);
     const bool hasHome = !zone.empty() || !region.empty();
     const bool isHome = hasHome && (away.empty() || unit(object) < split_.homeShare(query.service.name));
@@ -187,7 +187,9 @@
     }
     const Duration usual = usualTimes(query.service.name).warm;
     return PlacementRefusal {.reason = isDetour ? model::Reason::NoRoom : model::Reason::ShiftCapReached,
-        .retryAfter = std::clamp(usual, LeastRetryAfter, MostRetryAfter)};
+        .retryAfter = std::clamp(usual, LeastRetryAfter, MostRetryAfter),
+        .known = known,
+        .usable = usable};
 }
 
 } // namespace saltvane::gateway
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -33,6 +33,8 @@
 struct PlacementRefusal {
     model::Reason reason = model::Reason::NoRoom;
     Duration retryAfter {};
+    uint32_t known = 0; ///< Targets of the service.
+    uint32_t usable = 0; ///< Those that might be sent new work at all.
 };
 
 /// Chooses a target: by the request's object, so that targets find it warm, within the region's share, and only where
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -193,10 +193,7 @@
         actions_.emplace_back(requests::TargetResponseWindow {.dispatch = exchange->dispatch, .bytes = progress.bytes});
 }
 
-void RequestRunner::accept(const requests::HttpResponseDone& done, Timestamp /*now*/)
-{
-    answering_.erase(done.handle);
-}
+void RequestRunner::accept(const requests::HttpResponseDone& done, Timestamp /*now*/) { answering_.erase(done.handle); }
 
 std::variant<GatewayTarget*, PlacementRefusal> RequestRunner::choose(const Exchange& exchange, Timestamp now)
 {
@@ -216,8 +213,11 @@
 void RequestRunner::dispatch(Exchange& exchange, Timestamp now)
 {
     const auto choice = choose(exchange, now);
-    if (const auto* refusal = std::get_if<PlacementRefusal>(&choice))
+    if (const auto* refusal = std::get_if<PlacementRefusal>(&choice)) {
+        exchange.targetsKnown = refusal->known;
+        exchange.targetsUsable = refusal->usable;
         return refuse(exchange, refusal->reason, refusal->retryAfter, now);
+    }
     send(exchange, *std::get<GatewayTarget*>(choice), now);
 }
 
@@ -225,6 +225,8 @@
 {
     const model::RoutedService& service = *routes_->plan().findService(exchange.service);
     exchange.loadAtStart = target.load(now);
+    exchange.loadAge = now - target.loadAt;
+    exchange.targetAge = now - target.heardAt;
     options_.targets.noteSent(target, service, now);
     options_.split.noteUsed(service.name);
     options_.counters.add(model::Counter::Dispatches);
@@ -286,6 +288,7 @@
         exchange.mayHaveRun = true;
         return tryElsewhere(exchange, model::Reason::TargetFailed, now);
     }
+    options_.latencies.add(exchange.route.kind, Stage::Target, now - exchange.sentAt);
     if (target != nullptr)
         options_.placement.noteAnswer(*target,
             {.object = exchange.object,
@@ -347,6 +350,7 @@
         respond(std::move(exchange.answer));
     }
     options_.counters.add(model::Counter::RequestsAnswered);
+    options_.latencies.add(exchange.route.kind, Stage::Total, now - exchange.startedAt);
     options_.retryBudget.noteAnswered(now);
     finish(exchange, {.exchange = exchange, .outcome = model::Outcome::Answered, .status = status}, now);
 }
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -7,6 +7,7 @@
 
 #include "gateway/internal/exchange.h"
 #include "gateway/internal/placement.h"
+#include "gateway/internal/requestlatencies.h"
 #include "gateway/internal/targetset.h"
 #include "host/hosttypes.h"
 #include "model/counters.h"
@@ -40,6 +41,7 @@
         RegionSplit& split;
         steering::IRetryBudget& retryBudget;
         model::Counters& counters;
+        RequestLatencies& latencies;
         std::function<void(const Decision&, Timestamp)> onDecided;
     };
     explicit RequestRunner(Options options);
--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -87,6 +87,8 @@
     std::vector<double> shiftProgress; ///< By service of the bundle.
     uint32_t requestsInFlight = 0;
     uint32_t dispatchesInFlight = 0;
+    uint32_t targetsKnown = 0; ///< Of a gateway or registry host.
+    uint32_t gatewaysKnown = 0; ///< Of a registry host.
 };
 
 } // namespace saltvane::host
--- a/src/host/ihostcore.h
+++ b/src/host/ihostcore.h
@@ -7,12 +7,14 @@
 
 #include "control/icontrolreplica.h"
 #include "host/hosttypes.h"
+#include "model/latency.h"
 #include "settings/hostsettings.h"
 #include "steering/steeringtypes.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,8 @@
     [[nodiscard]] virtual Duration tickPeriod() const { return TickPeriod; }
     [[nodiscard]] virtual HostStatus status(Timestamp now) const = 0;
     [[nodiscard]] virtual const model::Counters& counters() const = 0;
+    /// Histograms by kind of request and stage; none where a host keeps none.
+    [[nodiscard]] virtual std::span<const model::StageLatency> latencies() const { return {}; }
 };
 
 struct HostCoreOptions {
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -466,6 +466,8 @@
         .inForce = replica_->routing().planPosition,
         .inForceVersion = replica_->routing().planVersion,
         .stateAge = replica_->proofAge(now),
+        .targetsKnown = static_cast<uint32_t>(targets_.size()),
+        .gatewaysKnown = static_cast<uint32_t>(gateways(now).size()),
     };
 }
 
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -69,7 +69,9 @@
 
 Daemon::Daemon()
     : loop_(ev_loop_new(EVFLAG_AUTO))
+    , logWriter_({})
 {
+    google::AddLogSink(&logWriter_);
 }
 
 Daemon::~Daemon()
@@ -83,6 +85,8 @@
     targetClient_.reset();
     httpServers_.clear();
     ev_loop_destroy(loop_);
+    google::RemoveLogSink(&logWriter_);
+    logWriter_.flushAtEnd();
 }
 
 Result<std::unique_ptr<Daemon>, IoError> Daemon::start(const settings::HostSettings& settings)
@@ -232,8 +236,11 @@
         .counters = &adapterCounters_,
         .listener = static_cast<uint8_t>(httpServers_.size()),
         .isMetricsServed = isMetricsServed,
-        .metricsText
-        = [this] { return metricsText(core_->counters(), adapterCounters_, core_->status(monotonicNow())); }});
+        .metricsText =
+            [this] {
+                return metricsText(
+                    core_->counters(), adapterCounters_, core_->status(monotonicNow()), core_->latencies());
+            }});
     if (!httpServer)
         return httpServer.error();
     httpServers_.push_back(std::move(httpServer.value()));
@@ -300,9 +307,11 @@
 void Daemon::onTick(struct ev_loop* /*loop*/, ev_timer* watcher, int /*events*/)
 {
     auto* daemon = static_cast<Daemon*>(watcher->data);
-    daemon->core_->tick(monotonicNow());
+    const Timestamp now = monotonicNow();
+    daemon->core_->tick(now);
     daemon->carryOutActions();
     daemon->drainEvents();
+    daemon->logWriter_.tick(now);
 }
 
 void Daemon::onSignal(struct ev_loop* /*loop*/, ev_signal* watcher, int /*events*/)
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -8,6 +8,7 @@
 #include "base/result.h"
 #include "host/ihostcore.h"
 #include "net/inetadapters.h"
+#include "saltvaned/internal/logwriter.h"
 #include "settings/routedhostsettings.h"
 
 #include <deque>
@@ -88,6 +89,7 @@
     std::unique_ptr<net::ITargetClient> targetClient_;
     std::unique_ptr<net::ILinkHub> linkHub_;
     model::Counters adapterCounters_;
+    LogWriter logWriter_;
     std::deque<host::Event> events_;
     bool isDraining_ = false;
     bool isFinished_ = false;
--- a/src/saltvaned/internal/metricstext.cpp
+++ b/src/saltvaned/internal/metricstext.cpp
@@ -5,6 +5,7 @@
  */
 #include "saltvaned/internal/metricstext.h"
 
+#include <limits>
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 #include <utility>
@@ -97,9 +98,31 @@
     families.push_back(std::move(open));
 }
 
+prometheus::MetricFamily makeLatencies(std::span<const model::StageLatency> latencies)
+{
+    prometheus::MetricFamily family = makeFamily(
+        "saltvane_latency_seconds", "Time of requests, by kind and stage", prometheus::MetricType::Histogram);
+    for (const model::StageLatency& latency : latencies) {
+        prometheus::ClientMetric metric;
+        metric.label = {{"kind", std::string(latency.kind)}, {"stage", std::string(latency.stage)}};
+        uint64_t count = 0;
+        for (size_t i = 0; i < latency.histogram.counts.size(); ++i) {
+            count += latency.histogram.counts.at(i);
+            const bool isLast = i == model::LatencyBounds.size();
+            const double bound = isLast ? std::numeric_limits<double>::infinity() : model::LatencyBounds.at(i);
+            metric.histogram.bucket.push_back({count, bound});
+        }
+        metric.histogram.sample_count = count;
+        metric.histogram.sample_sum = latency.histogram.sumSeconds;
+        family.metric.push_back(std::move(metric));
+    }
+    return family;
+}
+
 } // namespace
 
-std::string metricsText(const model::Counters& core, const model::Counters& adapters, const host::HostStatus& status)
+std::string metricsText(const model::Counters& core, const model::Counters& adapters, const host::HostStatus& status,
+    std::span<const model::StageLatency> latencies)
 {
     std::vector<prometheus::MetricFamily> families;
     addCounters(families, core, adapters);
@@ -119,6 +142,11 @@
         makeGauge("saltvane_control_leader", "1 while this host leads the replicated log", status.isControlLeader));
     families.push_back(makeGauge(
         "saltvane_control_current", "1 while this control host has proof of being current", status.isControlCurrent));
+    families.push_back(makeGauge("saltvane_targets_known", "Targets this host knows", status.targetsKnown));
+    families.push_back(
+        makeGauge("saltvane_gateways_known", "Gateways heard of lately by a registry host", status.gatewaysKnown));
+    if (!latencies.empty())
+        families.push_back(makeLatencies(latencies));
     return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/saltvaned/main.cpp
+++ b/src/saltvaned/main.cpp
@@ -60,7 +60,11 @@
         std::cout << commandLine.value().settingsPath << ": ok\n";
         return saltvaned::ExitOk;
     }
-    FLAGS_logtostderr = true;
+    // All lines go through the daemon's log writer, to standard output.
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
+    FLAGS_log_utc_time = true;
     google::InitGoogleLogging(argv[0]);
+    for (int severity = google::GLOG_INFO; severity < google::NUM_SEVERITIES; ++severity)
+        google::SetLogDestination(severity, "");
     return runDaemon(settings.value(), commandLine.value().settingsPath);
 }
