Sum the gateways' loads at the registry; take two choices as warm; stream large answers; bound socket buffers

Cause (grown sites): each of 79 gateways sees a target once in ten seconds, so targets hot by chance were not seen; 90 kB answers crossed a gateway's 4 Mbit/s link twice, one time after the other. Ruled out: socket buffers as the cause of the 19,000 requests that reach their target late (no change).

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -17,6 +17,8 @@
 /// Time limits of requests are met to this precision.
 constexpr Duration GatewayTick = 20ms;
 constexpr Duration SplitPeriod = 200ms;
+/// Of this gateway's word of its requests in flight.
+constexpr Duration LoadPeriod = 300ms;
 /// Plans are pulled this often where none is pushed: well under the time in which one has to be in force.
 constexpr Duration PlanPullPeriod = 500ms;
 
@@ -101,6 +103,7 @@
     }
     runner_.tick(now);
     updateLinks();
+    tellLoads(now);
     updateStop(now);
     gather(now);
 }
@@ -142,6 +145,8 @@
     installPlan(now);
     if (const auto* report = std::get_if<model::TargetReport>(&delivery.message))
         targets_.note(*report, now);
+    else if (const auto* loads = std::get_if<model::TargetLoads>(&delivery.message))
+        targets_.noteLoads(*loads, now);
 }
 
 void GatewayCore::accept(const host::LinkUp& up, Timestamp now) { roster_->noteLinkUp(up.host, now); }
@@ -228,6 +233,20 @@
     actions_.emplace_back(std::move(wanted));
 }
 
+void GatewayCore::tellLoads(Timestamp now)
+{
+    if (now < nextLoadsAt_)
+        return;
+    nextLoadsAt_ = now + LoadPeriod;
+    model::TargetLoads loads = targets_.takeOwnLoads();
+    const bool isNews = !loads.targets.empty() || hasToldLoads_;
+    hasToldLoads_ = !loads.targets.empty();
+    if (!isNews)
+        return;
+    for (const HostId& host : roster_->controlHosts())
+        actions_.emplace_back(requests::Action(model::Outgoing {.to = host, .message = loads}));
+}
+
 void GatewayCore::updateStop(Timestamp now)
 {
     if (!stopAskedAt_ || isStopTold_)
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -45,6 +45,7 @@
     void installPlan(Timestamp now);
     void updateSources(Timestamp now);
     void updateLinks();
+    void tellLoads(Timestamp now);
     void updateState();
     void updateStop(Timestamp now);
     void gather(Timestamp now);
@@ -67,6 +68,8 @@
     std::vector<HostId> linkedHosts_;
     std::vector<host::Action> actions_;
     Timestamp nextSplitAt_ {};
+    Timestamp nextLoadsAt_ {};
+    bool hasToldLoads_ = false;
     std::optional<Timestamp> stopAskedAt_;
     Timestamp busyAt_ {}; ///< When a request or an answer was last under way.
     bool isStopTold_ = false;
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -22,9 +22,10 @@
 constexpr double LeastSlowness = 0.3;
 constexpr double MostSlowness = 20;
 
-/// Of an object's targets so many are weighed against each other. The first is taken to be warm: other gateways send
-/// the object there as well. The others must be quicker by a margin, so that objects don't wander.
+/// Of an object's targets so many are weighed against each other. The first two are taken to be warm: other gateways
+/// send the object there as well. All but the first must be quicker by a margin, so that objects don't wander.
 constexpr size_t ChoicesWeighed = 3;
+constexpr size_t ChoicesTakenWarm = 2;
 constexpr double MarginOfOthers = 1.25;
 /// Targets queue some requests beyond their slots and refuse the rest.
 constexpr double MostLoadPerSlot = 3;
@@ -133,7 +134,7 @@
         if (i >= choices && chosen != nullptr)
             break;
         GatewayTarget& target = *candidates[i].target;
-        const bool isWarmHere = i == 0 || isWarm(query.object, target, now);
+        const bool isWarmHere = i < ChoicesTakenWarm || isWarm(query.object, target, now);
         const Duration expected = estimate(target, query.service.name, isWarmHere, now);
         const double cost = toSeconds(expected) * (i == 0 ? 1 : MarginOfOthers);
         if (!fits(target, expected, query, now) || (chosen != nullptr && cost >= least))
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -18,8 +18,9 @@
 
 constexpr Duration UsualDeadline = 30s; ///< Of callers that state none.
 constexpr double LargestDeadlineMs = 3.6e6;
-/// Answers up to it are gathered whole, so that a request whose answer breaks off can be repeated.
-constexpr uint64_t LargestGathered = 1024 * 1024;
+/// Answers up to it are gathered whole, so that a request whose answer breaks off can be repeated. Larger ones would
+/// cross the gateway's link twice, one time after the other.
+constexpr uint64_t LargestGathered = 16 * 1024;
 /// A target is doubted when it takes longer than this many times the usual, and this part of the objective.
 constexpr double DoubtFactor = 2;
 constexpr double DoubtPartOfObjective = 1.0;
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <xxhash.h>
 
 namespace saltvane::gateway {
 
@@ -16,6 +15,8 @@
 
 /// What a target told of its load counts for so long, less and less.
 constexpr Duration LoadMemory = 1s;
+/// A target's own word that is as new as this goes before the registry's sum.
+constexpr Duration FreshLoad = 200ms;
 /// Share of its service's rate that a slow target is sent: two gateways may both think that it is theirs for a moment.
 constexpr double SlowStartShare = 0.8;
 constexpr double SlowStartBurst = 1;
@@ -30,7 +31,6 @@
 /// A target that is full counts as loaded by its queue as well.
 constexpr uint32_t FullFactor = 3;
 
-uint64_t hashOf(const TargetId& target) { return XXH64(target.value().data(), target.value().size(), 0); }
 
 } // namespace
 
@@ -73,6 +73,14 @@
     loadAt = now;
 }
 
+void GatewayTarget::noteSum(uint32_t inFlightOfAll, Timestamp now)
+{
+    if (now - loadAt < FreshLoad)
+        return;
+    othersLoad = inFlightOfAll > toldInFlight ? inFlightOfAll - toldInFlight : 0;
+    loadAt = now;
+}
+
 void GatewayTarget::noteFull(Timestamp now)
 {
     othersLoad = std::max(othersLoad, record.slots * FullFactor);
@@ -123,7 +131,7 @@
             return item.second && item.second->record.address == record.address && item.first != record.target;
         });
         known = std::make_unique<GatewayTarget>();
-        known->hash = hashOf(record.target);
+        known->hash = model::targetHash(record.target);
     } else if (record.sequence < known->record.sequence) {
         return;
     }
@@ -138,6 +146,30 @@
     known->slowUntil = known->heardAt + record.slowStartLeft;
 }
 
+void TargetSet::noteLoads(const model::TargetLoads& loads, Timestamp now)
+{
+    sums_.clear();
+    for (size_t i = 0; i < loads.targets.size(); ++i)
+        sums_.emplace(loads.targets[i], loads.inFlight[i]);
+    for (const auto& [id, target] : targets_) {
+        const auto sum = sums_.find(target->hash);
+        target->noteSum(sum == sums_.end() ? 0 : sum->second, now);
+    }
+}
+
+model::TargetLoads TargetSet::takeOwnLoads()
+{
+    model::TargetLoads loads;
+    for (const auto& [id, target] : targets_) {
+        target->toldInFlight = target->inFlight;
+        if (target->inFlight == 0)
+            continue;
+        loads.targets.push_back(target->hash);
+        loads.inFlight.push_back(target->inFlight);
+    }
+    return loads;
+}
+
 void TargetSet::noteGone(const TargetId& target)
 {
     if (GatewayTarget* known = find(target))
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace saltvane::gateway {
@@ -29,6 +30,7 @@
     uint32_t inFlight = 0; ///< Of this gateway.
     uint32_t othersLoad = 0; ///< Of other gateways, as of its last answer that told.
     Timestamp loadAt;
+    uint32_t toldInFlight = 0; ///< What the registry was last told of this gateway's requests.
     double slowness = 1; ///< Its time to answer over that of its service, lately.
     Timestamp answeredAt; ///< Its last answer.
     uint32_t failures = 0; ///< In a row.
@@ -47,6 +49,8 @@
     void noteFailure(Timestamp now, bool isCertain);
     /// From its answer's header "running,waiting,slots"; anything else is ignored.
     void noteLoad(std::string_view text, Timestamp now);
+    /// From the registry: requests in flight of all gateways. A newer word of its own is kept.
+    void noteSum(uint32_t inFlightOfAll, Timestamp now);
     /// It refused a request because it is full.
     void noteFull(Timestamp now);
 
@@ -59,6 +63,9 @@
     TargetSet(HostId self, std::map<ZoneName, RegionName> zones);
 
     void note(const model::TargetReport& report, Timestamp now);
+    void noteLoads(const model::TargetLoads& loads, Timestamp now);
+    /// This gateway's own, to be told to the registry.
+    [[nodiscard]] model::TargetLoads takeOwnLoads();
     /// It answered for another one: whatever had this id is gone.
     void noteGone(const TargetId& target);
     /// Forgets targets that the registry has not heard of for long, as long as the registry itself is heard.
@@ -89,6 +96,7 @@
     std::set<TargetId> retired_;
     std::map<TargetId, std::unique_ptr<GatewayTarget>> targets_;
     std::map<ServiceName, std::vector<GatewayTarget*>> byService_;
+    std::unordered_map<uint64_t, uint32_t> sums_; ///< Of the last word of the registry; scratch.
     Timestamp reportedAt_ {}; ///< Last word of any registry host.
 };
 
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -38,4 +38,14 @@
     std::vector<TargetRecord> targets;
 };
 
+/// Stands for a target in messages that name many.
+[[nodiscard]] uint64_t targetHash(const TargetId& target);
+
+/// Requests in flight by target. From a gateway: its own. From a control host: those of all gateways, some tenths of a
+/// second old. Targets without any are left out.
+struct TargetLoads {
+    std::vector<uint64_t> targets; ///< By targetHash.
+    std::vector<uint32_t> inFlight; ///< Of the same length.
+};
+
 } // namespace saltvane::model
--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -48,6 +48,7 @@
     EventSink sink;
     model::Counters* counters = nullptr;
     uint8_t listener = 0; ///< Marks the exchanges' handles (requests::listenerOf).
+    int sendBuffer = 0; ///< Bytes of a connection that may wait in the system; 0: the system's choice.
     bool isMetricsServed = true; ///< False: GET /metrics is a request like any other.
     /// Answers GET /metrics at the edge, so that the core needs no text format.
     std::function<std::string()> metricsText;
@@ -67,6 +68,7 @@
     struct ev_loop* loop = nullptr;
     EventSink sink;
     Duration connectTimeout = 1s;
+    int receiveBuffer = 0; ///< Bytes of a connection that a target may send ahead; 0: the system's choice.
 };
 [[nodiscard]] Result<std::unique_ptr<ITargetClient>, IoError> makeTargetClient(TargetClientOptions options);
 
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -75,6 +75,8 @@
     if (!listening)
         return listening.error();
     boundAddress_ = boundAddressOf(listening.value().get());
+    if (options_.sendBuffer > 0) // Accepted connections inherit it.
+        ::setsockopt(listening.value().get(), SOL_SOCKET, SO_SNDBUF, &options_.sendBuffer, sizeof(options_.sendBuffer));
     const auto& limits = options_.limits;
     const size_t pool = limits.requestHeaderBytes + PoolBeyondHeaders;
     const auto idleSeconds = static_cast<unsigned int>(std::ceil(toSeconds(limits.idleTimeout)));
--- a/src/net/internal/targetclient.cpp
+++ b/src/net/internal/targetclient.cpp
@@ -66,6 +66,7 @@
         = std::make_unique<TargetExchange>(TargetExchange::Options {.curl = curl_,
                                                .start = std::move(action),
                                                .connectTimeout = options_.connectTimeout,
+                                               .receiveBuffer = options_.receiveBuffer,
                                                .emit = [this](requests::TargetEvent event) { emit(std::move(event)); }},
             blankTransfer());
     const bool isStarted = exchange->start();
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -102,6 +102,8 @@
         setOwnConnection();
     else if (options_.start.reuseIdleLimit > Duration::zero())
         setReuseLimit();
+    curl_easy_setopt(transfer_, CURLOPT_SOCKOPTFUNCTION, &TargetExchange::onSocketMade);
+    curl_easy_setopt(transfer_, CURLOPT_SOCKOPTDATA, this);
     curl_easy_setopt(transfer_, CURLOPT_HEADERFUNCTION, &TargetExchange::onHeader);
     curl_easy_setopt(transfer_, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(transfer_, CURLOPT_WRITEFUNCTION, &TargetExchange::onBody);
@@ -129,13 +131,17 @@
     // the local ports: they are reset once the answer is whole.
     curl_easy_setopt(transfer_, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(transfer_, CURLOPT_FORBID_REUSE, 1L);
-    curl_easy_setopt(transfer_, CURLOPT_SOCKOPTFUNCTION, &TargetExchange::onSocketMade);
 }
 
-int TargetExchange::onSocketMade(void* /*context*/, curl_socket_t fd, curlsocktype /*purpose*/)
+int TargetExchange::onSocketMade(void* exchange, curl_socket_t fd, curlsocktype /*purpose*/)
 {
+    const auto& self = *static_cast<const TargetExchange*>(exchange);
     const linger reset {.l_onoff = 1, .l_linger = 0};
-    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    if (self.needsOwnConnection())
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    const int receiveBuffer = self.options_.receiveBuffer;
+    if (receiveBuffer > 0)
+        ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
     return CURL_SOCKOPT_OK;
 }
 
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -24,6 +24,7 @@
         CurlLoop& curl;
         requests::TargetStart start;
         Duration connectTimeout {};
+        int receiveBuffer = 0;
         /// Never calls back into this exchange at once.
         std::function<void(requests::TargetEvent)> emit;
     };
@@ -51,7 +52,7 @@
     static size_t onRead(char* buffer, size_t size, size_t count, void* exchange);
     static int onReady(void* exchange, char* remoteIp, char* localIp, int remotePort, int localPort);
 
-    static int onSocketMade(void* context, curl_socket_t fd, curlsocktype purpose);
+    static int onSocketMade(void* exchange, curl_socket_t fd, curlsocktype purpose);
 
     [[nodiscard]] bool isSendable() const;
     void setOptions();
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -20,6 +20,10 @@
 constexpr Duration RegistryTick = 20ms;
 /// Reports of targets are gathered for so long.
 constexpr Duration ReportPeriod = 100ms;
+/// Loads of all gateways are told this often.
+constexpr Duration LoadPeriod = 300ms;
+/// A registry host that is silent for so long serves nobody.
+constexpr Duration LivingFor = 1s;
 /// Gateways heard of within it are sent reports and plans.
 constexpr Duration GatewayMemory = 4s;
 /// A planned stop waits so long for answers and messages on their way.
@@ -110,6 +114,7 @@
     noteLeader(now);
     distribute(now);
     reportTargets(now);
+    reportLoads(now);
     updateLinks();
     settle(now);
     const bool isStopDue = stopAt_ && now >= *stopAt_ && (orders_.isEmpty() || now >= *stopAt_ + LongestStop);
@@ -156,6 +161,8 @@
 
 void RegistryCore::accept(const model::Delivery& delivery, Timestamp now)
 {
+    if (const auto* loads = std::get_if<model::TargetLoads>(&delivery.message))
+        return loads_.note(delivery.from, *loads, now);
     const bool isGatewayReport = std::holds_alternative<model::Heartbeat>(delivery.message);
     roster_->handle(delivery, now);
     holder_->handle(delivery, now);
@@ -407,6 +414,33 @@
         send({{.to = gateway.host, .message = report}});
 }
 
+bool RegistryCore::isNearestTo(const Gateway& gateway, Timestamp now) const
+{
+    const auto rankOf = [&](const HostId& host, const ZoneName& zone, const RegionName& region) {
+        const int nearness = zone == gateway.zone ? 2 : static_cast<int>(region == gateway.region);
+        return std::pair(nearness, std::hash<std::string> {}(host.value() + gateway.host.value()));
+    };
+    const auto own = rankOf(self_, settings_.zone, settings_.region);
+    for (const membership::RosterEntry* entry : roster_->heardWithin(LivingFor, now)) {
+        const model::HostRecord& record = entry->record;
+        if (record.isControl && rankOf(record.host, record.zone, record.region) > own)
+            return false;
+    }
+    return true;
+}
+
+void RegistryCore::reportLoads(Timestamp now)
+{
+    if (now < nextLoadsAt_)
+        return;
+    nextLoadsAt_ = now + LoadPeriod;
+    const model::TargetLoads sum = loads_.sum(now);
+    for (const Gateway& gateway : gateways(now)) {
+        if (isNearestTo(gateway, now))
+            send({{.to = gateway.host, .message = sum}});
+    }
+}
+
 std::vector<Gateway> RegistryCore::gateways(Timestamp now) const
 {
     std::vector<Gateway> known;
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -8,6 +8,7 @@
 #include "control/ibundleholder.h"
 #include "membership/ihostroster.h"
 #include "registry/internal/calls.h"
+#include "registry/internal/loadboard.h"
 #include "registry/internal/orders.h"
 #include "registry/internal/targetbook.h"
 #include "registry/iregistry.h"
@@ -73,6 +74,9 @@
     void noteOrders(Timestamp now);
     void distribute(Timestamp now);
     void reportTargets(Timestamp now);
+    void reportLoads(Timestamp now);
+    /// Whether this is the registry host that a gateway hears loads from: the nearest one that lives.
+    [[nodiscard]] bool isNearestTo(const Gateway& gateway, Timestamp now) const;
     [[nodiscard]] model::TargetReport makeReport() const;
     [[nodiscard]] std::vector<Gateway> gateways(Timestamp now) const;
     void updateLinks();
@@ -94,6 +98,8 @@
     LogPosition ordersSeen_;
     std::set<HostId> toldAll_; ///< Gateways that have every target, or it is on its way to them.
     Timestamp nextReportAt_ {};
+    LoadBoard loads_;
+    Timestamp nextLoadsAt_ {};
     HostId leader_;
     std::vector<HostId> linkedHosts_;
     std::vector<host::Action> actions_;
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -27,6 +27,19 @@
 /// Three lost round trips between far regions; a target that takes longer is tried elsewhere.
 constexpr Duration GatewayConnectTimeout = 600ms;
 
+/// Bytes of one connection that may wait on a host's link: a large answer must not hold up the small ones behind it for
+/// longer than this. 0 (the system's choice) on links that are quick enough.
+int socketBufferFor(double linkMegabits)
+{
+    constexpr double LongestWaitSeconds = 0.033;
+    constexpr double QuickLinkMegabits = 100;
+    constexpr double BytesPerMegabit = 125'000;
+    constexpr double LeastBuffer = 16 * 1024;
+    if (linkMegabits <= 0 || linkMegabits >= QuickLinkMegabits)
+        return 0;
+    return static_cast<int>(std::max(LeastBuffer, linkMegabits * BytesPerMegabit * LongestWaitSeconds));
+}
+
 /// How often the settings file is looked at: it may change without a signal.
 constexpr Duration SettingsPeriod = 2s;
 
@@ -140,9 +153,9 @@
         .address = settings.linkAddress});
     if (!linked)
         return linked;
-    if (auto opened = openTargetClient(UsualConnectTimeout); !opened)
+    if (auto opened = openTargetClient(UsualConnectTimeout, 0); !opened)
         return opened;
-    return openHttpServer(settings.entryAddress, settings.limits, true);
+    return openHttpServer(settings.entryAddress, settings.limits, true, 0);
 }
 
 Result<Done, IoError> Daemon::openAdapters(const settings::RoutedHostSettings& settings)
@@ -162,19 +175,20 @@
         .address = settings.linkAddress});
     if (!linked)
         return linked;
-    if (auto opened = openTargetClient(GatewayConnectTimeout); settings.isGateway && !opened)
+    const int buffer = socketBufferFor(settings.linkMegabits);
+    if (auto opened = openTargetClient(GatewayConnectTimeout, buffer); settings.isGateway && !opened)
         return opened;
     // In the order of gateway::Listener and registry::Listener.
     const std::array<model::Address, 2> addresses = settings.isGateway
         ? std::array {settings.frontAddress, settings.readinessAddress}
         : std::array {settings.controlAddress, settings.directoryAddress};
     for (const model::Address& address : addresses) {
-        if (auto opened = openHttpServer(address, settings.limits, false); !opened)
+        if (auto opened = openHttpServer(address, settings.limits, false, buffer); !opened)
             return opened;
     }
     if (settings.metricsAddress.port == 0)
         return Done {};
-    return openHttpServer(settings.metricsAddress, settings.limits, true);
+    return openHttpServer(settings.metricsAddress, settings.limits, true, 0);
 }
 
 std::unique_ptr<host::IHostCore> Daemon::makeRoutedCore(
@@ -215,11 +229,12 @@
     return Done {};
 }
 
-Result<Done, IoError> Daemon::openTargetClient(Duration connectTimeout)
+Result<Done, IoError> Daemon::openTargetClient(Duration connectTimeout, int receiveBuffer)
 {
     Result<std::unique_ptr<net::ITargetClient>, IoError> targetClient = net::makeTargetClient({.loop = loop_,
         .sink = [this](host::Event event) { deliver(std::move(event)); },
-        .connectTimeout = connectTimeout});
+        .connectTimeout = connectTimeout,
+        .receiveBuffer = receiveBuffer});
     if (!targetClient)
         return targetClient.error();
     targetClient_ = std::move(targetClient.value());
@@ -227,7 +242,7 @@
 }
 
 Result<Done, IoError> Daemon::openHttpServer(
-    const model::Address& address, const settings::Limits& limits, bool isMetricsServed)
+    const model::Address& address, const settings::Limits& limits, bool isMetricsServed, int sendBuffer)
 {
     Result<std::unique_ptr<net::IHttpServer>, IoError> httpServer = net::makeHttpServer({.loop = loop_,
         .address = address,
@@ -235,6 +250,7 @@
         .sink = [this](host::Event event) { deliver(std::move(event)); },
         .counters = &adapterCounters_,
         .listener = static_cast<uint8_t>(httpServers_.size()),
+        .sendBuffer = sendBuffer,
         .isMetricsServed = isMetricsServed,
         .metricsText =
             [this] {
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -49,10 +49,10 @@
     Result<Done, IoError> openAdapters(const settings::RoutedHostSettings& settings);
     Result<Done, IoError> openDataFolder(const std::string& path);
     Result<Done, IoError> openLinks(const LinkIdentity& identity);
-    Result<Done, IoError> openTargetClient(Duration connectTimeout);
+    Result<Done, IoError> openTargetClient(Duration connectTimeout, int receiveBuffer);
     /// Each call opens the next listener.
     Result<Done, IoError> openHttpServer(
-        const model::Address& address, const settings::Limits& limits, bool isMetricsServed);
+        const model::Address& address, const settings::Limits& limits, bool isMetricsServed, int sendBuffer);
     [[nodiscard]] std::unique_ptr<host::IHostCore> makeRoutedCore(
         const settings::RoutedHostSettings& settings, Incarnation incarnation) const;
     [[nodiscard]] net::IHttpServer& serverOf(requests::HttpHandle handle) const;
--- a/src/settings/routedhostsettings.h
+++ b/src/settings/routedhostsettings.h
@@ -61,6 +61,7 @@
     RetryLimit retries;
     double shiftCap = 0.1; ///< Most of a region's requests that may change region within two seconds.
     Duration lookUpTtl = 2s;
+    double linkMegabits = 0; ///< Of this host's network link, a second; 0: unknown, and no limit.
     Limits limits;
 
     [[nodiscard]] HostId host() const { return HostId(toString(linkAddress)); }
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -59,4 +59,26 @@
     };
 }
 
+Offset<fbs::TargetLoads> encode(Builder& builder, const model::TargetLoads& message)
+{
+    const auto targets = builder.CreateVector(message.targets);
+    const auto inFlight = builder.CreateVector(message.inFlight);
+    return fbs::CreateTargetLoads(builder, targets, inFlight);
+}
+
+model::TargetLoads decode(FieldReader& reader, const fbs::TargetLoads& message)
+{
+    model::TargetLoads decoded;
+    const size_t count = message.targets() == nullptr ? 0 : message.targets()->size();
+    const size_t loads = message.in_flight() == nullptr ? 0 : message.in_flight()->size();
+    reader.require(count == loads, "TargetLoads.inFlight");
+    if (count != loads)
+        return decoded;
+    for (size_t i = 0; i < count; ++i) {
+        decoded.targets.push_back(message.targets()->Get(static_cast<flatbuffers::uoffset_t>(i)));
+        decoded.inFlight.push_back(message.in_flight()->Get(static_cast<flatbuffers::uoffset_t>(i)));
+    }
+    return decoded;
+}
+
 } // namespace saltvane::wire
--- a/src/wire/internal/targetmessagecodec.h
+++ b/src/wire/internal/targetmessagecodec.h
@@ -12,7 +12,9 @@
 namespace saltvane::wire {
 
 [[nodiscard]] Offset<fbs::TargetReport> encode(Builder& builder, const model::TargetReport& message);
+[[nodiscard]] Offset<fbs::TargetLoads> encode(Builder& builder, const model::TargetLoads& message);
 /// Values out of range are noted in `reader`.
 [[nodiscard]] model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message);
+[[nodiscard]] model::TargetLoads decode(FieldReader& reader, const fbs::TargetLoads& message);
 
 } // namespace saltvane::wire
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -161,6 +161,7 @@
             .sequence = 17,
             .age = 250ms,
             .slowStartHost = HostId("host-a")}}});
+    messages.emplace_back(TargetLoads {.targets = {7, 0x1234567890abcdef}, .inFlight = {3, 12}});
 }
 
 } // namespace
