Take on no more large answers than the gateway's link carries in half of their objective

Cause: answers of 90 kB filled links of 4 Mbit/s in zones at the peak of their wave, and every other request waited behind them: 19,307 of 79,131 reached their target later than half of their objective. Ruled out: processor time (0.013 of 0.1 cores), socket buffers (no change), accept queues.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -52,6 +52,8 @@
     uint32_t targetsKnown = 0;
     uint32_t targetsUsable = 0;
     requests::HttpRespond answer; ///< As far as it came.
+    bool isOnLink = false; ///< Counted by the link budget.
+    uint64_t answerBytes = 0;
     bool isAnswerStarted = false; ///< Its head went to the caller.
     bool mayHaveRun = false; ///< A byte may have reached a target that did not say it has not run it.
 };
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -70,6 +70,7 @@
     , retryBudget_(steering::makeRetryBudget({.retriesPerAnswer = settings_.retries.ratio * UsedPartOfRatio,
           .largestBalance = settings_.retries.slack * PartOfSlack,
           .initialBalance = settings_.retries.slack * PartOfSlack}))
+    , link_(settings_.linkMegabits)
     , runner_({.headers = settings_.headers,
           .targets = targets_,
           .placement = placement_,
@@ -77,6 +78,7 @@
           .retryBudget = *retryBudget_,
           .counters = counters_,
           .latencies = latencies_,
+          .link = link_,
           .onDecided = [this](const Decision& decision, Timestamp now) { decisions_.note(decision, now); }})
 {
 }
@@ -102,6 +104,7 @@
         split_.tick(routes_->plan(), targets_, now);
     }
     runner_.tick(now);
+    link_.tick(now);
     updateLinks();
     tellLoads(now);
     updateStop(now);
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -62,6 +62,7 @@
     Placement placement_;
     std::unique_ptr<steering::IRetryBudget> retryBudget_;
     RequestLatencies latencies_;
+    LinkBudget link_;
     DecisionLog decisions_;
     RequestRunner runner_;
     std::shared_ptr<const RouteTable> routes_;
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -149,7 +149,13 @@
         return refuseAtOnce(request.handle, StatusNotFound, model::Reason::UnknownService, Duration::zero());
     if (request.bodyLength.value_or(0) > routes_->plan().limits.bodyBytes)
         return refuseAtOnce(request.handle, StatusTooLarge, model::Reason::BodyTooLarge, Duration::zero());
+    const bool isLarge = route->route.kind == model::RouteKind::LargeRead;
+    if (isLarge && !options_.link.hasRoomFor(route->route))
+        return refuseAtOnce(request.handle, 0, model::Reason::LinkLimitReached, UsualRetryAfter);
     std::unique_ptr<Exchange> made = makeExchange(request, *route, now);
+    made->isOnLink = isLarge;
+    if (isLarge)
+        options_.link.noteStarted();
     Exchange& exchange = *made;
     exchanges_.emplace(request.handle, std::move(made));
     deadlines_.emplace(exchange.deadline, exchange.handle);
@@ -329,6 +335,9 @@
 
 void RequestRunner::accept(requests::TargetResponseBody& body, Exchange& exchange, Timestamp /*now*/)
 {
+    exchange.answerBytes += body.bytes.size();
+    options_.link.noteReceived(body.bytes.size());
+    options_.link.noteSent(body.bytes.size());
     if (exchange.phase == Exchange::Phase::Streaming) {
         actions_.emplace_back(requests::HttpResponseBody {.handle = exchange.handle, .bytes = std::move(body.bytes)});
         return;
@@ -510,6 +519,8 @@
 {
     releaseTarget(exchange);
     deadlines_.erase({exchange.deadline, exchange.handle});
+    if (exchange.isOnLink)
+        options_.link.noteEnded(exchange.answerBytes);
     const requests::HttpHandle handle = exchange.handle;
     exchanges_.erase(handle);
 }
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "gateway/internal/exchange.h"
+#include "gateway/internal/linkbudget.h"
 #include "gateway/internal/placement.h"
 #include "gateway/internal/requestlatencies.h"
 #include "gateway/internal/targetset.h"
@@ -42,6 +43,7 @@
         steering::IRetryBudget& retryBudget;
         model::Counters& counters;
         RequestLatencies& latencies;
+        LinkBudget& link;
         std::function<void(const Decision&, Timestamp)> onDecided;
     };
     explicit RequestRunner(Options options);
