Learn times by an object's choice of target; doubt a target by the slowest answer lately; use free warm slots

Causes: (1) the second choice was taken as warm, so objects were run cold twice at the start and in overload; (2) a target was doubted after twice a guess of 500 ms, which work of 1.2 s cold exceeds: repeats of what was only slow; (3) idle slots were refused by an estimate that cold answers had raised.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "gateway/internal/placement.h"
 #include "gateway/internal/routetable.h"
 #include "requests/exchangetypes.h"
 
@@ -43,7 +44,7 @@
     Timestamp sentAt;
     Timestamp checkAt; ///< When a silent target is doubted.
     double loadAtStart = 0;
-    bool wasWarm = false; ///< The target was believed to have the object warm.
+    Choice choice = Choice::Other; ///< Of the target, for the object.
     std::vector<TargetId> tried;
     model::Reason lastReason = model::Reason::None;
     // For the log: what the last choice went by.
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -14,18 +14,17 @@
 
 namespace {
 
-/// Of a service's times to answer, before any came.
-constexpr Duration FirstWarmGuess = 150ms;
-constexpr Duration FirstColdGuess = 500ms;
+/// Before any answer came.
+constexpr Placement::UsualTimes FirstGuess {.first = 150ms, .secondExcess = 175ms, .otherExcess = 350ms, .slowest = 1s};
+constexpr double SlowestDecay = 0.998; ///< By each answer.
 constexpr double UsualTimeWeight = 0.05; ///< Of one answer.
 constexpr double SlownessWeight = 0.1;
 constexpr double LeastSlowness = 0.3;
 constexpr double MostSlowness = 20;
 
-/// Of an object's targets so many are weighed against each other. The first two are taken to be warm: other gateways
-/// send the object there as well. All but the first must be quicker by a margin, so that objects don't wander.
+/// Of an object's targets so many are weighed against each other. All but the first must be quicker by a margin, so
+/// that objects don't wander.
 constexpr size_t ChoicesWeighed = 3;
-constexpr size_t ChoicesTakenWarm = 2;
 constexpr double MarginOfOthers = 1.25;
 /// Targets queue some requests beyond their slots and refuse the rest.
 constexpr double MostLoadPerSlot = 3;
@@ -70,7 +69,20 @@
 Placement::UsualTimes Placement::usualTimes(const ServiceName& service) const
 {
     const auto found = usualTimes_.find(service);
-    return found == usualTimes_.end() ? UsualTimes {.warm = FirstWarmGuess, .cold = FirstColdGuess} : found->second;
+    return found == usualTimes_.end() ? FirstGuess : found->second;
+}
+
+Duration Placement::workOf(const UsualTimes& usual, Choice choice)
+{
+    switch (choice) {
+    case Choice::First:
+        return usual.first;
+    case Choice::Second:
+        return usual.first + usual.secondExcess;
+    case Choice::Other:
+        break;
+    }
+    return usual.first + usual.otherExcess;
 }
 
 bool Placement::isWarm(const std::optional<uint64_t>& object, const GatewayTarget& target, Timestamp now) const
@@ -78,13 +90,12 @@
     return object && warmObjects_.isWarm(*object, target.hash, now);
 }
 
-Duration Placement::estimate(const GatewayTarget& target, const ServiceName& service, bool isWarm, Timestamp now) const
+Duration Placement::estimate(const GatewayTarget& target, Duration work, Timestamp now) const
 {
-    const UsualTimes usual = usualTimes(service);
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, target.load(now) + 1 - slots) / slots;
-    const double work = toSeconds(isWarm ? usual.warm : usual.cold);
-    return fromSeconds((work + waiting * toSeconds(usual.warm)) * target.slowness);
+    const double usual = toSeconds(usualTimes(target.record.service).first);
+    return fromSeconds((toSeconds(work) + waiting * usual) * target.slowness);
 }
 
 void Placement::noteAnswer(GatewayTarget& target, const Answer& answer, Timestamp now)
@@ -93,14 +104,21 @@
     if (answer.object)
         warmObjects_.note(*answer.object, target.hash, now);
     UsualTimes& usual = usualTimes_.try_emplace(target.record.service, usualTimes(target.record.service)).first->second;
-    Duration& learnt = answer.wasWarm ? usual.warm : usual.cold;
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, answer.loadAtStart + 1 - slots) / slots;
-    const double expected = toSeconds(learnt) + waiting * toSeconds(usual.warm);
+    const double expected = toSeconds(workOf(usual, answer.choice)) + waiting * toSeconds(usual.first);
     const double ratio = std::clamp(toSeconds(answer.taken) / std::max(expected, 1e-4), LeastSlowness, MostSlowness);
     target.slowness += SlownessWeight * (ratio - target.slowness);
-    if (waiting <= 0)
-        learnt += fromSeconds(UsualTimeWeight * toSeconds(answer.taken - learnt));
+    const Duration normal = fromSeconds(toSeconds(answer.taken) / std::max(target.slowness, 1.0));
+    usual.slowest = std::max(normal, fromSeconds(toSeconds(usual.slowest) * SlowestDecay));
+    if (waiting > 0)
+        return;
+    const auto learn
+        = [](Duration& learnt, Duration seen) { learnt += fromSeconds(UsualTimeWeight * toSeconds(seen - learnt)); };
+    if (answer.choice == Choice::First)
+        return learn(usual.first, answer.taken);
+    Duration& excess = answer.choice == Choice::Second ? usual.secondExcess : usual.otherExcess;
+    learn(excess, std::max(answer.taken - usual.first, Duration::zero()));
 }
 
 bool Placement::isPermitted(const GatewayTarget& target, const PlacementQuery& query) const
@@ -111,38 +129,44 @@
     return std::ranges::find(query.tried, target.id()) == query.tried.end();
 }
 
-bool Placement::fits(const GatewayTarget& target, Duration estimate, const PlacementQuery& query, Timestamp now) const
+bool Placement::fits(
+    const GatewayTarget& target, Duration estimate, bool isLikelyWarm, const PlacementQuery& query, Timestamp now) const
 {
     if (target.load(now) + 1 > target.record.slots * MostLoadPerSlot)
         return false;
     const Duration left = fromSeconds(toSeconds(query.left) * PartOfTimeLeft);
-    if (query.isRepeat || query.route.objective <= Duration::zero())
+    // Refusing what a free slot could start on now helps nobody, where the object can be expected to be warm: cold work
+    // takes several times as long, and in an overload others wait for the slot.
+    const bool hasFreeSlot = isLikelyWarm && target.load(now) + 1 <= target.record.slots;
+    if (hasFreeSlot || query.isRepeat || query.route.objective <= Duration::zero())
         return estimate <= left;
     const Duration wanted = fromSeconds(toSeconds(query.route.objective) * latenessOf(query.route.rank));
     return estimate <= std::min(left, wanted - query.elapsed);
 }
 
-GatewayTarget* Placement::best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const
+Placed Placement::best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const
 {
+    const UsualTimes usual = usualTimes(query.service.name);
     const size_t choices = std::min(candidates.size(), ChoicesWeighed);
     const auto middle = candidates.begin() + static_cast<ptrdiff_t>(choices);
     std::ranges::partial_sort(candidates, middle, std::ranges::greater {}, &Candidate::rank);
-    GatewayTarget* chosen = nullptr;
+    Placed placed;
     double least = 0;
     for (size_t i = 0; i < candidates.size(); ++i) {
         // Past the object's own targets any that has room will do.
-        if (i >= choices && chosen != nullptr)
+        if (i >= choices && placed.target != nullptr)
             break;
         GatewayTarget& target = *candidates[i].target;
-        const bool isWarmHere = i < ChoicesTakenWarm || isWarm(query.object, target, now);
-        const Duration expected = estimate(target, query.service.name, isWarmHere, now);
+        const Choice choice = i == 0 ? Choice::First : (i == 1 ? Choice::Second : Choice::Other);
+        const Choice asIf = isWarm(query.object, target, now) ? Choice::First : choice;
+        const Duration expected = estimate(target, workOf(usual, asIf), now);
         const double cost = toSeconds(expected) * (i == 0 ? 1 : MarginOfOthers);
-        if (!fits(target, expected, query, now) || (chosen != nullptr && cost >= least))
+        if (!fits(target, expected, asIf == Choice::First, query, now) || (placed.target != nullptr && cost >= least))
             continue;
-        chosen = &target;
+        placed = {.target = &target, .choice = choice};
         least = cost;
     }
-    return chosen;
+    return placed;
 }
 
 bool Placement::trySpendDetour(Timestamp /*now*/)
@@ -153,7 +177,7 @@
     return true;
 }
 
-std::variant<GatewayTarget*, PlacementRefusal> Placement::choose(const PlacementQuery& query, Timestamp now)
+std::variant<Placed, PlacementRefusal> Placement::choose(const PlacementQuery& query, Timestamp now)
 {
     const uint64_t object = query.object ? mix(*query.object, 0) : random_();
     Candidates zone;
@@ -182,11 +206,11 @@
         isDetour = isOwnRegion != isHome;
         if (group->empty())
             continue;
-        GatewayTarget* target = best(*group, query, now);
-        if (target != nullptr && (!isDetour || !hasHome || trySpendDetour(now)))
-            return target;
+        const Placed placed = best(*group, query, now);
+        if (placed.target != nullptr && (!isDetour || !hasHome || trySpendDetour(now)))
+            return placed;
     }
-    const Duration usual = usualTimes(query.service.name).warm;
+    const Duration usual = usualTimes(query.service.name).first;
     return PlacementRefusal {.reason = isDetour ? model::Reason::NoRoom : model::Reason::ShiftCapReached,
         .retryAfter = std::clamp(usual, LeastRetryAfter, MostRetryAfter),
         .known = known,
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -30,6 +30,14 @@
     std::span<const TargetId> tried;
 };
 
+/// Place of a target in the order of an object's targets.
+enum class Choice : uint8_t { First, Second, Other };
+
+struct Placed {
+    GatewayTarget* target = nullptr;
+    Choice choice = Choice::Other;
+};
+
 struct PlacementRefusal {
     model::Reason reason = model::Reason::NoRoom;
     Duration retryAfter {};
@@ -43,20 +51,21 @@
 public:
     Placement(const TargetSet& targets, const RegionSplit& split, ZoneName zone, RegionName region, uint64_t seed);
 
-    [[nodiscard]] std::variant<GatewayTarget*, PlacementRefusal> choose(const PlacementQuery& query, Timestamp now);
+    [[nodiscard]] std::variant<Placed, PlacementRefusal> choose(const PlacementQuery& query, Timestamp now);
     /// What an answer's head teaches of the target and its service.
     struct Answer {
         std::optional<uint64_t> object;
         Duration taken {}; ///< Since the request was sent.
         double loadAtStart = 0; ///< Of the target, before this request.
-        bool wasWarm = false; ///< As it was believed then.
+        Choice choice = Choice::Other;
     };
     void noteAnswer(GatewayTarget& target, const Answer& answer, Timestamp now);
-    [[nodiscard]] bool isWarm(const std::optional<uint64_t>& object, const GatewayTarget& target, Timestamp now) const;
-    /// Time that a service's targets take when idle, by what they have warm.
+    /// How long the service's targets take, by what was learnt of their answers.
     struct UsualTimes {
-        Duration warm {};
-        Duration cold {};
+        Duration first {}; ///< Of an object's first choice, when idle.
+        Duration secondExcess {}; ///< What the second choice takes beyond that: it is warm less often.
+        Duration otherExcess {}; ///< What any other takes beyond that.
+        Duration slowest {}; ///< The longest lately.
     };
     [[nodiscard]] UsualTimes usualTimes(const ServiceName& service) const;
 
@@ -67,12 +76,13 @@
     };
     using Candidates = std::vector<Candidate>;
 
+    [[nodiscard]] bool isWarm(const std::optional<uint64_t>& object, const GatewayTarget& target, Timestamp now) const;
     /// Time to the answer's head: waiting for a slot, then the work.
-    [[nodiscard]] Duration estimate(
-        const GatewayTarget& target, const ServiceName& service, bool isWarm, Timestamp now) const;
-    [[nodiscard]] GatewayTarget* best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const;
-    [[nodiscard]] bool fits(
-        const GatewayTarget& target, Duration estimate, const PlacementQuery& query, Timestamp now) const;
+    [[nodiscard]] Duration estimate(const GatewayTarget& target, Duration work, Timestamp now) const;
+    [[nodiscard]] static Duration workOf(const UsualTimes& usual, Choice choice);
+    [[nodiscard]] Placed best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const;
+    [[nodiscard]] bool fits(const GatewayTarget& target, Duration estimate, bool isLikelyWarm,
+        const PlacementQuery& query, Timestamp now) const;
     [[nodiscard]] bool isPermitted(const GatewayTarget& target, const PlacementQuery& query) const;
     [[nodiscard]] bool trySpendDetour(Timestamp now);
 
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -21,9 +21,8 @@
 /// Answers up to it are gathered whole, so that a request whose answer breaks off can be repeated. Larger ones would
 /// cross the gateway's link twice, one time after the other.
 constexpr uint64_t LargestGathered = 16 * 1024;
-/// A target is doubted when it takes longer than this many times the usual, and this part of the objective.
-constexpr double DoubtFactor = 2;
-constexpr double DoubtPartOfObjective = 1.0;
+/// A target is doubted when it takes longer than this many times the slowest answer lately, and than the objective.
+constexpr double DoubtFactor = 1.3;
 /// A repeat needs at least this much time to be of use.
 constexpr Duration LeastTimeToRepeat = 30ms;
 /// A connection that rested longer may be about to be closed by the target, and a request lost with it.
@@ -202,7 +201,7 @@
 
 void RequestRunner::accept(const requests::HttpResponseDone& done, Timestamp /*now*/) { answering_.erase(done.handle); }
 
-std::variant<GatewayTarget*, PlacementRefusal> RequestRunner::choose(const Exchange& exchange, Timestamp now)
+std::variant<Placed, PlacementRefusal> RequestRunner::choose(const Exchange& exchange, Timestamp now)
 {
     const model::RoutedService* service = routes_->plan().findService(exchange.service);
     if (service == nullptr)
@@ -225,11 +224,12 @@
         exchange.targetsUsable = refusal->usable;
         return refuse(exchange, refusal->reason, refusal->retryAfter, now);
     }
-    send(exchange, *std::get<GatewayTarget*>(choice), now);
+    send(exchange, std::get<Placed>(choice), now);
 }
 
-void RequestRunner::send(Exchange& exchange, GatewayTarget& target, Timestamp now)
+void RequestRunner::send(Exchange& exchange, const Placed& placed, Timestamp now)
 {
+    GatewayTarget& target = *placed.target;
     const model::RoutedService& service = *routes_->plan().findService(exchange.service);
     exchange.loadAtStart = target.load(now);
     exchange.loadAge = now - target.loadAt;
@@ -244,9 +244,10 @@
     exchange.sentAt = now;
     dispatches_.emplace(exchange.dispatch, &exchange);
 
-    exchange.wasWarm = options_.placement.isWarm(exchange.object, target, now);
-    const double usual = toSeconds(options_.placement.usualTimes(service.name).cold) * std::max(target.slowness, 1.0);
-    const double patience = std::max(usual * DoubtFactor, toSeconds(exchange.route.objective) * DoubtPartOfObjective);
+    exchange.choice = placed.choice;
+    const double slowest
+        = toSeconds(options_.placement.usualTimes(service.name).slowest) * std::max(target.slowness, 1.0);
+    const double patience = std::max(slowest * DoubtFactor, toSeconds(exchange.route.objective));
     exchange.checkAt = now + fromSeconds(patience);
     if (exchange.checkAt < exchange.deadline)
         doubts_.emplace(exchange.checkAt, exchange.handle);
@@ -301,7 +302,7 @@
             {.object = exchange.object,
                 .taken = now - exchange.sentAt,
                 .loadAtStart = exchange.loadAtStart,
-                .wasWarm = exchange.wasWarm},
+                .choice = exchange.choice},
             now);
     doubts_.erase({exchange.checkAt, exchange.handle});
     exchange.phase = Exchange::Phase::ReceivingAnswer;
@@ -422,7 +423,7 @@
     releaseTarget(exchange);
     options_.counters.add(model::Counter::Retries);
     options_.counters.addRetry(model::Reason::TargetStalled);
-    send(exchange, *std::get<GatewayTarget*>(choice), now);
+    send(exchange, std::get<Placed>(choice), now);
 }
 
 void RequestRunner::tick(Timestamp now)
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -81,8 +81,8 @@
         const requests::HttpRequestStarted& request, PlannedRoute& route, Timestamp now) const;
     /// Chooses a target and sends the request; refuses it where none can be had.
     void dispatch(Exchange& exchange, Timestamp now);
-    [[nodiscard]] std::variant<GatewayTarget*, PlacementRefusal> choose(const Exchange& exchange, Timestamp now);
-    void send(Exchange& exchange, GatewayTarget& target, Timestamp now);
+    [[nodiscard]] std::variant<Placed, PlacementRefusal> choose(const Exchange& exchange, Timestamp now);
+    void send(Exchange& exchange, const Placed& placed, Timestamp now);
     /// The target refused it, or failed: elsewhere, or the end.
     void tryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now);
     [[nodiscard]] bool mayTryElsewhere(const Exchange& exchange, Timestamp now);
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -142,6 +142,7 @@
     }
 }
 
+
 TEST_F(TargetTest, WeightsDivideARoute)
 {
     installPlan(1,
--- a/src/saltvaned/main.cpp
+++ b/src/saltvaned/main.cpp
@@ -9,6 +9,7 @@
 
 #include <glog/logging.h>
 #include <iostream>
+#include <malloc.h>
 #include <sodium.h>
 
 namespace {
@@ -41,6 +42,15 @@
     return daemon.value()->run();
 }
 
+/// Gives large blocks back as soon as they are free: a host parses a plan now and then and is small otherwise.
+void keepMemorySmall()
+{
+    constexpr int LargeBlock = 64 * 1024;
+    constexpr int KeptAtTop = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, LargeBlock);
+    mallopt(M_TRIM_THRESHOLD, KeptAtTop);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -61,6 +71,7 @@
         return saltvaned::ExitOk;
     }
     // All lines go through the daemon's log writer, to standard output.
+    keepMemorySmall();
     FLAGS_stderrthreshold = google::GLOG_FATAL;
     FLAGS_log_utc_time = true;
     google::InitGoogleLogging(argv[0]);
