--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -140,17 +140,18 @@
 {
     options_.counters.add(model::Counter::Requests);
     if (isRefusing_)
-        return refuseAtOnce(request.handle, 0, model::Reason::Stopping, StopRetryAfter);
+        return refuseEarly(request, nullptr, {.reason = model::Reason::Stopping, .retryAfter = StopRetryAfter}, now);
     if (!routes_)
-        return refuseAtOnce(request.handle, 0, model::Reason::NotReady, UsualRetryAfter);
+        return refuseEarly(request, nullptr, {.reason = model::Reason::NotReady, .retryAfter = UsualRetryAfter}, now);
     PlannedRoute* route = routes_->find(valueOf(request.headers, "Host"), request.path);
     if (route == nullptr)
-        return refuseAtOnce(request.handle, StatusNotFound, model::Reason::UnknownService, Duration::zero());
+        return refuseEarly(request, nullptr, {.status = StatusNotFound, .reason = model::Reason::UnknownService}, now);
     if (request.bodyLength.value_or(0) > routes_->plan().limits.bodyBytes)
-        return refuseAtOnce(request.handle, StatusTooLarge, model::Reason::BodyTooLarge, Duration::zero());
+        return refuseEarly(request, route, {.status = StatusTooLarge, .reason = model::Reason::BodyTooLarge}, now);
     const bool isLarge = route->route.kind == model::RouteKind::LargeRead;
     if (isLarge && !options_.link.hasRoomFor(route->route))
-        return refuseAtOnce(request.handle, 0, model::Reason::LinkLimitReached, UsualRetryAfter);
+        return refuseEarly(
+            request, route, {.reason = model::Reason::LinkLimitReached, .retryAfter = UsualRetryAfter}, now);
     std::unique_ptr<Exchange> made = makeExchange(request, *route, now);
     made->isOnLink = isLarge;
     if (isLarge)
@@ -474,6 +475,22 @@
         {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = reason, .status = StatusUnavailable}, now);
 }
 
+void RequestRunner::refuseEarly(
+    const requests::HttpRequestStarted& request, const PlannedRoute* route, const EarlyRefusal& refusal, Timestamp now)
+{
+    Exchange exchange {.handle = request.handle,
+        .id = RequestId(valueOf(request.headers, options_.headers.requestId)),
+        .startedAt = now};
+    if (route != nullptr)
+        exchange.route = route->route;
+    if (routes_)
+        exchange.planVersion = routes_->plan().version;
+    const int status = refusal.status == 0 ? StatusUnavailable : refusal.status;
+    options_.onDecided(
+        {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = refusal.reason, .status = status}, now);
+    refuseAtOnce(request.handle, refusal.status, refusal.reason, refusal.retryAfter);
+}
+
 void RequestRunner::refuseAtOnce(requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter)
 {
     const bool isNotRun = status == 0;
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -94,6 +94,14 @@
 
     void refuse(Exchange& exchange, model::Reason reason, Duration retryAfter, Timestamp now);
     void giveUp(Exchange& exchange, model::Reason reason, Timestamp now);
+    /// A request that is not taken on at all. Status 0: it has not run, and may come back.
+    struct EarlyRefusal {
+        int status = 0;
+        model::Reason reason = model::Reason::None;
+        Duration retryAfter {};
+    };
+    void refuseEarly(const requests::HttpRequestStarted& request, const PlannedRoute* route,
+        const EarlyRefusal& refusal, Timestamp now);
     void refuseAtOnce(requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter);
     void respond(requests::HttpRespond answer);
     void abort(const Exchange& exchange);
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -31,7 +31,6 @@
 /// A target that is full counts as loaded by its queue as well.
 constexpr uint32_t FullFactor = 3;
 
-
 } // namespace
 
 double GatewayTarget::load(Timestamp now) const
--- /dev/null
+++ b/src/gateway/tests/decisiontests.cpp
@@ -0,0 +1,94 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gatewayfixture.h"
+
+namespace saltvane::gateway::test {
+
+namespace {
+
+/// Replays the walks of docs/OPERATIONS.md: from a failed request's id to its cause.
+class DecisionTest : public GatewayFixture {
+protected:
+    std::string lineOf(const std::string& id)
+    {
+        for (const std::string& line : takeDecisions()) {
+            if (line.find(" id=" + id + " ") != std::string::npos)
+                return line;
+        }
+        return {};
+    }
+    static bool has(const std::string& line, const std::string& field)
+    {
+        return (line + " ").find(" " + field + " ") != std::string::npos;
+    }
+};
+
+} // namespace
+
+TEST_F(DecisionTest, RefusedForLackOfRoom)
+{
+    installPlan(7);
+    reportTargets({target("t-1")});
+    for (int i = 0; i < 9; ++i) // Three slots, and a queue of twice as many.
+        request({.object = std::to_string(i), .deadlineMs = "9000"});
+    request({.id = "lost", .object = "99"});
+    const std::string line = lineOf("lost");
+    EXPECT_TRUE(has(line, "outcome=not-run")) << line;
+    EXPECT_TRUE(has(line, "known=1"));
+    EXPECT_TRUE(has(line, "usable=1"));
+    EXPECT_TRUE(has(line, "plan=7"));
+    EXPECT_TRUE(has(line, "status=503"));
+}
+
+TEST_F(DecisionTest, UnknownAfterItsTargetDied)
+{
+    installPlan(7);
+    reportTargets({target("t-1")});
+    request({.method = "POST", .path = "/write/1", .id = "lost"});
+    fail(takeStarts().at(0), true);
+    const std::string line = lineOf("lost");
+    EXPECT_TRUE(has(line, "outcome=unknown")) << line;
+    EXPECT_TRUE(has(line, "reason=target-failed"));
+    EXPECT_TRUE(has(line, "target=t-1"));
+    EXPECT_TRUE(has(line, "tries=1"));
+}
+
+TEST_F(DecisionTest, RefusedBecauseTheGatewayKnewNoPlanYet)
+{
+    request({.id = "lost"});
+    const std::string line = lineOf("lost");
+    EXPECT_TRUE(has(line, "reason=not-ready")) << line;
+    EXPECT_TRUE(has(line, "plan=0"));
+}
+
+TEST_F(DecisionTest, SentByAnOldBelief)
+{
+    installPlan(7);
+    model::TargetRecord old = target("t-1");
+    old.age = 8s;
+    reportTargets({old});
+    request({.id = "lost"});
+    answer(takeStarts().at(0), {.status = 421, .id = ""}); // Another target has its address by now.
+    const std::string line = lineOf("lost");
+    EXPECT_TRUE(has(line, "target_age_ms=8000")) << line;
+    EXPECT_TRUE(has(line, "target=t-1"));
+    EXPECT_TRUE(has(line, "outcome=not-run"));
+}
+
+TEST_F(DecisionTest, WhatACallerPutsIntoItsIdStaysOneWord)
+{
+    request({.id = "a outcome=answered"});
+    EXPECT_FALSE(lineOf("a_outcome_answered").empty());
+}
+
+TEST_F(DecisionTest, LinesAreBoundedAndTheRestIsCounted)
+{
+    for (int i = 0; i < 500; ++i)
+        request({.id = std::to_string(i)});
+    EXPECT_LE(takeDecisions().size(), 40U);
+}
+
+} // namespace saltvane::gateway::test
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -51,6 +51,9 @@
     for (host::Action& action : gateway_->takeActions()) {
         if (std::holds_alternative<host::StopFinished>(action))
             isStopFinished_ = true;
+        const auto* const line = std::get_if<host::LogLine>(&action);
+        if (line != nullptr && line->text.starts_with("event=request "))
+            decisions_.push_back(line->text);
         auto* const request = std::get_if<requests::Action>(&action);
         if (request == nullptr)
             continue;
@@ -96,8 +99,7 @@
     advance(Tick);
 }
 
-model::TargetRecord GatewayFixture::target(
-    const std::string& id, const std::string& service, const std::string& zone)
+model::TargetRecord GatewayFixture::target(const std::string& id, const std::string& service, const std::string& zone)
 {
     static uint16_t port = 9000;
     return {.target = TargetId(id),
@@ -130,8 +132,8 @@
         .headers = std::move(headers),
         .bodyLength = caller.body.size()}));
     if (!caller.body.empty())
-        this->handle(requests::HttpEvent(
-            requests::HttpRequestBody {.handle = handle, .bytes = caller.body, .isLast = true}));
+        this->handle(
+            requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = caller.body, .isLast = true}));
     return handle;
 }
 
@@ -178,6 +180,8 @@
 
 size_t GatewayFixture::takeCancels() { return std::exchange(cancels_, 0); }
 
+std::vector<std::string> GatewayFixture::takeDecisions() { return std::exchange(decisions_, {}); }
+
 bool GatewayFixture::takeStopFinished() { return std::exchange(isStopFinished_, false); }
 
 std::string GatewayFixture::header(const std::vector<model::Header>& headers, const std::string& name)
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -56,6 +56,8 @@
     [[nodiscard]] std::optional<requests::HttpRespond> takeResponse();
     [[nodiscard]] size_t takeCancels();
     [[nodiscard]] bool takeStopFinished();
+    /// Log lines of decisions on requests.
+    [[nodiscard]] std::vector<std::string> takeDecisions();
     [[nodiscard]] static std::string header(const std::vector<model::Header>& headers, const std::string& name);
 
     Timestamp now_ {100s};
@@ -71,6 +73,7 @@
     std::vector<requests::HttpRespond> responses_;
     size_t cancels_ = 0;
     bool isStopFinished_ = false;
+    std::vector<std::string> decisions_;
 };
 
 } // namespace saltvane::gateway::test
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -142,7 +142,6 @@
     }
 }
 
-
 TEST_F(TargetTest, WeightsDivideARoute)
 {
     installPlan(1,
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -377,8 +377,16 @@
 {
     struct Visitor {
         Daemon& daemon;
-        void operator()(requests::HttpRespond& item) { daemon.serverOf(item.handle).carryOut(std::move(item)); }
-        void operator()(requests::HttpResponseBody& item) { daemon.serverOf(item.handle).carryOut(std::move(item)); }
+        void operator()(requests::HttpRespond& item)
+        {
+            net::IHttpServer& server = daemon.serverOf(item.handle);
+            server.carryOut(std::move(item));
+        }
+        void operator()(requests::HttpResponseBody& item)
+        {
+            net::IHttpServer& server = daemon.serverOf(item.handle);
+            server.carryOut(std::move(item));
+        }
         void operator()(requests::HttpAbort& item) { daemon.serverOf(item.handle).carryOut(item); }
         void operator()(requests::HttpRequestWindow& item) { daemon.serverOf(item.handle).carryOut(item); }
         void operator()(requests::TargetStart& item) { daemon.targetClient_->carryOut(std::move(item)); }
