--- /dev/null
+++ b/src/control/tests/routingtabletests.cpp
@@ -0,0 +1,61 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "control/internal/routingtable.h"
+
+#include <gtest/gtest.h>
+
+namespace saltvane::control {
+
+namespace {
+
+LogPosition at(uint64_t index) { return {.term = {1}, .index = {index}}; }
+
+} // namespace
+
+TEST(RoutingTableTest, ASnapshotHoldsEverything)
+{
+    RoutingTable table;
+    EXPECT_TRUE(table.apply(ReplacePlan {.version = {3}, .content = "three"}, at(1)));
+    EXPECT_TRUE(table.apply(ReplacePlan {.base = {3}, .version = {5}, .content = "five"}, at(2)));
+    EXPECT_TRUE(table.apply(SetEvacuation {.zone = ZoneName("a"), .isEvacuated = true}, at(3)));
+    EXPECT_TRUE(table.apply(RetireTarget {.target = TargetId("t")}, at(4)));
+    const std::optional<RoutingTable> copy = RoutingTable::fromJson(table.toJson());
+    ASSERT_TRUE(copy);
+    EXPECT_EQ(copy->toJson(), table.toJson());
+    EXPECT_EQ(copy->state().planContent, "five");
+    EXPECT_EQ(copy->state().ordersPosition, at(4));
+    // A resend is told from a new plan also after the snapshot.
+    const auto again = copy->answerFor(ReplacePlan {.version = {3}, .content = "three"});
+    EXPECT_TRUE(again && again->isOk());
+}
+
+TEST(RoutingTableTest, OtherContentUnderATakenVersionIsAConflict)
+{
+    RoutingTable table;
+    EXPECT_TRUE(table.apply(ReplacePlan {.version = {3}, .content = "three"}, at(1)));
+    const BundleOutcome other = table.apply(ReplacePlan {.version = {3}, .content = "other"}, at(2));
+    ASSERT_FALSE(other);
+    EXPECT_EQ(other.error().kind, ControlErrorKind::Conflict);
+    const BundleOutcome older = table.apply(ReplacePlan {.base = {3}, .version = {2}, .content = "two"}, at(3));
+    ASSERT_FALSE(older);
+    EXPECT_EQ(older.error().kind, ControlErrorKind::Invalid);
+    EXPECT_EQ(table.state().planPosition, at(1));
+}
+
+TEST(RoutingTableTest, DamagedSnapshotsAreRefused)
+{
+    const nlohmann::json whole = RoutingTable().toJson();
+    for (const auto& [key, value] : whole.items()) {
+        nlohmann::json less = whole;
+        less.erase(key);
+        EXPECT_FALSE(RoutingTable::fromJson(less)) << key;
+    }
+    nlohmann::json wrong = whole;
+    wrong["retired"] = {1, 2};
+    EXPECT_FALSE(RoutingTable::fromJson(wrong));
+}
+
+} // namespace saltvane::control
--- /dev/null
+++ b/src/membership/tests/hostrostertests.cpp
@@ -0,0 +1,110 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "membership/ihostroster.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace saltvane::membership {
+
+namespace {
+
+model::HostRecord recordOf(const std::string& host, bool isControl, uint64_t sequence = 1, uint64_t incarnation = 1)
+{
+    return {.host = HostId(host),
+        .incarnation = {incarnation},
+        .sequence = sequence,
+        .zone = ZoneName("a"),
+        .region = RegionName("r"),
+        .isControl = isControl,
+        .state = model::HostState::Serving};
+}
+
+model::Delivery heartbeat(const model::HostRecord& record)
+{
+    return {.from = record.host, .fromIncarnation = record.incarnation, .message = model::Heartbeat {.record = record}};
+}
+
+bool hasMessageTo(const std::vector<model::Outgoing>& outgoing, const std::string& host)
+{
+    return std::ranges::any_of(outgoing, [&](const model::Outgoing& one) { return one.to == HostId(host); });
+}
+
+} // namespace
+
+TEST(HostRosterTest, AHostReportsToItsSeedsAndLearnsOfOthers)
+{
+    const auto roster = makeHostRoster({.self = recordOf("g", false), .seeds = {HostId("c1")}});
+    Timestamp now(10s);
+    roster->tick(now);
+    EXPECT_TRUE(hasMessageTo(roster->takeOutgoing(), "c1"));
+    roster->handle({.from = HostId("c1"),
+                       .fromIncarnation = {1},
+                       .message = model::ZoneReport {.zone = ZoneName("a"),
+                           .relay = HostId("c1"),
+                           .hosts = {recordOf("c2", true)},
+                           .ages = {100ms}}},
+        now);
+    EXPECT_EQ(roster->controlHosts(), (std::vector {HostId("c1"), HostId("c2")}));
+    now += 300ms;
+    roster->tick(now);
+    EXPECT_TRUE(hasMessageTo(roster->takeOutgoing(), "c2"));
+}
+
+TEST(HostRosterTest, AnOlderRecordChangesNothing)
+{
+    const auto roster = makeHostRoster({.self = recordOf("c", true)});
+    const Timestamp now(10s);
+    model::HostRecord leaving = recordOf("g", false, 5);
+    leaving.state = model::HostState::Leaving;
+    roster->handle(heartbeat(leaving), now);
+    roster->handle(heartbeat(recordOf("g", false, 4)), now);
+    EXPECT_EQ(roster->find(HostId("g"))->record.state, model::HostState::Leaving);
+    roster->handle(heartbeat(recordOf("g", false, 1, 2)), now); // Started again.
+    EXPECT_EQ(roster->find(HostId("g"))->record.state, model::HostState::Serving);
+}
+
+TEST(HostRosterTest, WordOfAThirdHostIsAsOldAsItSays)
+{
+    const auto roster = makeHostRoster({.self = recordOf("g", false), .seeds = {HostId("c1")}});
+    const Timestamp now(100s);
+    roster->handle({.from = HostId("c1"),
+                       .fromIncarnation = {1},
+                       .message = model::ZoneReport {.zone = ZoneName("a"),
+                           .relay = HostId("c1"),
+                           .hosts = {recordOf("c2", true)},
+                           .ages = {4s}}},
+        now);
+    EXPECT_TRUE(roster->heardWithin(1s, now).empty());
+    EXPECT_EQ(roster->heardWithin(5s, now).size(), 1U);
+}
+
+TEST(HostRosterTest, ASilentControlHostIsForgottenButASeedIsNot)
+{
+    const auto roster = makeHostRoster({.self = recordOf("g", false), .seeds = {HostId("c1")}});
+    Timestamp now(10s);
+    roster->handle(heartbeat(recordOf("c1", true)), now);
+    roster->handle(heartbeat(recordOf("c2", true)), now);
+    now += 11s;
+    roster->tick(now);
+    EXPECT_EQ(roster->controlHosts(), std::vector {HostId("c1")});
+    roster->setSeeds({HostId("c3")});
+    EXPECT_EQ(roster->controlHosts(), std::vector {HostId("c3")});
+}
+
+TEST(HostRosterTest, AChangeOfStateIsToldAtOnce)
+{
+    const auto roster = makeHostRoster({.self = recordOf("g", false), .seeds = {HostId("c1")}});
+    const Timestamp now(10s);
+    roster->tick(now);
+    (void)roster->takeOutgoing();
+    roster->setState(model::HostState::Leaving);
+    const std::vector<model::Outgoing> outgoing = roster->takeOutgoing();
+    ASSERT_EQ(outgoing.size(), 1U);
+    EXPECT_EQ(std::get<model::Heartbeat>(outgoing[0].message).record.state, model::HostState::Leaving);
+}
+
+} // namespace saltvane::membership
--- /dev/null
+++ b/src/settings/tests/routeplantests.cpp
@@ -0,0 +1,114 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "settings/routeplanformat.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace saltvane::settings {
+
+namespace {
+
+const std::string Good = R"({"version": 7,
+ "routes": [
+  {"name": "a", "host": "h", "path_prefix": "/a/", "kind": "at_most_once", "timeout_ms": 4000, "objective_ms": 600.5,
+   "rank": 1, "service": "s", "attempts": 2, "affinity": true, "permitted_regions": ["north"], "unknown": 1},
+  {"name": "b", "host": "h", "path_prefix": "/b/", "kind": "large_read", "timeout_ms": 1500, "attempts": 1,
+   "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 0}]}],
+ "services": [{"name": "s", "probe_path": "/health", "connections": 330, "slow_start_s": 3.0, "slow_start_per_s": 14.0},
+              {"name": "t", "probe_path": "/health"}],
+ "limits": {"header_bytes": 1000, "body_bytes": 2000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+}
+
+std::string findingsOf(const std::string& text)
+{
+    const Result<model::RoutePlan, Findings> plan = parseRoutePlan(text, "plan");
+    std::string all;
+    if (plan)
+        return all;
+    for (const Finding& finding : plan.error().items())
+        all += toString(finding) + "\n";
+    return all;
+}
+
+} // namespace
+
+TEST(RoutePlanTest, ReadsEveryField)
+{
+    const Result<model::RoutePlan, Findings> plan = parseRoutePlan(Good, "plan");
+    ASSERT_TRUE(plan) << findingsOf(Good);
+    const model::Route& route = plan.value().routes.at(0);
+    EXPECT_EQ(plan.value().version.value, 7U);
+    EXPECT_EQ(route.kind, model::RouteKind::AtMostOnce);
+    EXPECT_EQ(route.timeout, 4s);
+    EXPECT_EQ(route.objective, Duration(600'500us));
+    EXPECT_TRUE(route.hasAffinity);
+    EXPECT_EQ(route.permittedRegions.at(0), RegionName("north"));
+    EXPECT_EQ(plan.value().routes.at(1).services.size(), 2U);
+    EXPECT_EQ(plan.value().services.at(0).slowStart, 3s);
+    EXPECT_EQ(plan.value().limits.bodyBytes, 2000U);
+}
+
+TEST(RoutePlanTest, FindsWhatIsWrongWithItsPlace)
+{
+    EXPECT_NE(findingsOf(replaced(Good, "\"service\": \"s\", \"attempts\"", "\"service\": \"x\", \"attempts\""))
+                  .find("routes[0].service"),
+        std::string::npos);
+    EXPECT_NE(findingsOf(replaced(Good, "at_most_once", "once")).find("routes[0].kind"), std::string::npos);
+    EXPECT_NE(findingsOf(replaced(Good, "\"attempts\": 2", "\"attempts\": 0")).find("attempts"), std::string::npos);
+    EXPECT_NE(findingsOf(replaced(Good, "600.5", "64000")).find("objective_ms"), std::string::npos);
+    EXPECT_EQ(findingsOf(replaced(Good, "600.5", "63999")), "");
+    EXPECT_NE(findingsOf(replaced(Good, "\"weight\": 90", "\"weight\": 0")).find("sum to 0"), std::string::npos);
+    EXPECT_NE(findingsOf(replaced(Good, "\"version\": 7", "\"version\": \"7\"")).find("version"), std::string::npos);
+    EXPECT_NE(findingsOf(Good.substr(0, 200)).find("plan:"), std::string::npos);
+}
+
+TEST(RoutePlanTest, ASyntaxErrorHasItsLine)
+{
+    const std::string text = findingsOf("{\"version\": 7,\n \"routes\": ]}");
+    EXPECT_NE(text.find("plan:2:"), std::string::npos) << text;
+}
+
+TEST(RoutePlanTest, AllFindingsComeAtOnce)
+{
+    std::string text = replaced(Good, "at_most_once", "once");
+    text = replaced(text, "\"timeout_ms\": 1500, ", "");
+    const std::string all = findingsOf(text);
+    EXPECT_NE(all.find("routes[0].kind"), std::string::npos);
+    EXPECT_NE(all.find("routes[1].timeout_ms"), std::string::npos);
+}
+
+/// Damaged plans are refused or read, and never do harm.
+TEST(RoutePlanTest, DamagedPlansDoNoHarm)
+{
+    std::mt19937 random(7);
+    for (int round = 0; round < 5000; ++round) {
+        std::string text = Good;
+        for (uint32_t change = random() % 4 + 1; change > 0; --change) {
+            const size_t at = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text[at] = static_cast<char>(random() % 256);
+                break;
+            case 1:
+                text.erase(at, random() % 20);
+                break;
+            default:
+                text.insert(at, text.substr(random() % text.size(), 10));
+            }
+        }
+        const Result<model::RoutePlan, Findings> plan = parseRoutePlan(text, "plan");
+        EXPECT_TRUE(plan || !plan.error().isEmpty());
+    }
+}
+
+} // namespace saltvane::settings
