--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -28,23 +28,10 @@
 /// A connection that rested longer may be about to be closed by the target, and a request lost with it.
 constexpr Duration LongestIdle = 4s;
 constexpr Duration LongestIdleForOnce = 2s;
-constexpr Duration UsualRetryAfter = 200ms;
-constexpr Duration StopRetryAfter = 50ms; ///< Other gateways serve meanwhile.
 
 constexpr int StatusNotFound = 404;
 constexpr int StatusTooLarge = 413;
 constexpr int StatusMisdirected = 421;
-/// The one status by which callers know that a request has not run.
-constexpr int StatusUnavailable = 503;
-
-std::string_view valueOf(const std::vector<model::Header>& headers, std::string_view name)
-{
-    for (const model::Header& header : headers) {
-        if (model::isSameFieldName(header.name, name))
-            return header.value;
-    }
-    return {};
-}
 
 std::optional<Duration> parseMilliseconds(std::string_view text)
 {
@@ -60,13 +47,6 @@
     return std::to_string(std::max<int64_t>(std::chrono::floor<std::chrono::milliseconds>(duration).count(), 1));
 }
 
-std::string secondsText(Duration duration)
-{
-    // Thousandths are all that a caller can use.
-    std::string text = std::to_string(toSeconds(duration));
-    return text.substr(0, text.size() - 3);
-}
-
 std::optional<uint64_t> objectHash(std::string_view object)
 {
     if (object.empty())
@@ -116,7 +96,7 @@
     const settings::HeaderNames& names = options_.headers;
     auto exchange = std::make_unique<Exchange>();
     exchange->handle = request.handle;
-    exchange->id = RequestId(valueOf(request.headers, names.requestId));
+    exchange->id = RequestId(requests::firstFieldValue(request.headers, names.requestId));
     exchange->method = request.method;
     exchange->path = request.path;
     exchange->headers = requests::endToEndHeaders(request.headers);
@@ -126,12 +106,13 @@
             || model::isSameFieldName(header.name, "Expect");
     });
     if (route.route.hasAffinity)
-        exchange->object = objectHash(valueOf(request.headers, names.object));
+        exchange->object = objectHash(requests::firstFieldValue(request.headers, names.object));
     exchange->route = route.route;
     exchange->service = route.nextService();
     exchange->planVersion = routes_->plan().version;
     exchange->startedAt = now;
-    const Duration stated = parseMilliseconds(valueOf(request.headers, names.deadline)).value_or(UsualDeadline);
+    const Duration stated
+        = parseMilliseconds(requests::firstFieldValue(request.headers, names.deadline)).value_or(UsualDeadline);
     exchange->deadline = now + std::min(stated, route.route.timeout);
     return exchange;
 }
@@ -143,7 +124,7 @@
         return refuseEarly(request, nullptr, {.reason = model::Reason::Stopping, .retryAfter = StopRetryAfter}, now);
     if (!routes_)
         return refuseEarly(request, nullptr, {.reason = model::Reason::NotReady, .retryAfter = UsualRetryAfter}, now);
-    PlannedRoute* route = routes_->find(valueOf(request.headers, "Host"), request.path);
+    PlannedRoute* route = routes_->find(requests::firstFieldValue(request.headers, "Host"), request.path);
     if (route == nullptr)
         return refuseEarly(request, nullptr, {.status = StatusNotFound, .reason = model::Reason::UnknownService}, now);
     if (request.bodyLength.value_or(0) > routes_->plan().limits.bodyBytes)
@@ -285,14 +266,14 @@
 void RequestRunner::accept(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
 {
     GatewayTarget* target = options_.targets.find(exchange.target);
-    const std::string_view load = valueOf(head.headers, options_.headers.load);
+    const std::string_view load = requests::firstFieldValue(head.headers, options_.headers.load);
     if (target != nullptr && !load.empty())
         target->noteLoad(load, now);
-    const bool isNotRun = !valueOf(head.headers, options_.headers.notRun).empty();
+    const bool isNotRun = !requests::firstFieldValue(head.headers, options_.headers.notRun).empty();
     if (isNotRun || head.status == StatusMisdirected)
         return noteRefusedByTarget(exchange, head.status, now);
     // A surplus answer of an earlier request carries another id.
-    if (valueOf(head.headers, options_.headers.requestId) != exchange.id.value()) {
+    if (requests::firstFieldValue(head.headers, options_.headers.requestId) != exchange.id.value()) {
         actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
         exchange.mayHaveRun = true;
         return tryElsewhere(exchange, model::Reason::TargetFailed, now);
@@ -453,94 +434,4 @@
     }
 }
 
-/// After the last try: "not run" only where that is known.
-void RequestRunner::giveUp(Exchange& exchange, model::Reason reason, Timestamp now)
-{
-    if (!exchange.mayHaveRun)
-        return refuse(exchange, reason, UsualRetryAfter, now);
-    options_.counters.add(model::Counter::RequestsUnknown);
-    options_.counters.addUnknown(reason);
-    const int status = model::httpStatus(model::Outcome::Unknown, reason);
-    refuseAtOnce(exchange.handle, status, reason, Duration::zero());
-    finish(
-        exchange, {.exchange = exchange, .outcome = model::Outcome::Unknown, .reason = reason, .status = status}, now);
-}
-
-void RequestRunner::refuse(Exchange& exchange, model::Reason reason, Duration retryAfter, Timestamp now)
-{
-    if (exchange.mayHaveRun) // A repeat found no place; the first try may have run.
-        return giveUp(exchange, exchange.lastReason, now);
-    refuseAtOnce(exchange.handle, 0, reason, retryAfter);
-    finish(exchange,
-        {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = reason, .status = StatusUnavailable}, now);
-}
-
-void RequestRunner::refuseEarly(
-    const requests::HttpRequestStarted& request, const PlannedRoute* route, const EarlyRefusal& refusal, Timestamp now)
-{
-    Exchange exchange {.handle = request.handle,
-        .id = RequestId(valueOf(request.headers, options_.headers.requestId)),
-        .startedAt = now};
-    if (route != nullptr)
-        exchange.route = route->route;
-    if (routes_)
-        exchange.planVersion = routes_->plan().version;
-    const int status = refusal.status == 0 ? StatusUnavailable : refusal.status;
-    options_.onDecided(
-        {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = refusal.reason, .status = status}, now);
-    refuseAtOnce(request.handle, refusal.status, refusal.reason, refusal.retryAfter);
-}
-
-void RequestRunner::refuseAtOnce(requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter)
-{
-    const bool isNotRun = status == 0;
-    if (isNotRun) {
-        status = StatusUnavailable;
-        options_.counters.add(model::Counter::RequestsNotRun);
-        options_.counters.addRefusal(reason);
-    }
-    std::string text = std::string(model::toString(reason)) + "\n";
-    const uint64_t length = text.size();
-    requests::HttpRespond answer {.handle = handle,
-        .status = status,
-        .headers = {{.name = "Content-Type", .value = "text/plain; charset=utf-8"},
-            {.name = std::string(requests::ReasonHeader), .value = std::string(model::toString(reason))}},
-        .bodyLength = length,
-        .bytes = std::move(text)};
-    if (isNotRun)
-        answer.headers.push_back({.name = std::string(requests::RetryAfterHeader),
-            .value = secondsText(isLeaving_ ? StopRetryAfter : retryAfter)});
-    respond(std::move(answer));
-}
-
-void RequestRunner::respond(requests::HttpRespond answer)
-{
-    if (isLeaving_)
-        answer.headers.push_back({.name = "Connection", .value = "close"});
-    answering_.insert(answer.handle);
-    actions_.emplace_back(std::move(answer));
-}
-
-void RequestRunner::abort(const Exchange& exchange)
-{
-    answering_.erase(exchange.handle);
-    actions_.emplace_back(requests::HttpAbort {.handle = exchange.handle});
-}
-
-void RequestRunner::finish(Exchange& exchange, Decision decision, Timestamp now)
-{
-    options_.onDecided(decision, now);
-    erase(exchange);
-}
-
-void RequestRunner::erase(Exchange& exchange)
-{
-    releaseTarget(exchange);
-    deadlines_.erase({exchange.deadline, exchange.handle});
-    if (exchange.isOnLink)
-        options_.link.noteEnded(exchange.answerBytes);
-    const requests::HttpHandle handle = exchange.handle;
-    exchanges_.erase(handle);
-}
-
 } // namespace saltvane::gateway
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -48,6 +48,9 @@
     };
     explicit RequestRunner(Options options);
 
+    static constexpr Duration UsualRetryAfter = 200ms;
+    static constexpr Duration StopRetryAfter = 50ms; ///< Other gateways serve meanwhile.
+
     void install(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
     /// From now on every answer asks the caller to leave its connection.
     void startLeaving() { isLeaving_ = true; }
--- a/src/registry/internal/calls.cpp
+++ b/src/registry/internal/calls.cpp
@@ -7,6 +7,8 @@
 
 #include "registry/internal/lookups.h"
 
+#include "requests/headerfilter.h"
+
 #include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -18,7 +20,7 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view TargetsPrefix = "/v1/targets/";
-constexpr std::string_view BeatSuffix = "/heartbeat";
+constexpr std::string_view HeartbeatSuffix = "/heartbeat";
 constexpr std::string_view LeaveSuffix = "/leave";
 constexpr std::string_view EvacuationsPrefix = "/v1/evacuations/";
 constexpr std::string_view PlanPath = "/v1/plan";
@@ -30,15 +32,6 @@
 constexpr int StatusRedirect = 307;
 constexpr int StatusUnavailable = 503;
 
-std::string_view headerValue(const std::vector<model::Header>& headers, std::string_view name)
-{
-    for (const model::Header& header : headers) {
-        if (model::isSameFieldName(header.name, name))
-            return header.value;
-    }
-    return {};
-}
-
 BundleVersion parseVersion(std::string_view text)
 {
     BundleVersion version;
@@ -49,8 +42,8 @@
 Call readTargetCall(std::string_view path)
 {
     path.remove_prefix(TargetsPrefix.size());
-    if (path.ends_with(BeatSuffix))
-        return TargetBeatCall {TargetId(path.substr(0, path.size() - BeatSuffix.size()))};
+    if (path.ends_with(HeartbeatSuffix))
+        return TargetHeartbeatCall {TargetId(path.substr(0, path.size() - HeartbeatSuffix.size()))};
     if (path.ends_with(LeaveSuffix))
         return TargetLeaveCall {TargetId(path.substr(0, path.size() - LeaveSuffix.size()))};
     return UnknownCall {};
@@ -88,7 +81,7 @@
     if (method == "POST" && path.starts_with(TargetsPrefix))
         return readTargetCall(path);
     if (method == "PUT" && path == PlanPath)
-        return ReplacePlanCall {.base = parseVersion(headerValue(request.headers, headers.planBase))};
+        return ReplacePlanCall {.base = parseVersion(requests::firstFieldValue(request.headers, headers.planBase))};
     if (method == "GET" && path == PlanPath)
         return ReadPlanCall {};
     if (path.starts_with(EvacuationsPrefix))
@@ -98,7 +91,7 @@
     return UnknownCall {};
 }
 
-Result<model::TargetRecord, Findings> readTargetBeat(const TargetId& target, std::string_view body)
+Result<model::TargetRecord, Findings> readTargetHeartbeat(const TargetId& target, std::string_view body)
 {
     Findings findings;
     const Json json = Json::parse(body, nullptr, false);
--- a/src/registry/internal/calls.h
+++ b/src/registry/internal/calls.h
@@ -24,7 +24,7 @@
     std::string zone;
     std::string region;
 };
-struct TargetBeatCall {
+struct TargetHeartbeatCall {
     TargetId target;
 };
 struct TargetLeaveCall {
@@ -40,12 +40,12 @@
 };
 struct StatusCall { };
 struct UnknownCall { };
-using Call = std::variant<LookUpCall, TargetBeatCall, TargetLeaveCall, ReplacePlanCall, ReadPlanCall, EvacuationCall,
-    StatusCall, UnknownCall>;
+using Call = std::variant<LookUpCall, TargetHeartbeatCall, TargetLeaveCall, ReplacePlanCall, ReadPlanCall,
+    EvacuationCall, StatusCall, UnknownCall>;
 
 /// By method, path and headers alone.
 [[nodiscard]] Call readCall(const requests::HttpRequestStarted& request, const settings::HeaderNames& headers);
-[[nodiscard]] Result<model::TargetRecord, Findings> readTargetBeat(const TargetId& target, std::string_view body);
+[[nodiscard]] Result<model::TargetRecord, Findings> readTargetHeartbeat(const TargetId& target, std::string_view body);
 /// The version that a plan's text states, without its checks; 0 where there is none.
 [[nodiscard]] BundleVersion statedVersion(std::string_view plan);
 
--- /dev/null
+++ b/src/registry/internal/registrycalls.cpp
@@ -0,0 +1,152 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "registry/internal/lookups.h"
+#include "registry/internal/registrycore.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+/// How RegistryCore carries out the calls of callers, targets and operators.
+namespace saltvane::registry {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 412;
+
+} // namespace
+
+void RegistryCore::run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& /*open*/, Timestamp now)
+{
+    const std::vector<model::Address> addresses = gatewaysFor(*roster_, call.zone, call.region, now);
+    counters_->add(addresses.empty() ? model::Counter::LookUpsRefused : model::Counter::LookUps);
+    if (addresses.empty())
+        return answer(laterAnswer(handle, "no gateway is known"));
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const model::Address& address : addresses)
+        hosts.push_back(toString(address));
+    const nlohmann::json body {{"hosts", std::move(hosts)}, {"ttl_s", toSeconds(settings_.lookUpTtl)}};
+    answer(jsonAnswer(handle, StatusOk, body.dump()));
+}
+
+void RegistryCore::run(requests::HttpHandle handle, const TargetHeartbeatCall& call, OpenCall& open, Timestamp now)
+{
+    Result<model::TargetRecord, Findings> heartbeat = readTargetHeartbeat(call.target, open.body);
+    if (!heartbeat) {
+        counters_->add(model::Counter::AnnouncementsRefused);
+        return answer(findingsAnswer(handle, heartbeat.error().items()));
+    }
+    counters_->add(model::Counter::Announcements);
+    const bool isLeaving = heartbeat.value().isLeaving || isRetired(call.target);
+    const bool mustRetire = isLeaving && !isRetired(call.target);
+    heartbeat.value().isLeaving = isLeaving;
+    if (!targets_.note(std::move(heartbeat.value()), now))
+        counters_->add(model::Counter::StaleMessages);
+    if (mustRetire)
+        return orders_.submit(handle, control::RetireTarget {.target = call.target}, now);
+    answer(jsonAnswer(handle, StatusOk, "{}"));
+}
+
+void RegistryCore::run(requests::HttpHandle handle, const TargetLeaveCall& call, OpenCall& /*open*/, Timestamp now)
+{
+    targets_.remove(call.target);
+    if (isRetired(call.target))
+        return answer(jsonAnswer(handle, StatusOk, "{}"));
+    orders_.submit(handle, control::RetireTarget {.target = call.target}, now);
+}
+
+void RegistryCore::run(requests::HttpHandle handle, const ReplacePlanCall& call, OpenCall& open, Timestamp now)
+{
+    log(host::LogSeverity::Info,
+        "event=plan_order base=" + std::to_string(call.base.value) + " bytes=" + std::to_string(open.body.size()));
+    orders_.submit(handle,
+        control::ReplacePlan {.base = call.base, .version = statedVersion(open.body), .content = std::move(open.body)},
+        now);
+}
+
+void RegistryCore::run(requests::HttpHandle handle, ReadPlanCall /*call*/, OpenCall& /*open*/, Timestamp now)
+{
+    const control::RoutingState& routing = replica_->routing();
+    if (!replica_->isCurrent(now) || routing.planContent.empty()) {
+        counters_->add(model::Counter::NotCurrentAnswers);
+        return answer(laterAnswer(handle, "no plan, or no proof that it is the newest"));
+    }
+    answer(jsonAnswer(handle, StatusOk, routing.planContent));
+}
+
+void RegistryCore::run(requests::HttpHandle handle, const EvacuationCall& call, OpenCall& /*open*/, Timestamp now)
+{
+    orders_.submit(handle, control::SetEvacuation {.zone = call.zone, .isEvacuated = call.isEvacuated}, now);
+}
+
+void RegistryCore::run(requests::HttpHandle handle, StatusCall /*call*/, OpenCall& /*open*/, Timestamp now)
+{
+    answer(jsonAnswer(handle, StatusOk, statusText(now)));
+}
+
+void RegistryCore::run(requests::HttpHandle handle, UnknownCall /*call*/, OpenCall& /*open*/, Timestamp /*now*/)
+{
+    answer(errorAnswer(handle, StatusNotFound, "no such call"));
+}
+
+bool RegistryCore::isRetired(const TargetId& target) const { return retired_.contains(target); }
+
+std::string RegistryCore::statusText(Timestamp now) const
+{
+    nlohmann::json replicas = nlohmann::json::array();
+    for (const control::ReplicaInfo& info : replica_->replicas())
+        replicas.push_back({{"host", info.host.value()}, {"voter", info.isVoter}});
+    return nlohmann::json {{"leader", replica_->leaderHost().value()}, {"current", replica_->isCurrent(now)},
+        {"term", replica_->term().value}, {"commit", replica_->commitIndex().value},
+        {"plan", replica_->routing().planVersion.value}, {"targets", targets_.size()},
+        {"gateways", gateways(now).size()}, {"replicas", std::move(replicas)}}
+        .dump();
+}
+
+void RegistryCore::answer(requests::HttpRespond respond)
+{
+    calls_.erase(respond.handle);
+    actions_.emplace_back(requests::Action(std::move(respond)));
+}
+
+requests::HttpRespond RegistryCore::answerOf(const OrderAnswer& order, const OpenCall& open) const
+{
+    if (std::holds_alternative<OrderDone>(order.outcome))
+        return jsonAnswer(order.handle, StatusOk, "{}");
+    if (const auto* unanswered = std::get_if<OrderUnanswered>(&order.outcome))
+        return laterAnswer(order.handle, unanswered->reason);
+    if (const auto* elsewhere = std::get_if<OrderElsewhere>(&order.outcome)) {
+        const membership::RosterEntry* leader = roster_->find(elsewhere->leader);
+        if (leader == nullptr)
+            return laterAnswer(order.handle, "the control leader's address is not known yet");
+        return redirectAnswer(order.handle, leader->record.entryAddress, open.path);
+    }
+    const control::ControlError& error = std::get<OrderRefused>(order.outcome).error;
+    if (error.kind == control::ControlErrorKind::Conflict)
+        return errorAnswer(order.handle, StatusConflict, error.message);
+    if (!error.findings.empty())
+        return findingsAnswer(order.handle, error.findings);
+    return errorAnswer(order.handle, StatusBadRequest, error.message);
+}
+
+void RegistryCore::answerOrders()
+{
+    for (const OrderAnswer& order : orders_.takeAnswers()) {
+        const auto found = calls_.find(order.handle);
+        if (found == calls_.end())
+            continue;
+        requests::HttpRespond respond = answerOf(order, found->second);
+        log(host::LogSeverity::Info,
+            "event=order_answered path=" + found->second.path + " status=" + std::to_string(respond.status)
+                + " plan=" + std::to_string(replica_->routing().planVersion.value)
+                + " commit=" + std::to_string(replica_->commitIndex().value));
+        answer(std::move(respond));
+    }
+}
+
+} // namespace saltvane::registry
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -5,11 +5,9 @@
  */
 #include "registry/internal/registrycore.h"
 
-#include "registry/internal/lookups.h"
 #include "settings/routeplanformat.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace saltvane::registry {
@@ -22,14 +20,6 @@
 constexpr Duration ElectionTimeout = 450ms;
 constexpr Duration LeaderHeartbeat = 90ms;
 constexpr Duration LeaderLease = 350ms; ///< Under the election timeout.
-/// Reports of targets are gathered for so long.
-constexpr Duration ReportPeriod = 100ms;
-/// Loads of all gateways are told this often.
-constexpr Duration LoadPeriod = 300ms;
-/// A registry host that is silent for so long serves nobody.
-constexpr Duration LivingFor = 1s;
-/// Gateways heard of within it are sent reports and plans.
-constexpr Duration GatewayMemory = 4s;
 /// A planned stop waits so long for answers and messages on their way.
 constexpr Duration StopDelay = 300ms;
 constexpr Duration LongestStop = 2s;
@@ -37,10 +27,6 @@
 constexpr size_t RetiredTold = 512;
 constexpr size_t LargestBody = 4 * 1024 * 1024;
 
-constexpr int StatusOk = 200;
-constexpr int StatusBadRequest = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 412;
 constexpr int StatusTooLarge = 413;
 
 /// Decisions of the log need no wall clock here: it only dates entries for people.
@@ -211,134 +197,6 @@
     stopAt_ = now + StopDelay;
 }
 
-void RegistryCore::run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& /*open*/, Timestamp now)
-{
-    const std::vector<model::Address> addresses = gatewaysFor(*roster_, call.zone, call.region, now);
-    counters_->add(addresses.empty() ? model::Counter::LookUpsRefused : model::Counter::LookUps);
-    if (addresses.empty())
-        return answer(laterAnswer(handle, "no gateway is known"));
-    nlohmann::json hosts = nlohmann::json::array();
-    for (const model::Address& address : addresses)
-        hosts.push_back(toString(address));
-    const nlohmann::json body {{"hosts", std::move(hosts)}, {"ttl_s", toSeconds(settings_.lookUpTtl)}};
-    answer(jsonAnswer(handle, StatusOk, body.dump()));
-}
-
-bool RegistryCore::isRetired(const TargetId& target) const { return retired_.contains(target); }
-
-void RegistryCore::run(requests::HttpHandle handle, const TargetBeatCall& call, OpenCall& open, Timestamp now)
-{
-    Result<model::TargetRecord, Findings> beat = readTargetBeat(call.target, open.body);
-    if (!beat) {
-        counters_->add(model::Counter::AnnouncementsRefused);
-        return answer(findingsAnswer(handle, beat.error().items()));
-    }
-    counters_->add(model::Counter::Announcements);
-    const bool isLeaving = beat.value().isLeaving || isRetired(call.target);
-    const bool mustRetire = isLeaving && !isRetired(call.target);
-    beat.value().isLeaving = isLeaving;
-    if (!targets_.note(std::move(beat.value()), now))
-        counters_->add(model::Counter::StaleMessages);
-    if (mustRetire)
-        return orders_.submit(handle, control::RetireTarget {.target = call.target}, now);
-    answer(jsonAnswer(handle, StatusOk, "{}"));
-}
-
-void RegistryCore::run(requests::HttpHandle handle, const TargetLeaveCall& call, OpenCall& /*open*/, Timestamp now)
-{
-    targets_.remove(call.target);
-    if (isRetired(call.target))
-        return answer(jsonAnswer(handle, StatusOk, "{}"));
-    orders_.submit(handle, control::RetireTarget {.target = call.target}, now);
-}
-
-void RegistryCore::run(requests::HttpHandle handle, const ReplacePlanCall& call, OpenCall& open, Timestamp now)
-{
-    log(host::LogSeverity::Info,
-        "event=plan_order base=" + std::to_string(call.base.value) + " bytes=" + std::to_string(open.body.size()));
-    orders_.submit(handle,
-        control::ReplacePlan {.base = call.base, .version = statedVersion(open.body), .content = std::move(open.body)},
-        now);
-}
-
-void RegistryCore::run(requests::HttpHandle handle, ReadPlanCall /*call*/, OpenCall& /*open*/, Timestamp now)
-{
-    const control::RoutingState& routing = replica_->routing();
-    if (!replica_->isCurrent(now) || routing.planContent.empty()) {
-        counters_->add(model::Counter::NotCurrentAnswers);
-        return answer(laterAnswer(handle, "no plan, or no proof that it is the newest"));
-    }
-    answer(jsonAnswer(handle, StatusOk, routing.planContent));
-}
-
-void RegistryCore::run(requests::HttpHandle handle, const EvacuationCall& call, OpenCall& /*open*/, Timestamp now)
-{
-    orders_.submit(handle, control::SetEvacuation {.zone = call.zone, .isEvacuated = call.isEvacuated}, now);
-}
-
-void RegistryCore::run(requests::HttpHandle handle, StatusCall /*call*/, OpenCall& /*open*/, Timestamp now)
-{
-    answer(jsonAnswer(handle, StatusOk, statusText(now)));
-}
-
-void RegistryCore::run(requests::HttpHandle handle, UnknownCall /*call*/, OpenCall& /*open*/, Timestamp /*now*/)
-{
-    answer(errorAnswer(handle, StatusNotFound, "no such call"));
-}
-
-std::string RegistryCore::statusText(Timestamp now) const
-{
-    nlohmann::json replicas = nlohmann::json::array();
-    for (const control::ReplicaInfo& info : replica_->replicas())
-        replicas.push_back({{"host", info.host.value()}, {"voter", info.isVoter}});
-    return nlohmann::json {{"leader", replica_->leaderHost().value()}, {"current", replica_->isCurrent(now)},
-        {"term", replica_->term().value}, {"commit", replica_->commitIndex().value},
-        {"plan", replica_->routing().planVersion.value}, {"targets", targets_.size()},
-        {"gateways", gateways(now).size()}, {"replicas", std::move(replicas)}}
-        .dump();
-}
-
-void RegistryCore::answer(requests::HttpRespond respond)
-{
-    calls_.erase(respond.handle);
-    actions_.emplace_back(requests::Action(std::move(respond)));
-}
-
-requests::HttpRespond RegistryCore::answerOf(const OrderAnswer& order, const OpenCall& open) const
-{
-    if (std::holds_alternative<OrderDone>(order.outcome))
-        return jsonAnswer(order.handle, StatusOk, "{}");
-    if (const auto* unanswered = std::get_if<OrderUnanswered>(&order.outcome))
-        return laterAnswer(order.handle, unanswered->reason);
-    if (const auto* elsewhere = std::get_if<OrderElsewhere>(&order.outcome)) {
-        const membership::RosterEntry* leader = roster_->find(elsewhere->leader);
-        if (leader == nullptr)
-            return laterAnswer(order.handle, "the control leader's address is not known yet");
-        return redirectAnswer(order.handle, leader->record.entryAddress, open.path);
-    }
-    const control::ControlError& error = std::get<OrderRefused>(order.outcome).error;
-    if (error.kind == control::ControlErrorKind::Conflict)
-        return errorAnswer(order.handle, StatusConflict, error.message);
-    if (!error.findings.empty())
-        return findingsAnswer(order.handle, error.findings);
-    return errorAnswer(order.handle, StatusBadRequest, error.message);
-}
-
-void RegistryCore::answerOrders()
-{
-    for (const OrderAnswer& order : orders_.takeAnswers()) {
-        const auto found = calls_.find(order.handle);
-        if (found == calls_.end())
-            continue;
-        requests::HttpRespond respond = answerOf(order, found->second);
-        log(host::LogSeverity::Info,
-            "event=order_answered path=" + found->second.path + " status=" + std::to_string(respond.status)
-                + " plan=" + std::to_string(replica_->routing().planVersion.value)
-                + " commit=" + std::to_string(replica_->commitIndex().value));
-        answer(std::move(respond));
-    }
-}
-
 void RegistryCore::settle(Timestamp now)
 {
     noteOrders(now);
@@ -351,103 +209,6 @@
     send(holder_->takeOutgoing());
 }
 
-void RegistryCore::noteOrders(Timestamp now)
-{
-    const control::RoutingState& routing = replica_->routing();
-    if (routing.planVersion.value != 0 && (!holder_->isReady() || holder_->age(now) > RegistryTick))
-        distribute(now);
-    if (routing.ordersPosition == ordersSeen_)
-        return;
-    ordersSeen_ = routing.ordersPosition;
-    model::TargetReport report = makeReport();
-    for (const TargetId& target : routing.retiredTargets) {
-        if (retired_.insert(target).second)
-            report.retired.push_back(target);
-    }
-    for (const Gateway& gateway : gateways(now))
-        send({{.to = gateway.host, .message = report}});
-}
-
-void RegistryCore::distribute(Timestamp now)
-{
-    std::vector<HostId> receivers;
-    if (replica_->isLeader()) {
-        for (const Gateway& gateway : gateways(now))
-            receivers.push_back(gateway.host);
-    }
-    holder_->setPeers({}, receivers, now);
-    const control::RoutingState& routing = replica_->routing();
-    std::optional<control::IBundleHolder::ControlView> view;
-    if (routing.planVersion.value != 0 && replica_->proofAge(now) != Duration::max()) {
-        view = {.position = routing.planPosition,
-            .version = routing.planVersion,
-            .content = routing.planContent,
-            .proofAge = replica_->proofAge(now)};
-    }
-    holder_->setControlView(view, now);
-    holder_->tick(now);
-    (void)holder_->takeInstalled(); // This host serves no requests by it.
-}
-
-model::TargetReport RegistryCore::makeReport() const
-{
-    const control::RoutingState& routing = replica_->routing();
-    return {.orders = routing.ordersPosition,
-        .evacuatedZones = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()}};
-}
-
-void RegistryCore::reportTargets(Timestamp now)
-{
-    if (now < nextReportAt_)
-        return;
-    nextReportAt_ = now + ReportPeriod;
-    const std::vector<Gateway> receivers = gateways(now);
-    model::TargetReport report = makeReport();
-    report.targets = targets_.takeNews(receivers, now);
-    if (report.targets.empty())
-        return;
-    for (const Gateway& gateway : receivers)
-        send({{.to = gateway.host, .message = report}});
-}
-
-bool RegistryCore::isNearestTo(const Gateway& gateway, Timestamp now) const
-{
-    const auto rankOf = [&](const HostId& host, const ZoneName& zone, const RegionName& region) {
-        const int nearness = zone == gateway.zone ? 2 : static_cast<int>(region == gateway.region);
-        return std::pair(nearness, std::hash<std::string> {}(host.value() + gateway.host.value()));
-    };
-    const auto own = rankOf(self_, settings_.zone, settings_.region);
-    for (const membership::RosterEntry* entry : roster_->heardWithin(LivingFor, now)) {
-        const model::HostRecord& record = entry->record;
-        if (record.isControl && rankOf(record.host, record.zone, record.region) > own)
-            return false;
-    }
-    return true;
-}
-
-void RegistryCore::reportLoads(Timestamp now)
-{
-    if (now < nextLoadsAt_)
-        return;
-    nextLoadsAt_ = now + LoadPeriod;
-    const model::TargetLoads sum = loads_.sum(now);
-    for (const Gateway& gateway : gateways(now)) {
-        if (isNearestTo(gateway, now))
-            send({{.to = gateway.host, .message = sum}});
-    }
-}
-
-std::vector<Gateway> RegistryCore::gateways(Timestamp now) const
-{
-    std::vector<Gateway> known;
-    for (const membership::RosterEntry* entry : roster_->heardWithin(GatewayMemory, now)) {
-        const model::HostRecord& record = entry->record;
-        if (!record.isControl)
-            known.push_back({.host = record.host, .zone = record.zone, .region = record.region});
-    }
-    return known;
-}
-
 void RegistryCore::updateLinks()
 {
     if (std::optional<host::LinksWanted> wanted = links_.update(roster_->controlHosts()))
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -57,7 +57,7 @@
     void accept(const host::SeedsChanged& changed, Timestamp now);
 
     void run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& open, Timestamp now);
-    void run(requests::HttpHandle handle, const TargetBeatCall& call, OpenCall& open, Timestamp now);
+    void run(requests::HttpHandle handle, const TargetHeartbeatCall& call, OpenCall& open, Timestamp now);
     void run(requests::HttpHandle handle, const TargetLeaveCall& call, OpenCall& open, Timestamp now);
     void run(requests::HttpHandle handle, const ReplacePlanCall& call, OpenCall& open, Timestamp now);
     void run(requests::HttpHandle handle, ReadPlanCall call, OpenCall& open, Timestamp now);
--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -99,7 +99,7 @@
     cluster.gatewayHeartbeat(0, "10.0.1.1:7000", "north-a", "north");
     cluster.gatewayHeartbeat(0, "10.0.1.3:7000", "south-a", "south");
     (void)cluster.takeSentTo("10.0.1.3:7000");
-    EXPECT_EQ(statusOf(cluster.call(0, "POST", "/v1/targets/t-1/heartbeat", beatText(1, "ready", 3000))), 200);
+    EXPECT_EQ(statusOf(cluster.call(0, "POST", "/v1/targets/t-1/heartbeat", heartbeatText(1, "ready", 3000))), 200);
     cluster.run(300ms);
     std::vector<HostId> told;
     for (const model::Message& message : cluster.takeSentTo("10.0.1.3:7000")) {
@@ -116,8 +116,8 @@
 {
     RegistryCluster cluster(3);
     cluster.gatewayHeartbeat(0, "10.0.1.1:7000", "north-a", "north");
-    EXPECT_EQ(statusOf(cluster.call(0, "POST", "/v1/targets/t-1/heartbeat", beatText(7))), 200);
-    EXPECT_EQ(statusOf(cluster.call(0, "POST", "/v1/targets/t-1/heartbeat", beatText(6, "ready", 3000))), 200);
+    EXPECT_EQ(statusOf(cluster.call(0, "POST", "/v1/targets/t-1/heartbeat", heartbeatText(7))), 200);
+    EXPECT_EQ(statusOf(cluster.call(0, "POST", "/v1/targets/t-1/heartbeat", heartbeatText(6, "ready", 3000))), 200);
     cluster.run(300ms);
     for (const model::Message& message : cluster.takeSentTo("10.0.1.1:7000")) {
         if (const auto* report = std::get_if<model::TargetReport>(&message)) {
--- a/src/registry/tests/ordertests.cpp
+++ b/src/registry/tests/ordertests.cpp
@@ -93,8 +93,8 @@
     ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
     for (size_t number = 0; number < 6; ++number)
         cluster.gatewayHeartbeat(number, "10.0.1.1:7000", "north-a", "north");
-    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", beatText(1))), 200);
-    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", beatText(2, "leaving"))), 200);
+    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", heartbeatText(1))), 200);
+    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", heartbeatText(2, "leaving"))), 200);
     cluster.run(300ms);
     size_t told = 0;
     for (const model::Message& message : cluster.takeSentTo("10.0.1.1:7000")) {
--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -50,7 +50,7 @@
         + service + R"("}],"services":[{"name":"quotes","probe_path":"/health"}]})";
 }
 
-std::string beatText(uint64_t sequence, const std::string& state, int slowMs)
+std::string heartbeatText(uint64_t sequence, const std::string& state, int slowMs)
 {
     return nlohmann::json {{"service", "quotes"}, {"address", "10.9.0.1:9000"}, {"zone", "north-a"}, {"version", "v1"},
         {"slots", 3}, {"state", state}, {"slow_start_left_ms", slowMs}, {"sequence", sequence}}
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -96,6 +96,6 @@
 
 /// A plan with one route and one service.
 [[nodiscard]] std::string planText(uint64_t version, const std::string& service = "quotes");
-[[nodiscard]] std::string beatText(uint64_t sequence, const std::string& state = "ready", int slowMs = 0);
+[[nodiscard]] std::string heartbeatText(uint64_t sequence, const std::string& state = "ready", int slowMs = 0);
 
 } // namespace saltvane::registry::test
--- a/src/requests/headerfilter.h
+++ b/src/requests/headerfilter.h
@@ -26,6 +26,9 @@
 /// All values of a field, in order.
 [[nodiscard]] std::vector<std::string_view> fieldValues(std::span<const model::Header> headers, std::string_view name);
 
+/// The first value of a field; empty where it is absent.
+[[nodiscard]] std::string_view firstFieldValue(std::span<const model::Header> headers, std::string_view name);
+
 /// The headers that concern more than one connection (RFC 9110, 7.6.1), without the body's framing.
 [[nodiscard]] std::vector<model::Header> endToEndHeaders(std::span<const model::Header> headers);
 
--- a/src/requests/internal/headerfilter.cpp
+++ b/src/requests/internal/headerfilter.cpp
@@ -65,6 +65,15 @@
     return values;
 }
 
+std::string_view firstFieldValue(std::span<const model::Header> headers, std::string_view name)
+{
+    for (const model::Header& header : headers) {
+        if (isSameFieldName(header.name, name))
+            return trimmed(header.value);
+    }
+    return {};
+}
+
 std::vector<model::Header> endToEndHeaders(std::span<const model::Header> headers)
 {
     const std::vector<std::string_view> options = connectionOptions(headers);
