Make the routed hosts' record in one place; drop state of the registry core that can be derived

Cause, found on reading the diff: both cores wrote the same five fields of their host record; the registry core took its counters twice, as owner and as pointer; an open call kept whether its body was whole, which only the caller needs; the same visit stood twice. No change of behaviour. Ruled out: merging the two cores' event handlers, which share names only.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -35,16 +35,10 @@
 
 model::HostRecord recordOf(const settings::RoutedHostSettings& settings, Incarnation incarnation)
 {
-    return {
-        .host = settings.host(),
-        .incarnation = incarnation,
-        .zone = settings.zone,
-        .region = settings.region,
-        .linkAddress = settings.linkAddress,
-        .entryAddress = settings.frontAddress,
-        .isControl = false,
-        .state = model::HostState::Joining,
-    };
+    model::HostRecord record = host::routedRecord(settings, incarnation);
+    record.entryAddress = settings.frontAddress;
+    record.state = model::HostState::Joining;
+    return record;
 }
 
 } // namespace
--- a/src/host/internal/routedlinks.cpp
+++ b/src/host/internal/routedlinks.cpp
@@ -17,6 +17,17 @@
     return hosts;
 }
 
+model::HostRecord routedRecord(const settings::RoutedHostSettings& settings, Incarnation incarnation)
+{
+    return {
+        .host = settings.host(),
+        .incarnation = incarnation,
+        .zone = settings.zone,
+        .region = settings.region,
+        .linkAddress = settings.linkAddress,
+    };
+}
+
 std::optional<LinksWanted> RoutedLinks::update(std::vector<HostId> hosts)
 {
     if (hosts == hosts_)
--- a/src/host/routedlinks.h
+++ b/src/host/routedlinks.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "host/hosttypes.h"
+#include "settings/routedhostsettings.h"
 
 #include <optional>
 #include <span>
@@ -16,6 +17,9 @@
 
 [[nodiscard]] std::vector<HostId> hostIdsOf(std::span<const model::Address> addresses);
 
+/// What both kinds of routed hosts tell of themselves; the caller adds its role, entry address and state.
+[[nodiscard]] model::HostRecord routedRecord(const settings::RoutedHostSettings& settings, Incarnation incarnation);
+
 /// Asks for links to a set of hosts, once each time the set changes.
 class RoutedLinks {
 public:
--- a/src/registry/internal/calls.cpp
+++ b/src/registry/internal/calls.cpp
@@ -6,7 +6,6 @@
 #include "registry/internal/calls.h"
 
 #include "registry/internal/lookups.h"
-
 #include "requests/headerfilter.h"
 
 #include <array>
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -49,30 +49,25 @@
 
 model::HostRecord recordOf(const settings::RoutedHostSettings& settings, Incarnation incarnation)
 {
-    return {
-        .host = settings.host(),
-        .incarnation = incarnation,
-        .zone = settings.zone,
-        .region = settings.region,
-        .linkAddress = settings.linkAddress,
-        .entryAddress = settings.controlAddress,
-        .isControl = true,
-        .state = model::HostState::Serving,
-    };
+    model::HostRecord record = host::routedRecord(settings, incarnation);
+    record.entryAddress = settings.controlAddress;
+    record.isControl = true;
+    record.state = model::HostState::Serving;
+    return record;
 }
 
 } // namespace
 
 RegistryCore::RegistryCore(const RegistryOptions& options, std::unique_ptr<control::IControlReplica> replica,
-    model::Counters* counters, std::unique_ptr<model::Counters> ownCounters)
+    std::unique_ptr<model::Counters> counters)
     : settings_(options.settings)
     , self_(settings_.host())
     , incarnation_(options.incarnation)
-    , counters_(std::move(ownCounters))
+    , counters_(std::move(counters))
     , replica_(std::move(replica))
     , roster_(membership::makeHostRoster(
           {.self = recordOf(settings_, incarnation_), .seeds = host::hostIdsOf(settings_.seeds)}))
-    , holder_(control::makeBundleHolder({.self = self_, .counters = counters}))
+    , holder_(control::makeBundleHolder({.self = self_, .counters = counters_.get()}))
     , targets_(settings_.zones)
     , orders_(*replica_)
 {
@@ -114,9 +109,15 @@
 void RegistryCore::accept(const requests::HttpRequestStarted& request, Timestamp now)
 {
     OpenCall& open = calls_[request.handle];
-    open = {.call = readCall(request, settings_.headers), .path = request.path, .isBodyWhole = request.bodyLength == 0};
-    if (open.isBodyWhole)
-        std::visit([&](const auto& call) { run(request.handle, call, open, now); }, Call(open.call));
+    open = {.call = readCall(request, settings_.headers), .path = request.path};
+    if (request.bodyLength == 0)
+        runWhole(request.handle, open, now);
+}
+
+void RegistryCore::runWhole(requests::HttpHandle handle, OpenCall& open, Timestamp now)
+{
+    // Of a copy: the answer ends the open call.
+    std::visit([&](const auto& call) { run(handle, call, open, now); }, Call(open.call));
 }
 
 void RegistryCore::accept(const requests::HttpRequestBody& body, Timestamp now)
@@ -130,9 +131,8 @@
     open.body += body.bytes;
     actions_.emplace_back(
         requests::Action(requests::HttpRequestWindow {.handle = body.handle, .bytes = body.bytes.size()}));
-    open.isBodyWhole = body.isLast;
-    if (open.isBodyWhole)
-        std::visit([&](const auto& call) { run(body.handle, call, open, now); }, Call(open.call));
+    if (body.isLast)
+        runWhole(body.handle, open, now);
 }
 
 void RegistryCore::accept(const requests::HttpRequestAborted& aborted, Timestamp /*now*/)
@@ -275,8 +275,7 @@
     });
     if (!replica)
         return nullptr;
-    model::Counters* shared = counters.get();
-    return std::make_unique<RegistryCore>(options, std::move(replica), shared, std::move(counters));
+    return std::make_unique<RegistryCore>(options, std::move(replica), std::move(counters));
 }
 
 } // namespace saltvane::registry
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -23,7 +23,7 @@
 class RegistryCore final : public host::IHostCore {
 public:
     explicit RegistryCore(const RegistryOptions& options, std::unique_ptr<control::IControlReplica> replica,
-        model::Counters* counters, std::unique_ptr<model::Counters> ownCounters);
+        std::unique_ptr<model::Counters> counters);
 
     void handle(host::Event event, Timestamp now) override;
     void tick(Timestamp now) override;
@@ -38,7 +38,6 @@
         Call call;
         std::string path;
         std::string body;
-        bool isBodyWhole = false;
     };
 
     void accept(requests::HttpEvent event, Timestamp now);
@@ -56,6 +55,7 @@
     void accept(host::StopRequested stop, Timestamp now);
     void accept(const host::SeedsChanged& changed, Timestamp now);
 
+    void runWhole(requests::HttpHandle handle, OpenCall& open, Timestamp now);
     void run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& open, Timestamp now);
     void run(requests::HttpHandle handle, const TargetHeartbeatCall& call, OpenCall& open, Timestamp now);
     void run(requests::HttpHandle handle, const TargetLeaveCall& call, OpenCall& open, Timestamp now);
