Weigh the slots of the own region more where small answers are placed

Change: weighted rendezvous hashing; a slot of the own region weighs so much more that the region keeps the part of its requests that its slots can carry. The weight follows slots, never load, so objects stay where they are warm.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -85,10 +85,8 @@
     installPlan(now);
     updateState();
     targets_.expire(now);
-    if (routes_ && now >= nextSplitAt_) {
-        nextSplitAt_ = now + SplitPeriod;
-        split_.tick(routes_->plan(), targets_, now);
-    }
+    if (now >= nextSplitAt_)
+        updateSplit(now);
     runner_.tick(now);
     link_.tick(now);
     updateLinks();
@@ -133,11 +131,28 @@
     holder_->handle(delivery, now);
     installPlan(now);
     if (const auto* report = std::get_if<model::TargetReport>(&delivery.message))
-        targets_.note(*report, now);
+        noteTargets(*report, now);
     else if (const auto* loads = std::get_if<model::TargetLoads>(&delivery.message))
         targets_.noteLoads(*loads, now);
 }
 
+void GatewayCore::noteTargets(const model::TargetReport& report, Timestamp now)
+{
+    const size_t before = targets_.size();
+    targets_.note(report, now);
+    // At once: a request that comes before would run where its object doesn't stay.
+    if (targets_.size() != before)
+        updateSplit(now);
+}
+
+void GatewayCore::updateSplit(Timestamp now)
+{
+    if (!routes_)
+        return;
+    nextSplitAt_ = now + SplitPeriod;
+    split_.tick(routes_->plan(), targets_, now);
+}
+
 void GatewayCore::accept(const host::LinkUp& up, Timestamp now) { roster_->noteLinkUp(up.host, now); }
 
 void GatewayCore::accept(const host::LinkDown& down, Timestamp /*now*/)
@@ -174,6 +189,7 @@
             host::LogSeverity::Error, "event=plan_unreadable version=" + std::to_string(installed->version.value));
     routes_ = std::make_shared<RouteTable>(std::move(plan.value()));
     runner_.install(routes_);
+    updateSplit(now);
     log(host::LogSeverity::Info,
         "event=plan_in_force version=" + std::to_string(installed->version.value)
             + " index=" + std::to_string(installed->position.index.value)
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -41,6 +41,8 @@
     void accept(host::StopRequested stop, Timestamp now);
     void accept(const host::SeedsChanged& changed, Timestamp now);
 
+    void noteTargets(const model::TargetReport& report, Timestamp now);
+    void updateSplit(Timestamp now);
     void answerReadiness(const requests::HttpEvent& event);
     [[nodiscard]] bool isReady() const;
     void installPlan(Timestamp now);
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -45,6 +45,8 @@
     return XXH64(both.data(), sizeof(both), 0);
 }
 
+constexpr double LeastUnit = 1e-300;
+
 /// A hash as a number from 0 to under 1.
 double unit(uint64_t hash)
 {
@@ -52,6 +54,10 @@
     return static_cast<double>(hash >> UnusedBits) * 0x1p-53;
 }
 
+/// Weighted rendezvous hashing: the chance to rank highest goes with the weight, and where a weight or a target changes
+/// only its own objects move.
+double rankOf(uint64_t hash, double weight) { return -weight / std::log(std::max(unit(hash), LeastUnit)); }
+
 double latenessOf(uint32_t rank) { return LatenessByRank.at(std::min<size_t>(rank, LatenessByRank.size() - 1)); }
 
 } // namespace
@@ -180,16 +186,19 @@
 std::variant<Placed, PlacementRefusal> Placement::choose(const PlacementQuery& query, Timestamp now)
 {
     const uint64_t object = query.object ? mix(*query.object, 0) : random_();
+    const bool isLarge = query.route.kind == model::RouteKind::LargeRead;
+    const double homeWeight = isLarge ? 1 : split_.homeWeight(query.service.name);
     Candidates zone;
     Candidates region;
     Candidates away;
     for (GatewayTarget* target : targets_.ofService(query.service.name)) {
         if (!targets_.isUsable(*target, query.service, now) || !isPermitted(*target, query))
             continue;
-        const bool isHome = target->region == region_ || query.route.kind != model::RouteKind::LargeRead;
-        const bool isNear = isHome && target->record.zone == zone_ && query.route.kind == model::RouteKind::LargeRead;
-        Candidates& group = isNear ? zone : (isHome ? region : away);
-        group.push_back({.target = target, .rank = mix(target->hash, object)});
+        const bool isOwnRegion = target->region == region_;
+        const bool isNear = isLarge && isOwnRegion && target->record.zone == zone_;
+        Candidates& group = isNear ? zone : (isOwnRegion || !isLarge ? region : away);
+        const double weight = target->record.slots * (isOwnRegion ? homeWeight : 1);
+        group.push_back({.target = target, .rank = rankOf(mix(target->hash, object), weight)});
     }
     const auto known = static_cast<uint32_t>(targets_.ofService(query.service.name).size());
     const auto usable = static_cast<uint32_t>(zone.size() + region.size() + away.size());
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -72,7 +72,7 @@
 private:
     struct Candidate {
         GatewayTarget* target = nullptr;
-        uint64_t rank = 0; ///< Of this object; the highest is its first choice.
+        double rank = 0; ///< Of this object; the highest is its first choice.
     };
     using Candidates = std::vector<Candidate>;
 
--- a/src/gateway/internal/regionsplit.cpp
+++ b/src/gateway/internal/regionsplit.cpp
@@ -21,6 +21,9 @@
 constexpr double LowLoad = 0.65;
 /// A region with this multiple of its even share of all slots needs no other region before it has seen any load.
 constexpr double EvenShareMargin = 1.4;
+/// Small requests that a region with slots for all of them keeps; the rest lets objects that are too many for their
+/// target find their second choice elsewhere.
+constexpr double MostHomeShare = 0.9;
 /// A smaller part of the slots than before is a loss of targets, not a change of load.
 constexpr double LossRatio = 0.8;
 
@@ -52,7 +55,7 @@
     return room;
 }
 
-void RegionSplit::move(State& state, const Room& room, double largestStep) const
+void RegionSplit::move(State& state, const Room& room, double largestStep)
 {
     const double before = state.homeSlots;
     state.homeSlots = room.homeSlots;
@@ -75,12 +78,26 @@
     state.share = std::clamp(state.share, 0.0, 1.0);
 }
 
+double RegionSplit::weightOf(const Room& room)
+{
+    const double awaySlots = room.allSlots - room.homeSlots;
+    if (room.homeSlots <= 0 || awaySlots <= 0)
+        return 1;
+    const double evenShare = room.allSlots / static_cast<double>(std::max<size_t>(room.regions, 1));
+    const double share = std::min(room.homeSlots / evenShare, MostHomeShare);
+    return std::max(1.0, share / (1 - share) * awaySlots / room.homeSlots);
+}
+
 void RegionSplit::tick(const model::RoutePlan& plan, const TargetSet& targets, Timestamp now)
 {
     const double seconds = std::min(toSeconds(now - movedAt_), LongestStepSeconds);
     movedAt_ = now;
-    for (const model::RoutedService& service : plan.services)
-        move(states_[service.name], roomOf(service, targets, now), stepPerSecond_ * seconds);
+    for (const model::RoutedService& service : plan.services) {
+        State& state = states_[service.name];
+        const Room room = roomOf(service, targets, now);
+        state.homeWeight = weightOf(room);
+        move(state, room, stepPerSecond_ * seconds);
+    }
 }
 
 double RegionSplit::homeShare(const ServiceName& service) const
@@ -89,6 +106,12 @@
     return found == states_.end() ? 1 : found->second.share;
 }
 
+double RegionSplit::homeWeight(const ServiceName& service) const
+{
+    const auto found = states_.find(service);
+    return found == states_.end() ? 1 : found->second.homeWeight;
+}
+
 void RegionSplit::noteUsed(const ServiceName& service) { states_[service].isUsed = true; }
 
 } // namespace saltvane::gateway
--- /dev/null
+++ b/src/gateway/tests/placementtests.cpp
@@ -0,0 +1,91 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gatewayfixture.h"
+
+#include <map>
+
+namespace saltvane::gateway::test {
+
+namespace {
+
+class PlacementTest : public GatewayFixture {
+protected:
+    /// `each` targets in both regions; this gateway is in region north.
+    void reportBothRegions(size_t each)
+    {
+        std::vector<model::TargetRecord> records;
+        for (size_t i = 0; i < each; ++i) {
+            records.push_back(target("n-" + std::to_string(i), "quotes", "north-a"));
+            records.push_back(target("s-" + std::to_string(i), "quotes", "south-a"));
+        }
+        reportTargets(std::move(records));
+        advance(300ms);
+    }
+
+    /// Target of each of `objects` objects, one request after the other.
+    std::map<int, std::string> targetsOf(int objects)
+    {
+        std::map<int, std::string> chosen;
+        for (int i = 0; i < objects; ++i) {
+            request({.object = std::to_string(i)});
+            for (const requests::TargetStart& start : takeStarts()) {
+                chosen[i] = start.target.value();
+                answer(start, {});
+            }
+            (void)takeResponse();
+        }
+        return chosen;
+    }
+
+    static int countIn(const std::map<int, std::string>& chosen, char region)
+    {
+        int count = 0;
+        for (const auto& [object, target] : chosen)
+            count += target.front() == region ? 1 : 0;
+        return count;
+    }
+};
+
+} // namespace
+
+TEST_F(PlacementTest, SmallRequestsStayInARegionThatHasSlotsForThem)
+{
+    installPlan(1);
+    reportBothRegions(8);
+    const std::map<int, std::string> chosen = targetsOf(400);
+    ASSERT_EQ(chosen.size(), 400U);
+    EXPECT_GE(countIn(chosen, 'n'), 320);
+    EXPECT_GE(countIn(chosen, 's'), 10);
+}
+
+TEST_F(PlacementTest, ARegionWithFewSlotsKeepsItsPartOnly)
+{
+    installPlan(1);
+    std::vector<model::TargetRecord> records {target("n-0", "quotes", "north-a")};
+    for (int i = 0; i < 9; ++i)
+        records.push_back(target("s-" + std::to_string(i), "quotes", "south-a"));
+    reportTargets(std::move(records));
+    advance(300ms);
+    // One of ten targets, half of the deployment's demand: a fifth of its requests fills it as the others are filled.
+    const int kept = countIn(targetsOf(400), 'n');
+    EXPECT_GE(kept, 40);
+    EXPECT_LE(kept, 130);
+}
+
+TEST_F(PlacementTest, TheLossOfATargetMovesItsOwnObjectsOnly)
+{
+    installPlan(1);
+    reportBothRegions(8);
+    const std::map<int, std::string> before = targetsOf(200);
+    report({.orders = {.term = {1}, .index = {5}}, .retired = {TargetId("n-3")}});
+    const std::map<int, std::string> after = targetsOf(200);
+    int moved = 0;
+    for (const auto& [object, target] : before)
+        moved += target != "n-3" && after.at(object) != target ? 1 : 0;
+    EXPECT_LE(moved, 4);
+}
+
+} // namespace saltvane::gateway::test
