Close the connection on which another request's answer came

A surplus answer that arrived whole while the next request waited ended that request's transfer; libcurl kept the connection, and from then on every request on it was handed the answer of the one before. Change: the target client compares the echoed request id when the head is whole and fails the transfer, which closes the connection. The gateway looks at the id before it believes a refusal: a surplus 'not run' was taken for this request's. Tests (failed before): TargetClientTest.ASurplusAnswerCostsItsConnectionOneRequest, RequestTest.ASurplusRefusalIsNotTakenForThisRequests.

--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -58,6 +58,8 @@
         .add("reason", model::toString(decision.reason))
         .add("status", decision.status)
         .addMilliseconds("ms", now - exchange.startedAt);
+    if (!exchange.lastFailure.empty())
+        line.add("failure", '"' + exchange.lastFailure + '"');
     const bool isAnswered = decision.outcome == model::Outcome::Answered;
     lines_.push_back({.severity = isAnswered ? host::LogSeverity::Info : host::LogSeverity::Warning,
         .module = "gateway",
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -50,6 +50,7 @@
     // For the log: what the last choice went by.
     Duration targetAge {}; ///< Since the target's last report.
     Duration loadAge {}; ///< Since its last word of its load.
+    std::string lastFailure; ///< What went wrong at the last target that failed, in words.
     uint32_t targetsKnown = 0;
     uint32_t targetsUsable = 0;
     requests::HttpRespond answer; ///< As far as it came.
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -245,7 +245,8 @@
         .headers = std::move(headers),
         .bodyLength = exchange.body.size(),
         .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce,
-        .reuseIdleLimit = exchange.route.kind == model::RouteKind::AtMostOnce ? LongestIdleForOnce : LongestIdle});
+        .reuseIdleLimit = exchange.route.kind == model::RouteKind::AtMostOnce ? LongestIdleForOnce : LongestIdle,
+        .echoedHeader = options_.headers.requestId});
     if (!exchange.body.empty())
         actions_.emplace_back(
             requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body, .isLast = true});
@@ -269,15 +270,19 @@
     const std::string_view load = requests::firstFieldValue(head.headers, options_.headers.load);
     if (target != nullptr && !load.empty())
         target->noteLoad(load, now);
+    const std::string_view id = requests::firstFieldValue(head.headers, options_.headers.requestId);
     const bool isNotRun = !requests::firstFieldValue(head.headers, options_.headers.notRun).empty();
-    if (isNotRun || head.status == StatusMisdirected)
-        return noteRefusedByTarget(exchange, head.status, now);
-    // A surplus answer of an earlier request carries another id.
-    if (requests::firstFieldValue(head.headers, options_.headers.requestId) != exchange.id.value()) {
+    const bool isRefusal = isNotRun || head.status == StatusMisdirected;
+    // A surplus answer of an earlier request carries another id. Only a refusal may come without any.
+    const bool isOwn = id == exchange.id.value() || (id.empty() && isRefusal);
+    if (!isOwn) {
         actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
         exchange.mayHaveRun = true;
+        exchange.lastFailure = "answer of another request";
         return tryElsewhere(exchange, model::Reason::TargetFailed, now);
     }
+    if (isRefusal)
+        return noteRefusedByTarget(exchange, head.status, now);
     options_.latencies.add(exchange.route.kind, Stage::Target, now - exchange.sentAt);
     if (target != nullptr)
         options_.placement.noteAnswer(*target,
@@ -354,6 +359,7 @@
 {
     if (GatewayTarget* target = options_.targets.find(exchange.target))
         target->noteFailure(now, !failed.mayHaveReachedTarget);
+    exchange.lastFailure = std::move(failed.message);
     if (exchange.isAnswerStarted) {
         abort(exchange);
         options_.counters.add(model::Counter::BrokenBodies);
--- a/src/gateway/tests/requesttests.cpp
+++ b/src/gateway/tests/requesttests.cpp
@@ -237,4 +237,16 @@
     EXPECT_TRUE(takeStopFinished());
 }
 
+TEST_F(RequestTest, ASurplusRefusalIsNotTakenForThisRequests)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({.method = "POST", .path = "/write/1"});
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    answer(starts[0], {.status = 503, .id = "try-0", .more = {NotRun}});
+    EXPECT_TRUE(takeStarts().empty()); // It may run where it was sent.
+    EXPECT_EQ(takeResponse()->status, 502);
+}
+
 } // namespace saltvane::gateway::test
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -212,6 +212,12 @@
     const ResponseHead::State state = head_.addLine(line);
     if (state == ResponseHead::State::Bad)
         failure_ = head_.error();
+    if (state == ResponseHead::State::Complete && isOfAnotherRequest()) {
+        // The transfer fails, so libcurl closes the connection: kept, it would hand every later request the answer of
+        // the one before.
+        failure_ = "answer of another request";
+        return false;
+    }
     if (state == ResponseHead::State::Complete) {
         options_.emit(requests::TargetResponseHead {.dispatch = options_.start.dispatch,
             .status = head_.status(),
@@ -221,6 +227,17 @@
     return state != ResponseHead::State::Bad;
 }
 
+bool TargetExchange::isOfAnotherRequest()
+{
+    const std::string& name = options_.start.echoedHeader;
+    if (name.empty())
+        return false;
+    const auto isEcho = [&](const model::Header& header) { return equalsIgnoringCase(header.name, name); };
+    const auto sent = std::ranges::find_if(options_.start.headers, isEcho);
+    const auto echoed = std::ranges::find_if(head_.headers(), isEcho);
+    return sent != options_.start.headers.end() && echoed != head_.headers().end() && echoed->value != sent->value;
+}
+
 size_t TargetExchange::onBody(char* data, size_t size, size_t count, void* exchange)
 {
     return static_cast<TargetExchange*>(exchange)->takeBody({data, size * count});
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -63,6 +63,8 @@
     void addHeaders();
     void addHeader(const std::string& line);
     [[nodiscard]] bool takeHeadLine(std::string_view line);
+    /// The head, now whole, belongs to another request: a surplus answer came in the place of this one's.
+    [[nodiscard]] bool isOfAnotherRequest();
     [[nodiscard]] size_t takeBody(std::string_view bytes);
     [[nodiscard]] size_t readBody(char* buffer, size_t room);
     void passOn(std::string_view bytes);
--- a/src/net/tests/targetclienttests.cpp
+++ b/src/net/tests/targetclienttests.cpp
@@ -360,6 +360,37 @@
 
 INSTANTIATE_TEST_SUITE_P(Repeatable, ReusedConnectionTest, testing::Values(true, false));
 
+TEST_F(TargetClientTest, ASurplusAnswerCostsItsConnectionOneRequest)
+{
+    const auto named = [&](uint64_t dispatch) {
+        TargetStart start = request(dispatch);
+        start.headers.push_back({"X-Id", std::to_string(dispatch)});
+        start.echoedHeader = "x-id";
+        return start;
+    };
+    const auto answerOf
+        = [](int id) { return "HTTP/1.1 200 OK\r\nX-Id: " + std::to_string(id) + "\r\nContent-Length: 2\r\n\r\nok"; };
+    client->carryOut(named(1));
+    RawSocket target;
+    ASSERT_TRUE(takeRequest(target));
+    target.send(answerOf(1));
+    ASSERT_TRUE(waitEnd());
+    target.received.clear();
+    client->carryOut(named(2));
+    ASSERT_TRUE(takeRequest(target));
+    target.send(answerOf(1)); // Once more, whole, while the second request waits.
+    ASSERT_TRUE(waitEnd(2));
+    ASSERT_EQ(log.target<TargetFailed>().size(), 1U);
+    EXPECT_TRUE(log.target<TargetFailed>().front().mayHaveReachedTarget);
+    target.send(answerOf(2));
+    client->carryOut(named(3));
+    RawSocket next;
+    ASSERT_TRUE(takeRequest(next)); // On a connection of its own.
+    next.send(answerOf(3));
+    ASSERT_TRUE(waitEnd(3));
+    EXPECT_EQ(log.target<TargetResponseDone>().size(), 2U);
+}
+
 TEST_F(TargetClientTest, CancelClosesTheConnection)
 {
     client->carryOut(request(1));
