Tell other regions rarer, and targets on change only; keep displaced targets away

By message: every target to every gateway each 4 s (75% at 300 hosts), each registry host's list of registry hosts to every gateway each second, heartbeats and loads of every gateway to every registry host 3.3 times a second. Change: targets are told when something changed, when they called another registry host in between (their sequence jumps), when their zone was opened again, and for the last time when they fell silent (12 s); repeated each 30 s, not 4. Heartbeats and loads go to registry hosts of other regions each 1.2 s, lists there each 5 s and on news; changes of state still go to all at once. Look-ups take gateways of other regions as fresh for 4 s.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -19,6 +19,8 @@
 constexpr Duration SplitPeriod = 200ms;
 /// Of this gateway's word of its requests in flight.
 constexpr Duration LoadPeriod = 300ms;
+/// The same, to registry hosts of other regions: few requests come from there.
+constexpr Duration FarLoadPeriod = 1200ms;
 /// Plans are pulled this often where none is pushed: well under the time in which one has to be in force.
 constexpr Duration PlanPullPeriod = 500ms;
 
@@ -200,7 +202,8 @@
 /// Registry hosts to pull the plan from, nearest first.
 void GatewayCore::updateSources(Timestamp now)
 {
-    constexpr Duration HeardLately = 1s;
+    // Word of the registry hosts comes each second within the region, rarer from others.
+    constexpr Duration HeardLately = 1500ms;
     std::vector<const membership::RosterEntry*> registries = roster_->heardWithin(HeardLately, now);
     std::erase_if(registries, [](const auto* entry) { return !entry->record.isControl; });
     const auto nearness = [this](const membership::RosterEntry* entry) {
@@ -240,7 +243,10 @@
     hasToldLoads_ = !loads.targets.empty();
     if (!isNews)
         return;
-    for (const HostId& host : roster_->controlHosts())
+    const bool isFarDue = now >= nextFarLoadsAt_;
+    if (isFarDue)
+        nextFarLoadsAt_ = now + FarLoadPeriod;
+    for (const HostId& host : isFarDue ? roster_->controlHosts() : roster_->nearControlHosts())
         actions_.emplace_back(requests::Action(model::Outgoing {.to = host, .message = loads}));
 }
 
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -73,6 +73,7 @@
     std::vector<host::Action> actions_;
     Timestamp nextSplitAt_ {};
     Timestamp nextLoadsAt_ {};
+    Timestamp nextFarLoadsAt_ {};
     bool hasToldLoads_ = false;
     std::optional<Timestamp> stopAskedAt_;
     Timestamp busyAt_ {}; ///< When a request or an answer was last under way.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -22,8 +22,9 @@
 constexpr double SlowStartBurst = 1;
 /// A zone opened again: its targets wait so long for the registry's word of them.
 constexpr Duration ReopenHold = 4s;
-/// The registry repeats its word of a target every 4 s, and forgets it after 12 s of silence.
-constexpr Duration SilenceLimit = 14s;
+/// The registry repeats its word of a target every 30 s: one that no registry host names for so long is forgotten
+/// together with the registry host that it reported to.
+constexpr Duration UnnamedLimit = 75s;
 constexpr Duration RegistryMemory = 3s;
 constexpr Duration FirstEjection = 250ms;
 constexpr uint32_t MostDoublings = 4;
@@ -124,11 +125,11 @@
 
 void TargetSet::noteRecord(const model::TargetRecord& record, Timestamp now)
 {
+    if (displaced_.contains(record.target, now))
+        return;
     std::unique_ptr<GatewayTarget>& known = targets_[record.target];
     if (!known) {
-        std::erase_if(targets_, [&](const auto& item) {
-            return item.second && item.second->record.address == record.address && item.first != record.target;
-        });
+        displaceOthers(record, now);
         known = std::make_unique<GatewayTarget>();
         known->hash = model::targetHash(record.target);
     } else if (record.sequence < known->record.sequence) {
@@ -141,10 +142,23 @@
     known->region = region == zones_.end() ? RegionName {} : region->second;
     known->isZoneClosed = evacuated_.contains(record.zone);
     known->heardAt = now - record.age;
+    known->namedAt = now;
+    known->isSilent = record.age >= model::TargetSilenceLimit;
     known->heldUntil = {};
     known->slowUntil = known->heardAt + record.slowStartLeft;
 }
 
+void TargetSet::displaceOthers(const model::TargetRecord& record, Timestamp now)
+{
+    std::erase_if(targets_, [&](const auto& item) {
+        const bool isDisplaced
+            = item.second && item.second->record.address == record.address && item.first != record.target;
+        if (isDisplaced)
+            displaced_.note(item.first, now);
+        return isDisplaced;
+    });
+}
+
 void TargetSet::noteLoads(const model::TargetLoads& loads, Timestamp now)
 {
     sums_.clear();
@@ -180,8 +194,10 @@
     if (now - reportedAt_ > RegistryMemory)
         return;
     const size_t before = targets_.size();
-    std::erase_if(targets_,
-        [&](const auto& item) { return now - item.second->heardAt > SilenceLimit && item.second->inFlight == 0; });
+    std::erase_if(targets_, [&](const auto& item) {
+        const GatewayTarget& target = *item.second;
+        return (target.isSilent || now - target.namedAt > UnnamedLimit) && target.inFlight == 0;
+    });
     if (targets_.size() != before)
         index();
 }
@@ -214,7 +230,8 @@
 
 bool TargetSet::isUsable(const GatewayTarget& target, const model::RoutedService& service, Timestamp now) const
 {
-    if (target.record.isLeaving || target.isZoneClosed || now < target.heldUntil || now < target.ejectedUntil)
+    if (target.record.isLeaving || target.isSilent || target.isZoneClosed || now < target.heldUntil
+        || now < target.ejectedUntil)
         return false;
     if (target.isOnTrial() && target.inFlight > 0)
         return false;
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "membership/displacedtargets.h"
 #include "model/routeplan.h"
 #include "model/targetmessages.h"
 
@@ -23,9 +24,11 @@
     RegionName region;
     uint64_t hash = 0;
     Timestamp heardAt; ///< When it last reported, as far as the registry's word tells.
+    Timestamp namedAt; ///< When a registry host last named it.
     Timestamp slowUntil; ///< End of its slow start.
     Timestamp heldUntil; ///< Its zone was opened again: unused until the registry told of it, or until then.
     bool isZoneClosed = false;
+    bool isSilent = false; ///< The registry host that heard it last hears nothing any more.
 
     uint32_t inFlight = 0; ///< Of this gateway.
     uint32_t othersLoad = 0; ///< Of other gateways, as of its last answer that told.
@@ -84,7 +87,8 @@
 private:
     void noteOrders(const model::TargetReport& report, Timestamp now);
     void noteRecord(const model::TargetRecord& record, Timestamp now);
-    void remove(const TargetId& target);
+    /// Others at the record's address are gone.
+    void displaceOthers(const model::TargetRecord& record, Timestamp now);
     void index();
     [[nodiscard]] static double slowStartBalance(
         const GatewayTarget& target, const model::RoutedService& service, Timestamp now);
@@ -94,6 +98,7 @@
     LogPosition orders_;
     std::set<ZoneName> evacuated_;
     std::set<TargetId> retired_;
+    membership::DisplacedTargets displaced_;
     std::map<TargetId, std::unique_ptr<GatewayTarget>> targets_;
     std::map<ServiceName, std::vector<GatewayTarget*>> byService_;
     std::unordered_map<uint64_t, uint32_t> sums_; ///< Of the last word of the registry; scratch.
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -175,4 +175,44 @@
     EXPECT_EQ(starts[0].target, TargetId("t-2"));
 }
 
+TEST_F(TargetTest, ASilentTargetIsNotUsedUntilItIsHeardAgain)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    record.sequence = 4;
+    reportTargets({record});
+    model::TargetRecord older = record;
+    older.sequence = 3;
+    older.age = model::TargetSilenceLimit;
+    reportTargets({older}); // Of a registry host that it left.
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+    record.age = model::TargetSilenceLimit;
+    reportTargets({record});
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+    record.sequence = 5;
+    record.age = {};
+    reportTargets({record});
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+TEST_F(TargetTest, AnAddressIsNotGivenBackToTheStartBefore)
+{
+    installPlan(1);
+    model::TargetRecord before = target("old");
+    before.sequence = 5;
+    reportTargets({before});
+    model::TargetRecord now = target("new");
+    now.address = before.address;
+    reportTargets({now});
+    before.sequence = 6;
+    reportTargets({before}); // Held up on its way.
+    request({});
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target, TargetId("new"));
+}
+
 } // namespace saltvane::gateway::test
--- a/src/membership/ihostroster.h
+++ b/src/membership/ihostroster.h
@@ -35,6 +35,9 @@
 
     /// Control hosts to keep links with, seeds included; sorted.
     [[nodiscard]] virtual std::vector<HostId> controlHosts() const = 0;
+    /// Those of them that this host tells everything often: of its own region, and any whose region it doesn't know.
+    /// All of them where its region has none.
+    [[nodiscard]] virtual std::vector<HostId> nearControlHosts() const = 0;
     /// Hosts heard of within `age`, sorted by id; never this host itself.
     [[nodiscard]] virtual std::vector<const RosterEntry*> heardWithin(Duration age, Timestamp now) const = 0;
     [[nodiscard]] virtual const RosterEntry* find(const HostId& host) const = 0;
@@ -44,7 +47,11 @@
     model::HostRecord self;
     std::vector<HostId> seeds;
     Duration heartbeatPeriod = 300ms;
-    Duration reportPeriod = 1s; ///< Of a control host's word about the other control hosts.
+    /// To control hosts of other regions, where this host is none itself: bytes between regions are few and dear, and
+    /// callers ask the control hosts near them first.
+    Duration farHeartbeatPeriod = 1200ms;
+    Duration reportPeriod = 1s; ///< Of a control host's word about the other control hosts, within its region.
+    Duration farReportPeriod = 5s; ///< To other regions. A new control host is told at once to all.
     Duration memory = 10s; ///< A control host that is silent for so long is not dialled any more; seeds always are.
 };
 
--- a/src/membership/internal/hostroster.cpp
+++ b/src/membership/internal/hostroster.cpp
@@ -52,7 +52,7 @@
     if (options_.self.state == state)
         return;
     options_.self.state = state;
-    sendHeartbeats();
+    sendHeartbeats(controlHosts());
 }
 
 void HostRoster::sendHeartbeat(const HostId& to)
@@ -61,13 +61,13 @@
     outgoing_.push_back({.to = to, .message = model::Heartbeat {.record = options_.self}});
 }
 
-void HostRoster::sendHeartbeats()
+void HostRoster::sendHeartbeats(const std::vector<HostId>& hosts)
 {
-    for (const HostId& host : controlHosts())
+    for (const HostId& host : hosts)
         sendHeartbeat(host);
 }
 
-void HostRoster::sendReports(Timestamp now)
+void HostRoster::sendReports(bool isToAll, Timestamp now)
 {
     model::ZoneReport report {.zone = options_.self.zone, .relay = options_.self.host};
     for (const auto& [host, entry] : entries_) {
@@ -76,8 +76,10 @@
         report.hosts.push_back(entry.record);
         report.ages.push_back(now - entry.heardAt);
     }
-    for (const auto& [host, entry] : entries_)
-        outgoing_.push_back({.to = host, .message = report});
+    for (const auto& [host, entry] : entries_) {
+        if (isToAll || entry.record.region == options_.self.region)
+            outgoing_.push_back({.to = host, .message = report});
+    }
 }
 
 void HostRoster::forget(Timestamp now)
@@ -90,13 +92,19 @@
     if (now >= nextHeartbeatAt_) {
         nextHeartbeatAt_ = now + options_.heartbeatPeriod;
         forget(now);
-        sendHeartbeats();
+        const bool isFarDue = options_.self.isControl || now >= nextFarHeartbeatAt_;
+        if (isFarDue)
+            nextFarHeartbeatAt_ = now + options_.farHeartbeatPeriod;
+        sendHeartbeats(isFarDue ? controlHosts() : nearControlHosts());
     }
-    if (!options_.self.isControl || (now < nextReportAt_ && !hasNews_))
+    const bool isToAll = hasNews_ || now >= nextFarReportAt_;
+    if (!options_.self.isControl || (now < nextReportAt_ && !isToAll))
         return;
     hasNews_ = false;
     nextReportAt_ = now + options_.reportPeriod;
-    sendReports(now);
+    if (isToAll)
+        nextFarReportAt_ = now + options_.farReportPeriod;
+    sendReports(isToAll, now);
 }
 
 std::vector<model::Outgoing> HostRoster::takeOutgoing() { return std::exchange(outgoing_, {}); }
@@ -112,6 +120,20 @@
     return {hosts.begin(), hosts.end()};
 }
 
+bool HostRoster::isFar(const HostId& host) const
+{
+    const RosterEntry* entry = find(host);
+    return entry != nullptr && entry->record.region != options_.self.region;
+}
+
+std::vector<HostId> HostRoster::nearControlHosts() const
+{
+    const std::vector<HostId> all = controlHosts();
+    std::vector<HostId> near = all;
+    std::erase_if(near, [&](const HostId& host) { return isFar(host); });
+    return near.empty() ? all : near;
+}
+
 std::vector<const RosterEntry*> HostRoster::heardWithin(Duration age, Timestamp now) const
 {
     std::vector<const RosterEntry*> heard;
--- a/src/membership/internal/hostroster.h
+++ b/src/membership/internal/hostroster.h
@@ -23,21 +23,26 @@
     void tick(Timestamp now) override;
     [[nodiscard]] std::vector<model::Outgoing> takeOutgoing() override;
     [[nodiscard]] std::vector<HostId> controlHosts() const override;
+    [[nodiscard]] std::vector<HostId> nearControlHosts() const override;
     [[nodiscard]] std::vector<const RosterEntry*> heardWithin(Duration age, Timestamp now) const override;
     [[nodiscard]] const RosterEntry* find(const HostId& host) const override;
 
 private:
     void note(const model::HostRecord& record, Timestamp heardAt);
     void sendHeartbeat(const HostId& to);
-    void sendHeartbeats();
-    void sendReports(Timestamp now);
+    void sendHeartbeats(const std::vector<HostId>& hosts);
+    /// The control hosts that this one knows, to all others or to those of its region.
+    void sendReports(bool isToAll, Timestamp now);
+    [[nodiscard]] bool isFar(const HostId& host) const;
     void forget(Timestamp now);
 
     HostRosterOptions options_;
     std::map<HostId, RosterEntry> entries_;
     std::vector<model::Outgoing> outgoing_;
     Timestamp nextHeartbeatAt_ {};
+    Timestamp nextFarHeartbeatAt_ {};
     Timestamp nextReportAt_ {};
+    Timestamp nextFarReportAt_ {};
     bool hasNews_ = true;
 };
 
--- a/src/membership/tests/hostrostertests.cpp
+++ b/src/membership/tests/hostrostertests.cpp
@@ -107,4 +107,71 @@
     EXPECT_EQ(std::get<model::Heartbeat>(outgoing[0].message).record.state, model::HostState::Leaving);
 }
 
+namespace {
+
+model::HostRecord recordIn(const std::string& host, bool isControl, const std::string& region)
+{
+    model::HostRecord record = recordOf(host, isControl);
+    record.region = RegionName(region);
+    return record;
+}
+
+size_t messagesTo(const std::vector<model::Outgoing>& outgoing, const std::string& host)
+{
+    return static_cast<size_t>(
+        std::ranges::count_if(outgoing, [&](const model::Outgoing& one) { return one.to == HostId(host); }));
+}
+
+/// What the roster sends in `duration`, ticked each 20 ms; it hears all of `heard` each 200 ms.
+std::vector<model::Outgoing> runFor(
+    IHostRoster& roster, Duration duration, const std::vector<model::HostRecord>& heard, Timestamp& now)
+{
+    std::vector<model::Outgoing> all;
+    for (int step = 0; step * 20ms < duration; ++step, now += 20ms) {
+        for (const model::HostRecord& record : heard) {
+            if (step % 10 == 0)
+                roster.handle(heartbeat(record), now);
+        }
+        roster.tick(now);
+        for (model::Outgoing& outgoing : roster.takeOutgoing())
+            all.push_back(std::move(outgoing));
+    }
+    return all;
+}
+
+} // namespace
+
+TEST(HostRosterTest, ControlHostsOfOtherRegionsAreToldRarer)
+{
+    const auto roster = makeHostRoster({.self = recordIn("g", false, "r"), .seeds = {}});
+    Timestamp now(10s);
+    const std::vector heard {recordIn("near", true, "r"), recordIn("far", true, "s")};
+    const std::vector<model::Outgoing> sent = runFor(*roster, 12s, heard, now);
+    EXPECT_GE(messagesTo(sent, "near"), 38U);
+    EXPECT_GE(messagesTo(sent, "far"), 9U);
+    EXPECT_LE(messagesTo(sent, "far"), 11U);
+    roster->setState(model::HostState::Leaving);
+    EXPECT_TRUE(hasMessageTo(roster->takeOutgoing(), "far")); // A change goes to all at once.
+}
+
+TEST(HostRosterTest, WhereTheRegionHasNoControlHostAllCountAsNear)
+{
+    const auto roster = makeHostRoster({.self = recordIn("g", false, "r"), .seeds = {}});
+    Timestamp now(10s);
+    const std::vector<model::Outgoing> sent = runFor(*roster, 12s, {recordIn("far", true, "s")}, now);
+    EXPECT_GE(messagesTo(sent, "far"), 38U);
+}
+
+TEST(HostRosterTest, AControlHostReportsToItsRegionOftenAndToOthersOnNews)
+{
+    const auto roster = makeHostRoster({.self = recordIn("c", true, "r"), .seeds = {}});
+    Timestamp now(10s);
+    const std::vector heard {recordIn("g-near", false, "r"), recordIn("g-far", false, "s")};
+    const std::vector<model::Outgoing> sent = runFor(*roster, 20s, heard, now);
+    EXPECT_GE(messagesTo(sent, "g-near"), 18U);
+    EXPECT_LE(messagesTo(sent, "g-far"), 5U);
+    const std::vector news {heard[0], heard[1], recordIn("c2", true, "s")};
+    EXPECT_GE(messagesTo(runFor(*roster, 100ms, news, now), "g-far"), 1U);
+}
+
 } // namespace saltvane::membership
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -15,6 +15,9 @@
 /// What control hosts tell gateways of the targets that report to them.
 namespace saltvane::model {
 
+/// A target that sent no heartbeat for so long is not used any more. They come every 1 to 2 s, some seconds late.
+constexpr Duration TargetSilenceLimit = 12s;
+
 /// One start of a target, as it last reported.
 struct TargetRecord {
     TargetId target; ///< Of this start; never used again.
@@ -25,7 +28,7 @@
     bool isLeaving = false;
     Duration slowStartLeft {}; ///< How long it stays slow, counted from the report.
     uint64_t sequence = 0; ///< Of the target's reports; a higher one replaces a lower one.
-    Duration age {}; ///< Since the report came in.
+    Duration age {}; ///< Since the report came in. TargetSilenceLimit or more: the target is silent.
     HostId slowStartHost; ///< The only gateway that may use it while it is slow; empty: none is known.
     auto operator<=>(const TargetRecord&) const = default;
 };
--- a/src/registry/internal/loadboard.cpp
+++ b/src/registry/internal/loadboard.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Five reports: requests of a gateway that is gone end with it.
-constexpr Duration Memory = 1500ms;
+/// Three reports of a gateway of another region, which come each 1.2 s: requests of one that is gone end with it.
+constexpr Duration Memory = 3600ms;
 
 } // namespace
 
--- a/src/registry/internal/lookups.cpp
+++ b/src/registry/internal/lookups.cpp
@@ -14,8 +14,9 @@
 
 /// Three heartbeats and some: a gateway that is gone leaves the answers within about a second.
 constexpr Duration FreshFor = 1100ms;
-/// Gateways that were heard of less lately are better than none.
-constexpr Duration KnownFor = 4s;
+/// The same for gateways of other regions, which send heartbeats each 1.2 s. Gateways that were heard of less lately
+/// are also better than none.
+constexpr Duration FarFreshFor = 4s;
 constexpr size_t MostAddresses = 64;
 
 int nearnessOf(const model::HostRecord& record, std::string_view zone, std::string_view region)
@@ -25,12 +26,18 @@
     return record.region.value() == region ? 1 : 0;
 }
 
-std::vector<const membership::RosterEntry*> serving(const membership::IHostRoster& roster, Duration age, Timestamp now)
+std::vector<const membership::RosterEntry*> serving(
+    const membership::IHostRoster& roster, const RegionName& ownRegion, Timestamp now)
 {
-    std::vector<const membership::RosterEntry*> entries = roster.heardWithin(age, now);
+    std::vector<const membership::RosterEntry*> entries = roster.heardWithin(FarFreshFor, now);
     std::erase_if(entries, [](const membership::RosterEntry* entry) {
         return entry->record.isControl || entry->record.state != model::HostState::Serving;
     });
+    const auto isFresh = [&](const membership::RosterEntry* entry) {
+        return now - entry->heardAt <= (entry->record.region == ownRegion ? FreshFor : FarFreshFor);
+    };
+    if (std::ranges::any_of(entries, isFresh))
+        std::erase_if(entries, [&](const membership::RosterEntry* entry) { return !isFresh(entry); });
     return entries;
 }
 
@@ -62,17 +69,15 @@
 } // namespace
 
 std::vector<model::Address> gatewaysFor(
-    const membership::IHostRoster& roster, std::string_view zone, std::string_view region, Timestamp now)
+    const membership::IHostRoster& roster, const RegionName& ownRegion, const Origin& caller, Timestamp now)
 {
-    std::vector<const membership::RosterEntry*> entries = serving(roster, FreshFor, now);
-    if (entries.empty())
-        entries = serving(roster, KnownFor, now);
+    const std::vector<const membership::RosterEntry*> entries = serving(roster, ownRegion, now);
     int nearest = 0;
     for (const membership::RosterEntry* entry : entries)
-        nearest = std::max(nearest, nearnessOf(entry->record, zone, region));
+        nearest = std::max(nearest, nearnessOf(entry->record, caller.zone, caller.region));
     std::vector<model::Address> addresses;
     for (const membership::RosterEntry* entry : entries) {
-        if (nearnessOf(entry->record, zone, region) == nearest && addresses.size() < MostAddresses)
+        if (nearnessOf(entry->record, caller.zone, caller.region) == nearest && addresses.size() < MostAddresses)
             addresses.push_back(entry->record.entryAddress);
     }
     return addresses;
--- a/src/registry/internal/lookups.h
+++ b/src/registry/internal/lookups.h
@@ -12,10 +12,16 @@
 
 namespace saltvane::registry {
 
-/// The gateways a caller of this zone and region should use: those of its zone, else of its region, else all. Empty
-/// when none is known to serve.
+/// Where a caller says that it is.
+struct Origin {
+    std::string_view zone;
+    std::string_view region;
+};
+
+/// The gateways a caller should use: those of its zone, else of its region, else all. Empty when none is known to
+/// serve. `ownRegion`: of this registry host.
 [[nodiscard]] std::vector<model::Address> gatewaysFor(
-    const membership::IHostRoster& roster, std::string_view zone, std::string_view region, Timestamp now);
+    const membership::IHostRoster& roster, const RegionName& ownRegion, const Origin& caller, Timestamp now);
 
 /// Value of a query's field; empty where it is absent. Escapes are decoded.
 [[nodiscard]] std::string queryValue(std::string_view target, std::string_view field);
--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -23,7 +23,8 @@
 
 void RegistryCore::run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& /*open*/, Timestamp now)
 {
-    const std::vector<model::Address> addresses = gatewaysFor(*roster_, call.zone, call.region, now);
+    const Origin caller {.zone = call.zone, .region = call.region};
+    const std::vector<model::Address> addresses = gatewaysFor(*roster_, settings_.region, caller, now);
     counters_->add(addresses.empty() ? model::Counter::LookUpsRefused : model::Counter::LookUps);
     if (addresses.empty())
         return answer(laterAnswer(handle, "no gateway is known"));
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -86,7 +86,6 @@
     replica_->tick(now);
     replica_->setJoinHosts(roster_->controlHosts());
     roster_->tick(now);
-    targets_.tick(now);
     orders_.retryWaiting(now);
     noteLeader(now);
     distribute(now);
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -96,6 +96,7 @@
     Orders orders_;
     std::unordered_map<requests::HttpHandle, OpenCall> calls_;
     std::set<TargetId> retired_; ///< As of ordersSeen_.
+    std::set<ZoneName> evacuated_; ///< As of ordersSeen_.
     LogPosition ordersSeen_;
     std::set<HostId> toldAll_; ///< Gateways that have every target, or it is on its way to them.
     Timestamp nextReportAt_ {};
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -31,6 +31,12 @@
     if (routing.ordersPosition == ordersSeen_)
         return;
     ordersSeen_ = routing.ordersPosition;
+    // Their targets may have turned slow meanwhile: gateways wait for word of them.
+    for (const ZoneName& zone : evacuated_) {
+        if (!routing.evacuatedZones.contains(zone))
+            targets_.wantWordOf(zone);
+    }
+    evacuated_ = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()};
     model::TargetReport report = makeReport();
     for (const TargetId& target : routing.retiredTargets) {
         if (retired_.insert(target).second)
--- a/src/registry/internal/targetbook.cpp
+++ b/src/registry/internal/targetbook.cpp
@@ -13,10 +13,9 @@
 
 namespace {
 
-/// Targets report every 1 to 2 s, some reports come seconds late.
-constexpr Duration SilenceLimit = 12s;
-/// A gateway that missed a report hears the target again after so long.
-constexpr Duration RepeatPeriod = 4s;
+/// Against whatever a gateway may have missed. Links lose nothing while they stand, and a link that stands again starts
+/// with all targets, so this is rare: all targets to all gateways is most of what control sends.
+constexpr Duration RepeatPeriod = 30s;
 
 uint64_t pairHash(std::string_view left, std::string_view right)
 {
@@ -34,7 +33,9 @@
 {
     const auto found = entries_.find(record.target);
     if (found == entries_.end()) {
-        removeOthersAt(record.address, record.target);
+        if (displaced_.contains(record.target, now))
+            return false;
+        removeOthersAt(record.address, record.target, now);
         const TargetId target = record.target;
         entries_.emplace(target, Entry {.record = std::move(record), .heardAt = now, .toldAt = {}});
         return true;
@@ -43,26 +44,34 @@
     if (record.sequence <= entry.record.sequence)
         return false;
     record.isLeaving = record.isLeaving || entry.record.isLeaving;
+    // Where it called another registry host in between, gateways may know more of it from there.
+    const bool isBack = record.sequence > entry.record.sequence + 1;
     const bool isSlow = record.slowStartLeft > Duration::zero() || entry.record.slowStartLeft > Duration::zero();
     const bool isChanged = record.isLeaving != entry.record.isLeaving || record.slots != entry.record.slots
         || record.address != entry.record.address;
-    entry.isNews = entry.isNews || isSlow || isChanged;
+    entry.isNews = entry.isNews || isSlow || isChanged || isBack || entry.isWanted;
+    entry.isWanted = false;
     entry.record = std::move(record);
     entry.heardAt = now;
     return true;
 }
 
-void TargetBook::removeOthersAt(const model::Address& address, const TargetId& target)
+void TargetBook::removeOthersAt(const model::Address& address, const TargetId& target, Timestamp now)
 {
-    std::erase_if(
-        entries_, [&](const auto& item) { return item.second.record.address == address && item.first != target; });
+    std::erase_if(entries_, [&](const auto& item) {
+        const bool isDisplaced = item.second.record.address == address && item.first != target;
+        if (isDisplaced)
+            displaced_.note(item.first, now);
+        return isDisplaced;
+    });
 }
 
 void TargetBook::remove(const TargetId& target) { entries_.erase(target); }
 
-void TargetBook::tick(Timestamp now)
+void TargetBook::wantWordOf(const ZoneName& zone)
 {
-    std::erase_if(entries_, [&](const auto& item) { return now - item.second.heardAt > SilenceLimit; });
+    for (auto& [target, entry] : entries_)
+        entry.isWanted = entry.isWanted || entry.record.zone == zone;
 }
 
 HostId TargetBook::slowStartHostOf(const model::TargetRecord& record, std::span<const Gateway> gateways) const
@@ -96,15 +105,22 @@
     std::vector<model::TargetRecord> news;
     for (auto& [target, entry] : entries_) {
         const bool isHeardAgain = entry.heardAt > entry.toldAt && now - entry.toldAt >= RepeatPeriod;
-        if (!entry.isNews && !isHeardAgain)
+        if (!entry.isNews && !isHeardAgain && !isSilent(entry, now))
             continue;
         entry.isNews = false;
         entry.toldAt = now;
         news.push_back(toldOf(entry, gateways, now));
     }
+    // Their last word is told: its age says that they are silent.
+    std::erase_if(entries_, [&](const auto& item) { return isSilent(item.second, now); });
     return news;
 }
 
+bool TargetBook::isSilent(const Entry& entry, Timestamp now)
+{
+    return now - entry.heardAt >= model::TargetSilenceLimit;
+}
+
 std::vector<model::TargetRecord> TargetBook::all(std::span<const Gateway> gateways, Timestamp now) const
 {
     std::vector<model::TargetRecord> records;
--- a/src/registry/internal/targetbook.h
+++ b/src/registry/internal/targetbook.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "membership/displacedtargets.h"
 #include "model/targetmessages.h"
 
 #include <map>
@@ -30,11 +31,12 @@
     /// A target's report; false for one that came after a newer one.
     bool note(model::TargetRecord record, Timestamp now);
     void remove(const TargetId& target);
-    /// Forgets targets that fell silent.
-    void tick(Timestamp now);
+    /// The zone's targets are told again when they report next.
+    void wantWordOf(const ZoneName& zone);
     [[nodiscard]] size_t size() const { return entries_.size(); }
 
-    /// Records that changed since the last call, or that gateways should hear again.
+    /// Records that changed since the last call, or that gateways should hear again. Of targets that fell silent for
+    /// the last time: they are forgotten then.
     [[nodiscard]] std::vector<model::TargetRecord> takeNews(std::span<const Gateway> gateways, Timestamp now);
     [[nodiscard]] std::vector<model::TargetRecord> all(std::span<const Gateway> gateways, Timestamp now) const;
 
@@ -44,15 +46,18 @@
         Timestamp heardAt;
         Timestamp toldAt;
         bool isNews = true;
+        bool isWanted = false; ///< Its next report is news, whatever it says.
     };
 
     [[nodiscard]] model::TargetRecord toldOf(
         const Entry& entry, std::span<const Gateway> gateways, Timestamp now) const;
     [[nodiscard]] HostId slowStartHostOf(const model::TargetRecord& record, std::span<const Gateway> gateways) const;
-    void removeOthersAt(const model::Address& address, const TargetId& target);
+    void removeOthersAt(const model::Address& address, const TargetId& target, Timestamp now);
+    [[nodiscard]] static bool isSilent(const Entry& entry, Timestamp now);
 
     std::map<ZoneName, RegionName> zones_;
     std::map<TargetId, Entry> entries_;
+    membership::DisplacedTargets displaced_;
 };
 
 } // namespace saltvane::registry
