Soak the real programs with faults from outside

Cause: the users ask for a soak that runs the programs as processes and checks the promises from outside; there was none. For forwarders in front of links the product gained link_listen_address: where a host listens when others reach it at another address.

--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -172,7 +172,7 @@
         .incarnation = incarnation,
         .deployment = settings.deployment,
         .linkKey = settings.linkKey,
-        .address = settings.linkAddress});
+        .address = settings.linkListenAddress});
     if (!linked)
         return linked;
     const int buffer = socketBufferFor(settings.linkMegabits);
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -96,6 +96,8 @@
     void readAddresses()
     {
         settings_.linkAddress = root_.address("link_address");
+        settings_.linkListenAddress
+            = root_.has("link_listen_address") ? root_.address("link_listen_address") : settings_.linkAddress;
         if (settings_.isGateway) {
             settings_.frontAddress = root_.address("front_address");
             settings_.readinessAddress = root_.address("readiness_address");
--- a/src/settings/routedhostsettings.h
+++ b/src/settings/routedhostsettings.h
@@ -47,7 +47,8 @@
     ZoneName zone;
     RegionName region;
     std::map<ZoneName, RegionName> zones; ///< Of the whole deployment.
-    model::Address linkAddress; ///< Also the host's id.
+    model::Address linkAddress; ///< By which other hosts reach this one; also its id.
+    model::Address linkListenAddress; ///< Where this host listens for them; differs where something stands in between.
     std::vector<model::Address> seeds; ///< Link addresses of registry hosts.
     model::Address frontAddress; ///< Gateway: callers.
     model::Address readinessAddress; ///< Gateway: readiness checks.
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,89 @@
+"""Callers of the soak: they use look-ups, keep their connections until these are gone, and note every outcome."""
+import asyncio
+import dataclasses
+import itertools
+import json
+import random
+import time
+
+from messages import Message, call, encode, read_message, split
+
+DEADLINE_S = 3.0
+PAUSE_S = (0.01, 0.06)
+
+
+@dataclasses.dataclass
+class Outcome:
+    """Of one try. Status 0: no whole answer came."""
+    request: str
+    is_once: bool
+    sent_at: float
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+
+
+class Caller:
+    def __init__(self, number: int, zone: str, region: str, directories: list[str], chooser: random.Random,
+                 outcomes: list[Outcome]):
+        self.name = f"c{number}"
+        self.query = f"/v1/entry?zone={zone}&region={region}"
+        self.directories = directories
+        self.chooser = chooser
+        self.outcomes = outcomes
+        self.hosts: list[str] = []
+        self.looked_up_at = 0.0
+        self.connection: tuple[str, asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def run(self):
+        for number in itertools.count(1):
+            await asyncio.sleep(self.chooser.uniform(*PAUSE_S))
+            await self._look_up()
+            if self.hosts:
+                await self._ask(f"{self.name}-{number}", self.chooser.random() < 0.5)
+
+    async def _look_up(self):
+        if time.monotonic() - self.looked_up_at < 1:
+            return
+        answer = await call(self.chooser.choice(self.directories), "GET", self.query, limit_s=1)
+        if answer is not None and answer.status == 200:
+            self.hosts = json.loads(answer.body)["hosts"]
+            self.looked_up_at = time.monotonic()
+            if self.connection and self.connection[0] not in self.hosts:
+                self._close()
+
+    def _close(self):
+        if self.connection is not None:
+            self.connection[2].transport.abort()
+        self.connection = None
+
+    async def _connect(self):
+        if self.connection is None or self.connection[1].at_eof():
+            self._close()
+            host = self.chooser.choice(self.hosts)
+            self.connection = (host, *await asyncio.open_connection(*split(host)))
+
+    async def _ask(self, request: str, is_once: bool):
+        outcome = Outcome(request, is_once, time.monotonic())
+        try:
+            async with asyncio.timeout(DEADLINE_S + 1):
+                await self._connect()
+                answer = await self._exchange(outcome)
+        except (OSError, TimeoutError):
+            answer = None
+        self.outcomes.append(outcome)
+        if answer is None or answer.headers.get("connection", "").lower() == "close":
+            self._close()
+        if answer is not None and "retry-after" in answer.headers:
+            await asyncio.sleep(float(answer.headers["retry-after"]))
+
+    async def _exchange(self, outcome: Outcome) -> Message | None:
+        _, reader, writer = self.connection
+        method, path = ("POST", "/once/1") if outcome.is_once else ("GET", "/read/1")
+        headers = {"Host": "prices.example", "Saltvane-Request-Id": outcome.request,
+                   "Saltvane-Deadline-Ms": str(int(DEADLINE_S * 1000)), "Saltvane-Object": str(self.chooser.randrange(40))}
+        writer.write(encode(f"{method} {path} HTTP/1.1", headers, b"body" if outcome.is_once else b""))
+        answer = await read_message(reader)
+        if answer is not None:
+            outcome.status, outcome.headers, outcome.body = answer.status, answer.headers, answer.body
+        return answer
--- /dev/null
+++ b/testing/soak/deployment.py
@@ -0,0 +1,116 @@
+"""The real programs of the soak: three registry hosts and three gateways, one of each in every region."""
+import pathlib
+import shutil
+import signal
+import sys
+
+from forwarder import Forwarder
+
+sys.path.append(str(pathlib.Path(__file__).resolve().parent.parent / "system"))
+from processes import System, free_network  # noqa: E402
+
+REGIONS = ("north", "south", "west")
+LINK_PORT, FRONT_PORT, SECOND_PORT = 19000, 18080, 18081
+
+SETTINGS = """deployment: soak
+roles: [{role}]
+first_start: {first_start}
+zone: {region}-a
+region: {region}
+zones: [{zones}]
+link_address: "{link}"
+link_listen_address: "{behind}"
+seeds: [{seeds}]
+link_key: {key}
+stop_time_limit_s: 6
+look_up_ttl_s: 1
+"""
+GATEWAY = """front_address: "{ip}:18080"
+readiness_address: "{ip}:18081"
+"""
+REGISTRY = """control_address: "{ip}:18080"
+directory_address: "{ip}:18081"
+data_folder: {name}-data
+"""
+
+
+class Host:
+    """A process of saltvane and the forwarder in front of its links."""
+
+    def __init__(self, role: str, number: int, network: str):
+        self.role = role
+        self.region = REGIONS[number]
+        self.name = f"{role}-{self.region}"
+        last = number + (1 if role == "registry" else 11)
+        self.ip = f"{network}.{last}"
+        self.link = f"{self.ip}:{LINK_PORT}"
+        self.behind = f"{network}.{last + 40}:{LINK_PORT}"
+        self.forwarder = Forwarder(self.link, self.behind)
+        self.is_paused = False
+
+    @property
+    def zone(self) -> str:
+        return f"{self.region}-a"
+
+    @property
+    def front(self) -> str:
+        return f"{self.ip}:{FRONT_PORT}"
+
+    @property
+    def second(self) -> str:
+        return f"{self.ip}:{SECOND_PORT}"
+
+
+class Deployment:
+    def __init__(self, binaries: pathlib.Path, folder: pathlib.Path):
+        self.system = System(binaries, folder)
+        self.network = free_network()
+        self.registries = [Host("registry", number, self.network) for number in range(len(REGIONS))]
+        self.gateways = [Host("gateway", number, self.network) for number in range(len(REGIONS))]
+        self.hosts = self.registries + self.gateways
+
+    async def start(self):
+        for host in self.hosts:
+            await host.forwarder.start()
+        for host in self.hosts:
+            self.launch(host, is_first=True)
+
+    def write_settings(self, host: Host, is_first: bool):
+        zones = ", ".join(f"{{zone: {region}-a, region: {region}}}" for region in REGIONS)
+        seeds = ", ".join(f'"{registry.link}"' for registry in self.registries)
+        rest = REGISTRY if host.role == "registry" else GATEWAY
+        text = (SETTINGS + rest).format(role=host.role, first_start=str(is_first).lower(), region=host.region, zones=zones,
+                                        link=host.link, behind=host.behind, seeds=seeds, key="k" * 40, ip=host.ip,
+                                        name=host.name)
+        (self.system.folder / f"{host.name}.yaml").write_text(text)
+
+    def launch(self, host: Host, is_first: bool = False):
+        self.write_settings(host, is_first)
+        self.system.start_host(host.name)
+        host.is_paused = False
+
+    def is_running(self, host: Host) -> bool:
+        return host.name in self.system.processes
+
+    def send(self, host: Host, number: signal.Signals):
+        self.system.processes[host.name].send_signal(number)
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            host.is_paused = number == signal.SIGSTOP
+
+    def kill(self, host: Host):
+        self.system.kill(host.name)
+
+    def wipe(self, host: Host):
+        shutil.rmtree(self.system.folder / f"{host.name}-data", ignore_errors=True)
+
+    def tear_tail(self, host: Host, garbage: bytes):
+        """A write that was under way when the host died: bytes behind the last record, never synced."""
+        segments = sorted((self.system.folder / f"{host.name}-data").glob("segment-*"))
+        if segments:
+            with open(segments[-1], "ab") as segment:
+                segment.write(garbage)
+
+    def ended_by_themselves(self) -> list[str]:
+        """Processes that nobody asked to end."""
+        return [f"{name} ended by itself: exit {process.returncode}"
+                for name, process in self.system.processes.items() if process.poll() is not None]
--- /dev/null
+++ b/testing/soak/faults.py
@@ -0,0 +1,175 @@
+"""What the soak does to the deployment from outside, drawn by a seed. Every fault ends by itself and may overlap others."""
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import signal
+
+from deployment import Deployment, Host
+from forwarder import BACK, TOWARDS
+from operator_calls import Operator
+from targets import Target
+
+STOP_LIMIT_S = 7.5  # stop_time_limit_s and a margin for a busy machine.
+CATCH_UP_S = 6
+
+
+@dataclasses.dataclass
+class World:
+    deployment: Deployment
+    targets: list[Target]
+    operator: Operator
+    chooser: random.Random
+    findings: list[str]
+    wiping: bool = False
+
+
+Fault = collections.abc.Callable[[World], collections.abc.Awaitable[None]]
+
+
+def a_host(world: World, hosts: list[Host]) -> Host | None:
+    """One that runs and isn't paused; hosts may be struck again while they come back."""
+    able = [host for host in hosts if world.deployment.is_running(host) and not host.is_paused]
+    return world.chooser.choice(able) if able else None
+
+
+def a_pause(world: World, least: float, most: float) -> float:
+    return world.chooser.uniform(least, most)
+
+
+async def kill(world: World):
+    host = a_host(world, world.deployment.hosts)
+    if host is None:
+        return
+    world.deployment.kill(host)
+    if host.role == "registry" and world.chooser.random() < 0.3:
+        world.deployment.tear_tail(host, world.chooser.randbytes(world.chooser.randint(1, 60)))
+    await asyncio.sleep(a_pause(world, 0.1, 2))
+    world.deployment.launch(host)
+
+
+async def kill_all_registries(world: World):
+    killed = [host for host in world.deployment.registries if world.deployment.is_running(host)]
+    for host in killed:
+        world.deployment.kill(host)
+    await asyncio.sleep(a_pause(world, 0.1, 1))
+    for host in killed:
+        world.deployment.launch(host)
+
+
+async def wipe(world: World):
+    """One disk at a time: that is what three registry hosts bear."""
+    host = a_host(world, world.deployment.registries)
+    if host is None or world.wiping:
+        return
+    world.wiping = True
+    world.deployment.kill(host)
+    world.deployment.wipe(host)
+    await asyncio.sleep(a_pause(world, 0.1, 1))
+    world.deployment.launch(host)
+    await asyncio.sleep(CATCH_UP_S)
+    world.wiping = False
+
+
+async def stop(world: World):
+    host = a_host(world, world.deployment.hosts)
+    if host is None:
+        return
+    process = world.deployment.system.processes.pop(host.name)
+    process.send_signal(signal.SIGTERM)
+    for _ in range(int(STOP_LIMIT_S * 10)):
+        if process.poll() is not None:
+            break
+        await asyncio.sleep(0.1)
+    else:
+        world.findings.append(f"{host.name} still runs {STOP_LIMIT_S} s after SIGTERM")
+        process.kill()
+        process.wait()
+    world.deployment.launch(host)
+
+
+async def pause(world: World):
+    host = a_host(world, world.deployment.hosts)
+    if host is None:
+        return
+    process = world.deployment.system.processes[host.name]
+    world.deployment.send(host, signal.SIGSTOP)
+    await asyncio.sleep(a_pause(world, 0.3, 4))
+    process.send_signal(signal.SIGCONT)
+    host.is_paused = False
+
+
+async def reload(world: World):
+    host = a_host(world, world.deployment.hosts)
+    if host is not None:
+        world.deployment.send(host, signal.SIGHUP)
+
+
+def forwarders(world: World):
+    return [host.forwarder for host in world.deployment.hosts] + [target.forwarder for target in world.targets]
+
+
+async def hold(world: World):
+    """Bytes are held up, both ways or one way, and come through later."""
+    forwarder = world.chooser.choice(forwarders(world))
+    forwarder.hold(*world.chooser.choice([(TOWARDS,), (BACK,), (TOWARDS, BACK)]))
+    await asyncio.sleep(a_pause(world, 0.5, 5))
+    forwarder.heal()
+
+
+async def delay(world: World):
+    forwarder = world.chooser.choice(forwarders(world))
+    forwarder.delay_s = a_pause(world, 0.02, 0.3)
+    await asyncio.sleep(a_pause(world, 1, 4))
+    forwarder.heal()
+
+
+async def reset(world: World):
+    world.chooser.choice(forwarders(world)).reset()
+
+
+async def silence(world: World):
+    world.chooser.choice(forwarders(world)).silence()
+
+
+async def crash_target(world: World):
+    target = world.chooser.choice(world.targets)
+    if target.server is None or target.state == "leaving":
+        return
+    target.crash()
+    await asyncio.sleep(a_pause(world, 0.2, 3))
+    await target.start()
+
+
+async def leave_target(world: World):
+    target = world.chooser.choice(world.targets)
+    if target.server is None or target.state == "leaving":
+        return
+    target.state = "leaving"
+    await asyncio.sleep(a_pause(world, 6, 9))
+    target.crash()
+    await target.start()
+
+
+async def change_plan(world: World):
+    # One after the other: two on one base version would be refused, and rightly so.
+    if not world.wiping:
+        await world.operator.replace_plan()
+
+
+async def empty_zone(world: World):
+    zone = world.chooser.choice(world.deployment.gateways).zone
+    if world.operator.evacuated:
+        return
+    if await world.operator.evacuate(zone):
+        await asyncio.sleep(a_pause(world, 1, 4))
+        await world.operator.take_back(zone)
+
+
+FAULTS: list[tuple[Fault, float]] = [
+    (kill, 3), (kill_all_registries, 0.7), (wipe, 1), (stop, 2), (pause, 2), (reload, 1), (hold, 3), (delay, 1), (reset, 2),
+    (silence, 2), (crash_target, 2), (leave_target, 1), (empty_zone, 1)]
+
+
+def draw(chooser: random.Random) -> Fault:
+    return chooser.choices([fault for fault, _ in FAULTS], [weight for _, weight in FAULTS])[0]
--- /dev/null
+++ b/testing/soak/promises.py
@@ -0,0 +1,51 @@
+"""What the soak holds the system to, checked from what callers, targets and the operator saw."""
+import collections
+
+from callers import Outcome
+from targets import answer_body
+
+LATEST_OLD_READ_S = 2.5  # A read sent later after an acknowledgement tells that plan or a newer one.
+NOT_RUN = (408, 421, 429, 503)
+LEAST_SERVED = 50
+
+
+def findings_of_outcomes(outcomes: list[Outcome], runs: collections.Counter) -> list[str]:
+    findings = [finding for outcome in outcomes for finding in _findings_of(outcome, runs[outcome.request])]
+    if sum(outcome.status == 200 for outcome in outcomes) < LEAST_SERVED:
+        findings.append("hardly anything was served")
+    return findings
+
+
+def _findings_of(outcome: Outcome, count: int) -> list[str]:
+    findings = []
+    name = outcome.request
+    if outcome.is_once and count > 1:
+        findings.append(f"{name} ran {count} times")
+    if outcome.is_once and outcome.status in NOT_RUN and count > 0:
+        findings.append(f"{name} was told as not run ({outcome.status}), and ran")
+    if outcome.status == 503 and "retry-after" not in outcome.headers:
+        findings.append(f"{name}: 503 without the time to come back")
+    if outcome.status == 200:
+        is_own = outcome.body == answer_body(name) and outcome.headers.get("saltvane-request-id") == name
+        if not is_own or count == 0:
+            findings.append(f"{name}: an answer that is not its own: {outcome.body[:60]!r}")
+    if outcome.status == 404:
+        findings.append(f"{name}: 404 for a route that every plan has")
+    return findings
+
+
+def findings_of_reads(reads: list[tuple[float, int]], acknowledged: list[tuple[float, int]]) -> list[str]:
+    """No host shows an older plan than was acknowledged well before it was asked."""
+    findings = []
+    for sent_at, version in reads:
+        due = max((one for at, one in acknowledged if at + LATEST_OLD_READ_S <= sent_at), default=0)
+        if version < due:
+            findings.append(f"a read told plan {version}; {due} was acknowledged {LATEST_OLD_READ_S} s before")
+    return findings
+
+
+def findings_of_orders(runs_at: list[tuple[float, str, str]], since: float, zone: str, target: str) -> list[str]:
+    """From `since` on an evacuated zone and a target that left run nothing."""
+    late = [f"{ran_at} in {ran_in} ran a request {at - since:.1f} s after it had to stop"
+            for at, ran_at, ran_in in runs_at if at > since and (ran_in == zone or ran_at == target)]
+    return late[:1]
