Hold callers to the plan's limits of header size, header time and idle time, without a restart

Cause: of a plan's limits only the body limit bound; the others were the server's own (32 KiB, 10 s, 60 s). Change: a gateway hands a new plan's limits to its HTTP server, which holds open connections to them too. Test (the call did not exist before): HttpServerTest.OtherLimitsHoldAtOnceAndOnOpenConnections.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -192,6 +192,7 @@
     routes_ = std::make_shared<RouteTable>(std::move(plan.value()));
     runner_.install(routes_);
     updateSplit(now);
+    actions_.emplace_back(host::CallerLimitsChanged {.limits = routes_->plan().limits});
     log(host::LogSeverity::Info,
         "event=plan_in_force version=" + std::to_string(installed->version.value)
             + " index=" + std::to_string(installed->position.index.value)
--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -8,6 +8,7 @@
 #include "control/controltypes.h"
 #include "model/counters.h"
 #include "model/message.h"
+#include "model/routeplan.h"
 #include "requests/exchangetypes.h"
 
 #include <cstdint>
@@ -45,6 +46,10 @@
     };
     std::vector<Peer> peers;
 };
+/// What callers may send at this host's front, from now on.
+struct CallerLimitsChanged {
+    model::CallerLimits limits;
+};
 enum class LogSeverity { Info, Warning, Error };
 struct LogLine {
     LogSeverity severity = LogSeverity::Info;
@@ -57,7 +62,8 @@
 };
 
 /// Actions, to be carried out in order.
-using Action = std::variant<requests::Action, control::StorageWrite, LinksWanted, LogLine, StopFinished>;
+using Action
+    = std::variant<requests::Action, control::StorageWrite, LinksWanted, CallerLimitsChanged, LogLine, StopFinished>;
 
 /// One zone as this host sees it, for status pages and gauges.
 struct ZoneStatus {
--- a/src/host/tests/fakes/fakehost.cpp
+++ b/src/host/tests/fakes/fakehost.cpp
@@ -111,6 +111,8 @@
             carryOut(std::move(typed));
         } else if constexpr (std::is_same_v<Type, LinksWanted>) {
             world_.network->setWanted(settings_.host, typed);
+        } else if constexpr (std::is_same_v<Type, CallerLimitsChanged>) {
+            // Its callers keep within any limits.
         } else if constexpr (std::is_same_v<Type, LogLine>) {
             logs_.push_back(std::move(typed));
         } else {
--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -35,6 +35,8 @@
     virtual void carryOut(requests::HttpResponseBody action) = 0;
     virtual void carryOut(const requests::HttpAbort& action) = 0;
     virtual void carryOut(const requests::HttpRequestWindow& action) = 0;
+    /// Holds callers to other limits from now on, those on open connections too. Bodies are limited by the core.
+    virtual void setCallerLimits(const model::CallerLimits& limits) = 0;
     /// Accepts no more connections; open ones go on.
     virtual void stopAccepting() = 0;
     [[nodiscard]] virtual size_t openConnections() const = 0;
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -43,10 +43,17 @@
     return SocketAddress::from(info->client_addr, length).address().ip;
 }
 
+/// libmicrohttpd's own limit, in seconds: longer than the limits that this class enforces, which it backs up.
+unsigned int silenceLimitOf(const settings::Limits& limits)
+{
+    return static_cast<unsigned int>(std::ceil(toSeconds(limits.idleTimeout + limits.headerTimeout)));
+}
+
 } // namespace
 
 HttpServer::HttpServer(HttpServerOptions options)
     : options_(std::move(options))
+    , largestHeaderBytes_(options_.limits.requestHeaderBytes)
     , lastHandle_(requests::firstHandleOf(options_.listener).value)
     , clientWatch_(options_.loop, [this](HttpConnection& connection) { clientGone(connection); })
     , runTask_(options_.loop, TaskOrder::AfterIo, [this] { run(); })
@@ -79,13 +86,12 @@
         ::setsockopt(listening.value().get(), SOL_SOCKET, SO_SNDBUF, &options_.sendBuffer, sizeof(options_.sendBuffer));
     const auto& limits = options_.limits;
     const size_t pool = limits.requestHeaderBytes + PoolBeyondHeaders;
-    const auto idleSeconds = static_cast<unsigned int>(std::ceil(toSeconds(limits.idleTimeout)));
     const unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     daemon_ = MHD_start_daemon(flags, 0, nullptr, nullptr, &HttpServer::onAccess, this, //
         MHD_OPTION_LISTEN_SOCKET, listening.value().get(), //
         MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned int>(limits.connections + ConnectionsForRefusals), //
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, pool, //
-        MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds, //
+        MHD_OPTION_CONNECTION_TIMEOUT, silenceLimitOf(limits), //
         MHD_OPTION_STRICT_FOR_CLIENT, 1, //
         MHD_OPTION_URI_LOG_CALLBACK, &HttpServer::onUri, this, //
         MHD_OPTION_NOTIFY_COMPLETED, &HttpServer::onCompleted, this, //
@@ -95,10 +101,31 @@
         return lastError(describe(boundAddress_), "MHD_start_daemon");
     (void)listening.value().release(); // libmicrohttpd closes it.
     pollWatcher_.watch(MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd, EV_READ);
-    limitTimer_.startRepeating(std::clamp(limits.headerTimeout / 4, ShortestLimitPeriod, LongestLimitPeriod));
+    startLimitTimer();
     return Done {};
 }
 
+void HttpServer::startLimitTimer()
+{
+    limitTimer_.startRepeating(std::clamp(options_.limits.headerTimeout / 4, ShortestLimitPeriod, LongestLimitPeriod));
+}
+
+void HttpServer::setCallerLimits(const model::CallerLimits& limits)
+{
+    // Heads are read into memory of the size that was set at the start.
+    options_.limits.requestHeaderBytes = std::min(limits.headerBytes, largestHeaderBytes_);
+    options_.limits.headerTimeout = limits.headerTimeout;
+    options_.limits.idleTimeout = limits.idleTimeout;
+    for (HttpConnection& connection : connections_)
+        setSilenceLimit(connection.connection);
+    startLimitTimer();
+}
+
+void HttpServer::setSilenceLimit(MHD_Connection* connection) const
+{
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, silenceLimitOf(options_.limits));
+}
+
 void HttpServer::stopAccepting()
 {
     const int fd = MHD_quiesce_daemon(daemon_);
@@ -256,6 +283,7 @@
     created->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     created->remoteIp = remoteIpOf(connection);
     created->phaseSince = ev_now(options_.loop);
+    setSilenceLimit(connection);
     created->isOverLimit = connections_.size() >= options_.limits.connections;
     clientWatch_.add(*created);
     connections_.push_back(*created);
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -37,11 +37,15 @@
     void carryOut(requests::HttpResponseBody action) override;
     void carryOut(const requests::HttpAbort& action) override;
     void carryOut(const requests::HttpRequestWindow& action) override;
+    void setCallerLimits(const model::CallerLimits& limits) override;
     void stopAccepting() override;
     [[nodiscard]] size_t openConnections() const override { return connections_.size(); }
     [[nodiscard]] model::Address boundAddress() const override { return boundAddress_; }
 
 private:
+    void startLimitTimer();
+    void setSilenceLimit(MHD_Connection* connection) const;
+
     // Callbacks of libmicrohttpd.
     static void* onUri(void* server, const char* uri, MHD_Connection* connection);
     static MHD_Result onAccess(void* server, MHD_Connection* connection, const char* url, const char* method,
@@ -77,6 +81,7 @@
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
 
     HttpServerOptions options_;
+    uint64_t largestHeaderBytes_;
     std::unordered_map<requests::HttpHandle, std::unique_ptr<HttpExchange>> exchanges_;
     HttpExchanges progressing_; ///< Exchanges whose answer's body went on.
     HttpConnections connections_;
--- a/src/net/tests/httpservertests.cpp
+++ b/src/net/tests/httpservertests.cpp
@@ -270,6 +270,22 @@
     EXPECT_EQ(server->openConnections(), 1u);
 }
 
+TEST_F(HttpServerTest, OtherLimitsHoldAtOnceAndOnOpenConnections)
+{
+    makeServer({.idleTimeout = 60s, .headerTimeout = 60s});
+    answerAtOnce({.status = 200, .bodyLength = 0});
+    RawSocket resting = connect();
+    resting.send(PlainGet);
+    ASSERT_TRUE(runner.runUntil([&] { return resting.hasReceived("200 OK"); }));
+    RawSocket stalled = connect();
+    stalled.send("GET / HTTP/1.1\r\nHo");
+    server->setCallerLimits({.headerBytes = 200, .headerTimeout = 100ms, .idleTimeout = 100ms});
+    EXPECT_TRUE(runner.runUntil([&] { return resting.isPeerGone() && stalled.isPeerGone(); }));
+    RawSocket large = connect();
+    large.send("GET / HTTP/1.1\r\nHost: h\r\nX-A: " + std::string(300, 'a') + "\r\n\r\n");
+    EXPECT_TRUE(runner.runUntil([&] { return large.hasReceived("HTTP/1.1 431"); }));
+}
+
 TEST_F(HttpServerTest, PipelinedRequestsAreAnsweredInOrder)
 {
     auto client = connect();
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -413,6 +413,12 @@
 
 void Daemon::carryOut(const host::LinksWanted& links) { linkHub_->carryOut(links); }
 
+void Daemon::carryOut(const host::CallerLimitsChanged& changed)
+{
+    constexpr size_t Front = 0; // Of all kinds of hosts.
+    httpServers_.at(Front)->setCallerLimits(changed.limits);
+}
+
 void Daemon::carryOut(const host::LogLine& line)
 {
     switch (line.severity) {
