Hold less memory a connection: one receive buffer for all links, smaller heads, idle buffers given back

Ruled out: the book of targets (1,000 targets: 1 MB). Change: links share one buffer of 64 KiB; emptied buffers over 2 KiB (4 KiB for frames) are given back; header_bytes is a setting, 16 KiB at gateways (plans usually allow that), 4 KiB at registry hosts.

--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -19,9 +19,17 @@
 constexpr Duration HandshakeLimit = 2s; ///< Connecting included.
 constexpr Duration RetireLimit = 1s;
 constexpr unsigned int UnacknowledgedLimitMs = 5000;
-constexpr size_t ReceiveBlock = 256 * 1024;
+/// Emptied buffers give back what is beyond it: a control host has hundreds of links, most of them at rest.
+constexpr size_t KeptCapacity = 2 * 1024;
 constexpr size_t ReceivedAtOnce = 1024 * 1024; ///< Bytes, before other connections have their turn.
 
+void clear(std::string& buffer)
+{
+    buffer.clear();
+    if (buffer.capacity() > KeptCapacity)
+        buffer.shrink_to_fit();
+}
+
 } // namespace
 
 std::string_view toString(LinkEnd end)
@@ -128,7 +136,7 @@
         sent_ += static_cast<size_t>(count);
     }
     if (sent_ == unsent_.size()) {
-        unsent_.clear();
+        clear(unsent_);
         sent_ = 0;
     } else if (sent_ > unsent_.size() / 2) {
         unsent_.erase(0, sent_);
@@ -180,18 +188,17 @@
 
 void Link::receive()
 {
+    const std::span<char> scratch = options_.scratch;
     for (size_t total = 0; total < ReceivedAtOnce && !isReceivingHeld_;) {
-        const size_t start = received_.size();
-        received_.resize(start + ReceiveBlock);
-        const ssize_t count = ::recv(options_.fd.get(), received_.data() + start, ReceiveBlock, 0);
-        received_.resize(start + (count > 0 ? static_cast<size_t>(count) : 0));
+        const ssize_t count = ::recv(options_.fd.get(), scratch.data(), scratch.size(), 0);
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
             return;
         if (count <= 0)
             return end(LinkEnd::PeerClosed, count < 0 ? std::strerror(errno) : "");
+        received_.append(scratch.data(), static_cast<size_t>(count));
         total += static_cast<size_t>(count);
         process();
-        if (state_ == State::Ended || static_cast<size_t>(count) < ReceiveBlock)
+        if (state_ == State::Ended || static_cast<size_t>(count) < scratch.size())
             return;
     }
 }
@@ -213,7 +220,7 @@
 {
     consumed_ += bytes;
     if (consumed_ == received_.size()) {
-        received_.clear();
+        clear(received_);
         consumed_ = 0;
     } else if (consumed_ > received_.size() / 2) {
         received_.erase(0, consumed_);
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -18,6 +18,7 @@
 #include <boost/intrusive/list.hpp>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -61,6 +62,8 @@
 /// One TCP connection to another host: connecting, handshake, then protected records.
 class Link : public boost::intrusive::list_base_hook<> {
 public:
+    static constexpr size_t ScratchBytes = 64 * 1024;
+
     enum class State { Connecting, AwaitingHello, AwaitingProof, Up, Retiring, Ended };
 
     struct Options {
@@ -71,6 +74,7 @@
         UniqueFd fd; ///< Connecting or connected.
         std::string remote; ///< For logs.
         size_t largestSendQueue = 0;
+        std::span<char> scratch; ///< Shared by all links: what one read takes.
     };
     explicit Link(Options options);
     Link(const Link&) = delete;
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -66,7 +66,8 @@
         .role = role,
         .fd = std::move(fd),
         .remote = describe(remote),
-        .largestSendQueue = options_.largestSendQueue});
+        .largestSendQueue = options_.largestSendQueue,
+        .scratch = scratch_});
     links_.push_back(*link);
     return *link.release();
 }
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -74,6 +74,7 @@
 
     LinkHubOptions options_;
     LinkIdentity identity_;
+    std::vector<char> scratch_ = std::vector<char>(Link::ScratchBytes);
     UniqueFd listening_;
     model::Address boundAddress_;
     Links links_;
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -17,6 +17,9 @@
 
 constexpr size_t LeastKeyBytes = 32;
 constexpr IntegerRange PortRange {.least = 1, .most = 65535};
+constexpr IntegerRange HeaderBytesRange {.least = 1024, .most = 1024 * 1024};
+constexpr uint64_t GatewayHeaderBytes = 16 * 1024; ///< As plans usually allow.
+constexpr uint64_t RegistryHeaderBytes = 4 * 1024;
 constexpr DurationRange TtlRange {.least = 100ms, .most = 1h};
 constexpr DurationRange StopRange {.least = 100ms, .most = 1h};
 
@@ -138,6 +141,10 @@
         settings_.linkMegabits = root_.decimal("link_mbps", settings_.linkMegabits);
         settings_.shiftCap = root_.decimal("shift_cap", settings_.shiftCap);
         settings_.lookUpTtl = root_.duration("look_up_ttl_s", 1s, settings_.lookUpTtl, TtlRange);
+        // Of a gateway, plans may lower it; a registry host's callers send short heads. Each connection holds as much
+        // memory.
+        const uint64_t usual = settings_.isGateway ? GatewayHeaderBytes : RegistryHeaderBytes;
+        settings_.limits.requestHeaderBytes = root_.integer("header_bytes", HeaderBytesRange, usual);
         settings_.limits.stopTimeLimit
             = root_.duration("stop_time_limit_s", 1s, settings_.limits.stopTimeLimit, StopRange);
     }
--- a/src/settings/tests/routedhosttests.cpp
+++ b/src/settings/tests/routedhosttests.cpp
@@ -53,9 +53,21 @@
     EXPECT_EQ(settings.headers.deadline, "Saltvane-Deadline-Ms");
     EXPECT_EQ(settings.zones.size(), 2U);
     EXPECT_EQ(settings.limits.stopTimeLimit, 6s);
+    EXPECT_EQ(settings.linkListenAddress, settings.linkAddress);
+    EXPECT_EQ(settings.limits.requestHeaderBytes, 16U * 1024);
     EXPECT_FALSE(settings.isFirstStart);
 }
 
+TEST(RoutedHostTest, ReadsWhereItListensForLinksAndItsLongestHead)
+{
+    const std::string text = Gateway + "link_listen_address: \"10.0.0.2:7001\"\nheader_bytes: 2048\n";
+    const Result<RoutedHostSettings, Findings> read = parseRoutedHostSettings(text, "host.yaml");
+    ASSERT_TRUE(read) << findingsOf(text);
+    EXPECT_EQ(read.value().host(), HostId("10.0.0.1:7000"));
+    EXPECT_EQ(read.value().linkListenAddress, (model::Address {.ip = "10.0.0.2", .port = 7001}));
+    EXPECT_EQ(read.value().limits.requestHeaderBytes, 2048U);
+}
+
 TEST(RoutedHostTest, FindsWhatIsWrongWithItsPlace)
 {
     EXPECT_NE(findingsOf(Gateway + "colour: red\n").find("host.yaml:16"), std::string::npos);
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -22,7 +22,7 @@
 
 constexpr size_t HeadroomOfEnvelope = 1024;
 /// A reader between frames gives a larger buffer back.
-constexpr size_t LargestIdleBuffer = 512 * 1024;
+constexpr size_t LargestIdleBuffer = 4 * 1024; ///< There is a reader for each link, most of them at rest.
 
 template <typename Wire> fbs::Payload payloadOf(const Offset<Wire>& /*table*/)
 {
@@ -96,9 +96,7 @@
 
 void FrameReader::append(std::string_view bytes)
 {
-    if (consumed_ == buffer_.size()) {
-        restart();
-    } else if (consumed_ > buffer_.size() / 2) {
+    if (consumed_ > buffer_.size() / 2) {
         // At least half is moved out for each byte kept, so that the cost per byte read is constant.
         buffer_.erase(LeadIn, consumed_ - LeadIn);
         consumed_ = LeadIn;
@@ -125,6 +123,8 @@
     if (!message)
         return message.error();
     consumed_ += FrameHeaderSize + length;
+    if (consumed_ == buffer_.size())
+        restart();
     return std::optional<model::Message>(std::move(message.value()));
 }
 
