--- /dev/null
+++ b/src/saltvaned/internal/daemonadapters.cpp
@@ -0,0 +1,186 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "base/log.h"
+#include "gateway/igateway.h"
+#include "registry/iregistry.h"
+#include "saltvaned/internal/clocks.h"
+#include "saltvaned/internal/daemon.h"
+#include "saltvaned/internal/metricstext.h"
+
+#include <array>
+#include <sodium.h>
+#include <utility>
+
+/// How Daemon sets up what its core needs: disk, links, HTTP servers and client.
+namespace saltvane::saltvaned {
+
+namespace {
+
+constexpr Duration UsualConnectTimeout = 1s;
+/// Three lost round trips between far regions; a target that takes longer is tried elsewhere.
+constexpr Duration GatewayConnectTimeout = 600ms;
+
+/// Bytes of one connection that may wait on a host's link: a large answer must not hold up the small ones behind it for
+/// longer than this. 0 (the system's choice) on links that are quick enough.
+int socketBufferFor(double linkMegabits)
+{
+    constexpr double LongestWaitSeconds = 0.033;
+    constexpr double QuickLinkMegabits = 100;
+    constexpr double BytesPerMegabit = 125'000;
+    constexpr double LeastBuffer = 16 * 1024;
+    if (linkMegabits <= 0 || linkMegabits >= QuickLinkMegabits)
+        return 0;
+    return static_cast<int>(std::max(LeastBuffer, linkMegabits * BytesPerMegabit * LongestWaitSeconds));
+}
+
+/// Hosts without a disk have only the wall clock to order their starts by.
+Incarnation incarnationOfThisStart()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return {static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count())};
+}
+
+uint64_t randomSeed()
+{
+    uint64_t seed = 0;
+    randombytes_buf(&seed, sizeof seed);
+    return seed;
+}
+
+} // namespace
+
+Result<Done, IoError> Daemon::openAdapters(const settings::HostSettings& settings)
+{
+    const Incarnation incarnation = incarnationOfThisStart();
+    std::optional<control::RecoveredState> recovered;
+    if (settings.isControl) {
+        if (auto opened = openDataFolder(settings.dataFolder); !opened)
+            return opened;
+        recovered = dataFolder_->recovered();
+    }
+    core_ = host::makeHostCore({.settings = settings,
+        .incarnation = incarnation,
+        .recovered = std::move(recovered),
+        .seed = randomSeed(),
+        .wallClockUnixMs = wallClockUnixMs});
+    const auto linked = openLinks({.host = settings.host,
+        .incarnation = incarnation,
+        .deployment = settings.deployment,
+        .linkKey = settings.linkKey,
+        .address = settings.linkAddress});
+    if (!linked)
+        return linked;
+    if (auto opened = openTargetClient(UsualConnectTimeout, 0); !opened)
+        return opened;
+    return openHttpServer(settings.entryAddress, settings.limits, true, 0);
+}
+
+Result<Done, IoError> Daemon::openAdapters(const settings::RoutedHostSettings& settings)
+{
+    const Incarnation incarnation = incarnationOfThisStart();
+    if (settings.isRegistry) {
+        if (auto opened = openDataFolder(settings.dataFolder); !opened)
+            return opened;
+    }
+    core_ = makeRoutedCore(settings, incarnation);
+    if (!core_)
+        return IoError {.place = settings.dataFolder, .message = "holds no state of this version"};
+    const auto linked = openLinks({.host = settings.host(),
+        .incarnation = incarnation,
+        .deployment = settings.deployment,
+        .linkKey = settings.linkKey,
+        .address = settings.linkListenAddress});
+    if (!linked)
+        return linked;
+    const int buffer = socketBufferFor(settings.linkMegabits);
+    if (auto opened = openTargetClient(GatewayConnectTimeout, buffer); settings.isGateway && !opened)
+        return opened;
+    // In the order of gateway::Listener and registry::Listener.
+    const std::array<model::Address, 2> addresses = settings.isGateway
+        ? std::array {settings.frontAddress, settings.readinessAddress}
+        : std::array {settings.controlAddress, settings.directoryAddress};
+    for (const model::Address& address : addresses) {
+        if (auto opened = openHttpServer(address, settings.limits, false, buffer); !opened)
+            return opened;
+    }
+    if (settings.metricsAddress.port == 0)
+        return Done {};
+    return openHttpServer(settings.metricsAddress, settings.limits, true, 0);
+}
+
+std::unique_ptr<host::IHostCore> Daemon::makeRoutedCore(
+    const settings::RoutedHostSettings& settings, Incarnation incarnation) const
+{
+    if (settings.isGateway)
+        return gateway::makeGateway({.settings = settings, .incarnation = incarnation, .seed = randomSeed()});
+    return registry::makeRegistry({.settings = settings,
+        .incarnation = incarnation,
+        .recovered = dataFolder_->recovered(),
+        .seed = randomSeed()});
+}
+
+Result<Done, IoError> Daemon::openDataFolder(const std::string& path)
+{
+    Result<std::unique_ptr<net::IDataFolder>, IoError> folder = net::openDataFolder(path);
+    if (!folder)
+        return folder.error();
+    dataFolder_ = std::move(folder.value());
+    for (const std::string& warning : dataFolder_->warnings())
+        LOG_TAGGED(WARNING, "net") << "event=data_folder_warning " << warning;
+    return Done {};
+}
+
+Result<Done, IoError> Daemon::openLinks(const LinkIdentity& identity)
+{
+    Result<std::unique_ptr<net::ILinkHub>, IoError> linkHub = net::makeLinkHub({.loop = loop_,
+        .self = identity.host,
+        .incarnation = identity.incarnation,
+        .deployment = identity.deployment,
+        .linkKey = identity.linkKey,
+        .listenAddress = identity.address,
+        .sink = [this](host::Event event) { deliver(std::move(event)); },
+        .counters = &adapterCounters_});
+    if (!linkHub)
+        return linkHub.error();
+    linkHub_ = std::move(linkHub.value());
+    return Done {};
+}
+
+Result<Done, IoError> Daemon::openTargetClient(Duration connectTimeout, int receiveBuffer)
+{
+    Result<std::unique_ptr<net::ITargetClient>, IoError> targetClient = net::makeTargetClient({.loop = loop_,
+        .sink = [this](host::Event event) { deliver(std::move(event)); },
+        .connectTimeout = connectTimeout,
+        .receiveBuffer = receiveBuffer});
+    if (!targetClient)
+        return targetClient.error();
+    targetClient_ = std::move(targetClient.value());
+    return Done {};
+}
+
+Result<Done, IoError> Daemon::openHttpServer(
+    const model::Address& address, const settings::Limits& limits, bool isMetricsServed, int sendBuffer)
+{
+    Result<std::unique_ptr<net::IHttpServer>, IoError> httpServer = net::makeHttpServer({.loop = loop_,
+        .address = address,
+        .limits = limits,
+        .sink = [this](host::Event event) { deliver(std::move(event)); },
+        .counters = &adapterCounters_,
+        .listener = static_cast<uint8_t>(httpServers_.size()),
+        .sendBuffer = sendBuffer,
+        .isMetricsServed = isMetricsServed,
+        .metricsText =
+            [this] {
+                return metricsText(
+                    core_->counters(), adapterCounters_, core_->status(monotonicNow()), core_->latencies());
+            }});
+    if (!httpServer)
+        return httpServer.error();
+    httpServers_.push_back(std::move(httpServer.value()));
+    return Done {};
+}
+
+} // namespace saltvane::saltvaned
