--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -184,17 +184,17 @@
 protected:
     TargetNewsTest() { heartbeats(); }
 
-    void heartbeats() { cluster.gatewayHeartbeat(0, Gateway, "north-a", "north"); }
+    void heartbeats() { cluster_.gatewayHeartbeat(0, Gateway, "north-a", "north"); }
     void report(const std::string& target, uint64_t sequence)
     {
         heartbeats();
         EXPECT_EQ(
-            statusOf(cluster.call(0, "POST", "/v1/targets/" + target + "/heartbeat", heartbeatText(sequence))), 200);
-        cluster.run(300ms);
+            statusOf(cluster_.call(0, "POST", "/v1/targets/" + target + "/heartbeat", heartbeatText(sequence))), 200);
+        cluster_.run(300ms);
     }
 
     static constexpr const char* Gateway = "10.0.1.1:7000";
-    RegistryCluster cluster {3};
+    RegistryCluster cluster_ {3};
 };
 
 } // namespace
@@ -202,59 +202,59 @@
 TEST_F(TargetNewsTest, ATargetIsToldOnceAndAgainOnlyWhenItChanges)
 {
     report("t-1", 1);
-    EXPECT_EQ(takeTold(cluster, Gateway).size(), 1U);
+    EXPECT_EQ(takeTold(cluster_, Gateway).size(), 1U);
     for (uint64_t sequence = 2; sequence < 15; ++sequence) {
         report("t-1", sequence);
-        cluster.run(700ms);
+        cluster_.run(700ms);
     }
-    EXPECT_TRUE(takeTold(cluster, Gateway).empty());
+    EXPECT_TRUE(takeTold(cluster_, Gateway).empty());
 }
 
 TEST_F(TargetNewsTest, ATargetThatCalledElsewhereInBetweenIsToldAgain)
 {
     report("t-1", 1);
-    (void)takeTold(cluster, Gateway);
+    (void)takeTold(cluster_, Gateway);
     report("t-1", 4);
-    EXPECT_EQ(takeTold(cluster, Gateway).size(), 1U);
+    EXPECT_EQ(takeTold(cluster_, Gateway).size(), 1U);
 }
 
 TEST_F(TargetNewsTest, ASilentTargetIsToldForTheLastTimeWithItsAge)
 {
     report("t-1", 1);
-    (void)takeTold(cluster, Gateway);
+    (void)takeTold(cluster_, Gateway);
     for (int i = 0; i < 13; ++i) {
-        cluster.run(1s);
+        cluster_.run(1s);
         heartbeats();
     }
-    const std::vector<model::TargetRecord> told = takeTold(cluster, Gateway);
+    const std::vector<model::TargetRecord> told = takeTold(cluster_, Gateway);
     ASSERT_EQ(told.size(), 1U);
     EXPECT_GE(told[0].age, model::TargetSilenceLimit);
     report("t-1", 2);
-    EXPECT_EQ(takeTold(cluster, Gateway).size(), 1U); // Heard of once more.
+    EXPECT_EQ(takeTold(cluster_, Gateway).size(), 1U); // Heard of once more.
 }
 
 TEST_F(TargetNewsTest, TargetsOfAZoneThatWasOpenedAgainAreToldWithTheirNextHeartbeat)
 {
-    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader().has_value(); }));
+    ASSERT_TRUE(cluster_.runUntil([&] { return cluster_.leader().has_value(); }));
     report("t-1", 1);
-    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/evacuations/north-a")), 200);
-    ASSERT_EQ(statusOf(cluster.order("DELETE", "/v1/evacuations/north-a")), 200);
-    (void)takeTold(cluster, Gateway);
+    ASSERT_EQ(statusOf(cluster_.order("PUT", "/v1/evacuations/north-a")), 200);
+    ASSERT_EQ(statusOf(cluster_.order("DELETE", "/v1/evacuations/north-a")), 200);
+    (void)takeTold(cluster_, Gateway);
     report("t-1", 2);
-    EXPECT_EQ(takeTold(cluster, Gateway).size(), 1U);
+    EXPECT_EQ(takeTold(cluster_, Gateway).size(), 1U);
 }
 
 TEST_F(TargetNewsTest, ADelayedHeartbeatDoesNotBringBackTheStartBefore)
 {
     report("old", 5);
     report("new", 1); // At the same address.
-    (void)takeTold(cluster, Gateway);
+    (void)takeTold(cluster_, Gateway);
     report("old", 6);
-    EXPECT_TRUE(takeTold(cluster, Gateway).empty());
+    EXPECT_TRUE(takeTold(cluster_, Gateway).empty());
     report("new", 2);
-    cluster.gatewayHeartbeat(0, "10.0.1.9:7000", "north-a", "north");
-    cluster.run(300ms);
-    const std::vector<model::TargetRecord> all = takeTold(cluster, "10.0.1.9:7000");
+    cluster_.gatewayHeartbeat(0, "10.0.1.9:7000", "north-a", "north");
+    cluster_.run(300ms);
+    const std::vector<model::TargetRecord> all = takeTold(cluster_, "10.0.1.9:7000");
     ASSERT_EQ(all.size(), 1U);
     EXPECT_EQ(all[0].target, TargetId("new"));
 }
