Tell the core of a new link where a peer dials again beside one that went silent

Told once and lost for good were the ids of retired targets, but for those in the record of a target. Change: the core hears that the link went down and that one is up, so it sends everything again. Test (failed before): LinkHubTest.APeerThatDialsAgainBesideASilentLinkIsTakenAsNew. Ruled out: telling everything more often again (bytes).

--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -243,9 +243,14 @@
     const bool isBetter = isPreferred(link) && !isPreferred(*peer.current);
     if (!isCurrentLost && !isBetter)
         return link.retire();
+    if (isCurrentLost) {
+        // What was under way on it is lost: the core has to begin anew with the peer.
+        Link* lost = std::exchange(peer.current, nullptr);
+        tellDown(link.peerHost(), peer);
+        lost->end(LinkEnd::Replaced, "dialled-again");
+        return adopt(link, peer);
+    }
     Link* older = std::exchange(peer.current, &link);
-    if (isCurrentLost)
-        return older->end(LinkEnd::Replaced, "dialled-again");
     peer.retiring = older;
     link.holdReceiving(true);
     older->retire();
--- a/src/net/tests/linkhubtests.cpp
+++ b/src/net/tests/linkhubtests.cpp
@@ -148,6 +148,20 @@
     EXPECT_EQ(a.log.plain<host::LinkUp>().back().incarnation, Incarnation {3});
 }
 
+TEST_F(LinkHubTest, APeerThatDialsAgainBesideASilentLinkIsTakenAsNew)
+{
+    Host a(runner, "a");
+    RawPeer silent(a);
+    ASSERT_TRUE(silent.join(runner, a));
+    constexpr auto LongerThanSimultaneous = std::chrono::milliseconds(3200);
+    const auto since = std::chrono::steady_clock::now();
+    ASSERT_TRUE(runner.runUntil([&] { return std::chrono::steady_clock::now() - since > LongerThanSimultaneous; }));
+    // What the hub sent on the silent link may be lost: its core must hear of a new link, to send it all again.
+    RawPeer again(a);
+    ASSERT_TRUE(again.join(runner, a));
+    EXPECT_EQ(a.downs(), 1U);
+}
+
 TEST_F(LinkHubTest, ReconnectsAfterThePeerWasAway)
 {
     Host a(runner, "a");
