Ignore SIGHUP until the loop handles it

Its log ends with the start before: SIGHUP came between its launch and the watcher for it. Ruled out: a SIGHUP during a planned stop (the soak sends none then). Change: the first thing main() does; and the settings are read once more after the start, since the signal may have been about a change after they were read. The soak sends SIGHUP only to processes that have reached main(): before it no program can have its say.

--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -109,7 +109,7 @@
 void Daemon::watchSettings(const std::string& path)
 {
     settingsPath_ = path;
-    settingsChangedAt_ = changeTimeOf(path);
+    settingsChangedAt_ = 0; // Looked at once more: it may have changed while this process started.
     ev_timer_init(&settingsTimer_, onSettingsTimer, toSeconds(SettingsPeriod), toSeconds(SettingsPeriod));
     settingsTimer_.data = this;
     ev_timer_start(loop_, &settingsTimer_);
--- a/src/saltvaned/main.cpp
+++ b/src/saltvaned/main.cpp
@@ -7,6 +7,7 @@
 #include "saltvaned/internal/daemon.h"
 #include "settings/routedhostsettings.h"
 
+#include <csignal>
 #include <glog/logging.h>
 #include <iostream>
 #include <malloc.h>
@@ -55,6 +56,8 @@
 
 int main(int argc, char** argv)
 {
+    // It says that the settings file has changed, which may come before the loop stands that reads it again.
+    std::signal(SIGHUP, SIG_IGN);
     const Result<saltvaned::CommandLine, int> commandLine = saltvaned::parseCommandLine(argc, argv, SALTVANE_VERSION);
     if (!commandLine)
         return commandLine.error();
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -97,6 +97,12 @@
         if number in (signal.SIGSTOP, signal.SIGCONT):
             host.is_paused = number == signal.SIGSTOP
 
+    def has_reached_main(self, host: Host) -> bool:
+        """Whether the process handles or ignores SIGHUP by now, which is the first thing that it does."""
+        lines = pathlib.Path(f"/proc/{self.system.processes[host.name].pid}/status").read_text().splitlines()
+        masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigIgn", "SigCgt"))]
+        return any(mask & 1 << (signal.SIGHUP - 1) for mask in masks)
+
     def kill(self, host: Host):
         self.system.kill(host.name)
 
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -101,7 +101,8 @@
 
 async def reload(world: World):
     host = a_host(world, world.deployment.hosts)
-    if host is not None:
+    # Between exec and main() no program can have its say about a signal.
+    if host is not None and world.deployment.has_reached_main(host):
         world.deployment.send(host, signal.SIGHUP)
 
 
--- a/testing/system/routedhosts.py
+++ b/testing/system/routedhosts.py
@@ -2,6 +2,7 @@
 """Real processes over loopback: a registry host, a gateway and a target written here; a plan, requests, SIGHUP, stops."""
 import http.server
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -81,6 +82,26 @@
                                           "Saltvane-Deadline-Ms": "3000", "Saltvane-Object": "7"})
 
 
+def check_hang_up_while_starting(system: System):
+    """Found by the soak (seed 112669): SIGHUP ended a process that had not come as far as its loop."""
+    settings = system.folder / "slow.yaml"
+    os.mkfifo(settings)  # The process waits for its settings.
+    process = system.start_host("slow")
+
+    def reading():
+        try:
+            return os.open(settings, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError:
+            return None
+
+    writer = wait_until("the process to read its settings", reading)
+    process.send_signal(signal.SIGHUP)
+    time.sleep(0.3)
+    assert process.poll() is None, f"ended by SIGHUP: {process.returncode}"
+    os.close(writer)
+    system.kill("slow")
+
+
 def run(system: System, network: str):
     registry, gateway, target_ip = f"{network}.1", f"{network}.2", f"{network}.101"
     for name, role, ip, rest in (("registry", "registry", registry, REGISTRY), ("gateway", "gateway", gateway, GATEWAY)):
@@ -135,6 +156,7 @@
     with tempfile.TemporaryDirectory() as folder:
         system = System(pathlib.Path(sys.argv[1]).resolve(), pathlib.Path(folder))
         try:
+            check_hang_up_while_starting(system)
             run(system, free_network())
         except BaseException:
             system.print_logs()
