Dial a host that answers nothing anew after a quarter of a second

Cause: after a loss of all hosts, those that start first dial peers that have no power yet. Ruled out: the handshake (under two round trips), the hosts' processors (started within 0.05 s of their first log line). Change: a try to connect ends after 250 ms (three round trips of the furthest regions), growing with the tries; a refused one is repeated four times a second at most. Of the tries at a host that stays away each eighth is logged.

--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr Duration HandshakeLimit = 2s; ///< Connecting included.
+constexpr Duration HandshakeLimit = 2s; ///< Once connected.
 constexpr Duration RetireLimit = 1s;
 constexpr unsigned int UnacknowledgedLimitMs = 5000;
 /// Emptied buffers give back what is beyond it: a control host has hundreds of links, most of them at rest.
@@ -39,6 +39,8 @@
         return "peer-closed";
     case LinkEnd::ConnectFailed:
         return "connect-failed";
+    case LinkEnd::ConnectTimedOut:
+        return "connect-timed-out";
     case LinkEnd::TimedOut:
         return "timed-out";
     case LinkEnd::WriteFailed:
@@ -66,11 +68,12 @@
           .incarnation = options_.identity.incarnation,
           .nonce = nonce_}))
     , watcher_(options_.loop, [this](int events) { onReady(events); })
-    , deadline_(options_.loop, [this] { end(LinkEnd::TimedOut); })
+    , deadline_(options_.loop,
+          [this] { end(state_ == State::Connecting ? LinkEnd::ConnectTimedOut : LinkEnd::TimedOut); })
 {
     setSocketOptions();
     unsent_ = encodeLinkInteger(ownHello_.size(), LinkHelloLengthBytes) + ownHello_;
-    deadline_.startOnce(HandshakeLimit);
+    deadline_.startOnce(state_ == State::Connecting ? options_.connectLimit : HandshakeLimit);
     watch();
 }
 
@@ -117,6 +120,7 @@
     if (error != 0)
         return end(LinkEnd::ConnectFailed, std::strerror(error));
     state_ = State::AwaitingHello;
+    deadline_.startOnce(HandshakeLimit);
     flush();
 }
 
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -38,6 +38,7 @@
 enum class LinkEnd {
     PeerClosed,
     ConnectFailed,
+    ConnectTimedOut, ///< The peer's host answers nothing.
     TimedOut,
     WriteFailed,
     TooSlow, ///< Its send queue was full.
@@ -73,6 +74,7 @@
         LinkRole role = LinkRole::Initiator;
         UniqueFd fd; ///< Connecting or connected.
         std::string remote; ///< For logs.
+        Duration connectLimit {}; ///< Of an initiator, until the peer's kernel has answered.
         size_t largestSendQueue = 0;
         std::span<char> scratch; ///< Shared by all links: what one read takes.
     };
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -58,7 +58,7 @@
     return Done {};
 }
 
-Link& LinkHub::addLink(LinkRole role, UniqueFd fd, const model::Address& remote)
+Link& LinkHub::addLink(LinkRole role, UniqueFd fd, const model::Address& remote, Duration connectLimit)
 {
     auto link = std::make_unique<Link>(Link::Options {.loop = options_.loop,
         .identity = identity_,
@@ -66,6 +66,7 @@
         .role = role,
         .fd = std::move(fd),
         .remote = describe(remote),
+        .connectLimit = connectLimit,
         .largestSendQueue = options_.largestSendQueue,
         .scratch = scratch_});
     links_.push_back(*link);
@@ -147,7 +148,8 @@
     UniqueFd fd(::socket(address->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!fd.isOpen() || (::connect(fd.get(), address->get(), address->length()) != 0 && errno != EINPROGRESS))
         return dialAgain(wanted);
-    wanted.attempt = &addLink(LinkRole::Initiator, std::move(fd), wanted.peer().address);
+    wanted.attempt
+        = &addLink(LinkRole::Initiator, std::move(fd), wanted.peer().address, wanted.nextConnectLimit());
 }
 
 void LinkHub::dialAgain(WantedLink& wanted)
@@ -278,7 +280,10 @@
     logEnd(link, end, detail);
     if (WantedLink* wanted = wantedOf(link)) {
         wanted->attempt = nullptr;
-        dialAgain(*wanted);
+        if (end == LinkEnd::ConnectTimedOut)
+            wanted->dialAfter(Duration::zero()); // The limit was wait enough.
+        else
+            dialAgain(*wanted);
     }
     const auto found = peers_.find(link.peerHost());
     if (found != peers_.end())
@@ -364,9 +369,11 @@
     }
 }
 
-void LinkHub::logEnd(const Link& link, LinkEnd end, std::string_view detail) const
+void LinkHub::logEnd(const Link& link, LinkEnd end, std::string_view detail)
 {
-    if (isStopping_)
+    const WantedLink* wanted = wantedOf(link);
+    const bool isUnreached = end == LinkEnd::ConnectFailed || end == LinkEnd::ConnectTimedOut;
+    if (isStopping_ || (isUnreached && wanted != nullptr && !wanted->isTryLogged()))
         return;
     const bool isRefusal = end == LinkEnd::Refused || end == LinkEnd::BadRecord || end == LinkEnd::TooSlow;
     const auto severity = isRefusal ? google::GLOG_WARNING : google::GLOG_INFO;
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -49,7 +49,8 @@
     void accept();
     void dial(WantedLink& wanted);
     void dialAgain(WantedLink& wanted);
-    [[nodiscard]] Link& addLink(LinkRole role, UniqueFd fd, const model::Address& remote);
+    [[nodiscard]] Link& addLink(
+        LinkRole role, UniqueFd fd, const model::Address& remote, Duration connectLimit = {});
     [[nodiscard]] bool isUp(const HostId& host) const;
     [[nodiscard]] bool isWanted(const HostId& host) const;
     /// Of a link from this host to itself; null for any other.
@@ -70,7 +71,7 @@
     void emit(host::Event event);
     void deliver();
     void flush();
-    void logEnd(const Link& link, LinkEnd end, std::string_view detail) const;
+    void logEnd(const Link& link, LinkEnd end, std::string_view detail);
 
     LinkHubOptions options_;
     LinkIdentity identity_;
--- a/src/net/internal/wantedlink.h
+++ b/src/net/internal/wantedlink.h
@@ -38,7 +38,22 @@
         wait_ = std::min(wait_ * 2, LongestWait);
         return wait;
     }
-    void resetWait() { wait_ = ShortestWait; }
+    /// How long the next try may take to connect. A host without power answers nothing, and the kernel repeats a lost
+    /// opening packet only after a second: a host that came back meanwhile would wait that long for its links. Grows
+    /// with the tries, so that peers further away than expected are reached as well.
+    [[nodiscard]] Duration nextConnectLimit()
+    {
+        const Duration limit = ShortestConnectLimit * (1 << std::min(tries_ / TriesPerDoubling, MostDoublings));
+        ++tries_;
+        return limit;
+    }
+    /// Some tries a second at a host that is down need not all be logged.
+    [[nodiscard]] bool isTryLogged() const { return tries_ % TriesPerDoubling == 1; }
+    void resetWait()
+    {
+        wait_ = ShortestWait;
+        tries_ = 0;
+    }
 
     HostId learnedHost; ///< Of a seed.
     bool isSelf = false; ///< A seed that is this host.
@@ -46,10 +61,16 @@
 
 private:
     static constexpr Duration ShortestWait = 50ms;
-    static constexpr Duration LongestWait = 1s;
+    /// A host that lost its process is back in about a second; a try costs one packet.
+    static constexpr Duration LongestWait = 250ms;
+    /// Three round trips between the furthest regions known (70 ms).
+    static constexpr Duration ShortestConnectLimit = 250ms;
+    static constexpr int TriesPerDoubling = 8;
+    static constexpr int MostDoublings = 3;
 
     host::LinksWanted::Peer peer_;
     Duration wait_ = ShortestWait;
+    int tries_ = 0;
     TimerWatcher retry_;
 };
 
--- a/src/net/tests/linkhubtests.cpp
+++ b/src/net/tests/linkhubtests.cpp
@@ -3,8 +3,11 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
+#include "net/internal/wantedlink.h"
 #include "net/tests/linkhubfixture.h"
 
+#include <set>
+
 namespace saltvane::net::tests {
 namespace {
 
@@ -210,6 +213,52 @@
     EXPECT_TRUE(runner.runUntil([&] { return listener.accept(again); }));
 }
 
+TEST_F(LinkHubTest, HostThatAnswersNothingIsDialledAnewBeforeTheKernelRepeatsItsPacket)
+{
+    // A full queue of new connections drops opening packets, as a host without power does.
+    RawListener full(0);
+    std::vector<RawSocket> filling;
+    for (int i = 0; i < 2; ++i)
+        filling.push_back(RawSocket::connectedTo(full.address()));
+    Host a(runner, "a");
+    a.want({{.address = full.address()}});
+    std::set<int> ports;
+    ASSERT_TRUE(runner.runUntil([&] {
+        const std::vector<int> trying = portsConnectingTo(full.address().port);
+        ports.insert(trying.begin(), trying.end());
+        return ports.size() >= 4;
+    }));
+    // With the queue empty again the next try is answered.
+    RawSocket taken;
+    while (full.accept(taken)) { }
+    RawSocket dialled;
+    EXPECT_TRUE(runner.runUntil([&] { return full.accept(dialled) && dialled.isOpen(); }));
+}
+
+TEST_F(LinkHubTest, TriesToConnectStartShortAndGrow)
+{
+    constexpr Duration KernelRepeats = 1s; ///< A lost opening packet, by RFC 6298.
+    WantedLink wanted(runner.loop(), {.address = {.ip = "127.0.0.1", .port = 1}}, [](WantedLink&) { });
+    const Duration first = wanted.nextConnectLimit();
+    EXPECT_LT(first, KernelRepeats / 3);
+    Duration last = first;
+    for (int i = 0; i < 40; ++i) {
+        const Duration next = wanted.nextConnectLimit();
+        EXPECT_GE(next, last);
+        last = next;
+    }
+    EXPECT_GE(last, 2 * KernelRepeats); // A far peer is reached in the end.
+    wanted.resetWait();
+    EXPECT_EQ(wanted.nextConnectLimit(), first);
+}
+
+TEST_F(LinkHubTest, HostThatRefusesIsDialledFourTimesASecond)
+{
+    WantedLink wanted(runner.loop(), {.address = {.ip = "127.0.0.1", .port = 1}}, [](WantedLink&) { });
+    for (int i = 0; i < 20; ++i)
+        EXPECT_LE(wanted.nextWait(), 250ms);
+}
+
 TEST_F(LinkHubTest, WaitingKeepsTheLoopIdle)
 {
     Host a(runner, "a");
--- a/src/net/tests/rawsocket.h
+++ b/src/net/tests/rawsocket.h
@@ -10,9 +10,12 @@
 #include "net/internal/uniquefd.h"
 
 #include <cerrno>
+#include <cstdio>
+#include <fstream>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
+#include <vector>
 
 namespace saltvane::net::tests {
 
@@ -109,6 +112,12 @@
         , address_(boundAddressOf(fd_.get()))
     {
     }
+    /// With room for so many connections that nobody has accepted.
+    explicit RawListener(int room)
+        : RawListener()
+    {
+        ::listen(fd_.get(), room);
+    }
 
     [[nodiscard]] const model::Address& address() const { return address_; }
     [[nodiscard]] bool accept(RawSocket& into)
@@ -129,4 +138,22 @@
     model::Address address_;
 };
 
+/// Local ports of this machine's connections to a port that were not answered yet.
+inline std::vector<int> portsConnectingTo(uint16_t port)
+{
+    constexpr unsigned int SynSent = 2;
+    std::ifstream table("/proc/net/tcp");
+    std::string line;
+    std::vector<int> ports;
+    while (std::getline(table, line)) {
+        unsigned int localPort = 0;
+        unsigned int remotePort = 0;
+        unsigned int state = 0;
+        const int fields = std::sscanf(line.c_str(), " %*u: %*x:%x %*x:%x %x", &localPort, &remotePort, &state);
+        if (fields == 3 && remotePort == port && state == SynSent)
+            ports.push_back(static_cast<int>(localPort));
+    }
+    return ports;
+}
+
 } // namespace saltvane::net::tests
