Elect a leader at once where all voters' processes are new

Cause: a voter that has just started votes for nobody for one election timeout (it may have acknowledged a leader that holds a lease), and candidates wait one to two more at random. Ruled out: a shorter timeout (a late far heartbeat would cost a leader), counting a quorum of starts by their ages (compares clocks over hosts). docs/design/0011. Change: processes that have heard of no leader since their start tell the voters so; with word from all voters' hosts the most complete log stands, and the vote names the start it relies on.

--- a/src/control/internal/consensus.cpp
+++ b/src/control/internal/consensus.cpp
@@ -61,6 +61,12 @@
     settle();
 }
 
+void Consensus::handle(const HostId& from, const model::StartNotice& notice)
+{
+    election_.handle(from, notice);
+    settle();
+}
+
 bool Consensus::acceptLeader(const HostId& from, LogTerm term, const model::ReplicaId& leader)
 {
     if (term < context_.hardState.term || (term == context_.hardState.term && isLeader()))
--- a/src/control/internal/consensus.h
+++ b/src/control/internal/consensus.h
@@ -27,6 +27,7 @@
     void begin(Timestamp now);
     void handle(const HostId& from, const model::VoteRequest& request);
     void handle(const HostId& from, const model::VoteReply& reply);
+    void handle(const HostId& from, const model::StartNotice& notice);
     void handle(const HostId& from, const model::AppendRequest& request);
     void handle(const HostId& from, const model::AppendReply& reply);
     void handle(const HostId& from, const model::SnapshotChunk& chunk);
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -14,14 +14,20 @@
 
 Election::Election(ReplicaContext& context)
     : context_(context)
+    , commonStart_(context)
     , random_(context.options.seed)
 {
 }
 
-void Election::start() { noteLeader(); }
+void Election::start()
+{
+    noVoteBefore_ = context_.now + context_.options.electionTimeout;
+    waitAnew();
+}
 
 void Election::noteLeader()
 {
+    commonStart_.noteLeader();
     noVoteBefore_ = context_.now + context_.options.electionTimeout;
     waitAnew();
 }
@@ -37,6 +43,8 @@
 
 void Election::tick()
 {
+    if (context_.role != Role::Leader)
+        commonStart_.tick();
     if (context_.role == Role::Leader || context_.now < deadline_)
         return;
     if (!context_.configurations.latest().isVoter(context_.self) || context_.storage.isFailing())
@@ -44,6 +52,22 @@
     startPreVote();
 }
 
+void Election::handle(const HostId& from, const model::StartNotice& notice)
+{
+    if (context_.role == Role::Leader)
+        return;
+    commonStart_.handle(from, notice);
+    standAfterCommonStart();
+}
+
+void Election::standAfterCommonStart()
+{
+    if (context_.storage.isFailing() || context_.role == Role::Leader || !commonStart_.takeCandidacy())
+        return;
+    context_.follow(context_.hardState.term);
+    startCandidacy();
+}
+
 void Election::startPreVote()
 {
     context_.follow(context_.hardState.term);
@@ -87,7 +111,8 @@
                 .candidate = context_.self,
                 .lastIndex = context_.log.lastIndex(),
                 .lastTerm = context_.log.lastTerm(),
-                .isPreVote = isPreVote});
+                .isPreVote = isPreVote,
+                .voterStart = commonStart_.startOf(info.host)});
     }
 }
 
@@ -117,10 +142,16 @@
         >= std::tuple(context_.log.lastTerm(), context_.log.lastIndex());
 }
 
+bool Election::mayHaveLeader(const model::VoteRequest& request) const
+{
+    if (context_.role == Role::Leader)
+        return true;
+    return context_.now < noVoteBefore_ && !commonStart_.isOwnStart(request.voterStart);
+}
+
 void Election::handle(const HostId& from, const model::VoteRequest& request)
 {
-    const bool hasLeader = context_.role == Role::Leader || context_.now < noVoteBefore_;
-    if (hasLeader || !mayVote()) {
+    if (mayHaveLeader(request) || !mayVote()) {
         context_.send(from,
             model::VoteReply {.term = context_.hardState.term,
                 .voter = context_.self,
--- a/src/control/internal/election.h
+++ b/src/control/internal/election.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "control/internal/replicacontext.h"
+#include "control/internal/commonstart.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
@@ -15,7 +15,7 @@
 
 /// Elections: a pre-vote asks whether a candidacy could win before it raises the term; the vote itself counts only
 /// once it is on the disk. Whoever heard from a leader within the election timeout refuses to vote: a leader's lease,
-/// which is shorter, can not outlive its leadership.
+/// which is shorter, can not outlive its leadership. Where all voters' processes are new nobody has such a lease.
 class Election {
 public:
     explicit Election(ReplicaContext& context);
@@ -26,6 +26,7 @@
     void tick();
     void handle(const HostId& from, const model::VoteRequest& request);
     void handle(const model::VoteReply& reply);
+    void handle(const HostId& from, const model::StartNotice& notice);
     void noteDurable();
     /// Campaign at the next tick.
     void hurry();
@@ -36,12 +37,16 @@
     void startCandidacy();
     void requestVotes(bool isPreVote);
     void countVotes();
+    void standAfterCommonStart();
+    /// Somebody may hold a leader's lease that this process, or the one before it, has acknowledged.
+    [[nodiscard]] bool mayHaveLeader(const model::VoteRequest& request) const;
     [[nodiscard]] bool mayVote() const;
     [[nodiscard]] bool isUpToDate(const model::VoteRequest& request) const;
     void answerPreVote(const HostId& from, const model::VoteRequest& request);
     void answerVote(const HostId& from, const model::VoteRequest& request);
 
     ReplicaContext& context_;
+    CommonStart commonStart_;
     boost::random::mt19937_64 random_;
     Timestamp deadline_ {};
     Timestamp noVoteBefore_ {};
--- a/src/host/internal/messagerouter.cpp
+++ b/src/host/internal/messagerouter.cpp
@@ -15,7 +15,7 @@
 concept OneOf = (std::same_as<T, Options> || ...);
 
 template <typename T>
-concept LogMessage = OneOf<T, model::VoteRequest, model::VoteReply, model::AppendRequest, model::AppendReply,
+concept LogMessage = OneOf<T, model::VoteRequest, model::VoteReply, model::StartNotice, model::AppendRequest, model::AppendReply,
     model::SnapshotChunk, model::SnapshotReply, model::JoinRequest>;
 
 template <typename T>
--- a/src/model/controlmessages.h
+++ b/src/model/controlmessages.h
@@ -32,6 +32,17 @@
     LogIndex lastIndex;
     LogTerm lastTerm;
     bool isPreVote = false;
+    /// The start that the voter told of by a StartNotice, where all voters told of theirs; else 0.
+    uint64_t voterStart = 0;
+};
+
+/// Of a process that has heard of no leader since it started, to the voters it knows.
+struct StartNotice {
+    ReplicaId replica;
+    uint64_t start = 0; ///< The process's incarnation: tells apart the starts of one host.
+    LogIndex lastIndex;
+    LogTerm lastTerm;
+    bool isAnswer = false; ///< To a notice: wants no answer.
 };
 
 struct VoteReply {
--- a/src/wire/internal/controlmessagecodec.cpp
+++ b/src/wire/internal/controlmessagecodec.cpp
@@ -30,7 +30,8 @@
 {
     const auto candidate = encodeName(builder, message.candidate);
     return fbs::CreateVoteRequest(
-        builder, message.term.value, candidate, message.lastIndex.value, message.lastTerm.value, message.isPreVote);
+        builder, message.term.value, candidate, message.lastIndex.value, message.lastTerm.value, message.isPreVote,
+        message.voterStart);
 }
 
 model::VoteRequest decode(FieldReader& reader, const fbs::VoteRequest& message)
@@ -41,6 +42,25 @@
         .lastIndex = {message.last_index()},
         .lastTerm = {message.last_term()},
         .isPreVote = message.is_pre_vote(),
+        .voterStart = message.voter_start(),
+    };
+}
+
+Offset<fbs::StartNotice> encode(Builder& builder, const model::StartNotice& message)
+{
+    const auto replica = encodeName(builder, message.replica);
+    return fbs::CreateStartNotice(
+        builder, replica, message.start, message.lastIndex.value, message.lastTerm.value, message.isAnswer);
+}
+
+model::StartNotice decode(FieldReader& reader, const fbs::StartNotice& message)
+{
+    return {
+        .replica = reader.name<model::ReplicaId>(message.replica(), "StartNotice.replica"),
+        .start = message.start(),
+        .lastIndex = {message.last_index()},
+        .lastTerm = {message.last_term()},
+        .isAnswer = message.is_answer(),
     };
 }
 
--- a/src/wire/internal/controlmessagecodec.h
+++ b/src/wire/internal/controlmessagecodec.h
@@ -13,6 +13,7 @@
 
 [[nodiscard]] Offset<fbs::VoteRequest> encode(Builder& builder, const model::VoteRequest& message);
 [[nodiscard]] Offset<fbs::VoteReply> encode(Builder& builder, const model::VoteReply& message);
+[[nodiscard]] Offset<fbs::StartNotice> encode(Builder& builder, const model::StartNotice& message);
 [[nodiscard]] Offset<fbs::AppendRequest> encode(Builder& builder, const model::AppendRequest& message);
 [[nodiscard]] Offset<fbs::AppendReply> encode(Builder& builder, const model::AppendReply& message);
 [[nodiscard]] Offset<fbs::SnapshotChunk> encode(Builder& builder, const model::SnapshotChunk& message);
@@ -25,6 +26,7 @@
 /// Values out of range are noted in `reader`.
 [[nodiscard]] model::VoteRequest decode(FieldReader& reader, const fbs::VoteRequest& message);
 [[nodiscard]] model::VoteReply decode(FieldReader& reader, const fbs::VoteReply& message);
+[[nodiscard]] model::StartNotice decode(FieldReader& reader, const fbs::StartNotice& message);
 [[nodiscard]] model::AppendRequest decode(FieldReader& reader, const fbs::AppendRequest& message);
 [[nodiscard]] model::AppendReply decode(FieldReader& reader, const fbs::AppendReply& message);
 [[nodiscard]] model::SnapshotChunk decode(FieldReader& reader, const fbs::SnapshotChunk& message);
