Take a target that refuses with slots free not for full

Each refusal marked the target as loaded three times over for a second, so that most of what it would have run was refused by the gateway (581 of 2,490 in two seconds).

--- a/src/gateway/internal/requestanswers.cpp
+++ b/src/gateway/internal/requestanswers.cpp
@@ -74,7 +74,7 @@
     if (status == StatusMisdirected)
         options_.targets.noteGone(exchange.target);
     else if (GatewayTarget* target = options_.targets.find(exchange.target))
-        target->noteFull(now);
+        target->noteRefusal(now);
     tryElsewhere(exchange, model::Reason::TargetShed, now);
 }
 
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -81,8 +81,10 @@
     loadAt = now;
 }
 
-void GatewayTarget::noteFull(Timestamp now)
+void GatewayTarget::noteRefusal(Timestamp now)
 {
+    if (hasFreeSlots(now))
+        return;
     othersLoad = std::max(othersLoad, record.slots * FullFactor);
     loadAt = now;
 }
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -52,10 +52,11 @@
     void noteFailure(Timestamp now, bool isCertain);
     /// From its answer's header "running,waiting,slots"; anything else is ignored.
     void noteLoad(std::string_view text, Timestamp now);
+    [[nodiscard]] bool hasFreeSlots(Timestamp now) const { return loadAt == now && load(now) < record.slots; }
     /// From the registry: requests in flight of all gateways. A newer word of its own is kept.
     void noteSum(uint32_t inFlightOfAll, Timestamp now);
-    /// It refused a request because it is full.
-    void noteFull(Timestamp now);
+    /// It refused a request. With slots free by its own word it is not full.
+    void noteRefusal(Timestamp now);
 
     static constexpr uint32_t FailuresToEject = 2;
 };
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -207,6 +207,23 @@
     EXPECT_EQ(starts[0].target, TargetId("new"));
 }
 
+// The pattern: targets refuse half of their requests with slots free, their health good. Taken for full, each of them
+// was left alone for a second, and what they would have run was refused.
+TEST_F(TargetTest, ATargetThatRefusesWithSlotsFreeIsNotTakenForFull)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({.id = "refused"});
+    const std::vector<requests::TargetStart> first = takeStarts();
+    ASSERT_EQ(first.size(), 1U);
+    answer(first[0],
+        {.status = 503,
+            .id = "refused",
+            .more = {{.name = "Saltvane-Not-Run", .value = "1"}, {.name = "Saltvane-Load", .value = "0,0,3"}}});
+    request({.id = "next"});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
 TEST_F(TargetTest, ASilentTargetIsNotUsedUntilItIsHeardAgain)
 {
     installPlan(1);
