Learn work by route, and judge a queue by the work that is sent

And the wait in a queue was judged by warm work, though after a loss of targets what waits is cold and takes three times as long. Change: WorkTimes learns by route (1,024 at most, the service's times until then) and the mean work of what is sent; estimates use both.

--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-/// Before any answer came.
-constexpr Placement::UsualTimes FirstGuess {.first = 150ms, .secondExcess = 175ms, .otherExcess = 350ms, .slowest = 1s};
-constexpr double SlowestDecay = 0.998; ///< By each answer.
-constexpr double UsualTimeWeight = 0.05; ///< Of one answer.
 constexpr double SlownessWeight = 0.1;
 constexpr double LeastSlowness = 0.3;
 constexpr double MostSlowness = 20;
@@ -72,25 +68,6 @@
 {
 }
 
-Placement::UsualTimes Placement::usualTimes(const ServiceName& service) const
-{
-    const auto found = usualTimes_.find(service);
-    return found == usualTimes_.end() ? FirstGuess : found->second;
-}
-
-Duration Placement::workOf(const UsualTimes& usual, Choice choice)
-{
-    switch (choice) {
-    case Choice::First:
-        return usual.first;
-    case Choice::Second:
-        return usual.first + usual.secondExcess;
-    case Choice::Other:
-        break;
-    }
-    return usual.first + usual.otherExcess;
-}
-
 bool Placement::isWarm(const std::optional<uint64_t>& object, const GatewayTarget& target, Timestamp now) const
 {
     return object && warmObjects_.isWarm(*object, target.hash, now);
@@ -100,8 +77,8 @@
 {
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, target.load(now) + 1 - slots) / slots;
-    const double usual = toSeconds(usualTimes(target.record.service).first);
-    return fromSeconds((toSeconds(work) + waiting * usual) * target.slowness);
+    const double queued = toSeconds(workTimes_.sentTo(target.record.service));
+    return fromSeconds((toSeconds(work) + waiting * queued) * target.slowness);
 }
 
 void Placement::noteAnswer(GatewayTarget& target, const Answer& answer, Timestamp now)
@@ -109,22 +86,18 @@
     target.noteAnswered(now);
     if (answer.object)
         warmObjects_.note(*answer.object, target.hash, now);
-    UsualTimes& usual = usualTimes_.try_emplace(target.record.service, usualTimes(target.record.service)).first->second;
+    const ServiceName& service = target.record.service;
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, answer.loadAtStart + 1 - slots) / slots;
-    const double expected = toSeconds(workOf(usual, answer.choice)) + waiting * toSeconds(usual.first);
+    const double expected = toSeconds(workTimes_.ofRoute(service, answer.route).of(answer.choice))
+        + waiting * toSeconds(workTimes_.sentTo(service));
     const double ratio = std::clamp(toSeconds(answer.taken) / std::max(expected, 1e-4), LeastSlowness, MostSlowness);
     target.slowness += SlownessWeight * (ratio - target.slowness);
-    const Duration normal = fromSeconds(toSeconds(answer.taken) / std::max(target.slowness, 1.0));
-    usual.slowest = std::max(normal, fromSeconds(toSeconds(usual.slowest) * SlowestDecay));
-    if (waiting > 0)
-        return;
-    const auto learn
-        = [](Duration& learnt, Duration seen) { learnt += fromSeconds(UsualTimeWeight * toSeconds(seen - learnt)); };
-    if (answer.choice == Choice::First)
-        return learn(usual.first, answer.taken);
-    Duration& excess = answer.choice == Choice::Second ? usual.secondExcess : usual.otherExcess;
-    learn(excess, std::max(answer.taken - usual.first, Duration::zero()));
+    workTimes_.note(service, answer.route,
+        {.choice = answer.choice,
+            .taken = answer.taken,
+            .normal = fromSeconds(toSeconds(answer.taken) / std::max(target.slowness, 1.0)),
+            .hasWaited = waiting > 0});
 }
 
 bool Placement::isPermitted(const GatewayTarget& target, const PlacementQuery& query) const
@@ -152,7 +125,7 @@
 
 Placed Placement::best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const
 {
-    const UsualTimes usual = usualTimes(query.service.name);
+    const WorkTimes::Times usual = workTimes_.ofRoute(query.service.name, query.route.name);
     const size_t choices = std::min(candidates.size(), ChoicesWeighed);
     const auto middle = candidates.begin() + static_cast<ptrdiff_t>(choices);
     std::ranges::partial_sort(candidates, middle, std::ranges::greater {}, &Candidate::rank);
@@ -165,11 +138,11 @@
         GatewayTarget& target = *candidates[i].target;
         const Choice choice = i == 0 ? Choice::First : (i == 1 ? Choice::Second : Choice::Other);
         const Choice asIf = isWarm(query.object, target, now) ? Choice::First : choice;
-        const Duration expected = estimate(target, workOf(usual, asIf), now);
+        const Duration expected = estimate(target, usual.of(asIf), now);
         const double cost = toSeconds(expected) * (i == 0 ? 1 : MarginOfOthers);
         if (!fits(target, expected, asIf == Choice::First, query, now) || (placed.target != nullptr && cost >= least))
             continue;
-        placed = {.target = &target, .choice = choice};
+        placed = {.target = &target, .choice = choice, .work = usual.of(asIf)};
         least = cost;
     }
     return placed;
@@ -219,7 +192,7 @@
         if (placed.target != nullptr && (!isDetour || !hasHome || trySpendDetour(now)))
             return placed;
     }
-    const Duration usual = usualTimes(query.service.name).first;
+    const Duration usual = workTimes_.ofService(query.service.name).first;
     return PlacementRefusal {.reason = isDetour ? model::Reason::NoRoom : model::Reason::ShiftCapReached,
         .retryAfter = std::clamp(usual, LeastRetryAfter, MostRetryAfter),
         .known = known,
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -8,6 +8,7 @@
 #include "gateway/internal/regionsplit.h"
 #include "gateway/internal/targetset.h"
 #include "gateway/internal/warmobjects.h"
+#include "gateway/internal/worktimes.h"
 #include "model/reasons.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -30,12 +31,10 @@
     std::span<const TargetId> tried;
 };
 
-/// Place of a target in the order of an object's targets.
-enum class Choice : uint8_t { First, Second, Other };
-
 struct Placed {
     GatewayTarget* target = nullptr;
     Choice choice = Choice::Other;
+    Duration work {}; ///< That the target is expected to have with it.
 };
 
 struct PlacementRefusal {
@@ -54,20 +53,16 @@
     [[nodiscard]] std::variant<Placed, PlacementRefusal> choose(const PlacementQuery& query, Timestamp now);
     /// What an answer's head teaches of the target and its service.
     struct Answer {
+        const model::RouteName& route;
         std::optional<uint64_t> object;
         Duration taken {}; ///< Since the request was sent.
         double loadAtStart = 0; ///< Of the target, before this request.
         Choice choice = Choice::Other;
     };
     void noteAnswer(GatewayTarget& target, const Answer& answer, Timestamp now);
+    void noteSent(const ServiceName& service, const Placed& placed) { workTimes_.noteSent(service, placed.work); }
     /// How long the service's targets take, by what was learnt of their answers.
-    struct UsualTimes {
-        Duration first {}; ///< Of an object's first choice, when idle.
-        Duration secondExcess {}; ///< What the second choice takes beyond that: it is warm less often.
-        Duration otherExcess {}; ///< What any other takes beyond that.
-        Duration slowest {}; ///< The longest lately.
-    };
-    [[nodiscard]] UsualTimes usualTimes(const ServiceName& service) const;
+    [[nodiscard]] const WorkTimes& workTimes() const { return workTimes_; }
 
 private:
     struct Candidate {
@@ -79,7 +74,6 @@
     [[nodiscard]] bool isWarm(const std::optional<uint64_t>& object, const GatewayTarget& target, Timestamp now) const;
     /// Time to the answer's head: waiting for a slot, then the work.
     [[nodiscard]] Duration estimate(const GatewayTarget& target, Duration work, Timestamp now) const;
-    [[nodiscard]] static Duration workOf(const UsualTimes& usual, Choice choice);
     [[nodiscard]] Placed best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const;
     [[nodiscard]] bool fits(const GatewayTarget& target, Duration estimate, bool isLikelyWarm,
         const PlacementQuery& query, Timestamp now) const;
@@ -91,10 +85,9 @@
     ZoneName zone_;
     RegionName region_;
     boost::random::mt19937_64 random_;
-    std::map<ServiceName, UsualTimes> usualTimes_;
+    WorkTimes workTimes_;
     WarmObjects warmObjects_;
     double detours_ = 0; ///< Requests that may run in another region than their object says.
-    uint64_t chosen_ = 0;
 };
 
 } // namespace saltvane::gateway
--- a/src/gateway/internal/requestanswers.cpp
+++ b/src/gateway/internal/requestanswers.cpp
@@ -43,7 +43,8 @@
     options_.latencies.add(exchange.route.kind, Stage::Target, now - exchange.sentAt);
     if (target != nullptr)
         options_.placement.noteAnswer(*target,
-            {.object = exchange.object,
+            {.route = exchange.route.name,
+                .object = exchange.object,
                 .taken = now - exchange.sentAt,
                 .loadAtStart = exchange.loadAtStart,
                 .choice = exchange.choice},
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -223,9 +223,10 @@
     exchange.sentAt = now;
     dispatches_.emplace(exchange.dispatch, &exchange);
 
+    options_.placement.noteSent(service.name, placed);
     exchange.choice = placed.choice;
     const double slowest
-        = toSeconds(options_.placement.usualTimes(service.name).slowest) * std::max(target.slowness, 1.0);
+        = toSeconds(options_.placement.workTimes().ofService(service.name).slowest) * std::max(target.slowness, 1.0);
     const double patience = std::max(slowest * DoubtFactor, toSeconds(exchange.route.objective));
     exchange.checkAt = now + fromSeconds(patience);
     if (exchange.checkAt < exchange.deadline)
--- /dev/null
+++ b/src/gateway/internal/worktimes.cpp
@@ -0,0 +1,83 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/worktimes.h"
+
+#include <algorithm>
+
+namespace saltvane::gateway {
+
+namespace {
+
+/// Before any answer came.
+constexpr WorkTimes::Times FirstGuess {.first = 150ms, .secondExcess = 175ms, .otherExcess = 350ms, .slowest = 1s};
+constexpr double SlowestDecay = 0.998; ///< By each answer.
+constexpr double WeightOfOne = 0.05; ///< Of one answer.
+/// Some 100 bytes each; a plan with more routes serves those beyond by their services' times.
+constexpr size_t MostRoutes = 1024;
+
+} // namespace
+
+Duration WorkTimes::Times::of(Choice choice) const
+{
+    switch (choice) {
+    case Choice::First:
+        return first;
+    case Choice::Second:
+        return first + secondExcess;
+    case Choice::Other:
+        break;
+    }
+    return first + otherExcess;
+}
+
+WorkTimes::Times WorkTimes::ofService(const ServiceName& service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? FirstGuess : found->second;
+}
+
+WorkTimes::Times WorkTimes::ofRoute(const ServiceName& service, const model::RouteName& route) const
+{
+    const auto found = routes_.find({service, route});
+    return found == routes_.end() ? ofService(service) : found->second;
+}
+
+void WorkTimes::noteSent(const ServiceName& service, Duration work)
+{
+    Duration& mean = sent_.try_emplace(service, work).first->second;
+    mean += fromSeconds(WeightOfOne * toSeconds(work - mean));
+}
+
+Duration WorkTimes::sentTo(const ServiceName& service) const
+{
+    const auto found = sent_.find(service);
+    return found == sent_.end() ? ofService(service).first : found->second;
+}
+
+void WorkTimes::learn(Times& times, const Sample& sample)
+{
+    times.slowest = std::max(sample.normal, fromSeconds(toSeconds(times.slowest) * SlowestDecay));
+    if (sample.hasWaited)
+        return;
+    const auto approach
+        = [](Duration& learnt, Duration seen) { learnt += fromSeconds(WeightOfOne * toSeconds(seen - learnt)); };
+    if (sample.choice == Choice::First)
+        return approach(times.first, sample.taken);
+    Duration& excess = sample.choice == Choice::Second ? times.secondExcess : times.otherExcess;
+    approach(excess, std::max(sample.taken - times.first, Duration::zero()));
+}
+
+void WorkTimes::note(const ServiceName& service, const model::RouteName& route, const Sample& sample)
+{
+    const auto known = routes_.find({service, route});
+    if (known != routes_.end())
+        learn(known->second, sample);
+    else if (routes_.size() < MostRoutes)
+        learn(routes_.emplace(std::pair(service, route), ofService(service)).first->second, sample);
+    learn(services_.try_emplace(service, FirstGuess).first->second, sample);
+}
+
+} // namespace saltvane::gateway
