Soak: kill every host at once, lose a disk with it, end a target meanwhile

Cause: common restarts take new paths (the vote without a wait, recalled targets) that no fault of the soak reached.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -57,6 +57,33 @@
         world.deployment.launch(host)
 
 
+async def kill_everything(world: World):
+    """All hosts at once, as by a loss of power; one disk may be lost with it, and one target ends meanwhile."""
+    killed = [host for host in world.deployment.hosts if world.deployment.is_running(host) and not host.is_paused]
+    wiped = None
+    if not world.wiping and world.chooser.random() < 0.4:
+        wiped = a_host(world, world.deployment.registries)
+    for host in killed:
+        world.deployment.kill(host)
+    target = world.chooser.choice(world.targets)
+    restarted = target if target.server is not None and target.state != "leaving" else None
+    if restarted is not None:
+        restarted.crash()
+    if wiped is not None:
+        world.wiping = True
+        world.deployment.wipe(wiped)
+    await asyncio.sleep(a_pause(world, 0.1, 1.5))
+    world.chooser.shuffle(killed)
+    for host in killed:
+        world.deployment.launch(host)
+        await asyncio.sleep(a_pause(world, 0, 0.1))
+    if restarted is not None:
+        await restarted.start()  # Another start at the same address: hints of the one before must not reach it.
+    if wiped is not None:
+        await asyncio.sleep(CATCH_UP_S)
+        world.wiping = False
+
+
 async def wipe(world: World):
     """One disk at a time: that is what three registry hosts bear."""
     host = a_host(world, world.deployment.registries)
@@ -170,5 +197,11 @@
     (silence, 2), (crash_target, 2), (leave_target, 1), (empty_zone, 1)]
 
 
-def draw(chooser: random.Random) -> Fault:
-    return chooser.choices([fault for fault, _ in FAULTS], [weight for _, weight in FAULTS])[0]
+# Seeds below it draw as they did when they were kept.
+FIRST_SEED_OF_ALL_FAULTS = 1_000_000
+ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
+
+
+def draw(chooser: random.Random, seed: int) -> Fault:
+    faults = ALL_FAULTS if seed >= FIRST_SEED_OF_ALL_FAULTS else FAULTS
+    return chooser.choices([fault for fault, _ in faults], [weight for _, weight in faults])[0]
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -34,6 +34,7 @@
 
 class Run:
     def __init__(self, seed: int, seconds: float, binaries: pathlib.Path, folder: pathlib.Path):
+        self.seed = seed
         self.chooser = random.Random(seed)
         self.seconds = seconds
         self.deployment = Deployment(binaries, folder)
@@ -85,7 +86,7 @@
         running = []
         while time.monotonic() < end:
             await asyncio.sleep(self.chooser.uniform(*FAULT_GAP_S))
-            running.append(asyncio.create_task(faults.draw(self.chooser)(self.world)))
+            running.append(asyncio.create_task(faults.draw(self.chooser, self.seed)(self.world)))
         await asyncio.gather(*running)
 
     async def _served_within(self, limit_s: float) -> bool:
@@ -170,7 +171,7 @@
     options = parser.parse_args()
     kept = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     known = [int(line.split()[0]) for line in kept if line and not line.startswith("#")]
-    seeds = (options.seed or []) + known or [random.SystemRandom().randrange(10**6) for _ in range(options.runs)]
+    seeds = (options.seed or []) + known or [random.SystemRandom().randrange(faults.FIRST_SEED_OF_ALL_FAULTS, 10**7) for _ in range(options.runs)]
     bad = [seed for seed in seeds if asyncio.run(play(seed, options))]
     print(f"soak: {len(seeds) - len(bad)} passed, {len(bad)} failed" + (f": {bad}" if bad else ""))
     return 1 if bad else 0
