Pass soft state as types; the data folder knows its bytes

Cause: check-includes: registry may not include wire. The data folder (net) encodes and decodes, and leaves out what is damaged or of another version, with a warning.

--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -64,7 +64,7 @@
 /// Actions, to be carried out in order.
 /// Soft state for the data folder: read again at the next start. It may be lost, and holds no promise.
 struct SoftStateWrite {
-    std::string bytes;
+    model::TargetReport targets; ///< That reported to this host.
 };
 using Action = std::variant<requests::Action, control::StorageWrite, SoftStateWrite, LinksWanted, CallerLimitsChanged,
     LogLine, StopFinished>;
--- a/src/net/internal/datafolder.cpp
+++ b/src/net/internal/datafolder.cpp
@@ -8,6 +8,7 @@
 #include "net/internal/filetools.h"
 #include "net/internal/linkhello.h"
 #include "net/internal/record.h"
+#include "wire/framecodec.h"
 
 #include <algorithm>
 
@@ -71,8 +72,11 @@
     return Done {};
 }
 
-Result<Done, IoError> DataFolder::writeSoftState(std::string_view bytes)
+Result<Done, IoError> DataFolder::writeSoftState(const model::TargetReport& targets)
 {
+    const std::string bytes = wire::encodeFrame(targets);
+    if (bytes.empty())
+        return IoError {.place = pathOf(std::string(SoftStateName)), .message = "too large"};
     return replaceFile(disk_, path_, std::string(SoftStateName), encodeRecord(SoftStatePlace, bytes));
 }
 
--- a/src/net/internal/datafolderopen.cpp
+++ b/src/net/internal/datafolderopen.cpp
@@ -9,6 +9,7 @@
 #include "net/internal/linkhello.h"
 #include "net/internal/record.h"
 #include "net/internal/socketaddress.h"
+#include "wire/framecodec.h"
 
 #include <algorithm>
 #include <array>
@@ -271,11 +272,21 @@
 {
     if (std::find(names_.begin(), names_.end(), SoftStateName) == names_.end())
         return Done {};
-    Result<std::string, IoError> state = readRecordFile(pathOf(std::string(SoftStateName)), SoftStatePlace);
-    if (state)
-        softState_ = std::move(state.value());
-    else // Nothing hangs on it.
-        warnings_.push_back(state.error().place + ": soft state left out: " + state.error().message);
+    // Nothing hangs on it: what can't be read is left out.
+    const std::string path = pathOf(std::string(SoftStateName));
+    const Result<std::string, IoError> bytes = readRecordFile(path, SoftStatePlace);
+    if (!bytes) {
+        warnings_.push_back(path + ": soft state left out: " + bytes.error().message);
+        return Done {};
+    }
+    wire::FrameReader reader;
+    reader.append(bytes.value());
+    auto message = reader.next();
+    auto* targets = message && message.value() ? std::get_if<model::TargetReport>(&*message.value()) : nullptr;
+    if (targets != nullptr)
+        softState_ = std::move(*targets);
+    else
+        warnings_.push_back(path + ": soft state left out: of another version");
     return Done {};
 }
 
--- a/src/net/tests/datafoldertests.cpp
+++ b/src/net/tests/datafoldertests.cpp
@@ -10,6 +10,13 @@
 namespace saltvane::net::tests {
 namespace {
 
+model::TargetReport reportOf(const std::string& target)
+{
+    model::TargetReport report;
+    report.targets.push_back({.target = TargetId(target), .service = ServiceName("quotes")});
+    return report;
+}
+
 TEST(DataFolderTest, NewFolderHasAFreshIdentityAndNothingElse)
 {
     const TemporaryFolder first;
@@ -36,16 +43,28 @@
     EXPECT_FALSE(reopened(folder.path())->recovered().isNewDisk);
 }
 
+TEST(DataFolderTest, SoftStateOfAnotherVersionIsLeftOutWithAWarning)
+{
+    const TemporaryFolder folder;
+    (void)reopened(folder.path());
+    std::ofstream(folder.path() + "/soft-state", std::ios::binary)
+        << encodeRecord(SoftStatePlace, "bytes of another version");
+    const auto second = reopened(folder.path());
+    EXPECT_TRUE(second->softState().targets.empty());
+    EXPECT_EQ(second->warnings().size(), 1U);
+}
+
 TEST(DataFolderTest, KeepsTheSoftStateWrittenLast)
 {
     const TemporaryFolder folder;
     auto first = reopened(folder.path());
-    EXPECT_TRUE(first->softState().empty());
-    ASSERT_TRUE(first->writeSoftState("one").isOk());
-    ASSERT_TRUE(first->writeSoftState("two").isOk());
+    EXPECT_TRUE(first->softState().targets.empty());
+    ASSERT_TRUE(first->writeSoftState(reportOf("one")).isOk());
+    ASSERT_TRUE(first->writeSoftState(reportOf("two")).isOk());
     first.reset();
     const auto second = reopened(folder.path());
-    EXPECT_EQ(second->softState(), "two");
+    ASSERT_EQ(second->softState().targets.size(), 1U);
+    EXPECT_EQ(second->softState().targets[0].target, TargetId("two"));
     EXPECT_TRUE(second->warnings().empty());
 }
 
@@ -53,11 +72,11 @@
 {
     const TemporaryFolder folder;
     auto first = reopened(folder.path());
-    ASSERT_TRUE(first->writeSoftState("one").isOk());
+    ASSERT_TRUE(first->writeSoftState(reportOf("one")).isOk());
     first.reset();
     std::ofstream(folder.path() + "/soft-state", std::ios::app) << "torn";
     const auto second = reopened(folder.path());
-    EXPECT_TRUE(second->softState().empty());
+    EXPECT_TRUE(second->softState().targets.empty());
     ASSERT_EQ(second->warnings().size(), 1U);
     EXPECT_NE(second->warnings()[0].find("soft-state"), std::string::npos);
 }
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -70,7 +70,7 @@
     , holder_(control::makeBundleHolder({.self = self_, .counters = counters_.get()}))
     , targets_(settings_.zones)
     , orders_(*replica_)
-    , recalled_(options.softState)
+    , recalled_(options.softState.targets)
 {
 }
 
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -108,7 +108,7 @@
     Timestamp nextLoadsAt_ {};
     HostId leader_;
     host::RoutedLinks links_;
-    std::string recalled_; ///< Soft state of the start before, until it is read.
+    std::vector<model::TargetRecord> recalled_; ///< Soft state of the start before, until it is taken up.
     bool isRecallReleased_ = false;
     uint64_t softStateWritten_ = 0; ///< Hash of what the disk holds; 0: nothing of this start.
     Timestamp nextSoftStateAt_ {};
--- a/src/registry/internal/softstate.cpp
+++ b/src/registry/internal/softstate.cpp
@@ -5,8 +5,7 @@
  */
 #include "registry/internal/registrycore.h"
 
-#include "wire/framecodec.h"
-
+#include <utility>
 #include <xxhash.h>
 
 /// How RegistryCore keeps its targets over a restart. Targets report each 1 to 2 s: gateways that start with all
@@ -40,15 +39,9 @@
 {
     if (recalled_.empty())
         return;
-    wire::FrameReader reader;
-    reader.append(std::exchange(recalled_, {}));
-    const auto message = reader.next();
-    const bool isWhole = message && message.value().has_value();
-    const auto* report = isWhole ? std::get_if<model::TargetReport>(&*message.value()) : nullptr;
-    if (report == nullptr)
-        return log(host::LogSeverity::Warning, "event=soft_state_left_out reason=unreadable");
-    targets_.recall(report->targets, now);
-    log(host::LogSeverity::Info, "event=targets_recalled count=" + std::to_string(report->targets.size()));
+    const std::vector<model::TargetRecord> records = std::exchange(recalled_, {});
+    targets_.recall(records, now);
+    log(host::LogSeverity::Info, "event=targets_recalled count=" + std::to_string(records.size()));
 }
 
 void RegistryCore::releaseRecalled(Timestamp now)
@@ -74,11 +67,7 @@
     if (meaning == softStateWritten_)
         return;
     softStateWritten_ = meaning;
-    std::string bytes = wire::encodeFrame(report);
-    if (bytes.empty())
-        return log(host::LogSeverity::Warning,
-            "event=soft_state_left_out reason=too-large targets=" + std::to_string(report.targets.size()));
-    actions_.emplace_back(host::SoftStateWrite {.bytes = std::move(bytes)});
+    actions_.emplace_back(host::SoftStateWrite {.targets = std::move(report)});
 }
 
 } // namespace saltvane::registry
--- a/src/registry/iregistry.h
+++ b/src/registry/iregistry.h
@@ -22,7 +22,7 @@
     settings::RoutedHostSettings settings;
     Incarnation incarnation;
     control::RecoveredState recovered;
-    std::string softState; ///< What this host wrote last as host::SoftStateWrite; empty: none.
+    model::TargetReport softState; ///< What this host wrote last as host::SoftStateWrite.
     uint64_t seed = 1;
 };
 
--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -330,17 +330,6 @@
     EXPECT_GE(last[0].age, model::TargetSilenceLimit);
 }
 
-TEST_F(TargetRecallTest, UnreadableSoftStateIsLeftOut)
-{
-    report("t-1", 1);
-    cluster_.run(WrittenAfter);
-    for (size_t number = 0; number < Hosts; ++number)
-        cluster_.setSoftState(number, "another version's bytes");
-    restartAll();
-    EXPECT_TRUE(toldAfterRestart().empty());
-    EXPECT_EQ(statusOf(cluster_.order("GET", "/v1/plan")), 200);
-}
-
 TEST_F(TargetNewsTest, ADelayedHeartbeatDoesNotBringBackTheStartBefore)
 {
     report("old", 5);
--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -111,7 +111,7 @@
 void RegistryCluster::wipeDisk(size_t number)
 {
     hosts_.at(number).disk = {};
-    hosts_.at(number).softState.clear();
+    hosts_.at(number).softState = {};
 }
 
 void RegistryCluster::connect()
@@ -173,7 +173,7 @@
                 write(host, *writing);
                 host.core->handle(control::StorageDone {.sequence = writing->sequence}, now_);
             } else if (auto* softState = std::get_if<host::SoftStateWrite>(&action)) {
-                host.softState = std::move(softState->bytes);
+                host.softState = std::move(softState->targets);
             } else if (const auto* links = std::get_if<host::LinksWanted>(&action)) {
                 host.wanted.clear();
                 for (const auto& peer : links->peers)
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -32,7 +32,6 @@
     void start(size_t number, bool isFirstStart);
     void kill(size_t number);
     void wipeDisk(size_t number);
-    void setSoftState(size_t number, std::string bytes) { hosts_.at(number).softState = std::move(bytes); }
     /// A further host, at an address of its own.
     size_t addHost();
     void isolate(size_t number) { isolated_.insert(number); }
@@ -67,7 +66,7 @@
         std::unique_ptr<host::IHostCore> core;
         Incarnation incarnation;
         control::RecoveredState disk;
-        std::string softState;
+        model::TargetReport softState;
         std::set<HostId> wanted;
     };
     struct InFlight {
