Take no target for slow by how long its answers took

A factor by target, learnt from the time to its answers over what was expected, raised every estimate of it. In an overload answers take long because they queue, so the factor refused what the targets had room for. A target that works slowly shows by its load, which each answer tells.

--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-constexpr double SlownessWeight = 0.1;
-constexpr double LeastSlowness = 0.3;
-constexpr double MostSlowness = 20;
-
 /// Of an object's targets so many are weighed against each other. All but the first must be quicker by a margin, so
 /// that objects don't wander.
 constexpr size_t ChoicesWeighed = 3;
@@ -78,7 +74,7 @@
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, target.load(now) + 1 - slots) / slots;
     const double queued = toSeconds(workTimes_.sentTo(target.record.service));
-    return fromSeconds((toSeconds(work) + waiting * queued) * target.slowness);
+    return fromSeconds(toSeconds(work) + waiting * queued);
 }
 
 void Placement::noteAnswer(GatewayTarget& target, const Answer& answer, Timestamp now)
@@ -89,15 +85,7 @@
     const ServiceName& service = target.record.service;
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, answer.loadAtStart + 1 - slots) / slots;
-    const double expected = toSeconds(workTimes_.ofRoute(service, answer.route).of(answer.choice))
-        + waiting * toSeconds(workTimes_.sentTo(service));
-    const double ratio = std::clamp(toSeconds(answer.taken) / std::max(expected, 1e-4), LeastSlowness, MostSlowness);
-    target.slowness += SlownessWeight * (ratio - target.slowness);
-    workTimes_.note(service, answer.route,
-        {.choice = answer.choice,
-            .taken = answer.taken,
-            .normal = fromSeconds(toSeconds(answer.taken) / std::max(target.slowness, 1.0)),
-            .hasWaited = waiting > 0});
+    workTimes_.note(service, answer.route, {.choice = answer.choice, .taken = answer.taken, .hasWaited = waiting > 0});
 }
 
 bool Placement::isPermitted(const GatewayTarget& target, const PlacementQuery& query) const
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -225,8 +225,7 @@
 
     options_.placement.noteSent(service.name, placed);
     exchange.choice = placed.choice;
-    const double slowest
-        = toSeconds(options_.placement.workTimes().ofService(service.name).slowest) * std::max(target.slowness, 1.0);
+    const double slowest = toSeconds(options_.placement.workTimes().ofService(service.name).slowest);
     const double patience = std::max(slowest * DoubtFactor, toSeconds(exchange.route.objective));
     exchange.checkAt = now + fromSeconds(patience);
     if (exchange.checkAt < exchange.deadline)
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -34,7 +34,6 @@
     uint32_t othersLoad = 0; ///< Of other gateways, as of its last answer that told.
     Timestamp loadAt;
     uint32_t toldInFlight = 0; ///< What the registry was last told of this gateway's requests.
-    double slowness = 1; ///< Its time to answer over that of its service, lately.
     Timestamp answeredAt; ///< Its last answer.
     uint32_t failures = 0; ///< In a row.
     Timestamp ejectedUntil;
--- a/src/gateway/internal/worktimes.cpp
+++ b/src/gateway/internal/worktimes.cpp
@@ -59,7 +59,7 @@
 
 void WorkTimes::learn(Times& times, const Sample& sample)
 {
-    times.slowest = std::max(sample.normal, fromSeconds(toSeconds(times.slowest) * SlowestDecay));
+    times.slowest = std::max(sample.taken, fromSeconds(toSeconds(times.slowest) * SlowestDecay));
     if (sample.hasWaited)
         return;
     const auto approach
--- a/src/gateway/internal/worktimes.h
+++ b/src/gateway/internal/worktimes.h
@@ -40,8 +40,7 @@
 
     struct Sample {
         Choice choice = Choice::Other;
-        Duration taken {}; ///< As it was.
-        Duration normal {}; ///< As a target of usual speed would have taken.
+        Duration taken {};
         bool hasWaited = false; ///< For a slot: tells nothing of the work.
     };
     void note(const ServiceName& service, const model::RouteName& route, const Sample& sample);
--- a/src/gateway/tests/placementtests.cpp
+++ b/src/gateway/tests/placementtests.cpp
@@ -75,6 +75,33 @@
     EXPECT_LE(kept, 130);
 }
 
+// The pattern: an overload in which answers wait for slots. Targets that were taken for slow by such answers got less
+// than they have room for afterwards.
+TEST_F(PlacementTest, LateAnswersOfAQueueDoNotMakeATargetSlow)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    const auto burst = [this] {
+        for (int i = 0; i < 20; ++i)
+            request({});
+        return takeStarts();
+    };
+    const auto finish = [this](const std::vector<requests::TargetStart>& starts) {
+        advance(100ms);
+        for (size_t i = 0; i < starts.size(); ++i) {
+            if (i == 3)
+                advance(1200ms);
+            answer(starts[i], {.more = {{.name = "Saltvane-Load", .value = "0,0,3"}}});
+        }
+        advance(2s);
+    };
+    const std::vector<requests::TargetStart> first = burst();
+    finish(first);
+    for (int round = 0; round < 8; ++round)
+        finish(burst());
+    EXPECT_GE(burst().size(), first.size());
+}
+
 TEST_F(PlacementTest, TheLossOfATargetMovesItsOwnObjectsOnly)
 {
     installPlan(1);
--- a/src/gateway/tests/worktimestests.cpp
+++ b/src/gateway/tests/worktimestests.cpp
@@ -18,7 +18,7 @@
 void learn(WorkTimes& times, const model::RouteName& route, Duration taken, int answers)
 {
     for (int i = 0; i < answers; ++i)
-        times.note(Wallet, route, {.choice = Choice::First, .taken = taken, .normal = taken});
+        times.note(Wallet, route, {.choice = Choice::First, .taken = taken});
 }
 
 } // namespace
@@ -48,7 +48,7 @@
 {
     WorkTimes times;
     learn(times, Reads, 180ms, 200);
-    times.note(Wallet, Reads, {.choice = Choice::First, .taken = 2s, .normal = 2s, .hasWaited = true});
+    times.note(Wallet, Reads, {.choice = Choice::First, .taken = 2s, .hasWaited = true});
     EXPECT_LT(times.ofRoute(Wallet, Reads).first, 190ms);
 }
 
