--- a/src/control/tests/electiontests.cpp
+++ b/src/control/tests/electiontests.cpp
@@ -64,7 +64,7 @@
 
 // The pattern: every host lost power at once; callers are refused until a leader stands. Four messages one way (tell,
 // answer, vote, its answer), two for the first entry, and the writes: eight times the one-way delay at most, where the
-// waits of hosts that start alone took 0.6 to 1.4 s on the users' bench.
+// waits of hosts that start alone take 0.6 to 1.4 s.
 TEST(ElectionTest, AfterACommonRestartALeaderStandsWithinRoundTrips)
 {
     for (uint64_t seed = 1; seed <= 40; ++seed) {
--- a/src/gateway/tests/retryallowancetests.cpp
+++ b/src/gateway/tests/retryallowancetests.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 // The pattern: answers of ten of sixteen targets are lost for four seconds; repeatable requests go elsewhere. With half
-// of the ratio and by answers 225 of 912 that could have been repeated ended as unknown on the users' bench.
+// of the ratio, earned by answers, 225 of 912 that could have been repeated ended as unknown.
 TEST(RetryAllowanceTest, MostOfTheRatioIsThereWhileTargetsFail)
 {
     RetryAllowance allowance(Limit);
--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -279,7 +279,7 @@
 } // namespace
 
 // The pattern: all hosts lost power; targets report again within 1.5 s only. Gateways that wait for that refuse what
-// the targets would serve: 154 refusals a restart on the users' bench, 1.5 s after the leader stood.
+// the targets would serve: 154 refusals a restart of nine gateways, until 1.5 s after the leader stood.
 TEST_F(TargetRecallTest, GatewaysHearOfTargetsBeforeTheyReportAgain)
 {
     report("t-1", 1);
