Show what waits on links between hosts, and how much of it is plans

Added: bytes sent over links and the part that is plans (counters), bytes that wait (gauge), and a log line at most once a second while over 1 MiB waits. No logic changed.

--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -53,6 +53,8 @@
     LinkAuthFailures,
     BadFrames,
     BadHttpRequests,
+    LinkBytes, ///< Of frames for other hosts.
+    BundleBytes, ///< The part of LinkBytes that carries plans and bundles to hosts that use them.
     RowMoves, ///< Ticks in which a route row moved.
     RowMovesCapped, ///< Ticks in which the shift cap held a row back.
     Count
--- a/src/model/internal/counters.cpp
+++ b/src/model/internal/counters.cpp
@@ -49,6 +49,8 @@
     {.name = "saltvane_link_auth_failures_total", .help = "Links refused because authentication failed."},
     {.name = "saltvane_bad_frames_total", .help = "Frames that could not be decoded."},
     {.name = "saltvane_bad_http_requests_total", .help = "HTTP requests that could not be parsed."},
+    {.name = "saltvane_link_bytes_total", .help = "Bytes of frames queued for other hosts."},
+    {.name = "saltvane_bundle_bytes_total", .help = "Of these, bytes of plans and bundles for hosts that use them."},
     {.name = "saltvane_row_moves_total", .help = "Ticks in which a route row moved."},
     {.name = "saltvane_row_moves_capped_total", .help = "Ticks in which the shift cap held a route row back."},
 }};
--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -74,12 +74,20 @@
 };
 [[nodiscard]] Result<std::unique_ptr<ITargetClient>, IoError> makeTargetClient(TargetClientOptions options);
 
+/// Bytes that wait for peers to take them.
+struct LinkBacklog {
+    uint64_t bytes = 0; ///< Over all links.
+    uint64_t largestBytes = 0; ///< Of one link.
+    HostId largestPeer;
+};
+
 /// Authenticated TCP links to other hosts (docs/PROTOCOL.md). Reconnects wanted peers with back-off.
 class ILinkHub {
 public:
     virtual ~ILinkHub() = default;
     virtual void carryOut(const host::LinksWanted& action) = 0;
     virtual void send(const model::Outgoing& outgoing) = 0;
+    [[nodiscard]] virtual LinkBacklog backlog() const = 0;
     /// Where it listens; differs from the options where they name port 0.
     [[nodiscard]] virtual model::Address boundAddress() const = 0;
 };
--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -153,13 +153,15 @@
     watch();
 }
 
-void Link::send(const model::Message& message)
+size_t Link::send(const model::Message& message)
 {
     if (state_ != State::Up)
-        return;
-    sealer_->seal(wire::encodeFrame(message), unsent_);
-    if (unsent_.size() - sent_ > options_.largestSendQueue)
+        return 0;
+    const std::string frame = wire::encodeFrame(message);
+    sealer_->seal(frame, unsent_);
+    if (queuedBytes() > options_.largestSendQueue)
         end(LinkEnd::TooSlow);
+    return frame.size();
 }
 
 void Link::retire()
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -92,8 +92,9 @@
     [[nodiscard]] const LinkNonce& peerNonce() const { return peer_.nonce; }
     [[nodiscard]] double upSince() const { return upSince_; }
 
-    /// Queues a message; flush() sends. Ends the link where its queue is full.
-    void send(const model::Message& message);
+    /// Queues a message; flush() sends. Ends the link where its queue is full. Returns the bytes of its frame.
+    size_t send(const model::Message& message);
+    [[nodiscard]] size_t queuedBytes() const { return unsent_.size() - sent_; }
     /// Writes what is queued, as far as the socket takes it.
     void flush();
     /// Sends what is queued, then closes the sending side; receives until the peer closes, for a second at most.
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -21,6 +21,8 @@
 constexpr size_t LargestUnprovenCount = 256;
 constexpr Duration LowerHostFirst = 200ms; ///< Head start of the lower host id's dialling.
 constexpr double SimultaneousSeconds = 3; ///< Longer than any handshake: two links that near were dialled at once.
+constexpr double BacklogLogSeconds = 1; ///< Between two lines.
+constexpr uint64_t LoggedBacklog = 1024 * 1024; ///< Bytes: two seconds of the narrowest link of the users' (4 Mbit/s).
 constexpr int SmallestJitterPercent = 50;
 constexpr int Percent = 100;
 
@@ -334,7 +336,11 @@
     if (found == peers_.end() || found->second.current == nullptr)
         return;
     Link& link = *found->second.current;
-    link.send(outgoing.message);
+    const size_t bytes = link.send(outgoing.message);
+    options_.counters->add(model::Counter::LinkBytes, bytes);
+    if (std::holds_alternative<model::BundlePush>(outgoing.message))
+        options_.counters->add(model::Counter::BundleBytes, bytes);
+    logBacklog();
     if (link.isDirty || link.state() != Link::State::Up)
         return;
     link.isDirty = true;
@@ -368,6 +374,32 @@
     }
 }
 
+LinkBacklog LinkHub::backlog() const
+{
+    LinkBacklog backlog;
+    for (const Link& link : links_) {
+        backlog.bytes += link.queuedBytes();
+        if (link.queuedBytes() <= backlog.largestBytes)
+            continue;
+        backlog.largestBytes = link.queuedBytes();
+        backlog.largestPeer = link.peerHost();
+    }
+    return backlog;
+}
+
+void LinkHub::logBacklog()
+{
+    const double now = ev_now(options_.loop);
+    if (now < nextBacklogLogAt_)
+        return;
+    nextBacklogLogAt_ = now + BacklogLogSeconds;
+    const LinkBacklog waiting = backlog();
+    if (waiting.bytes < LoggedBacklog)
+        return;
+    LOG_TAGGED(WARNING, "net") << "event=link_backlog bytes=" << waiting.bytes << " largest=" << waiting.largestBytes
+                               << " peer=" << waiting.largestPeer.value();
+}
+
 void LinkHub::logEnd(const Link& link, LinkEnd end, std::string_view detail)
 {
     const WantedLink* wanted = wantedOf(link);
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -31,6 +31,7 @@
 
     void carryOut(const host::LinksWanted& action) override;
     void send(const model::Outgoing& outgoing) override;
+    [[nodiscard]] LinkBacklog backlog() const override;
     [[nodiscard]] model::Address boundAddress() const override { return boundAddress_; }
 
 private:
@@ -71,6 +72,7 @@
     void deliver();
     void flush();
     void logEnd(const Link& link, LinkEnd end, std::string_view detail);
+    void logBacklog();
 
     LinkHubOptions options_;
     LinkIdentity identity_;
@@ -85,6 +87,7 @@
     std::deque<host::Event> events_;
     std::minstd_rand jitter_;
     bool isStopping_ = false;
+    double nextBacklogLogAt_ = 0;
     IoWatcher acceptWatcher_;
     LoopTask deliverTask_;
     LoopTask flushTask_;
--- a/src/saltvaned/internal/daemonadapters.cpp
+++ b/src/saltvaned/internal/daemonadapters.cpp
@@ -175,8 +175,11 @@
         .isMetricsServed = isMetricsServed,
         .metricsText =
             [this] {
-                return metricsText(
-                    core_->counters(), adapterCounters_, core_->status(monotonicNow()), core_->latencies());
+                return metricsText({.core = core_->counters(),
+                    .adapters = adapterCounters_,
+                    .status = core_->status(monotonicNow()),
+                    .latencies = core_->latencies(),
+                    .linkBacklogBytes = linkHub_ ? linkHub_->backlog().bytes : 0});
             }});
     if (!httpServer)
         return httpServer.error();
--- a/src/saltvaned/internal/metricstext.cpp
+++ b/src/saltvaned/internal/metricstext.cpp
@@ -121,11 +121,11 @@
 
 } // namespace
 
-std::string metricsText(const model::Counters& core, const model::Counters& adapters, const host::HostStatus& status,
-    std::span<const model::StageLatency> latencies)
+std::string metricsText(const MetricsInput& input)
 {
+    const host::HostStatus& status = input.status;
     std::vector<prometheus::MetricFamily> families;
-    addCounters(families, core, adapters);
+    addCounters(families, input.core, input.adapters);
     addZoneGauges(families, status);
     families.push_back(makeGauge(
         "saltvane_serving", "1 while the host takes requests", status.state == model::HostState::Serving ? 1.0 : 0.0));
@@ -145,8 +145,10 @@
     families.push_back(makeGauge("saltvane_targets_known", "Targets this host knows", status.targetsKnown));
     families.push_back(
         makeGauge("saltvane_gateways_known", "Gateways heard of lately by a registry host", status.gatewaysKnown));
-    if (!latencies.empty())
-        families.push_back(makeLatencies(latencies));
+    families.push_back(makeGauge("saltvane_link_backlog_bytes", "Bytes that wait for other hosts to take them",
+        static_cast<double>(input.linkBacklogBytes)));
+    if (!input.latencies.empty())
+        families.push_back(makeLatencies(input.latencies));
     return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/saltvaned/internal/metricstext.h
+++ b/src/saltvaned/internal/metricstext.h
@@ -14,8 +14,15 @@
 
 namespace saltvane::saltvaned {
 
-/// The host's metrics in the Prometheus text format (docs/METRICS.md). Adapters count apart from the core.
-[[nodiscard]] std::string metricsText(const model::Counters& core, const model::Counters& adapters,
-    const host::HostStatus& status, std::span<const model::StageLatency> latencies);
+struct MetricsInput {
+    const model::Counters& core;
+    const model::Counters& adapters; ///< These count apart from the core.
+    const host::HostStatus& status;
+    std::span<const model::StageLatency> latencies;
+    uint64_t linkBacklogBytes = 0; ///< Unsent, over all links.
+};
+
+/// The host's metrics in the Prometheus text format (docs/METRICS.md).
+[[nodiscard]] std::string metricsText(const MetricsInput& input);
 
 } // namespace saltvane::saltvaned
