--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -151,15 +151,20 @@
 {
     const std::optional<size_t> to = numberOf(outgoing.to);
     if (!to) {
+        if (toGateway)
+            return toGateway(from, outgoing);
         sentToGateways_[outgoing.to].push_back(outgoing.message);
         return;
     }
-    if (links_.contains(std::minmax(from, *to)))
-        inFlight_.push_back({.at = now_ + messageDelay,
-            .from = from,
-            .to = *to,
-            .fromIncarnation = hosts_[from].incarnation,
-            .message = outgoing.message});
+    if (!links_.contains(std::minmax(from, *to)))
+        return;
+    Timestamp& busyUntil = busyUntil_[{from, *to}];
+    busyUntil = std::max(busyUntil, now_) + (sendingTime ? sendingTime(outgoing.message) : Duration::zero());
+    inFlight_.push_back({.at = busyUntil + messageDelay,
+        .from = from,
+        .to = *to,
+        .fromIncarnation = hosts_[from].incarnation,
+        .message = outgoing.message});
 }
 
 void RegistryCluster::pump(size_t number)
@@ -222,6 +227,8 @@
             hosts_[number].core->tick(now_);
             pump(number);
         }
+        if (onStep)
+            onStep();
     }
 }
 
@@ -284,6 +291,21 @@
     pump(number);
 }
 
+void RegistryCluster::linkUpTo(size_t number, const HostId& gateway, Incarnation incarnation)
+{
+    hosts_.at(number).core->handle(host::LinkUp {.host = gateway, .incarnation = incarnation}, now_);
+    pump(number);
+}
+
+void RegistryCluster::deliverFromGateway(size_t number, const HostId& gateway, model::Message message)
+{
+    if (!hosts_.at(number).core)
+        return;
+    hosts_.at(number).core->handle(
+        model::Delivery {.from = gateway, .fromIncarnation = {1}, .message = std::move(message)}, now_);
+    pump(number);
+}
+
 std::vector<model::Message> RegistryCluster::takeSentTo(const std::string& host)
 {
     return std::exchange(sentToGateways_[HostId(host)], {});
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -25,6 +25,11 @@
     explicit RegistryCluster(size_t hosts);
 
     Duration messageDelay = 5ms; ///< Of all messages between hosts, one way.
+    /// How long a link between two hosts takes to carry a message; its next message waits. Empty: no time.
+    std::function<Duration(const model::Message&)> sendingTime;
+    /// Takes what host `from` sends to a gateway. Empty: kept for takeSentTo.
+    std::function<void(size_t from, const model::Outgoing&)> toGateway;
+    std::function<void()> onStep; ///< After each step of virtual time.
 
     void run(Duration duration);
     [[nodiscard]] bool runUntil(const std::function<bool()>& condition, Duration limit = 20s);
@@ -52,12 +57,15 @@
     /// A gateway's heartbeat, sent to one host.
     void gatewayHeartbeat(size_t number, const std::string& host, const std::string& zone, const std::string& region,
         model::HostState state = model::HostState::Serving);
+    void linkUpTo(size_t number, const HostId& gateway, Incarnation incarnation);
+    void deliverFromGateway(size_t number, const HostId& gateway, model::Message message);
     /// Messages that hosts sent to this gateway since the last call.
     [[nodiscard]] std::vector<model::Message> takeSentTo(const std::string& host);
 
     [[nodiscard]] std::optional<size_t> leader() const;
     [[nodiscard]] host::HostStatus status(size_t number) const { return hosts_.at(number).core->status(now_); }
     [[nodiscard]] static HostId idOf(size_t number);
+    [[nodiscard]] std::optional<size_t> numberOf(const HostId& host) const;
     [[nodiscard]] size_t votersAt(size_t number);
     [[nodiscard]] Timestamp now() const { return now_; }
 
@@ -82,12 +90,12 @@
     void post(size_t from, const model::Outgoing& outgoing);
     void deliver();
     void connect();
-    [[nodiscard]] std::optional<size_t> numberOf(const HostId& host) const;
 
     Timestamp now_ {100s};
     std::vector<Host> hosts_;
     std::vector<InFlight> inFlight_;
     std::set<std::pair<size_t, size_t>> links_;
+    std::map<std::pair<size_t, size_t>, Timestamp> busyUntil_; ///< Of the links, by sender and receiver.
     std::set<size_t> isolated_;
     std::map<HostId, std::vector<model::Message>> sentToGateways_;
     std::map<requests::HttpHandle, requests::HttpRespond> responses_;
--- /dev/null
+++ b/testing/fleet/fleet.cpp
@@ -0,0 +1,280 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "fleet.h"
+
+#include "wire/framecodec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+namespace saltvane::fleet::test {
+
+namespace {
+
+/// Of RegistryCluster's virtual time.
+constexpr Duration Step = 10ms;
+constexpr double PacketBytes = 1448;
+constexpr int StatusOk = 200;
+constexpr Incarnation FirstStart {1};
+
+const std::map<ZoneName, RegionName> Zones {{ZoneName("north-a"), RegionName("north")},
+    {ZoneName("south-a"), RegionName("south")}, {ZoneName("west-a"), RegionName("west")}};
+
+model::Address addressOf(size_t gateway) { return {.ip = "10.1.0." + std::to_string(gateway + 1), .port = 7000}; }
+
+settings::RoutedHostSettings settingsOf(size_t gateway)
+{
+    settings::RoutedHostSettings settings;
+    settings.deployment = "test";
+    settings.isGateway = true;
+    auto zone = Zones.begin();
+    std::advance(zone, static_cast<ptrdiff_t>(gateway % Zones.size()));
+    settings.zone = zone->first;
+    settings.region = zone->second;
+    settings.zones = Zones;
+    settings.linkAddress = addressOf(gateway);
+    for (size_t seed = 0; seed < 3; ++seed)
+        settings.seeds.push_back(*model::parseAddress(registry::test::RegistryCluster::idOf(seed).value()));
+    settings.frontAddress = {.ip = settings.linkAddress.ip, .port = 8000};
+    settings.readinessAddress = {.ip = settings.linkAddress.ip, .port = 8001};
+    settings.retries = {.ratio = 0.2, .slack = 100};
+    settings.limits.stopTimeLimit = 6s;
+    return settings;
+}
+
+double sizeOf(const model::Message& message) { return static_cast<double>(wire::encodeFrame(message).size()); }
+
+std::string randomName(std::mt19937& random, size_t length)
+{
+    std::uniform_int_distribution<int> letter('a', 'z');
+    std::string name;
+    for (size_t i = 0; i < length; ++i)
+        name.push_back(static_cast<char>(letter(random)));
+    return name;
+}
+
+nlohmann::json routeOf(std::mt19937& random)
+{
+    constexpr size_t NameLength = 7;
+    return {{"name", "r-" + randomName(random, NameLength)}, {"host", randomName(random, NameLength) + ".example"},
+        {"path_prefix", "/" + randomName(random, NameLength) + "/"}, {"kind", "repeatable"}, {"timeout_ms", 6000},
+        {"objective_ms", 800}, {"rank", 1}, {"attempts", 2}, {"affinity", true}, {"service", "quotes"}};
+}
+
+} // namespace
+
+std::string largePlan(uint64_t version, size_t routes, uint32_t weight)
+{
+    std::mt19937 random(1); // NOLINT(cert-msc32-c,cert-msc51-cpp): the same routes each time.
+    nlohmann::json plan {{"version", version}, {"services", nlohmann::json::array()}};
+    for (const char* service : {"quotes", "files"})
+        plan["services"].push_back({{"name", service}, {"probe_path", "/health"}, {"connections", 100}});
+    plan["routes"].push_back({{"name", "read"}, {"host", "prices.example"}, {"path_prefix", "/read/"},
+        {"kind", "repeatable"}, {"timeout_ms", 1500}, {"attempts", 2}, {"affinity", true}, {"service", "quotes"}});
+    while (plan["routes"].size() + 1 < routes)
+        plan["routes"].push_back(routeOf(random));
+    nlohmann::json split
+        = nlohmann::json::array({{{"service", "quotes"}, {"weight", 90}}, {{"service", "files"}, {"weight", weight}}});
+    plan["routes"].push_back({{"name", "split"}, {"host", "prices.example"}, {"path_prefix", "/split/"},
+        {"kind", "repeatable"}, {"timeout_ms", 1500}, {"attempts", 2}, {"split", std::move(split)}});
+    return plan.dump();
+}
+
+Fleet::Fleet(const FleetOptions& options)
+    : options_(options)
+    , registries_(options.registries)
+    , gateways_(options.gateways)
+{
+    registries_.messageDelay = options_.registryDelay;
+    registries_.sendingTime = [this](const model::Message& message) {
+        return fromSeconds(sizeOf(message) / options_.registryBytesPerSecond);
+    };
+    registries_.toGateway = [this](size_t from, const model::Outgoing& outgoing) {
+        Gateway* gateway = find(outgoing.to);
+        if (gateway == nullptr)
+            return;
+        const double bytes = sizeOf(outgoing.message);
+        gateway->bytesSent += static_cast<uint64_t>(bytes);
+        gateway->senders[from].frames.push_back({.message = outgoing.message, .unsent = bytes, .undelivered = bytes});
+    };
+    registries_.onStep = [this] { step(); };
+    for (size_t number = 0; number < gateways_.size(); ++number)
+        startGateway(number);
+}
+
+void Fleet::startGateway(size_t number)
+{
+    Gateway& gateway = gateways_.at(number);
+    gateway.id = HostId(toString(addressOf(number)));
+    gateway.core = gateway::makeGateway({.settings = settingsOf(number), .incarnation = FirstStart});
+    for (size_t registry = 0; registry < options_.registries; ++registry) {
+        registries_.linkUpTo(registry, gateway.id, FirstStart);
+        gateway.core->handle(
+            host::LinkUp {.host = registry::test::RegistryCluster::idOf(registry), .incarnation = FirstStart},
+            registries_.now());
+    }
+    gather(gateway);
+}
+
+Fleet::Gateway* Fleet::find(const HostId& id)
+{
+    const auto found = std::ranges::find(gateways_, id, &Gateway::id);
+    return found == gateways_.end() ? nullptr : &*found;
+}
+
+void Fleet::step()
+{
+    noteLeader();
+    for (Gateway& gateway : gateways_) {
+        carryInbound(gateway);
+        gateway.core->tick(registries_.now());
+        gather(gateway);
+        carryOutbound(gateway);
+    }
+}
+
+void Fleet::noteLeader()
+{
+    const std::optional<size_t> now = registries_.leader();
+    if (leader_ && now != leader_)
+        ++leadersLost_;
+    leader_ = now;
+}
+
+void Fleet::fillNetwork(Gateway& gateway)
+{
+    for (bool isBusy = true; isBusy;) {
+        isBusy = false;
+        for (auto& [registry, sender] : gateway.senders) {
+            const auto next = std::ranges::find_if(sender.frames, [](const Frame& frame) { return frame.unsent > 0; });
+            if (next == sender.frames.end() || sender.inNetwork >= options_.windowBytes)
+                continue;
+            const double bytes = std::min(PacketBytes, next->unsent);
+            next->unsent -= bytes;
+            sender.inNetwork += bytes;
+            gateway.network.push_back({.registry = registry, .bytes = bytes});
+            isBusy = true;
+        }
+    }
+}
+
+void Fleet::carryInbound(Gateway& gateway)
+{
+    double waiting = 0;
+    for (const auto& [registry, sender] : gateway.senders) {
+        for (const Frame& frame : sender.frames)
+            waiting += frame.undelivered;
+    }
+    gateway.largestBacklog = std::max(gateway.largestBacklog, static_cast<uint64_t>(waiting));
+    fillNetwork(gateway);
+    gateway.linkCredit += options_.gatewayBytesPerSecond * toSeconds(Step);
+    while (!gateway.network.empty() && gateway.network.front().bytes <= gateway.linkCredit) {
+        const Packet packet = gateway.network.front();
+        gateway.network.pop_front();
+        gateway.linkCredit -= packet.bytes;
+        deliver(gateway, packet);
+        fillNetwork(gateway);
+    }
+    if (gateway.network.empty())
+        gateway.linkCredit = 0;
+}
+
+void Fleet::deliver(Gateway& gateway, const Packet& packet)
+{
+    Sender& sender = gateway.senders.at(packet.registry);
+    sender.inNetwork -= packet.bytes;
+    sender.frames.front().undelivered -= packet.bytes;
+    if (sender.frames.front().undelivered > 0)
+        return;
+    model::Delivery delivery {.from = registry::test::RegistryCluster::idOf(packet.registry),
+        .fromIncarnation = FirstStart,
+        .message = std::move(sender.frames.front().message)};
+    sender.frames.pop_front();
+    gateway.core->handle(std::move(delivery), registries_.now());
+}
+
+void Fleet::carryOutbound(Gateway& gateway)
+{
+    while (!gateway.outbound.empty() && gateway.outbound.front().at <= registries_.now()) {
+        Late late = std::move(gateway.outbound.front());
+        gateway.outbound.pop_front();
+        registries_.deliverFromGateway(late.registry, gateway.id, std::move(late.message));
+    }
+}
+
+void Fleet::gather(Gateway& gateway)
+{
+    for (host::Action& action : gateway.core->takeActions()) {
+        auto* const request = std::get_if<requests::Action>(&action);
+        if (request == nullptr)
+            continue;
+        if (auto* start = std::get_if<requests::TargetStart>(request))
+            gateway.lastStart = std::move(*start);
+        auto* const outgoing = std::get_if<model::Outgoing>(request);
+        if (outgoing == nullptr)
+            continue;
+        if (const std::optional<size_t> registry = registries_.numberOf(outgoing->to))
+            gateway.outbound.push_back({.at = registries_.now() + options_.gatewayDelay,
+                .registry = *registry,
+                .message = std::move(outgoing->message)});
+    }
+}
+
+bool Fleet::runUntil(const std::function<bool()>& condition, Duration limit)
+{
+    return registries_.runUntil(condition, limit);
+}
+
+bool Fleet::putPlan(uint64_t base, const std::string& plan)
+{
+    constexpr int MostTries = 5;
+    for (int i = 0; i < MostTries; ++i) {
+        const auto answer = registries_.order("PUT", "/v1/plan", plan, std::to_string(base));
+        if (answer && answer->status == StatusOk)
+            return true;
+    }
+    return false;
+}
+
+bool Fleet::isPlanEverywhere(uint64_t version) const
+{
+    return std::ranges::all_of(gateways_, [&](const Gateway& gateway) {
+        return gateway.core->status(registries_.now()).inForceVersion.value >= version;
+    });
+}
+
+std::optional<TargetId> Fleet::targetFor(size_t number, const std::string& object)
+{
+    Gateway& gateway = gateways_.at(number);
+    const requests::HttpHandle handle {++lastHandle_};
+    gateway.lastStart.reset();
+    gateway.core->handle(requests::HttpEvent(requests::HttpRequestStarted {.handle = handle,
+                             .method = "GET",
+                             .path = "/read/1",
+                             .headers = {{.name = "Host", .value = "prices.example"},
+                                 {.name = "Saltvane-Request-Id", .value = "try-" + std::to_string(lastHandle_)},
+                                 {.name = "Saltvane-Object", .value = object}},
+                             .bodyLength = 0}),
+        registries_.now());
+    gather(gateway);
+    gateway.core->handle(requests::HttpEvent(requests::HttpRequestAborted {.handle = handle}), registries_.now());
+    gather(gateway);
+    if (!gateway.lastStart)
+        return std::nullopt;
+    return gateway.lastStart->target;
+}
+
+uint64_t Fleet::largestBacklog() const
+{
+    uint64_t largest = 0;
+    for (const Gateway& gateway : gateways_)
+        largest = std::max(largest, gateway.largestBacklog);
+    return largest;
+}
+
+} // namespace saltvane::fleet::test
--- /dev/null
+++ b/testing/fleet/fleet.h
@@ -0,0 +1,109 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "gateway/igateway.h"
+#include "registry/tests/registrycluster.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace saltvane::fleet::test {
+
+struct FleetOptions {
+    size_t registries = 6;
+    size_t gateways = 6;
+    double gatewayBytesPerSecond = 500'000; ///< Of a gateway's network link, inbound: 4 Mbit/s.
+    double registryBytesPerSecond = 8'000'000; ///< Of a link between two registry hosts.
+    /// What one sender may have on its way to a gateway before it waits for the gateway to take it.
+    double windowBytes = 208 * 1024;
+    Duration registryDelay = 35ms; ///< One way.
+    Duration gatewayDelay = 5ms; ///< The same between a registry host and a gateway.
+};
+
+/// Registry hosts and gateways as they run, over a network in virtual time. What all registry hosts send to one gateway
+/// waits in one queue before that gateway's network link, each sender's window of it; the rest waits at the senders.
+class Fleet {
+public:
+    explicit Fleet(const FleetOptions& options = {});
+
+    [[nodiscard]] registry::test::RegistryCluster& registries() { return registries_; }
+    [[nodiscard]] size_t gateways() const { return gateways_.size(); }
+    void run(Duration duration) { registries_.run(duration); }
+    [[nodiscard]] bool runUntil(const std::function<bool()>& condition, Duration limit);
+
+    /// Puts a plan by way of the leader, again until it is acknowledged. False: not within 10 s.
+    [[nodiscard]] bool putPlan(uint64_t base, const std::string& plan);
+    [[nodiscard]] bool isPlanEverywhere(uint64_t version) const;
+
+    /// Target that the gateway sends a request about `object` to; none where it refuses.
+    [[nodiscard]] std::optional<TargetId> targetFor(size_t gateway, const std::string& object);
+
+    /// Bytes that registry hosts sent to this gateway so far.
+    [[nodiscard]] uint64_t bytesSentTo(size_t gateway) const { return gateways_.at(gateway).bytesSent; }
+    /// The most bytes that ever waited for one gateway's link.
+    [[nodiscard]] uint64_t largestBacklog() const;
+    /// Since the start, over all registry hosts: times that a host found itself without a leader.
+    [[nodiscard]] uint64_t leadersLost() const { return leadersLost_; }
+
+private:
+    struct Frame {
+        model::Message message;
+        double unsent = 0; ///< Bytes.
+        double undelivered = 0;
+    };
+    struct Sender {
+        std::deque<Frame> frames; ///< In order; the first ones are partly in the network.
+        double inNetwork = 0;
+    };
+    struct Packet {
+        size_t registry = 0;
+        double bytes = 0;
+    };
+    struct Late {
+        Timestamp at;
+        size_t registry = 0;
+        model::Message message;
+    };
+    struct Gateway {
+        HostId id;
+        std::unique_ptr<host::IHostCore> core;
+        std::map<size_t, Sender> senders; ///< By registry host.
+        std::deque<Packet> network; ///< Before its link.
+        double linkCredit = 0; ///< Bytes that its link may carry now.
+        std::deque<Late> outbound;
+        uint64_t bytesSent = 0;
+        uint64_t largestBacklog = 0;
+        std::optional<requests::TargetStart> lastStart;
+    };
+
+    void step();
+    void noteLeader();
+    void startGateway(size_t number);
+    void fillNetwork(Gateway& gateway);
+    void carryInbound(Gateway& gateway);
+    void deliver(Gateway& gateway, const Packet& packet);
+    void carryOutbound(Gateway& gateway);
+    void gather(Gateway& gateway);
+    [[nodiscard]] Gateway* find(const HostId& id);
+
+    FleetOptions options_;
+    registry::test::RegistryCluster registries_;
+    std::vector<Gateway> gateways_;
+    std::optional<size_t> leader_;
+    uint64_t leadersLost_ = 0;
+    uint64_t lastHandle_ = 0;
+};
+
+/// A plan of so many routes, which differ from each other in every name; a longer plan has the routes of a shorter one.
+/// `weight`: of the second service on the last route.
+[[nodiscard]] std::string largePlan(uint64_t version, size_t routes, uint32_t weight = 10);
+
+} // namespace saltvane::fleet::test
