Send a large plan in parts, one at a time, and once

Cause: a gateway pulls each 0.5 s, and each pull was answered with the whole plan, also while an earlier copy was still on its way and by one registry host after the other. Nothing limited what was under way to one host. Class: sending again without flow control, which feeds the congestion that delays the answer; bulk in front of urgent messages in one queue.

Change: a state over 32 KiB goes in parts. The receiver asks for the next part once it has the one before, at the same source, or after a second of silence at another. What is fetched is finished before a newer state is begun, and a source keeps the last four, so that changes faster than a slow link don't starve it. Gateways answer no pulls and keep no parts.

Ruled out: that late drains have a cause of their own.

--- a/src/control/ibundleholder.h
+++ b/src/control/ibundleholder.h
@@ -22,7 +22,7 @@
 public:
     virtual ~IBundleHolder() = default;
 
-    /// BundlePush, BundlePull, BundleCurrent.
+    /// BundlePush, BundlePart, BundlePull, BundleCurrent.
     virtual void handle(const model::Delivery& delivery, Timestamp now) = 0;
     /// On a control host: what its replica has in force, and the age of its proof; no value while it has no proof.
     struct ControlView {
@@ -57,6 +57,9 @@
     Duration startPullPeriod = 100ms;
     Duration cutOffAfter = 3s;
     Duration peerStateAfter = 1s; ///< A starting host that heard no control for so long takes a peer's state.
+    /// Until the next part of a large state is asked of another source: fifteen times what the narrowest link takes.
+    Duration partTimeout = 1s;
+    bool isSource = true; ///< False: answers no pulls, and keeps nothing for them.
     model::Counters* counters = nullptr;
 };
 
--- a/src/control/internal/bundleholder.cpp
+++ b/src/control/internal/bundleholder.cpp
@@ -40,6 +40,8 @@
     begin(now);
     if (const auto* push = std::get_if<model::BundlePush>(&delivery.message))
         handlePush(delivery.from, *push, now);
+    else if (const auto* part = std::get_if<model::BundlePart>(&delivery.message))
+        handlePart(delivery.from, *part, now);
     else if (const auto* current = std::get_if<model::BundleCurrent>(&delivery.message))
         handleCurrent(delivery.from, *current, now);
     else if (const auto* pull = std::get_if<model::BundlePull>(&delivery.message))
@@ -54,8 +56,63 @@
     noteAnswer(from, push.pull, push.position, push.age, now);
 }
 
+/// Only the next part is ever asked for, and only once the one before is here: what waits on a narrow link for this
+/// host is one part, however large the state is, however often it changes and however slow the link. Whole states sent
+/// for each pull filled links of 4 Mbit/s for over 20 s and delayed what else went to the host as long.
+void BundleHolder::handlePart(const HostId& from, const model::BundlePart& part, Timestamp now)
+{
+    if (inForce_ && part.position <= inForce_->position) {
+        (void)takePullTime(from, part.pull);
+        return count(model::Counter::StaleMessages);
+    }
+    const bool isRestart = part.pull != 0 && part.pull == partPull_;
+    if (!transfer_.take(part, isRestart)) {
+        (void)takePullTime(from, part.pull);
+        return;
+    }
+    if (transfer_.isComplete())
+        return finishTransfer(from, part, now);
+    (void)takePullTime(from, part.pull);
+    askForPart(from, now);
+}
+
+void BundleHolder::finishTransfer(const HostId& from, const model::BundlePart& last, Timestamp now)
+{
+    const std::optional<std::string> content = transfer_.finish();
+    nextPullAt_ = now; // A newer state may have come into force meanwhile.
+    if (!content)
+        return count(model::Counter::BundlesRefused);
+    install(last.position, last.version, *content, now);
+    noteAnswer(from, last.pull, last.position, last.age, now);
+}
+
+void BundleHolder::askForPart(const HostId& source, Timestamp now)
+{
+    partSource_ = source;
+    partDueAt_ = now + options_.partTimeout;
+    partPull_ = notePull(source, now);
+    outgoing_.push_back({.to = source,
+        .message = model::BundlePull {.have = inForce_ ? inForce_->position : LogPosition {},
+            .isStarting = !isReady_,
+            .pull = partPull_,
+            .partOf = transfer_.position(),
+            .offset = transfer_.offset()}});
+}
+
+void BundleHolder::continueTransfer(Timestamp now)
+{
+    if (now < partDueAt_)
+        return;
+    avoidedUntil_[partSource_] = now + AvoidedPulls * options_.pullPeriod;
+    const HostId source = chooseSource(now);
+    if (!source.isEmpty())
+        askForPart(source, now);
+}
+
 void BundleHolder::handleCurrent(const HostId& from, const model::BundleCurrent& current, Timestamp now)
 {
+    if (transfer_.isUnderWay() && current.pull == partPull_)
+        partDueAt_ = now; // It doesn't hold what is being fetched.
     noteAnswer(from, current.pull, current.position, current.age, now);
 }
 
@@ -66,11 +123,12 @@
     inForce_ = InForce {.position = position, .version = version, .content = std::string(content)};
     hasNews_ = true;
     count(model::Counter::BundlesInstalled);
-    for (const HostId& receiver : receivers_) {
-        outgoing_.push_back({.to = receiver,
-            .message = model::BundlePush {
-                .position = position, .version = version, .content = inForce_->content, .age = age(now)}});
-    }
+    if (transfer_.isUnderWay() && transfer_.position() <= position)
+        transfer_.reset();
+    if (options_.isSource)
+        parts_.add(*inForce_);
+    for (const HostId& receiver : receivers_)
+        outgoing_.push_back({.to = receiver, .message = parts_.first(position, {.age = age(now)})});
 }
 
 std::optional<Timestamp> BundleHolder::takePullTime(const HostId& from, uint64_t number)
@@ -119,15 +177,16 @@
 void BundleHolder::answerPull(const HostId& from, const model::BundlePull& pull, Timestamp now)
 {
     // A starting host knows nothing that another may rely on.
-    if (!isReady_)
+    if (!isReady_ || !options_.isSource)
         return;
-    if (inForce_->position > pull.have)
-        outgoing_.push_back({.to = from,
-            .message = model::BundlePush {.position = inForce_->position,
-                .version = inForce_->version,
-                .content = inForce_->content,
-                .age = age(now),
-                .pull = pull.pull}});
+    const BundleParts::Answer answer {.pull = pull.pull, .age = age(now)};
+    std::optional<model::Message> part;
+    if (pull.offset > 0)
+        part = parts_.next(pull.partOf, pull.offset, answer);
+    if (part)
+        outgoing_.push_back({.to = from, .message = *std::move(part)});
+    else if (inForce_->position > pull.have)
+        outgoing_.push_back({.to = from, .message = parts_.first(inForce_->position, answer)});
     else
         outgoing_.push_back({.to = from,
             .message = model::BundleCurrent {.position = inForce_->position, .age = age(now), .pull = pull.pull}});
@@ -156,6 +215,8 @@
 {
     begin(now);
     becomeReady(now);
+    if (transfer_.isUnderWay())
+        return continueTransfer(now);
     if (nextPullAt_ && now < *nextPullAt_)
         return;
     nextPullAt_ = now + (isReady_ ? options_.pullPeriod : options_.startPullPeriod);
@@ -171,13 +232,19 @@
     const HostId source = chooseSource(now);
     if (source.isEmpty())
         return;
+    outgoing_.push_back({.to = source,
+        .message = model::BundlePull {.have = inForce_ ? inForce_->position : LogPosition {},
+            .isStarting = !isReady_,
+            .pull = notePull(source, now)}});
+}
+
+uint64_t BundleHolder::notePull(const HostId& source, Timestamp now)
+{
     if (pulls_.size() >= MaximumPulls)
         pulls_.erase(pulls_.begin());
     pulls_.push_back({.number = ++lastPull_, .source = source, .sentAt = now});
     count(model::Counter::BundlePulls);
-    outgoing_.push_back({.to = source,
-        .message = model::BundlePull {
-            .have = inForce_ ? inForce_->position : LogPosition {}, .isStarting = !isReady_, .pull = lastPull_}});
+    return lastPull_;
 }
 
 HostId BundleHolder::chooseSource(Timestamp now)
--- a/src/control/internal/bundleholder.h
+++ b/src/control/internal/bundleholder.h
@@ -6,6 +6,8 @@
 #pragma once
 
 #include "control/ibundleholder.h"
+#include "control/internal/bundleparts.h"
+#include "control/internal/bundletransfer.h"
 
 #include <map>
 #include <optional>
@@ -38,6 +40,10 @@
 
     void begin(Timestamp now);
     void handlePush(const HostId& from, const model::BundlePush& push, Timestamp now);
+    void handlePart(const HostId& from, const model::BundlePart& part, Timestamp now);
+    void finishTransfer(const HostId& from, const model::BundlePart& last, Timestamp now);
+    void askForPart(const HostId& source, Timestamp now);
+    void continueTransfer(Timestamp now);
     void handleCurrent(const HostId& from, const model::BundleCurrent& current, Timestamp now);
     void answerPull(const HostId& from, const model::BundlePull& pull, Timestamp now);
     void install(LogPosition position, BundleVersion version, std::string_view content, Timestamp now);
@@ -46,6 +52,7 @@
     void noteAnswer(const HostId& from, uint64_t number, LogPosition position, Duration answerAge, Timestamp now);
     void becomeReady(Timestamp now);
     void sendPull(Timestamp now);
+    [[nodiscard]] uint64_t notePull(const HostId& source, Timestamp now);
     [[nodiscard]] HostId chooseSource(Timestamp now);
     void count(model::Counter counter) const;
 
@@ -63,6 +70,11 @@
     std::optional<Timestamp> nextPullAt_;
     uint64_t lastPull_ = 0;
     std::vector<Pull> pulls_; ///< Not answered yet.
+    BundleParts parts_; ///< Empty where this host is no source.
+    BundleTransfer transfer_;
+    HostId partSource_; ///< Asked for the next part of the transfer last.
+    uint64_t partPull_ = 0; ///< Number of that pull.
+    Timestamp partDueAt_ {};
     std::vector<model::Outgoing> outgoing_;
 };
 
--- /dev/null
+++ b/src/control/internal/bundleparts.h
@@ -0,0 +1,51 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "control/ibundleholder.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace saltvane::control {
+
+/// States in force as they go to hosts that lack them: whole where they are small, else cut into parts. The last few
+/// are kept, so that a host that has begun to fetch one can finish while newer ones come.
+class BundleParts {
+public:
+    /// Bytes of a state sent at a time: 0.07 s of a network link of 4 Mbit/s, the narrowest that the users' gateways
+    /// had when plans grew over it. What is urgent waits so long at most behind a plan.
+    static constexpr size_t PartBytes = 32 * 1024;
+
+    struct Answer {
+        uint64_t pull = 0; ///< Number of the pull that is answered; 0: none.
+        Duration age {};
+    };
+
+    void add(const IBundleHolder::InForce& state);
+    /// The state from its beginning, as far as one message goes. It must be kept.
+    [[nodiscard]] model::Message first(const LogPosition& position, const Answer& answer);
+    /// A further part; none where the state isn't kept any more or has no such offset.
+    [[nodiscard]] std::optional<model::Message> next(
+        const LogPosition& position, uint64_t offset, const Answer& answer);
+
+private:
+    struct Kept {
+        LogPosition position;
+        BundleVersion version;
+        std::string bytes;
+        uint64_t checksum = 0;
+    };
+
+    [[nodiscard]] const Kept* find(const LogPosition& position);
+    [[nodiscard]] static model::BundlePart partOf(const Kept& kept, uint64_t offset, const Answer& answer);
+
+    std::deque<Kept> kept_; ///< Least lately asked for first.
+};
+
+} // namespace saltvane::control
--- a/src/control/tests/bundleholdertests.cpp
+++ b/src/control/tests/bundleholdertests.cpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 
 namespace saltvane::control::test {
 
@@ -50,10 +51,16 @@
 
     IBundleHolder& holder(const HostId& host) { return *holders_.at(host); }
 
-    void setInForce(uint64_t index)
+    /// `size`: of text that can't be told from another state's.
+    void setInForce(uint64_t index, size_t size = 0)
     {
+        std::mt19937 random(
+            static_cast<unsigned int>(index)); // NOLINT(cert-msc32-c,cert-msc51-cpp): the same each time.
         content_ = "bundle " + std::to_string(index);
+        while (content_.size() < size)
+            content_.push_back(static_cast<char>(random()));
         index_ = index;
+        contents_[index] = content_;
     }
 
     void run(Duration duration)
@@ -74,6 +81,7 @@
                     post(host, std::move(outgoing));
                 if (const auto installed = item->takeInstalled()) {
                     EXPECT_GT(installed->position, installed_[host]);
+                    EXPECT_EQ(installed->content, contents_[installed->position.index.value]);
                     installed_[host] = installed->position;
                 }
             }
@@ -86,6 +94,13 @@
             && std::get<model::BundlePush>(outgoing.message).pull == 0;
         if (cutOff_ == from || cutOff_ == outgoing.to || (isPush && losesPushes_))
             return;
+        const auto* part = std::get_if<model::BundlePart>(&outgoing.message);
+        if (part != nullptr) {
+            parts_[outgoing.to] += 1;
+            bytes_[outgoing.to] += part->bytes.size();
+            if (silentSource_ == from && part->offset > 0)
+                return;
+        }
         inFlight_.emplace(now_ + Delay, Flight {.from = from, .outgoing = std::move(outgoing)});
     }
 
@@ -118,6 +133,10 @@
     std::multimap<Timestamp, Flight> inFlight_;
     std::string content_;
     uint64_t index_ = 0;
+    std::map<uint64_t, std::string> contents_;
+    std::map<HostId, int> parts_; ///< Sent to it.
+    std::map<HostId, size_t> bytes_; ///< Of these parts.
+    HostId silentSource_; ///< Its parts but the first are lost.
     bool isControlCurrent_ = true;
     bool losesPushes_ = false;
     HostId cutOff_;
@@ -229,4 +248,60 @@
     EXPECT_TRUE(holder(First).isCutOff(now_));
 }
 
+TEST_F(BundleHolders, ALargeStateIsSentOnceAndInParts)
+{
+    constexpr size_t Size = 1'000'000;
+    setInForce(1, Size);
+    run(10s);
+    ASSERT_TRUE(holdsEverywhere(1));
+    // The relay's first part comes unasked, and the same from a peer that it asks while it starts.
+    constexpr size_t FirstParts = 4 * 32 * 1024;
+    for (const HostId& host : {Relay, First, Second})
+        EXPECT_LE(bytes_[host], contents_[1].size() + FirstParts) << host.value();
+}
+
+TEST_F(BundleHolders, PartsAreAskedOfAnotherSourceWhereOneFallsSilent)
+{
+    constexpr size_t Size = 200'000;
+    setInForce(1, Size);
+    run(10s);
+    silentSource_ = Relay;
+    setInForce(2, Size);
+    run(10s);
+    EXPECT_TRUE(holdsEverywhere(2));
+}
+
+TEST_F(BundleHolders, AStateIsFetchedToItsEndWhileNewerOnesCome)
+{
+    constexpr size_t Size = 400'000;
+    setInForce(1, Size);
+    run(10s);
+    // Each takes thirteen round trips of 40 ms; the next one comes after five.
+    for (uint64_t index = 2; index < 40; ++index) {
+        setInForce(index, Size);
+        run(200ms);
+    }
+    EXPECT_GT(installed_[Second], positionOf(20));
+    run(10s);
+    EXPECT_TRUE(holdsEverywhere(39));
+}
+
+TEST_F(BundleHolders, PartsThatDoNotFitTogetherAreNoState)
+{
+    setInForce(1);
+    run(2s);
+    cutOff_ = First;
+    const model::BundlePart first {
+        .position = positionOf(7), .version = {7}, .totalSize = 8, .offset = 0, .checksum = 1, .bytes = "half"};
+    model::BundlePart second = first;
+    second.offset = 4;
+    for (const model::BundlePart& part : {first, second})
+        holder(First).handle({.from = Relay, .fromIncarnation = {}, .message = part}, now_);
+    EXPECT_FALSE(holder(First).takeInstalled());
+    cutOff_ = {};
+    setInForce(8);
+    run(2s);
+    EXPECT_TRUE(holdsEverywhere(8));
+}
+
 } // namespace saltvane::control::test
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -47,7 +47,8 @@
     , incarnation_(options.incarnation)
     , roster_(membership::makeHostRoster(
           {.self = recordOf(settings_, incarnation_), .seeds = host::hostIdsOf(settings_.seeds)}))
-    , holder_(control::makeBundleHolder({.self = self_, .pullPeriod = PlanPullPeriod, .counters = &counters_}))
+    , holder_(control::makeBundleHolder(
+          {.self = self_, .pullPeriod = PlanPullPeriod, .isSource = false, .counters = &counters_}))
     , targets_(self_, settings_.zones)
     , split_(settings_.region, settings_.shiftCap)
     , placement_(targets_, split_, settings_.zone, settings_.region, options.seed)
--- a/src/host/internal/messagerouter.cpp
+++ b/src/host/internal/messagerouter.cpp
@@ -19,7 +19,7 @@
     model::AppendReply, model::SnapshotChunk, model::SnapshotReply, model::JoinRequest>;
 
 template <typename T>
-concept DistributionMessage = OneOf<T, model::BundlePush, model::BundlePull, model::BundleCurrent>;
+concept DistributionMessage = OneOf<T, model::BundlePush, model::BundlePart, model::BundlePull, model::BundleCurrent>;
 
 template <typename T>
 concept ReplyToEntry = OneOf<T, model::ForwardResponseHead, model::ForwardEnd, model::ClaimReply>;
--- a/src/model/controlmessages.h
+++ b/src/model/controlmessages.h
@@ -99,20 +99,35 @@
     ReplicaId inviter; ///< The coordinator of the first start that this answers; empty otherwise.
 };
 
-/// What is in force, sent from control to zone relays and from a relay to its zone's hosts.
+/// What is in force, sent from control to zone relays and from a relay to its zone's hosts. A large one goes in parts.
 struct BundlePush {
     LogPosition position;
     BundleVersion version;
-    std::string content; ///< The bundle's YAML, as signed.
+    std::string content; ///< The bundle's or plan's text, as the operator sent it.
     Duration age {}; ///< Time since a control quorum confirmed it as current.
     uint64_t pull = 0; ///< Number of the pull this answers; 0: sent unasked.
 };
 
-/// Pull of the state in force; answered with BundlePush when the answerer holds a newer one, else BundleCurrent.
+/// A piece of a state in force. A host that gets the first one pulls the next ones, one at a time.
+struct BundlePart {
+    LogPosition position;
+    BundleVersion version;
+    uint64_t totalSize = 0; ///< Of the bytes of all parts.
+    uint64_t offset = 0;
+    uint64_t checksum = 0; ///< xxhash64 of the bytes of all parts.
+    std::string bytes;
+    Duration age {}; ///< As in BundlePush.
+    uint64_t pull = 0; ///< Number of the pull this answers; 0: sent unasked.
+};
+
+/// Pull of the state in force; answered with BundlePush or the first BundlePart when the answerer holds a newer one,
+/// else with BundleCurrent.
 struct BundlePull {
     LogPosition have;
     bool isStarting = false; ///< The asker serves nobody yet.
     uint64_t pull = 0; ///< Echoed in the answer; dates the age it tells.
+    LogPosition partOf {}; ///< The state whose next part is wanted; none: the newest state, from its beginning.
+    uint64_t offset = 0; ///< Of the part that is wanted.
 };
 
 struct BundleCurrent {
--- a/src/model/message.h
+++ b/src/model/message.h
@@ -18,7 +18,7 @@
 using Message = std::variant<Heartbeat, ZoneReport, CreditRequest, CreditGrant, OwnershipHandover, HandoverProgress,
     RowsRequest, RowsReply, ForwardRequest, ForwardBody, ForwardWindow, ForwardResponseHead, ForwardEnd, ForwardCancel,
     ClaimRequest, ClaimReply, VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
-    JoinRequest, BundlePush, BundlePull, BundleCurrent, TargetReport, TargetLoads, StartNotice>;
+    JoinRequest, BundlePush, BundlePull, BundleCurrent, TargetReport, TargetLoads, StartNotice, BundlePart>;
 
 /// A message with its sender, as a link delivers it. The link has authenticated the sender.
 struct Delivery {
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -338,7 +338,9 @@
     Link& link = *found->second.current;
     const size_t bytes = link.send(outgoing.message);
     options_.counters->add(model::Counter::LinkBytes, bytes);
-    if (std::holds_alternative<model::BundlePush>(outgoing.message))
+    const bool isBundle = std::holds_alternative<model::BundlePush>(outgoing.message)
+        || std::holds_alternative<model::BundlePart>(outgoing.message);
+    if (isBundle)
         options_.counters->add(model::Counter::BundleBytes, bytes);
     logBacklog();
     if (link.isDirty || link.state() != Link::State::Up)
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -33,6 +33,7 @@
     size_t operator()(const model::ForwardBody& body) const { return body.bytes.size(); }
     size_t operator()(const model::SnapshotChunk& chunk) const { return chunk.bytes.size(); }
     size_t operator()(const model::BundlePush& push) const { return push.content.size(); }
+    size_t operator()(const model::BundlePart& part) const { return part.bytes.size(); }
     template <typename Other> size_t operator()(const Other& /*message*/) const { return 0; }
 };
 
--- a/src/wire/internal/controlmessagecodec.cpp
+++ b/src/wire/internal/controlmessagecodec.cpp
@@ -199,15 +199,45 @@
     };
 }
 
+Offset<fbs::BundlePart> encode(Builder& builder, const model::BundlePart& message)
+{
+    const auto bytes = encodeBytes(builder, message.bytes);
+    const fbs::LogPosition position = encodePosition(message.position);
+    return fbs::CreateBundlePart(builder, &position, message.version.value, message.totalSize, message.offset,
+        message.checksum, bytes, encodeDuration(message.age), message.pull);
+}
+
+model::BundlePart decode(FieldReader& reader, const fbs::BundlePart& message)
+{
+    model::BundlePart decoded {
+        .position = decodePosition(message.position()),
+        .version = {message.version()},
+        .totalSize = message.total_size(),
+        .offset = message.offset(),
+        .checksum = message.checksum(),
+        .bytes = reader.bytes(message.bytes(), "BundlePart.bytes"),
+        .age = reader.duration(message.age(), "BundlePart.age"),
+        .pull = message.pull(),
+    };
+    reader.require(decoded.offset <= decoded.totalSize, "BundlePart.offset");
+    reader.require(decoded.bytes.size() <= decoded.totalSize - decoded.offset, "BundlePart.bytes");
+    return decoded;
+}
+
 Offset<fbs::BundlePull> encode(Builder& builder, const model::BundlePull& message)
 {
     const fbs::LogPosition have = encodePosition(message.have);
-    return fbs::CreateBundlePull(builder, &have, message.isStarting, message.pull);
+    const fbs::LogPosition partOf = encodePosition(message.partOf);
+    return fbs::CreateBundlePull(builder, &have, message.isStarting, message.pull, &partOf, message.offset);
 }
 
 model::BundlePull decode(FieldReader& /*reader*/, const fbs::BundlePull& message)
 {
-    return {.have = decodePosition(message.have()), .isStarting = message.is_starting(), .pull = message.pull()};
+    return {.have = decodePosition(message.have()),
+        .isStarting = message.is_starting(),
+        .pull = message.pull(),
+        .partOf = decodePosition(message.part_of()),
+        .offset = message.offset()};
 }
 
 Offset<fbs::BundleCurrent> encode(Builder& builder, const model::BundleCurrent& message)
--- a/src/wire/internal/controlmessagecodec.h
+++ b/src/wire/internal/controlmessagecodec.h
@@ -20,6 +20,7 @@
 [[nodiscard]] Offset<fbs::SnapshotReply> encode(Builder& builder, const model::SnapshotReply& message);
 [[nodiscard]] Offset<fbs::JoinRequest> encode(Builder& builder, const model::JoinRequest& message);
 [[nodiscard]] Offset<fbs::BundlePush> encode(Builder& builder, const model::BundlePush& message);
+[[nodiscard]] Offset<fbs::BundlePart> encode(Builder& builder, const model::BundlePart& message);
 [[nodiscard]] Offset<fbs::BundlePull> encode(Builder& builder, const model::BundlePull& message);
 [[nodiscard]] Offset<fbs::BundleCurrent> encode(Builder& builder, const model::BundleCurrent& message);
 
@@ -33,6 +34,7 @@
 [[nodiscard]] model::SnapshotReply decode(FieldReader& reader, const fbs::SnapshotReply& message);
 [[nodiscard]] model::JoinRequest decode(FieldReader& reader, const fbs::JoinRequest& message);
 [[nodiscard]] model::BundlePush decode(FieldReader& reader, const fbs::BundlePush& message);
+[[nodiscard]] model::BundlePart decode(FieldReader& reader, const fbs::BundlePart& message);
 [[nodiscard]] model::BundlePull decode(FieldReader& reader, const fbs::BundlePull& message);
 [[nodiscard]] model::BundleCurrent decode(FieldReader& reader, const fbs::BundleCurrent& message);
 
--- a/src/wire/internal/envelopecodec.cpp
+++ b/src/wire/internal/envelopecodec.cpp
@@ -59,6 +59,7 @@
     &decodeAs<fbs::TargetReport>,
     &decodeAs<fbs::TargetLoads>,
     &decodeAs<fbs::StartNotice>,
+    &decodeAs<fbs::BundlePart>,
 };
 static_assert(Decoders.size() == static_cast<size_t>(fbs::Payload::MAX) + 1);
 static_assert(Decoders.size() == std::variant_size_v<model::Message> + 1);
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -148,7 +148,19 @@
         .inviter = ReplicaId("replica-a")});
     messages.emplace_back(BundlePush {
         .position = {.term = {5}, .index = {60}}, .version = {8}, .content = "services: []", .age = 40ms, .pull = 3});
-    messages.emplace_back(BundlePull {.have = {.term = {4}, .index = {50}}, .isStarting = true, .pull = 4});
+    messages.emplace_back(BundlePart {.position = {.term = {5}, .index = {60}},
+        .version = {8},
+        .totalSize = 40,
+        .offset = 20,
+        .checksum = 77,
+        .bytes = "services: []",
+        .age = 40ms,
+        .pull = 3});
+    messages.emplace_back(BundlePull {.have = {.term = {4}, .index = {50}},
+        .isStarting = true,
+        .pull = 4,
+        .partOf = {.term = {5}, .index = {60}},
+        .offset = 20});
     messages.emplace_back(BundleCurrent {.position = {.term = {5}, .index = {60}}, .age = 40ms, .pull = 4});
 }
 
