Compress large plans, against the one before for gateways that hold it

Cause: beside the copies, one plan of 824 kB takes 1.7 s of a gateway's link of 4 Mbit/s, so of two changes in a row the second one can't be in force within 2.5 s; a change of one weight cost as much as the whole plan.

--- a/src/control/internal/bundleholder.cpp
+++ b/src/control/internal/bundleholder.cpp
@@ -61,25 +61,34 @@
 /// for each pull filled links of 4 Mbit/s for over 20 s and delayed what else went to the host as long.
 void BundleHolder::handlePart(const HostId& from, const model::BundlePart& part, Timestamp now)
 {
-    if (inForce_ && part.position <= inForce_->position) {
+    const LogPosition held = inForce_ ? inForce_->position : LogPosition {};
+    const bool isAlone = part.base == LogPosition {};
+    if (part.position <= held || (!isAlone && part.base != held)) {
+        count(model::Counter::StaleMessages);
         (void)takePullTime(from, part.pull);
-        return count(model::Counter::StaleMessages);
+        return;
     }
-    const bool isRestart = part.pull != 0 && part.pull == partPull_;
-    if (!transfer_.take(part, isRestart)) {
-        (void)takePullTime(from, part.pull);
+    if (part.offset == 0 && part.bytes.size() == part.totalSize) {
+        BundleTransfer whole;
+        if (whole.take(part, false))
+            finishTransfer(whole, from, part, now);
         return;
     }
-    if (transfer_.isComplete())
-        return finishTransfer(from, part, now);
+    const bool isRestart = part.pull != 0 && part.pull == partPull_;
+    const bool isTaken = transfer_.take(part, isRestart);
+    if (isTaken && transfer_.isComplete())
+        return finishTransfer(transfer_, from, part, now);
     (void)takePullTime(from, part.pull);
-    askForPart(from, now);
+    if (isTaken)
+        askForPart(from, now);
 }
 
-void BundleHolder::finishTransfer(const HostId& from, const model::BundlePart& last, Timestamp now)
+void BundleHolder::finishTransfer(
+    BundleTransfer& transfer, const HostId& from, const model::BundlePart& last, Timestamp now)
 {
-    const std::optional<std::string> content = transfer_.finish();
+    const std::optional<std::string> content = transfer.finish(inForce_ ? inForce_->content : std::string());
     nextPullAt_ = now; // A newer state may have come into force meanwhile.
+    wantsWhole_ = !content.has_value();
     if (!content)
         return count(model::Counter::BundlesRefused);
     install(last.position, last.version, *content, now);
@@ -96,7 +105,9 @@
             .isStarting = !isReady_,
             .pull = partPull_,
             .partOf = transfer_.position(),
-            .offset = transfer_.offset()}});
+            .partBase = transfer_.base(),
+            .offset = transfer_.offset(),
+            .wantsWhole = wantsWhole_}});
 }
 
 void BundleHolder::continueTransfer(Timestamp now)
@@ -123,12 +134,13 @@
     inForce_ = InForce {.position = position, .version = version, .content = std::string(content)};
     hasNews_ = true;
     count(model::Counter::BundlesInstalled);
-    if (transfer_.isUnderWay() && transfer_.position() <= position)
+    const bool isFetchable = transfer_.position() > position && transfer_.base() == LogPosition {};
+    if (!isFetchable)
         transfer_.reset();
     if (options_.isSource)
-        parts_.add(*inForce_);
+        parts_.setInForce(*inForce_);
     for (const HostId& receiver : receivers_)
-        outgoing_.push_back({.to = receiver, .message = parts_.first(position, {.age = age(now)})});
+        outgoing_.push_back({.to = receiver, .message = parts_.firstAfterLast({.age = age(now)})});
 }
 
 std::optional<Timestamp> BundleHolder::takePullTime(const HostId& from, uint64_t number)
@@ -182,11 +194,12 @@
     const BundleParts::Answer answer {.pull = pull.pull, .age = age(now)};
     std::optional<model::Message> part;
     if (pull.offset > 0)
-        part = parts_.next(pull.partOf, pull.offset, answer);
+        part = parts_.next(pull, answer);
     if (part)
         outgoing_.push_back({.to = from, .message = *std::move(part)});
     else if (inForce_->position > pull.have)
-        outgoing_.push_back({.to = from, .message = parts_.first(inForce_->position, answer)});
+        outgoing_.push_back(
+            {.to = from, .message = parts_.first(pull.wantsWhole ? LogPosition {} : pull.have, answer)});
     else
         outgoing_.push_back({.to = from,
             .message = model::BundleCurrent {.position = inForce_->position, .age = age(now), .pull = pull.pull}});
@@ -235,7 +248,8 @@
     outgoing_.push_back({.to = source,
         .message = model::BundlePull {.have = inForce_ ? inForce_->position : LogPosition {},
             .isStarting = !isReady_,
-            .pull = notePull(source, now)}});
+            .pull = notePull(source, now),
+            .wantsWhole = wantsWhole_}});
 }
 
 uint64_t BundleHolder::notePull(const HostId& source, Timestamp now)
--- a/src/control/internal/bundleholder.h
+++ b/src/control/internal/bundleholder.h
@@ -41,7 +41,7 @@
     void begin(Timestamp now);
     void handlePush(const HostId& from, const model::BundlePush& push, Timestamp now);
     void handlePart(const HostId& from, const model::BundlePart& part, Timestamp now);
-    void finishTransfer(const HostId& from, const model::BundlePart& last, Timestamp now);
+    void finishTransfer(BundleTransfer& transfer, const HostId& from, const model::BundlePart& last, Timestamp now);
     void askForPart(const HostId& source, Timestamp now);
     void continueTransfer(Timestamp now);
     void handleCurrent(const HostId& from, const model::BundleCurrent& current, Timestamp now);
@@ -75,6 +75,7 @@
     HostId partSource_; ///< Asked for the next part of the transfer last.
     uint64_t partPull_ = 0; ///< Number of that pull.
     Timestamp partDueAt_ {};
+    bool wantsWhole_ = false; ///< What came last did not fit the state that is held.
     std::vector<model::Outgoing> outgoing_;
 };
 
--- a/src/control/internal/bundletransfer.cpp
+++ b/src/control/internal/bundletransfer.cpp
@@ -5,6 +5,8 @@
  */
 #include "control/internal/bundletransfer.h"
 
+#include "control/internal/contentcodec.h"
+
 #include <utility>
 #include <xxhash.h>
 
@@ -24,6 +26,7 @@
     const bool isFirst = part.offset == 0;
     if (isFirst && (!isUnderWay() || (isRestart && part.position != position_))) {
         position_ = part.position;
+        base_ = part.base;
         totalSize_ = part.totalSize;
         checksum_ = part.checksum;
         bytes_ = part.bytes;
@@ -36,14 +39,15 @@
     return true;
 }
 
-std::optional<std::string> BundleTransfer::finish()
+std::optional<std::string> BundleTransfer::finish(std::string_view base)
 {
-    std::string bytes = std::exchange(bytes_, {});
-    const uint64_t checksum = checksum_;
+    const std::string bytes = std::exchange(bytes_, {});
+    const bool isWhole = XXH64(bytes.data(), bytes.size(), 0) == checksum_;
+    const bool isAlone = base_ == LogPosition {};
     reset();
-    if (XXH64(bytes.data(), bytes.size(), 0) != checksum)
+    if (!isWhole)
         return std::nullopt;
-    return bytes;
+    return decompressContent(bytes, isAlone ? std::string_view() : base, LargestState);
 }
 
 void BundleTransfer::reset()
--- a/src/control/internal/bundletransfer.h
+++ b/src/control/internal/bundletransfer.h
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace saltvane::control {
 
@@ -18,18 +19,21 @@
 public:
     [[nodiscard]] bool isUnderWay() const { return totalSize_ != 0; }
     [[nodiscard]] const LogPosition& position() const { return position_; }
+    [[nodiscard]] const LogPosition& base() const { return base_; }
     [[nodiscard]] uint64_t offset() const { return bytes_.size(); } ///< Of the part wanted next.
 
     /// False: not the part wanted next. `isRestart`: the source holds the state under way no more, and begins with
     /// another.
     [[nodiscard]] bool take(const model::BundlePart& part, bool isRestart);
     [[nodiscard]] bool isComplete() const { return isUnderWay() && bytes_.size() == totalSize_; }
-    /// The whole; none where the parts don't fit together. Ends the transfer.
-    [[nodiscard]] std::optional<std::string> finish();
+    /// The state, from the parts and the state they were compressed against; none where these don't fit together. Ends
+    /// the transfer.
+    [[nodiscard]] std::optional<std::string> finish(std::string_view base);
     void reset();
 
 private:
     LogPosition position_;
+    LogPosition base_;
     uint64_t totalSize_ = 0; ///< 0: none is under way.
     uint64_t checksum_ = 0;
     std::string bytes_;
--- a/src/model/controlmessages.h
+++ b/src/model/controlmessages.h
@@ -108,7 +108,7 @@
     uint64_t pull = 0; ///< Number of the pull this answers; 0: sent unasked.
 };
 
-/// A piece of a state in force. A host that gets the first one pulls the next ones, one at a time.
+/// A piece of a state in force, which is compressed. A host that gets the first one pulls the next ones, one at a time.
 struct BundlePart {
     LogPosition position;
     BundleVersion version;
@@ -118,6 +118,7 @@
     std::string bytes;
     Duration age {}; ///< As in BundlePush.
     uint64_t pull = 0; ///< Number of the pull this answers; 0: sent unasked.
+    LogPosition base {}; ///< The state that it was compressed against; none: it stands alone.
 };
 
 /// Pull of the state in force; answered with BundlePush or the first BundlePart when the answerer holds a newer one,
@@ -127,7 +128,9 @@
     bool isStarting = false; ///< The asker serves nobody yet.
     uint64_t pull = 0; ///< Echoed in the answer; dates the age it tells.
     LogPosition partOf {}; ///< The state whose next part is wanted; none: the newest state, from its beginning.
+    LogPosition partBase {}; ///< What that state's parts were compressed against.
     uint64_t offset = 0; ///< Of the part that is wanted.
+    bool wantsWhole = false; ///< Not compressed against `have`: that failed.
 };
 
 struct BundleCurrent {
--- a/src/wire/internal/controlmessagecodec.cpp
+++ b/src/wire/internal/controlmessagecodec.cpp
@@ -203,8 +203,9 @@
 {
     const auto bytes = encodeBytes(builder, message.bytes);
     const fbs::LogPosition position = encodePosition(message.position);
+    const fbs::LogPosition base = encodePosition(message.base);
     return fbs::CreateBundlePart(builder, &position, message.version.value, message.totalSize, message.offset,
-        message.checksum, bytes, encodeDuration(message.age), message.pull);
+        message.checksum, bytes, encodeDuration(message.age), message.pull, &base);
 }
 
 model::BundlePart decode(FieldReader& reader, const fbs::BundlePart& message)
@@ -218,6 +219,7 @@
         .bytes = reader.bytes(message.bytes(), "BundlePart.bytes"),
         .age = reader.duration(message.age(), "BundlePart.age"),
         .pull = message.pull(),
+        .base = decodePosition(message.base()),
     };
     reader.require(decoded.offset <= decoded.totalSize, "BundlePart.offset");
     reader.require(decoded.bytes.size() <= decoded.totalSize - decoded.offset, "BundlePart.bytes");
@@ -228,7 +230,9 @@
 {
     const fbs::LogPosition have = encodePosition(message.have);
     const fbs::LogPosition partOf = encodePosition(message.partOf);
-    return fbs::CreateBundlePull(builder, &have, message.isStarting, message.pull, &partOf, message.offset);
+    const fbs::LogPosition partBase = encodePosition(message.partBase);
+    return fbs::CreateBundlePull(
+        builder, &have, message.isStarting, message.pull, &partOf, message.offset, message.wantsWhole, &partBase);
 }
 
 model::BundlePull decode(FieldReader& /*reader*/, const fbs::BundlePull& message)
@@ -237,7 +241,9 @@
         .isStarting = message.is_starting(),
         .pull = message.pull(),
         .partOf = decodePosition(message.part_of()),
-        .offset = message.offset()};
+        .partBase = decodePosition(message.part_base()),
+        .offset = message.offset(),
+        .wantsWhole = message.wants_whole()};
 }
 
 Offset<fbs::BundleCurrent> encode(Builder& builder, const model::BundleCurrent& message)
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -155,12 +155,15 @@
         .checksum = 77,
         .bytes = "services: []",
         .age = 40ms,
-        .pull = 3});
+        .pull = 3,
+        .base = {.term = {5}, .index = {59}}});
     messages.emplace_back(BundlePull {.have = {.term = {4}, .index = {50}},
         .isStarting = true,
         .pull = 4,
         .partOf = {.term = {5}, .index = {60}},
-        .offset = 20});
+        .partBase = {.term = {5}, .index = {59}},
+        .offset = 20,
+        .wantsWhole = true});
     messages.emplace_back(BundleCurrent {.position = {.term = {5}, .index = {60}}, .age = 40ms, .pull = 4});
 }
 
