Hold what waits on all links together to 64 MiB

Cause: each link may hold 8 MiB of unsent bytes, so 79 gateways whose links were full took a registry host over its 256 MB: it ended, over and over, and with it what all other hosts wanted of it (leaders among them).

Ruled out: HTTP connections (147 at most), the log (under 2 MB of plans), targets' records.

Change: where more than 64 MiB wait over all links, the link for which most waits is ended; its peer dials again and begins anew. The limit of one link stays.

--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -22,6 +22,7 @@
 constexpr Duration LowerHostFirst = 200ms; ///< Head start of the lower host id's dialling.
 constexpr double SimultaneousSeconds = 3; ///< Longer than any handshake: two links that near were dialled at once.
 constexpr double BacklogLogSeconds = 1; ///< Between two lines.
+constexpr size_t SmallQueue = 64 * 1024; ///< Bytes: what waits over all links is not counted for less on one.
 constexpr uint64_t LoggedBacklog = 1024 * 1024; ///< Bytes: two seconds of the narrowest link of the users' (4 Mbit/s).
 constexpr int SmallestJitterPercent = 50;
 constexpr int Percent = 100;
@@ -343,6 +344,8 @@
     if (isBundle)
         options_.counters->add(model::Counter::BundleBytes, bytes);
     logBacklog();
+    if (link.queuedBytes() > SmallQueue)
+        holdBacklog();
     if (link.isDirty || link.state() != Link::State::Up)
         return;
     link.isDirty = true;
@@ -402,6 +405,15 @@
                                << " peer=" << waiting.largestPeer.value();
 }
 
+void LinkHub::holdBacklog()
+{
+    for (LinkBacklog waiting = backlog(); waiting.bytes > options_.largestBacklog; waiting = backlog()) {
+        const auto largest
+            = std::ranges::find_if(links_, [&](const Link& one) { return one.queuedBytes() == waiting.largestBytes; });
+        largest->end(LinkEnd::TooSlow, "largest-of-all");
+    }
+}
+
 void LinkHub::logEnd(const Link& link, LinkEnd end, std::string_view detail)
 {
     const WantedLink* wanted = wantedOf(link);
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -73,6 +73,8 @@
     void flush();
     void logEnd(const Link& link, LinkEnd end, std::string_view detail);
     void logBacklog();
+    /// Ends the link for which most waits, while too much waits over all links.
+    void holdBacklog();
 
     LinkHubOptions options_;
     LinkIdentity identity_;
--- a/src/net/tests/linkhubfixture.h
+++ b/src/net/tests/linkhubfixture.h
@@ -24,7 +24,8 @@
 /// One host's hub with what it told.
 struct Host {
     Host(const LoopRunner& runner, std::string id, uint64_t incarnation = 1, std::string key = Key,
-        std::string deployment = "d", size_t largestSendQueue = 8 * 1024 * 1024)
+        std::string deployment = "d", size_t largestSendQueue = 8 * 1024 * 1024,
+        size_t largestBacklog = 64 * 1024 * 1024)
         : name(id)
     {
         auto made = makeLinkHub({.loop = runner.loop(),
@@ -35,7 +36,8 @@
             .listenAddress = {.ip = "127.0.0.1", .port = 0},
             .sink = [this](host::Event event) { log.events.push_back(std::move(event)); },
             .counters = &counters,
-            .largestSendQueue = largestSendQueue});
+            .largestSendQueue = largestSendQueue,
+            .largestBacklog = largestBacklog});
         hub = std::move(made.value());
     }
     void want(std::vector<host::LinksWanted::Peer> peers) const { hub->carryOut(host::LinksWanted {std::move(peers)}); }
--- a/src/net/tests/linkhubtests.cpp
+++ b/src/net/tests/linkhubtests.cpp
@@ -287,5 +287,29 @@
     }));
 }
 
+TEST_F(LinkHubTest, OfManySlowPeersThatForWhichMostWaitsIsDisconnected)
+{
+    constexpr size_t LargestBacklog = 4 * 1024 * 1024;
+    constexpr size_t MessageBytes = 100'000;
+    Host a(runner, "a", 1, Key, "d", LargestBacklog, LargestBacklog);
+    RawPeer slow(a, "slow");
+    RawPeer slower(a, "slower");
+    ASSERT_TRUE(slow.join(runner, a) && slower.join(runner, a));
+    slow.socket.isReading = false;
+    slower.socket.isReading = false;
+    Host toSlow(runner, "slow");
+    Host toSlower(runner, "slower");
+    uint64_t largest = 0;
+    ASSERT_TRUE(runner.runUntil([&] {
+        a.sendClaim(toSlow, 1, std::string(MessageBytes, 'x'));
+        a.sendClaim(toSlower, 1, std::string(3 * MessageBytes, 'x'));
+        largest = std::max(largest, a.hub->backlog().bytes);
+        return a.downs() == 1;
+    }));
+    EXPECT_EQ(a.log.plain<host::LinkDown>().front().host, HostId("slower"));
+    EXPECT_LE(largest, LargestBacklog);
+    EXPECT_EQ(a.hub->backlog().largestPeer, HostId("slow"));
+}
+
 } // namespace
 } // namespace saltvane::net::tests
