Ask callers to come back where a newer plan may know their route

Cause: callers take 404 for final. A gateway that was still fetching the plan, or had no proof of its own for seconds, said 404 to routes that the newest plan has.

Change: while a newer plan is on its way, or the plan held was not proven for 1.5 s (three pulls), an unknown route is answered 503 with Retry-After 0.4 s.

Figures: requests of 100 % of unknown routes at such gateways get 503 instead of 404 (tests WhileANewerPlanIsOnItsWay..., WithoutProofOfThePlan...); no other request is touched.

--- a/src/control/ibundleholder.h
+++ b/src/control/ibundleholder.h
@@ -49,6 +49,8 @@
     /// Since control last confirmed the state as current; the host is cut off when it grows.
     [[nodiscard]] virtual Duration age(Timestamp now) const = 0;
     [[nodiscard]] virtual bool isCutOff(Timestamp now) const = 0;
+    /// A newer state is known to be in force and on its way here.
+    [[nodiscard]] virtual bool isFetching() const = 0;
 };
 
 struct BundleHolderOptions {
--- a/src/control/internal/bundleholder.h
+++ b/src/control/internal/bundleholder.h
@@ -30,6 +30,7 @@
     [[nodiscard]] bool isReady() const override { return isReady_; }
     [[nodiscard]] Duration age(Timestamp now) const override;
     [[nodiscard]] bool isCutOff(Timestamp now) const override;
+    [[nodiscard]] bool isFetching() const override { return transfer_.isUnderWay(); }
 
 private:
     struct Pull {
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -24,6 +24,9 @@
 /// Plans are pulled this often where none is pushed: well under the time in which one has to be in force.
 constexpr Duration PlanPullPeriod = 500ms;
 
+/// Three pulls: a plan that none of them proved may be an older one. New plans have to be in force within 2 s.
+constexpr Duration LongestUnproven = 1500ms;
+
 /// Callers keep look-up answers for a TTL, some longer: a leaving gateway serves on meanwhile.
 constexpr double TtlsToStay = 1.5;
 /// Bytes given to the network reach the callers within it.
@@ -80,6 +83,7 @@
     updateSources(now);
     holder_->tick(now);
     installPlan(now);
+    noteDoubt(now);
     updateState();
     targets_.expire(now);
     if (now >= nextSplitAt_)
@@ -126,6 +130,7 @@
     roster_->handle(delivery, now);
     holder_->handle(delivery, now);
     installPlan(now);
+    noteDoubt(now);
     if (const auto* report = std::get_if<model::TargetReport>(&delivery.message))
         noteTargets(*report, now);
     else if (const auto* loads = std::get_if<model::TargetLoads>(&delivery.message))
@@ -194,6 +199,11 @@
             + " age_ms=" + std::to_string(holder_->age(now).count() / 1'000'000));
 }
 
+void GatewayCore::noteDoubt(Timestamp now)
+{
+    runner_.setPlanDoubtful(holder_->isFetching() || holder_->age(now) > LongestUnproven);
+}
+
 /// Registry hosts to pull the plan from, nearest first.
 void GatewayCore::updateSources(Timestamp now)
 {
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -46,6 +46,7 @@
     void answerReadiness(const requests::HttpEvent& event);
     [[nodiscard]] bool isReady() const;
     void installPlan(Timestamp now);
+    void noteDoubt(Timestamp now);
     void updateSources(Timestamp now);
     void updateLinks();
     void tellLoads(Timestamp now);
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -121,6 +121,8 @@
     if (!routes_)
         return refuseEarly(request, nullptr, {.reason = model::Reason::NotReady, .retryAfter = StartRetryAfter}, now);
     PlannedRoute* route = routes_->find(requests::firstFieldValue(request.headers, "Host"), request.path);
+    if (route == nullptr && isPlanDoubtful_)
+        return refuseEarly(request, nullptr, {.reason = model::Reason::NotReady, .retryAfter = StartRetryAfter}, now);
     if (route == nullptr)
         return refuseEarly(request, nullptr, {.status = StatusNotFound, .reason = model::Reason::UnknownService}, now);
     if (request.bodyLength.value_or(0) > routes_->plan().limits.bodyBytes)
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -55,6 +55,9 @@
     static constexpr Duration StopRetryAfter = 50ms; ///< Other gateways serve meanwhile.
 
     void install(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
+    /// Whether a newer plan may be in force. Callers take "no such route" for final, so a request that only the newer
+    /// one may know is asked to come back instead.
+    void setPlanDoubtful(bool isDoubtful) { isPlanDoubtful_ = isDoubtful; }
     /// From now on every answer asks the caller to leave its connection.
     void startLeaving() { isLeaving_ = true; }
     /// From now on new requests are refused, so that those under way can end before the process does.
@@ -128,6 +131,7 @@
     std::set<std::pair<Timestamp, requests::HttpHandle>> doubts_;
     std::unordered_set<requests::HttpHandle> answering_;
     uint64_t lastDispatch_ = 0;
+    bool isPlanDoubtful_ = false;
     bool isLeaving_ = false;
     bool isRefusing_ = false;
     std::vector<requests::Action> actions_;
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -99,6 +99,16 @@
     advance(Tick);
 }
 
+void GatewayFixture::startFetchingPlan(uint64_t version)
+{
+    handle(model::Delivery {.from = Registry,
+        .fromIncarnation = {1},
+        .message = model::BundlePart {.position = {.term = {1}, .index = {++position_}},
+            .version = {version},
+            .totalSize = 100,
+            .bytes = "first part"}});
+}
+
 model::TargetRecord GatewayFixture::target(const std::string& id, const std::string& service, const std::string& zone)
 {
     static uint16_t port = 9000;
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -22,6 +22,8 @@
 
     /// Two services, "quotes" and "files"; routes of every kind at host "prices.example".
     void installPlan(uint64_t version, const std::string& extraRoutes = {});
+    /// The first part of a newer plan; the others don't come.
+    void startFetchingPlan(uint64_t version);
     [[nodiscard]] static model::TargetRecord target(
         const std::string& id, const std::string& service = "quotes", const std::string& zone = "north-a");
     void report(model::TargetReport report);
--- a/src/gateway/tests/requesttests.cpp
+++ b/src/gateway/tests/requesttests.cpp
@@ -81,6 +81,27 @@
     EXPECT_EQ(takeResponse()->status, 404);
 }
 
+TEST_F(RequestTest, WhileANewerPlanIsOnItsWayAnUnknownRouteMayComeBack)
+{
+    installPlan(1);
+    startFetchingPlan(2);
+    request({.path = "/other/"});
+    const auto response = takeResponse();
+    EXPECT_EQ(response->status, 503);
+    EXPECT_EQ(header(response->headers, "Retry-After"), "0.400");
+}
+
+TEST_F(RequestTest, WithoutProofOfThePlanAnUnknownRouteMayComeBack)
+{
+    installPlan(1);
+    advance(1400ms);
+    request({.path = "/other/"});
+    EXPECT_EQ(takeResponse()->status, 404);
+    advance(200ms);
+    request({.path = "/other/"});
+    EXPECT_EQ(takeResponse()->status, 503);
+}
+
 TEST_F(RequestTest, AtMostOnceIsNotSentAgainOnceAByteMayHaveArrived)
 {
     installPlan(1);
