--- /dev/null
+++ b/src/net/internal/linkbacklog.cpp
@@ -0,0 +1,64 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "base/log.h"
+#include "net/internal/linkhub.h"
+
+#include <algorithm>
+
+/// What waits on LinkHub's links for peers that take it slower than it comes: told, and held to a limit.
+namespace saltvane::net {
+
+namespace {
+
+constexpr double BacklogLogSeconds = 1; ///< Between two lines.
+constexpr size_t SmallQueue = 64 * 1024; ///< Bytes: what waits over all links is not counted for less on one.
+constexpr uint64_t LoggedBacklog = 1024 * 1024; ///< Bytes: two seconds of the narrowest link of the users' (4 Mbit/s).
+
+} // namespace
+
+LinkBacklog LinkHub::backlog() const
+{
+    LinkBacklog backlog;
+    for (const Link& link : links_) {
+        backlog.bytes += link.queuedBytes();
+        if (link.queuedBytes() <= backlog.largestBytes)
+            continue;
+        backlog.largestBytes = link.queuedBytes();
+        backlog.largestPeer = link.peerHost();
+    }
+    return backlog;
+}
+
+void LinkHub::watchBacklog(const Link& grown)
+{
+    logBacklog();
+    if (grown.queuedBytes() > SmallQueue)
+        holdBacklog();
+}
+
+void LinkHub::logBacklog()
+{
+    const double now = ev_now(options_.loop);
+    if (now < nextBacklogLogAt_)
+        return;
+    nextBacklogLogAt_ = now + BacklogLogSeconds;
+    const LinkBacklog waiting = backlog();
+    if (waiting.bytes < LoggedBacklog)
+        return;
+    LOG_TAGGED(WARNING, "net") << "event=link_backlog bytes=" << waiting.bytes << " largest=" << waiting.largestBytes
+                               << " peer=" << waiting.largestPeer.value();
+}
+
+void LinkHub::holdBacklog()
+{
+    for (LinkBacklog waiting = backlog(); waiting.bytes > options_.largestBacklog; waiting = backlog()) {
+        const auto largest
+            = std::ranges::find_if(links_, [&](const Link& one) { return one.queuedBytes() == waiting.largestBytes; });
+        largest->end(LinkEnd::TooSlow, "largest-of-all");
+    }
+}
+
+} // namespace saltvane::net
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -21,9 +21,6 @@
 constexpr size_t LargestUnprovenCount = 256;
 constexpr Duration LowerHostFirst = 200ms; ///< Head start of the lower host id's dialling.
 constexpr double SimultaneousSeconds = 3; ///< Longer than any handshake: two links that near were dialled at once.
-constexpr double BacklogLogSeconds = 1; ///< Between two lines.
-constexpr size_t SmallQueue = 64 * 1024; ///< Bytes: what waits over all links is not counted for less on one.
-constexpr uint64_t LoggedBacklog = 1024 * 1024; ///< Bytes: two seconds of the narrowest link of the users' (4 Mbit/s).
 constexpr int SmallestJitterPercent = 50;
 constexpr int Percent = 100;
 
@@ -343,9 +340,7 @@
         || std::holds_alternative<model::BundlePart>(outgoing.message);
     if (isBundle)
         options_.counters->add(model::Counter::BundleBytes, bytes);
-    logBacklog();
-    if (link.queuedBytes() > SmallQueue)
-        holdBacklog();
+    watchBacklog(link);
     if (link.isDirty || link.state() != Link::State::Up)
         return;
     link.isDirty = true;
@@ -379,41 +374,6 @@
     }
 }
 
-LinkBacklog LinkHub::backlog() const
-{
-    LinkBacklog backlog;
-    for (const Link& link : links_) {
-        backlog.bytes += link.queuedBytes();
-        if (link.queuedBytes() <= backlog.largestBytes)
-            continue;
-        backlog.largestBytes = link.queuedBytes();
-        backlog.largestPeer = link.peerHost();
-    }
-    return backlog;
-}
-
-void LinkHub::logBacklog()
-{
-    const double now = ev_now(options_.loop);
-    if (now < nextBacklogLogAt_)
-        return;
-    nextBacklogLogAt_ = now + BacklogLogSeconds;
-    const LinkBacklog waiting = backlog();
-    if (waiting.bytes < LoggedBacklog)
-        return;
-    LOG_TAGGED(WARNING, "net") << "event=link_backlog bytes=" << waiting.bytes << " largest=" << waiting.largestBytes
-                               << " peer=" << waiting.largestPeer.value();
-}
-
-void LinkHub::holdBacklog()
-{
-    for (LinkBacklog waiting = backlog(); waiting.bytes > options_.largestBacklog; waiting = backlog()) {
-        const auto largest
-            = std::ranges::find_if(links_, [&](const Link& one) { return one.queuedBytes() == waiting.largestBytes; });
-        largest->end(LinkEnd::TooSlow, "largest-of-all");
-    }
-}
-
 void LinkHub::logEnd(const Link& link, LinkEnd end, std::string_view detail)
 {
     const WantedLink* wanted = wantedOf(link);
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -72,6 +72,8 @@
     void deliver();
     void flush();
     void logEnd(const Link& link, LinkEnd end, std::string_view detail);
+    /// After a message was queued on this link.
+    void watchBacklog(const Link& grown);
     void logBacklog();
     /// Ends the link for which most waits, while too much waits over all links.
     void holdBacklog();
