Test that a registry host which was down tells gateways nothing old

Each follower in turn misses a plan and a leaving target that had reported to it, and comes back while all gateways start with nothing: no gateway held an older plan or used the target.

--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -299,12 +299,13 @@
     pump(number);
 }
 
-void RegistryCluster::deliverFromGateway(size_t number, const HostId& gateway, model::Message message)
+void RegistryCluster::deliverFromGateway(
+    size_t number, const HostId& gateway, Incarnation incarnation, model::Message message)
 {
     if (!hosts_.at(number).core)
         return;
     hosts_.at(number).core->handle(
-        model::Delivery {.from = gateway, .fromIncarnation = {1}, .message = std::move(message)}, now_);
+        model::Delivery {.from = gateway, .fromIncarnation = incarnation, .message = std::move(message)}, now_);
     pump(number);
 }
 
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -58,7 +58,7 @@
     void gatewayHeartbeat(size_t number, const std::string& host, const std::string& zone, const std::string& region,
         model::HostState state = model::HostState::Serving);
     void linkUpTo(size_t number, const HostId& gateway, Incarnation incarnation);
-    void deliverFromGateway(size_t number, const HostId& gateway, model::Message message);
+    void deliverFromGateway(size_t number, const HostId& gateway, Incarnation incarnation, model::Message message);
     /// How long links were busy with messages to this host, all together.
     [[nodiscard]] Duration sendingTimeTo(size_t number) { return sendingTimeTo_[number]; }
     /// Messages that hosts sent to this gateway since the last call.
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -20,7 +20,6 @@
 constexpr Duration Step = 10ms;
 constexpr double PacketBytes = 1448;
 constexpr int StatusOk = 200;
-constexpr Incarnation FirstStart {1};
 
 const std::map<ZoneName, RegionName> Zones {{ZoneName("north-a"), RegionName("north")},
     {ZoneName("south-a"), RegionName("south")}, {ZoneName("west-a"), RegionName("west")}};
@@ -111,14 +110,52 @@
 {
     Gateway& gateway = gateways_.at(number);
     gateway.id = HostId(toString(addressOf(number)));
-    gateway.core = gateway::makeGateway({.settings = settingsOf(number), .incarnation = FirstStart});
-    for (size_t registry = 0; registry < options_.registries; ++registry) {
-        registries_.linkUpTo(registry, gateway.id, FirstStart);
+    ++gateway.incarnation.value;
+    gateway.core = gateway::makeGateway({.settings = settingsOf(number), .incarnation = gateway.incarnation});
+    for (size_t registry = 0; registry < options_.registries; ++registry)
+        connect(gateway, registry);
+}
+
+void Fleet::connect(Gateway& gateway, size_t registry)
+{
+    registries_.linkUpTo(registry, gateway.id, gateway.incarnation);
+    gateway.core->handle(host::LinkUp {.host = registry::test::RegistryCluster::idOf(registry),
+                             .incarnation = registries_.status(registry).incarnation},
+        registries_.now());
+    gather(gateway);
+}
+
+void Fleet::killRegistry(size_t registry)
+{
+    registries_.kill(registry);
+    for (Gateway& gateway : gateways_) {
+        gateway.senders.erase(registry);
+        std::erase_if(gateway.network, [&](const Packet& packet) { return packet.registry == registry; });
         gateway.core->handle(
-            host::LinkUp {.host = registry::test::RegistryCluster::idOf(registry), .incarnation = FirstStart},
-            registries_.now());
+            host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)}, registries_.now());
+        gather(gateway);
     }
-    gather(gateway);
+}
+
+void Fleet::startRegistry(size_t registry)
+{
+    registries_.start(registry, false);
+    for (Gateway& gateway : gateways_)
+        connect(gateway, registry);
+}
+
+void Fleet::restartGateway(size_t number)
+{
+    Gateway& gateway = gateways_.at(number);
+    gateway.senders.clear();
+    gateway.network.clear();
+    gateway.outbound.clear();
+    startGateway(number);
+}
+
+uint64_t Fleet::planAt(size_t gateway) const
+{
+    return gateways_.at(gateway).core->status(registries_.now()).inForceVersion.value;
 }
 
 Fleet::Gateway* Fleet::find(const HostId& id)
@@ -192,7 +229,7 @@
     if (sender.frames.front().undelivered > 0)
         return;
     model::Delivery delivery {.from = registry::test::RegistryCluster::idOf(packet.registry),
-        .fromIncarnation = FirstStart,
+        .fromIncarnation = registries_.status(packet.registry).incarnation,
         .message = std::move(sender.frames.front().message)};
     sender.frames.pop_front();
     gateway.core->handle(std::move(delivery), registries_.now());
@@ -203,7 +240,7 @@
     while (!gateway.outbound.empty() && gateway.outbound.front().at <= registries_.now()) {
         Late late = std::move(gateway.outbound.front());
         gateway.outbound.pop_front();
-        registries_.deliverFromGateway(late.registry, gateway.id, std::move(late.message));
+        registries_.deliverFromGateway(late.registry, gateway.id, gateway.incarnation, std::move(late.message));
     }
 }
 
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -39,6 +39,12 @@
     void run(Duration duration) { registries_.run(duration); }
     [[nodiscard]] bool runUntil(const std::function<bool()>& condition, Duration limit);
 
+    void killRegistry(size_t registry);
+    void startRegistry(size_t registry);
+    /// Its process ends, and another one begins with nothing.
+    void restartGateway(size_t gateway);
+    [[nodiscard]] uint64_t planAt(size_t gateway) const;
+
     /// Puts a plan by way of the leader, again until it is acknowledged. False: not within 10 s.
     [[nodiscard]] bool putPlan(uint64_t base, const std::string& plan);
     [[nodiscard]] bool isPlanEverywhere(uint64_t version) const;
@@ -74,6 +80,7 @@
     };
     struct Gateway {
         HostId id;
+        Incarnation incarnation;
         std::unique_ptr<host::IHostCore> core;
         std::map<size_t, Sender> senders; ///< By registry host.
         std::deque<Packet> network; ///< Before its link.
@@ -87,6 +94,7 @@
     void step();
     void noteLeader();
     void startGateway(size_t number);
+    void connect(Gateway& gateway, size_t registry);
     void fillNetwork(Gateway& gateway);
     void carryInbound(Gateway& gateway);
     void deliver(Gateway& gateway, const Packet& packet);
--- a/testing/fleet/plandistributiontests.cpp
+++ b/testing/fleet/plandistributiontests.cpp
@@ -52,12 +52,16 @@
         return isThere ? fleet_.registries().now() - acknowledged : Duration::max();
     }
 
-    void heartbeat(const std::string& target, uint16_t port, const std::string& state)
+    /// To this registry host, else to the leader.
+    void heartbeat(const std::string& target, uint16_t port, const std::string& state,
+        std::optional<size_t> registry = std::nullopt)
     {
         const std::string body = R"({"service":"quotes","address":"10.9.0.1:)" + std::to_string(port)
             + R"(","zone":"north-a","version":"v1","slots":3,"state":")" + state
             + R"(","slow_start_left_ms":0,"sequence":)" + std::to_string(++sequence_) + "}";
-        const auto answer = fleet_.registries().order("POST", "/v1/targets/" + target + "/heartbeat", body);
+        const std::string path = "/v1/targets/" + target + "/heartbeat";
+        const auto answer = registry ? fleet_.registries().call(*registry, "POST", path, body)
+                                     : fleet_.registries().order("POST", path, body);
         EXPECT_TRUE(answer && answer->status == 200) << target << " " << state;
     }
 
@@ -163,6 +167,37 @@
     expectObeyed();
 }
 
+/// A registry host that comes back knows the plan and the targets of when it ended. A gateway that starts at the same
+/// moment believes nothing older than what was acknowledged meanwhile.
+TEST_F(PlanDistributionTest, ARegistryHostThatWasDownTellsAGatewayThatStartsNothingOld)
+{
+    startTargets();
+    for (size_t registry = 0; registry < FleetOptions().registries; ++registry) {
+        if (registry == fleet_.registries().leader())
+            continue;
+        const std::string left = nameOf(registry);
+        heartbeat("stays", FirstPort, "ready");
+        heartbeat(left, portOf(registry), "ready", registry);
+        fleet_.run(1500ms); // It writes down which targets reported to it.
+        ASSERT_TRUE(isUsed(TargetId(left)));
+        fleet_.killRegistry(registry);
+        putAndSpread(MoreRoutes + registry);
+        heartbeat(left, portOf(registry), "leaving");
+        fleet_.run(DrainLimit);
+        fleet_.startRegistry(registry);
+        for (size_t gateway = 0; gateway < fleet_.gateways(); ++gateway)
+            fleet_.restartGateway(gateway);
+        constexpr int Looks = 30;
+        for (int look = 0; look < Looks; ++look) {
+            fleet_.run(100ms);
+            EXPECT_FALSE(isUsed(TargetId(left))) << registry << " at look " << look;
+            for (size_t gateway = 0; gateway < fleet_.gateways(); ++gateway)
+                EXPECT_TRUE(fleet_.planAt(gateway) == 0 || fleet_.planAt(gateway) == version_) << registry;
+        }
+        EXPECT_TRUE(fleet_.isPlanEverywhere(version_));
+    }
+}
+
 TEST_F(PlanDistributionTest, LittleWaitsForAGatewaysLink)
 {
     putAndSpread(MostRoutes);
@@ -182,12 +217,12 @@
 TEST_F(NarrowRegistryLinksTest, AHostThatMissedManyPlansIsSentThemOnce)
 {
     const size_t follower = (*fleet_.registries().leader() + 1) % 6;
-    fleet_.registries().kill(follower);
+    fleet_.killRegistry(follower);
     constexpr uint32_t Plans = 40;
     for (uint32_t plan = 1; plan <= Plans; ++plan)
         putAndSpread(MoreRoutes, plan);
     const Duration before = fleet_.registries().sendingTimeTo(follower);
-    fleet_.registries().start(follower, false);
+    fleet_.startRegistry(follower);
     const auto hasCaughtUp = [&] { return fleet_.registries().status(follower).inForceVersion.value >= version_; };
     constexpr Duration CatchUpLimit = 6s;
     EXPECT_TRUE(fleet_.runUntil(hasCaughtUp, CatchUpLimit));
