--- a/src/saltvane/internal/arguments.cpp
+++ b/src/saltvane/internal/arguments.cpp
@@ -58,6 +58,13 @@
     } catch (const TCLAP::ExitException& exit) {
         return exit.getExitStatus();
     }
+    // The library takes an option that it doesn't know for an operand, which most commands ignore.
+    for (const std::string& operand : operands) {
+        if (operand.size() > 1 && operand.starts_with('-')) {
+            std::cerr << "saltvane " << command << ": unknown option " << operand << "\n";
+            return ExitUsage;
+        }
+    }
     return Arguments {.operands = operands.getValue(),
         .servers = servers.getValue().empty() ? serversFromEnvironment() : servers.getValue(),
         .operatorName = operatorName.getValue(),
