Try a route again whose times are over the time that callers have

Cause: times are learnt from answers. Once a route's time is over what callers have left, each of its requests is refused at once, no answer comes, and nothing corrects the time: idle targets that answer in 200 ms get none of its requests.

Ruled out: that cold work is refused on free slots (first hypothesis: taking it while half of the slots are free; its test passed on the code before, so it went); plans that come late (in force 0.1 s after the acknowledgement).

Change: a repeatable request is sent to a free slot of its own place where its route's targets neither answered nor were tried for two seconds. Never a repeat, never one that may run once only: its caller could not learn whether it ran.

--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -31,6 +31,13 @@
 constexpr double DetoursPerRequest = 0.02;
 constexpr double MostDetours = 4;
 
+/// A route whose targets neither answered nor were tried for so long gets a request through to a free slot, whatever
+/// its times say. Times are learnt from answers: once they are over the time that callers have nothing else would ever
+/// correct them, and idle targets that answer in 200 ms get none of a route's requests. One request each two seconds
+/// and gateway may come late for it.
+constexpr Duration TrialPeriod = 2s;
+constexpr size_t MostTrialRoutes = 1024;
+
 constexpr Duration LeastRetryAfter = 100ms;
 constexpr Duration MostRetryAfter = 400ms;
 
@@ -82,6 +89,8 @@
 
 void Placement::noteAnswer(GatewayTarget& target, const Answer& answer, Timestamp now)
 {
+    if (const auto seen = seenAt_.find(answer.route); seen != seenAt_.end())
+        seen->second = now;
     target.noteAnswered(now);
     if (answer.object)
         warmObjects_.note(*answer.object, target.hash, now);
@@ -139,6 +148,24 @@
     return placed;
 }
 
+Placed Placement::trial(std::span<const Candidate> candidates, const PlacementQuery& query, Timestamp now)
+{
+    // A caller can't send it again, and would not learn whether it ran.
+    if (query.isRepeat || query.route.kind == model::RouteKind::AtMostOnce)
+        return {};
+    const auto free = std::ranges::find_if(candidates,
+        [&](const Candidate& candidate) { return candidate.target->load(now) + 1 <= candidate.target->record.slots; });
+    if (free == candidates.end())
+        return {};
+    const auto [seen, isNew] = seenAt_.try_emplace(query.route.name, Timestamp {});
+    if (now - seen->second < TrialPeriod)
+        return {};
+    seen->second = now;
+    if (seenAt_.size() > MostTrialRoutes)
+        seenAt_.erase(std::ranges::min_element(seenAt_, {}, [](const auto& item) { return item.second; }));
+    return {.target = free->target, .choice = Choice::First, .work = workTimes_.ofService(query.service.name).first};
+}
+
 bool Placement::trySpendDetour(Timestamp /*now*/)
 {
     if (detours_ < 1)
@@ -183,6 +210,13 @@
         if (placed.target != nullptr && (!isDetour || !hasHome || trySpendDetour(now)))
             return placed;
     }
+    for (Candidates* group : groups) {
+        const bool isOwnPlace = (group != &away) == isHome;
+        if (!isOwnPlace)
+            continue;
+        if (const Placed tried = trial(*group, query, now); tried.target != nullptr)
+            return tried;
+    }
     const Duration usual = workTimes_.ofService(query.service.name).first;
     return PlacementRefusal {.reason = isDetour ? model::Reason::NoRoom : model::Reason::ShiftCapReached,
         .retryAfter = std::clamp(usual, LeastRetryAfter, MostRetryAfter),
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -81,6 +81,9 @@
     [[nodiscard]] bool fits(const GatewayTarget& target, Duration estimate, bool isLikelyWarm,
         const PlacementQuery& query, Timestamp now) const;
     [[nodiscard]] bool isPermitted(const GatewayTarget& target, const PlacementQuery& query) const;
+    /// A request for which no answer can be expected in time, sent all the same; no target where none is due or none
+    /// has a free slot for it.
+    [[nodiscard]] Placed trial(std::span<const Candidate> candidates, const PlacementQuery& query, Timestamp now);
     [[nodiscard]] bool trySpendDetour(Timestamp now);
 
     const TargetSet& targets_;
@@ -90,6 +93,7 @@
     boost::random::mt19937_64 random_;
     WorkTimes workTimes_;
     WarmObjects warmObjects_;
+    std::map<model::RouteName, Timestamp> seenAt_; ///< When a route's targets last answered or were tried.
     double detours_ = 0; ///< Requests that may run in another region than their object says.
 };
 
--- a/src/gateway/tests/placementtests.cpp
+++ b/src/gateway/tests/placementtests.cpp
@@ -102,6 +102,35 @@
     EXPECT_GE(burst().size(), first.size());
 }
 
+// The pattern: a quiet day after answers that took nearly all of the time that callers have. Seen with 78 idle targets:
+// of 57 requests for a new route one was sent, since the service's usual time was over their deadline and no request
+// that could have shown a better one was taken.
+TEST_F(PlacementTest, WorkThatWasTooLongOnceIsTriedAgainOnIdleTargets)
+{
+    installPlan(1);
+    reportBothRegions(4);
+    int object = 0;
+    for (int i = 0; i < 100; ++i) {
+        request({.object = std::to_string(++object)});
+        for (const requests::TargetStart& start : takeStarts()) {
+            advance(1450ms);
+            answer(start, {});
+        }
+        advance(100ms);
+    }
+    size_t taken = 0;
+    for (int i = 0; i < 40; ++i) {
+        request({.object = std::to_string(++object)});
+        for (const requests::TargetStart& start : takeStarts()) {
+            ++taken;
+            advance(200ms);
+            answer(start, {});
+        }
+        advance(100ms);
+    }
+    EXPECT_GE(taken, 20U);
+}
+
 TEST_F(PlacementTest, TheLossOfATargetMovesItsOwnObjectsOnly)
 {
     installPlan(1);
