Known red: a link on which nothing is heard for good stays up

Both registry hosts' logs show their link up throughout, and neither heard the other after 23:08:27; the third host had lost its disk, so no quorum could talk and no leader stood for the last 35 s.

Cause: a link relies on the kernel's time limit for unacknowledged bytes and its keep-alive. Where something in between acknowledges what it doesn't pass on, neither ends the link, and no new one is dialled.

Ruled out: the bounds on what is unacknowledged (the follower heard nothing at all, heartbeats included); a lost disk alone (the other two are a majority).

--- a/src/net/tests/linkhubtests.cpp
+++ b/src/net/tests/linkhubtests.cpp
@@ -213,6 +213,25 @@
     EXPECT_TRUE(runner.runUntil([&] { return listener.accept(again); }));
 }
 
+/// Seen: the connection between two of three registry hosts passed nothing any more, for good, while new ones would
+/// have worked; the third host had lost its disk, so no leader stood until the end. How it came about: something
+/// between the hosts went on acknowledging what it received, so neither the kernel's time limit nor its keep-alive
+/// found it. Cause: a link has no time limit of its own for hearing nothing. Proof: both hosts' logs show the link up
+/// throughout, and no word of the other after 2 s of it.
+TEST_F(LinkHubTest, APeerOfWhichNothingIsHeardForGoodIsLetGo)
+{
+    Host a(runner, "a");
+    RawPeer peer(a, "b");
+    ASSERT_TRUE(peer.join(runner, a));
+    Host b(runner, "b");
+    // Its bytes are taken and acknowledged; it says nothing.
+    EXPECT_TRUE(runner.runUntil([&] {
+        a.sendClaim(b, 1);
+        peer.socket.pump();
+        return a.downs() == 1;
+    }));
+}
+
 TEST_F(LinkHubTest, HostThatAnswersNothingIsDialledAnewBeforeTheKernelRepeatsItsPacket)
 {
     // A full queue of new connections drops opening packets, as a host without power does.
