Let go of links on which nothing is heard

A link had no time limit of its own for hearing nothing; where something in between went on acknowledging what it received, neither the kernel's limit nor its keep-alive found it, and with a lost disk no leader stood (soak). Ruled out: shorter kernel limits (acknowledged bytes never run into them); timers a link (273 wake-ups each period on a registry host). Change: each side says something each 1.5 s, if only a record without a frame; four periods in which nothing was heard end the link. What came in while the host stood still is read first.

--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace saltvane::net {
 
@@ -43,6 +44,8 @@
         return "connect-timed-out";
     case LinkEnd::TimedOut:
         return "timed-out";
+    case LinkEnd::Silent:
+        return "silent";
     case LinkEnd::WriteFailed:
         return "write-failed";
     case LinkEnd::TooSlow:
@@ -157,6 +160,7 @@
 {
     if (state_ != State::Up)
         return 0;
+    hasSent_ = true;
     const std::string frame = wire::encodeFrame(message);
     sealer_->seal(frame, unsent_);
     if (queuedBytes() > options_.largestSendQueue)
@@ -164,6 +168,24 @@
     return frame.size();
 }
 
+void Link::keepAlive()
+{
+    if (state_ != State::Up)
+        return; // The other states have time limits of their own.
+    if (!hasHeard_ && !isReceivingHeld_)
+        receive(); // What came while this host stood still was heard.
+    if (state_ == State::Ended)
+        return;
+    silentPeriods_ = hasHeard_ || isReceivingHeld_ ? 0 : silentPeriods_ + 1;
+    hasHeard_ = false;
+    if (silentPeriods_ >= MostSilentPeriods)
+        return end(LinkEnd::Silent);
+    if (!std::exchange(hasSent_, false)) {
+        sealer_->seal({}, unsent_);
+        flush();
+    }
+}
+
 void Link::retire()
 {
     if (state_ != State::Up)
@@ -201,6 +223,7 @@
             return;
         if (count <= 0)
             return end(LinkEnd::PeerClosed, count < 0 ? std::strerror(errno) : "");
+        hasHeard_ = true;
         received_.append(scratch.data(), static_cast<size_t>(count));
         total += static_cast<size_t>(count);
         process();
@@ -288,8 +311,11 @@
         end(LinkEnd::BadRecord, record.result == RecordSeal::OpenResult::BadTag ? "bad-tag" : "too-large");
         return false;
     }
+    const bool isKeepAlive = record.frame.empty();
     reader_.append(record.frame);
     consume(record.size);
+    if (isKeepAlive)
+        return true;
     auto message = reader_.next();
     if (!message || !message.value().has_value()) {
         end(LinkEnd::BadRecord, message ? "cut-frame" : "bad-frame");
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -40,6 +40,7 @@
     ConnectFailed,
     ConnectTimedOut, ///< The peer's host answers nothing.
     TimedOut,
+    Silent, ///< Nothing was heard for Link::LongestSilence, though the peer's kernel may go on acknowledging.
     WriteFailed,
     TooSlow, ///< Its send queue was full.
     Refused, ///< Its handshake failed: counts as LinkAuthFailures.
@@ -64,6 +65,13 @@
 class Link : public boost::intrusive::list_base_hook<> {
 public:
     static constexpr size_t ScratchBytes = 64 * 1024;
+    /// Each side of a link says something at least this often.
+    static constexpr Duration KeepAlivePeriod = 1500ms;
+    static constexpr uint32_t MostSilentPeriods = 4;
+    /// Four times in a row nothing came: what acknowledges the bytes in between may be neither the peer nor the kernel
+    /// of its host. A second more than the kernel's own limit for unacknowledged bytes, so that it goes first where
+    /// it can. A host that stands still for so long has lost its links either way.
+    static constexpr Duration LongestSilence = KeepAlivePeriod * MostSilentPeriods;
 
     enum class State { Connecting, AwaitingHello, AwaitingProof, Up, Retiring, Ended };
 
@@ -95,6 +103,8 @@
     /// Queues a message; flush() sends. Ends the link where its queue is full. Returns the bytes of its frame.
     size_t send(const model::Message& message);
     [[nodiscard]] size_t queuedBytes() const { return unsent_.size() - sent_; }
+    /// To be called each KeepAlivePeriod: says something where nothing was said, ends the link where nothing was heard.
+    void keepAlive();
     /// Writes what is queued, as far as the socket takes it.
     void flush();
     /// Sends what is queued, then closes the sending side; receives until the peer closes, for a second at most.
@@ -133,6 +143,9 @@
     std::string unsent_;
     size_t sent_ = 0;
     double upSince_ = 0;
+    bool hasSent_ = false; ///< Since the last keepAlive().
+    bool hasHeard_ = false; ///< Likewise.
+    uint32_t silentPeriods_ = 0;
     bool isReceivingHeld_ = false;
     bool isWriteClosed_ = false;
     IoWatcher watcher_;
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -34,6 +34,7 @@
           .secret = deriveLinkSecret(options_.linkKey)}
     , jitter_(static_cast<unsigned int>(std::hash<HostId> {}(options_.self)))
     , acceptWatcher_(options_.loop, [this](int) { accept(); })
+    , keepAliveTimer_(options_.loop, [this] { keepLinksAlive(); })
     , deliverTask_(options_.loop, TaskOrder::AfterIo, [this] { deliver(); })
     , flushTask_(options_.loop, TaskOrder::Last, [this] { flush(); })
 {
@@ -55,6 +56,7 @@
     listening_ = std::move(listening.value());
     boundAddress_ = boundAddressOf(listening_.get());
     acceptWatcher_.watch(listening_.get(), EV_READ);
+    keepAliveTimer_.startRepeating(Link::KeepAlivePeriod);
     return Done {};
 }
 
@@ -348,6 +350,16 @@
     flushTask_.schedule();
 }
 
+void LinkHub::keepLinksAlive()
+{
+    // Of a copy: a link that ends leaves the list. Its memory stays until the flush.
+    std::vector<Link*> links;
+    for (Link& link : links_)
+        links.push_back(&link);
+    for (Link* link : links)
+        link->keepAlive();
+}
+
 void LinkHub::flush()
 {
     for (Link* link : std::exchange(dirty_, {})) {
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -35,6 +35,8 @@
     [[nodiscard]] model::Address boundAddress() const override { return boundAddress_; }
 
 private:
+    void keepLinksAlive();
+
     /// Another host that has proven itself.
     struct Peer {
         Incarnation incarnation; ///< Of the link that stands, or stood last.
@@ -93,6 +95,7 @@
     bool isStopping_ = false;
     double nextBacklogLogAt_ = 0;
     IoWatcher acceptWatcher_;
+    TimerWatcher keepAliveTimer_;
     LoopTask deliverTask_;
     LoopTask flushTask_;
 };
--- a/src/net/tests/linkhubtests.cpp
+++ b/src/net/tests/linkhubtests.cpp
@@ -3,9 +3,11 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
+#include "net/internal/link.h"
 #include "net/internal/wantedlink.h"
 #include "net/tests/linkhubfixture.h"
 
+#include <chrono>
 #include <set>
 
 namespace saltvane::net::tests {
@@ -232,6 +234,21 @@
     }));
 }
 
+// Hosts that have nothing to tell each other keep their link: longer than silence is borne.
+TEST_F(LinkHubTest, ALinkAtRestStands)
+{
+    Host a(runner, "a");
+    Host b(runner, "b");
+    a.want({b.known()});
+    ASSERT_TRUE(waitUp(a, b));
+    const auto end = std::chrono::steady_clock::now() + Link::LongestSilence + Link::KeepAlivePeriod;
+    EXPECT_TRUE(runner.runUntil([&] { return std::chrono::steady_clock::now() > end; }));
+    EXPECT_EQ(a.downs() + b.downs(), 0U);
+    a.sendClaim(b, 1);
+    EXPECT_TRUE(runner.runUntil([&] { return b.claims().size() == 1; }));
+    EXPECT_EQ(b.badFrames(), 0U);
+}
+
 TEST_F(LinkHubTest, HostThatAnswersNothingIsDialledAnewBeforeTheKernelRepeatsItsPacket)
 {
     // A full queue of new connections drops opening packets, as a host without power does.
