--- a/src/gateway/tests/targetrankingtests.cpp
+++ b/src/gateway/tests/targetrankingtests.cpp
@@ -75,7 +75,7 @@
     constexpr uint64_t Objects = 4000;
     for (uint64_t object = 0; object < Objects; ++object)
         atLarge += ranking.best(object, Nearness::Region).front().target->record.slots == 9 ? 1 : 0;
-    EXPECT_NEAR(atLarge, Objects * 3 / 4, Objects / 25);
+    EXPECT_NEAR(atLarge, Objects * 0.75, Objects * 0.04);
 }
 
 TEST(TargetRankingTest, RequestsAboutNoObjectReachAllTargets)
