Read numbers of a frame's vectors wherever they lie

Ruled out: the frame's own alignment (the reader keeps it). Change: elements are copied out. The input is kept as a seed and as a test. Before: the seed ends the fuzzer with the sanitizer's error.

--- a/src/wire/internal/commoncodec.h
+++ b/src/wire/internal/commoncodec.h
@@ -8,6 +8,7 @@
 #include "model/hostmessages.h"
 #include "wire/internal/fieldreader.h"
 
+#include <cstring>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,15 @@
     return builder.CreateVector(reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
 }
 
+/// An element of a vector of numbers, wherever it lies: the verifier doesn't check that elements of 8 bytes are
+/// aligned, and a peer's bytes need not be.
+template <typename T> [[nodiscard]] T elementAt(const flatbuffers::Vector<T>& vector, flatbuffers::uoffset_t index)
+{
+    T value {};
+    std::memcpy(&value, vector.Data() + index * sizeof(T), sizeof(T));
+    return flatbuffers::EndianScalar(value);
+}
+
 template <typename Tag> [[nodiscard]] Offset<flatbuffers::String> encodeName(Builder& builder, const Name<Tag>& name)
 {
     return encodeText(builder, name.value());
--- a/src/wire/internal/hostmessagecodec.cpp
+++ b/src/wire/internal/hostmessagecodec.cpp
@@ -110,7 +110,7 @@
         return decoded;
     }
     for (size_t i = 0; i < shareCount; ++i)
-        decoded.shares.push_back(reader.share(row.shares()->Get(i), "RouteRow.shares"));
+        decoded.shares.push_back(reader.share(elementAt(*row.shares(), i), "RouteRow.shares"));
     return decoded;
 }
 
@@ -154,7 +154,7 @@
         return decoded;
     }
     for (size_t i = 0; i < ageCount; ++i)
-        decoded.ages.push_back(reader.duration(message.ages()->Get(i), "ZoneReport.ages"));
+        decoded.ages.push_back(reader.duration(elementAt(*message.ages(), i), "ZoneReport.ages"));
     return decoded;
 }
 
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -50,7 +50,7 @@
     reader.require(incarnations == nullptr || incarnations->size() == ids.size(), "TargetReport.retiredIncarnations");
     for (flatbuffers::uoffset_t i = 0; i < ids.size(); ++i) {
         const bool isTold = incarnations != nullptr && i < incarnations->size();
-        retired.push_back({.target = ids[i], .incarnation = {isTold ? incarnations->Get(i) : 0}});
+        retired.push_back({.target = ids[i], .incarnation = {isTold ? elementAt(*incarnations, i) : 0}});
     }
     return retired;
 }
@@ -99,8 +99,8 @@
     if (count != loads)
         return decoded;
     for (size_t i = 0; i < count; ++i) {
-        decoded.targets.push_back(message.targets()->Get(static_cast<flatbuffers::uoffset_t>(i)));
-        decoded.inFlight.push_back(message.in_flight()->Get(static_cast<flatbuffers::uoffset_t>(i)));
+        decoded.targets.push_back(elementAt(*message.targets(), static_cast<flatbuffers::uoffset_t>(i)));
+        decoded.inFlight.push_back(elementAt(*message.in_flight(), static_cast<flatbuffers::uoffset_t>(i)));
     }
     return decoded;
 }
--- a/src/wire/tests/framemutationtests.cpp
+++ b/src/wire/tests/framemutationtests.cpp
@@ -10,8 +10,11 @@
 
 #include <array>
 #include <cstring>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <iterator>
 #include <random>
+#include <xxhash.h>
 
 namespace saltvane::wire {
 namespace {
@@ -167,4 +170,26 @@
 }
 
 } // namespace
+/// Seen: a vector of 8-byte numbers that a peer put at an odd place was read as if it were aligned. With the sanitizers
+/// (preset asan) the read was an error.
+TEST(FrameMutationTest, AVectorAtAnOddPlaceIsReadOrRefused)
+{
+    std::ifstream file(std::string(SALTVANE_SOURCE_DIR) + "/testing/fuzz/seeds/frames/misaligned", std::ios::binary);
+    std::string envelope {std::istreambuf_iterator<char>(file), {}};
+    ASSERT_FALSE(envelope.empty());
+    constexpr size_t Alignment = 8;
+    envelope.resize((envelope.size() + Alignment - 1) / Alignment * Alignment);
+    std::string frame;
+    const auto append = [&](uint64_t value, size_t bytes) {
+        for (size_t i = 0; i < bytes; ++i)
+            frame.push_back(static_cast<char>(value >> (8 * i)));
+    };
+    append(envelope.size(), sizeof(uint32_t));
+    append(XXH64(envelope.data(), envelope.size(), 0), sizeof(uint64_t));
+    FrameReader reader;
+    reader.append(frame + envelope);
+    const auto message = reader.next();
+    EXPECT_TRUE(!message || message.value().has_value());
+}
+
 } // namespace saltvane::wire
