--- a/src/settings/internal/routeplanparser.cpp
+++ b/src/settings/internal/routeplanparser.cpp
@@ -239,6 +239,9 @@
         const size_t byte = error.byte > 0 ? error.byte - 1 : 0;
         findings.add({.place = placeOf(text, byte, sourceName), .field = "", .message = "not JSON"});
         return findings;
+    } catch (const Json::out_of_range&) {
+        findings.add({.place = {.source = sourceName}, .field = "", .message = "has a number out of range"});
+        return findings;
     }
 }
 
--- a/src/settings/tests/routeplantests.cpp
+++ b/src/settings/tests/routeplantests.cpp
@@ -111,4 +111,11 @@
     }
 }
 
+// Found by the fuzzer: the exception left the reader and ended the process, on each host that was told the plan.
+TEST(RoutePlanTest, ANumberBeyondAllRangesIsAFinding)
+{
+    for (const char* text : {R"({"version":1e999})", R"({"version":1,"routes":[{"timeout_ms":15e3333333333}]})"})
+        EXPECT_FALSE(parseRoutePlan(text, "plan")) << text;
+}
+
 } // namespace saltvane::settings
