--- a/src/gateway/internal/regionsplit.cpp
+++ b/src/gateway/internal/regionsplit.cpp
@@ -23,20 +23,9 @@
 /// Small requests that a region with slots for all of them keeps; the rest lets objects that are too many for their
 /// target find their second choice elsewhere.
 constexpr double MostHomeShare = 0.9;
-/// Objectives from here on bear the way to another region: there and back, twice with a new connection, 50 to 150 ms.
-/// Then each object has one place over all regions instead of one in each: a run on a cold object takes three times as
-/// long as on a warm one, and of 44,000 reads of 2.2 s of cold work 8,200 were late with a place a region, 5,100 with
-/// one place. Where objectives are 150 to 600 ms, one place loses 0.01 to 0.05 of a day's worth.
-constexpr Duration DistanceObjective = 750ms;
 /// A smaller part of the slots than before is a loss of targets, not a change of load.
 constexpr double LossRatio = 0.8;
 
-/// A route without an objective is not in a hurry.
-bool bearsDistance(const model::Route& route)
-{
-    return route.objective <= Duration::zero() || route.objective >= DistanceObjective;
-}
-
 } // namespace
 
 RegionSplit::RegionSplit(double shiftCap)
@@ -80,16 +69,8 @@
 void RegionSplit::install(const model::RoutePlan& plan)
 {
     services_.clear();
-    for (const model::RoutedService& service : plan.services) {
+    for (const model::RoutedService& service : plan.services)
         services_.push_back(service.name);
-        states_[service.name].bearsDistance = true;
-    }
-    for (const model::Route& route : plan.routes) {
-        for (const model::ServiceWeight& part : route.services) {
-            State& state = states_[part.service];
-            state.bearsDistance = state.bearsDistance && bearsDistance(route);
-        }
-    }
 }
 
 void RegionSplit::tick(const TargetSet& targets, Timestamp now)
@@ -99,7 +80,7 @@
     for (const ServiceName& service : services_) {
         State& state = states_[service];
         const ServiceRoom room = targets.roomOf(service);
-        state.homeWeight = state.bearsDistance ? 1 : weightOf(room);
+        state.homeWeight = weightOf(room);
         move(state, room, stepPerSecond_ * seconds);
     }
 }
--- a/src/gateway/internal/regionsplit.h
+++ b/src/gateway/internal/regionsplit.h
@@ -14,7 +14,7 @@
 /// How much of each service's requests this gateway keeps in its own region. Large answers: a share that follows the
 /// load of the region's targets, but never faster than the shift cap allows; only the loss of targets moves it at once.
 /// Small ones: a weight that follows the targets' slots alone, so that objects stay where they are warm when load
-/// moves; 1 where the service's objectives bear the way to another region, so that an object has one place over all.
+/// moves.
 class RegionSplit {
 public:
     explicit RegionSplit(double shiftCap);
@@ -33,7 +33,6 @@
     struct State {
         double share = 1;
         double homeWeight = 1;
-        bool bearsDistance = false; ///< All its routes' objectives do.
         double homeSlots = 0;
         bool isUsed = false;
     };
