Tell in the logs how old a gateway's proof of its plan is, and how long a link was silent

Cause: the record of the incident could not tell silent links (H1) from registry hosts that answer with old plans (H2). Added: plan_age_ms in each decision's line, plan_unproven and plan_proven, silent_ms in link_end. One copy of the monotonic clock, in base.

--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -34,7 +34,7 @@
     return true;
 }
 
-void DecisionLog::note(const Decision& decision, Timestamp now)
+void DecisionLog::note(const Decision& decision, Duration planAge, Timestamp now)
 {
     balance_ = std::min(MostSavedLines, balance_ + toSeconds(now - filledAt_) * LinesPerSecond);
     filledAt_ = now;
@@ -46,6 +46,7 @@
         .add("route", exchange.route.name.value())
         .add("kind", model::toString(exchange.route.kind))
         .add("plan", exchange.planVersion.value)
+        .addMilliseconds("plan_age_ms", planAge)
         .add("service", exchange.service.value())
         .add("target", exchange.target.target.value())
         .add("tries", exchange.tried.size())
--- a/src/gateway/internal/decisionlog.h
+++ b/src/gateway/internal/decisionlog.h
@@ -17,7 +17,8 @@
 /// many were left out.
 class DecisionLog {
 public:
-    void note(const Decision& decision, Timestamp now);
+    /// `planAge`: since the plan held here was last proven to be the newest.
+    void note(const Decision& decision, Duration planAge, Timestamp now);
     /// Lines that came up since the last call.
     [[nodiscard]] std::vector<host::LogLine> take(Timestamp now);
 
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -5,6 +5,7 @@
  */
 #include "gateway/internal/gatewaycore.h"
 
+#include "base/logtext.h"
 #include "settings/routeplanformat.h"
 
 #include <algorithm>
@@ -67,7 +68,8 @@
           .counters = counters_,
           .latencies = latencies_,
           .link = link_,
-          .onDecided = [this](const Decision& decision, Timestamp now) { decisions_.note(decision, now); }})
+          .onDecided
+          = [this](const Decision& decision, Timestamp now) { decisions_.note(decision, holder_->age(now), now); }})
 {
 }
 
@@ -209,17 +211,38 @@
 
 void GatewayCore::noteDoubt(Timestamp now)
 {
-    runner_.setPlanDoubtful(holder_->isFetching() || holder_->age(now) > LongestUnproven);
+    const bool isProven = holder_->age(now) <= LongestUnproven;
+    runner_.setPlanDoubtful(holder_->isFetching() || !isProven);
+    if (routes_ && isProven == unprovenSince_.has_value())
+        logProof(isProven, now);
 }
 
-/// Registry hosts to pull the plan from, nearest first.
-void GatewayCore::updateSources(Timestamp now)
+void GatewayCore::logProof(bool isProven, Timestamp now)
+{
+    LogText line(isProven ? "plan_proven" : "plan_unproven");
+    line.add("version", routes_->plan().version.value);
+    if (isProven)
+        line.addMilliseconds("after_ms", now - *unprovenSince_);
+    else
+        line.addMilliseconds("age_ms", holder_->age(now)).add("registries_heard", registriesHeard(now).size());
+    log(isProven ? host::LogSeverity::Info : host::LogSeverity::Warning, line.text());
+    unprovenSince_ = isProven ? std::nullopt : std::optional(now);
+}
+
+std::vector<const membership::RosterEntry*> GatewayCore::registriesHeard(Timestamp now) const
 {
-    nextSourcesAt_ = now + SourcesPeriod;
     // Word of the registry hosts comes each second within the region, rarer from others.
     constexpr Duration HeardLately = 1500ms;
     std::vector<const membership::RosterEntry*> registries = roster_->heardWithin(HeardLately, now);
     std::erase_if(registries, [](const auto* entry) { return !entry->record.isControl; });
+    return registries;
+}
+
+/// Registry hosts to pull the plan from, nearest first.
+void GatewayCore::updateSources(Timestamp now)
+{
+    nextSourcesAt_ = now + SourcesPeriod;
+    std::vector<const membership::RosterEntry*> registries = registriesHeard(now);
     const auto nearness = [this](const membership::RosterEntry* entry) {
         if (entry->record.zone == settings_.zone)
             return 0;
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -47,6 +47,8 @@
     [[nodiscard]] bool isReady() const;
     void installPlan(Timestamp now);
     void noteDoubt(Timestamp now);
+    void logProof(bool isProven, Timestamp now);
+    [[nodiscard]] std::vector<const membership::RosterEntry*> registriesHeard(Timestamp now) const;
     void updateSources(Timestamp now);
     void updateLinks();
     void tellLoads(Timestamp now);
@@ -70,6 +72,7 @@
     DecisionLog decisions_;
     RequestRunner runner_;
     std::shared_ptr<const RouteTable> routes_;
+    std::optional<Timestamp> unprovenSince_; ///< The plan in force, where it was not proven for LongestUnproven.
     host::RoutedLinks links_;
     std::vector<host::Action> actions_;
     Timestamp nextSplitAt_ {};
--- a/src/gateway/tests/decisiontests.cpp
+++ b/src/gateway/tests/decisiontests.cpp
@@ -20,6 +20,12 @@
         }
         return {};
     }
+    std::vector<std::string> linesOf(const std::string& event)
+    {
+        std::vector<std::string> lines = takeLines();
+        std::erase_if(lines, [&](const std::string& line) { return !line.starts_with("event=" + event + " "); });
+        return lines;
+    }
     static bool has(const std::string& line, const std::string& field)
     {
         return (line + " ").find(" " + field + " ") != std::string::npos;
@@ -43,6 +49,24 @@
     EXPECT_TRUE(has(line, "status=503"));
 }
 
+TEST_F(DecisionTest, TellsHowOldTheProofOfThePlanIs)
+{
+    installPlan(7);
+    advance(900ms);
+    request({.path = "/unknown/1", .id = "refused"});
+    const std::string line = lineOf("refused");
+    EXPECT_NE(line.find(" plan_age_ms=9"), std::string::npos) << line;
+}
+
+TEST_F(DecisionTest, APlanThatNoRegistryHostProvesAnyMoreIsToldOnceAndAgainOnceItIsProven)
+{
+    installPlan(7);
+    advance(2s);
+    EXPECT_EQ(linesOf("plan_unproven").size(), 1U);
+    installPlan(8);
+    EXPECT_EQ(linesOf("plan_proven").size(), 1U);
+}
+
 TEST_F(DecisionTest, UnknownAfterItsTargetDied)
 {
     installPlan(7);
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -52,11 +52,15 @@
         if (std::holds_alternative<host::StopFinished>(action))
             isStopFinished_ = true;
         const auto* const line = std::get_if<host::LogLine>(&action);
-        if (line != nullptr && line->text.starts_with("event=request "))
-            decisions_.push_back(line->text);
+        if (line != nullptr)
+            (line->text.starts_with("event=request ") ? decisions_ : lines_).push_back(line->text);
         auto* const request = std::get_if<requests::Action>(&action);
         if (request == nullptr)
             continue;
+        const auto* const outgoing = std::get_if<model::Outgoing>(request);
+        const auto* const pull = outgoing == nullptr ? nullptr : std::get_if<model::BundlePull>(&outgoing->message);
+        if (pull != nullptr)
+            lastPull_ = pull->pull;
         if (auto* start = std::get_if<requests::TargetStart>(request))
             starts_.push_back(std::move(*start));
         else if (auto* response = std::get_if<requests::HttpRespond>(request))
@@ -95,7 +99,8 @@
     // The proof that it is current comes with a pull; without one a host takes what it was given after a second.
     handle(model::Delivery {.from = Registry,
         .fromIncarnation = {1},
-        .message = model::BundleCurrent {.position = {.term = {1}, .index = {position_}}, .age = 10ms, .pull = 1}});
+        .message
+        = model::BundleCurrent {.position = {.term = {1}, .index = {position_}}, .age = 10ms, .pull = lastPull_}});
     advance(Tick);
 }
 
@@ -192,6 +197,8 @@
 
 std::vector<std::string> GatewayFixture::takeDecisions() { return std::exchange(decisions_, {}); }
 
+std::vector<std::string> GatewayFixture::takeLines() { return std::exchange(lines_, {}); }
+
 bool GatewayFixture::takeStopFinished() { return std::exchange(isStopFinished_, false); }
 
 std::string GatewayFixture::header(const std::vector<model::Header>& headers, const std::string& name)
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -60,6 +60,8 @@
     [[nodiscard]] bool takeStopFinished();
     /// Log lines of decisions on requests.
     [[nodiscard]] std::vector<std::string> takeDecisions();
+    /// Log lines of anything but requests.
+    [[nodiscard]] std::vector<std::string> takeLines();
     [[nodiscard]] static std::string header(const std::vector<model::Header>& headers, const std::string& name);
 
     Timestamp now_ {100s};
@@ -75,7 +77,9 @@
     std::vector<requests::HttpRespond> responses_;
     size_t cancels_ = 0;
     bool isStopFinished_ = false;
+    uint64_t lastPull_ = 0; ///< Number of the gateway's newest pull of the plan.
     std::vector<std::string> decisions_;
+    std::vector<std::string> lines_; ///< All the others.
 };
 
 } // namespace saltvane::gateway::test
--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -5,6 +5,8 @@
  */
 #include "net/internal/link.h"
 
+#include "base/monotonicclock.h"
+
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -70,6 +72,7 @@
           .host = options_.identity.host,
           .incarnation = options_.identity.incarnation,
           .nonce = nonce_}))
+    , heardAt_(monotonicNow())
     , watcher_(options_.loop, [this](int events) { onReady(events); })
     , deadline_(
           options_.loop, [this] { end(state_ == State::Connecting ? LinkEnd::ConnectTimedOut : LinkEnd::TimedOut); })
@@ -224,6 +227,7 @@
         if (count <= 0)
             return end(LinkEnd::PeerClosed, count < 0 ? std::strerror(errno) : "");
         hasHeard_ = true;
+        heardAt_ = monotonicNow();
         received_.append(scratch.data(), static_cast<size_t>(count));
         total += static_cast<size_t>(count);
         process();
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -99,6 +99,8 @@
     [[nodiscard]] const LinkNonce& ownNonce() const { return nonce_; }
     [[nodiscard]] const LinkNonce& peerNonce() const { return peer_.nonce; }
     [[nodiscard]] double upSince() const { return upSince_; }
+    /// When the last bytes of the peer came, or the connection was opened.
+    [[nodiscard]] Timestamp heardAt() const { return heardAt_; }
 
     /// Queues a message; flush() sends. Ends the link where its queue is full. Returns the bytes of its frame.
     size_t send(const model::Message& message);
@@ -143,6 +145,7 @@
     std::string unsent_;
     size_t sent_ = 0;
     double upSince_ = 0;
+    Timestamp heardAt_;
     bool hasSent_ = false; ///< Since the last keepAlive().
     bool hasHeard_ = false; ///< Likewise.
     uint32_t silentPeriods_ = 0;
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -6,6 +6,7 @@
 #include "net/internal/linkhub.h"
 
 #include "base/log.h"
+#include "base/monotonicclock.h"
 #include "net/internal/socketaddress.h"
 
 #include <algorithm>
@@ -396,7 +397,8 @@
     const auto severity = isRefusal ? google::GLOG_WARNING : google::GLOG_INFO;
     google::LogMessage(__FILE__, __LINE__, severity).stream()
         << "module=net event=link_end reason=" << toString(end) << " detail=\"" << detail
-        << "\" peer=" << link.peerHost().value() << " remote=" << link.remote();
+        << "\" peer=" << link.peerHost().value() << " remote=" << link.remote() << " silent_ms="
+        << std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - link.heardAt()).count();
 }
 
 } // namespace saltvane::net
--- a/src/saltvaned/internal/clocks.h
+++ b/src/saltvaned/internal/clocks.h
@@ -5,19 +5,13 @@
  */
 #pragma once
 
-#include "base/timetypes.h"
+#include "base/monotonicclock.h"
 
 #include <chrono>
 #include <cstdint>
 
 namespace saltvane::saltvaned {
 
-/// For all decisions: it never steps.
-inline Timestamp monotonicNow()
-{
-    return Timestamp(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 /// For people and for the order of starts only: it may step.
 inline int64_t wallClockUnixMs()
 {
