Soak: plans that move, drop and add routes; each run held to the newest acknowledged one

Cause: all plans of the soak sent every route to one service, so no run could show an old plan. Routes of seldom paths don't count in whether requests are served again: a plan without them is right to deny them.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -7,9 +7,11 @@
 import time
 
 from messages import Message, call, encode, read_message, split
+from plans import SELDOM_PATHS, STEADY_PATHS
 
 DEADLINE_S = 3.0
 PAUSE_S = (0.01, 0.06)
+SELDOM_SHARE = 0.15  # Of the requests: on routes that not every plan has.
 
 
 @dataclasses.dataclass
@@ -21,6 +23,8 @@
     status: int = 0
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
+    path: str = STEADY_PATHS[0]
+    gateway: str = ""
 
 
 class Caller:
@@ -40,7 +44,7 @@
             await asyncio.sleep(self.chooser.uniform(*PAUSE_S))
             await self._look_up()
             if self.hosts:
-                await self._ask(f"{self.name}-{number}", self.chooser.random() < 0.5)
+                await self._ask(f"{self.name}-{number}", self._choose_path())
 
     async def _look_up(self):
         if time.monotonic() - self.looked_up_at < 1:
@@ -63,8 +67,12 @@
             host = self.chooser.choice(self.hosts)
             self.connection = (host, *await asyncio.open_connection(*split(host)))
 
-    async def _ask(self, request: str, is_once: bool):
-        outcome = Outcome(request, is_once, time.monotonic())
+    def _choose_path(self) -> str:
+        paths = SELDOM_PATHS if self.chooser.random() < SELDOM_SHARE else STEADY_PATHS
+        return self.chooser.choice(paths)
+
+    async def _ask(self, request: str, path: str):
+        outcome = Outcome(request, path.startswith("/once/"), time.monotonic(), path=path)
         try:
             async with asyncio.timeout(DEADLINE_S + 1):
                 await self._connect()
@@ -78,11 +86,11 @@
             await asyncio.sleep(float(answer.headers["retry-after"]))
 
     async def _exchange(self, outcome: Outcome) -> Message | None:
-        _, reader, writer = self.connection
-        method, path = ("POST", "/once/1") if outcome.is_once else ("GET", "/read/1")
+        outcome.gateway, reader, writer = self.connection
+        method = "POST" if outcome.is_once else "GET"
         headers = {"Host": "prices.example", "Saltvane-Request-Id": outcome.request,
                    "Saltvane-Deadline-Ms": str(int(DEADLINE_S * 1000)), "Saltvane-Object": str(self.chooser.randrange(40))}
-        writer.write(encode(f"{method} {path} HTTP/1.1", headers, b"body" if outcome.is_once else b""))
+        writer.write(encode(f"{method} {outcome.path}1 HTTP/1.1", headers, b"body" if outcome.is_once else b""))
         answer = await read_message(reader)
         if answer is not None:
             outcome.status, outcome.headers, outcome.body = answer.status, answer.headers, answer.body
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -39,8 +39,8 @@
 
     def __init__(self, role: str, number: int, network: str):
         self.role = role
-        self.region = REGIONS[number]
-        self.name = f"{role}-{self.region}"
+        self.region = REGIONS[number % len(REGIONS)]
+        self.name = f"{role}-{self.region}-{number // len(REGIONS)}"
         last = number + (1 if role == "registry" else 11)
         self.ip = f"{network}.{last}"
         self.link = f"{self.ip}:{LINK_PORT}"
@@ -62,11 +62,11 @@
 
 
 class Deployment:
-    def __init__(self, binaries: pathlib.Path, folder: pathlib.Path):
+    def __init__(self, binaries: pathlib.Path, folder: pathlib.Path, registries: int, gateways: int):
         self.system = System(binaries, folder)
         self.network = free_network()
-        self.registries = [Host("registry", number, self.network) for number in range(len(REGIONS))]
-        self.gateways = [Host("gateway", number, self.network) for number in range(len(REGIONS))]
+        self.registries = [Host("registry", number, self.network) for number in range(registries)]
+        self.gateways = [Host("gateway", number, self.network) for number in range(gateways)]
         self.hosts = self.registries + self.gateways
 
     async def start(self):
@@ -77,7 +77,7 @@
 
     def write_settings(self, host: Host, is_first: bool):
         zones = ", ".join(f"{{zone: {region}-a, region: {region}}}" for region in REGIONS)
-        seeds = ", ".join(f'"{registry.link}"' for registry in self.registries)
+        seeds = ", ".join(f'"{registry.link}"' for registry in self.registries[:len(REGIONS)])
         rest = REGISTRY if host.role == "registry" else GATEWAY
         text = (SETTINGS + rest).format(role=host.role, first_start=str(is_first).lower(), region=host.region, zones=zones,
                                         link=host.link, behind=host.behind, seeds=seeds, key="k" * 40, ip=host.ip,
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import signal
+import time
 
 from deployment import Deployment, Host
 from forwarder import BACK, TOWARDS
@@ -22,6 +23,7 @@
     chooser: random.Random
     findings: list[str]
     wiping: bool = False
+    silenced_at: list[float] = dataclasses.field(default_factory=list)  # Most connections between hosts.
 
 
 Fault = collections.abc.Callable[[World], collections.abc.Awaitable[None]]
@@ -157,7 +159,14 @@
 
 
 async def silence(world: World):
-    world.chooser.choice(forwarders(world)).silence()
+    world.chooser.choice(forwarders(world)).silence(world.chooser)
+
+
+async def silence_many(world: World):
+    """Most connections between hosts at the same moment: all those of a gateway, while plans go on being acknowledged."""
+    world.silenced_at.append(time.monotonic())
+    for host in world.deployment.hosts:
+        host.forwarder.silence(world.chooser, share=0.7)
 
 
 async def crash_target(world: World):
@@ -197,11 +206,14 @@
     (silence, 2), (crash_target, 2), (leave_target, 1), (empty_zone, 1)]
 
 
-# Seeds below it draw as they did when they were kept.
+# Seeds below draw as they did when they were kept.
 FIRST_SEED_OF_ALL_FAULTS = 1_000_000
+FIRST_SEED_OF_SILENT_LINKS = 10_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_SILENT_LINKS: [*ALL_FAULTS, (silence_many, 2)], FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_SILENT_LINKS]}
 
 
 def draw(chooser: random.Random, seed: int) -> Fault:
-    faults = ALL_FAULTS if seed >= FIRST_SEED_OF_ALL_FAULTS else FAULTS
+    faults = next(faults for first, faults in FAULTS_FROM_SEED.items() if seed >= first)
     return chooser.choices([fault for fault, _ in faults], [weight for _, weight in faults])[0]
--- a/testing/soak/forwarder.py
+++ b/testing/soak/forwarder.py
@@ -1,6 +1,7 @@
 """A loopback TCP forwarder that delays, holds up, resets and silences connections."""
 import asyncio
 import contextlib
+import random
 
 from messages import split
 
@@ -55,14 +56,17 @@
         for direction in directions:
             self.is_open[direction].clear()
 
+    def is_holding(self) -> bool:
+        return not all(event.is_set() for event in self.is_open)
+
     def reset(self):
         for connection in list(self.connections):
             connection.reset()
 
-    def silence(self):
-        """Connections that stand now pass nothing any more, ever; new ones work."""
+    def silence(self, chooser: random.Random, share: float = 1):
+        """Of the connections that stand now this share passes nothing any more, ever; new ones work."""
         for connection in self.connections:
-            connection.is_silent = True
+            connection.is_silent = connection.is_silent or chooser.random() < share
 
     async def _serve(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter):
         try:
--- a/testing/soak/operator_calls.py
+++ b/testing/soak/operator_calls.py
@@ -5,10 +5,7 @@
 import time
 
 from messages import call
-
-PATHS = ("/read/", "/once/")
-LARGE_PLAN_EACH = 3  # Every third plan is as large as one of a deployment with many routes: it goes in parts.
-ROUTES_OF_LARGE_PLAN = 1500
+from plans import SERVICES, routes_of
 
 
 class Operator:
@@ -17,26 +14,21 @@
         self.chooser = chooser
         self.version = 0  # Newest that was acknowledged.
         self.acknowledged: list[tuple[float, int]] = [(0.0, 0)]
+        self.sent: list[tuple[float, int]] = []  # May be in force from then on.
         self.reads: list[tuple[float, int]] = []  # When it was sent, and the version it told.
         self.extra_path: str | None = None
         self.evacuated: set[str] = set()
         self.refusals: list[str] = []
 
     def _plan(self, version: int) -> bytes:
+        paths = [*routes_of(version), *([(self.extra_path, SERVICES[0])] if self.extra_path else [])]
         routes = [{"name": f"r-{number}", "host": "prices.example", "path_prefix": path, "timeout_ms": 3000,
-                   "kind": "repeatable" if path == "/read/" else "at_most_once", "objective_ms": 500, "rank": 0,
-                   "service": "quotes", "attempts": 2, "affinity": True}
-                  for number, path in enumerate((*PATHS, *([self.extra_path] if self.extra_path else []),
-                                                 *self._more_paths(version)))]
-        return json.dumps({"version": version, "routes": routes, "services": [
-            {"name": "quotes", "probe_path": "/health", "connections": 100, "slow_start_s": 0, "slow_start_per_s": 50}]}).encode()
-
-    @staticmethod
-    def _more_paths(version: int) -> list[str]:
-        if version % LARGE_PLAN_EACH != 0:
-            return []
-        names = random.Random(version)
-        return [f"/{names.getrandbits(40):x}/" for _ in range(ROUTES_OF_LARGE_PLAN)]
+                   "kind": "at_most_once" if path.startswith("/once/") else "repeatable", "objective_ms": 500, "rank": 0,
+                   "service": service, "attempts": 2, "affinity": True}
+                  for number, (path, service) in enumerate(paths)]
+        services = [{"name": name, "probe_path": "/health", "connections": 100, "slow_start_s": 0, "slow_start_per_s": 50}
+                    for name in SERVICES]
+        return json.dumps({"version": version, "routes": routes, "services": services}).encode()
 
     async def _order(self, method: str, path: str, body: bytes, headers: dict[str, str], limit_s: float) -> bool:
         """Sends the same order, to any host, until it is acknowledged."""
@@ -54,6 +46,7 @@
     async def replace_plan(self, limit_s: float = 60, extra_path: str | None = None) -> bool:
         self.extra_path = extra_path or self.extra_path
         version = self.version + 1
+        self.sent.append((time.monotonic(), version))
         headers = {"Saltvane-Plan-Base": str(self.version)}
         if not await self._order("PUT", "/v1/plan", self._plan(version), headers, limit_s):
             return False
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -2,9 +2,14 @@
 import collections
 
 from callers import Outcome
+from plans import STEADY_PATHS, service_of
 from targets import answer_body
+from troubles import Span
 
 LATEST_OLD_READ_S = 2.5  # A read sent later after an acknowledgement tells that plan or a newer one.
+# A request sent later after an acknowledgement is treated as that plan or a newer one says: a plan is in force 2 s after
+# it at a gateway that has been free of faults for 3 s.
+LATEST_OLD_RUN_S = 5
 NOT_RUN = (408, 421, 429, 503)
 LEAST_SERVED = 50
 
@@ -29,11 +34,33 @@
         is_own = outcome.body == answer_body(name) and outcome.headers.get("saltvane-request-id") == name
         if not is_own or count == 0:
             findings.append(f"{name}: an answer that is not its own: {outcome.body[:60]!r}")
-    if outcome.status == 404:
+    if outcome.status == 404 and outcome.path in STEADY_PATHS:
         findings.append(f"{name}: 404 for a route that every plan has")
     return findings
 
 
+def findings_of_plans(outcomes: list[Outcome], services: dict[str, set[str]], sent: list[tuple[float, int]],
+                      acknowledged: list[tuple[float, int]], spans: dict[str, list[Span]]) -> list[str]:
+    """Each run, and each refusal for want of a route, is allowed by a plan that is new enough. `services`: what ran a
+    request. `spans`: when a gateway could not have known."""
+    findings = []
+    for outcome in outcomes:
+        due = _due(outcome.sent_at, acknowledged, spans.get(outcome.gateway, []))
+        plans = [version for at, version in sent if version >= due and at <= outcome.sent_at + LATEST_OLD_RUN_S]
+        uses = services.get(outcome.request, set()) | ({None} if outcome.status == 404 else set())
+        findings += [f"{outcome.request} on {outcome.path} at {outcome.gateway}: {use or 'no route'}, which no plan from {due} on "
+                     f"allows" for use in uses
+                     if due > 0 and all(service_of(outcome.path, version) != use for version in plans)]
+    return findings
+
+
+def _due(sent_at: float, acknowledged: list[tuple[float, int]], spans: list[Span]) -> int:
+    for start, end in reversed(spans):
+        if start <= sent_at < end + LATEST_OLD_RUN_S:
+            sent_at = start
+    return max((version for at, version in acknowledged if at + LATEST_OLD_RUN_S <= sent_at), default=0)
+
+
 def findings_of_reads(reads: list[tuple[float, int]], acknowledged: list[tuple[float, int]]) -> list[str]:
     """No host shows an older plan than was acknowledged well before it was asked."""
     findings = []
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -4,7 +4,9 @@
 import unittest
 
 from callers import Outcome
-from promises import LEAST_SERVED, findings_of_orders, findings_of_outcomes, findings_of_reads
+from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
+from promises import LATEST_OLD_RUN_S, LEAST_SERVED, findings_of_orders, findings_of_outcomes, findings_of_plans, \
+    findings_of_reads
 from targets import answer_body
 
 
@@ -53,6 +55,43 @@
         self.assertIn("hardly anything was served", findings_of_outcomes([], collections.Counter()))
 
 
+class PlansTest(unittest.TestCase):
+    """A plan that moves a route and one that drops one, acknowledged at 100 s."""
+    BEFORE = VERSIONS_PER_MOVE - 1  # Of route 0: it moves with the next version.
+    STEADY, SELDOM = STEADY_PATHS[0], SELDOM_PATHS[0]
+
+    def check(self, path: str, sent_at: float, use: str | None, spans=()) -> list[str]:
+        outcome = Outcome("a", False, sent_at, 200 if use else 404, path=path, gateway="g")
+        services = {"a": {use}} if use else {}
+        sent = [(80.0, self.BEFORE), (99.0, self.BEFORE + 1)]
+        acknowledged = [(81.0, self.BEFORE), (100.0, self.BEFORE + 1)]
+        return findings_of_plans([outcome], services, sent, acknowledged, {"g": list(spans)})
+
+    def test_plans_move_drop_and_add_routes(self):
+        self.assertEqual(service_of(self.STEADY, self.BEFORE), SERVICES[0])
+        self.assertEqual(service_of(self.STEADY, self.BEFORE + 1), SERVICES[1])
+        self.assertIsNone(service_of(self.SELDOM, self.BEFORE + 1))
+        self.assertIsNotNone(service_of(self.SELDOM, self.BEFORE + 1 + VERSIONS_PER_MOVE))
+        self.assertNotIn(self.SELDOM, [path for path, _ in routes_of(self.BEFORE + 1)])
+
+    def test_a_run_by_an_old_plan(self):
+        self.assertEqual(self.check(self.STEADY, 100 + LATEST_OLD_RUN_S - 1, SERVICES[0]), [])
+        self.assertIn("no plan from 8 on", self.check(self.STEADY, 100 + LATEST_OLD_RUN_S, SERVICES[0])[0])
+        self.assertEqual(self.check(self.STEADY, 100 + LATEST_OLD_RUN_S, SERVICES[1]), [])
+
+    def test_a_run_on_a_dropped_route(self):
+        self.assertIn("no plan from 8 on", self.check(self.SELDOM, 100 + LATEST_OLD_RUN_S, SERVICES[0])[0])
+        self.assertEqual(self.check(self.SELDOM, 100 + LATEST_OLD_RUN_S, None), [])
+
+    def test_a_route_that_is_denied_though_the_plan_has_it(self):
+        self.assertIn("no route", self.check(self.SELDOM, 90.0, None)[0])
+
+    def test_a_gateway_that_was_away_has_time_to_learn(self):
+        away = [(101.0, 104.0)]
+        self.assertEqual(self.check(self.STEADY, 104 + LATEST_OLD_RUN_S - 1, SERVICES[0], away), [])
+        self.assertEqual(len(self.check(self.STEADY, 104 + LATEST_OLD_RUN_S, SERVICES[0], away)), 1)
+
+
 class OrdersTest(unittest.TestCase):
     def test_an_older_plan(self):
         self.assertEqual(findings_of_reads([(11.0, 4)], [(10.0, 5)]), [])
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -18,13 +18,16 @@
 import faults
 import promises
 from callers import Caller, Outcome
-from deployment import Deployment
+from deployment import REGIONS, Deployment
 from operator_calls import Operator
+from plans import SERVICES, STEADY_PATHS
 from targets import Runs, Target
+from troubles import Troubles
 
 CALLERS = 12
 TARGETS_PER_ZONE = 2
 FAULT_GAP_S = (0.2, 1.2)
+LONE_FAULT_GAP_S = (8.0, 10.0)  # Of one kind of fault alone: its consequences are over before it strikes again.
 READY_LIMIT_S = 30
 # Promises: seconds after the last fault has ended, or after an acknowledgement. Margins for a busy machine included.
 RECOVERY_S = 20
@@ -33,21 +36,23 @@
 
 
 class Run:
-    def __init__(self, seed: int, seconds: float, binaries: pathlib.Path, folder: pathlib.Path):
+    def __init__(self, seed: int, options, folder: pathlib.Path):
         self.seed = seed
         self.chooser = random.Random(seed)
-        self.seconds = seconds
-        self.deployment = Deployment(binaries, folder)
+        self.seconds = options.seconds
+        self.only: str | None = options.only
+        self.deployment = Deployment(options.binaries.resolve(), folder, options.registries, options.gateways)
         self.runs = Runs()
         self.outcomes: list[Outcome] = []
         self.findings: list[str] = []
         registries = [host.front for host in self.deployment.registries]
         self.operator = Operator(registries, random.Random(seed + 1))
-        zones = [host.zone for host in self.deployment.gateways for _ in range(TARGETS_PER_ZONE)]
+        zones = [host.zone for host in self.deployment.gateways[:len(REGIONS)] for _ in range(TARGETS_PER_ZONE)]
         network = self.deployment.network
-        self.targets = [Target(f"{network}.{101 + i}:{18080}", f"{network}.{141 + i}:{18080}", zone, registries, self.runs,
+        self.targets = [Target(f"{network}.{101 + i}:{18080}", f"{network}.{141 + i}:{18080}", SERVICES[i % len(SERVICES)], zone, registries, self.runs,
                                random.Random(f"{seed}-target-{i}")) for i, zone in enumerate(zones)]
         self.world = faults.World(self.deployment, self.targets, self.operator, self.chooser, self.findings)
+        self.troubles = Troubles(self.deployment, self.world)
         self.tasks: list[asyncio.Task] = []
 
     async def play(self):
@@ -62,12 +67,16 @@
             host = self.deployment.gateways[number % len(self.deployment.gateways)]
             caller = Caller(number, host.zone, host.region, directories, random.Random(f"{number}"), self.outcomes)
             self.tasks.append(asyncio.create_task(caller.run()))
+        self.tasks.append(asyncio.create_task(self.troubles.watch()))
         self.tasks.append(asyncio.create_task(self._change_plans()))
         self.tasks.append(asyncio.create_task(self._read_plans()))
         await self._disturb()
         await self._check_recovery()
         await self._check_orders()
         self.findings += promises.findings_of_outcomes(self.outcomes, self.runs.count)
+        self.findings += promises.findings_of_plans(self.outcomes, self.runs.services, self.operator.sent,
+                                                    self.operator.acknowledged,
+                                                    {gateway: self.troubles.of(gateway) for gateway in self.troubles.spans})
         self.findings += promises.findings_of_reads(self.operator.reads, self.operator.acknowledged)
         self.findings += self.deployment.ended_by_themselves()
 
@@ -85,8 +94,9 @@
         end = time.monotonic() + self.seconds
         running = []
         while time.monotonic() < end:
-            await asyncio.sleep(self.chooser.uniform(*FAULT_GAP_S))
-            running.append(asyncio.create_task(faults.draw(self.chooser, self.seed)(self.world)))
+            await asyncio.sleep(self.chooser.uniform(*(LONE_FAULT_GAP_S if self.only else FAULT_GAP_S)))
+            fault = faults.BY_NAME[self.only] if self.only else faults.draw(self.chooser, self.seed)
+            running.append(asyncio.create_task(fault(self.world)))
         await asyncio.gather(*running)
 
     async def _served_within(self, limit_s: float) -> bool:
@@ -95,7 +105,7 @@
         while time.monotonic() < end:
             start = len(self.outcomes)
             await asyncio.sleep(0.5)
-            latest = self.outcomes[start:]
+            latest = [outcome for outcome in self.outcomes[start:] if outcome.path in STEADY_PATHS]
             if len(latest) >= 10 and sum(outcome.status == 200 for outcome in latest) >= 0.9 * len(latest):
                 return True
         return False
@@ -143,7 +153,7 @@
 
 async def play(seed: int, options) -> list[str]:
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    run = Run(seed, options.seconds, options.binaries.resolve(), folder)
+    run = Run(seed, options, folder)
     try:
         await run.play()
     finally:
@@ -167,11 +177,15 @@
     parser.add_argument("--seeds-of", type=pathlib.Path, help="a file with a seed and its cause a line")
     parser.add_argument("--runs", type=int, default=1, help="fresh seeds, where none is given")
     parser.add_argument("--seconds", type=float, default=10, help="of trouble a run")
+    parser.add_argument("--only", choices=sorted(faults.BY_NAME), help="one kind of fault, each 8 to 10 s")
+    parser.add_argument("--registries", type=int, default=3, help="processes of that role, 9 at the most")
+    parser.add_argument("--gateways", type=int, default=3, help="the same, 29 at the most")
     parser.add_argument("--keep", type=pathlib.Path)
     options = parser.parse_args()
     kept = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     known = [int(line.split()[0]) for line in kept if line and not line.startswith("#")]
-    seeds = (options.seed or []) + known or [random.SystemRandom().randrange(faults.FIRST_SEED_OF_ALL_FAULTS, 10**7) for _ in range(options.runs)]
+    seeds = (options.seed or []) + known or [
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_SILENT_LINKS, 10**8) for _ in range(options.runs)]
     bad = [seed for seed in seeds if asyncio.run(play(seed, options))]
     print(f"soak: {len(seeds) - len(bad)} passed, {len(bad)} failed" + (f": {bad}" if bad else ""))
     return 1 if bad else 0
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -22,17 +22,21 @@
     def __init__(self):
         self.count = collections.Counter()  # By request id.
         self.at: list[tuple[float, str, str]] = []  # Time, start of the target, zone.
+        self.services: dict[str, set[str]] = collections.defaultdict(set)  # By request id.
 
     def note(self, request: str, target: "Target"):
         self.count[request] += 1
         self.at.append((time.monotonic(), target.id, target.zone))
+        self.services[request].add(target.service)
 
 
 class Target:
     """One address with a target behind a forwarder; every start has an id of its own."""
 
-    def __init__(self, address: str, behind: str, zone: str, registries: list[str], runs: Runs, chooser: random.Random):
+    def __init__(self, address: str, behind: str, service: str, zone: str, registries: list[str], runs: Runs,
+                 chooser: random.Random):
         self.forwarder = Forwarder(address, behind)
+        self.service = service
         self.zone = zone
         self.registries = registries
         self.runs = runs
@@ -68,7 +72,7 @@
         registry = self.chooser.choice(self.registries)
         for sequence in itertools.count(1):
             leaving = self.state == "leaving"
-            body = json.dumps({"service": "quotes", "address": self.forwarder.listen, "zone": self.zone, "slots": SLOTS,
+            body = json.dumps({"service": self.service, "address": self.forwarder.listen, "zone": self.zone, "slots": SLOTS,
                                "state": self.state, "slow_start_left_ms": 0, "sequence": sequence}).encode()
             answer = await call(registry, "POST", f"/v1/targets/{self.id}/heartbeat", body, limit_s=1)
             if answer is None or answer.status != 200:
