Dial silent links anew beside the ones that stand; pass over registry hosts with an old proof

Cause (H1): a link on which nothing is heard was let go of after 6 s (7.5 s where something acknowledges), and only that led to a new one. The users give a gateway 3 s after its connections ended. Class: a time bound of ours, set for one fault (a host that stands still), that outlives the users' bound for another (connections that fall silent while new ones work). Now a link silent for 1 s is dialled anew beside the one that stands; whichever is heard first stays. Links say something each 0.5 s. Same class, mended with it: a registry host whose proof is up to 3 s old passed for current with gateways (1 s now), also with one that starts; the next pull after a silence waits no more. Same place: the age of links was compared by the time of day, which may step. Ruled out: a shorter limit for silence (it would end the links of hosts that stand still or are slow, and each new one costs all word).

--- a/src/control/ibundleholder.h
+++ b/src/control/ibundleholder.h
@@ -34,6 +34,8 @@
     virtual void setControlView(const std::optional<ControlView>& view, Timestamp now) = 0;
     /// Whom to pull from, best first (relay, control hosts, peers), whom to push to (relays, or zone hosts of a relay).
     virtual void setPeers(std::span<const HostId> sources, std::span<const HostId> receivers, Timestamp now) = 0;
+    /// A new link stands with this source: what was asked before on an older one gets no answer any more.
+    virtual void noteLinkUp(const HostId& source, Timestamp now) = 0;
     virtual void tick(Timestamp now) = 0;
     [[nodiscard]] virtual std::vector<model::Outgoing> takeOutgoing() = 0;
 
@@ -58,6 +60,9 @@
     Duration pullPeriod = 1s;
     Duration startPullPeriod = 100ms;
     Duration cutOffAfter = 3s;
+    /// A source whose own proof is that old may miss what is in force: it is passed over, and a starting host waits for
+    /// another's word as long as peerStateAfter. Over what a proof takes to reach a source in its usual course.
+    Duration staleAfter = 3s;
     Duration peerStateAfter = 1s; ///< A starting host that heard no control for so long takes a peer's state.
     /// Until the next part of a large state is asked of another source: fifteen times what the narrowest link takes.
     Duration partTimeout = 1s;
--- a/src/control/internal/bundleholder.cpp
+++ b/src/control/internal/bundleholder.cpp
@@ -160,7 +160,7 @@
     if (!askedAt)
         return;
     avoidedUntil_.erase(from);
-    if (answerAge >= options_.cutOffAfter)
+    if (answerAge >= options_.staleAfter)
         avoidedUntil_[from] = now + AvoidedPulls * options_.pullPeriod;
     // An answer about an older position tells nothing of the one held.
     if (!inForce_ || position != inForce_->position)
@@ -181,7 +181,7 @@
 {
     if (isReady_ || !inForce_)
         return;
-    const bool isConfirmed = age(now) < options_.cutOffAfter;
+    const bool isConfirmed = age(now) < options_.staleAfter;
     const bool mayTakePeerState = hasPeerState_ && now - *startedAt_ >= options_.peerStateAfter;
     isReady_ = isConfirmed || mayTakePeerState;
 }
@@ -224,6 +224,16 @@
     std::erase(receivers_, options_.self);
 }
 
+/// After all links fell silent the first new one brings the newest state at once, not with the next pull (half a
+/// second).
+void BundleHolder::noteLinkUp(const HostId& source, Timestamp now)
+{
+    avoidedUntil_.erase(source);
+    std::erase_if(pulls_, [&](const Pull& pull) { return pull.source == source; });
+    if (isReady_ && age(now) > options_.pullPeriod)
+        nextPullAt_ = now;
+}
+
 void BundleHolder::tick(Timestamp now)
 {
     begin(now);
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -27,6 +27,10 @@
 /// Plans are pulled this often where none is pushed: well under the time in which one has to be in force.
 constexpr Duration PlanPullPeriod = 500ms;
 
+/// A registry host that hears the leader has a proof of at most half a second, 70 ms away. One that was cut off from
+/// the others passed for current for 3 s, longer than a new plan may take to be in force.
+constexpr Duration StaleSourceAfter = 1s;
+
 /// Three pulls: a plan that none of them proved may be an older one. New plans have to be in force within 2 s.
 constexpr Duration LongestUnproven = 1500ms;
 
@@ -53,8 +57,11 @@
     , incarnation_(options.incarnation)
     , roster_(membership::makeHostRoster(
           {.self = recordOf(settings_, incarnation_), .seeds = host::hostIdsOf(settings_.seeds)}))
-    , holder_(control::makeBundleHolder(
-          {.self = self_, .pullPeriod = PlanPullPeriod, .isSource = false, .counters = &counters_}))
+    , holder_(control::makeBundleHolder({.self = self_,
+          .pullPeriod = PlanPullPeriod,
+          .staleAfter = StaleSourceAfter,
+          .isSource = false,
+          .counters = &counters_}))
     , targets_({.self = self_, .zone = settings_.zone, .region = settings_.region}, settings_.zones)
     , split_(settings_.shiftCap)
     , placement_(targets_, split_, options.seed)
@@ -163,7 +170,11 @@
     split_.tick(targets_, now);
 }
 
-void GatewayCore::accept(const host::LinkUp& up, Timestamp /*now*/) { roster_->noteLinkUp(up.host, up.incarnation); }
+void GatewayCore::accept(const host::LinkUp& up, Timestamp now)
+{
+    roster_->noteLinkUp(up.host, up.incarnation);
+    holder_->noteLinkUp(up.host, now);
+}
 
 void GatewayCore::accept(const host::LinkDown& down, Timestamp /*now*/)
 {
--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -5,8 +5,6 @@
  */
 #include "net/internal/link.h"
 
-#include "base/monotonicclock.h"
-
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -163,7 +161,7 @@
 {
     if (state_ != State::Up)
         return 0;
-    hasSent_ = true;
+    saidAt_ = monotonicNow();
     const std::string frame = wire::encodeFrame(message);
     sealer_->seal(frame, unsent_);
     if (queuedBytes() > options_.largestSendQueue)
@@ -175,18 +173,25 @@
 {
     if (state_ != State::Up)
         return; // The other states have time limits of their own.
-    if (!hasHeard_ && !isReceivingHeld_)
-        receive(); // What came while this host stood still was heard.
+    catchUp();
+    const Timestamp now = monotonicNow();
     if (state_ == State::Ended)
         return;
-    silentPeriods_ = hasHeard_ || isReceivingHeld_ ? 0 : silentPeriods_ + 1;
-    hasHeard_ = false;
-    if (silentPeriods_ >= MostSilentPeriods)
+    if (isReceivingHeld_)
+        heardAt_ = now;
+    if (now - heardAt_ >= LongestSilence)
         return end(LinkEnd::Silent);
-    if (!std::exchange(hasSent_, false)) {
-        sealer_->seal({}, unsent_);
-        flush();
-    }
+    if (now - saidAt_ < KeepAliveTick)
+        return;
+    saidAt_ = now;
+    sealer_->seal({}, unsent_);
+    flush();
+}
+
+void Link::catchUp()
+{
+    if (isSuspect() && !isReceivingHeld_)
+        receive();
 }
 
 void Link::retire()
@@ -226,7 +231,6 @@
             return;
         if (count <= 0)
             return end(LinkEnd::PeerClosed, count < 0 ? std::strerror(errno) : "");
-        hasHeard_ = true;
         heardAt_ = monotonicNow();
         received_.append(scratch.data(), static_cast<size_t>(count));
         total += static_cast<size_t>(count);
@@ -281,6 +285,9 @@
     }
     peer_ = *hello;
     state_ = State::AwaitingProof;
+    const bool isOfUse = options_.role == LinkRole::Responder || options_.owner.isLinkStillOfUse(*this);
+    if (!isOfUse || state_ == State::Ended)
+        return false;
     unsent_ += makeLinkProof(options_.identity.secret, options_.role, hellos());
     flush();
     return state_ != State::Ended;
@@ -300,7 +307,7 @@
     sealer_.emplace(deriveSessionKey(options_.identity.secret, options_.role, hellos()));
     opener_.emplace(deriveSessionKey(options_.identity.secret, peerRole, hellos()));
     state_ = State::Up;
-    upSince_ = ev_now(options_.loop);
+    upSince_ = monotonicNow();
     deadline_.stop();
     options_.owner.linkProven(*this);
     return state_ != State::Ended;
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "base/timetypes.h"
+#include "base/monotonicclock.h"
 #include "model/message.h"
 #include "net/internal/iowatcher.h"
 #include "net/internal/linkhello.h"
@@ -57,6 +57,8 @@
     /// The peer proved who it is.
     virtual void linkProven(Link& link) = 0;
     virtual void linkReceived(Link& link, model::Message message) = 0;
+    /// The peer of a link that was dialled said who it claims to be. False: the link was ended, as no use any more.
+    [[nodiscard]] virtual bool isLinkStillOfUse(Link& link) = 0;
     /// Called once.
     virtual void linkEnded(Link& link, LinkEnd end, std::string_view detail) = 0;
 };
@@ -65,13 +67,18 @@
 class Link : public boost::intrusive::list_base_hook<> {
 public:
     static constexpr size_t ScratchBytes = 64 * 1024;
-    /// Each side of a link says something at least this often.
-    static constexpr Duration KeepAlivePeriod = 1500ms;
-    static constexpr uint32_t MostSilentPeriods = 4;
-    /// Four times in a row nothing came: what acknowledges the bytes in between may be neither the peer nor the kernel
-    /// of its host. A second more than the kernel's own limit for unacknowledged bytes, so that it goes first where
-    /// it can. A host that stands still for so long has lost its links either way.
-    static constexpr Duration LongestSilence = KeepAlivePeriod * MostSilentPeriods;
+    /// How often a link is looked after.
+    static constexpr Duration KeepAliveTick = 250ms;
+    /// Each side of a link says something at least this often: what it says between two ticks counts for the next one.
+    static constexpr Duration KeepAlivePeriod = 2 * KeepAliveTick;
+    /// A link on which nothing was heard for so long is dialled anew beside the one that stands: two words missed, and
+    /// a lost packet sent again. Connections may fall silent for good while new ones work, and hosts held to what is in
+    /// force 3 s after a fault must have found it by then. Measured with connections that pass nothing any more: a new
+    /// link stands after 1.0 to 1.6 s.
+    static constexpr Duration SuspectAfter = 1s;
+    /// Where no new link stands either: a second more than the kernel's own limit for unacknowledged bytes, so that it
+    /// goes first where it can. A host that stands still for so long has lost its links either way.
+    static constexpr Duration LongestSilence = 6s;
 
     enum class State { Connecting, AwaitingHello, AwaitingProof, Up, Retiring, Ended };
 
@@ -98,14 +105,18 @@
     [[nodiscard]] Incarnation peerIncarnation() const { return peer_.incarnation; }
     [[nodiscard]] const LinkNonce& ownNonce() const { return nonce_; }
     [[nodiscard]] const LinkNonce& peerNonce() const { return peer_.nonce; }
-    [[nodiscard]] double upSince() const { return upSince_; }
+    [[nodiscard]] Timestamp upSince() const { return upSince_; }
     /// When the last bytes of the peer came, or the connection was opened.
     [[nodiscard]] Timestamp heardAt() const { return heardAt_; }
+    /// Up, and nothing was heard for SuspectAfter.
+    [[nodiscard]] bool isSuspect() const { return state_ == State::Up && monotonicNow() - heardAt_ >= SuspectAfter; }
+    /// Reads what came while this host stood still: it was heard.
+    void catchUp();
 
     /// Queues a message; flush() sends. Ends the link where its queue is full. Returns the bytes of its frame.
     size_t send(const model::Message& message);
     [[nodiscard]] size_t queuedBytes() const { return unsent_.size() - sent_; }
-    /// To be called each KeepAlivePeriod: says something where nothing was said, ends the link where nothing was heard.
+    /// To be called each KeepAliveTick: says something where nothing was said, ends the link where nothing was heard.
     void keepAlive();
     /// Writes what is queued, as far as the socket takes it.
     void flush();
@@ -144,11 +155,9 @@
     size_t consumed_ = 0;
     std::string unsent_;
     size_t sent_ = 0;
-    double upSince_ = 0;
+    Timestamp upSince_;
     Timestamp heardAt_;
-    bool hasSent_ = false; ///< Since the last keepAlive().
-    bool hasHeard_ = false; ///< Likewise.
-    uint32_t silentPeriods_ = 0;
+    Timestamp saidAt_;
     bool isReceivingHeld_ = false;
     bool isWriteClosed_ = false;
     IoWatcher watcher_;
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -21,7 +21,7 @@
 
 constexpr size_t LargestUnprovenCount = 256;
 constexpr Duration LowerHostFirst = 200ms; ///< Head start of the lower host id's dialling.
-constexpr double SimultaneousSeconds = 3; ///< Longer than any handshake: two links that near were dialled at once.
+constexpr Duration Simultaneous = 3s; ///< Longer than any handshake: two links that near were dialled at once.
 constexpr int SmallestJitterPercent = 50;
 constexpr int Percent = 100;
 
@@ -57,7 +57,7 @@
     listening_ = std::move(listening.value());
     boundAddress_ = boundAddressOf(listening_.get());
     acceptWatcher_.watch(listening_.get(), EV_READ);
-    keepAliveTimer_.startRepeating(Link::KeepAlivePeriod);
+    keepAliveTimer_.startRepeating(Link::KeepAliveTick);
     return Done {};
 }
 
@@ -100,6 +100,35 @@
     return found != peers_.end() && found->second.isUp;
 }
 
+Link* LinkHub::suspectLinkTo(const HostId& host) const
+{
+    const auto found = peers_.find(host);
+    Link* const link = found == peers_.end() ? nullptr : found->second.current;
+    return link != nullptr && link->isSuspect() ? link : nullptr;
+}
+
+void LinkHub::dialBesideSuspects()
+{
+    for (const auto& wanted : wanted_) {
+        if (wanted->attempt == nullptr && !wanted->isDiallingSoon() && suspectLinkTo(wanted->host()) != nullptr)
+            dial(*wanted);
+    }
+}
+
+bool LinkHub::isLinkStillOfUse(Link& link)
+{
+    const WantedLink* const wanted = wantedOf(link);
+    if (wanted == nullptr || !wanted->isBesideSuspect)
+        return true;
+    if (Link* const suspect = suspectLinkTo(link.peerHost()))
+        suspect->catchUp();
+    if (!isUp(link.peerHost()) || suspectLinkTo(link.peerHost()) != nullptr)
+        return true;
+    // The peer stood still and goes on: nothing is lost on the link that stands.
+    link.end(LinkEnd::NotWanted, "heard-again");
+    return false;
+}
+
 bool LinkHub::isWanted(const HostId& host) const
 {
     return std::any_of(wanted_.begin(), wanted_.end(), [&](const auto& wanted) { return wanted->host() == host; });
@@ -143,7 +172,8 @@
 
 void LinkHub::dial(WantedLink& wanted)
 {
-    if (wanted.isSelf || wanted.attempt != nullptr || isUp(wanted.host()))
+    const bool isLinked = isUp(wanted.host()) && suspectLinkTo(wanted.host()) == nullptr;
+    if (wanted.isSelf || wanted.attempt != nullptr || isLinked)
         return;
     const auto address = SocketAddress::from(wanted.peer().address);
     if (!address)
@@ -151,6 +181,7 @@
     UniqueFd fd(::socket(address->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!fd.isOpen() || (::connect(fd.get(), address->get(), address->length()) != 0 && errno != EINPROGRESS))
         return dialAgain(wanted);
+    wanted.isBesideSuspect = isUp(wanted.host());
     wanted.attempt = &addLink(LinkRole::Initiator, std::move(fd), wanted.peer().address, wanted.nextConnectLimit());
 }
 
@@ -241,9 +272,11 @@
 
 void LinkHub::replaceCurrent(Link& link, Peer& peer)
 {
-    // A peer dials only while it has no link: where the one in use isn't as young as a dialling at the same time
-    // would make it, the peer lost it.
-    const bool isCurrentLost = link.upSince() - peer.current->upSince() > SimultaneousSeconds;
+    // A peer dials only while it has no link or hears nothing on it: where the one in use isn't as young as a dialling
+    // at the same time would make it, the peer lost it. Compared by a clock that doesn't step: with the time of day set
+    // back in between, the dead link would be kept and the new one refused.
+    const bool isOlder = link.upSince() - peer.current->upSince() > Simultaneous;
+    const bool isCurrentLost = isOlder || peer.current->isSuspect();
     const bool isBetter = isPreferred(link) && !isPreferred(*peer.current);
     if (!isCurrentLost && !isBetter)
         return link.retire();
@@ -359,6 +392,7 @@
         links.push_back(&link);
     for (Link* link : links)
         link->keepAlive();
+    dialBesideSuspects();
 }
 
 void LinkHub::flush()
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -47,6 +47,7 @@
 
     void linkProven(Link& link) override;
     void linkReceived(Link& link, model::Message message) override;
+    [[nodiscard]] bool isLinkStillOfUse(Link& link) override;
     void linkEnded(Link& link, LinkEnd end, std::string_view detail) override;
 
     void accept();
@@ -54,6 +55,9 @@
     void dialAgain(WantedLink& wanted);
     [[nodiscard]] Link& addLink(LinkRole role, UniqueFd fd, const model::Address& remote, Duration connectLimit = {});
     [[nodiscard]] bool isUp(const HostId& host) const;
+    /// The link in use, where nothing is heard on it; null for any other.
+    [[nodiscard]] Link* suspectLinkTo(const HostId& host) const;
+    void dialBesideSuspects();
     [[nodiscard]] bool isWanted(const HostId& host) const;
     /// Of a link from this host to itself; null for any other.
     [[nodiscard]] Link* otherEndOf(const Link& link);
--- a/src/net/internal/wantedlink.h
+++ b/src/net/internal/wantedlink.h
@@ -30,6 +30,7 @@
     [[nodiscard]] const HostId& host() const { return peer_.host.isEmpty() ? learnedHost : peer_.host; }
 
     void dialAfter(Duration delay) { retry_.startOnce(delay); }
+    [[nodiscard]] bool isDiallingSoon() const { return retry_.isActive(); }
     void stopDialling() { retry_.stop(); }
     /// The wait before the next try; doubles with each.
     [[nodiscard]] Duration nextWait()
@@ -58,6 +59,7 @@
     HostId learnedHost; ///< Of a seed.
     bool isSelf = false; ///< A seed that is this host.
     Link* attempt = nullptr; ///< Not proven yet.
+    bool isBesideSuspect = false; ///< The attempt was begun since nothing was heard on the link that stood.
 
 private:
     static constexpr Duration ShortestWait = 50ms;
--- a/src/net/tests/linkhubtests.cpp
+++ b/src/net/tests/linkhubtests.cpp
@@ -266,6 +266,31 @@
     EXPECT_EQ(b.downs(), 1U);
 }
 
+/// A host that stood still for a moment goes on with the links that it had: new ones would cost every word anew.
+TEST_F(LinkHubTest, ALinkWhosePeerStoodStillStandsOnceItIsHeardAgain)
+{
+    Host a(runner, "a");
+    Host b(runner, "b");
+    SilencingRelay relay(b.hub->boundAddress());
+    const auto run = [&](Duration duration) {
+        const auto end = std::chrono::steady_clock::now() + duration;
+        (void)runner.runUntil([&] {
+            relay.pump();
+            return std::chrono::steady_clock::now() > end;
+        });
+    };
+    a.want({{.host = HostId("b"), .address = relay.address()}});
+    run(500ms);
+    ASSERT_EQ(a.ups(), 1U);
+    relay.hold(true);
+    a.sendClaim(b, 1);
+    run(Link::SuspectAfter + 3 * Link::KeepAliveTick);
+    relay.hold(false);
+    run(1s);
+    EXPECT_EQ(a.downs() + b.downs(), 0U);
+    EXPECT_EQ(b.claims(), std::vector<uint64_t> {1});
+}
+
 // Hosts that have nothing to tell each other keep their link: longer than silence is borne.
 TEST_F(LinkHubTest, ALinkAtRestStands)
 {
--- a/src/net/tests/silencingrelay.h
+++ b/src/net/tests/silencingrelay.h
@@ -27,14 +27,18 @@
         for (Connection& connection : connections_)
             connection.isSilent = true;
     }
+    /// Holds everything up, as a host that stands still does: new connections are taken too, and nothing is lost.
+    void hold(bool isHeld) { isHeld_ = isHeld; }
     /// Passes on what came since the last call.
     void pump()
     {
         RawSocket accepted;
         if (listener_.accept(accepted))
             connections_.push_back({.near = std::move(accepted), .far = RawSocket::connectedTo(to_)});
-        for (Connection& connection : connections_)
-            pump(connection);
+        for (Connection& connection : connections_) {
+            if (!isHeld_)
+                pump(connection);
+        }
     }
 
 private:
@@ -62,6 +66,7 @@
     model::Address to_;
     RawListener listener_;
     std::list<Connection> connections_;
+    bool isHeld_ = false;
 };
 
 } // namespace saltvane::net::tests
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -20,6 +20,8 @@
 /// Of RegistryCluster's virtual time.
 constexpr Duration Step = 10ms;
 constexpr double PacketBytes = 1448;
+/// Of a new link between the furthest regions: three round trips, and what a try at it waits for.
+constexpr Duration Handshake = 350ms;
 constexpr int StatusOk = 200;
 
 const std::map<ZoneName, RegionName> Zones {{ZoneName("north-a"), RegionName("north")},
@@ -140,7 +142,7 @@
 void Fleet::silenceGateways()
 {
     for (Gateway& gateway : gateways_) {
-        gateway.silentUntil = registries_.now() + net::Link::LongestSilence;
+        gateway.silentUntil = registries_.now() + net::Link::SuspectAfter + net::Link::KeepAliveTick + Handshake;
         gateway.senders.clear();
         gateway.network.clear();
         gateway.outbound.clear();
