Drawn faults in the fleet, each use of a plan held to the newest acknowledged one; all power lost with up to two disks

Added: cuts of one to three of six registry hosts, kills, the end of all power right after a plan was acknowledged with up to two disks gone, silent links, restarted gateways, with plans changing all the while.

--- a/testing/fleet/planledger.h
+++ b/testing/fleet/planledger.h
@@ -29,9 +29,10 @@
 /// Holds every use of a plan to the newest one that was acknowledged.
 class PlanLedger {
 public:
+    /// For the first time: from then on it may be in force.
     void noteSent(uint64_t version, Timestamp at, RouteServices routes)
     {
-        plans_[version] = {.sentAt = at, .routes = std::move(routes)};
+        plans_.try_emplace(version, Plan {.sentAt = at, .routes = std::move(routes)});
     }
     void noteAcknowledged(uint64_t version, Timestamp at) { acknowledged_[at] = version; }
     /// Something ended between hosts that are all still there, or came back: they have InTouchAfter to find each other.
