--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -5,6 +5,8 @@
  */
 #include "registry/internal/registrycore.h"
 
+#include <algorithm>
+
 /// What RegistryCore tells the gateways: the plan, orders, targets and loads.
 namespace saltvane::registry {
 
@@ -43,10 +45,10 @@
 
 std::vector<model::TargetIncarnation> RegistryCore::noteRetired()
 {
-    std::vector<model::TargetIncarnation> retired;
     const auto& inOrder = replica_->routing().retiredTargets.inOrder();
-    for (auto start = inOrder.rbegin(); start != inOrder.rend() && *start != lastRetired_; ++start)
-        retired.push_back(*start);
+    const auto known = std::find(inOrder.rbegin(), inOrder.rend(), lastRetired_);
+    // Oldest first: of those that are too many to keep, the oldest is to be forgotten.
+    std::vector<model::TargetIncarnation> retired(known.base(), inOrder.end());
     if (!inOrder.empty())
         lastRetired_ = inOrder.back();
     for (model::TargetIncarnation& start : retired) {
