--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -20,10 +20,7 @@
 namespace {
 
 constexpr size_t LargestUnprovenCount = 256;
-constexpr Duration LowerHostFirst = 200ms; ///< Head start of the lower host id's dialling.
 constexpr Duration Simultaneous = 3s; ///< Longer than any handshake: two links that near were dialled at once.
-constexpr int SmallestJitterPercent = 50;
-constexpr int Percent = 100;
 
 } // namespace
 
@@ -100,99 +97,6 @@
     return found != peers_.end() && found->second.isUp;
 }
 
-Link* LinkHub::suspectLinkTo(const HostId& host) const
-{
-    const auto found = peers_.find(host);
-    Link* const link = found == peers_.end() ? nullptr : found->second.current;
-    return link != nullptr && link->isSuspect() ? link : nullptr;
-}
-
-void LinkHub::dialBesideSuspects()
-{
-    for (const auto& wanted : wanted_) {
-        if (wanted->attempt == nullptr && !wanted->isDiallingSoon() && suspectLinkTo(wanted->host()) != nullptr)
-            dial(*wanted);
-    }
-}
-
-bool LinkHub::isLinkStillOfUse(Link& link)
-{
-    const WantedLink* const wanted = wantedOf(link);
-    if (wanted == nullptr || !wanted->isBesideSuspect)
-        return true;
-    if (Link* const suspect = suspectLinkTo(link.peerHost()))
-        suspect->catchUp();
-    if (!isUp(link.peerHost()) || suspectLinkTo(link.peerHost()) != nullptr)
-        return true;
-    // The peer stood still and goes on: nothing is lost on the link that stands.
-    link.end(LinkEnd::NotWanted, "heard-again");
-    return false;
-}
-
-bool LinkHub::isWanted(const HostId& host) const
-{
-    return std::any_of(wanted_.begin(), wanted_.end(), [&](const auto& wanted) { return wanted->host() == host; });
-}
-
-WantedLink* LinkHub::wantedOf(const Link& link) const
-{
-    const auto found
-        = std::find_if(wanted_.begin(), wanted_.end(), [&](const auto& wanted) { return wanted->attempt == &link; });
-    return found == wanted_.end() ? nullptr : found->get();
-}
-
-void LinkHub::carryOut(const host::LinksWanted& action)
-{
-    std::vector<std::unique_ptr<WantedLink>> before = std::exchange(wanted_, {});
-    for (const host::LinksWanted::Peer& peer : action.peers) {
-        const auto known
-            = std::find_if(before.begin(), before.end(), [&](const auto& old) { return old && old->peer() == peer; });
-        if (known != before.end()) {
-            wanted_.push_back(std::move(*known));
-            continue;
-        }
-        if (peer.host == options_.self)
-            continue;
-        wanted_.push_back(
-            std::make_unique<WantedLink>(options_.loop, peer, [this](WantedLink& wanted) { dial(wanted); }));
-        const bool goesFirst = peer.host.isEmpty() || options_.self < peer.host;
-        wanted_.back()->dialAfter(goesFirst ? Duration::zero() : LowerHostFirst);
-    }
-    std::vector<Link*> unwanted;
-    for (Link& link : links_) {
-        const bool isDialled = link.role() == LinkRole::Initiator;
-        const bool isAttempt = link.state() < Link::State::Up;
-        const bool isKept = isAttempt ? wantedOf(link) != nullptr : isWanted(link.peerHost());
-        if (isDialled && !isKept)
-            unwanted.push_back(&link);
-    }
-    for (Link* link : unwanted)
-        link->end(LinkEnd::NotWanted);
-}
-
-void LinkHub::dial(WantedLink& wanted)
-{
-    const bool isLinked = isUp(wanted.host()) && suspectLinkTo(wanted.host()) == nullptr;
-    if (wanted.isSelf || wanted.attempt != nullptr || isLinked)
-        return;
-    const auto address = SocketAddress::from(wanted.peer().address);
-    if (!address)
-        return;
-    UniqueFd fd(::socket(address->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    if (!fd.isOpen() || (::connect(fd.get(), address->get(), address->length()) != 0 && errno != EINPROGRESS))
-        return dialAgain(wanted);
-    wanted.isBesideSuspect = isUp(wanted.host());
-    wanted.attempt = &addLink(LinkRole::Initiator, std::move(fd), wanted.peer().address, wanted.nextConnectLimit());
-}
-
-void LinkHub::dialAgain(WantedLink& wanted)
-{
-    if (wanted.isSelf)
-        return;
-    std::uniform_int_distribution<int> percent(SmallestJitterPercent, Percent);
-    wanted.dialAfter(wanted.nextWait() * percent(jitter_) / Percent);
-}
-
 Link* LinkHub::otherEndOf(const Link& link)
 {
     const auto found = std::find_if(
