Look through all targets for the soft state only where something about one of them changed

Ruled out: writing differences; the file is replaced whole, and written once a second at the most. Figures: none taken of processor time; the test shows that reports without news, and being told, count as no change, and all that is kept does.

--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -128,6 +128,7 @@
     host::RoutedLinks links_;
     std::vector<model::TargetRecord> recalled_; ///< Soft state of the start before, until it is taken up.
     bool isRecallReleased_ = false;
+    std::pair<uint64_t, LogPosition> softStateSeen_; ///< Changes of targets and orders as of the last look at them.
     uint64_t softStateWritten_ = 0; ///< Hash of what the disk holds; 0: nothing of this start.
     Timestamp nextSoftStateAt_ {};
     std::vector<host::Action> actions_;
--- a/src/registry/internal/softstate.cpp
+++ b/src/registry/internal/softstate.cpp
@@ -62,6 +62,10 @@
     nextSoftStateAt_ = now + SoftStatePeriod;
     if (isFirstTick) // Its disk has other work while the host starts.
         return;
+    // All targets are gone through only where something about one of them, or a zone, changed.
+    const std::pair seen(targets_.changes(), ordersSeen_);
+    if (std::exchange(softStateSeen_, seen) == seen)
+        return;
     model::TargetReport report;
     report.targets = targets_.recallable(evacuated_);
     const uint64_t meaning = meaningOf(report.targets);
--- a/src/registry/internal/targetbook.cpp
+++ b/src/registry/internal/targetbook.cpp
@@ -67,7 +67,10 @@
     const bool isMoved = record.address != entry.record.address;
     const bool isChanged = entry.record.isRecalled || record.isLeaving != entry.record.isLeaving
         || record.slots != entry.record.slots || isMoved;
-    const bool isNews = isSlow || isChanged || isBack || isWordWanted(entry);
+    const bool isAwaited = isWordWanted(entry);
+    const bool isNews = isSlow || isChanged || isBack || isAwaited;
+    if (isSlow || isChanged || isAwaited)
+        ++changes_;
     if (isMoved) {
         displaceOthersAt(record, now);
         byAddress_.erase(entry.record.address);
@@ -82,6 +85,7 @@
 
 TargetBook::Entry& TargetBook::add(model::TargetRecord record, Timestamp now)
 {
+    ++changes_;
     Entry& entry = entries_[record.target];
     byAddress_.insert_or_assign(record.address, &entry);
     entry.record = std::move(record);
@@ -91,6 +95,7 @@
 
 void TargetBook::erase(Entry& entry)
 {
+    ++changes_;
     if (atAddress(entry.record.address) == &entry)
         byAddress_.erase(entry.record.address);
     entries_.erase(entries_.find(entry.record.target));
@@ -197,7 +202,11 @@
     return records;
 }
 
-void TargetBook::wantWordOf(const ZoneName& zone, Timestamp now) { wordWantedAt_.insert_or_assign(zone, now); }
+void TargetBook::wantWordOf(const ZoneName& zone, Timestamp now)
+{
+    ++changes_;
+    wordWantedAt_.insert_or_assign(zone, now);
+}
 
 bool TargetBook::isWordWanted(const Entry& entry) const
 {
--- a/src/registry/internal/targetbook.h
+++ b/src/registry/internal/targetbook.h
@@ -46,6 +46,8 @@
     /// What is worth recalling after a restart: no target that leaves, none whose zone is closed or of which word is
     /// wanted, since it may have turned slow.
     [[nodiscard]] std::vector<model::TargetRecord> recallable(const std::set<ZoneName>& closedZones) const;
+    /// Grows whenever `recallable` may have changed: nothing has to be worked out for targets that only report.
+    [[nodiscard]] uint64_t changes() const { return changes_; }
     /// The zone's targets are told again when they report next.
     void wantWordOf(const ZoneName& zone, Timestamp now);
     [[nodiscard]] size_t size() const { return entries_.size(); }
@@ -96,6 +98,7 @@
     std::map<ZoneName, Timestamp> wordWantedAt_;
     membership::DisplacedTargets displaced_;
     bool isRecallReleased_ = false;
+    uint64_t changes_ = 0;
     // After the entries, so that they go first.
     EntryList<&Entry::newsHook> news_; ///< To be told.
     EntryList<&Entry::heardHook> byHeard_; ///< The longest silent one first.
--- /dev/null
+++ b/src/registry/tests/targetbooktests.cpp
@@ -0,0 +1,68 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "registry/internal/targetbook.h"
+
+#include <gtest/gtest.h>
+
+namespace saltvane::registry::test {
+
+namespace {
+
+const ZoneName Zone("north-a");
+
+class TargetBookChangesTest : public testing::Test {
+protected:
+    model::TargetRecord recordOf(const std::string& id, uint16_t port)
+    {
+        return {.target = TargetId(id),
+            .service = ServiceName("quotes"),
+            .address = {.ip = "10.9.0.1", .port = port},
+            .zone = Zone,
+            .slots = 3,
+            .sequence = ++sequence_};
+    }
+    /// Whether something that is kept over a restart changed with this.
+    template <typename Change> bool changes(const Change& change)
+    {
+        const uint64_t before = book_.changes();
+        now_ += 1s;
+        change();
+        return book_.changes() != before;
+    }
+
+    Timestamp now_ {100s};
+    uint64_t sequence_ = 0;
+    TargetBook book_ {{{Zone, RegionName("north")}}};
+};
+
+} // namespace
+
+TEST_F(TargetBookChangesTest, ReportsThatSayNothingNewChangeNothingThatIsKept)
+{
+    EXPECT_TRUE(changes([this] { (void)book_.note(recordOf("t-1", 1), now_); }));
+    EXPECT_FALSE(changes([this] { (void)book_.note(recordOf("t-1", 1), now_); }));
+    EXPECT_FALSE(changes([this] { (void)book_.takeNews({}, now_); }));
+}
+
+TEST_F(TargetBookChangesTest, WhateverIsKeptOfTargetsIsAChange)
+{
+    (void)book_.note(recordOf("t-1", 1), now_);
+    EXPECT_TRUE(changes([this] { (void)book_.note(recordOf("t-2", 2), now_); }));
+    EXPECT_TRUE(changes([this] { (void)book_.note(recordOf("t-2", 3), now_); })) << "another address";
+    EXPECT_TRUE(changes([this] { book_.wantWordOf(Zone, now_); }));
+    EXPECT_TRUE(changes([this] { (void)book_.note(recordOf("t-1", 1), now_); })) << "word that was awaited";
+    model::TargetRecord slow = recordOf("t-1", 1);
+    slow.slowStartLeft = 3s;
+    EXPECT_TRUE(changes([&] { (void)book_.note(slow, now_); }));
+    model::TargetRecord leaving = recordOf("t-1", 1);
+    leaving.isLeaving = true;
+    EXPECT_TRUE(changes([&] { (void)book_.note(leaving, now_); }));
+    EXPECT_TRUE(changes([this] { book_.remove({.target = TargetId("t-1")}); }));
+    now_ += model::TargetSilenceLimit;
+    EXPECT_TRUE(changes([this] { (void)book_.takeNews({}, now_); })) << "one that fell silent";
+}
+
+} // namespace saltvane::registry::test
