Refuse plans with a time or a whole number that doesn't fit

Cause: found by ten minutes of fuzzing the reader of plans: slow_start_s beyond some 290 years overflowed (undefined). Looked for the same beside it: rank, attempts and connections over 32 bits were cut silently; 2^32 + 1 attempts were taken as one.

--- a/src/settings/internal/routeplanparser.cpp
+++ b/src/settings/internal/routeplanparser.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace saltvane::settings {
@@ -72,6 +73,23 @@
         return fallback.value_or(0);
     }
 
+    /// Of 32 bits.
+    uint32_t count(const char* key, std::optional<uint32_t> fallback = std::nullopt)
+    {
+        const uint64_t value = whole(key, fallback);
+        if (value > std::numeric_limits<uint32_t>::max())
+            fail(key, "is too large");
+        return static_cast<uint32_t>(value);
+    }
+
+    Duration seconds(const char* key)
+    {
+        const double value = number(key, 0);
+        if (value > LargestMilliseconds / 1000)
+            fail(key, "is too large");
+        return fromSeconds(std::min(value, LargestMilliseconds / 1000));
+    }
+
     Duration milliseconds(const char* key, std::optional<Duration> fallback = std::nullopt)
     {
         if (find(key) == nullptr && fallback)
@@ -160,8 +178,8 @@
         .kind = readKind(reader),
         .timeout = reader.milliseconds("timeout_ms"),
         .objective = reader.milliseconds("objective_ms", Duration::zero()),
-        .rank = static_cast<uint32_t>(reader.whole("rank", 0)),
-        .attempts = static_cast<uint32_t>(reader.whole("attempts")),
+        .rank = reader.count("rank", 0),
+        .attempts = reader.count("attempts"),
         .hasAffinity = reader.flag("affinity"),
         .services = readServices(reader),
     };
@@ -179,8 +197,8 @@
     return {
         .name = ServiceName(reader.text("name")),
         .probePath = reader.text("probe_path"),
-        .connections = static_cast<uint32_t>(reader.whole("connections", 0)),
-        .slowStart = fromSeconds(reader.number("slow_start_s", 0)),
+        .connections = reader.count("connections", 0),
+        .slowStart = reader.seconds("slow_start_s"),
         .slowStartPerSecond = reader.number("slow_start_per_s", 0),
     };
 }
--- a/src/settings/tests/routeplantests.cpp
+++ b/src/settings/tests/routeplantests.cpp
@@ -118,4 +118,20 @@
         EXPECT_FALSE(parseRoutePlan(text, "plan")) << text;
 }
 
+// Found by the fuzzer: a time of over three hundred years overflowed, with a value that depends on the machine. Beside
+// it, whole numbers over 32 bits were cut: a route with 2^32 + 1 attempts had one.
+TEST(RoutePlanTest, ANumberThatDoesNotFitIsAFinding)
+{
+    const auto planWith = [](const std::string& route, const std::string& service) {
+        return R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"repeatable","timeout_ms":1000,)"
+               R"("service":"s",)"
+            + route + R"(}],"services":[{"name":"s","probe_path":"/health")" + service + "}]}";
+    };
+    EXPECT_TRUE(parseRoutePlan(planWith(R"("attempts":2,"rank":3)", R"(,"slow_start_s":3,"connections":9)"), "plan"));
+    for (const char* route : {R"("attempts":4294967297)", R"("attempts":2,"rank":4294967296)"})
+        EXPECT_FALSE(parseRoutePlan(planWith(route, ""), "plan")) << route;
+    for (const char* service : {R"(,"slow_start_s":8888888888888888888888)", R"(,"connections":4294967297)"})
+        EXPECT_FALSE(parseRoutePlan(planWith(R"("attempts":2)", service), "plan")) << service;
+}
+
 } // namespace saltvane::settings
