--- a/testing/soak/forwarder.py
+++ b/testing/soak/forwarder.py
@@ -64,9 +64,10 @@
             connection.reset()
 
     def silence(self, chooser: random.Random, share: float = 1):
-        """Of the connections that stand now this share passes nothing any more, ever; new ones work."""
+        """Of the connections that stand now this share passes nothing any more, ever; new ones work. Draws nothing where
+        it is all of them: kept seeds go on as they did."""
         for connection in self.connections:
-            connection.is_silent = connection.is_silent or chooser.random() < share
+            connection.is_silent = connection.is_silent or share >= 1 or chooser.random() < share
 
     async def _serve(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter):
         try:
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -49,8 +49,9 @@
         self.operator = Operator(registries, random.Random(seed + 1))
         zones = [host.zone for host in self.deployment.gateways[:len(REGIONS)] for _ in range(TARGETS_PER_ZONE)]
         network = self.deployment.network
-        self.targets = [Target(f"{network}.{101 + i}:{18080}", f"{network}.{141 + i}:{18080}", SERVICES[i % len(SERVICES)], zone, registries, self.runs,
-                               random.Random(f"{seed}-target-{i}")) for i, zone in enumerate(zones)]
+        self.targets = [Target(f"{network}.{101 + i}:{18080}", f"{network}.{141 + i}:{18080}", SERVICES[i % len(SERVICES)],
+                               zone, registries, self.runs, random.Random(f"{seed}-target-{i}"))
+                        for i, zone in enumerate(zones)]
         self.world = faults.World(self.deployment, self.targets, self.operator, self.chooser, self.findings)
         self.troubles = Troubles(self.deployment, self.world)
         self.tasks: list[asyncio.Task] = []
