--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -154,7 +154,7 @@
     disk.entries.insert(disk.entries.end(), write.append.begin(), write.append.end());
 }
 
-void RegistryCluster::post(size_t from, const model::Outgoing& outgoing)
+void RegistryCluster::carry(size_t from, const model::Outgoing& outgoing)
 {
     const std::optional<size_t> to = numberOf(outgoing.to);
     if (!to) {
@@ -194,7 +194,7 @@
                     host.wanted.insert(peer.host);
             } else if (auto* request = std::get_if<requests::Action>(&action)) {
                 if (const auto* outgoing = std::get_if<model::Outgoing>(request))
-                    post(number, *outgoing);
+                    carry(number, *outgoing);
                 else if (auto* response = std::get_if<requests::HttpRespond>(request))
                     responses_.insert_or_assign(response->handle, std::move(*response));
             }
@@ -252,8 +252,8 @@
     return true;
 }
 
-std::optional<RegistryCluster::Answer> RegistryCluster::call(size_t number, const std::string& method,
-    const std::string& path, const std::string& body, const std::string& planBase, Duration limit)
+requests::HttpHandle RegistryCluster::startCall(size_t number, const std::string& method, const std::string& path,
+    const std::string& body, const std::string& planBase)
 {
     const requests::HttpHandle handle {++lastHandle_};
     host::IHostCore& core = *hosts_.at(number).core;
@@ -267,6 +267,19 @@
         core.handle(
             requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = body, .isLast = true}), now_);
     pump(number);
+    return handle;
+}
+
+void RegistryCluster::post(size_t number, const std::string& path, const std::string& body)
+{
+    unread_.push_back(startCall(number, "POST", path, body, {}));
+    std::erase_if(unread_, [this](requests::HttpHandle handle) { return responses_.erase(handle) > 0; });
+}
+
+std::optional<RegistryCluster::Answer> RegistryCluster::call(size_t number, const std::string& method,
+    const std::string& path, const std::string& body, const std::string& planBase, Duration limit)
+{
+    const requests::HttpHandle handle = startCall(number, method, path, body, planBase);
     if (!runUntil([&] { return responses_.contains(handle); }, limit))
         return std::nullopt;
     const requests::HttpRespond response = responses_.extract(handle).mapped();
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -50,6 +50,8 @@
     };
     std::optional<Answer> call(size_t number, const std::string& method, const std::string& path,
         const std::string& body = {}, const std::string& planBase = {}, Duration limit = 2s);
+    /// The same without waiting for an answer.
+    void post(size_t number, const std::string& path, const std::string& body);
     /// At the leader.
     std::optional<Answer> order(const std::string& method, const std::string& path, const std::string& body = {},
         const std::string& planBase = {});
@@ -66,6 +68,7 @@
     [[nodiscard]] std::vector<model::Message> takeSentTo(const std::string& host);
 
     [[nodiscard]] std::optional<size_t> leader() const;
+    [[nodiscard]] bool isRunning(size_t number) const { return hosts_.at(number).core != nullptr; }
     [[nodiscard]] host::HostStatus status(size_t number) const { return hosts_.at(number).core->status(now_); }
     [[nodiscard]] static HostId idOf(size_t number);
     [[nodiscard]] std::optional<size_t> numberOf(const HostId& host) const;
@@ -88,9 +91,11 @@
         model::Message message;
     };
 
+    requests::HttpHandle startCall(size_t number, const std::string& method, const std::string& path,
+        const std::string& body, const std::string& planBase);
     void pump(size_t number);
     void write(Host& host, const control::StorageWrite& write);
-    void post(size_t from, const model::Outgoing& outgoing);
+    void carry(size_t from, const model::Outgoing& outgoing);
     void deliver();
     void connect();
 
@@ -103,6 +108,7 @@
     std::set<size_t> isolated_;
     std::map<HostId, std::vector<model::Message>> sentToGateways_;
     std::map<requests::HttpHandle, requests::HttpRespond> responses_;
+    std::vector<requests::HttpHandle> unread_; ///< Calls whose answers nobody waits for.
     uint64_t lastHandle_ = 0;
     uint64_t lastIncarnation_ = 0;
     uint64_t lastReplica_ = 0;
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -132,6 +132,8 @@
 
 void Fleet::connect(Gateway& gateway, size_t registry)
 {
+    if (!registries_.isRunning(registry))
+        return;
     registries_.linkUpTo(registry, gateway.id, gateway.incarnation);
     gateway.core->handle(host::LinkUp {.host = registry::test::RegistryCluster::idOf(registry),
                              .incarnation = registries_.status(registry).incarnation},
@@ -141,19 +143,32 @@
 
 void Fleet::silenceGateways()
 {
-    for (Gateway& gateway : gateways_) {
-        gateway.silentUntil = registries_.now() + net::Link::SuspectAfter + net::Link::KeepAliveTick + Handshake;
-        gateway.senders.clear();
-        gateway.network.clear();
-        gateway.outbound.clear();
-    }
+    for (size_t gateway = 0; gateway < gateways_.size(); ++gateway)
+        cutOffGateway(gateway, net::Link::SuspectAfter + net::Link::KeepAliveTick + Handshake);
+}
+
+void Fleet::cutOffGateway(size_t number, Duration duration)
+{
+    Gateway& gateway = gateways_.at(number);
+    gateway.silentUntil = registries_.now() + duration;
+    gateway.senders.clear();
+    gateway.network.clear();
+    gateway.outbound.clear();
+}
+
+void Fleet::handle(size_t number, host::Event event)
+{
+    Gateway& gateway = gateways_.at(number);
+    gateway.core->handle(std::move(event), registries_.now());
+    gather(gateway);
 }
 
 void Fleet::replaceLinks(Gateway& gateway)
 {
     gateway.silentUntil.reset();
     for (size_t registry = 0; registry < options_.registries; ++registry) {
-        registries_.linkDownTo(registry, gateway.id);
+        if (registries_.isRunning(registry))
+            registries_.linkDownTo(registry, gateway.id);
         gateway.core->handle(
             host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)}, registries_.now());
         connect(gateway, registry);
@@ -210,6 +225,8 @@
         gather(gateway);
         carryOutbound(gateway);
     }
+    if (onStep)
+        onStep();
 }
 
 void Fleet::noteLeader()
@@ -287,6 +304,10 @@
         auto* const request = std::get_if<requests::Action>(&action);
         if (request == nullptr)
             continue;
+        if (onAction && !std::holds_alternative<model::Outgoing>(*request)) {
+            onAction(numberOf(gateway), *request);
+            continue;
+        }
         if (auto* start = std::get_if<requests::TargetStart>(request))
             gateway.lastStart = std::move(*start);
         if (const auto* response = std::get_if<requests::HttpRespond>(request))
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +36,10 @@
 public:
     explicit Fleet(const FleetOptions& options = {});
 
+    /// Takes what a gateway does to callers and targets, in place of `ask`. Empty: nobody looks.
+    std::function<void(size_t gateway, requests::Action& action)> onAction;
+    std::function<void()> onStep; ///< After each step of virtual time.
+
     [[nodiscard]] registry::test::RegistryCluster& registries() { return registries_; }
     [[nodiscard]] size_t gateways() const { return gateways_.size(); }
     void run(Duration duration) { registries_.run(duration); }
@@ -44,11 +49,15 @@
     void startRegistry(size_t registry);
     /// Its process ends, and another one begins with nothing.
     void restartGateway(size_t gateway);
+    /// Of a caller or a target.
+    void handle(size_t gateway, host::Event event);
     [[nodiscard]] uint64_t planAt(size_t gateway) const;
 
     /// All links between gateways and registry hosts pass nothing any more, while new ones would work. They are
     /// replaced after as long as the product takes.
     void silenceGateways();
+    /// The same of one gateway, for so long.
+    void cutOffGateway(size_t gateway, Duration duration);
 
     /// Puts a plan by way of the leader, again until it is acknowledged. False: not within 10 s.
     [[nodiscard]] bool putPlan(uint64_t base, const std::string& plan);
@@ -114,6 +123,10 @@
     void deliver(Gateway& gateway, const Packet& packet);
     void carryOutbound(Gateway& gateway);
     void gather(Gateway& gateway);
+    [[nodiscard]] size_t numberOf(const Gateway& gateway) const
+    {
+        return static_cast<size_t>(&gateway - gateways_.data());
+    }
     [[nodiscard]] Gateway* find(const HostId& id);
 
     FleetOptions options_;
