--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -8,6 +8,7 @@
 
 from messages import Message, call, encode, read_message, split
 from plans import SELDOM_PATHS, STEADY_PATHS
+from targets import FATAL_MARK
 
 DEADLINE_S = 3.0
 PAUSE_S = (0.01, 0.06)
@@ -95,3 +96,28 @@
         if answer is not None:
             outcome.status, outcome.headers, outcome.body = answer.status, answer.headers, answer.body
         return answer
+
+
+class FatalCaller:
+    """Sends one request that ends the targets that run it, again and again, at any gateway, and once more where it failed."""
+    PAUSE_S = (0.2, 0.9)
+
+    def __init__(self, number: int, gateways: list[str], chooser: random.Random):
+        self.path = f"/read/{number % 8}/{FATAL_MARK}-{number}"
+        self.gateways = gateways
+        self.chooser = chooser
+        self.sent: dict[str, tuple[str, float]] = {}  # Gateway and time, by request id.
+
+    async def run(self):
+        for number in itertools.count(1):
+            await asyncio.sleep(self.chooser.uniform(*self.PAUSE_S))
+            for attempt in (1, 2):
+                answer = await self._send(f"{self.path}-{number}-{attempt}")
+                if answer is not None and answer.status == 503:
+                    break
+
+    async def _send(self, request: str) -> Message | None:
+        gateway = self.chooser.choice(self.gateways)
+        self.sent[request] = (gateway, time.monotonic())
+        headers = {"Host": "prices.example", "Saltvane-Request-Id": request, "Saltvane-Deadline-Ms": "3000"}
+        return await call(gateway, "GET", self.path, headers=headers, limit_s=DEADLINE_S + 1)
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -209,6 +209,7 @@
 # Seeds below draw as they did when they were kept.
 FIRST_SEED_OF_ALL_FAULTS = 1_000_000
 FIRST_SEED_OF_SILENT_LINKS = 10_000_000
+FIRST_SEED_OF_FATAL_REQUESTS = 100_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 FAULTS_FROM_SEED = {FIRST_SEED_OF_SILENT_LINKS: [*ALL_FAULTS, (silence_many, 2)], FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
 BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_SILENT_LINKS]}
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -12,6 +12,10 @@
 LATEST_OLD_RUN_S = 5
 NOT_RUN = (408, 421, 429, 503)
 LEAST_SERVED = 50
+# Of a request that ends the targets that run it: from so long after its third end on, so many more may be sent by
+# gateways that were free of faults for as long. Two seconds of it are a margin for a busy machine.
+CONTACT_S = 5
+MOST_AFTER_THIRD = 3
 
 
 def findings_of_outcomes(outcomes: list[Outcome], runs: collections.Counter) -> list[str]:
@@ -28,6 +32,8 @@
         findings.append(f"{name} ran {count} times")
     if outcome.is_once and outcome.status in NOT_RUN and count > 0:
         findings.append(f"{name} was told as not run ({outcome.status}), and ran")
+    if outcome.headers.get("saltvane-reason") == "request-quarantined":
+        findings.append(f"{name} was refused for what it is, and does no harm")
     if outcome.status == 503 and "retry-after" not in outcome.headers:
         findings.append(f"{name}: 503 without the time to come back")
     if outcome.status == 200:
@@ -76,3 +82,23 @@
     late = [f"{ran_at} in {ran_in} ran a request {at - since:.1f} s after it had to stop"
             for at, ran_at, ran_in in runs_at if at > since and (ran_in == zone or ran_at == target)]
     return late[:1]
+
+
+def findings_of_fatal(runs: list[tuple[float, str, str]], sent: dict[str, tuple[str, float]],
+                      spans: dict[str, list[Span]]) -> list[str]:
+    """`runs`: time, path and request id of requests that ended their targets. `sent`: gateway and time, by request id.
+    `spans`: when a gateway was in trouble."""
+    findings = []
+    for path in sorted({path for _, path, _ in runs}):
+        ends = sorted((at, request) for at, one, request in runs if one == path)
+        if len(ends) <= MOST_AFTER_THIRD:
+            continue
+        since = ends[2][0] + CONTACT_S
+        late = [request for at, request in ends if at > since and _in_touch(*sent[request], spans)]
+        if len(late) > MOST_AFTER_THIRD:
+            findings.append(f"{path} was run {len(late)} times later than {CONTACT_S} s after its third end, {len(ends)} in all")
+    return findings
+
+
+def _in_touch(gateway: str, at: float, spans: dict[str, list[Span]]) -> bool:
+    return not any(start <= at < end + CONTACT_S for start, end in spans.get(gateway, []))
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -5,8 +5,8 @@
 
 from callers import Outcome
 from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
-from promises import LATEST_OLD_RUN_S, LEAST_SERVED, findings_of_orders, findings_of_outcomes, findings_of_plans, \
-    findings_of_reads
+from promises import LATEST_OLD_RUN_S, LEAST_SERVED, findings_of_fatal, findings_of_orders, findings_of_outcomes, \
+    findings_of_plans, findings_of_reads
 from targets import answer_body
 
 
@@ -106,5 +106,35 @@
         self.assertEqual(len(findings_of_orders([(11.0, "t-2", "south-a")], 10.0, "north-a", "t-2")), 1)
 
 
+class FatalTest(unittest.TestCase):
+    """A request that ended its third target at 10 s."""
+    ENDS = [(8.0, "/read/0/fatal", "a"), (9.0, "/read/0/fatal", "b"), (10.0, "/read/0/fatal", "c")]
+
+    def check(self, late: list[float], spans: dict | None = None) -> list[str]:
+        ends = self.ENDS + [(at, "/read/0/fatal", f"late-{at}") for at in late]
+        sent = {request: ("gateway", at) for at, _, request in ends}
+        return findings_of_fatal(ends, sent, spans or {})
+
+    def test_three_late_sends_are_no_finding(self):
+        self.assertEqual(self.check([15.1, 16, 17]), [])
+
+    def test_sends_within_the_contact_time_do_not_count(self):
+        self.assertEqual(self.check([11, 12, 13, 14, 14.9, 15.1, 16, 17]), [])
+
+    def test_a_fourth_late_send(self):
+        self.assertIn("4 times later", self.check([15.1, 16, 17, 18])[0])
+
+    def test_a_gateway_in_trouble_is_not_held_to_it(self):
+        self.assertEqual(self.check([15.1, 16, 17, 18], {"gateway": [(17.5, 17.6)]}), [])
+        self.assertEqual(len(self.check([15.1, 16, 17, 18], {"gateway": [(12, 12.5)]})), 0)
+        self.assertEqual(len(self.check([18, 19, 20, 21], {"gateway": [(12, 12.5)]})), 1)
+
+    def test_a_harmless_request_that_is_refused_for_what_it_is(self):
+        refused = served("a", status=503, headers={"retry-after": "60", "saltvane-reason": "request-quarantined"}, body=b"")
+        others = [served(f"other-{number}") for number in range(LEAST_SERVED)]
+        counts = collections.Counter({other.request: 1 for other in others})
+        self.assertIn("does no harm", findings_of_outcomes([*others, refused], counts)[0])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -17,7 +17,7 @@
 
 import faults
 import promises
-from callers import Caller, Outcome
+from callers import Caller, FatalCaller, Outcome
 from deployment import REGIONS, Deployment
 from operator_calls import Operator
 from plans import SERVICES, STEADY_PATHS
@@ -25,6 +25,7 @@
 from troubles import Troubles
 
 CALLERS = 12
+FATAL_CALLERS = (0, 1, 1, 2, 3)  # Drawn by seeds from faults.FIRST_SEED_OF_FATAL_REQUESTS on.
 TARGETS_PER_ZONE = 2
 FAULT_GAP_S = (0.2, 1.2)
 LONE_FAULT_GAP_S = (8.0, 10.0)  # Of one kind of fault alone: its consequences are over before it strikes again.
@@ -54,7 +55,16 @@
                         for i, zone in enumerate(zones)]
         self.world = faults.World(self.deployment, self.targets, self.operator, self.chooser, self.findings)
         self.troubles = Troubles(self.deployment, self.world)
+        # Of a chooser of its own: seeds kept before draw what they drew.
+        fatal = random.Random(f"{seed}-fatal")
+        count = options.fatal
+        if count is None:
+            count = fatal.choice(FATAL_CALLERS) if seed >= faults.FIRST_SEED_OF_FATAL_REQUESTS else 0
+        gateways = [host.front for host in self.deployment.gateways]
+        self.fatal_callers = [FatalCaller(number, gateways, random.Random(f"{seed}-fatal-{number}"))
+                              for number in range(count)]
         self.tasks: list[asyncio.Task] = []
+        self.fatal_tasks: list[asyncio.Task] = []
 
     async def play(self):
         await self.deployment.start()
@@ -68,10 +78,12 @@
             host = self.deployment.gateways[number % len(self.deployment.gateways)]
             caller = Caller(number, host.zone, host.region, directories, random.Random(f"{number}"), self.outcomes)
             self.tasks.append(asyncio.create_task(caller.run()))
+        self.fatal_tasks = [asyncio.create_task(caller.run()) for caller in self.fatal_callers]
         self.tasks.append(asyncio.create_task(self.troubles.watch()))
         self.tasks.append(asyncio.create_task(self._change_plans()))
         self.tasks.append(asyncio.create_task(self._read_plans()))
         await self._disturb()
+        await self._end_fatal_callers()
         await self._check_recovery()
         await self._check_orders()
         self.findings += promises.findings_of_outcomes(self.outcomes, self.runs.count)
@@ -79,8 +91,19 @@
                                                     self.operator.acknowledged,
                                                     {gateway: self.troubles.of(gateway) for gateway in self.troubles.spans})
         self.findings += promises.findings_of_reads(self.operator.reads, self.operator.acknowledged)
+        sent = {request: one for caller in self.fatal_callers for request, one in caller.sent.items()}
+        self.findings += promises.findings_of_fatal(
+            self.runs.fatal, sent, {gateway: self.troubles.of(gateway) for gateway in self.troubles.spans})
         self.findings += self.deployment.ended_by_themselves()
 
+    async def _end_fatal_callers(self):
+        """Calm is checked with all targets there."""
+        for task in self.fatal_tasks:
+            task.cancel()
+        await asyncio.gather(*self.fatal_tasks, return_exceptions=True)
+        returning = [target.return_task for target in self.targets if target.return_task is not None]
+        await asyncio.gather(*returning, return_exceptions=True)
+
     async def _change_plans(self):
         while True:
             await asyncio.sleep(random.uniform(0.3, 1.5))
@@ -142,7 +165,7 @@
             self.findings.append("not served beside an evacuated zone")
 
     async def end(self):
-        for task in self.tasks:
+        for task in [*self.tasks, *self.fatal_tasks]:
             task.cancel()
         for target in self.targets:
             target.crash()
@@ -162,7 +185,7 @@
     statuses = {status: sum(outcome.status == status for outcome in run.outcomes)
                 for status in sorted({outcome.status for outcome in run.outcomes})}
     print(f"seed {seed}: {len(run.outcomes)} requests, by status {statuses}, plan {run.operator.version}, "
-          f"{len(run.findings)} findings", flush=True)
+          f"{len(run.fatal_callers)} fatal callers, {len(run.runs.fatal)} ends, {len(run.findings)} findings", flush=True)
     for finding in run.findings[:10]:
         print(f"  {finding}", flush=True)
     if run.findings and options.keep:
@@ -179,6 +202,7 @@
     parser.add_argument("--runs", type=int, default=1, help="fresh seeds, where none is given")
     parser.add_argument("--seconds", type=float, default=10, help="of trouble a run")
     parser.add_argument("--only", choices=sorted(faults.BY_NAME), help="one kind of fault, each 8 to 10 s")
+    parser.add_argument("--fatal", type=int, help="callers whose request ends the targets that run it; else drawn")
     parser.add_argument("--registries", type=int, default=3, help="processes of that role, 9 at the most")
     parser.add_argument("--gateways", type=int, default=3, help="the same, 29 at the most")
     parser.add_argument("--keep", type=pathlib.Path)
@@ -186,7 +210,7 @@
     kept = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     known = [int(line.split()[0]) for line in kept if line and not line.startswith("#")]
     seeds = (options.seed or []) + known or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_SILENT_LINKS, 10**8) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_FATAL_REQUESTS, 10**9) for _ in range(options.runs)]
     bad = [seed for seed in seeds if asyncio.run(play(seed, options))]
     print(f"soak: {len(seeds) - len(bad)} passed, {len(bad)} failed" + (f": {bad}" if bad else ""))
     return 1 if bad else 0
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -13,6 +13,8 @@
 HEARTBEAT_S = 1.0
 SLOTS = 3
 QUEUED = 3
+FATAL_MARK = "fatal"  # In a path: the request ends each target that runs it.
+AWAY_S = (1.5, 3.5)  # Until a target that ended so is back.
 ids = itertools.count(1)
 
 
@@ -23,6 +25,7 @@
         self.count = collections.Counter()  # By request id.
         self.at: list[tuple[float, str, str]] = []  # Time, start of the target, zone.
         self.services: dict[str, set[str]] = collections.defaultdict(set)  # By request id.
+        self.fatal: list[tuple[float, str, str]] = []  # Time, path, request id.
 
     def note(self, request: str, target: "Target"):
         self.count[request] += 1
@@ -47,6 +50,7 @@
         self.running = 0
         self.state = "ready"
         self.left_at: float | None = None  # When a registry host acknowledged that this start leaves.
+        self.return_task: asyncio.Task | None = None
 
     async def start(self):
         self.id = f"t-{next(ids)}"
@@ -64,6 +68,16 @@
         for task in list(self.tasks):
             task.cancel()
 
+    async def _end_and_return(self):
+        """Nothing listens at its address until it is back."""
+        self.crash()
+        if self.state == "leaving":
+            return  # Whoever made it leave starts it again.
+        await self.forwarder.stop()
+        await asyncio.sleep(self.chooser.uniform(*AWAY_S))
+        await self.forwarder.start()
+        await self.start()
+
     def _keep(self, task: asyncio.Task):
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -99,6 +113,11 @@
             return encode("HTTP/1.1 421 Misdirected", headers)
         if self.running >= SLOTS + QUEUED:
             return encode("HTTP/1.1 503 Full", {**headers, "Saltvane-Not-Run": "1"})
+        if FATAL_MARK in request.start[1]:
+            self.runs.fatal.append((time.monotonic(), request.start[1], identity))
+            await asyncio.sleep(self.chooser.uniform(0.005, 0.08))
+            self.return_task = asyncio.create_task(self._end_and_return())
+            await asyncio.sleep(60)  # Until the crash cancels it.
         self.runs.note(identity, self)
         self.running += 1
         try:
