--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -93,6 +93,29 @@
         .softState = host.softState,
         .seed = lastIncarnation_});
     host.wanted.clear();
+    host.sleepsSince.reset();
+    host.clockLag = Duration::zero();
+    host.heldBack.clear();
+}
+
+void RegistryCluster::wake(size_t number)
+{
+    Host& host = hosts_.at(number);
+    if (!host.sleepsSince)
+        return;
+    if (doClocksStandStill)
+        host.clockLag += now_ - *host.sleepsSince;
+    host.sleepsSince.reset();
+    for (const auto& event : std::exchange(host.heldBack, {}))
+        event();
+}
+
+void RegistryCluster::hear(size_t number, std::function<void()> event)
+{
+    if (hosts_.at(number).sleepsSince)
+        hosts_[number].heldBack.push_back(std::move(event));
+    else
+        event();
 }
 
 size_t RegistryCluster::addHost()
@@ -109,7 +132,7 @@
         const bool isOf = link.first == number || link.second == number;
         const size_t other = link.first == number ? link.second : link.first;
         if (isOf && hosts_[other].core)
-            hosts_[other].core->handle(host::LinkDown {.host = idOf(number)}, now_);
+            hosts_[other].core->handle(host::LinkDown {.host = idOf(number)}, clockOf(other));
         return isOf;
     });
     std::erase_if(inFlight_, [&](const InFlight& one) { return one.from == number || one.to == number; });
@@ -125,14 +148,17 @@
 {
     for (size_t from = 0; from < hosts_.size(); ++from) {
         for (size_t to = 0; to < hosts_.size(); ++to) {
-            const bool isCut = isolated_.contains(from) != isolated_.contains(to);
+            const bool isCut = isolated_.contains(from) != isolated_.contains(to) || hosts_[from].sleepsSince
+                || hosts_[to].sleepsSince;
             const std::pair link = std::minmax(from, to);
             if (isCut || from == to || !hosts_[from].core || !hosts_[to].core || links_.contains(link)
                 || !hosts_[from].wanted.contains(idOf(to)))
                 continue;
             links_.insert(link);
-            hosts_[from].core->handle(host::LinkUp {.host = idOf(to), .incarnation = hosts_[to].incarnation}, now_);
-            hosts_[to].core->handle(host::LinkUp {.host = idOf(from), .incarnation = hosts_[from].incarnation}, now_);
+            hosts_[from].core->handle(
+                host::LinkUp {.host = idOf(to), .incarnation = hosts_[to].incarnation}, clockOf(from));
+            hosts_[to].core->handle(
+                host::LinkUp {.host = idOf(from), .incarnation = hosts_[from].incarnation}, clockOf(to));
         }
     }
 }
@@ -185,7 +211,7 @@
             isBusy = true;
             if (const auto* writing = std::get_if<control::StorageWrite>(&action)) {
                 write(host, *writing);
-                host.core->handle(control::StorageDone {.sequence = writing->sequence}, now_);
+                host.core->handle(control::StorageDone {.sequence = writing->sequence}, clockOf(number));
             } else if (auto* softState = std::get_if<host::SoftStateWrite>(&action)) {
                 host.softState = std::move(softState->state);
             } else if (const auto* links = std::get_if<host::LinksWanted>(&action)) {
@@ -206,7 +232,7 @@
 {
     std::vector<InFlight> due;
     std::erase_if(inFlight_, [&](InFlight& one) {
-        if (one.at > now_)
+        if (one.at > now_ || hosts_[one.to].sleepsSince)
             return false;
         due.push_back(std::move(one));
         return true;
@@ -218,7 +244,7 @@
         hosts_[one.to].core->handle(
             model::Delivery {
                 .from = idOf(one.from), .fromIncarnation = one.fromIncarnation, .message = std::move(one.message)},
-            now_);
+            clockOf(one.to));
         pump(one.to);
     }
 }
@@ -231,9 +257,9 @@
         connect();
         deliver();
         for (size_t number = 0; number < hosts_.size(); ++number) {
-            if (!hosts_[number].core)
+            if (!hosts_[number].core || hosts_[number].sleepsSince)
                 continue;
-            hosts_[number].core->tick(now_);
+            hosts_[number].core->tick(clockOf(number));
             pump(number);
         }
         if (onStep)
@@ -262,16 +288,18 @@
                     .path = path,
                     .headers = {{.name = "Saltvane-Plan-Base", .value = planBase}},
                     .bodyLength = body.size()}),
-        now_);
+        clockOf(number));
     if (!body.empty())
-        core.handle(
-            requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = body, .isLast = true}), now_);
+        core.handle(requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = body, .isLast = true}),
+            clockOf(number));
     pump(number);
     return handle;
 }
 
 void RegistryCluster::post(size_t number, const std::string& path, const std::string& body)
 {
+    if (hosts_.at(number).sleepsSince)
+        return; // Targets report elsewhere then.
     unread_.push_back(startCall(number, "POST", path, body, {}));
     std::erase_if(unread_, [this](requests::HttpHandle handle) { return responses_.erase(handle) > 0; });
 }
@@ -315,14 +343,18 @@
 
 void RegistryCluster::linkUpTo(size_t number, const HostId& gateway, Incarnation incarnation)
 {
-    hosts_.at(number).core->handle(host::LinkUp {.host = gateway, .incarnation = incarnation}, now_);
-    pump(number);
+    hear(number, [this, number, gateway, incarnation] {
+        hosts_.at(number).core->handle(host::LinkUp {.host = gateway, .incarnation = incarnation}, clockOf(number));
+        pump(number);
+    });
 }
 
 void RegistryCluster::linkDownTo(size_t number, const HostId& gateway)
 {
-    hosts_.at(number).core->handle(host::LinkDown {.host = gateway}, now_);
-    pump(number);
+    hear(number, [this, number, gateway] {
+        hosts_.at(number).core->handle(host::LinkDown {.host = gateway}, clockOf(number));
+        pump(number);
+    });
 }
 
 void RegistryCluster::deliverFromGateway(
@@ -330,9 +362,11 @@
 {
     if (!hosts_.at(number).core)
         return;
-    hosts_.at(number).core->handle(
-        model::Delivery {.from = gateway, .fromIncarnation = incarnation, .message = std::move(message)}, now_);
-    pump(number);
+    hear(number, [this, number, gateway, incarnation, message = std::move(message)] {
+        hosts_.at(number).core->handle(
+            model::Delivery {.from = gateway, .fromIncarnation = incarnation, .message = message}, clockOf(number));
+        pump(number);
+    });
 }
 
 std::vector<model::Message> RegistryCluster::takeSentTo(const std::string& host)
@@ -343,7 +377,7 @@
 std::optional<size_t> RegistryCluster::leader() const
 {
     for (size_t number = 0; number < hosts_.size(); ++number) {
-        if (!hosts_[number].core || isolated_.contains(number))
+        if (!hosts_[number].core || isolated_.contains(number) || hosts_[number].sleepsSince)
             continue;
         const host::HostStatus seen = status(number);
         if (seen.isControlLeader && seen.isControlCurrent)
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -39,6 +39,11 @@
     void wipeDisk(size_t number);
     /// A further host, at an address of its own.
     size_t addHost();
+    /// Its machine sleeps: it does nothing, and what is sent to it waits. Its clock has counted that time as it wakes.
+    void suspend(size_t number) { hosts_.at(number).sleepsSince = now_; }
+    void wake(size_t number);
+    /// As with a clock that stands still while its machine sleeps, from the next wake on.
+    bool doClocksStandStill = false;
     void isolate(size_t number) { isolated_.insert(number); }
     void heal() { isolated_.clear(); }
 
@@ -69,7 +74,10 @@
 
     [[nodiscard]] std::optional<size_t> leader() const;
     [[nodiscard]] bool isRunning(size_t number) const { return hosts_.at(number).core != nullptr; }
-    [[nodiscard]] host::HostStatus status(size_t number) const { return hosts_.at(number).core->status(now_); }
+    [[nodiscard]] host::HostStatus status(size_t number) const
+    {
+        return hosts_.at(number).core->status(clockOf(number));
+    }
     [[nodiscard]] static HostId idOf(size_t number);
     [[nodiscard]] std::optional<size_t> numberOf(const HostId& host) const;
     [[nodiscard]] size_t votersAt(size_t number);
@@ -82,6 +90,9 @@
         control::RecoveredState disk;
         host::SoftState softState;
         std::set<HostId> wanted;
+        std::optional<Timestamp> sleepsSince;
+        Duration clockLag {}; ///< Of sleeps that its clock has not counted.
+        std::vector<std::function<void()>> heldBack; ///< What it hears from gateways as it wakes.
     };
     struct InFlight {
         Timestamp at;
@@ -93,6 +104,9 @@
 
     requests::HttpHandle startCall(size_t number, const std::string& method, const std::string& path,
         const std::string& body, const std::string& planBase);
+    [[nodiscard]] Timestamp clockOf(size_t number) const { return now_ - hosts_.at(number).clockLag; }
+    /// Now, or as it wakes.
+    void hear(size_t number, std::function<void()> event);
     void pump(size_t number);
     void write(Host& host, const control::StorageWrite& write);
     void carry(size_t from, const model::Outgoing& outgoing);
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -125,6 +125,8 @@
     Gateway& gateway = gateways_.at(number);
     gateway.id = HostId(toString(addressOf(number)));
     ++gateway.incarnation.value;
+    gateway.sleepsUntil.reset();
+    gateway.heldBack.clear();
     gateway.core = gateway::makeGateway({.settings = settingsOf(number), .incarnation = gateway.incarnation});
     for (size_t registry = 0; registry < options_.registries; ++registry)
         connect(gateway, registry);
@@ -156,9 +158,27 @@
     gateway.outbound.clear();
 }
 
+void Fleet::suspendGateway(size_t number, Duration duration)
+{
+    gateways_.at(number).sleepsUntil = registries_.now() + duration;
+}
+
+/// What waits at its sockets comes before its timers do.
+void Fleet::wake(Gateway& gateway)
+{
+    gateway.sleepsUntil.reset();
+    for (host::Event& event : std::exchange(gateway.heldBack, {}))
+        gateway.core->handle(std::move(event), registries_.now());
+    gather(gateway);
+}
+
 void Fleet::handle(size_t number, host::Event event)
 {
     Gateway& gateway = gateways_.at(number);
+    if (gateway.sleepsUntil) {
+        gateway.heldBack.push_back(std::move(event));
+        return;
+    }
     gateway.core->handle(std::move(event), registries_.now());
     gather(gateway);
 }
@@ -218,6 +238,10 @@
 {
     noteLeader();
     for (Gateway& gateway : gateways_) {
+        if (gateway.sleepsUntil && registries_.now() >= *gateway.sleepsUntil)
+            wake(gateway);
+        if (gateway.sleepsUntil)
+            continue;
         if (gateway.silentUntil && registries_.now() >= *gateway.silentUntil)
             replaceLinks(gateway);
         carryInbound(gateway);
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -49,6 +49,8 @@
     void startRegistry(size_t registry);
     /// Its process ends, and another one begins with nothing.
     void restartGateway(size_t gateway);
+    /// Its machine sleeps for so long: it does nothing, and what is sent to it waits.
+    void suspendGateway(size_t gateway, Duration duration);
     /// Of a caller or a target.
     void handle(size_t gateway, host::Event event);
     [[nodiscard]] uint64_t planAt(size_t gateway) const;
@@ -111,6 +113,8 @@
         std::optional<requests::TargetStart> lastStart;
         int lastStatus = 0;
         std::optional<Timestamp> silentUntil; ///< Its links are replaced then.
+        std::optional<Timestamp> sleepsUntil;
+        std::vector<host::Event> heldBack; ///< What callers and targets sent it meanwhile.
     };
 
     void step();
@@ -118,6 +122,7 @@
     void startGateway(size_t number);
     void connect(Gateway& gateway, size_t registry);
     void replaceLinks(Gateway& gateway);
+    void wake(Gateway& gateway);
     void fillNetwork(Gateway& gateway);
     void carryInbound(Gateway& gateway);
     void deliver(Gateway& gateway, const Packet& packet);
