Count the time that a host was suspended in every lease, age and bound

Cause: all decisions go by the steady clock, which stands still meanwhile. Class: a clock that doesn't count what the users count. Why this holds: there is one clock for all decisions and it is CLOCK_BOOTTIME now; a sleep looks like a freeze, which was handled. Looked through, reader by reader: leader's lease (0.35 s) and proof of the plan (broke a promise), word of targets and of leaving ones (12 s, 75 s: used targets that had ended), silence of links (6 s: the other side had given them up), slow starts, ejections and retry allowances (longer or smaller than due: safe), deadlines of requests (targets got more time than the caller had left). The loop's own timers stand still in a sleep and fire 20 ms after it; what they do goes by the clock above.

--- a/src/base/monotonicclock.h
+++ b/src/base/monotonicclock.h
@@ -7,12 +7,18 @@
 
 #include "base/timetypes.h"
 
+#include <ctime>
+
 namespace saltvane {
 
-/// For all decisions: it never steps. Adapters read it; cores are handed the time.
+/// For all decisions: it never steps, and counts the time that the host was suspended. The steady clock doesn't: a
+/// leader that slept for three seconds would wake with its lease of a third of a second, and tell a plan that was
+/// replaced. Adapters read it; cores are handed the time.
 [[nodiscard]] inline Timestamp monotonicNow()
 {
-    return Timestamp(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec now {};
+    (void)::clock_gettime(CLOCK_BOOTTIME, &now); // Fails on kernels before 2.6.39 only.
+    return Timestamp(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 } // namespace saltvane
