--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -30,7 +30,7 @@
     int fd = -1;
     std::string remoteIp;
     Phase phase = Phase::BeforeFirst;
-    double phaseSince = 0; ///< Time of the loop, seconds.
+    Timestamp phaseSince;
     bool isOverLimit = false; ///< Beyond Limits::connections: its request is refused.
     bool isClientGone = false;
     HttpExchange* exchange = nullptr; ///< Null between requests.
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -5,6 +5,7 @@
  */
 #include "net/internal/httpserver.h"
 
+#include "base/monotonicclock.h"
 #include "net/internal/socketaddress.h"
 
 #include <algorithm>
@@ -241,14 +242,14 @@
 
 bool HttpServer::isOverdue(const HttpConnection& connection) const
 {
-    const double waited = ev_now(options_.loop) - connection.phaseSince;
-    const double headerTimeout = toSeconds(options_.limits.headerTimeout);
+    const Duration waited = monotonicNow() - connection.phaseSince;
+    const Duration headerTimeout = options_.limits.headerTimeout;
     switch (connection.phase) {
     case HttpConnection::Phase::BeforeFirst:
     case HttpConnection::Phase::InHead:
         return waited > headerTimeout;
     case HttpConnection::Phase::BetweenRequests:
-        return waited > toSeconds(options_.limits.idleTimeout) + headerTimeout;
+        return waited > options_.limits.idleTimeout + headerTimeout;
     case HttpConnection::Phase::InExchange:
         return false;
     }
@@ -282,7 +283,7 @@
     created->connection = connection;
     created->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     created->remoteIp = remoteIpOf(connection);
-    created->phaseSince = ev_now(options_.loop);
+    created->phaseSince = monotonicNow();
     setSilenceLimit(connection);
     created->isOverLimit = connections_.size() >= options_.limits.connections;
     clientWatch_.add(*created);
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -5,6 +5,8 @@
  */
 #include "net/internal/httpserver.h"
 
+#include "base/monotonicclock.h"
+
 #include <algorithm>
 #include <cstring>
 
@@ -52,7 +54,7 @@
     auto exchange = std::make_unique<HttpExchange>(handle, *owner, uri);
     owner->exchange = exchange.get();
     if (owner->phase == HttpConnection::Phase::BetweenRequests)
-        owner->phaseSince = ev_now(self.options_.loop);
+        owner->phaseSince = monotonicNow();
     owner->phase = HttpConnection::Phase::InHead;
     return self.exchanges_.emplace(handle, std::move(exchange)).first->second.get();
 }
@@ -236,7 +238,7 @@
     HttpConnection& connection = exchange.connection();
     connection.exchange = nullptr;
     connection.phase = HttpConnection::Phase::BetweenRequests;
-    connection.phaseSince = ev_now(options_.loop);
+    connection.phaseSince = monotonicNow();
     if (!exchange.isHeadSeen && !isStopping_)
         options_.counters->add(model::Counter::BadHttpRequests);
     const auto extracted = exchanges_.extract(exchange.handle()); // Alive to the end of this call.
--- a/src/net/internal/linkbacklog.cpp
+++ b/src/net/internal/linkbacklog.cpp
@@ -4,6 +4,7 @@
  * Copyright (c) 2026 the saltvane authors
  */
 #include "base/log.h"
+#include "base/monotonicclock.h"
 #include "net/internal/linkhub.h"
 
 #include <algorithm>
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr double BacklogLogSeconds = 1; ///< Between two lines.
+constexpr Duration BacklogLogPeriod = 1s; ///< Between two lines.
 constexpr size_t SmallQueue = 64 * 1024; ///< Bytes: what waits over all links is not counted for less on one.
 constexpr uint64_t LoggedBacklog = 1024 * 1024; ///< Bytes: two seconds of the narrowest link of the users' (4 Mbit/s).
 
@@ -41,10 +42,10 @@
 
 void LinkHub::logBacklog()
 {
-    const double now = ev_now(options_.loop);
+    const Timestamp now = monotonicNow();
     if (now < nextBacklogLogAt_)
         return;
-    nextBacklogLogAt_ = now + BacklogLogSeconds;
+    nextBacklogLogAt_ = now + BacklogLogPeriod;
     const LinkBacklog waiting = backlog();
     if (waiting.bytes < LoggedBacklog)
         return;
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -104,7 +104,7 @@
     std::deque<host::Event> events_;
     std::minstd_rand jitter_;
     bool isStopping_ = false;
-    double nextBacklogLogAt_ = 0;
+    Timestamp nextBacklogLogAt_ {};
     IoWatcher acceptWatcher_;
     TimerWatcher keepAliveTimer_;
     LoopTask deliverTask_;
--- a/src/saltvane/internal/statuscommands.cpp
+++ b/src/saltvane/internal/statuscommands.cpp
@@ -4,6 +4,7 @@
  * Copyright (c) 2026 the saltvane authors
  */
 #include "saltvane/internal/statuscommands.h"
+#include "base/monotonicclock.h"
 
 #include "saltvane/internal/controlclient.h"
 #include "saltvane/internal/exitcodes.h"
@@ -187,7 +188,7 @@
     const auto version = wantedVersion(client, arguments);
     if (!version)
         return reportError(version.error());
-    const auto end = std::chrono::steady_clock::now() + arguments.timeout;
+    const auto end = monotonicNow() + arguments.timeout;
     std::string lastLine;
     for (;;) {
         const auto status = client.get("/v1/status");
@@ -205,7 +206,7 @@
             printHosts(status.value());
         if (isOver)
             return ExitOk;
-        if (std::chrono::steady_clock::now() > end)
+        if (monotonicNow() > end)
             return ExitTimedOut;
         std::this_thread::sleep_for(WaitPeriod);
     }
