--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <span>
 #include <utility>
 
 namespace saltvane::fleet::test {
@@ -68,33 +69,42 @@
         {"objective_ms", 800}, {"rank", 1}, {"attempts", 2}, {"affinity", true}, {"service", "quotes"}};
 }
 
+nlohmann::json planWith(uint64_t version, std::span<const char* const> services)
+{
+    nlohmann::json plan {{"version", version}, {"services", nlohmann::json::array()}};
+    for (const char* service : services)
+        plan["services"].push_back({{"name", service}, {"probe_path", "/health"}, {"connections", 100}});
+    return plan;
+}
+
+nlohmann::json routeJson(const std::string& path, const std::string& service)
+{
+    return {{"name", path}, {"host", "prices.example"}, {"path_prefix", path}, {"kind", "repeatable"},
+        {"timeout_ms", 1500}, {"attempts", 2}, {"affinity", true}, {"service", service}};
+}
+
 } // namespace
 
 std::string largePlan(uint64_t version, size_t routes, uint32_t weight)
 {
     std::mt19937 random(1); // NOLINT(cert-msc32-c,cert-msc51-cpp): the same routes each time.
-    nlohmann::json plan {{"version", version}, {"services", nlohmann::json::array()}};
-    for (const char* service : {"quotes", "files"})
-        plan["services"].push_back({{"name", service}, {"probe_path", "/health"}, {"connections", 100}});
-    plan["routes"].push_back({{"name", "read"}, {"host", "prices.example"}, {"path_prefix", "/read/"},
-        {"kind", "repeatable"}, {"timeout_ms", 1500}, {"attempts", 2}, {"affinity", true}, {"service", "quotes"}});
+    nlohmann::json plan = planWith(version, std::array {"quotes", "files"});
+    plan["routes"].push_back(routeJson("/read/", "quotes"));
     while (plan["routes"].size() + 1 < routes)
         plan["routes"].push_back(routeOf(random));
-    nlohmann::json split
+    nlohmann::json split = routeJson("/split/", {});
+    split.erase("service");
+    split["split"]
         = nlohmann::json::array({{{"service", "quotes"}, {"weight", 90}}, {{"service", "files"}, {"weight", weight}}});
-    plan["routes"].push_back({{"name", "split"}, {"host", "prices.example"}, {"path_prefix", "/split/"},
-        {"kind", "repeatable"}, {"timeout_ms", 1500}, {"attempts", 2}, {"split", std::move(split)}});
+    plan["routes"].push_back(std::move(split));
     return plan.dump();
 }
 
 std::string planOf(uint64_t version, const std::map<std::string, std::string>& routes)
 {
-    nlohmann::json plan {{"version", version}, {"services", nlohmann::json::array()}};
-    for (const char* service : FleetServices)
-        plan["services"].push_back({{"name", service}, {"probe_path", "/health"}, {"connections", 100}});
+    nlohmann::json plan = planWith(version, FleetServices);
     for (const auto& [path, service] : routes)
-        plan["routes"].push_back({{"name", path}, {"host", "prices.example"}, {"path_prefix", path},
-            {"kind", "repeatable"}, {"timeout_ms", 1500}, {"attempts", 2}, {"affinity", true}, {"service", service}});
+        plan["routes"].push_back(routeJson(path, service));
     return plan.dump();
 }
 
