--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -10,7 +10,6 @@
 #include "net/internal/socketaddress.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <functional>
 #include <iterator>
 #include <sodium.h>
--- a/src/settings/internal/routeplanparser.cpp
+++ b/src/settings/internal/routeplanparser.cpp
@@ -17,7 +17,8 @@
 
 using Json = nlohmann::json;
 
-constexpr double LargestMilliseconds = 1e9;
+constexpr double LargestSeconds = 1e6;
+constexpr double SecondsPerMillisecond = 0.001;
 constexpr std::array RouteKinds {
     model::RouteKind::Repeatable, model::RouteKind::AtMostOnce, model::RouteKind::LargeRead};
 
@@ -82,22 +83,13 @@
         return static_cast<uint32_t>(value);
     }
 
-    Duration seconds(const char* key)
+    Duration seconds(const char* key, std::optional<Duration> fallback = std::nullopt)
     {
-        const double value = number(key, 0);
-        if (value > LargestMilliseconds / 1000)
-            fail(key, "is too large");
-        return fromSeconds(std::min(value, LargestMilliseconds / 1000));
+        return duration(key, 1, fallback);
     }
-
     Duration milliseconds(const char* key, std::optional<Duration> fallback = std::nullopt)
     {
-        if (find(key) == nullptr && fallback)
-            return *fallback;
-        const double value = number(key);
-        if (value > LargestMilliseconds)
-            fail(key, "is too large");
-        return fromSeconds(std::min(value, LargestMilliseconds) / 1000);
+        return duration(key, SecondsPerMillisecond, fallback);
     }
 
     bool flag(const char* key)
@@ -133,6 +125,15 @@
     }
 
 private:
+    Duration duration(const char* key, double secondsPerUnit, std::optional<Duration> fallback)
+    {
+        if (find(key) == nullptr && fallback)
+            return *fallback;
+        const double value = number(key) * secondsPerUnit;
+        if (value > LargestSeconds)
+            fail(key, "is too large");
+        return fromSeconds(std::min(value, LargestSeconds));
+    }
     [[nodiscard]] std::string fieldOf(const std::string& key) const
     {
         if (path_.empty() || key.empty())
@@ -198,7 +199,7 @@
         .name = ServiceName(reader.text("name")),
         .probePath = reader.text("probe_path"),
         .connections = reader.count("connections", 0),
-        .slowStart = reader.seconds("slow_start_s"),
+        .slowStart = reader.seconds("slow_start_s", Duration::zero()),
         .slowStartPerSecond = reader.number("slow_start_per_s", 0),
     };
 }
