--- a/src/gateway/internal/requestanswers.cpp
+++ b/src/gateway/internal/requestanswers.cpp
@@ -114,16 +114,6 @@
 
 void RequestRunner::accept(requests::TargetRequestProgress& /*progress*/, Exchange& /*exchange*/, Timestamp /*now*/) { }
 
-void RequestRunner::noteLost(const requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
-{
-    if (failed.mayHaveReachedTarget) {
-        ++exchange.targetsLost;
-        options_.quarantine.noteBroken(lostRunOf(exchange, now), failed.isRefused, now);
-    } else if (failed.isRefused) {
-        options_.quarantine.noteGone(exchange.target, now);
-    }
-}
-
 void RequestRunner::accept(requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
 {
     if (GatewayTarget* target = options_.targets.find(exchange.target))
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -26,9 +26,6 @@
 constexpr Duration LongestIdle = 4s;
 constexpr Duration LongestIdleForOnce = 2s;
 
-/// Of a target that is known to be gone: what it sent before may still be under way, over two regions and a slow link.
-/// Then its requests are repeated or ended, instead of being held for the seconds that their route allows.
-constexpr Duration LastAnswers = 500ms;
 /// A connection that rested since before the present start took the address is one of the start before.
 constexpr Duration RestPrecision = 1s;
 
@@ -287,18 +284,6 @@
         TargetSet::noteReleased(*target);
 }
 
-LostRun RequestRunner::lostRunOf(const Exchange& exchange, Timestamp now)
-{
-    return {.digest = exchange.digest, .target = exchange.target, .sentAt = exchange.sentAt, .lostAt = now};
-}
-
-void RequestRunner::noteGivenUp(const Exchange& exchange, Timestamp now)
-{
-    const GatewayTarget* target = options_.targets.find(exchange.target);
-    if (target == nullptr || (!target->record.isLeaving && target->answeredAt < exchange.sentAt))
-        options_.quarantine.noteGivenUp(lostRunOf(exchange, now));
-}
-
 void RequestRunner::doubtAt(Exchange& exchange, Timestamp at)
 {
     doubts_.erase({exchange.checkAt, exchange.handle});
@@ -307,29 +292,6 @@
         doubts_.emplace(at, exchange.handle);
 }
 
-void RequestRunner::noteReplaced(std::span<const model::TargetIncarnation> starts, Timestamp now)
-{
-    if (starts.empty())
-        return;
-    for (const model::TargetIncarnation& start : starts)
-        options_.quarantine.noteGone(start, now);
-    for (const auto& [dispatch, exchange] : dispatches_) {
-        const bool isAtOne = std::ranges::find(starts, exchange->target) != starts.end();
-        if (isAtOne && exchange->phase == Exchange::Phase::AwaitingHead)
-            doubtAt(*exchange, std::min(exchange->checkAt, now + LastAnswers));
-    }
-}
-
-void RequestRunner::leaveGone(Exchange& exchange, Timestamp now)
-{
-    actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
-    exchange.mayHaveRun = true;
-    exchange.lastFailure = "target started anew";
-    exchange.isLastTargetGone = true;
-    options_.quarantine.noteBroken(lostRunOf(exchange, now), true, now);
-    tryElsewhere(exchange, model::Reason::TargetFailed, now);
-}
-
 bool RequestRunner::mayTryElsewhere(const Exchange& exchange, Timestamp now)
 {
     const bool mayRepeat = exchange.route.kind != model::RouteKind::AtMostOnce || !exchange.mayHaveRun;
