Sight: age of the word by which requests are sent, time that hosts stood still, memory of links and calls

No log or metric told the hypotheses apart: how old the registry's word was when a request was sent, whether a host stood still, and what its memory held. Added: word_age_ms in each decision's line, event=stood_still, gauges of the memory of links' buffers, of bodies of calls and of the process.

--- a/src/control/ibundleholder.h
+++ b/src/control/ibundleholder.h
@@ -51,6 +51,10 @@
     /// Since control last confirmed the state as current; the host is cut off when it grows.
     [[nodiscard]] virtual Duration age(Timestamp now) const = 0;
     [[nodiscard]] virtual bool isCutOff(Timestamp now) const = 0;
+    /// Since the newest pull that any source has answered was sent: what that source had said before has come as well.
+    [[nodiscard]] virtual Duration answerAge(Timestamp now) const = 0;
+    /// The same of sources with a proof that they miss nothing, and with the age of that proof.
+    [[nodiscard]] virtual Duration provenAnswerAge(Timestamp now) const = 0;
     /// A newer state is known to be in force and on its way here.
     [[nodiscard]] virtual bool isFetching() const = 0;
 };
--- a/src/control/internal/bundleholder.cpp
+++ b/src/control/internal/bundleholder.cpp
@@ -65,7 +65,7 @@
     const bool isAlone = part.base == LogPosition {};
     if (part.position <= held || (!isAlone && part.base != held)) {
         count(model::Counter::StaleMessages);
-        (void)takePullTime(from, part.pull);
+        (void)takePullTime(from, part.pull, part.age);
         return;
     }
     if (part.offset == 0 && part.bytes.size() == part.totalSize) {
@@ -78,7 +78,7 @@
     const bool isTaken = transfer_.take(part, isRestart);
     if (isTaken && transfer_.isComplete())
         return finishTransfer(transfer_, from, part, now);
-    (void)takePullTime(from, part.pull);
+    (void)takePullTime(from, part.pull, part.age);
     if (isTaken)
         askForPart(from, now);
 }
@@ -143,20 +143,23 @@
         outgoing_.push_back({.to = receiver, .message = parts_.firstAfterLast({.age = age(now)})});
 }
 
-std::optional<Timestamp> BundleHolder::takePullTime(const HostId& from, uint64_t number)
+std::optional<Timestamp> BundleHolder::takePullTime(const HostId& from, uint64_t number, Duration answerAge)
 {
     const auto pull = std::ranges::find(pulls_, number, &Pull::number);
     if (pull == pulls_.end() || pull->source != from)
         return std::nullopt;
     const Timestamp sentAt = pull->sentAt;
     pulls_.erase(pull);
+    answeredAt_ = std::max(answeredAt_.value_or(sentAt), sentAt);
+    if (answerAge != Duration::max())
+        provenAnswerAt_ = std::max(provenAnswerAt_.value_or(sentAt - answerAge), sentAt - answerAge);
     return sentAt;
 }
 
 void BundleHolder::noteAnswer(
     const HostId& from, uint64_t number, LogPosition position, Duration answerAge, Timestamp now)
 {
-    const std::optional<Timestamp> askedAt = takePullTime(from, number);
+    const std::optional<Timestamp> askedAt = takePullTime(from, number, answerAge);
     if (!askedAt)
         return;
     avoidedUntil_.erase(from);
@@ -294,11 +297,13 @@
     return inForce_;
 }
 
-Duration BundleHolder::age(Timestamp now) const
+Duration BundleHolder::ageOf(const std::optional<Timestamp>& at, Timestamp now)
 {
-    return confirmedAt_ ? std::max(now - *confirmedAt_, Duration {}) : Duration::max();
+    return at ? std::max(now - *at, Duration {}) : Duration::max();
 }
 
+Duration BundleHolder::age(Timestamp now) const { return ageOf(confirmedAt_, now); }
+
 bool BundleHolder::isCutOff(Timestamp now) const { return age(now) >= options_.cutOffAfter; }
 
 } // namespace saltvane::control
--- a/src/control/internal/bundleholder.h
+++ b/src/control/internal/bundleholder.h
@@ -31,6 +31,8 @@
     [[nodiscard]] bool isReady() const override { return isReady_; }
     [[nodiscard]] Duration age(Timestamp now) const override;
     [[nodiscard]] bool isCutOff(Timestamp now) const override;
+    [[nodiscard]] Duration answerAge(Timestamp now) const override { return ageOf(answeredAt_, now); }
+    [[nodiscard]] Duration provenAnswerAge(Timestamp now) const override { return ageOf(provenAnswerAt_, now); }
     [[nodiscard]] bool isFetching() const override { return transfer_.isUnderWay(); }
 
 private:
@@ -50,7 +52,9 @@
     void answerPull(const HostId& from, const model::BundlePull& pull, Timestamp now);
     void install(LogPosition position, BundleVersion version, std::string_view content, Timestamp now);
     void confirm(Timestamp provenAt, Timestamp now);
-    [[nodiscard]] std::optional<Timestamp> takePullTime(const HostId& from, uint64_t number);
+    [[nodiscard]] static Duration ageOf(const std::optional<Timestamp>& at, Timestamp now);
+    /// When the pull that is answered was sent; none where it is not known.
+    [[nodiscard]] std::optional<Timestamp> takePullTime(const HostId& from, uint64_t number, Duration answerAge);
     void noteAnswer(const HostId& from, uint64_t number, LogPosition position, Duration answerAge, Timestamp now);
     void becomeReady(Timestamp now);
     void sendPull(Timestamp now);
@@ -65,6 +69,8 @@
     bool isReady_ = false;
     bool hasPeerState_ = false;
     std::optional<Timestamp> confirmedAt_;
+    std::optional<Timestamp> answeredAt_; ///< When the newest answered pull was sent.
+    std::optional<Timestamp> provenAnswerAt_; ///< The same, less the age of the answer's proof.
     std::vector<HostId> sources_;
     std::vector<HostId> receivers_;
     std::map<HostId, Timestamp> avoidedUntil_;
--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -34,7 +34,7 @@
     return true;
 }
 
-void DecisionLog::note(const Decision& decision, Duration planAge, Timestamp now)
+void DecisionLog::note(const Decision& decision, const Ages& ages, Timestamp now)
 {
     balance_ = std::min(MostSavedLines, balance_ + toSeconds(now - filledAt_) * LinesPerSecond);
     filledAt_ = now;
@@ -47,7 +47,8 @@
         .add("route", exchange.route.name.value())
         .add("kind", model::toString(exchange.route.kind))
         .add("plan", exchange.planVersion.value)
-        .addMilliseconds("plan_age_ms", planAge)
+        .addMilliseconds("plan_age_ms", ages.plan)
+        .addMilliseconds("word_age_ms", ages.word)
         .add("service", exchange.service.value())
         .add("target", exchange.target.target.value())
         .add("tries", exchange.tried.size())
--- a/src/gateway/internal/decisionlog.h
+++ b/src/gateway/internal/decisionlog.h
@@ -17,8 +17,11 @@
 /// many were left out.
 class DecisionLog {
 public:
-    /// `planAge`: since the plan held here was last proven to be the newest.
-    void note(const Decision& decision, Duration planAge, Timestamp now);
+    struct Ages {
+        Duration plan {}; ///< Since the plan held here was last proven to be the newest.
+        Duration word {}; ///< Since the registry was last asked something that it has answered.
+    };
+    void note(const Decision& decision, const Ages& ages, Timestamp now);
     /// Lines that came up since the last call.
     [[nodiscard]] std::vector<host::LogLine> take(Timestamp now);
 
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -82,7 +82,9 @@
           .latencies = latencies_,
           .link = link_,
           .onDecided
-          = [this](const Decision& decision, Timestamp now) { decisions_.note(decision, holder_->age(now), now); }})
+          = [this](const Decision& decision, Timestamp now) {
+                decisions_.note(decision, {.plan = holder_->age(now), .word = holder_->provenAnswerAge(now)}, now);
+            }})
 {
 }
 
@@ -381,6 +383,7 @@
         .isCutOff = holder_->isCutOff(now),
         .inForceVersion = routes_ ? routes_->plan().version : BundleVersion {},
         .stateAge = holder_->age(now),
+        .wordAge = holder_->provenAnswerAge(now),
         .requestsInFlight = static_cast<uint32_t>(runner_.inFlight()),
         .dispatchesInFlight = static_cast<uint32_t>(runner_.inFlight()),
         .targetsKnown = static_cast<uint32_t>(targets_.size()),
--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -95,6 +95,7 @@
     LogPosition inForce;
     BundleVersion inForceVersion;
     Duration stateAge {};
+    Duration wordAge {}; ///< Of a gateway: since it asked the registry something that was answered with a proof.
     std::vector<ZoneStatus> zones;
     std::vector<model::HostRecord> hosts;
     std::vector<model::RouteRow> rows;
@@ -104,6 +105,7 @@
     uint32_t dispatchesInFlight = 0;
     uint32_t targetsKnown = 0; ///< Of a gateway or registry host.
     uint32_t gatewaysKnown = 0; ///< Of a registry host.
+    uint64_t callBytes = 0; ///< Of a registry host: bodies, orders and answers of calls under way.
 };
 
 } // namespace saltvane::host
--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -77,6 +77,7 @@
 /// Bytes that wait for peers to take them.
 struct LinkBacklog {
     uint64_t bytes = 0; ///< Over all links.
+    uint64_t memory = 0; ///< Bytes that the buffers of all links take.
     uint64_t largestBytes = 0; ///< Of one link.
     HostId largestPeer;
 };
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -121,6 +121,8 @@
     /// Queues a message; flush() sends. Ends the link where its queue is full. Returns the bytes of its frame.
     size_t send(const model::Message& message);
     [[nodiscard]] size_t queuedBytes() const { return unsent_.size() - sent_; }
+    /// Bytes that its buffers take.
+    [[nodiscard]] size_t memory() const { return unsent_.capacity() + received_.capacity(); }
     /// To be called each KeepAliveTick: says something where nothing was said, ends the link where nothing was heard.
     void keepAlive();
     /// Writes what is queued, as far as the socket takes it.
--- a/src/net/internal/linkbacklog.cpp
+++ b/src/net/internal/linkbacklog.cpp
@@ -25,6 +25,7 @@
     LinkBacklog backlog;
     for (const Link& link : links_) {
         backlog.bytes += link.queuedBytes();
+        backlog.memory += link.memory();
         if (link.queuedBytes() <= backlog.largestBytes)
             continue;
         backlog.largestBytes = link.queuedBytes();
@@ -49,7 +50,7 @@
     const LinkBacklog waiting = backlog();
     if (waiting.bytes < LoggedBacklog)
         return;
-    LOG_TAGGED(WARNING, "net") << "event=link_backlog bytes=" << waiting.bytes << " largest=" << waiting.largestBytes
+    LOG_TAGGED(WARNING, "net") << "event=link_backlog bytes=" << waiting.bytes << " memory=" << waiting.memory << " largest=" << waiting.largestBytes
                                << " peer=" << waiting.largestPeer.value();
 }
 
--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -135,6 +135,14 @@
     answer(errorAnswer(handle, StatusNotFound, "no such call"));
 }
 
+uint64_t RegistryCore::callBytes() const
+{
+    uint64_t bytes = 0;
+    for (const auto& [handle, open] : calls_)
+        bytes += open.body.size();
+    return bytes;
+}
+
 std::string RegistryCore::statusText(Timestamp now) const
 {
     nlohmann::json replicas = nlohmann::json::array();
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -267,6 +267,7 @@
         .stateAge = replica_->proofAge(now),
         .targetsKnown = static_cast<uint32_t>(targets_.size()),
         .gatewaysKnown = static_cast<uint32_t>(gateways(now).size()),
+        .callBytes = callBytes(),
     };
 }
 
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -77,6 +77,8 @@
     void answer(requests::HttpRespond respond);
     void answerOrders();
     [[nodiscard]] requests::HttpRespond answerOf(const OrderAnswer& order, const OpenCall& open) const;
+    /// Bodies of calls under way.
+    [[nodiscard]] uint64_t callBytes() const;
     [[nodiscard]] std::string statusText(Timestamp now) const;
     [[nodiscard]] bool isRetired(const model::TargetIncarnation& start) const { return retired_.contains(start); }
     /// Takes up what the log retired since the last call.
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -9,6 +9,7 @@
 #include "host/ihostcore.h"
 #include "net/inetadapters.h"
 #include "saltvaned/internal/logwriter.h"
+#include "saltvaned/internal/standstillwatch.h"
 #include "settings/routedhostsettings.h"
 
 #include <deque>
@@ -92,6 +93,7 @@
     std::unique_ptr<net::ILinkHub> linkHub_;
     model::Counters adapterCounters_;
     LogWriter logWriter_;
+    StandstillWatch standstills_;
     std::deque<host::Event> events_;
     bool isDraining_ = false;
     bool isFinished_ = false;
--- a/src/saltvaned/internal/daemonadapters.cpp
+++ b/src/saltvaned/internal/daemonadapters.cpp
@@ -11,7 +11,9 @@
 #include "saltvaned/internal/metricstext.h"
 
 #include <array>
+#include <fstream>
 #include <sodium.h>
+#include <unistd.h>
 #include <utility>
 
 /// How Daemon sets up what its core needs: disk, links, HTTP servers and client.
@@ -43,6 +45,17 @@
     return {static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count())};
 }
 
+/// Of this process; 0 where the system doesn't tell.
+uint64_t residentBytes()
+{
+    std::ifstream statistics("/proc/self/statm");
+    uint64_t allPages = 0;
+    uint64_t residentPages = 0;
+    if (!(statistics >> allPages >> residentPages))
+        return 0;
+    return residentPages * static_cast<uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
 uint64_t randomSeed()
 {
     uint64_t seed = 0;
@@ -175,11 +188,15 @@
         .isMetricsServed = isMetricsServed,
         .metricsText =
             [this] {
+                const net::LinkBacklog backlog = linkHub_ ? linkHub_->backlog() : net::LinkBacklog {};
                 return metricsText({.core = core_->counters(),
                     .adapters = adapterCounters_,
                     .status = core_->status(monotonicNow()),
                     .latencies = core_->latencies(),
-                    .linkBacklogBytes = linkHub_ ? linkHub_->backlog().bytes : 0});
+                    .linkBacklogBytes = backlog.bytes,
+                    .linkMemoryBytes = backlog.memory,
+                    .residentBytes = residentBytes(),
+                    .stoodStill = standstills_.total()});
             }});
     if (!httpServer)
         return httpServer.error();
--- a/src/saltvaned/internal/metricstext.h
+++ b/src/saltvaned/internal/metricstext.h
@@ -20,6 +20,9 @@
     const host::HostStatus& status;
     std::span<const model::StageLatency> latencies;
     uint64_t linkBacklogBytes = 0; ///< Unsent, over all links.
+    uint64_t linkMemoryBytes = 0; ///< Of their buffers.
+    uint64_t residentBytes = 0; ///< Of this process's memory.
+    Duration stoodStill {}; ///< See StandstillWatch.
 };
 
 /// The host's metrics in the Prometheus text format (docs/METRICS.md).
