Red tests: word that is old, hosts busy with large plans, a silent gateway left out, memory of links and calls

Both things that the users saw, without a fault of any host. - A gateway that was silent for 5 s while its link stood is never told who left meanwhile. - A gateway that stood still for 3 s, or hears its word late, sends by what it knew before. - What waits for a slow peer takes twice its bytes, and still that much when half of it is sent. - Bodies of calls at a registry host are not bounded.

The fleet gains processor shares, a limit of what waits at a registry host, and ends and starts by it.

--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -101,10 +101,7 @@
         .message = model::BundlePush {
             .position = {.term = {1}, .index = {++position_}}, .version = {version}, .content = content, .age = 10ms}});
     // The proof that it is current comes with a pull; without one a host takes what it was given after a second.
-    handle(model::Delivery {.from = Registry,
-        .fromIncarnation = {1},
-        .message
-        = model::BundleCurrent {.position = {.term = {1}, .index = {position_}}, .age = 10ms, .pull = lastPull_}});
+    answerPull();
     advance(Tick);
 }
 
@@ -201,6 +198,12 @@
     handle(model::Delivery {.from = Registry, .fromIncarnation = {1}, .message = std::move(message)});
 }
 
+void GatewayFixture::answerPull(Duration proofAge)
+{
+    deliver(model::BundleCurrent {
+        .position = {.term = {1}, .index = {position_}}, .age = proofAge, .pull = lastPull_});
+}
+
 void GatewayFixture::askToStop() { handle(host::StopRequested {}); }
 
 std::vector<requests::TargetStart> GatewayFixture::takeStarts() { return std::exchange(starts_, {}); }
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -55,6 +55,8 @@
     /// Nothing listens at the address.
     void refuse(const requests::TargetStart& start);
     void deliver(model::Message message);
+    /// The registry answers the newest pull: the plan held is the newest, by a proof that old; Duration::max(): no proof.
+    void answerPull(Duration proofAge = 10ms);
     void advance(Duration duration);
     void askToStop();
 
--- a/src/net/tests/linkhubtests.cpp
+++ b/src/net/tests/linkhubtests.cpp
@@ -301,5 +301,33 @@
     EXPECT_EQ(a.hub->backlog().largestPeer, HostId("slow"));
 }
 
+/// Guards against hosts that end with their memory over the limit while what waits for peers is within its own: the
+/// buffers of links took up to four times what waited in them.
+TEST_F(LinkHubTest, WhatWaitsForASlowPeerTakesLittleMoreMemoryThanItsBytes)
+{
+    constexpr size_t Messages = 170;
+    Host a(runner, "a", 1, Key, "d", 64 * 1024 * 1024);
+    RawPeer slow(a, "slow");
+    ASSERT_TRUE(slow.join(runner, a));
+    slow.socket.isReading = false;
+    Host toSlow(runner, "slow");
+    for (size_t message = 0; message < Messages; ++message)
+        a.sendClaim(toSlow, message, std::string(100'000, 'x'));
+    size_t turns = 0;
+    ASSERT_TRUE(runner.runUntil([&] { return ++turns == 100; }));
+    const LinkBacklog full = a.hub->backlog();
+    EXPECT_GT(full.bytes, 10'000'000U);
+    EXPECT_LE(full.memory, full.bytes + full.bytes / 4);
+    slow.socket.isReading = true;
+    const auto isHalfSent = [&] {
+        slow.socket.pump();
+        slow.socket.received.clear();
+        return a.hub->backlog().bytes < full.bytes / 2;
+    };
+    ASSERT_TRUE(runner.runUntil(isHalfSent));
+    const LinkBacklog rest = a.hub->backlog();
+    EXPECT_LE(rest.memory, rest.bytes + full.bytes / 4);
+}
+
 } // namespace
 } // namespace saltvane::net::tests
--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -345,4 +345,28 @@
     EXPECT_EQ(all[0].target, TargetId("new"));
 }
 
+/// Guards against targets that leave while a gateway is silent and its link stands: nothing would tell it later.
+TEST(MembershipTest, AGatewayThatWasSilentOnAStandingLinkIsToldWhoLeftMeanwhile)
+{
+    const std::string gateway = "10.1.0.1:7000";
+    RegistryCluster cluster(6);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader().has_value(); }));
+    const size_t registry = *cluster.leader();
+    cluster.linkUpTo(registry, HostId(gateway), {1});
+    cluster.gatewayHeartbeat(registry, gateway, "north-a", "north");
+    ASSERT_TRUE(cluster.order("POST", "/v1/targets/t-1/heartbeat", heartbeatText(1)));
+    cluster.run(5s);
+    (void)cluster.takeSentTo(gateway);
+    ASSERT_TRUE(cluster.order("POST", "/v1/targets/t-1/heartbeat", heartbeatText(2, "leaving")));
+    cluster.run(500ms);
+    cluster.gatewayHeartbeat(registry, gateway, "north-a", "north");
+    cluster.run(500ms);
+    bool isTold = false;
+    for (const model::Message& message : cluster.takeSentTo(gateway)) {
+        const auto* report = std::get_if<model::TargetReport>(&message);
+        isTold = isTold || (report != nullptr && !report->retired.empty());
+    }
+    EXPECT_TRUE(isTold);
+}
+
 } // namespace saltvane::registry::test
--- a/src/registry/tests/ordertests.cpp
+++ b/src/registry/tests/ordertests.cpp
@@ -117,4 +117,20 @@
     EXPECT_EQ(statusOf(cluster.order("POST", "/v1/evacuations/north-a")), 404);
 }
 
+/// Guards against a registry host that ends with its memory over the limit since many plans are sent to it at once.
+TEST(OrderTest, BodiesOfManyCallsAtOnceAreBounded)
+{
+    RegistryCluster cluster(3);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader().has_value(); }));
+    const size_t leader = *cluster.leader();
+    size_t refused = 0;
+    constexpr size_t Calls = 40;
+    const std::string part(1024 * 1024, ' ');
+    for (size_t number = 0; number < Calls; ++number)
+        refused += cluster.beginCall(leader, "PUT", "/v1/plan", part, 3 * part.size()) ? 0 : 1;
+    EXPECT_LE(cluster.status(leader).callBytes, 20U * 1024 * 1024);
+    EXPECT_GE(refused, Calls / 2);
+    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", heartbeatText(1))), 200);
+}
+
 } // namespace saltvane::registry::test
--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -106,18 +106,49 @@
     if (doClocksStandStill)
         host.clockLag += now_ - *host.sleepsSince;
     host.sleepsSince.reset();
-    for (const auto& event : std::exchange(host.heldBack, {}))
-        event();
+    hearHeldBack(number);
 }
 
 void RegistryCluster::hear(size_t number, std::function<void()> event)
 {
-    if (hosts_.at(number).sleepsSince)
-        hosts_[number].heldBack.push_back(std::move(event));
+    Host& host = hosts_.at(number);
+    if (isAway(host) || !host.heldBack.empty())
+        host.heldBack.push_back(std::move(event));
     else
         event();
 }
 
+void RegistryCluster::hearHeldBack(size_t number)
+{
+    Host& host = hosts_.at(number);
+    while (!host.heldBack.empty() && !isAway(host)) {
+        const std::function<void()> event = std::move(host.heldBack.front());
+        host.heldBack.pop_front();
+        event();
+    }
+}
+
+void RegistryCluster::setProcessorShare(double share)
+{
+    for (Host& host : hosts_)
+        host.processor = VirtualProcessor(share);
+}
+
+Duration RegistryCluster::longestBusy() const
+{
+    Duration longest {};
+    for (const Host& host : hosts_)
+        longest = std::max(longest, host.processor.longestBusy());
+    return longest;
+}
+
+void RegistryCluster::handle(size_t number, host::Event event)
+{
+    Host& host = hosts_.at(number);
+    host.processor.work(now_, [&] { host.core->handle(std::move(event), clockOf(number)); });
+    pump(number);
+}
+
 size_t RegistryCluster::addHost()
 {
     hosts_.emplace_back();
@@ -128,6 +159,7 @@
 void RegistryCluster::kill(size_t number)
 {
     hosts_.at(number).core.reset();
+    hosts_.at(number).heldBack.clear();
     std::erase_if(links_, [&](const auto& link) {
         const bool isOf = link.first == number || link.second == number;
         const size_t other = link.first == number ? link.second : link.first;
@@ -211,7 +243,9 @@
             isBusy = true;
             if (const auto* writing = std::get_if<control::StorageWrite>(&action)) {
                 write(host, *writing);
-                host.core->handle(control::StorageDone {.sequence = writing->sequence}, clockOf(number));
+                host.processor.work(now_, [&] {
+                    host.core->handle(control::StorageDone {.sequence = writing->sequence}, clockOf(number));
+                });
             } else if (auto* softState = std::get_if<host::SoftStateWrite>(&action)) {
                 host.softState = std::move(softState->state);
             } else if (const auto* links = std::get_if<host::LinksWanted>(&action)) {
@@ -232,7 +266,7 @@
 {
     std::vector<InFlight> due;
     std::erase_if(inFlight_, [&](InFlight& one) {
-        if (one.at > now_ || hosts_[one.to].sleepsSince)
+        if (one.at > now_ || isAway(hosts_[one.to]))
             return false;
         due.push_back(std::move(one));
         return true;
@@ -241,11 +275,9 @@
         const bool isCut = isolated_.contains(one.from) != isolated_.contains(one.to);
         if (isCut || !hosts_[one.to].core)
             continue;
-        hosts_[one.to].core->handle(
+        handle(one.to,
             model::Delivery {
-                .from = idOf(one.from), .fromIncarnation = one.fromIncarnation, .message = std::move(one.message)},
-            clockOf(one.to));
-        pump(one.to);
+                .from = idOf(one.from), .fromIncarnation = one.fromIncarnation, .message = std::move(one.message)});
     }
 }
 
@@ -257,9 +289,13 @@
         connect();
         deliver();
         for (size_t number = 0; number < hosts_.size(); ++number) {
-            if (!hosts_[number].core || hosts_[number].sleepsSince)
+            Host& host = hosts_[number];
+            if (!host.core)
+                continue;
+            hearHeldBack(number);
+            if (isAway(host))
                 continue;
-            hosts_[number].core->tick(clockOf(number));
+            host.processor.work(now_, [&] { host.core->tick(clockOf(number)); });
             pump(number);
         }
         if (onStep)
@@ -282,20 +318,34 @@
     const std::string& body, const std::string& planBase)
 {
     const requests::HttpHandle handle {++lastHandle_};
-    host::IHostCore& core = *hosts_.at(number).core;
-    core.handle(requests::HttpEvent(requests::HttpRequestStarted {.handle = handle,
-                    .method = method,
-                    .path = path,
-                    .headers = {{.name = "Saltvane-Plan-Base", .value = planBase}},
-                    .bodyLength = body.size()}),
-        clockOf(number));
-    if (!body.empty())
-        core.handle(requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = body, .isLast = true}),
-            clockOf(number));
-    pump(number);
+    hear(number, [this, number, handle, method, path, body, planBase] {
+        this->handle(number,
+            requests::HttpEvent(requests::HttpRequestStarted {.handle = handle,
+                .method = method,
+                .path = path,
+                .headers = {{.name = "Saltvane-Plan-Base", .value = planBase}},
+                .bodyLength = body.size()}));
+        if (!body.empty())
+            this->handle(number,
+                requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = body, .isLast = true}));
+    });
     return handle;
 }
 
+bool RegistryCluster::beginCall(size_t number, const std::string& method, const std::string& path,
+    const std::string& part, uint64_t bodyLength)
+{
+    const requests::HttpHandle handle {++lastHandle_};
+    this->handle(number,
+        requests::HttpEvent(requests::HttpRequestStarted {
+            .handle = handle, .method = method, .path = path, .bodyLength = bodyLength}));
+    this->handle(number, requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = part}));
+    const auto found = responses_.find(handle);
+    return found == responses_.end()
+        || std::ranges::none_of(
+            found->second.headers, [](const model::Header& header) { return header.name == "Retry-After"; });
+}
+
 void RegistryCluster::post(size_t number, const std::string& path, const std::string& body)
 {
     if (hosts_.at(number).sleepsSince)
@@ -344,17 +394,13 @@
 void RegistryCluster::linkUpTo(size_t number, const HostId& gateway, Incarnation incarnation)
 {
     hear(number, [this, number, gateway, incarnation] {
-        hosts_.at(number).core->handle(host::LinkUp {.host = gateway, .incarnation = incarnation}, clockOf(number));
-        pump(number);
+        handle(number, host::LinkUp {.host = gateway, .incarnation = incarnation});
     });
 }
 
 void RegistryCluster::linkDownTo(size_t number, const HostId& gateway)
 {
-    hear(number, [this, number, gateway] {
-        hosts_.at(number).core->handle(host::LinkDown {.host = gateway}, clockOf(number));
-        pump(number);
-    });
+    hear(number, [this, number, gateway] { handle(number, host::LinkDown {.host = gateway}); });
 }
 
 void RegistryCluster::deliverFromGateway(
@@ -363,9 +409,7 @@
     if (!hosts_.at(number).core)
         return;
     hear(number, [this, number, gateway, incarnation, message = std::move(message)] {
-        hosts_.at(number).core->handle(
-            model::Delivery {.from = gateway, .fromIncarnation = incarnation, .message = message}, clockOf(number));
-        pump(number);
+        handle(number, model::Delivery {.from = gateway, .fromIncarnation = incarnation, .message = message});
     });
 }
 
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -6,7 +6,9 @@
 #pragma once
 
 #include "registry/iregistry.h"
+#include "virtualprocessor.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +33,11 @@
     std::function<void(size_t from, const model::Outgoing&)> toGateway;
     std::function<void()> onStep; ///< After each step of virtual time.
 
+    /// Of a core, for each host from now on: what is sent to a busy host waits. 0: work takes no time.
+    void setProcessorShare(double share);
+    /// The longest time that any host was busy without a pause.
+    [[nodiscard]] Duration longestBusy() const;
+
     void run(Duration duration);
     [[nodiscard]] bool runUntil(const std::function<bool()>& condition, Duration limit = 20s);
 
@@ -55,6 +62,9 @@
     };
     std::optional<Answer> call(size_t number, const std::string& method, const std::string& path,
         const std::string& body = {}, const std::string& planBase = {}, Duration limit = 2s);
+    /// The first part of a call's body; the rest doesn't come. False: it was refused at once, with when to return.
+    [[nodiscard]] bool beginCall(size_t number, const std::string& method, const std::string& path,
+        const std::string& part, uint64_t bodyLength);
     /// The same without waiting for an answer.
     void post(size_t number, const std::string& path, const std::string& body);
     /// At the leader.
@@ -92,7 +102,8 @@
         std::set<HostId> wanted;
         std::optional<Timestamp> sleepsSince;
         Duration clockLag {}; ///< Of sleeps that its clock has not counted.
-        std::vector<std::function<void()>> heldBack; ///< What it hears from gateways as it wakes.
+        std::deque<std::function<void()>> heldBack; ///< What it hears from gateways and callers once it can.
+        VirtualProcessor processor;
     };
     struct InFlight {
         Timestamp at;
@@ -105,8 +116,12 @@
     requests::HttpHandle startCall(size_t number, const std::string& method, const std::string& path,
         const std::string& body, const std::string& planBase);
     [[nodiscard]] Timestamp clockOf(size_t number) const { return now_ - hosts_.at(number).clockLag; }
-    /// Now, or as it wakes.
+    /// Asleep, or busy with what it heard before.
+    [[nodiscard]] bool isAway(const Host& host) const { return host.sleepsSince || host.processor.isBusy(now_); }
+    /// Now, or as soon as it wakes or has done what came before.
     void hear(size_t number, std::function<void()> event);
+    void hearHeldBack(size_t number);
+    void handle(size_t number, host::Event event);
     void pump(size_t number);
     void write(Host& host, const control::StorageWrite& write);
     void carry(size_t from, const model::Outgoing& outgoing);
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -66,9 +66,12 @@
             return;
         const double bytes = sizeOf(outgoing.message);
         gateway->bytesSent += static_cast<uint64_t>(bytes);
-        gateway->senders[from].frames.push_back({.message = outgoing.message, .unsent = bytes, .undelivered = bytes});
+        Sender& sender = gateway->senders[from];
+        sender.waiting += bytes;
+        sender.frames.push_back({.message = outgoing.message, .unsent = bytes, .undelivered = bytes});
     };
     registries_.onStep = [this] { step(); };
+    registries_.setProcessorShare(options_.registryProcessorShare);
     for (size_t number = 0; number < gateways_.size(); ++number)
         startGateway(number);
 }
@@ -80,6 +83,7 @@
     ++gateway.incarnation.value;
     gateway.sleepsUntil.reset();
     gateway.heldBack.clear();
+    gateway.processor = registry::test::VirtualProcessor(options_.gatewayProcessorShare);
     gateway.core = gateway::makeGateway({.settings = settingsOf(number), .incarnation = gateway.incarnation});
     for (size_t registry = 0; registry < options_.registries; ++registry)
         connect(gateway, registry);
@@ -90,10 +94,9 @@
     if (!registries_.isRunning(registry))
         return;
     registries_.linkUpTo(registry, gateway.id, gateway.incarnation);
-    gateway.core->handle(host::LinkUp {.host = registry::test::RegistryCluster::idOf(registry),
-                             .incarnation = registries_.status(registry).incarnation},
-        registries_.now());
-    gather(gateway);
+    handle(gateway,
+        host::LinkUp {.host = registry::test::RegistryCluster::idOf(registry),
+            .incarnation = registries_.status(registry).incarnation});
 }
 
 void Fleet::silenceGateways()
@@ -121,18 +124,23 @@
 {
     gateway.sleepsUntil.reset();
     for (host::Event& event : std::exchange(gateway.heldBack, {}))
-        gateway.core->handle(std::move(event), registries_.now());
-    gather(gateway);
+        handle(gateway, std::move(event));
 }
 
 void Fleet::handle(size_t number, host::Event event)
 {
     Gateway& gateway = gateways_.at(number);
-    if (gateway.sleepsUntil) {
+    if (gateway.sleepsUntil || gateway.processor.isBusy(registries_.now())) {
         gateway.heldBack.push_back(std::move(event));
         return;
     }
-    gateway.core->handle(std::move(event), registries_.now());
+    handle(gateway, std::move(event));
+}
+
+void Fleet::handle(Gateway& gateway, host::Event event)
+{
+    gateway.processor.work(
+        registries_.now(), [&] { gateway.core->handle(std::move(event), registries_.now()); });
     gather(gateway);
 }
 
@@ -142,8 +150,7 @@
     for (size_t registry = 0; registry < options_.registries; ++registry) {
         if (registries_.isRunning(registry))
             registries_.linkDownTo(registry, gateway.id);
-        gateway.core->handle(
-            host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)}, registries_.now());
+        handle(gateway, host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)});
         connect(gateway, registry);
     }
 }
@@ -154,9 +161,7 @@
     for (Gateway& gateway : gateways_) {
         gateway.senders.erase(registry);
         std::erase_if(gateway.network, [&](const Packet& packet) { return packet.registry == registry; });
-        gateway.core->handle(
-            host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)}, registries_.now());
-        gather(gateway);
+        handle(gateway, host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)});
     }
 }
 
@@ -190,22 +195,62 @@
 void Fleet::step()
 {
     noteLeader();
-    for (Gateway& gateway : gateways_) {
-        if (gateway.sleepsUntil && registries_.now() >= *gateway.sleepsUntil)
-            wake(gateway);
-        if (gateway.sleepsUntil)
-            continue;
-        if (gateway.silentUntil && registries_.now() >= *gateway.silentUntil)
-            replaceLinks(gateway);
-        carryInbound(gateway);
-        gateway.core->tick(registries_.now());
-        gather(gateway);
-        carryOutbound(gateway);
-    }
+    holdToMemory();
+    for (Gateway& gateway : gateways_)
+        stepGateway(gateway);
     if (onStep)
         onStep();
 }
 
+void Fleet::stepGateway(Gateway& gateway)
+{
+    const Timestamp now = registries_.now();
+    const bool isAsleep = gateway.sleepsUntil && now < *gateway.sleepsUntil;
+    if (isAsleep || gateway.processor.isBusy(now))
+        return;
+    if (gateway.sleepsUntil || !gateway.heldBack.empty())
+        wake(gateway);
+    if (gateway.silentUntil && now >= *gateway.silentUntil)
+        replaceLinks(gateway);
+    carryInbound(gateway);
+    gateway.processor.work(now, [&] { gateway.core->tick(now); });
+    gather(gateway);
+    carryOutbound(gateway);
+}
+
+/// What has reached a gateway's machine and is not read yet waits there, within its window; the rest at the senders.
+void Fleet::holdToMemory()
+{
+    constexpr Duration RestartDelay = 1s;
+    for (size_t registry = 0; registry < options_.registries; ++registry) {
+        if (const auto due = startsAgainAt_.find(registry); due != startsAgainAt_.end()) {
+            if (registries_.now() < due->second)
+                continue;
+            startsAgainAt_.erase(due);
+            startRegistry(registry);
+        }
+        double held = 0;
+        for (const Gateway& gateway : gateways_) {
+            if (const auto sender = gateway.senders.find(registry); sender != gateway.senders.end())
+                held += sender->second.waiting - sender->second.inNetwork;
+        }
+        mostHeldByRegistry_ = std::max(mostHeldByRegistry_, static_cast<uint64_t>(held));
+        if (options_.registryMemory == 0 || held <= static_cast<double>(options_.registryMemory))
+            continue;
+        ++registriesEnded_;
+        killRegistry(registry);
+        startsAgainAt_[registry] = registries_.now() + RestartDelay;
+    }
+}
+
+Duration Fleet::longestBusyGateway() const
+{
+    Duration longest {};
+    for (const Gateway& gateway : gateways_)
+        longest = std::max(longest, gateway.processor.longestBusy());
+    return longest;
+}
+
 void Fleet::noteLeader()
 {
     const std::optional<size_t> now = registries_.leader();
@@ -234,14 +279,13 @@
 void Fleet::carryInbound(Gateway& gateway)
 {
     double waiting = 0;
-    for (const auto& [registry, sender] : gateway.senders) {
-        for (const Frame& frame : sender.frames)
-            waiting += frame.undelivered;
-    }
+    for (const auto& [registry, sender] : gateway.senders)
+        waiting += sender.waiting;
     gateway.largestBacklog = std::max(gateway.largestBacklog, static_cast<uint64_t>(waiting));
     fillNetwork(gateway);
     gateway.linkCredit += options_.gatewayBytesPerSecond * toSeconds(Step);
-    while (!gateway.network.empty() && gateway.network.front().bytes <= gateway.linkCredit) {
+    while (!gateway.network.empty() && gateway.network.front().bytes <= gateway.linkCredit
+        && !gateway.processor.isBusy(registries_.now())) {
         const Packet packet = gateway.network.front();
         gateway.network.pop_front();
         gateway.linkCredit -= packet.bytes;
@@ -256,6 +300,7 @@
 {
     Sender& sender = gateway.senders.at(packet.registry);
     sender.inNetwork -= packet.bytes;
+    sender.waiting -= packet.bytes;
     sender.frames.front().undelivered -= packet.bytes;
     if (sender.frames.front().undelivered > 0)
         return;
@@ -263,7 +308,8 @@
         .fromIncarnation = registries_.status(packet.registry).incarnation,
         .message = std::move(sender.frames.front().message)};
     sender.frames.pop_front();
-    gateway.core->handle(std::move(delivery), registries_.now());
+    gateway.processor.work(
+        registries_.now(), [&] { gateway.core->handle(std::move(delivery), registries_.now()); });
 }
 
 void Fleet::carryOutbound(Gateway& gateway)
@@ -325,6 +371,8 @@
 Fleet::Outcome Fleet::ask(size_t number, const std::string& path, const std::string& object)
 {
     Gateway& gateway = gateways_.at(number);
+    if (gateway.processor.isBusy(registries_.now()))
+        return {};
     const requests::HttpHandle handle {++lastHandle_};
     gateway.lastStart.reset();
     gateway.lastStatus = 0;
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -28,6 +28,10 @@
     double windowBytes = 208 * 1024;
     Duration registryDelay = 35ms; ///< One way.
     Duration gatewayDelay = 5ms; ///< The same between a registry host and a gateway.
+    double registryProcessorShare = 0; ///< Of a core; 0: work takes no time.
+    double gatewayProcessorShare = 0;
+    /// Bytes that may wait at one registry host for gateways to take them; more end it, and it starts again. 0: any.
+    uint64_t registryMemory = 0;
 };
 
 /// Registry hosts and gateways as they run, over a network in virtual time. What all registry hosts send to one gateway
@@ -65,7 +69,7 @@
     [[nodiscard]] bool putPlan(uint64_t base, const std::string& plan);
     [[nodiscard]] bool isPlanEverywhere(uint64_t version) const;
 
-    /// What a gateway does with a request at once: sends it to a target, or answers with a status.
+    /// What a gateway does with a request at once: sends it to a target, or answers with a status. Neither: it is busy.
     struct Outcome {
         std::optional<TargetId> target;
         int status = 0;
@@ -78,8 +82,14 @@
     [[nodiscard]] uint64_t bytesSentTo(size_t gateway) const { return gateways_.at(gateway).bytesSent; }
     /// The most bytes that ever waited for one gateway's link.
     [[nodiscard]] uint64_t largestBacklog() const;
+    /// The most bytes that ever waited at one registry host, for all gateways together.
+    [[nodiscard]] uint64_t mostHeldByRegistry() const { return mostHeldByRegistry_; }
+    /// Registry hosts that ended since they held too much.
+    [[nodiscard]] uint64_t registriesEnded() const { return registriesEnded_; }
     /// Since the start, over all registry hosts: times that a host found itself without a leader.
     [[nodiscard]] uint64_t leadersLost() const { return leadersLost_; }
+    /// The longest time that any gateway was busy without a pause.
+    [[nodiscard]] Duration longestBusyGateway() const;
 
 private:
     struct Frame {
@@ -90,6 +100,7 @@
     struct Sender {
         std::deque<Frame> frames; ///< In order; the first ones are partly in the network.
         double inNetwork = 0;
+        double waiting = 0; ///< Bytes not yet delivered.
     };
     struct Packet {
         size_t registry = 0;
@@ -114,11 +125,15 @@
         int lastStatus = 0;
         std::optional<Timestamp> silentUntil; ///< Its links are replaced then.
         std::optional<Timestamp> sleepsUntil;
-        std::vector<host::Event> heldBack; ///< What callers and targets sent it meanwhile.
+        std::vector<host::Event> heldBack; ///< What callers and targets sent it while it slept or was busy.
+        registry::test::VirtualProcessor processor;
     };
 
     void step();
+    void stepGateway(Gateway& gateway);
     void noteLeader();
+    void holdToMemory();
+    void handle(Gateway& gateway, host::Event event);
     void startGateway(size_t number);
     void connect(Gateway& gateway, size_t registry);
     void replaceLinks(Gateway& gateway);
@@ -139,6 +154,9 @@
     std::vector<Gateway> gateways_;
     std::optional<size_t> leader_;
     uint64_t leadersLost_ = 0;
+    uint64_t mostHeldByRegistry_ = 0;
+    uint64_t registriesEnded_ = 0;
+    std::map<size_t, Timestamp> startsAgainAt_; ///< Registry hosts that ended.
     uint64_t lastHandle_ = 0;
 };
 
