Send no request by word of the registry that is late; refuse it with when to return

What callers saw: a gateway that had been out for 3.5 s sent requests, some of them as old, to a target whose leaving was acknowledged 2.6 s before. Change: links keep order, so an answer to a pull proves that all that was said before the pull is here. Without one for 1.5 s, or with a newer plan known and still on its way 2 s after the one in force was last proven, requests are refused at once (stale-state, back in 0.4 s). Pulls are repeated at another source after 0.25 s, a new link is asked at once, late answers count, and registry hosts that are starting say that the pull has come. Not refused: a gateway that hears nothing of the registry for 1 s while awake (cut off: it serves on), and one whose sources answer without a proof (no leader: nothing can be acknowledged). Ruled out: an acknowledgement that waits for all gateways (one slow gateway would hold every order), ages by clocks of two hosts.

--- a/src/control/ibundleholder.h
+++ b/src/control/ibundleholder.h
@@ -63,6 +63,8 @@
     HostId self;
     Duration pullPeriod = 1s;
     Duration startPullPeriod = 100ms;
+    /// A pull without an answer for so long is followed by one of another source.
+    Duration unansweredAfter = 1s;
     Duration cutOffAfter = 3s;
     /// A source whose own proof is that old may miss what is in force: it is passed over, and a starting host waits for
     /// another's word as long as peerStateAfter. Over what a proof takes to reach a source in its usual course.
--- a/src/control/internal/bundleholder.cpp
+++ b/src/control/internal/bundleholder.cpp
@@ -193,9 +193,13 @@
 
 void BundleHolder::answerPull(const HostId& from, const model::BundlePull& pull, Timestamp now)
 {
-    // A starting host knows nothing that another may rely on.
-    if (!isReady_ || !options_.isSource)
+    if (!options_.isSource)
         return;
+    // A starting host knows nothing that another may rely on, but that the pull has come.
+    if (!isReady_) {
+        outgoing_.push_back({.to = from, .message = model::BundleCurrent {.age = Duration::max(), .pull = pull.pull}});
+        return;
+    }
     const BundleParts::Answer answer {.pull = pull.pull, .age = age(now)};
     std::optional<model::Message> part;
     if (pull.offset > 0)
@@ -236,8 +240,8 @@
 {
     avoidedUntil_.erase(source);
     std::erase_if(pulls_, [&](const Pull& pull) { return pull.source == source; });
-    if (isReady_ && age(now) > options_.pullPeriod)
-        nextPullAt_ = now;
+    if (isReady_ && !transfer_.isUnderWay() && age(now) > options_.pullPeriod)
+        sendPull(source, now);
 }
 
 void BundleHolder::tick(Timestamp now)
@@ -246,21 +250,28 @@
     becomeReady(now);
     if (transfer_.isUnderWay())
         return continueTransfer(now);
-    if (nextPullAt_ && now < *nextPullAt_)
+    const bool isUnanswered = isReady_ && !pulls_.empty() && !pulls_.back().isOverdue
+        && now - pulls_.back().sentAt >= options_.unansweredAfter;
+    if (nextPullAt_ && now < *nextPullAt_ && !isUnanswered)
         return;
     nextPullAt_ = now + (isReady_ ? options_.pullPeriod : options_.startPullPeriod);
-    sendPull(now);
+    if (isReady_)
+        avoidSilentSources(now);
+    if (const HostId source = chooseSource(now); !source.isEmpty())
+        sendPull(source, now);
 }
 
-void BundleHolder::sendPull(Timestamp now)
+/// Their answers may still come, and then tell what they told late.
+void BundleHolder::avoidSilentSources(Timestamp now)
 {
-    if (isReady_) {
-        for (const Pull& unanswered : std::exchange(pulls_, {}))
-            avoidedUntil_[unanswered.source] = now + AvoidedPulls * options_.pullPeriod;
+    for (Pull& pull : pulls_) {
+        if (!std::exchange(pull.isOverdue, true))
+            avoidedUntil_[pull.source] = now + AvoidedPulls * options_.pullPeriod;
     }
-    const HostId source = chooseSource(now);
-    if (source.isEmpty())
-        return;
+}
+
+void BundleHolder::sendPull(const HostId& source, Timestamp now)
+{
     outgoing_.push_back({.to = source,
         .message = model::BundlePull {.have = inForce_ ? inForce_->position : LogPosition {},
             .isStarting = !isReady_,
--- a/src/control/internal/bundleholder.h
+++ b/src/control/internal/bundleholder.h
@@ -40,6 +40,7 @@
         uint64_t number = 0;
         HostId source;
         Timestamp sentAt;
+        bool isOverdue = false; ///< Its source is passed over for it.
     };
 
     void begin(Timestamp now);
@@ -58,7 +59,8 @@
     [[nodiscard]] std::optional<Timestamp> takePullTime(const HostId& from, uint64_t number, Duration answerAge);
     void noteAnswer(const HostId& from, uint64_t number, LogPosition position, Duration answerAge, Timestamp now);
     void becomeReady(Timestamp now);
-    void sendPull(Timestamp now);
+    void avoidSilentSources(Timestamp now);
+    void sendPull(const HostId& source, Timestamp now);
     [[nodiscard]] uint64_t notePull(const HostId& source, Timestamp now);
     [[nodiscard]] HostId chooseSource(Timestamp now);
     void count(model::Counter counter) const;
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -58,6 +58,7 @@
           {.self = recordOf(settings_, incarnation_), .seeds = host::hostIdsOf(settings_.seeds)}))
     , holder_(control::makeBundleHolder({.self = self_,
           .pullPeriod = PlanPullPeriod,
+          .unansweredAfter = PlanPullPeriod / 2,
           .staleAfter = StaleSourceAfter,
           .isSource = false,
           .counters = &counters_}))
@@ -80,10 +81,11 @@
           .counters = counters_,
           .latencies = latencies_,
           .link = link_,
-          .onDecided
-          = [this](const Decision& decision, Timestamp now) {
-                decisions_.note(decision, {.plan = holder_->age(now), .word = holder_->provenAnswerAge(now)}, now);
-            }})
+          .isWordLate = [this](Timestamp now) { return registry_.word(*holder_, now) == RegistryWord::Late; },
+          .onDecided =
+              [this](const Decision& decision, Timestamp now) {
+                  decisions_.note(decision, {.plan = holder_->age(now), .word = holder_->provenAnswerAge(now)}, now);
+              }})
 {
 }
 
@@ -91,18 +93,21 @@
 
 void GatewayCore::handle(host::Event event, Timestamp now)
 {
+    registry_.noteAwake(now);
     std::visit([&](auto&& one) { accept(std::forward<decltype(one)>(one), now); }, std::move(event));
     gather(now);
 }
 
 void GatewayCore::tick(Timestamp now)
 {
+    registry_.noteAwake(now);
     roster_->tick(now);
     if (now >= nextSourcesAt_)
         updateSources(now);
     holder_->tick(now);
     installPlan(now);
     noteDoubt(now);
+    noteWord(now);
     updateState();
     targets_.tick(now);
     if (now >= nextSplitAt_)
@@ -153,6 +158,7 @@
 
 void GatewayCore::accept(const model::Delivery& delivery, Timestamp now)
 {
+    registry_.noteHeard(now);
     roster_->handle(delivery, now);
     const uint64_t refused = counters_.value(model::Counter::BundlesRefused);
     holder_->handle(delivery, now);
@@ -261,6 +267,17 @@
     unprovenSince_ = isProven ? std::nullopt : std::optional(now);
 }
 
+void GatewayCore::noteWord(Timestamp now)
+{
+    const RegistryWord word = registry_.word(*holder_, now);
+    if (!routes_ || std::exchange(word_, word) == word)
+        return;
+    LogText line("registry_word");
+    line.add("state", toString(word)).addMilliseconds("answer_age_ms", holder_->answerAge(now));
+    line.addMilliseconds("plan_age_ms", holder_->age(now)).add("registries_heard", registriesHeard(now).size());
+    log(word == RegistryWord::Current ? host::LogSeverity::Info : host::LogSeverity::Warning, line.text());
+}
+
 std::vector<const membership::RosterEntry*> GatewayCore::registriesHeard(Timestamp now) const
 {
     // Word of the registry hosts comes each second within the region, rarer from others.
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -10,12 +10,13 @@
 #include "gateway/internal/decisionlog.h"
 #include "gateway/internal/placement.h"
 #include "gateway/internal/regionsplit.h"
+#include "gateway/internal/registrywatch.h"
 #include "gateway/internal/requestrunner.h"
 #include "gateway/internal/targetset.h"
 #include "host/routedlinks.h"
 #include "membership/ihostroster.h"
-
 #include "settings/routeplanreader.h"
+
 namespace saltvane::gateway {
 
 /// A gateway without I/O.
@@ -49,6 +50,7 @@
     void installPlan(Timestamp now);
     void noteDoubt(Timestamp now);
     void logProof(bool isProven, Timestamp now);
+    void noteWord(Timestamp now);
     [[nodiscard]] std::vector<const membership::RosterEntry*> registriesHeard(Timestamp now) const;
     void updateSources(Timestamp now);
     void updateLinks();
@@ -66,6 +68,8 @@
     model::Counters counters_;
     std::unique_ptr<membership::IHostRoster> roster_;
     std::unique_ptr<control::IBundleHolder> holder_;
+    RegistryWatch registry_;
+    RegistryWord word_ = RegistryWord::Current; ///< As of the last tick.
     TargetSet targets_;
     RegionSplit split_;
     Placement placement_;
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -128,6 +128,8 @@
         return refuseEarly(request, nullptr, {.reason = model::Reason::Stopping, .retryAfter = StopRetryAfter}, now);
     if (!routes_)
         return refuseEarly(request, nullptr, {.reason = model::Reason::NotReady, .retryAfter = StartRetryAfter}, now);
+    if (options_.isWordLate(now))
+        return refuseEarly(request, nullptr, {.reason = model::Reason::StaleState, .retryAfter = StartRetryAfter}, now);
     PlannedRoute* route = routes_->find(requests::firstFieldValue(request.headers, "Host"), request.path);
     if (route == nullptr && isPlanDoubtful_)
         return refuseEarly(request, nullptr, {.reason = model::Reason::NotReady, .retryAfter = StartRetryAfter}, now);
@@ -217,6 +219,8 @@
 
 void RequestRunner::dispatch(Exchange& exchange, Timestamp now)
 {
+    if (options_.isWordLate(now))
+        return refuse(exchange, model::Reason::StaleState, StartRetryAfter, now);
     if (const std::optional<Duration> wait = options_.quarantine.refusal(exchange.digest, now))
         return refuse(exchange, model::Reason::RequestQuarantined, *wait, now);
     const auto choice = choose(exchange, now);
@@ -321,7 +325,7 @@
     if (target == nullptr)
         return leaveGone(exchange, now);
     // One that answers others is only slow.
-    if (target->answeredAt >= exchange.sentAt)
+    if (target->answeredAt >= exchange.sentAt || options_.isWordLate(now))
         return;
     target->noteFailure(now, false);
     // The target may still answer: it is left only for another one that can take the request.
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -48,13 +48,16 @@
         model::Counters& counters;
         RequestLatencies& latencies;
         LinkBudget& link;
+        /// Whether what is known of targets and the plan is too old to send requests by.
+        std::function<bool(Timestamp)> isWordLate;
         std::function<void(const Decision&, Timestamp)> onDecided;
     };
     explicit RequestRunner(Options options);
 
     static constexpr Duration UsualRetryAfter = 200ms;
-    /// Of a gateway without a plan. A start takes 0.2 to 0.6 s: a caller that comes back sooner is refused again, and
-    /// gives up. After a loss of all hosts it serves 0.5 percent more of a day's requests than 0.2 s would.
+    /// Of a gateway without a plan, or behind with the registry's word. A start takes 0.2 to 0.6 s: a caller that comes
+    /// back sooner is refused again, and gives up. After a loss of all hosts it serves 0.5 percent more of a day's
+    /// requests than 0.2 s would.
     static constexpr Duration StartRetryAfter = 400ms;
     static constexpr Duration StopRetryAfter = 50ms; ///< Other gateways serve meanwhile.
 
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -60,7 +60,7 @@
         const auto* const outgoing = std::get_if<model::Outgoing>(request);
         const auto* const pull = outgoing == nullptr ? nullptr : std::get_if<model::BundlePull>(&outgoing->message);
         if (pull != nullptr)
-            lastPull_ = pull->pull;
+            pullToAnswer_ = std::exchange(lastPull_, pull->pull);
         const auto* const report
             = outgoing == nullptr ? nullptr : std::get_if<model::SuspectReport>(&outgoing->message);
         if (report != nullptr)
@@ -72,6 +72,9 @@
         else if (std::holds_alternative<requests::TargetCancel>(*request))
             ++cancels_;
     }
+    const uint64_t pull = std::exchange(pullToAnswer_, 0);
+    if (areAllPullsAnswered_ && pull != 0)
+        deliver(model::BundleCurrent {.age = Duration::max(), .pull = pull});
 }
 
 void GatewayFixture::advance(Duration duration)
@@ -200,8 +203,7 @@
 
 void GatewayFixture::answerPull(Duration proofAge)
 {
-    deliver(model::BundleCurrent {
-        .position = {.term = {1}, .index = {position_}}, .age = proofAge, .pull = lastPull_});
+    deliver(model::BundleCurrent {.position = {.term = {1}, .index = {position_}}, .age = proofAge, .pull = lastPull_});
 }
 
 void GatewayFixture::askToStop() { handle(host::StopRequested {}); }
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -55,7 +55,8 @@
     /// Nothing listens at the address.
     void refuse(const requests::TargetStart& start);
     void deliver(model::Message message);
-    /// The registry answers the newest pull: the plan held is the newest, by a proof that old; Duration::max(): no proof.
+    /// The registry answers the newest pull: the plan held is the newest, by a proof that old; Duration::max(): no
+    /// proof.
     void answerPull(Duration proofAge = 10ms);
     void advance(Duration duration);
     void askToStop();
@@ -75,6 +76,8 @@
     [[nodiscard]] std::vector<std::string> takeLines();
     [[nodiscard]] static std::string header(const std::vector<model::Header>& headers, const std::string& name);
 
+    /// The registry answers pulls, without a proof, as the next one comes.
+    bool areAllPullsAnswered_ = true;
     Timestamp now_ {100s};
     std::unique_ptr<host::IHostCore> gateway_;
 
@@ -91,6 +94,7 @@
     bool isStopFinished_ = false;
     std::vector<model::SuspectRequest> told_;
     uint64_t lastPull_ = 0; ///< Number of the gateway's newest pull of the plan.
+    uint64_t pullToAnswer_ = 0;
     std::vector<std::string> decisions_;
     std::vector<std::string> lines_; ///< All the others.
 };
--- a/src/gateway/tests/wordagetests.cpp
+++ b/src/gateway/tests/wordagetests.cpp
@@ -16,6 +16,7 @@
     {
         installPlan(1);
         reportTargets({target("t-1")});
+        areAllPullsAnswered_ = false;
     }
     /// Whether a request is sent to a target; else it is refused, with the time to come back.
     bool isSent()
--- a/src/model/reasons.h
+++ b/src/model/reasons.h
@@ -49,7 +49,7 @@
     TooManyConnections,
     StopTimeLimit,
     RetryBudgetSpent,
-    StaleState, ///< An older incarnation or bundle position.
+    StaleState, ///< An older incarnation or bundle position; of a gateway: the registry's word comes late.
     RequestQuarantined, ///< Targets ended that ran this very request.
     Count
 };
