Keep what waits for a peer in blocks that are given back as they are sent

The bound of 64 MB over all links counted what waited. Change: blocks of 16 KiB, or of one message, freed as they are sent; the bound counts memory.

--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -102,8 +102,8 @@
     EventSink sink;
     model::Counters* counters = nullptr;
     size_t largestSendQueue = 8 * 1024 * 1024; ///< Bytes; a slower peer is disconnected.
-    /// Bytes, over all links: a quarter of the 256 MB that a registry host of the users' may hold. Eighty links that
-    /// may each hold largestSendQueue would end the process, and with it what all the other peers wait for.
+    /// Bytes of memory that the buffers of all links take together; beyond it the slowest peer is disconnected. Eighty
+    /// links that may each hold largestSendQueue would end the process, and with it what all the other peers wait for.
     size_t largestBacklog = 64 * 1024 * 1024;
 };
 [[nodiscard]] Result<std::unique_ptr<ILinkHub>, IoError> makeLinkHub(LinkHubOptions options);
--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -77,7 +77,7 @@
     , proofTimer_(options_.loop, [this] { sendHeldProof(); })
 {
     setSocketOptions();
-    unsent_ = encodeLinkInteger(ownHello_.size(), LinkHelloLengthBytes) + ownHello_;
+    unsent_.append(encodeLinkInteger(ownHello_.size(), LinkHelloLengthBytes) + ownHello_);
     deadline_.startOnce(state_ == State::Connecting ? options_.connectLimit : HandshakeLimit);
     watch();
 }
@@ -102,7 +102,7 @@
 {
     if (state_ == State::Ended)
         return;
-    const bool wantsWrite = state_ == State::Connecting || sent_ < unsent_.size();
+    const bool wantsWrite = state_ == State::Connecting || !unsent_.isEmpty();
     const bool wantsRead = state_ != State::Connecting && !isReceivingHeld_;
     watcher_.watch(options_.fd.get(), (wantsRead ? EV_READ : 0) | (wantsWrite ? EV_WRITE : 0));
 }
@@ -134,24 +134,18 @@
     isDirty = false;
     if (state_ == State::Ended || state_ == State::Connecting)
         return;
-    while (sent_ < unsent_.size()) {
-        const ssize_t count = ::send(options_.fd.get(), unsent_.data() + sent_, unsent_.size() - sent_, MSG_NOSIGNAL);
+    while (!unsent_.isEmpty()) {
+        const std::string_view next = unsent_.front();
+        const ssize_t count = ::send(options_.fd.get(), next.data(), next.size(), MSG_NOSIGNAL);
         if (count < 0 && errno == EINTR)
             continue;
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
             break;
         if (count < 0)
             return end(LinkEnd::WriteFailed, std::strerror(errno));
-        sent_ += static_cast<size_t>(count);
+        unsent_.consume(static_cast<size_t>(count));
     }
-    if (sent_ == unsent_.size()) {
-        clear(unsent_);
-        sent_ = 0;
-    } else if (sent_ > unsent_.size() / 2) {
-        unsent_.erase(0, sent_);
-        sent_ = 0;
-    }
-    if (state_ == State::Retiring && unsent_.empty() && !isWriteClosed_) {
+    if (state_ == State::Retiring && unsent_.isEmpty() && !isWriteClosed_) {
         isWriteClosed_ = true;
         ::shutdown(options_.fd.get(), SHUT_WR);
     }
@@ -164,7 +158,7 @@
         return 0;
     saidAt_ = monotonicNow();
     const std::string frame = wire::encodeFrame(message);
-    sealer_->seal(frame, unsent_);
+    queueRecord(frame);
     if (queuedBytes() > options_.largestSendQueue)
         end(LinkEnd::TooSlow);
     return frame.size();
@@ -185,10 +179,17 @@
     if (now - saidAt_ < KeepAliveTick)
         return;
     saidAt_ = now;
-    sealer_->seal({}, unsent_);
+    queueRecord({});
     flush();
 }
 
+void Link::queueRecord(std::string_view frame)
+{
+    std::string record;
+    sealer_->seal(frame, record);
+    unsent_.append(record);
+}
+
 void Link::catchUp()
 {
     if (isSuspect() && !isReceivingHeld_)
@@ -298,7 +299,7 @@
 
 void Link::sendProof()
 {
-    unsent_ += makeLinkProof(options_.identity.secret, options_.role, hellos());
+    unsent_.append(makeLinkProof(options_.identity.secret, options_.role, hellos()));
     flush();
 }
 
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -11,6 +11,7 @@
 #include "net/internal/linkhello.h"
 #include "net/internal/linkkeys.h"
 #include "net/internal/recordseal.h"
+#include "net/internal/sendqueue.h"
 #include "net/internal/timerwatcher.h"
 #include "net/internal/uniquefd.h"
 #include "wire/framecodec.h"
@@ -120,9 +121,9 @@
 
     /// Queues a message; flush() sends. Ends the link where its queue is full. Returns the bytes of its frame.
     size_t send(const model::Message& message);
-    [[nodiscard]] size_t queuedBytes() const { return unsent_.size() - sent_; }
+    [[nodiscard]] size_t queuedBytes() const { return unsent_.bytes(); }
     /// Bytes that its buffers take.
-    [[nodiscard]] size_t memory() const { return unsent_.capacity() + received_.capacity(); }
+    [[nodiscard]] size_t memory() const { return unsent_.memory() + received_.capacity(); }
     /// To be called each KeepAliveTick: says something where nothing was said, ends the link where nothing was heard.
     void keepAlive();
     /// Writes what is queued, as far as the socket takes it.
@@ -141,6 +142,7 @@
     void receive();
     void process();
     [[nodiscard]] bool takeHello();
+    void queueRecord(std::string_view frame);
     void sendProof();
     void sendHeldProof();
     [[nodiscard]] bool takeProof();
@@ -162,8 +164,7 @@
     wire::FrameReader reader_;
     std::string received_;
     size_t consumed_ = 0;
-    std::string unsent_;
-    size_t sent_ = 0;
+    SendQueue unsent_;
     Timestamp upSince_;
     Timestamp heardAt_;
     Timestamp saidAt_;
--- a/src/net/internal/linkbacklog.cpp
+++ b/src/net/internal/linkbacklog.cpp
@@ -50,13 +50,14 @@
     const LinkBacklog waiting = backlog();
     if (waiting.bytes < LoggedBacklog)
         return;
-    LOG_TAGGED(WARNING, "net") << "event=link_backlog bytes=" << waiting.bytes << " memory=" << waiting.memory << " largest=" << waiting.largestBytes
-                               << " peer=" << waiting.largestPeer.value();
+    LOG_TAGGED(WARNING, "net") << "event=link_backlog bytes=" << waiting.bytes << " memory=" << waiting.memory
+                               << " largest=" << waiting.largestBytes << " peer=" << waiting.largestPeer.value();
 }
 
 void LinkHub::holdBacklog()
 {
-    for (LinkBacklog waiting = backlog(); waiting.bytes > options_.largestBacklog; waiting = backlog()) {
+    for (LinkBacklog waiting = backlog(); waiting.memory > options_.largestBacklog && waiting.largestBytes > 0;
+         waiting = backlog()) {
         const auto largest
             = std::ranges::find_if(links_, [&](const Link& one) { return one.queuedBytes() == waiting.largestBytes; });
         largest->end(LinkEnd::TooSlow, "largest-of-all");
