Bound what a registry host holds of calls; a host's memory is a setting

Change: together a sixteenth of the host's memory (memory_mb), beyond it 503 with Retry-After; reports of targets and short orders are never refused for what others hold. A quarter of the memory is for links.

--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -19,6 +19,8 @@
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 412;
+/// Of a host's memory, for bodies of calls, orders and plans that are read: 16 MB of 256.
+constexpr uint64_t PartForCalls = 16;
 
 } // namespace
 
@@ -117,7 +119,7 @@
         counters_->add(model::Counter::NotCurrentAnswers);
         return answer(laterAnswer(handle, "no plan, or no proof that it is the newest"));
     }
-    answer(jsonAnswer(handle, StatusOk, routing.planContent));
+    answerWithPlan(handle);
 }
 
 void RegistryCore::run(requests::HttpHandle handle, const EvacuationCall& call, OpenCall& /*open*/, Timestamp now)
@@ -135,12 +137,32 @@
     answer(errorAnswer(handle, StatusNotFound, "no such call"));
 }
 
-uint64_t RegistryCore::callBytes() const
+bool RegistryCore::mayHold(requests::HttpHandle handle, uint64_t bytes)
 {
-    uint64_t bytes = 0;
-    for (const auto& [handle, open] : calls_)
-        bytes += open.body.size();
-    return bytes;
+    if (callBytes_ + bytes > settings_.limits.memoryBytes / PartForCalls) {
+        log(host::LogSeverity::Warning, "event=call_refused held_bytes=" + std::to_string(callBytes_));
+        answer(laterAnswer(handle, "too many calls at once"));
+        return false;
+    }
+    callBytes_ += bytes;
+    return true;
+}
+
+void RegistryCore::endCall(requests::HttpHandle handle)
+{
+    if (const auto call = calls_.extract(handle); !call.empty())
+        callBytes_ -= call.mapped().heldBytes;
+    if (const auto answered = planAnswers_.extract(handle); !answered.empty())
+        callBytes_ -= answered.mapped();
+}
+
+void RegistryCore::answerWithPlan(requests::HttpHandle handle)
+{
+    const std::string& plan = replica_->routing().planContent;
+    if (!mayHold(handle, plan.size()))
+        return;
+    answer(jsonAnswer(handle, StatusOk, plan));
+    planAnswers_.emplace(handle, plan.size());
 }
 
 std::string RegistryCore::statusText(Timestamp now) const
@@ -157,7 +179,7 @@
 
 void RegistryCore::answer(requests::HttpRespond respond)
 {
-    calls_.erase(respond.handle);
+    endCall(respond.handle);
     actions_.emplace_back(requests::Action(std::move(respond)));
 }
 
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -26,6 +26,8 @@
 /// Of the newest retired targets, told to a gateway that starts.
 constexpr size_t RetiredTold = 512;
 constexpr size_t LargestBody = 4 * 1024 * 1024;
+/// Bytes that a report of a target or an order of few words has at the most: never refused for what others hold.
+constexpr size_t SmallBody = 4 * 1024;
 
 constexpr int StatusTooLarge = 413;
 
@@ -141,7 +143,11 @@
     OpenCall& open = found->second;
     if (open.body.size() + body.bytes.size() > LargestBody)
         return answer(errorAnswer(body.handle, StatusTooLarge, "the body is too large"));
+    const bool isSmall = open.body.size() + body.bytes.size() <= SmallBody;
+    if (!isSmall && !mayHold(body.handle, body.bytes.size()))
+        return;
     open.body += body.bytes;
+    open.heldBytes += isSmall ? 0 : body.bytes.size();
     actions_.emplace_back(
         requests::Action(requests::HttpRequestWindow {.handle = body.handle, .bytes = body.bytes.size()}));
     if (body.isLast)
@@ -150,10 +156,12 @@
 
 void RegistryCore::accept(const requests::HttpRequestAborted& aborted, Timestamp /*now*/)
 {
-    calls_.erase(aborted.handle);
+    endCall(aborted.handle);
     orders_.forget(aborted.handle);
 }
 
+void RegistryCore::accept(const requests::HttpResponseDone& done, Timestamp /*now*/) { endCall(done.handle); }
+
 void RegistryCore::accept(const model::Delivery& delivery, Timestamp now)
 {
     if (const auto* loads = std::get_if<model::TargetLoads>(&delivery.message))
@@ -274,7 +282,7 @@
         .stateAge = replica_->proofAge(now),
         .targetsKnown = static_cast<uint32_t>(targets_.size()),
         .gatewaysKnown = static_cast<uint32_t>(gateways(now).size()),
-        .callBytes = callBytes(),
+        .callBytes = callBytes_,
     };
 }
 
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -43,6 +43,7 @@
         Call call;
         std::string path;
         std::string body;
+        uint64_t heldBytes = 0; ///< Of its body, also once an order holds it.
     };
 
     void accept(requests::HttpEvent event, Timestamp now);
@@ -50,7 +51,7 @@
     void accept(const requests::HttpRequestBody& body, Timestamp now);
     void accept(const requests::HttpRequestAborted& aborted, Timestamp now);
     void accept(const requests::HttpResponseProgress& /*progress*/, Timestamp /*now*/) { }
-    void accept(const requests::HttpResponseDone& /*done*/, Timestamp /*now*/) { }
+    void accept(const requests::HttpResponseDone& done, Timestamp now);
     void accept(const requests::TargetEvent& /*event*/, Timestamp /*now*/) { }
     void accept(const model::Delivery& delivery, Timestamp now);
     void accept(const host::LinkUp& up, Timestamp now);
@@ -77,8 +78,10 @@
     void answer(requests::HttpRespond respond);
     void answerOrders();
     [[nodiscard]] requests::HttpRespond answerOf(const OrderAnswer& order, const OpenCall& open) const;
-    /// Bodies of calls under way.
-    [[nodiscard]] uint64_t callBytes() const;
+    /// False: what calls under way hold is as much as may be held; this one was refused.
+    [[nodiscard]] bool mayHold(requests::HttpHandle handle, uint64_t bytes);
+    void endCall(requests::HttpHandle handle);
+    void answerWithPlan(requests::HttpHandle handle);
     [[nodiscard]] std::string statusText(Timestamp now) const;
     [[nodiscard]] bool isRetired(const model::TargetIncarnation& start) const { return retired_.contains(start); }
     /// Takes up what the log retired since the last call.
@@ -88,10 +91,10 @@
     void noteOrders(Timestamp now);
     void distribute(Timestamp now);
     void reportTargets(Timestamp now);
+    void tellGateways(const model::Message& message);
     /// Once the log is proven: what was recalled of targets is told where no order contradicts it.
     void releaseRecalled(Timestamp now);
     void recallTargets(Timestamp now);
-    void tellGateways(const model::Message& message);
     void recallVerdicts(Timestamp now);
     void writeSoftState(Timestamp now);
     void reportLoads(Timestamp now);
@@ -117,6 +120,8 @@
     TargetBook targets_;
     Orders orders_;
     std::unordered_map<requests::HttpHandle, OpenCall> calls_;
+    std::unordered_map<requests::HttpHandle, uint64_t> planAnswers_; ///< On their way to slow readers; bytes.
+    uint64_t callBytes_ = 0; ///< Held by calls and by these answers.
     /// As of ordersSeen_. Bounded as the log's: what it has forgotten, no host is asked for any more.
     membership::RetiredTargets retired_ {control::RoutingState::KeptRetiredTargets};
     std::set<ZoneName> evacuated_; ///< As of ordersSeen_.
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -44,6 +44,7 @@
         std::string deployment;
         std::string linkKey;
         model::Address address;
+        uint64_t memoryBytes = 0; ///< That the host may use.
     };
 
     Result<Done, IoError> openAdapters(const settings::HostSettings& settings);
--- a/src/saltvaned/internal/daemonadapters.cpp
+++ b/src/saltvaned/internal/daemonadapters.cpp
@@ -56,6 +56,9 @@
     return residentPages * static_cast<uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+/// Of a host's memory, for what waits on its links.
+constexpr uint64_t PartForLinks = 4;
+
 uint64_t randomSeed()
 {
     uint64_t seed = 0;
@@ -83,7 +86,8 @@
         .incarnation = incarnation,
         .deployment = settings.deployment,
         .linkKey = settings.linkKey,
-        .address = settings.linkAddress});
+        .address = settings.linkAddress,
+        .memoryBytes = settings.limits.memoryBytes});
     if (!linked)
         return linked;
     if (auto opened = openTargetClient(UsualConnectTimeout, 0); !opened)
@@ -105,7 +109,8 @@
         .incarnation = incarnation,
         .deployment = settings.deployment,
         .linkKey = settings.linkKey,
-        .address = settings.linkListenAddress});
+        .address = settings.linkListenAddress,
+        .memoryBytes = settings.limits.memoryBytes});
     if (!linked)
         return linked;
     const int buffer = socketBufferFor(settings.linkMegabits);
@@ -156,7 +161,8 @@
         .linkKey = identity.linkKey,
         .listenAddress = identity.address,
         .sink = [this](host::Event event) { deliver(std::move(event)); },
-        .counters = &adapterCounters_});
+        .counters = &adapterCounters_,
+        .largestBacklog = identity.memoryBytes / PartForLinks});
     if (!linkHub)
         return linkHub.error();
     linkHub_ = std::move(linkHub.value());
--- a/src/settings/hostsettings.h
+++ b/src/settings/hostsettings.h
@@ -39,6 +39,7 @@
     Duration idleTimeout = 60s;
     Duration headerTimeout = 10s;
     Duration stopTimeLimit = 60s;
+    uint64_t memoryBytes = 256ull * 1024 * 1024; ///< That the host may use.
 };
 
 /// Settings of one saltvaned (docs/SETTINGS.md).
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -20,6 +20,8 @@
 constexpr IntegerRange HeaderBytesRange {.least = 1024, .most = 1024 * 1024};
 constexpr uint64_t GatewayHeaderBytes = 16 * 1024; ///< As plans usually allow.
 constexpr uint64_t RegistryHeaderBytes = 4 * 1024;
+constexpr uint64_t BytesPerMegabyte = 1024 * 1024;
+constexpr IntegerRange MemoryRange {.least = 16, .most = 1024 * 1024}; ///< Megabytes.
 constexpr DurationRange TtlRange {.least = 100ms, .most = 1h};
 constexpr DurationRange StopRange {.least = 100ms, .most = 1h};
 
@@ -147,6 +149,8 @@
         // memory.
         const uint64_t usual = settings_.isGateway ? GatewayHeaderBytes : RegistryHeaderBytes;
         settings_.limits.requestHeaderBytes = root_.integer("header_bytes", HeaderBytesRange, usual);
+        const uint64_t usualMegabytes = settings_.limits.memoryBytes / BytesPerMegabyte;
+        settings_.limits.memoryBytes = root_.integer("memory_mb", MemoryRange, usualMegabytes) * BytesPerMegabyte;
         settings_.limits.stopTimeLimit
             = root_.duration("stop_time_limit_s", 1s, settings_.limits.stopTimeLimit, StopRange);
     }
