Soak: targets that leave while a gateway stands still and registry hosts end in turn, plans of thousands of routes

Each run at a target after its leaving was acknowledged is held to 5 s, for gateways free of faults as long; the check's own tests fail where they must.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -188,6 +188,33 @@
     await target.start()
 
 
+async def leave_beside_ends(world: World):
+    """A target leaves while a gateway stands still longer than registry hosts count it in, and these end in turn."""
+    target = world.chooser.choice(world.targets)
+    if target.server is None or target.state == "leaving":
+        return
+    standing = a_host(world, world.deployment.gateways)
+    if standing is not None:
+        process = world.deployment.system.processes[standing.name]
+        world.deployment.send(standing, signal.SIGSTOP)
+    await asyncio.sleep(a_pause(world, 0.1, 1))
+    target.state = "leaving"
+    await asyncio.sleep(a_pause(world, 4.2, 5.3))
+    if standing is not None:
+        process.send_signal(signal.SIGCONT)
+        standing.is_paused = False
+    for host in world.chooser.sample(world.deployment.registries, len(world.deployment.registries)):
+        if not world.deployment.is_running(host) or host.is_paused:
+            continue
+        world.deployment.kill(host)
+        await asyncio.sleep(a_pause(world, 0.2, 0.8))
+        world.deployment.launch(host)
+        await asyncio.sleep(a_pause(world, 1.5, 2.5))
+    await asyncio.sleep(a_pause(world, 3, 5))
+    target.crash()
+    await target.start()
+
+
 async def change_plan(world: World):
     await world.operator.replace_plan()
 
@@ -210,9 +237,12 @@
 FIRST_SEED_OF_ALL_FAULTS = 1_000_000
 FIRST_SEED_OF_SILENT_LINKS = 10_000_000
 FIRST_SEED_OF_FATAL_REQUESTS = 100_000_000
+FIRST_SEED_OF_LEAVES = 1_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_SILENT_LINKS: [*ALL_FAULTS, (silence_many, 2)], FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_SILENT_LINKS]}
+WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_LEAVES: [*WITH_SILENT_LINKS, (leave_beside_ends, 2)],
+                    FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_LEAVES]}
 
 
 def draw(chooser: random.Random, seed: int) -> Fault:
--- a/testing/soak/operator_calls.py
+++ b/testing/soak/operator_calls.py
@@ -9,9 +9,10 @@
 
 
 class Operator:
-    def __init__(self, registries: list[str], chooser: random.Random):
+    def __init__(self, registries: list[str], chooser: random.Random, further_routes: int = 0):
         self.registries = registries
         self.chooser = chooser
+        self.further_routes = further_routes  # Of no request; they make plans large.
         self.version = 0  # Newest that was acknowledged.
         self.acknowledged: list[tuple[float, int]] = [(0.0, 0)]
         self.sent: list[tuple[float, int]] = []  # May be in force from then on.
@@ -26,6 +27,9 @@
                    "kind": "at_most_once" if path.startswith("/once/") else "repeatable", "objective_ms": 500, "rank": 0,
                    "service": service, "attempts": 2, "affinity": True}
                   for number, (path, service) in enumerate(paths)]
+        routes += [{**routes[0], "name": f"further-{number}", "path_prefix": f"/further/{number}/",
+                    "rank": version % 3 if number == version % self.further_routes else 0}
+                   for number in range(self.further_routes)]
         services = [{"name": name, "probe_path": "/health", "connections": 100, "slow_start_s": 0, "slow_start_per_s": 50}
                     for name in SERVICES]
         return json.dumps({"version": version, "routes": routes, "services": services}).encode()
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -10,6 +10,9 @@
 # A request sent later after an acknowledgement is treated as that plan or a newer one says: a plan is in force 2 s after
 # it at a gateway that has been free of faults for 3 s.
 LATEST_OLD_RUN_S = 5
+# A target runs nothing later after its leaving was acknowledged, of what gateways free of faults sent it: 2.5 s, and a
+# margin for a busy machine.
+LATEST_AFTER_LEAVE_S = 5
 NOT_RUN = (408, 421, 429, 503)
 LEAST_SERVED = 50
 # Of a request that ends the targets that run it: from so long after its third end on, so many more may be sent by
@@ -84,6 +87,18 @@
     return late[:1]
 
 
+def findings_of_leaves(after_leave: list[tuple[str, str, float]], outcomes: list[Outcome],
+                       spans: dict[str, list[Span]]) -> list[str]:
+    """`after_leave`: request, target, and how long before its run the target's leaving was acknowledged."""
+    by_request = {outcome.request: outcome for outcome in outcomes}
+    findings = []
+    for request, target, seconds in after_leave:
+        outcome = by_request.get(request)
+        if seconds > LATEST_AFTER_LEAVE_S and outcome and _in_touch(outcome.gateway, outcome.sent_at, spans):
+            findings.append(f"{target} ran {request} of {outcome.gateway} {seconds:.1f} s after it was acknowledged as leaving")
+    return findings
+
+
 def findings_of_fatal(runs: list[tuple[float, str, str]], sent: dict[str, tuple[str, float]],
                       spans: dict[str, list[Span]]) -> list[str]:
     """`runs`: time, path and request id of requests that ended their targets. `sent`: gateway and time, by request id.
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -5,8 +5,8 @@
 
 from callers import Outcome
 from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
-from promises import LATEST_OLD_RUN_S, LEAST_SERVED, findings_of_fatal, findings_of_orders, findings_of_outcomes, \
-    findings_of_plans, findings_of_reads
+from promises import LATEST_AFTER_LEAVE_S, LATEST_OLD_RUN_S, LEAST_SERVED, findings_of_fatal, findings_of_leaves, \
+    findings_of_orders, findings_of_outcomes, findings_of_plans, findings_of_reads
 from targets import answer_body
 
 
@@ -136,5 +136,21 @@
         self.assertIn("does no harm", findings_of_outcomes([*others, refused], counts)[0])
 
 
+class LeavesTest(unittest.TestCase):
+    """A request sent at 20 s that a target ran after its leaving was acknowledged."""
+
+    def check(self, seconds: float, spans: dict | None = None) -> list[str]:
+        outcome = served("a", sent_at=20.0, gateway="gateway")
+        return findings_of_leaves([("a", "t-1", seconds)], [outcome], spans or {})
+
+    def test_a_target_that_ran_a_request_long_after_it_left(self):
+        self.assertEqual(self.check(LATEST_AFTER_LEAVE_S - 0.1), [])
+        self.assertIn("t-1 ran a", self.check(LATEST_AFTER_LEAVE_S + 0.1)[0])
+
+    def test_a_gateway_in_trouble_is_not_held_to_it(self):
+        self.assertEqual(self.check(9, {"gateway": [(14, 15.5)]}), [])
+        self.assertEqual(len(self.check(9, {"gateway": [(14, 14.5)]})), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -47,7 +47,7 @@
         self.outcomes: list[Outcome] = []
         self.findings: list[str] = []
         registries = [host.front for host in self.deployment.registries]
-        self.operator = Operator(registries, random.Random(seed + 1))
+        self.operator = Operator(registries, random.Random(seed + 1), options.routes)
         zones = [host.zone for host in self.deployment.gateways[:len(REGIONS)] for _ in range(TARGETS_PER_ZONE)]
         network = self.deployment.network
         self.targets = [Target(f"{network}.{101 + i}:{18080}", f"{network}.{141 + i}:{18080}", SERVICES[i % len(SERVICES)],
@@ -94,6 +94,8 @@
         sent = {request: one for caller in self.fatal_callers for request, one in caller.sent.items()}
         self.findings += promises.findings_of_fatal(
             self.runs.fatal, sent, {gateway: self.troubles.of(gateway) for gateway in self.troubles.spans})
+        self.findings += promises.findings_of_leaves(
+            self.runs.after_leave, self.outcomes, {gateway: self.troubles.of(gateway) for gateway in self.troubles.spans})
         self.findings += self.deployment.ended_by_themselves()
 
     async def _end_fatal_callers(self):
@@ -203,6 +205,7 @@
     parser.add_argument("--seconds", type=float, default=10, help="of trouble a run")
     parser.add_argument("--only", choices=sorted(faults.BY_NAME), help="one kind of fault, each 8 to 10 s")
     parser.add_argument("--fatal", type=int, help="callers whose request ends the targets that run it; else drawn")
+    parser.add_argument("--routes", type=int, default=0, help="further routes that every plan has, one of which changes")
     parser.add_argument("--registries", type=int, default=3, help="processes of that role, 9 at the most")
     parser.add_argument("--gateways", type=int, default=3, help="the same, 29 at the most")
     parser.add_argument("--keep", type=pathlib.Path)
@@ -210,7 +213,7 @@
     kept = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     known = [int(line.split()[0]) for line in kept if line and not line.startswith("#")]
     seeds = (options.seed or []) + known or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_FATAL_REQUESTS, 10**9) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_LEAVES, 10**10) for _ in range(options.runs)]
     bad = [seed for seed in seeds if asyncio.run(play(seed, options))]
     print(f"soak: {len(seeds) - len(bad)} passed, {len(bad)} failed" + (f": {bad}" if bad else ""))
     return 1 if bad else 0
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -26,11 +26,14 @@
         self.at: list[tuple[float, str, str]] = []  # Time, start of the target, zone.
         self.services: dict[str, set[str]] = collections.defaultdict(set)  # By request id.
         self.fatal: list[tuple[float, str, str]] = []  # Time, path, request id.
+        self.after_leave: list[tuple[str, str, float]] = []  # Request id, target, seconds since its leaving was acknowledged.
 
     def note(self, request: str, target: "Target"):
         self.count[request] += 1
         self.at.append((time.monotonic(), target.id, target.zone))
         self.services[request].add(target.service)
+        if target.left_at is not None:
+            self.after_leave.append((request, target.id, time.monotonic() - target.left_at))
 
 
 class Target:
