--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -243,9 +243,8 @@
             isBusy = true;
             if (const auto* writing = std::get_if<control::StorageWrite>(&action)) {
                 write(host, *writing);
-                host.processor.work(now_, [&] {
-                    host.core->handle(control::StorageDone {.sequence = writing->sequence}, clockOf(number));
-                });
+                host.processor.work(now_,
+                    [&] { host.core->handle(control::StorageDone {.sequence = writing->sequence}, clockOf(number)); });
             } else if (auto* softState = std::get_if<host::SoftStateWrite>(&action)) {
                 host.softState = std::move(softState->state);
             } else if (const auto* links = std::get_if<host::LinksWanted>(&action)) {
@@ -332,18 +331,18 @@
     return handle;
 }
 
-bool RegistryCluster::beginCall(size_t number, const std::string& method, const std::string& path,
-    const std::string& part, uint64_t bodyLength)
+bool RegistryCluster::beginCall(
+    size_t number, const std::string& method, const std::string& path, const std::string& part, uint64_t bodyLength)
 {
     const requests::HttpHandle handle {++lastHandle_};
     this->handle(number,
-        requests::HttpEvent(requests::HttpRequestStarted {
-            .handle = handle, .method = method, .path = path, .bodyLength = bodyLength}));
+        requests::HttpEvent(
+            requests::HttpRequestStarted {.handle = handle, .method = method, .path = path, .bodyLength = bodyLength}));
     this->handle(number, requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = part}));
     const auto found = responses_.find(handle);
-    return found == responses_.end()
-        || std::ranges::none_of(
-            found->second.headers, [](const model::Header& header) { return header.name == "Retry-After"; });
+    return found == responses_.end() || std::ranges::none_of(found->second.headers, [](const model::Header& header) {
+        return header.name == "Retry-After";
+    });
 }
 
 void RegistryCluster::post(size_t number, const std::string& path, const std::string& body)
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -147,8 +147,8 @@
     auto* daemon = static_cast<Daemon*>(watcher->data);
     const Timestamp now = monotonicNow();
     if (const auto stood = daemon->standstills_.note(now, daemon->core_->tickPeriod()))
-        LOG_TAGGED(WARNING, "saltvaned")
-            << "event=stood_still ms=" << std::chrono::duration_cast<std::chrono::milliseconds>(*stood).count();
+        LOG_TAGGED(WARNING, "saltvaned") << "event=stood_still ms="
+                                         << std::chrono::duration_cast<std::chrono::milliseconds>(*stood).count();
     daemon->core_->tick(now);
     daemon->carryOutActions();
     daemon->drainEvents();
--- a/src/saltvaned/internal/metricstext.cpp
+++ b/src/saltvaned/internal/metricstext.cpp
@@ -149,10 +149,10 @@
         static_cast<double>(input.linkBacklogBytes)));
     families.push_back(makeGauge("saltvane_link_memory_bytes", "Memory of the buffers of all links",
         static_cast<double>(input.linkMemoryBytes)));
-    families.push_back(makeGauge("saltvane_call_bytes", "Bodies of calls under way at a registry host",
-        static_cast<double>(status.callBytes)));
     families.push_back(makeGauge(
-        "saltvane_resident_bytes", "Memory of this process", static_cast<double>(input.residentBytes)));
+        "saltvane_call_bytes", "Bodies of calls under way at a registry host", static_cast<double>(status.callBytes)));
+    families.push_back(
+        makeGauge("saltvane_resident_bytes", "Memory of this process", static_cast<double>(input.residentBytes)));
     families.push_back(makeGauge("saltvane_stood_still_seconds",
         "Time in which timers of this process were late by over 250 ms, since its start", toSeconds(input.stoodStill)));
     families.push_back(makeGauge("saltvane_word_age_seconds",
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -139,8 +139,7 @@
 
 void Fleet::handle(Gateway& gateway, host::Event event)
 {
-    gateway.processor.work(
-        registries_.now(), [&] { gateway.core->handle(std::move(event), registries_.now()); });
+    gateway.processor.work(registries_.now(), [&] { gateway.core->handle(std::move(event), registries_.now()); });
     gather(gateway);
 }
 
@@ -308,8 +307,7 @@
         .fromIncarnation = registries_.status(packet.registry).incarnation,
         .message = std::move(sender.frames.front().message)};
     sender.frames.pop_front();
-    gateway.processor.work(
-        registries_.now(), [&] { gateway.core->handle(std::move(delivery), registries_.now()); });
+    gateway.processor.work(registries_.now(), [&] { gateway.core->handle(std::move(delivery), registries_.now()); });
 }
 
 void Fleet::carryOutbound(Gateway& gateway)
--- a/testing/fleet/slowprocessortests.cpp
+++ b/testing/fleet/slowprocessortests.cpp
@@ -149,8 +149,8 @@
         + text(latestUse_) + ", oldest plan in use replaced for " + text(oldestPlan_) + "; leaders lost "
         + std::to_string(fleet_.leadersLost()) + ", plans " + std::to_string(acknowledged_.size())
         + ", busy without a pause: registry host " + text(fleet_.registries().longestBusy()) + ", gateway "
-        + text(fleet_.longestBusyGateway()) + "; held by a registry host "
-        + std::to_string(fleet_.mostHeldByRegistry()) + " bytes, ended " + std::to_string(fleet_.registriesEnded());
+        + text(fleet_.longestBusyGateway()) + "; held by a registry host " + std::to_string(fleet_.mostHeldByRegistry())
+        + " bytes, ended " + std::to_string(fleet_.registriesEnded());
     std::cout << figures << "\n";
     EXPECT_GT(uses_, 1000U) << figures;
     EXPECT_LE(latestUse_, DrainLimit) << figures;
