--- a/testing/fuzz/fuzzplans.cpp
+++ b/testing/fuzz/fuzzplans.cpp
@@ -5,10 +5,11 @@
  */
 #include "registry/internal/calls.h"
 #include "settings/routeplanformat.h"
+#include "settings/routeplanreader.h"
 
 #include <string_view>
 
-/// Route plans: each is read whole or refused with findings.
+/// Route plans: each is read whole or refused with findings, and by the reader of successive plans as by the other.
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
 {
     using namespace saltvane;
@@ -19,5 +20,13 @@
     else if (plan.value().version != registry::statedVersion(content))
         __builtin_trap();
     (void)registry::statedServices(content);
+    settings::RoutePlanReader reader;
+    for (int time = 0; time < 2; ++time) {
+        const auto read = reader.read(content, "plan");
+        const bool isSame
+            = read.isOk() == plan.isOk() && (!read || read.value().routes.size() == plan.value().routes.size());
+        if (!isSame)
+            __builtin_trap();
+    }
     return 0;
 }
