--- a/src/control/tests/bundleholdertests.cpp
+++ b/src/control/tests/bundleholdertests.cpp
@@ -235,6 +235,19 @@
     EXPECT_TRUE(holder(First).isReady());
 }
 
+/// Guards against gateways that take a registry host that is starting for one whose word is late.
+TEST_F(BundleHolders, ASourceThatIsStartingSaysThatThePullHasComeAndNoMore)
+{
+    holder(Relay).handle({.from = First, .fromIncarnation = {}, .message = model::BundlePull {.pull = 7}}, now_);
+    const std::vector<model::Outgoing> told = holder(Relay).takeOutgoing();
+    ASSERT_EQ(told.size(), 1U);
+    const auto* answer = std::get_if<model::BundleCurrent>(&told.front().message);
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(answer->pull, 7U);
+    EXPECT_EQ(answer->position, LogPosition {});
+    EXPECT_EQ(answer->age, Duration::max());
+}
+
 TEST_F(BundleHolders, UnaskedOrDelayedAnswersProveNothing)
 {
     setInForce(1);
--- a/src/control/tests/pullingholdertests.cpp
+++ b/src/control/tests/pullingholdertests.cpp
@@ -95,4 +95,44 @@
     EXPECT_EQ(run(2 * Step), std::vector {Second});
 }
 
+/// Guards against a plan that is never proven on a link whose answers take longer than the time between two pulls.
+TEST_F(PullingHolder, AnAnswerThatComesAfterTheNextPullStillCounts)
+{
+    push(1);
+    (void)run(Step);
+    answer(First, 1, 100ms);
+    ASSERT_EQ(run(500ms), std::vector {First});
+    const uint64_t late = lastPull_;
+    ASSERT_EQ(run(500ms), std::vector {Second});
+    const Duration answered = holder_->answerAge(now_);
+    const Duration proven = holder_->age(now_);
+    handle(model::BundleCurrent {.position = positionOf(1), .age = 100ms, .pull = late});
+    EXPECT_LT(holder_->answerAge(now_), answered);
+    EXPECT_LT(holder_->age(now_), proven);
+}
+
+TEST_F(PullingHolder, AnswersWithoutAProofTellOnlyThatTheSourceIsHeard)
+{
+    push(1);
+    (void)run(Step);
+    answer(First, 1, 100ms);
+    (void)run(2s);
+    const Duration proven = holder_->provenAnswerAge(now_);
+    answer(First, 1, Duration::max());
+    answer(Second, 1, Duration::max());
+    EXPECT_LE(holder_->answerAge(now_), 600ms);
+    EXPECT_EQ(holder_->provenAnswerAge(now_), proven);
+}
+
+TEST_F(PullingHolder, APullWithoutAnAnswerIsFollowedByOneToAnotherSource)
+{
+    holder_ = makeBundleHolder(
+        {.self = Relay, .pullPeriod = 500ms, .unansweredAfter = 200ms, .staleAfter = 1s, .isSource = false});
+    holder_->setPeers(std::vector {First, Second}, {}, now_);
+    push(1);
+    (void)run(Step);
+    answer(First, 1, 100ms);
+    EXPECT_EQ(run(350ms), (std::vector {First, Second}));
+}
+
 } // namespace saltvane::control::test
--- a/src/gateway/tests/wordagetests.cpp
+++ b/src/gateway/tests/wordagetests.cpp
@@ -66,6 +66,22 @@
     EXPECT_TRUE(isSent());
 }
 
+/// Guards against requests by a plan that was replaced long ago, while the newer one is still on its way.
+TEST_F(WordAgeTest, AGatewayThatKnowsOfANewerPlanSendsNothingByTheOldOneAfterItsLimit)
+{
+    startFetchingPlan(2);
+    for (int step = 0; step < 15; ++step) {
+        advance(100ms);
+        answerPull();
+    }
+    EXPECT_TRUE(isSent());
+    for (int step = 0; step < 8; ++step) {
+        advance(100ms);
+        answerPull();
+    }
+    EXPECT_FALSE(isSent());
+}
+
 TEST_F(WordAgeTest, AGatewayThatIsCutOffServesOn)
 {
     for (int second = 0; second < 6; ++second) {
