Read large plans in parts before they enter the log; the registry's word is judged by the operators' limits

Cause: the check of the plan read all of them at once.

Limits of the registry's word were parts of 2.5 s; on deployments with bounds of 2.0 s a replaced plan had no margin.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -62,6 +62,7 @@
           .staleAfter = StaleSourceAfter,
           .isSource = false,
           .counters = &counters_}))
+    , registry_({.leave = settings_.leaveLimit, .plan = settings_.planLimit})
     , targets_({.self = self_, .zone = settings_.zone, .region = settings_.region}, settings_.zones)
     , split_(settings_.shiftCap)
     , placement_(targets_, split_, options.seed)
--- a/src/gateway/internal/registrywatch.h
+++ b/src/gateway/internal/registrywatch.h
@@ -20,10 +20,16 @@
 [[nodiscard]] std::string_view toString(RegistryWord word);
 
 /// Judges the registry's word by what it answers: links keep the order of what is said on them, so an answer comes
-/// after everything that was said before it. Targets that leave get nothing 2.5 s after their leaving is acknowledged,
-/// and plans are in force as soon, also at gateways that stood still or whose links are full.
+/// after everything that was said before it. Targets that leave get nothing, and plans are in force, within the limits
+/// that operators set, also at gateways that stood still or whose links are full.
 class RegistryWatch {
 public:
+    struct Limits {
+        Duration leave; ///< From the acknowledgement that a target leaves until it gets nothing more.
+        Duration plan; ///< From a plan's acknowledgement until it is in force.
+    };
+    explicit RegistryWatch(const Limits& limits);
+
     /// To be told of each event and tick, before anything else.
     void noteAwake(Timestamp now);
     /// Something came from a registry host.
@@ -31,6 +37,8 @@
     [[nodiscard]] RegistryWord word(const control::IBundleHolder& holder, Timestamp now) const;
 
 private:
+    Duration longestUnanswered_;
+    Duration longestReplaced_;
     Timestamp seenAt_ {};
     Timestamp awakeSince_ {};
     Timestamp heardAt_ {};
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -35,8 +35,16 @@
 } // namespace
 
 GatewayFixture::GatewayFixture()
-    : gateway_(makeGateway({.settings = sampleSettings(), .incarnation = {1}}))
+    : GatewayFixture(FixtureOptions {})
 {
+}
+
+GatewayFixture::GatewayFixture(const FixtureOptions& options)
+{
+    settings::RoutedHostSettings settings = sampleSettings();
+    settings.leaveLimit = options.leaveLimit;
+    settings.planLimit = options.planLimit;
+    gateway_ = makeGateway({.settings = settings, .incarnation = {1}});
     advance(Tick);
 }
 
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -19,7 +19,13 @@
 /// A gateway in virtual time with the registry, callers and targets played by the test.
 class GatewayFixture : public testing::Test {
 protected:
+    /// Limits of the settings that tests vary.
+    struct FixtureOptions {
+        Duration leaveLimit = 2500ms;
+        Duration planLimit = 2500ms;
+    };
     GatewayFixture();
+    explicit GatewayFixture(const FixtureOptions& options);
 
     /// Two services, "quotes" and "files"; routes of every kind at host "prices.example".
     /// `accounts`: the JSON list of client accounts, where the plan has one.
--- a/src/gateway/tests/wordagetests.cpp
+++ b/src/gateway/tests/wordagetests.cpp
@@ -12,7 +12,8 @@
 
 class WordAgeTest : public GatewayFixture {
 protected:
-    WordAgeTest()
+    explicit WordAgeTest(const FixtureOptions& options = {})
+        : GatewayFixture(options)
     {
         installPlan(1);
         reportTargets({target("t-1")});
@@ -82,6 +83,55 @@
     EXPECT_FALSE(isSent());
 }
 
+namespace {
+
+/// Time that passes in 100 ms steps, with an answer to each pull, until a gateway that knows of a newer plan sends
+/// nothing more.
+class ReplacedPlanTest : public WordAgeTest, public testing::WithParamInterface<Duration> {
+protected:
+    ReplacedPlanTest()
+        : WordAgeTest({.leaveLimit = GetParam(), .planLimit = GetParam()})
+    {
+    }
+};
+
+} // namespace
+
+/// Guards against limits of one deployment in the program: operators set 2.0 to 3.0 s. A request by the old plan has
+/// to be with its target within the limit, so the last one is sent some time before.
+TEST_P(ReplacedPlanTest, TheOldPlanIsUsedForMostOfTheLimitAndNoLonger)
+{
+    constexpr Duration Step = 100ms;
+    constexpr Duration LeastMargin = 300ms;
+    startFetchingPlan(2);
+    Duration used {};
+    for (Duration passed {}; passed < GetParam() * 2; passed += Step) {
+        advance(Step);
+        answerPull();
+        if (isSent())
+            used = passed + Step;
+    }
+    EXPECT_LE(used, GetParam() - LeastMargin);
+    EXPECT_GE(used, GetParam() / 2);
+}
+
+TEST_P(ReplacedPlanTest, LateWordIsUsedForLessThanTheLimitOfALeave)
+{
+    constexpr Duration Step = 100ms;
+    constexpr Duration LeastMargin = 300ms;
+    Duration used {};
+    for (Duration passed {}; passed < GetParam() * 2; passed += Step) {
+        hearOldWord(Step);
+        if (isSent())
+            used = passed + Step;
+    }
+    EXPECT_LE(used, GetParam() - LeastMargin);
+    EXPECT_GE(used, 1s); // Two pulls may go unanswered.
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    OperatorsLimits, ReplacedPlanTest, testing::Values(Duration(2s), Duration(2500ms), Duration(3s)));
+
 TEST_F(WordAgeTest, AGatewayThatIsCutOffServesOn)
 {
     for (int second = 0; second < 6; ++second) {
--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -107,9 +107,16 @@
 {
     log(host::LogSeverity::Info,
         "event=plan_order base=" + std::to_string(call.base.value) + " bytes=" + std::to_string(open.body.size()));
-    orders_.submit(handle,
-        control::ReplacePlan {.base = call.base, .version = statedVersion(open.body), .content = std::move(open.body)},
-        now);
+    planQueue_.add({.handle = handle,
+        .order = {.base = call.base, .version = statedVersion(open.body), .content = std::move(open.body)}});
+    submitReadPlan(now);
+}
+
+void RegistryCore::submitReadPlan(Timestamp now)
+{
+    // Who doesn't lead only tells who does.
+    if (std::optional<PlanQueue::Entry> read = replica_->isLeader() ? planQueue_.takeRead() : planQueue_.takeUnread())
+        orders_.submit(read->handle, std::move(read->order), now);
 }
 
 void RegistryCore::run(requests::HttpHandle handle, ReadPlanCall /*call*/, OpenCall& /*open*/, Timestamp now)
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -35,19 +35,15 @@
 int64_t noWallClock() { return 0; }
 
 /// Checks plans as they are ordered, each against the one before.
-class PlanChecker {
-public:
-    Result<BundleVersion, Findings> operator()(std::string_view content)
-    {
-        const Result<model::RoutePlan, Findings> plan = reader_.read(content, "plan");
+control::PlanChecker planCheckerBy(std::shared_ptr<settings::RoutePlanReader> reader)
+{
+    return [reader = std::move(reader)](std::string_view content) -> Result<BundleVersion, Findings> {
+        const Result<model::RoutePlan, Findings> plan = reader->read(content, "plan");
         if (!plan)
             return plan.error();
         return plan.value().version;
-    }
-
-private:
-    settings::RoutePlanReader reader_;
-};
+    };
+}
 
 Result<model::Bundle, Findings> refuseBundle(std::string_view /*content*/)
 {
@@ -67,13 +63,14 @@
 
 } // namespace
 
-RegistryCore::RegistryCore(const RegistryOptions& options, std::unique_ptr<control::IControlReplica> replica,
-    std::unique_ptr<model::Counters> counters)
+RegistryCore::RegistryCore(const RegistryOptions& options, Parts parts)
     : settings_(options.settings)
     , self_(settings_.host())
     , incarnation_(options.incarnation)
-    , counters_(std::move(counters))
-    , replica_(std::move(replica))
+    , counters_(std::move(parts.counters))
+    , replica_(std::move(parts.replica))
+    , planReader_(std::move(parts.planReader))
+    , planQueue_(*planReader_)
     , roster_(membership::makeHostRoster(
           {.self = recordOf(settings_, incarnation_), .seeds = host::hostIdsOf(settings_.seeds)}))
     , holder_(control::makeBundleHolder({.self = self_, .counters = counters_.get()}))
@@ -98,6 +95,7 @@
     replica_->tick(now);
     replica_->setJoinHosts(roster_->controlHosts());
     roster_->tick(now);
+    submitReadPlan(now);
     orders_.retryWaiting(now);
     noteLeader(now);
     distribute(now);
@@ -110,7 +108,8 @@
     updateCredits(now);
     updateLinks();
     settle(now);
-    const bool isStopDue = stopAt_ && now >= *stopAt_ && (orders_.isEmpty() || now >= *stopAt_ + LongestStop);
+    const bool isStopDue
+        = stopAt_ && now >= *stopAt_ && ((orders_.isEmpty() && planQueue_.isEmpty()) || now >= *stopAt_ + LongestStop);
     if (isStopDue)
         actions_.emplace_back(host::StopFinished {});
 }
@@ -158,6 +157,7 @@
 void RegistryCore::accept(const requests::HttpRequestAborted& aborted, Timestamp /*now*/)
 {
     endCall(aborted.handle);
+    planQueue_.forget(aborted.handle);
     orders_.forget(aborted.handle);
 }
 
@@ -296,13 +296,14 @@
 std::unique_ptr<host::IHostCore> makeRegistry(const RegistryOptions& options)
 {
     auto counters = std::make_unique<model::Counters>();
+    auto planReader = std::make_shared<settings::RoutePlanReader>();
     std::unique_ptr<control::IControlReplica> replica = control::makeControlReplica({
         .self = options.settings.host(),
         .incarnation = options.incarnation,
         .recovered = options.recovered,
         .bootstrapHosts = host::hostIdsOf(options.settings.seeds),
         .parseBundle = refuseBundle,
-        .checkPlan = PlanChecker {},
+        .checkPlan = planCheckerBy(planReader),
         .mayFound = options.settings.isFirstStart,
         .isMembershipOpen = true,
         .wallClockUnixMs = noWallClock,
@@ -314,7 +315,9 @@
     });
     if (!replica)
         return nullptr;
-    return std::make_unique<RegistryCore>(options, std::move(replica), std::move(counters));
+    return std::make_unique<RegistryCore>(options,
+        RegistryCore::Parts {
+            .counters = std::move(counters), .replica = std::move(replica), .planReader = std::move(planReader)});
 }
 
 } // namespace saltvane::registry
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -13,6 +13,7 @@
 #include "registry/internal/loadboard.h"
 #include "registry/internal/neargateways.h"
 #include "registry/internal/orders.h"
+#include "registry/internal/planqueue.h"
 #include "registry/internal/refusedreports.h"
 #include "registry/internal/suspectrelay.h"
 #include "registry/internal/targetbook.h"
@@ -29,8 +30,12 @@
 /// A registry host without I/O.
 class RegistryCore final : public host::IHostCore {
 public:
-    explicit RegistryCore(const RegistryOptions& options, std::unique_ptr<control::IControlReplica> replica,
-        std::unique_ptr<model::Counters> counters);
+    struct Parts {
+        std::unique_ptr<model::Counters> counters; ///< The replica adds to them.
+        std::unique_ptr<control::IControlReplica> replica;
+        std::shared_ptr<settings::RoutePlanReader> planReader; ///< By which the replica checks plans.
+    };
+    RegistryCore(const RegistryOptions& options, Parts parts);
 
     void handle(host::Event event, Timestamp now) override;
     void tick(Timestamp now) override;
@@ -73,6 +78,8 @@
     void run(requests::HttpHandle handle, StatusCall call, OpenCall& open, Timestamp now);
     void run(requests::HttpHandle handle, UnknownCall call, OpenCall& open, Timestamp now);
 
+    /// Gives the plan that was read to the end to the log.
+    void submitReadPlan(Timestamp now);
     void refuseReport(requests::HttpHandle handle, const OpenCall& open, const Findings& findings, Timestamp now);
     /// Whether the plan in force knows a target's service: a report of another one is not of this deployment.
     [[nodiscard]] bool isServiceNamed(const model::TargetRecord& record);
@@ -119,6 +126,8 @@
     Incarnation incarnation_;
     std::unique_ptr<model::Counters> counters_;
     std::unique_ptr<control::IControlReplica> replica_;
+    std::shared_ptr<settings::RoutePlanReader> planReader_;
+    PlanQueue planQueue_;
     std::unique_ptr<membership::IHostRoster> roster_;
     std::unique_ptr<control::IBundleHolder> holder_;
     TargetBook targets_;
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -23,6 +23,7 @@
 constexpr uint64_t BytesPerMegabyte = 1024 * 1024;
 constexpr IntegerRange MemoryRange {.least = 16, .most = 1024 * 1024}; ///< Megabytes.
 constexpr DurationRange TtlRange {.least = 100ms, .most = 1h};
+constexpr DurationRange WordLimitRange {.least = 1s, .most = 1h};
 constexpr DurationRange StopRange {.least = 100ms, .most = 1h};
 
 struct HeaderField {
@@ -146,6 +147,8 @@
         settings_.linkMegabits = root_.decimal("link_mbps", settings_.linkMegabits);
         settings_.shiftCap = root_.decimal("shift_cap", settings_.shiftCap);
         settings_.lookUpTtl = root_.duration("look_up_ttl_s", 1s, settings_.lookUpTtl, TtlRange);
+        settings_.leaveLimit = root_.duration("leave_limit_s", 1s, settings_.leaveLimit, WordLimitRange);
+        settings_.planLimit = root_.duration("plan_limit_s", 1s, settings_.planLimit, WordLimitRange);
         // Of a gateway, plans may lower it; a registry host's callers send short heads. Each connection holds as much
         // memory.
         const uint64_t usual = settings_.isGateway ? GatewayHeaderBytes : RegistryHeaderBytes;
--- a/src/settings/internal/routeplanreader.cpp
+++ b/src/settings/internal/routeplanreader.cpp
@@ -10,6 +10,7 @@
 #include "settings/routeplanformat.h"
 
 #include <algorithm>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
 #include <utility>
@@ -89,12 +90,72 @@
             known.item = before->item;
         } else {
             list.fresh.push_back(position);
-            known.item = readItem(Json::parse(text), position);
+            const auto prepared = list.prepared.find(known.digest.first);
+            const bool isPrepared = prepared != list.prepared.end() && prepared->second.digest == known.digest;
+            known.item = isPrepared ? prepared->second.item : readItem(Json::parse(text), position);
         }
         list.read.push_back(std::move(known));
     }
 }
 
+/// A plan that is read ahead.
+struct RoutePlanReader::Preparation {
+    PlanText parts;
+    size_t nextRoute = 0;
+    size_t nextAccount = 0;
+};
+
+RoutePlanReader::RoutePlanReader() = default;
+RoutePlanReader::~RoutePlanReader() = default;
+RoutePlanReader::RoutePlanReader(RoutePlanReader&&) noexcept = default;
+RoutePlanReader& RoutePlanReader::operator=(RoutePlanReader&&) noexcept = default;
+
+void RoutePlanReader::prepare(std::string_view text)
+{
+    routes_.prepared.clear();
+    accounts_.prepared.clear();
+    preparation_ = std::make_unique<Preparation>();
+    if (std::optional<PlanText> parts = splitPlanText(text))
+        preparation_->parts = *std::move(parts);
+}
+
+template <typename Ref, typename ReadItem>
+size_t RoutePlanReader::prepareList(
+    List<Ref>& list, std::span<const std::string_view> texts, size_t& next, size_t items, const ReadItem& readItem)
+{
+    Finder<Ref> finder(list.known);
+    for (; next < texts.size() && items > 0; ++next) {
+        const TextDigest digest = digestOf(texts[next]);
+        if (finder.find(digest) != nullptr)
+            continue;
+        --items;
+        Findings findings;
+        Ref item = readItem(Json::parse(texts[next], nullptr, false), next, findings);
+        if (findings.isEmpty()) // What is wrong is told when the plan is read.
+            list.prepared.insert_or_assign(digest.first, Known<Ref> {.digest = digest, .item = std::move(item)});
+    }
+    return items;
+}
+
+bool RoutePlanReader::prepareSome(size_t items)
+{
+    if (!preparation_)
+        return true;
+    Preparation& now = *preparation_;
+    const auto readRoute = [](const Json& json, size_t position, Findings& findings) {
+        return model::makeRoute(readPlanRoute(json, position, "plan", findings));
+    };
+    const auto readAccount = [](const Json& json, size_t position, Findings& findings) {
+        return model::makeAccount(readPlanAccount(json, position, "plan", findings));
+    };
+    items = prepareList(routes_, now.parts.routes, now.nextRoute, items, readRoute);
+    items = prepareList(accounts_, now.parts.accounts, now.nextAccount, items, readAccount);
+    if (now.nextRoute < now.parts.routes.size() || now.nextAccount < now.parts.accounts.size())
+        return false;
+    preparation_.reset();
+    return true;
+}
+
 template <typename Ref> std::vector<Ref> RoutePlanReader::refsOf(std::span<const Known<Ref>> list)
 {
     std::vector<Ref> refs;
@@ -107,6 +168,8 @@
 Result<model::RoutePlan, Findings> RoutePlanReader::read(std::string_view text, const std::string& sourceName)
 {
     std::optional<model::RoutePlan> plan = readParts(text, sourceName);
+    routes_.prepared.clear();
+    accounts_.prepared.clear();
     if (!plan)
         return parseRoutePlan(text, sourceName); // Tells all that is wrong, with its places.
     const std::vector<ServiceName> services = serviceNamesOf(*plan);
--- a/src/settings/routedhostsettings.h
+++ b/src/settings/routedhostsettings.h
@@ -67,6 +67,8 @@
     RetryLimit retries;
     double shiftCap = 0.1; ///< Most of a region's requests that may change region within two seconds.
     Duration lookUpTtl = 2s;
+    Duration leaveLimit = 2500ms; ///< From the acknowledgement that a target leaves until it gets nothing more.
+    Duration planLimit = 2500ms; ///< From a plan's acknowledgement until it is in force everywhere.
     double linkMegabits = 0; ///< Of this host's network link, a second; 0: unknown, and no limit.
     Limits limits;
 
--- a/src/settings/routeplanreader.h
+++ b/src/settings/routeplanreader.h
@@ -8,10 +8,12 @@
 #include "base/result.h"
 #include "model/routeplan.h"
 
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -22,9 +24,20 @@
 /// whole, a plan of 19,000 routes takes 0.1 s of a core, which is a second of a host that has a tenth of one.
 class RoutePlanReader {
 public:
+    RoutePlanReader();
+    ~RoutePlanReader();
+    RoutePlanReader(RoutePlanReader&&) noexcept;
+    RoutePlanReader& operator=(RoutePlanReader&&) noexcept;
+
     /// The client accounts alone; none where the text can't be taken apart or one of them is not as it should be.
     [[nodiscard]] std::optional<std::vector<model::AccountRef>> readAccounts(std::string_view text);
     [[nodiscard]] Result<model::RoutePlan, Findings> read(std::string_view text, const std::string& sourceName);
+    /// Takes a plan apart to be read in parts ahead of read(), which then only looks it through. One at a time; the
+    /// text stays where it is until prepareSome() has told its end.
+    void prepare(std::string_view text);
+    /// Reads so many of its new routes and accounts; true: nothing is left to be read ahead.
+    [[nodiscard]] bool prepareSome(size_t items);
+
     /// Of the last plan: routes that the one before did not have.
     [[nodiscard]] size_t newRoutes() const { return routes_.fresh.size(); }
     /// The same of client accounts.
@@ -41,9 +54,11 @@
         std::vector<Known<Ref>> known; ///< Of the last plan that had no findings, in its order.
         std::vector<Known<Ref>> read; ///< Of the plan that is being read.
         std::vector<size_t> fresh; ///< Positions in it of items that are not known.
+        std::unordered_map<uint64_t, Known<Ref>> prepared; ///< Read ahead, by the first half of their digests.
         [[nodiscard]] bool isSame() const { return fresh.empty() && read.size() == known.size(); }
     };
     template <typename Ref> class Finder;
+    struct Preparation;
 
     [[nodiscard]] static TextDigest digestOf(std::string_view text);
     template <typename Ref> [[nodiscard]] static std::vector<Ref> refsOf(std::span<const Known<Ref>> list);
@@ -53,6 +68,12 @@
     /// None where anything is wrong.
     [[nodiscard]] std::optional<model::RoutePlan> readParts(std::string_view text, const std::string& sourceName);
 
+    /// Reads ahead up to so many items from `next` on; gives how many are left of that number.
+    template <typename Ref, typename ReadItem>
+    static size_t prepareList(
+        List<Ref>& list, std::span<const std::string_view> texts, size_t& next, size_t items, const ReadItem& readItem);
+
+    std::unique_ptr<Preparation> preparation_;
     List<model::RouteRef> routes_;
     List<model::AccountRef> accounts_;
     std::vector<ServiceName> services_; ///< Of the last plan that had no findings.
--- a/src/settings/tests/routeplanreadertests.cpp
+++ b/src/settings/tests/routeplanreadertests.cpp
@@ -34,6 +34,16 @@
     return plan;
 }
 
+Json accountsOf(size_t count)
+{
+    Json accounts = Json::array();
+    for (size_t number = 0; number < count; ++number)
+        accounts.push_back({{"name", "a-" + std::to_string(number)},
+            {"keys", {"k-" + std::to_string(number), "l-" + std::to_string(number)}}, {"rate_per_s", number % 5},
+            {"burst", number % 3}, {"permitted_regions", number % 2 == 0 ? Json::array() : Json {"north"}}});
+    return accounts;
+}
+
 /// What a plan says, or what is wrong with it.
 std::string describe(const Result<model::RoutePlan, Findings>& plan)
 {
@@ -49,7 +59,15 @@
             + std::to_string(route->route.attempts) + ">" + route->route.services.at(0).service.value();
     for (const model::RoutedService& service : plan.value().services)
         text += " " + service.name.value();
-    return text;
+    for (const model::AccountRef& shared : plan.value().accounts) {
+        const model::ClientAccount& account = shared->account;
+        text += " " + account.name.value() + ":" + std::to_string(account.limit ? account.limit->perSecond : -1);
+        for (const std::string& key : account.keys)
+            text += "," + key;
+        for (const RegionName& region : account.permittedRegions)
+            text += "@" + region.value();
+    }
+    return text + (plan.value().hasAccounts ? " accounts" : "");
 }
 
 } // namespace
@@ -74,6 +92,60 @@
     EXPECT_EQ(reader.newRoutes(), 1U);
 }
 
+TEST(RoutePlanReaderTest, APlanThatWasReadAheadIsReadByALookOverItsText)
+{
+    constexpr size_t Routes = 100;
+    constexpr size_t Part = 30;
+    RoutePlanReader reader;
+    Json plan = planOf(Routes);
+    plan["client_accounts"] = accountsOf(Part);
+    const std::string text = plan.dump();
+    reader.prepare(text);
+    size_t parts = 1;
+    while (!reader.prepareSome(Part))
+        ++parts;
+    EXPECT_EQ(parts, (Routes + Part + Part - 1) / Part);
+    const Result<model::RoutePlan, Findings> read = reader.read(text, "plan");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(reader.newRoutes(), Routes);
+    EXPECT_EQ(describe(read), describe(parseRoutePlan(text, "plan")));
+    reader.prepare(text);
+    EXPECT_TRUE(reader.prepareSome(1)); // All of it is known.
+}
+
+TEST(RoutePlanReaderTest, AChangeOfOneAccountReadsOneAccount)
+{
+    constexpr size_t Accounts = 5000;
+    RoutePlanReader reader;
+    Json plan = planOf(3);
+    plan["client_accounts"] = accountsOf(Accounts);
+    ASSERT_TRUE(reader.read(plan.dump(), "plan"));
+    EXPECT_EQ(reader.newAccounts(), Accounts);
+    plan["client_accounts"][77]["keys"].push_back("another");
+    const Result<model::RoutePlan, Findings> changed = reader.read(plan.dump(), "plan");
+    ASSERT_TRUE(changed);
+    EXPECT_EQ(reader.newAccounts(), 1U);
+    EXPECT_EQ(changed.value().accounts.at(77)->account.keys.back(), "another");
+}
+
+TEST(RoutePlanReaderTest, FindingsOfAccountsHaveTheirPlacesAndTellNoKeys)
+{
+    Json plan = planOf(1);
+    plan["client_accounts"]
+        = {{{"name", "a"}, {"keys", {"secret-1", "secret-2"}}}, {{"name", "b"}, {"keys", {"secret-2"}}},
+            {{"name", "a"}, {"keys", {""}}}, {{"name", ""}, {"keys", Json::array()}}};
+    EXPECT_EQ(describe(parseRoutePlan(plan.dump(), "plan")),
+        "plan: client_accounts[1].keys: client_accounts[0] holds one of these keys, too\n"
+        "plan: client_accounts[2].name: another account has this name: 'a'\n"
+        "plan: client_accounts[2].keys: must not hold an empty key\n"
+        "plan: client_accounts[3].name: must not be empty\n");
+    plan["client_accounts"] = {{{"name", "a"}, {"keys", {"secret-1", 7}}, {"rate_per_s", -1}, {"rank", "high"}}};
+    EXPECT_EQ(describe(parseRoutePlan(plan.dump(), "plan")),
+        "plan: client_accounts[0].keys: must hold names\n"
+        "plan: client_accounts[0].rate_per_s: must be a number from 0\n"
+        "plan: client_accounts[0].rank: must be a whole number from 0\n");
+}
+
 TEST(RoutePlanReaderTest, ARefusedPlanChangesNothing)
 {
     RoutePlanReader reader;
@@ -113,6 +185,12 @@
             routes.erase(draw(routes.size()));
         if (draw(4) == 0)
             std::swap(routes[draw(routes.size())], routes[draw(routes.size())]);
+        if (draw(4) == 0)
+            plan["client_accounts"] = accountsOf(draw(6));
+        if (draw(10) == 0)
+            plan.erase("client_accounts");
+        if (draw(20) == 0)
+            plan["client_accounts"] = nullptr;
         plan["version"] = round;
         std::string text = draw(2) == 0 ? plan.dump() : plan.dump(1);
         for (size_t damage = draw(3); damage > 0; --damage) {
@@ -128,6 +206,11 @@
                 text.insert(at, text.substr(draw(text.size()), 10));
             }
         }
+        if (draw(2) == 0) {
+            reader.prepare(text);
+            while (draw(8) != 0 && !reader.prepareSome(draw(5)))
+                continue;
+        }
         const Result<model::RoutePlan, Findings> given = reader.read(text, "plan");
         read += given ? 1 : 0;
         ASSERT_EQ(describe(given), describe(parseRoutePlan(text, "plan"))) << text;
