Shares of limits are leased: a host that left the group holds none beside its successor

Cause, found by reading: a registry host that is cut off for longer than 20 s is taken out of the group, and the others' shares grew at once, while it went on giving its own: up to one part in the number of hosts over the limit. Now the share of a host that left is nobody's for 60 s, and a host gives nothing 48 s after its last proof. Test: TheShareOfAHostThatLeftIsNobodysUntilItsLeaseIsOver.

--- a/src/registry/internal/creditpool.cpp
+++ b/src/registry/internal/creditpool.cpp
@@ -47,19 +47,30 @@
 {
 }
 
-void CreditPool::setHolders(std::vector<HostId> holders)
+void CreditPool::setHolders(std::vector<HostId> holders, Duration proofAge, Timestamp now)
 {
-    std::ranges::sort(holders);
-    if (holders == holders_)
-        return;
-    holders_ = std::move(holders);
-    ++holdersVersion_;
+    if (proofAge < LeaseTime)
+        provenAt_ = now - proofAge;
+    size_t changes = 0;
+    for (HostId& holder : holders) {
+        const auto [known, isNew] = holders_.try_emplace(std::move(holder), now);
+        known->second = now;
+        changes += isNew ? 1 : 0;
+    }
+    changes += std::erase_if(holders_, [&](const auto& item) { return now - item.second > LeaseTime; });
+    holdersVersion_ += changes > 0 ? 1 : 0;
+}
+
+bool CreditPool::isLeased(Timestamp now) const
+{
+    constexpr double UsedPart = 0.8; // The others count from when they heard of a change, on clocks of their own.
+    return provenAt_ && toSeconds(now - *provenAt_) < toSeconds(LeaseTime) * UsedPart;
 }
 
 CreditPool::Holding* CreditPool::holdingOf(const model::ClientAccountName& account, Timestamp now)
 {
     const std::optional<model::RateLimit> limit = limits_.find(account);
-    if (!limit || holders_.empty())
+    if (!limit || !isLeased(now))
         return nullptr;
     const auto [found, isNew] = holdings_.try_emplace(account);
     Holding& holding = found->second;
@@ -81,7 +92,9 @@
     const double burst = std::max(limit.burst, LeastBurst);
     const auto wanted = static_cast<size_t>(std::max(1.0, std::floor(burst / LeastBurstShare)));
     const size_t count = std::min(holders_.size(), wanted);
-    holding.holders = holders_;
+    holding.holders.clear();
+    for (const auto& [host, seenAt] : holders_)
+        holding.holders.push_back(host);
     if (count < holders_.size()) {
         std::ranges::sort(
             holding.holders, std::ranges::greater {}, [&](const HostId& host) { return scoreOf(host, account); });
@@ -110,8 +123,7 @@
 
 bool CreditPool::isPeer(const HostId& host) const
 {
-    return std::ranges::find(holders_, host) != holders_.end()
-        || std::ranges::find(peers_, host, &Peer::host) != peers_.end();
+    return holders_.contains(host) || std::ranges::find(peers_, host, &Peer::host) != peers_.end();
 }
 
 void CreditPool::handle(const HostId& from, const model::AccountCreditRequest& request, Timestamp now)
--- a/src/registry/internal/creditpool.h
+++ b/src/registry/internal/creditpool.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -27,8 +28,12 @@
     };
     CreditPool(HostId self, Timestamp startedAt);
 
-    /// All hosts that hold shares, this one among them or not. Empty: not known yet.
-    void setHolders(std::vector<HostId> holders);
+    /// A host that left the group may not have heard of it: for so long after its last proof that it is in the group it
+    /// gives credits, and its share is given to nobody else meanwhile.
+    static constexpr Duration LeaseTime = 60s;
+
+    /// The hosts of the group that holds the shares, this one among them or not, by a proof of this age.
+    void setHolders(std::vector<HostId> holders, Duration proofAge, Timestamp now);
     /// Other registry hosts that are heard.
     void setPeers(std::vector<Peer> peers) { peers_ = std::move(peers); }
     [[nodiscard]] AccountLimits& limits() { return limits_; }
@@ -72,6 +77,7 @@
     void updateShare(Holding& holding, const model::ClientAccountName& account, const model::RateLimit& limit) const;
     void fill(Holding& holding, Timestamp now) const;
     void noteDemand(Holding& holding, uint32_t credits, Timestamp now) const;
+    [[nodiscard]] bool isLeased(Timestamp now) const;
     [[nodiscard]] bool isPeer(const HostId& host) const;
     void answerPeer(const HostId& from, const model::AccountCreditAsk& ask, Timestamp now);
     void answerGateway(const HostId& from, const model::AccountCreditAsk& ask, Timestamp now);
@@ -89,7 +95,8 @@
 
     HostId self_;
     Timestamp startedAt_;
-    std::vector<HostId> holders_;
+    std::map<HostId, Timestamp> holders_; ///< When they were last in the group.
+    std::optional<Timestamp> provenAt_; ///< That holders_ is as the group is.
     uint64_t holdersVersion_ = 0;
     std::vector<Peer> peers_;
     AccountLimits limits_;
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -179,7 +179,7 @@
         if (replica.isVoter)
             holders.push_back(replica.host);
     }
-    credits_->setHolders(std::move(holders));
+    credits_->setHolders(std::move(holders), replica_->proofAge(now), now);
     std::vector<CreditPool::Peer> peers;
     for (const Gateway& host : livingRegistryHosts(now))
         peers.push_back({.host = host.host, .isNear = host.region == settings_.region});
--- a/src/registry/tests/creditpooltests.cpp
+++ b/src/registry/tests/creditpooltests.cpp
@@ -83,6 +83,10 @@
         const Timestamp end = now_ + duration;
         while (now_ < end) {
             now_ += 10ms;
+            if (now_ >= nextRefreshAt_) {
+                nextRefreshAt_ = now_ + 200ms;
+                refreshAll();
+            }
             while (!wire_.empty() && wire_.begin()->first <= now_) {
                 const auto [from, to, message] = std::move(wire_.begin()->second);
                 wire_.erase(wire_.begin());
@@ -137,7 +141,7 @@
             if (i != number && side_.contains(i) == side_.contains(number))
                 peers.push_back({.host = registryHost(i), .isNear = i / 2 == number / 2});
         }
-        pools_[number]->setHolders(std::move(holders));
+        pools_[number]->setHolders(std::move(holders), 0s, now_);
         pools_[number]->setPeers(std::move(peers));
     }
     void refreshAll()
@@ -201,6 +205,7 @@
     std::mt19937 random_;
     model::RateLimit limit_;
     Timestamp now_ {100s};
+    Timestamp nextRefreshAt_ {};
     std::vector<std::unique_ptr<CreditPool>> pools_;
     std::vector<Timestamp> pausedUntil_;
     std::set<size_t> side_;
@@ -287,6 +292,40 @@
     EXPECT_LE(fleet.given, 2U);
 }
 
+/// Guards against two holders of one share: a host that is cut off does not hear that it was taken out of the group.
+TEST(CreditPoolTest, TheShareOfAHostThatLeftIsNobodysUntilItsLeaseIsOver)
+{
+    constexpr double Rate = 60;
+    const auto givenBy = [&](CreditPool& pool, Timestamp now) {
+        uint32_t given = 0;
+        for (uint64_t ask = 1; ask <= 100; ++ask)
+            pool.handle(gatewayHost(0), {.asks = {{.ask = ask, .account = Account, .credits = 1}}}, now);
+        for (const model::Outgoing& outgoing : pool.takeOutgoing()) {
+            if (const auto* reply = std::get_if<model::AccountCreditReply>(&outgoing.message)) {
+                for (const model::AccountCreditAnswer& answer : reply->answers)
+                    given += answer.credits;
+            }
+        }
+        return given;
+    };
+    Timestamp now {100s};
+    CreditPool staying(registryHost(0), now);
+    CreditPool cutOff(registryHost(1), now);
+    for (CreditPool* pool : {&staying, &cutOff}) {
+        const model::RateLimit limit {.perSecond = Rate, .burst = Rate};
+        pool->limits().install(std::vector {model::makeAccount({.name = Account, .keys = {"k"}, .limit = limit})});
+        EXPECT_EQ(givenBy(*pool, now), 0U); // Without a proof nobody knows its share.
+        pool->setHolders({registryHost(0), registryHost(1)}, 0s, now);
+    }
+    for (; now < Timestamp {100s} + CreditPool::LeaseTime * 2; now += 1s) {
+        staying.setHolders({registryHost(0)}, 0s, now);
+        cutOff.setHolders({registryHost(0), registryHost(1)}, now - Timestamp {100s}, now);
+        EXPECT_LE(givenBy(staying, now) + givenBy(cutOff, now), static_cast<uint32_t>(Rate))
+            << toSeconds(now - Timestamp {});
+    }
+    EXPECT_EQ(givenBy(staying, now), static_cast<uint32_t>(Rate));
+}
+
 TEST(CreditPoolTest, AnUnknownAccountIsNoRefusal)
 {
     CreditPool pool(registryHost(0), Timestamp {1s});
