First guesses of work go with the routes' objectives; registry hosts with full disks

Cause: before any answer a service was thought to take 150 ms warm, 500 ms cold and 1 s at the longest, whatever its work. Work that takes 1.28 s cold had its targets doubted after 1.3 s, before a first answer could come, and queues were thought half as long. Now these guesses are for an objective of 400 ms and go with that of the service's first route.

Full disks: no change was needed.

--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -219,6 +219,7 @@
 
 std::variant<Placed, PlacementRefusal> Placement::choose(const PlacementQuery& query, Timestamp now)
 {
+    workTimes_.noteAsked(query.service.name, query.route.objective);
     const uint64_t object = query.object ? mix(*query.object, 0) : random_();
     Groups found = groupsFor(query, object, now);
     const auto known = static_cast<uint32_t>(targets_.countOf(query.service.name));
--- a/src/gateway/internal/worktimes.cpp
+++ b/src/gateway/internal/worktimes.cpp
@@ -11,8 +11,11 @@
 
 namespace {
 
-/// Before any answer came.
+/// Before any answer came, and of a service whose routes have no objective.
 constexpr WorkTimes::Times FirstGuess {.first = 150ms, .secondExcess = 175ms, .otherExcess = 350ms, .slowest = 1s};
+/// The objective for which this is the first guess. Operators set objectives a little above the work of a warm target,
+/// so the guess goes with them.
+constexpr Duration ObjectiveOfFirstGuess = 400ms;
 constexpr double SlowestDecay = 0.998; ///< By each answer.
 constexpr double WeightOfOne = 0.05; ///< Of one answer.
 /// Some 100 bytes each; a plan with more routes serves those beyond by their services' times.
@@ -33,6 +36,19 @@
     return first + otherExcess;
 }
 
+void WorkTimes::noteAsked(const ServiceName& service, Duration objective)
+{
+    if (objective <= Duration::zero() || services_.contains(service))
+        return;
+    const double factor = toSeconds(objective) / toSeconds(ObjectiveOfFirstGuess);
+    const auto scaled = [factor](Duration guess) { return fromSeconds(toSeconds(guess) * factor); };
+    services_.emplace(service,
+        Times {.first = scaled(FirstGuess.first),
+            .secondExcess = scaled(FirstGuess.secondExcess),
+            .otherExcess = scaled(FirstGuess.otherExcess),
+            .slowest = scaled(FirstGuess.slowest)});
+}
+
 WorkTimes::Times WorkTimes::ofService(const ServiceName& service) const
 {
     const auto found = services_.find(service);
--- a/src/gateway/internal/worktimes.h
+++ b/src/gateway/internal/worktimes.h
@@ -29,6 +29,9 @@
         Duration slowest {}; ///< The longest lately.
         [[nodiscard]] Duration of(Choice choice) const;
     };
+    /// A request of a route with this objective is about to be sent: of a service that is not known yet the objective
+    /// tells about how long its targets work.
+    void noteAsked(const ServiceName& service, Duration objective);
     [[nodiscard]] Times ofService(const ServiceName& service) const;
     [[nodiscard]] Times ofRoute(const ServiceName& service, const model::RouteName& route) const;
 
--- a/src/gateway/tests/worktimestests.cpp
+++ b/src/gateway/tests/worktimestests.cpp
@@ -44,6 +44,24 @@
     EXPECT_EQ(times.ofRoute(Wallet, Redeems).first, times.ofService(Wallet).first);
 }
 
+// The pattern: a service whose work takes twice as long as another's starts, with every object cold. Judged by the
+// times of the other one, each target was doubted before its first answer could come, and queues were thought half as
+// long.
+TEST(WorkTimesTest, BeforeAnyAnswerTheObjectiveTellsHowLongWorkTakes)
+{
+    const ServiceName slow("slow");
+    WorkTimes times;
+    times.noteAsked(Wallet, 400ms);
+    times.noteAsked(slow, 800ms);
+    times.noteAsked(slow, 100ms); // The first route that is asked for stands for its service.
+    EXPECT_EQ(times.ofService(slow).first, times.ofService(Wallet).first * 2);
+    EXPECT_EQ(times.ofService(slow).slowest, times.ofService(Wallet).slowest * 2);
+    EXPECT_GT(times.ofService(slow).slowest, 1280ms); // A cold run.
+    learn(times, Reads, 90ms, 200);
+    times.noteAsked(Wallet, 800ms);
+    EXPECT_LT(times.ofService(Wallet).first, 100ms);
+}
+
 TEST(WorkTimesTest, AnswersThatWaitedTellNothingOfTheWork)
 {
     WorkTimes times;
--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -195,8 +195,10 @@
     }
 }
 
-void RegistryCluster::write(Host& host, const control::StorageWrite& write)
+host::Event RegistryCluster::write(Host& host, const control::StorageWrite& write)
 {
+    if (host.isDiskFull)
+        return control::StorageFailed {.sequence = write.sequence, .message = "no space left"};
     control::RecoveredState& disk = host.disk;
     disk.isNewDisk = false;
     if (write.hardState)
@@ -210,6 +212,7 @@
         std::erase_if(disk.entries, [&](const model::LogEntry& entry) { return entry.index <= write.snapshotIndex; });
     }
     disk.entries.insert(disk.entries.end(), write.append.begin(), write.append.end());
+    return control::StorageDone {.sequence = write.sequence};
 }
 
 void RegistryCluster::carry(size_t from, const model::Outgoing& outgoing)
@@ -242,9 +245,8 @@
         for (host::Action& action : host.core->takeActions()) {
             isBusy = true;
             if (const auto* writing = std::get_if<control::StorageWrite>(&action)) {
-                write(host, *writing);
-                host.processor.work(now_,
-                    [&] { host.core->handle(control::StorageDone {.sequence = writing->sequence}, clockOf(number)); });
+                const host::Event result = write(host, *writing);
+                host.processor.work(now_, [&] { host.core->handle(result, clockOf(number)); });
             } else if (auto* softState = std::get_if<host::SoftStateWrite>(&action)) {
                 host.softState = std::move(softState->state);
             } else if (const auto* links = std::get_if<host::LinksWanted>(&action)) {
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -44,6 +44,8 @@
     void start(size_t number, bool isFirstStart);
     void kill(size_t number);
     void wipeDisk(size_t number);
+    /// Refuses every write, or has room again.
+    void setDiskFull(size_t number, bool isFull) { hosts_.at(number).isDiskFull = isFull; }
     /// A further host, at an address of its own.
     size_t addHost();
     /// Its machine sleeps: it does nothing, and what is sent to it waits. Its clock has counted that time as it wakes.
@@ -99,6 +101,7 @@
         Incarnation incarnation;
         control::RecoveredState disk;
         host::SoftState softState;
+        bool isDiskFull = false;
         std::set<HostId> wanted;
         std::optional<Timestamp> sleepsSince;
         Duration clockLag {}; ///< Of sleeps that its clock has not counted.
@@ -123,7 +126,8 @@
     void hearHeldBack(size_t number);
     void handle(size_t number, host::Event event);
     void pump(size_t number);
-    void write(Host& host, const control::StorageWrite& write);
+    /// What the host is told of it.
+    [[nodiscard]] static host::Event write(Host& host, const control::StorageWrite& write);
     void carry(size_t from, const model::Outgoing& outgoing);
     void deliver();
     void connect();
