--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -51,6 +51,8 @@
     Timestamp checkAt; ///< When a silent target is doubted.
     double loadAtStart = 0;
     Choice choice = Choice::Other; ///< Of the target, for the object.
+    bool isLikelyWarm = false; ///< The target lately answered for the object, as far as this gateway knows.
+    Duration toHead {}; ///< From the last send to the head of its answer.
     std::vector<TargetId> tried;
     size_t targetsLost = 0; ///< Of these, those that broke off.
     model::Reason lastReason = model::Reason::None;
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -148,12 +148,13 @@
             break;
         GatewayTarget& target = *candidates[i].target;
         const Choice choice = i == 0 ? Choice::First : (i == 1 ? Choice::Second : Choice::Other);
-        const Choice asIf = isWarm(query.object, target, now) ? Choice::First : choice;
+        const bool isLikelyWarm = isWarm(query.object, target, now);
+        const Choice asIf = isLikelyWarm ? Choice::First : choice;
         const Duration expected = estimate(target, usual.of(asIf), now);
         const double cost = toSeconds(expected) * (i == 0 ? 1 : MarginOfOthers);
         if (!fits(target, expected, asIf == Choice::First, query, now) || (placed.target != nullptr && cost >= least))
             continue;
-        placed = {.target = &target, .choice = choice, .work = usual.of(asIf)};
+        placed = {.target = &target, .choice = choice, .isLikelyWarm = isLikelyWarm, .work = usual.of(asIf)};
         least = cost;
     }
     return placed;
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -35,6 +35,7 @@
 struct Placed {
     GatewayTarget* target = nullptr;
     Choice choice = Choice::Other;
+    bool isLikelyWarm = false;
     Duration work {}; ///< That the target is expected to have with it.
 };
 
--- a/src/gateway/internal/requestanswers.cpp
+++ b/src/gateway/internal/requestanswers.cpp
@@ -41,7 +41,8 @@
     if (isRefusal)
         return noteRefusedByTarget(exchange, head.status, now);
     options_.quarantine.noteAlive(exchange.target);
-    options_.latencies.add(exchange.route.kind, Stage::Target, now - exchange.sentAt);
+    exchange.toHead = now - exchange.sentAt;
+    options_.latencies.add(exchange.route.kind, Stage::Target, exchange.toHead);
     if (target != nullptr)
         options_.placement.noteAnswer(*target,
             {.route = exchange.route.name,
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -309,6 +309,7 @@
 
     options_.placement.noteSent(service.name, placed);
     exchange.choice = placed.choice;
+    exchange.isLikelyWarm = placed.isLikelyWarm;
     const double slowest = toSeconds(options_.placement.workTimes().ofService(service.name).slowest);
     const double patience = std::max(slowest * DoubtFactor, toSeconds(exchange.route.objective));
     doubtAt(exchange, now + fromSeconds(patience));
--- a/src/gateway/internal/worktimes.cpp
+++ b/src/gateway/internal/worktimes.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/worktimes.h"
 
 #include <algorithm>
+#include <array>
 
 namespace saltvane::gateway {
 
@@ -23,6 +24,12 @@
 
 } // namespace
 
+std::string_view toString(Choice choice)
+{
+    static constexpr std::array<std::string_view, 3> Names {"first", "second", "other"};
+    return Names.at(static_cast<size_t>(choice));
+}
+
 Duration WorkTimes::Times::of(Choice choice) const
 {
     switch (choice) {
--- a/src/gateway/internal/worktimes.h
+++ b/src/gateway/internal/worktimes.h
@@ -10,12 +10,14 @@
 #include "model/routeplan.h"
 
 #include <map>
+#include <string_view>
 #include <utility>
 
 namespace saltvane::gateway {
 
 /// Place of a target in the order of an object's targets.
 enum class Choice : uint8_t { First, Second, Other };
+[[nodiscard]] std::string_view toString(Choice choice);
 
 /// How long targets work, learnt from their answers: by route, since routes of one service may differ several times
 /// over in what they take, and by service for how long a queue of all its routes lasts. Bounded in the number of
