--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -35,15 +35,24 @@
 int64_t noWallClock() { return 0; }
 
 /// Checks plans as they are ordered, each against the one before.
-control::PlanChecker planCheckerBy(std::shared_ptr<settings::RoutePlanReader> reader)
-{
-    return [reader = std::move(reader)](std::string_view content) -> Result<BundleVersion, Findings> {
-        const Result<model::RoutePlan, Findings> plan = reader->read(content, "plan");
+class PlanChecker {
+public:
+    explicit PlanChecker(std::shared_ptr<settings::RoutePlanReader> reader)
+        : reader_(std::move(reader))
+    {
+    }
+
+    Result<BundleVersion, Findings> operator()(std::string_view content)
+    {
+        const Result<model::RoutePlan, Findings> plan = reader_->read(content, "plan");
         if (!plan)
             return plan.error();
         return plan.value().version;
-    };
-}
+    }
+
+private:
+    std::shared_ptr<settings::RoutePlanReader> reader_;
+};
 
 Result<model::Bundle, Findings> refuseBundle(std::string_view /*content*/)
 {
@@ -303,7 +312,7 @@
         .recovered = options.recovered,
         .bootstrapHosts = host::hostIdsOf(options.settings.seeds),
         .parseBundle = refuseBundle,
-        .checkPlan = planCheckerBy(planReader),
+        .checkPlan = PlanChecker(planReader),
         .mayFound = options.settings.isFirstStart,
         .isMembershipOpen = true,
         .wallClockUnixMs = noWallClock,
