--- a/src/gateway/internal/accountcredits.cpp
+++ b/src/gateway/internal/accountcredits.cpp
@@ -19,6 +19,8 @@
 constexpr Duration SpareLifetime = 300ms;
 /// An answer that comes later than that is not waited for any more; its credits are lost.
 constexpr Duration LateAnswerMemory = 1s;
+/// While nobody answers requests are refused at once, but for one in this time.
+constexpr Duration ProbePeriod = 100ms;
 /// For callers whose account's credits no registry host can tell: about the time in which one comes back.
 constexpr Duration RetryAfterUnknown = 400ms;
 
@@ -57,9 +59,21 @@
 
 void AccountCredits::ask(requests::HttpHandle handle, const model::ClientAccountName& account, Timestamp now)
 {
-    send({.handle = handle, .account = account}, now);
+    if (!isSilent_ || isProbe(now))
+        return send({.handle = handle, .account = account}, now);
+    verdicts_.push_back({.handle = handle, .reason = model::Reason::LimitUnknown, .retryAfter = RetryAfterUnknown});
 }
 
+bool AccountCredits::isProbe(Timestamp now)
+{
+    if (now < nextProbeAt_)
+        return false;
+    nextProbeAt_ = now + ProbePeriod;
+    return true;
+}
+
+void AccountCredits::noteUnanswered(const Ask& ask) { isSilent_ = isSilent_ || answeredAt_ < ask.sentAt; }
+
 void AccountCredits::send(Ask ask, Timestamp now)
 {
     const auto source = std::ranges::find_if(
@@ -71,6 +85,7 @@
     }
     ask.source = *source;
     ask.asked.push_back(*source);
+    ask.sentAt = now;
     ask.checkAt = now + UnansweredAfter;
     const uint64_t number = ++lastNumber_;
     checks_.emplace(ask.checkAt, number);
@@ -108,6 +123,8 @@
 
 void AccountCredits::handle(const model::AccountCreditReply& reply, Timestamp now)
 {
+    answeredAt_ = now;
+    isSilent_ = false;
     for (const model::AccountCreditAnswer& answer : reply.answers) {
         const auto found = asks_.find(answer.ask);
         if (found == asks_.end())
@@ -148,6 +165,7 @@
     while (!checks_.empty() && checks_.begin()->first <= now) {
         const uint64_t number = checks_.begin()->second;
         if (asks_.at(number).handle != requests::HttpHandle {}) {
+            noteUnanswered(asks_.at(number));
             askNext(number, now);
             continue;
         }
--- a/src/gateway/internal/accountcredits.h
+++ b/src/gateway/internal/accountcredits.h
@@ -55,6 +55,7 @@
         model::ClientAccountName account;
         HostId source;
         std::vector<HostId> asked; ///< All so far.
+        Timestamp sentAt;
         Timestamp checkAt;
     };
 
@@ -62,6 +63,9 @@
     /// The next source, or the verdict that none can tell.
     void askNext(uint64_t number, Timestamp now);
     void abandon(uint64_t number, Timestamp now);
+    void noteUnanswered(const Ask& ask);
+    /// Whether this request shall find out if somebody answers again.
+    [[nodiscard]] bool isProbe(Timestamp now);
     void expire(Timestamp now);
 
     std::vector<HostId> sources_;
@@ -71,6 +75,9 @@
     std::unordered_map<model::ClientAccountName, std::deque<Timestamp>> spare_; ///< By when they expire.
     std::deque<std::pair<Timestamp, model::ClientAccountName>> spareByAge_;
     uint64_t lastNumber_ = 0;
+    Timestamp answeredAt_ {}; ///< By any registry host.
+    bool isSilent_ = false; ///< Nobody has answered since an ask that went unanswered.
+    Timestamp nextProbeAt_ {};
     std::unordered_map<HostId, model::AccountCreditRequest> outgoing_;
     std::vector<Verdict> verdicts_;
 };
--- a/src/gateway/tests/accounttests.cpp
+++ b/src/gateway/tests/accounttests.cpp
@@ -201,6 +201,26 @@
     EXPECT_EQ(header(response->headers, "Saltvane-Reason"), "limit-unknown");
 }
 
+/// Guards against requests that are held though it is known that nobody will tell.
+TEST_F(AccountTest, WhileNoRegistryHostAnswersAllButProbesAreRefusedAtOnce)
+{
+    ask("key-l");
+    advance(1s);
+    ASSERT_EQ(status(), 503);
+    (void)takeCreditAsks();
+    constexpr int Requests = 20;
+    int refusedAtOnce = 0;
+    for (int i = 0; i < Requests; ++i)
+        refusedAtOnce += ask("key-l").value != 0 && status() == 503 ? 1 : 0;
+    EXPECT_EQ(refusedAtOnce, Requests - 1);
+    const auto asks = takeCreditAsks();
+    ASSERT_EQ(asks.size(), 1U);
+    giveCredit(asks[0]);
+    EXPECT_EQ(takeStarts().size(), 1U);
+    ask("key-l");
+    EXPECT_EQ(takeCreditAsks().size(), 1U);
+}
+
 TEST_F(AccountTest, ACallerWhoLeavesWhileItWaitsIsNotServed)
 {
     abort(ask("key-l"));
