Check client accounts again also where one known account takes another's place

Cause, found by reading: accounts were taken for unchanged where no text was new and their number was the same. A plan in which one known account stands twice, in place of another, passed the reader of successive plans, though the whole reader refuses it. Now the two lists are compared in order. Test failed before (AnAccountThatTakesTheOthersPlaceIsFoundTwice), passes after; all 35 tests of settings pass.

--- a/src/settings/routeplanreader.h
+++ b/src/settings/routeplanreader.h
@@ -8,6 +8,7 @@
 #include "base/result.h"
 #include "model/routeplan.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <span>
@@ -55,7 +56,10 @@
         std::vector<Known<Ref>> read; ///< Of the plan that is being read.
         std::vector<size_t> fresh; ///< Positions in it of items that are not known.
         std::unordered_map<uint64_t, Known<Ref>> prepared; ///< Read ahead, by the first half of their digests.
-        [[nodiscard]] bool isSame() const { return fresh.empty() && read.size() == known.size(); }
+        [[nodiscard]] bool isSame() const
+        {
+            return std::ranges::equal(read, known, {}, &Known<Ref>::item, &Known<Ref>::item);
+        }
     };
     template <typename Ref> class Finder;
     struct Preparation;
--- a/src/settings/tests/routeplanreadertests.cpp
+++ b/src/settings/tests/routeplanreadertests.cpp
@@ -128,6 +128,18 @@
     EXPECT_EQ(changed.value().accounts.at(77)->account.keys.back(), "another");
 }
 
+TEST(RoutePlanReaderTest, AnAccountThatTakesTheOthersPlaceIsFoundTwice)
+{
+    RoutePlanReader reader;
+    Json plan = planOf(1);
+    plan["client_accounts"] = accountsOf(2);
+    ASSERT_TRUE(reader.read(plan.dump(), "plan"));
+    plan["client_accounts"][1] = plan["client_accounts"][0];
+    const Result<model::RoutePlan, Findings> refused = reader.read(plan.dump(), "plan");
+    EXPECT_FALSE(refused);
+    EXPECT_EQ(describe(refused), describe(parseRoutePlan(plan.dump(), "plan")));
+}
+
 TEST(RoutePlanReaderTest, FindingsOfAccountsHaveTheirPlacesAndTellNoKeys)
 {
     Json plan = planOf(1);
