Sight: limits that targets name, what is sent to targets that name one

No log or metric told whether a gateway knows that a target's answers name a limit, so the hypotheses (not read; read and lost; held by each gateway alone) could not be told apart. Now each change of a limit has a line, each decision tells the limit it was made with, and what is sent to such targets is counted. Nothing is steered by it yet. Text that is no number, negative, infinite or not a number changes nothing and is logged; of several fields the lowest counts; limits over a million bind nobody; an answer to a request sent before the limit was known doesn't end it.

--- a/src/base/logtext.cpp
+++ b/src/base/logtext.cpp
@@ -5,6 +5,9 @@
  */
 #include "base/logtext.h"
 
+#include <array>
+#include <charconv>
+
 namespace saltvane {
 
 std::string logWord(std::string_view text)
@@ -20,4 +23,12 @@
     return clean;
 }
 
+std::string decimalText(double number)
+{
+    constexpr size_t MostCharacters = 32;
+    std::array<char, MostCharacters> text {};
+    const auto written = std::to_chars(text.data(), text.data() + text.size(), number);
+    return {text.data(), written.ptr};
+}
+
 } // namespace saltvane
--- a/src/base/logtext.h
+++ b/src/base/logtext.h
@@ -18,6 +18,9 @@
 /// A value of a log line: whatever a caller chose to put into it, it stays one word. Empty becomes "-".
 [[nodiscard]] std::string logWord(std::string_view text);
 
+/// In the shortest form that reads back as the same number.
+[[nodiscard]] std::string decimalText(double number);
+
 /// The text of one log line: key=value pairs in the order they were added.
 class LogText {
 public:
--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -7,38 +7,31 @@
 
 #include "base/logtext.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace saltvane::gateway {
 
 namespace {
 
-constexpr double LinesPerSecond = 20;
-constexpr double MostSavedLines = 40;
 constexpr uint64_t OneAnsweredIn = 64;
 constexpr Duration LeftOutPeriod = 5s;
 
 } // namespace
 
-bool DecisionLog::mayWrite(const Decision& decision)
+bool DecisionLog::mayWrite(const Decision& decision, Timestamp now)
 {
     const bool isAnswered = decision.outcome == model::Outcome::Answered;
     if (isAnswered && ++answered_ % OneAnsweredIn != 1)
         return false;
-    if (balance_ < 1) {
-        ++leftOut_;
-        return false;
-    }
-    balance_ -= 1;
-    return true;
+    if (lineBudget_.trySpend(now))
+        return true;
+    ++leftOut_;
+    return false;
 }
 
 void DecisionLog::note(const Decision& decision, const Ages& ages, Timestamp now)
 {
-    balance_ = std::min(MostSavedLines, balance_ + toSeconds(now - filledAt_) * LinesPerSecond);
-    filledAt_ = now;
-    if (!mayWrite(decision))
+    if (!mayWrite(decision, now))
         return;
     const Exchange& exchange = decision.exchange;
     LogText line("request");
@@ -59,6 +52,7 @@
         .add("load", static_cast<int>(exchange.loadAtStart))
         .addMilliseconds("load_age_ms", exchange.loadAge)
         .addMilliseconds("target_age_ms", exchange.targetAge)
+        .add("limit", exchange.limit ? decimalText(*exchange.limit) : "")
         .add("known", exchange.targetsKnown)
         .add("usable", exchange.targetsUsable)
         .add("outcome", model::toString(decision.outcome))
--- a/src/gateway/internal/decisionlog.h
+++ b/src/gateway/internal/decisionlog.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "gateway/internal/linebudget.h"
 #include "gateway/internal/requestrunner.h"
 #include "host/hosttypes.h"
 
@@ -26,11 +27,13 @@
     [[nodiscard]] std::vector<host::LogLine> take(Timestamp now);
 
 private:
-    [[nodiscard]] bool mayWrite(const Decision& decision);
+    static constexpr double LinesPerSecond = 20;
+    static constexpr double MostSavedLines = 40;
+
+    [[nodiscard]] bool mayWrite(const Decision& decision, Timestamp now);
 
     std::vector<host::LogLine> lines_;
-    double balance_ = 0;
-    Timestamp filledAt_ {};
+    LineBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines}};
     uint64_t answered_ = 0;
     uint64_t leftOut_ = 0;
     Timestamp toldAt_ {};
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -61,6 +61,7 @@
     Duration loadAge {}; ///< Since its last word of its load.
     std::string lastFailure; ///< What went wrong at the last target that failed, in words.
     bool isLastTargetGone = false; ///< Where it failed: it refuses connections.
+    std::optional<double> limit; ///< Requests a second that the target took, as known when it was chosen.
     uint32_t targetsKnown = 0;
     uint32_t targetsUsable = 0;
     requests::HttpRespond answer; ///< As far as it came.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -64,6 +64,7 @@
           .targets = targets_,
           .counters = counters_,
           .probePathOf = [this](const ServiceName& service) { return probePathOf(service); }})
+    , backpressure_(settings_.headers, targets_)
     , link_(settings_.linkMegabits)
     , runner_({.headers = settings_.headers,
           .digestKey = deriveDigestKey(settings_.linkKey),
@@ -72,6 +73,7 @@
           .split = split_,
           .retries = retries_,
           .quarantine = quarantine_,
+          .backpressure = backpressure_,
           .counters = counters_,
           .latencies = latencies_,
           .link = link_,
@@ -309,6 +311,8 @@
         actions_.emplace_back(std::move(line));
     for (host::LogLine& line : quarantine_.takeLines())
         actions_.emplace_back(std::move(line));
+    for (host::LogLine& line : backpressure_.takeLines())
+        actions_.emplace_back(std::move(line));
 }
 
 void GatewayCore::log(host::LogSeverity severity, std::string text)
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -7,6 +7,7 @@
 
 #include "control/ibundleholder.h"
 #include "gateway/igateway.h"
+#include "gateway/internal/backpressurewatch.h"
 #include "gateway/internal/decisionlog.h"
 #include "gateway/internal/placement.h"
 #include "gateway/internal/regionsplit.h"
@@ -76,6 +77,7 @@
     Placement placement_;
     RetryAllowance retries_;
     Quarantine quarantine_;
+    BackpressureWatch backpressure_;
     RequestLatencies latencies_;
     LinkBudget link_;
     AccountCredits credits_;
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "gateway/internal/targetbackpressure.h"
 #include "model/targetmessages.h"
 
 #include <boost/intrusive/list.hpp>
@@ -71,6 +72,8 @@
     /// It refused a request. With slots free by its own word it is not full.
     void noteRefusal(Timestamp now);
 
+    TargetBackpressure backpressure;
+
     static constexpr uint32_t FailuresToEject = 2;
 
     // Kept by TargetSet.
--- /dev/null
+++ b/src/gateway/internal/linebudget.h
@@ -0,0 +1,44 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "base/timetypes.h"
+
+#include <algorithm>
+
+namespace saltvane::gateway {
+
+/// Bounds how many log lines of one kind are written, however often what they tell happens.
+class LineBudget {
+public:
+    struct Options {
+        double perSecond = 0;
+        double burst = 0;
+        double initial = 0; ///< Lines that may be written at once after the start.
+    };
+    explicit LineBudget(const Options& options)
+        : options_(options)
+        , balance_(options.initial)
+    {
+    }
+
+    [[nodiscard]] bool trySpend(Timestamp now)
+    {
+        balance_ = std::min(options_.burst, balance_ + toSeconds(now - filledAt_) * options_.perSecond);
+        filledAt_ = now;
+        if (balance_ < 1)
+            return false;
+        balance_ -= 1;
+        return true;
+    }
+
+private:
+    Options options_;
+    double balance_;
+    Timestamp filledAt_ {};
+};
+
+} // namespace saltvane::gateway
--- a/src/gateway/internal/quarantine.cpp
+++ b/src/gateway/internal/quarantine.cpp
@@ -177,12 +177,8 @@
 
 void Quarantine::log(host::LogSeverity severity, std::string text, Timestamp now)
 {
-    lineBalance_ = std::min(MostSavedLines, lineBalance_ + toSeconds(now - linesAt_) * LinesPerSecond);
-    linesAt_ = now;
-    if (lineBalance_ < 1)
-        return;
-    lineBalance_ -= 1;
-    lines_.push_back({.severity = severity, .module = "gateway", .text = std::move(text)});
+    if (lineBudget_.trySpend(now))
+        lines_.push_back({.severity = severity, .module = "gateway", .text = std::move(text)});
 }
 
 } // namespace saltvane::gateway
--- a/src/gateway/internal/requestanswers.cpp
+++ b/src/gateway/internal/requestanswers.cpp
@@ -38,6 +38,10 @@
         exchange.lastFailure = "answer of another request";
         return tryElsewhere(exchange, model::Reason::TargetFailed, now);
     }
+    // Another target's word says nothing of the one that was asked.
+    if (head.status != StatusMisdirected)
+        options_.backpressure.note(
+            {.target = exchange.target, .headers = head.headers, .sentAt = exchange.sentAt}, now);
     if (isRefusal)
         return noteRefusedByTarget(exchange, head.status, now);
     options_.quarantine.noteAlive(exchange.target);
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -158,6 +158,9 @@
     exchange.loadAtStart = target.load(now);
     exchange.loadAge = now - target.loadAt;
     exchange.targetAge = now - target.heardAt;
+    exchange.limit = target.backpressure.limit;
+    if (exchange.limit)
+        options_.counters.add(model::Counter::LimitedDispatches);
     options_.targets.noteSent(target, service, now);
     options_.split.noteUsed(service.name);
     options_.counters.add(model::Counter::Dispatches);
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "gateway/internal/accountcredits.h"
+#include "gateway/internal/backpressurewatch.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/internal/linkbudget.h"
 #include "gateway/internal/placement.h"
@@ -46,6 +47,7 @@
         RegionSplit& split;
         RetryAllowance& retries;
         Quarantine& quarantine;
+        BackpressureWatch& backpressure;
         model::Counters& counters;
         RequestLatencies& latencies;
         LinkBudget& link;
--- /dev/null
+++ b/src/gateway/internal/targetbackpressure.h
@@ -0,0 +1,35 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "base/timetypes.h"
+#include "model/requestmessages.h"
+
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace saltvane::gateway {
+
+/// What one start of a target said in its answers of how much it takes.
+struct TargetBackpressure {
+    std::optional<double> limit; ///< Requests a second, of all gateways together.
+    Timestamp limitAt {}; ///< When an answer last named one.
+};
+
+/// A limit as the head of an answer names it.
+struct NamedLimit {
+    bool isNamed = false;
+    std::optional<double> perSecond; ///< None: what is named can't be read.
+};
+
+/// Larger limits bind nobody.
+inline constexpr double LargestLimit = 1e6;
+
+/// Reads a decimal number that is not negative. Of several fields the lowest that can be read counts.
+[[nodiscard]] NamedLimit readNamedLimit(std::span<const model::Header> headers, std::string_view field);
+
+} // namespace saltvane::gateway
--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -59,6 +59,7 @@
     RowMovesCapped, ///< Ticks in which the shift cap held a row back.
     TargetsLostUnderRequests, ///< Runs that ended because their target did, as this host saw.
     RequestsBlamed, ///< Verdicts of this host.
+    LimitedDispatches, ///< Requests sent to targets whose answers name a limit.
     Count
 };
 
--- a/src/model/internal/counters.cpp
+++ b/src/model/internal/counters.cpp
@@ -55,6 +55,7 @@
     {.name = "saltvane_row_moves_capped_total", .help = "Ticks in which the shift cap held a route row back."},
     {.name = "saltvane_targets_lost_under_requests_total", .help = "Runs that ended because their target did."},
     {.name = "saltvane_requests_blamed_total", .help = "Requests found by this host to end the targets that run them."},
+    {.name = "saltvane_limited_dispatches_total", .help = "Requests sent to targets that name a limit."},
 }};
 
 constexpr bool allCountersHaveInfo()
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -40,6 +40,7 @@
     HeaderField {"target_id", &HeaderNames::targetId},
     HeaderField {"load", &HeaderNames::load},
     HeaderField {"not_run", &HeaderNames::notRun},
+    HeaderField {"limit", &HeaderNames::limit},
     HeaderField {"plan_base", &HeaderNames::planBase},
 };
 
--- a/src/settings/routedhostsettings.h
+++ b/src/settings/routedhostsettings.h
@@ -34,6 +34,8 @@
     std::string targetId = "Saltvane-Target"; ///< Of a target's answer to a probe: its id.
     std::string load = "Saltvane-Load"; ///< Of a target: running, waiting and slots, joined by commas.
     std::string notRun = "Saltvane-Not-Run"; ///< Of a target: it has not run the request.
+    /// Of a target: requests a second that it takes of all gateways together, as long as its answers say so.
+    std::string limit = "Saltvane-Limit";
     std::string planBase = "Saltvane-Plan-Base"; ///< Version that a new plan builds on.
 };
 
