--- a/testing/fleet/endingtargets.cpp
+++ b/testing/fleet/endingtargets.cpp
@@ -117,6 +117,8 @@
         .isFatal = !isHarmless_ && start.path.find(FatalMark) != std::string::npos,
         .isProbe = start.path == "/health",
         .path = std::string(headerOf(start, "Saltvane-Client-Account")) + start.path};
+    if (onArrival)
+        onArrival(contactOf(target, run));
     if (headerOf(start, "Saltvane-Expect-Target") != target.id)
         return answer(target, run, StatusMisdirected, false);
     if (run.isProbe)
@@ -126,6 +128,16 @@
     target.runs.push_back(std::move(run));
 }
 
+void EndingTargets::setNeeds(size_t target, const Needs& needs) { targets_.at(target).needs = needs; }
+
+EndingTargets::Contact EndingTargets::contactOf(const Target& target, const Run& run) const
+{
+    return {.target = static_cast<size_t>(&target - targets_.data()),
+        .start = target.id,
+        .gateway = run.gateway,
+        .isProbe = run.isProbe};
+}
+
 void EndingTargets::answer(const Target& target, const Run& run, int status, bool isNotRun)
 {
     requests::TargetResponseHead head {.dispatch = run.dispatch,
@@ -137,7 +149,10 @@
         .bodyLength = 0};
     if (isNotRun)
         head.headers.push_back({.name = "Saltvane-Not-Run", .value = "1"});
+    if (target.needs.limit)
+        head.headers.push_back({.name = "Saltvane-Limit", .value = std::to_string(*target.needs.limit)});
     tell(run.gateway, std::move(head));
+    late_.back().answer = {contactOf(target, run), target.needs};
     tell(run.gateway, requests::TargetResponseDone {.dispatch = run.dispatch});
 }
 
@@ -207,8 +222,11 @@
         due.push_back(std::move(late));
         return true;
     });
-    for (Late& late : due)
+    for (Late& late : due) {
+        if (late.answer && onAnswered)
+            onAnswered(late.answer->first, late.answer->second);
         fleet_.handle(late.gateway, std::move(late.event));
+    }
 }
 
 } // namespace saltvane::fleet::test
--- a/testing/fleet/endingtargets.h
+++ b/testing/fleet/endingtargets.h
@@ -7,10 +7,13 @@
 
 #include "fleet.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace saltvane::fleet::test {
@@ -49,6 +52,24 @@
     /// From now on no request ends a target.
     void setHarmless(bool isHarmless) { isHarmless_ = isHarmless; }
 
+    /// What a target's answers say of how much it takes, at its address over all of its starts.
+    struct Needs {
+        std::optional<double> limit; ///< Requests a second of all gateways together.
+    };
+    void setNeeds(size_t target, const Needs& needs);
+    [[nodiscard]] const Needs& needsOf(size_t target) const { return targets_.at(target).needs; }
+
+    /// A request that reaches a target, or its answer as it reaches the gateway.
+    struct Contact {
+        size_t target = 0;
+        std::string start; ///< Id of the target's start.
+        size_t gateway = 0;
+        bool isProbe = false;
+    };
+    std::function<void(const Contact&)> onArrival;
+    /// `needs`: as the answer told them.
+    std::function<void(const Contact&, const Needs& needs)> onAnswered;
+
     /// A run of a fatal request.
     struct FatalRun {
         std::string path; ///< With the account, where it has one.
@@ -74,6 +95,7 @@
         std::string id;
         uint64_t start = 0;
         uint64_t sequence = 0;
+        Needs needs;
         bool isUp = false;
         Timestamp upAt; ///< While it is down.
         Timestamp nextReportAt;
@@ -83,6 +105,7 @@
         Timestamp at;
         size_t gateway = 0;
         requests::TargetEvent event;
+        std::optional<std::pair<Contact, Needs>> answer; ///< Of a head: what it tells.
     };
 
     void accept(size_t gateway, const requests::TargetStart& start);
@@ -93,6 +116,7 @@
     void report(Target& target);
     void tell(size_t gateway, requests::TargetEvent event, Duration after = 10ms);
     void answer(const Target& target, const Run& run, int status, bool isNotRun);
+    [[nodiscard]] Contact contactOf(const Target& target, const Run& run) const;
     [[nodiscard]] Timestamp now() const { return fleet_.registries().now(); }
 
     Fleet& fleet_;
--- a/testing/fleet/fatalfleet.cpp
+++ b/testing/fleet/fatalfleet.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr Duration Step = 10ms;
-constexpr double HarmlessPerSecond = 60;
 /// Paths that many callers ask for; the other requests have one each of their own.
 constexpr uint64_t PopularPaths = 24;
 constexpr double PopularShare = 0.5;
@@ -38,8 +37,10 @@
 
 } // namespace
 
-FatalFleet::FatalFleet(unsigned int seed, const EndingTargets::Options& targets, const FleetOptions& fleet)
+FatalFleet::FatalFleet(
+    unsigned int seed, const EndingTargets::Options& targets, const FleetOptions& fleet, const CallerOptions& callers)
     : fleet_(fleet)
+    , callers_(callers)
     , random_(seed)
 {
     fleet_.onAction = [this](size_t gateway, requests::Action& action) { take(gateway, action); };
@@ -100,15 +101,18 @@
 
 void FatalFleet::sendHarmless()
 {
-    for (harmlessDue_ += HarmlessPerSecond * toSeconds(Step); harmlessDue_ >= 1; harmlessDue_ -= 1) {
+    for (harmlessDue_ += callers_.perSecond * toSeconds(Step); harmlessDue_ >= 1; harmlessDue_ -= 1) {
         const bool isPopular = std::bernoulli_distribution(PopularShare)(random_);
         const uint64_t number = ++harmless_;
         const std::string name
             = isPopular ? "popular-" + std::to_string(number % PopularPaths) : std::to_string(number);
         const bool isOnce = !isPopular && number % 3 == 0;
         (void)send(drawGateway(),
-            {.path = (isOnce ? "/once/" : "/read/") + name, .body = isOnce ? "pay" : "", .isAtMostOnce = isOnce}, true,
-            false);
+            {.path = (isOnce ? "/once/" : "/read/") + name,
+                .body = isOnce ? "pay" : "",
+                .object = callers_.haveObjects ? name : "",
+                .isAtMostOnce = isOnce},
+            true, false);
     }
 }
 
@@ -129,6 +133,8 @@
         .bodyLength = request.body.size()};
     if (!request.account.empty())
         started.headers.push_back({.name = "Saltvane-Client-Account", .value = request.account});
+    if (!request.object.empty())
+        started.headers.push_back({.name = "Saltvane-Object", .value = request.object});
     fleet_.handle(gateway, requests::HttpEvent(std::move(started)));
     if (!request.body.empty())
         fleet_.handle(gateway,
--- a/testing/fleet/fatalfleet.h
+++ b/testing/fleet/fatalfleet.h
@@ -15,11 +15,18 @@
 
 namespace saltvane::fleet::test {
 
+/// Callers that do no harm.
+struct CallerOptions {
+    double perSecond = 60; ///< Requests of all of them.
+    bool haveObjects = false; ///< Each path is an object.
+};
+
 /// A fleet with targets that end under some requests, callers whose requests do no harm, and callers that send the
 /// harmful ones again and again, at any gateway.
 class FatalFleet {
 public:
-    explicit FatalFleet(unsigned int seed, const EndingTargets::Options& targets = {}, const FleetOptions& fleet = {});
+    explicit FatalFleet(unsigned int seed, const EndingTargets::Options& targets = {}, const FleetOptions& fleet = {},
+        const CallerOptions& callers = {});
 
     [[nodiscard]] Fleet& fleet() { return fleet_; }
     [[nodiscard]] EndingTargets& targets() { return *targets_; }
@@ -35,6 +42,7 @@
         std::string path;
         std::string account;
         std::string body;
+        std::string object;
         bool isAtMostOnce = false;
     };
     /// One request at one gateway; the number by which `outcomeOf` knows it.
@@ -87,6 +95,7 @@
     [[nodiscard]] size_t drawGateway();
 
     Fleet fleet_;
+    CallerOptions callers_;
     std::mt19937 random_;
     std::unique_ptr<EndingTargets> targets_;
     std::vector<FatalCaller> fatalCallers_;
