Messages of limits over all gateways: whatever a limit binds is named by one id; notices of what targets take

Targets that name a limit in their answers are to be held to it over all gateways, as client accounts are. The credits of accounts, asks and answers, are named for what they are of from now on, by an id of an account or of one start of a target; behaviour is as before. New: BackpressureReport, by which hosts will tell each other what targets' answers say, and the reason back-pressure of refusals.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -171,11 +171,11 @@
         targets_.noteLoads(*loads, now);
     else if (const auto* suspects = std::get_if<model::SuspectReport>(&delivery.message))
         quarantine_.handle(*suspects, now);
-    else if (const auto* credits = std::get_if<model::AccountCreditReply>(&delivery.message))
+    else if (const auto* credits = std::get_if<model::LimitCreditReply>(&delivery.message))
         noteCredits(*credits, now);
 }
 
-void GatewayCore::noteCredits(const model::AccountCreditReply& reply, Timestamp now)
+void GatewayCore::noteCredits(const model::LimitCreditReply& reply, Timestamp now)
 {
     credits_.handle(reply, now);
     runner_.noteCredits(now);
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -44,7 +44,7 @@
     void accept(host::StopRequested stop, Timestamp now);
     void accept(const host::SeedsChanged& changed, Timestamp now);
 
-    void noteCredits(const model::AccountCreditReply& reply, Timestamp now);
+    void noteCredits(const model::LimitCreditReply& reply, Timestamp now);
     void noteTargets(const model::TargetReport& report, Timestamp now);
     void updateSplit(Timestamp now);
     void answerReadiness(const requests::HttpEvent& event);
@@ -80,7 +80,7 @@
     BackpressureWatch backpressure_;
     RequestLatencies latencies_;
     LinkBudget link_;
-    AccountCredits credits_;
+    LimitCredits credits_;
     DecisionLog decisions_;
     RequestRunner runner_;
     settings::RoutePlanReader planReader_;
--- a/src/gateway/internal/accountcredits.cpp
+++ b/src/gateway/internal/limitcredits.cpp
@@ -3,7 +3,7 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
-#include "gateway/internal/accountcredits.h"
+#include "gateway/internal/limitcredits.h"
 
 #include <algorithm>
 
@@ -21,15 +21,15 @@
 constexpr Duration LateAnswerMemory = 1s;
 /// While nobody answers requests are refused at once, but for one in this time.
 constexpr Duration ProbePeriod = 100ms;
-/// For callers whose account's credits no registry host can tell: about the time in which one comes back.
+/// For callers of whose limit no registry host can tell: about the time in which one comes back.
 constexpr Duration RetryAfterUnknown = 400ms;
 
 } // namespace
 
-bool AccountCredits::trySpend(const model::ClientAccountName& account, Timestamp now)
+bool LimitCredits::trySpend(const model::LimitId& limit, Timestamp now)
 {
     expire(now);
-    const auto found = spare_.find(account);
+    const auto found = spare_.find(limit);
     if (found == spare_.end())
         return false;
     found->second.pop_back();
@@ -38,13 +38,13 @@
     return true;
 }
 
-void AccountCredits::giveBack(const model::ClientAccountName& account, Timestamp now)
+void LimitCredits::giveBack(const model::LimitId& limit, Timestamp now)
 {
-    spare_[account].push_back(now + SpareLifetime);
-    spareByAge_.emplace_back(now + SpareLifetime, account);
+    spare_[limit].push_back(now + SpareLifetime);
+    spareByAge_.emplace_back(now + SpareLifetime, limit);
 }
 
-void AccountCredits::expire(Timestamp now)
+void LimitCredits::expire(Timestamp now)
 {
     while (!spareByAge_.empty() && spareByAge_.front().first <= now) {
         const auto found = spare_.find(spareByAge_.front().second);
@@ -57,14 +57,14 @@
     }
 }
 
-void AccountCredits::ask(requests::HttpHandle handle, const model::ClientAccountName& account, Timestamp now)
+void LimitCredits::ask(requests::HttpHandle handle, const model::LimitId& limit, Timestamp now)
 {
     if (!isSilent_ || isProbe(now))
-        return send({.handle = handle, .account = account}, now);
+        return send({.handle = handle, .limit = limit}, now);
     verdicts_.push_back({.handle = handle, .reason = model::Reason::LimitUnknown, .retryAfter = RetryAfterUnknown});
 }
 
-bool AccountCredits::isProbe(Timestamp now)
+bool LimitCredits::isProbe(Timestamp now)
 {
     if (now < nextProbeAt_)
         return false;
@@ -72,9 +72,9 @@
     return true;
 }
 
-void AccountCredits::noteUnanswered(const Ask& ask) { isSilent_ = isSilent_ || answeredAt_ < ask.sentAt; }
+void LimitCredits::noteUnanswered(const Ask& ask) { isSilent_ = isSilent_ || answeredAt_ < ask.sentAt; }
 
-void AccountCredits::send(Ask ask, Timestamp now)
+void LimitCredits::send(Ask ask, Timestamp now)
 {
     const auto source = std::ranges::find_if(
         sources_, [&](const HostId& host) { return std::ranges::find(ask.asked, host) == ask.asked.end(); });
@@ -90,11 +90,11 @@
     const uint64_t number = ++lastNumber_;
     checks_.emplace(ask.checkAt, number);
     waiting_[ask.handle] = number;
-    outgoing_[ask.source].asks.push_back({.ask = number, .account = ask.account, .credits = 1});
+    outgoing_[ask.source].asks.push_back({.ask = number, .limit = ask.limit, .credits = 1});
     asks_.emplace(number, std::move(ask));
 }
 
-void AccountCredits::abandon(uint64_t number, Timestamp now)
+void LimitCredits::abandon(uint64_t number, Timestamp now)
 {
     Ask& ask = asks_.at(number);
     checks_.erase({ask.checkAt, number});
@@ -104,14 +104,14 @@
     checks_.emplace(ask.checkAt, number);
 }
 
-void AccountCredits::askNext(uint64_t number, Timestamp now)
+void LimitCredits::askNext(uint64_t number, Timestamp now)
 {
     Ask again = asks_.at(number);
     abandon(number, now);
     send(std::move(again), now);
 }
 
-void AccountCredits::forget(requests::HttpHandle handle)
+void LimitCredits::forget(requests::HttpHandle handle)
 {
     const auto found = waiting_.find(handle);
     if (found == waiting_.end())
@@ -121,18 +121,18 @@
     waiting_.erase(found);
 }
 
-void AccountCredits::handle(const model::AccountCreditReply& reply, Timestamp now)
+void LimitCredits::handle(const model::LimitCreditReply& reply, Timestamp now)
 {
     answeredAt_ = now;
     isSilent_ = false;
-    for (const model::AccountCreditAnswer& answer : reply.answers) {
+    for (const model::LimitCreditAnswer& answer : reply.answers) {
         const auto found = asks_.find(answer.ask);
         if (found == asks_.end())
             continue;
         const Ask& ask = found->second;
         const bool isAwaited = ask.handle != requests::HttpHandle {};
         if (isAwaited && answer.credits == 0 && answer.retryAfter == Duration::zero()) {
-            askNext(answer.ask, now); // It doesn't know the account, or its own share.
+            askNext(answer.ask, now); // It doesn't know the limit, or its own share.
             continue;
         }
         if (isAwaited) {
@@ -141,14 +141,14 @@
                 .retryAfter = answer.retryAfter});
             waiting_.erase(ask.handle);
         } else if (answer.credits > 0) {
-            giveBack(ask.account, now);
+            giveBack(ask.limit, now);
         }
         checks_.erase({ask.checkAt, answer.ask});
         asks_.erase(found);
     }
 }
 
-void AccountCredits::noteLinkDown(const HostId& host, Timestamp now)
+void LimitCredits::noteLinkDown(const HostId& host, Timestamp now)
 {
     std::erase(sources_, host);
     std::vector<uint64_t> lost;
@@ -160,7 +160,7 @@
         askNext(number, now);
 }
 
-void AccountCredits::tick(Timestamp now)
+void LimitCredits::tick(Timestamp now)
 {
     while (!checks_.empty() && checks_.begin()->first <= now) {
         const uint64_t number = checks_.begin()->second;
@@ -175,7 +175,7 @@
     expire(now);
 }
 
-std::vector<model::Outgoing> AccountCredits::takeOutgoing()
+std::vector<model::Outgoing> LimitCredits::takeOutgoing()
 {
     std::vector<model::Outgoing> outgoing;
     for (auto& [host, request] : outgoing_)
--- a/src/gateway/internal/accountcredits.h
+++ b/src/gateway/internal/limitcredits.h
@@ -17,10 +17,10 @@
 
 namespace saltvane::gateway {
 
-/// Credits for requests of client accounts that have a limit: each takes one to be sent to a target. Registry hosts
+/// Credits for requests that a limit over all gateways binds: each takes one to be sent to a target. Registry hosts
 /// give them out, so that all gateways together stay within the limit, also those that hear nothing of each other.
 /// docs/design/0016-client-accounts.md
-class AccountCredits {
+class LimitCredits {
 public:
     /// What became of a request that asked.
     struct Verdict {
@@ -32,15 +32,15 @@
     /// Registry hosts that are heard, nearest first.
     void setSources(std::vector<HostId> sources) { sources_ = std::move(sources); }
     /// Takes one that is at hand.
-    [[nodiscard]] bool trySpend(const model::ClientAccountName& account, Timestamp now);
+    [[nodiscard]] bool trySpend(const model::LimitId& limit, Timestamp now);
     /// The verdict follows.
-    void ask(requests::HttpHandle handle, const model::ClientAccountName& account, Timestamp now);
+    void ask(requests::HttpHandle handle, const model::LimitId& limit, Timestamp now);
     /// The request has ended before its verdict came.
     void forget(requests::HttpHandle handle);
     /// A credit of a request that has not run.
-    void giveBack(const model::ClientAccountName& account, Timestamp now);
+    void giveBack(const model::LimitId& limit, Timestamp now);
 
-    void handle(const model::AccountCreditReply& reply, Timestamp now);
+    void handle(const model::LimitCreditReply& reply, Timestamp now);
     /// Asks elsewhere what the host will not answer any more.
     void noteLinkDown(const HostId& host, Timestamp now);
     /// Asks elsewhere what was not answered in time.
@@ -52,7 +52,7 @@
 private:
     struct Ask {
         requests::HttpHandle handle; ///< 0: nobody waits for it any more.
-        model::ClientAccountName account;
+        model::LimitId limit;
         HostId source;
         std::vector<HostId> asked; ///< All so far.
         Timestamp sentAt;
@@ -72,13 +72,13 @@
     std::unordered_map<uint64_t, Ask> asks_;
     std::unordered_map<requests::HttpHandle, uint64_t> waiting_;
     std::set<std::pair<Timestamp, uint64_t>> checks_;
-    std::unordered_map<model::ClientAccountName, std::deque<Timestamp>> spare_; ///< By when they expire.
-    std::deque<std::pair<Timestamp, model::ClientAccountName>> spareByAge_;
+    std::unordered_map<model::LimitId, std::deque<Timestamp>> spare_; ///< By when they expire.
+    std::deque<std::pair<Timestamp, model::LimitId>> spareByAge_;
     uint64_t lastNumber_ = 0;
     Timestamp answeredAt_ {}; ///< By any registry host.
     bool isSilent_ = false; ///< Nobody has answered since an ask that went unanswered.
     Timestamp nextProbeAt_ {};
-    std::unordered_map<HostId, model::AccountCreditRequest> outgoing_;
+    std::unordered_map<HostId, model::LimitCreditRequest> outgoing_;
     std::vector<Verdict> verdicts_;
 };
 
--- a/src/gateway/internal/requestends.cpp
+++ b/src/gateway/internal/requestends.cpp
@@ -119,7 +119,7 @@
     if (exchange.phase == Exchange::Phase::AwaitingCredit)
         options_.credits.forget(exchange.handle);
     else if (exchange.hasCredit && exchange.account && exchange.account->account.limit)
-        options_.credits.giveBack(exchange.account->account.name, now);
+        options_.credits.giveBack(model::limitIdOf(exchange.account->account.name), now);
 }
 
 void RequestRunner::erase(Exchange& exchange)
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -127,18 +127,18 @@
 {
     if (!exchange.account || !exchange.account->account.limit || exchange.hasCredit)
         return true;
-    const model::ClientAccountName& account = exchange.account->account.name;
-    exchange.hasCredit = options_.credits.trySpend(account, now);
+    const model::LimitId limit = model::limitIdOf(exchange.account->account.name);
+    exchange.hasCredit = options_.credits.trySpend(limit, now);
     if (exchange.hasCredit)
         return true;
     exchange.phase = Exchange::Phase::AwaitingCredit;
-    options_.credits.ask(exchange.handle, account, now);
+    options_.credits.ask(exchange.handle, limit, now);
     return false;
 }
 
 void RequestRunner::noteCredits(Timestamp now)
 {
-    for (const AccountCredits::Verdict& verdict : options_.credits.takeVerdicts()) {
+    for (const LimitCredits::Verdict& verdict : options_.credits.takeVerdicts()) {
         Exchange* exchange = find(verdict.handle);
         if (exchange == nullptr)
             continue;
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "gateway/internal/accountcredits.h"
+#include "gateway/internal/limitcredits.h"
 #include "gateway/internal/backpressurewatch.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/internal/linkbudget.h"
@@ -51,7 +51,7 @@
         model::Counters& counters;
         RequestLatencies& latencies;
         LinkBudget& link;
-        AccountCredits& credits;
+        LimitCredits& credits;
         /// Whether what is known of targets and the plan is too old to send requests by.
         std::function<bool(Timestamp)> isWordLate;
         std::function<void(const Decision&, Timestamp)> onDecided;
--- a/src/gateway/tests/accounttests.cpp
+++ b/src/gateway/tests/accounttests.cpp
@@ -37,9 +37,9 @@
             caller.more = {keyHeader(key)};
         return request(caller);
     }
-    void giveCredit(const model::AccountCreditAsk& ask)
+    void giveCredit(const model::LimitCreditAsk& ask)
     {
-        deliver(model::AccountCreditReply {.answers = {{.ask = ask.ask, .credits = ask.credits}}});
+        deliver(model::LimitCreditReply {.answers = {{.ask = ask.ask, .credits = ask.credits}}});
     }
     int status()
     {
@@ -138,7 +138,7 @@
     EXPECT_TRUE(takeStarts().empty());
     const auto asks = takeCreditAsks();
     ASSERT_EQ(asks.size(), 1U);
-    EXPECT_EQ(asks[0].account.value(), "limited");
+    EXPECT_EQ(asks[0].limit, model::limitIdOf(model::ClientAccountName("limited")));
     giveCredit(asks[0]);
     EXPECT_EQ(takeStarts().size(), 1U);
 }
@@ -148,7 +148,7 @@
     ask("key-l");
     const auto asks = takeCreditAsks();
     ASSERT_EQ(asks.size(), 1U);
-    deliver(model::AccountCreditReply {.answers = {{.ask = asks[0].ask, .retryAfter = 700ms}}});
+    deliver(model::LimitCreditReply {.answers = {{.ask = asks[0].ask, .retryAfter = 700ms}}});
     const auto response = takeResponse();
     ASSERT_TRUE(response);
     EXPECT_EQ(response->status, 429);
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -74,7 +74,7 @@
         if (report != nullptr)
             told_ = report->requests;
         const auto* const credits
-            = outgoing == nullptr ? nullptr : std::get_if<model::AccountCreditRequest>(&outgoing->message);
+            = outgoing == nullptr ? nullptr : std::get_if<model::LimitCreditRequest>(&outgoing->message);
         if (credits != nullptr)
             creditAsks_.insert(creditAsks_.end(), credits->asks.begin(), credits->asks.end());
         if (auto* start = std::get_if<requests::TargetStart>(request))
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -80,7 +80,7 @@
     /// What the registry was told last of requests that end targets.
     [[nodiscard]] std::vector<model::SuspectRequest> told() const { return told_; }
     /// Asks for credits that the registry has got.
-    [[nodiscard]] std::vector<model::AccountCreditAsk> takeCreditAsks() { return std::exchange(creditAsks_, {}); }
+    [[nodiscard]] std::vector<model::LimitCreditAsk> takeCreditAsks() { return std::exchange(creditAsks_, {}); }
     /// Log lines of decisions on requests.
     [[nodiscard]] std::vector<std::string> takeDecisions();
     /// Log lines of anything but requests.
@@ -106,7 +106,7 @@
     std::vector<model::SuspectRequest> told_;
     uint64_t lastPull_ = 0; ///< Number of the gateway's newest pull of the plan.
     uint64_t pullToAnswer_ = 0;
-    std::vector<model::AccountCreditAsk> creditAsks_;
+    std::vector<model::LimitCreditAsk> creditAsks_;
     std::vector<std::string> decisions_;
     std::vector<std::string> lines_; ///< All the others.
 };
--- a/src/host/internal/messagerouter.cpp
+++ b/src/host/internal/messagerouter.cpp
@@ -72,7 +72,7 @@
             message.direction == model::Direction::ToTarget ? toEntry(delivery, now)
                                                             : toReceiver(delivery, message.correlation, now);
         else if constexpr (OneOf<T, model::TargetReport, model::TargetLoads, model::SuspectReport,
-                               model::AccountCreditRequest, model::AccountCreditReply>)
+                               model::LimitCreditRequest, model::LimitCreditReply, model::BackpressureReport>)
             modules_.counters.add(model::Counter::StaleMessages); // For gateways of route plans only.
         else {
             static_assert(std::same_as<T, model::ForwardCancel>, "each message has a route");
--- a/src/model/internal/reasons.cpp
+++ b/src/model/internal/reasons.cpp
@@ -59,6 +59,7 @@
     {.text = "unknown-key", .notRunStatus = 401},
     {.text = "rate-limited", .notRunStatus = 429},
     {.text = "limit-unknown"},
+    {.text = "back-pressure"},
 }};
 
 constexpr bool allReasonsHaveText()
--- a/src/model/message.h
+++ b/src/model/message.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "model/accountmessages.h"
+#include "model/limitmessages.h"
 #include "model/controlmessages.h"
 #include "model/hostmessages.h"
 #include "model/requestmessages.h"
@@ -21,7 +21,7 @@
     RowsRequest, RowsReply, ForwardRequest, ForwardBody, ForwardWindow, ForwardResponseHead, ForwardEnd, ForwardCancel,
     ClaimRequest, ClaimReply, VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
     JoinRequest, BundlePush, BundlePull, BundleCurrent, TargetReport, TargetLoads, StartNotice, BundlePart,
-    SuspectReport, AccountCreditRequest, AccountCreditReply>;
+    SuspectReport, LimitCreditRequest, LimitCreditReply, BackpressureReport>;
 
 /// A message with its sender, as a link delivers it. The link has authenticated the sender.
 struct Delivery {
--- a/src/model/reasons.h
+++ b/src/model/reasons.h
@@ -54,6 +54,7 @@
     UnknownKey, ///< No client account holds the key, or the request carries none.
     RateLimited, ///< Its client account's limit is used up.
     LimitUnknown, ///< No registry host tells what is left of its client account's limit.
+    BackPressure, ///< The targets that might run it take no more for now, by their own word.
     Count
 };
 
--- a/src/registry/internal/accountlimits.cpp
+++ b/src/registry/internal/accountlimits.cpp
@@ -16,18 +16,18 @@
         return;
     ++version_;
     for (auto former = formerBegin; former != accounts_.end(); ++former)
-        limits_.erase((*former)->account.name);
+        limits_.erase(model::limitIdOf((*former)->account.name));
     for (auto later = newBegin; later != accounts.end(); ++later) {
         const model::ClientAccount& account = (*later)->account;
         if (account.limit)
-            limits_[account.name] = *account.limit;
+            limits_[model::limitIdOf(account.name)] = *account.limit;
     }
     accounts_.assign(accounts.begin(), accounts.end());
 }
 
-std::optional<model::RateLimit> AccountLimits::find(const model::ClientAccountName& account) const
+std::optional<model::RateLimit> AccountLimits::find(const model::LimitId& id) const
 {
-    const auto found = limits_.find(account);
+    const auto found = limits_.find(id);
     return found == limits_.end() ? std::nullopt : std::optional(found->second);
 }
 
--- a/src/registry/internal/accountlimits.h
+++ b/src/registry/internal/accountlimits.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "model/clientaccount.h"
+#include "model/limitmessages.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,19 +15,19 @@
 
 namespace saltvane::registry {
 
-/// The limits of the plan's client accounts, by name.
+/// The limits of the plan's client accounts, by what identifies them.
 class AccountLimits {
 public:
     /// Takes the place of the accounts before; costs what differs.
     void install(std::span<const model::AccountRef> accounts);
     /// None where the account isn't known or has no limit.
-    [[nodiscard]] std::optional<model::RateLimit> find(const model::ClientAccountName& account) const;
+    [[nodiscard]] std::optional<model::RateLimit> find(const model::LimitId& id) const;
     /// Grows with each change.
     [[nodiscard]] uint64_t version() const { return version_; }
 
 private:
     std::vector<model::AccountRef> accounts_;
-    std::unordered_map<model::ClientAccountName, model::RateLimit> limits_;
+    std::unordered_map<model::LimitId, model::RateLimit> limits_;
     uint64_t version_ = 0;
 };
 
--- a/src/registry/internal/creditpool.cpp
+++ b/src/registry/internal/creditpool.cpp
@@ -33,9 +33,9 @@
 /// Of the table of holdings, looked through for those that are full.
 constexpr size_t BucketsPerTick = 4;
 
-uint64_t scoreOf(const HostId& host, const model::ClientAccountName& account)
+uint64_t scoreOf(const HostId& host, const model::LimitId& id)
 {
-    const uint64_t seed = XXH64(account.value().data(), account.value().size(), 0);
+    const uint64_t seed = XXH64(id.value().data(), id.value().size(), 0);
     return XXH64(host.value().data(), host.value().size(), seed);
 }
 
@@ -67,27 +67,26 @@
     return provenAt_ && toSeconds(now - *provenAt_) < toSeconds(LeaseTime) * UsedPart;
 }
 
-CreditPool::Holding* CreditPool::holdingOf(const model::ClientAccountName& account, Timestamp now)
+CreditPool::Holding* CreditPool::holdingOf(const model::LimitId& id, Timestamp now)
 {
-    const std::optional<model::RateLimit> limit = limits_.find(account);
+    const std::optional<model::RateLimit> limit = limits_.find(id);
     if (!limit || !isLeased(now))
         return nullptr;
-    const auto [found, isNew] = holdings_.try_emplace(account);
+    const auto [found, isNew] = holdings_.try_emplace(id);
     Holding& holding = found->second;
     if (isNew)
         holding.filledAt = startedAt_; // As full as it can be since this host started with none.
     if (const uint64_t version = limits_.version() + holdersVersion_; holding.shareAsOf != version) {
         if (!isNew)
             fill(holding, now);
-        updateShare(holding, account, *limit);
+        updateShare(holding, id, *limit);
         holding.shareAsOf = version;
     }
     fill(holding, now);
     return &holding;
 }
 
-void CreditPool::updateShare(
-    Holding& holding, const model::ClientAccountName& account, const model::RateLimit& limit) const
+void CreditPool::updateShare(Holding& holding, const model::LimitId& id, const model::RateLimit& limit) const
 {
     const double burst = std::max(limit.burst, LeastBurst);
     const auto wanted = static_cast<size_t>(std::max(1.0, std::floor(burst / LeastBurstShare)));
@@ -97,7 +96,7 @@
         holding.holders.push_back(host);
     if (count < holders_.size()) {
         std::ranges::sort(
-            holding.holders, std::ranges::greater {}, [&](const HostId& host) { return scoreOf(host, account); });
+            holding.holders, std::ranges::greater {}, [&](const HostId& host) { return scoreOf(host, id); });
         holding.holders.resize(count);
     }
     holding.isHolder = std::ranges::find(holding.holders, self_) != holding.holders.end();
@@ -126,16 +125,16 @@
     return holders_.contains(host) || std::ranges::find(peers_, host, &Peer::host) != peers_.end();
 }
 
-void CreditPool::handle(const HostId& from, const model::AccountCreditRequest& request, Timestamp now)
+void CreditPool::handle(const HostId& from, const model::LimitCreditRequest& request, Timestamp now)
 {
     const bool isTransfer = isPeer(from);
-    for (const model::AccountCreditAsk& ask : request.asks)
+    for (const model::LimitCreditAsk& ask : request.asks)
         isTransfer ? answerPeer(from, ask, now) : answerGateway(from, ask, now);
 }
 
-void CreditPool::answerPeer(const HostId& from, const model::AccountCreditAsk& ask, Timestamp now)
+void CreditPool::answerPeer(const HostId& from, const model::LimitCreditAsk& ask, Timestamp now)
 {
-    Holding* holding = holdingOf(ask.account, now);
+    Holding* holding = holdingOf(ask.limit, now);
     uint32_t given = 0;
     if (holding != nullptr) {
         const double kept = holding->demand * toSeconds(DemandAhead)
@@ -147,9 +146,9 @@
     answer(from, {.ask = ask.ask, .credits = given});
 }
 
-void CreditPool::answerGateway(const HostId& from, const model::AccountCreditAsk& ask, Timestamp now)
+void CreditPool::answerGateway(const HostId& from, const model::LimitCreditAsk& ask, Timestamp now)
 {
-    Holding* holding = holdingOf(ask.account, now);
+    Holding* holding = holdingOf(ask.limit, now);
     if (holding == nullptr || ask.credits == 0)
         return answer(from, {.ask = ask.ask});
     noteDemand(*holding, ask.credits, now);
@@ -160,12 +159,12 @@
     if (now < holding->dryUntil)
         return refuse(*holding, from, ask, now);
     holding->waiting.push_back({.from = from, .ask = ask, .since = now});
-    waitingAccounts_.insert(ask.account);
-    if (holding->transfersAsked == 0 && !askPeers(ask.account, *holding, now))
-        refuseWaiting(ask.account, *holding, now);
+    waitingLimits_.insert(ask.limit);
+    if (holding->transfersAsked == 0 && !askPeers(ask.limit, *holding, now))
+        refuseWaiting(ask.limit, *holding, now);
 }
 
-bool CreditPool::askPeers(const model::ClientAccountName& account, Holding& holding, Timestamp now)
+bool CreditPool::askPeers(const model::LimitId& id, Holding& holding, Timestamp now)
 {
     double needed = holding.isHolder ? holding.demand * toSeconds(DemandAhead) : 0;
     for (const Waiting& waiting : holding.waiting)
@@ -181,8 +180,8 @@
         const auto each
             = static_cast<uint32_t>(std::ceil(needed / static_cast<double>(std::max<size_t>(asked.size(), 1))));
         for (const HostId& peer : asked) {
-            transfers_.emplace(++lastTransfer_, Transfer {.account = account, .askedAt = now});
-            requests_[peer].asks.push_back({.ask = lastTransfer_, .account = account, .credits = each});
+            transfers_.emplace(++lastTransfer_, Transfer {.id = id, .askedAt = now});
+            requests_[peer].asks.push_back({.ask = lastTransfer_, .limit = id, .credits = each});
         }
         holding.transfersAsked = asked.size();
         if (!asked.empty())
@@ -191,34 +190,34 @@
     return false;
 }
 
-void CreditPool::handle(const HostId& /*from*/, const model::AccountCreditReply& reply, Timestamp now)
+void CreditPool::handle(const HostId& /*from*/, const model::LimitCreditReply& reply, Timestamp now)
 {
-    for (const model::AccountCreditAnswer& answer : reply.answers) {
+    for (const model::LimitCreditAnswer& answer : reply.answers) {
         const auto found = transfers_.find(answer.ask);
         if (found == transfers_.end())
             continue; // Too late: these credits are lost.
-        const model::ClientAccountName account = found->second.account;
+        const model::LimitId id = found->second.id;
         transfers_.erase(found);
-        if (Holding* holding = holdingOf(account, now)) {
+        if (Holding* holding = holdingOf(id, now)) {
             holding->credits += answer.credits;
-            serveWaiting(account, *holding);
+            serveWaiting(id, *holding);
             holding->credits = std::min(holding->credits, holding->share.burst);
-            noteTransferEnded(account, *holding, now);
+            noteTransferEnded(id, *holding, now);
         }
     }
 }
 
-void CreditPool::noteTransferEnded(const model::ClientAccountName& account, Holding& holding, Timestamp now)
+void CreditPool::noteTransferEnded(const model::LimitId& id, Holding& holding, Timestamp now)
 {
     if (holding.transfersAsked > 0)
         --holding.transfersAsked;
     if (holding.transfersAsked > 0 || holding.waiting.empty())
         return;
-    if (!askPeers(account, holding, now))
-        refuseWaiting(account, holding, now);
+    if (!askPeers(id, holding, now))
+        refuseWaiting(id, holding, now);
 }
 
-void CreditPool::serveWaiting(const model::ClientAccountName& account, Holding& holding)
+void CreditPool::serveWaiting(const model::LimitId& id, Holding& holding)
 {
     while (!holding.waiting.empty() && holding.credits >= holding.waiting.front().ask.credits) {
         const Waiting& first = holding.waiting.front();
@@ -227,33 +226,33 @@
         holding.waiting.pop_front();
     }
     if (holding.waiting.empty())
-        noteQuenched(account, holding);
+        noteQuenched(id, holding);
 }
 
-void CreditPool::noteQuenched(const model::ClientAccountName& account, Holding& holding)
+void CreditPool::noteQuenched(const model::LimitId& id, Holding& holding)
 {
     holding.askedUpTo = Reach::Nobody;
-    waitingAccounts_.erase(account);
+    waitingLimits_.erase(id);
 }
 
-void CreditPool::refuseWaiting(const model::ClientAccountName& account, Holding& holding, Timestamp now)
+void CreditPool::refuseWaiting(const model::LimitId& id, Holding& holding, Timestamp now)
 {
     holding.dryUntil = now + DryPeriod;
     for (const Waiting& waiting : holding.waiting)
         refuse(holding, waiting.from, waiting.ask, now);
     holding.waiting.clear();
-    noteQuenched(account, holding);
+    noteQuenched(id, holding);
 }
 
 /// Each caller that is refused is told another time, as far apart as credits come, so that they don't return as one.
-void CreditPool::refuse(Holding& holding, const HostId& to, const model::AccountCreditAsk& ask, Timestamp now)
+void CreditPool::refuse(Holding& holding, const HostId& to, const model::LimitCreditAsk& ask, Timestamp now)
 {
     const Duration perCredit = fromSeconds(1 / std::max(holding.usualShare, LeastShareForPromise));
     holding.promisedUntil = std::min(std::max(holding.promisedUntil, now) + perCredit, now + MostRetryAfter);
     answer(to, {.ask = ask.ask, .retryAfter = std::max(holding.promisedUntil - now, LeastRetryAfter)});
 }
 
-void CreditPool::answer(const HostId& to, const model::AccountCreditAnswer& answer)
+void CreditPool::answer(const HostId& to, const model::LimitCreditAnswer& answer)
 {
     replies_[to].answers.push_back(answer);
 }
@@ -261,38 +260,38 @@
 void CreditPool::tick(Timestamp now)
 {
     while (!transfers_.empty() && transfers_.begin()->second.askedAt + TransferTimeout <= now) {
-        const model::ClientAccountName account = transfers_.begin()->second.account;
+        const model::LimitId id = transfers_.begin()->second.id;
         transfers_.erase(transfers_.begin());
-        if (Holding* holding = holdingOf(account, now))
-            noteTransferEnded(account, *holding, now);
+        if (Holding* holding = holdingOf(id, now))
+            noteTransferEnded(id, *holding, now);
     }
-    const std::vector<model::ClientAccountName> accounts(waitingAccounts_.begin(), waitingAccounts_.end());
-    for (const model::ClientAccountName& account : accounts) {
-        Holding* holding = holdingOf(account, now);
+    const std::vector<model::LimitId> ids(waitingLimits_.begin(), waitingLimits_.end());
+    for (const model::LimitId& id : ids) {
+        Holding* holding = holdingOf(id, now);
         if (holding == nullptr) { // It lost its limit, or itself: whoever waits asks again.
-            dropWaiting(account);
+            dropWaiting(id);
             continue;
         }
-        serveWaiting(account, *holding);
+        serveWaiting(id, *holding);
         if (!holding->waiting.empty() && now - holding->waiting.front().since >= LongestWait)
-            refuseWaiting(account, *holding, now);
+            refuseWaiting(id, *holding, now);
     }
     forgetIdle(now);
 }
 
-void CreditPool::dropWaiting(const model::ClientAccountName& account)
+void CreditPool::dropWaiting(const model::LimitId& id)
 {
-    Holding& holding = holdings_.at(account);
+    Holding& holding = holdings_.at(id);
     for (const Waiting& waiting : holding.waiting)
         answer(waiting.from, {.ask = waiting.ask.ask});
     holding.waiting.clear();
-    noteQuenched(account, holding);
+    noteQuenched(id, holding);
 }
 
 /// What is full is made anew as full when it is asked for again.
 void CreditPool::forgetIdle(Timestamp now)
 {
-    std::vector<model::ClientAccountName> idle;
+    std::vector<model::LimitId> idle;
     for (size_t i = 0; i < BucketsPerTick; ++i) {
         nextBucket_ = (nextBucket_ + 1) % holdings_.bucket_count();
         for (auto item = holdings_.begin(nextBucket_); item != holdings_.end(nextBucket_); ++item) {
@@ -302,8 +301,8 @@
                 idle.push_back(item->first);
         }
     }
-    for (const model::ClientAccountName& account : idle)
-        holdings_.erase(account);
+    for (const model::LimitId& id : idle)
+        holdings_.erase(id);
 }
 
 std::vector<model::Outgoing> CreditPool::takeOutgoing()
--- a/src/registry/internal/creditpool.h
+++ b/src/registry/internal/creditpool.h
@@ -17,9 +17,9 @@
 
 namespace saltvane::registry {
 
-/// This host's share of the client accounts' limits. Gateways ask for a credit for each request; a host that has none
-/// left asks the others. A credit is taken off before it is sent, so that what is lost, delayed or cut off on the way
-/// makes less of a limit and never more. docs/design/0016-client-accounts.md
+/// This host's share of the limits of client accounts and targets. Gateways ask for a credit for each request; a host
+/// that has none left asks the others. A credit is taken off before it is sent, so that what is lost, delayed or cut
+/// off on the way makes less of a limit and never more. docs/design/0016-client-accounts.md, 0018-target-limits.md
 class CreditPool {
 public:
     struct Peer {
@@ -38,8 +38,8 @@
     void setPeers(std::vector<Peer> peers) { peers_ = std::move(peers); }
     [[nodiscard]] AccountLimits& limits() { return limits_; }
 
-    void handle(const HostId& from, const model::AccountCreditRequest& request, Timestamp now);
-    void handle(const HostId& from, const model::AccountCreditReply& reply, Timestamp now);
+    void handle(const HostId& from, const model::LimitCreditRequest& request, Timestamp now);
+    void handle(const HostId& from, const model::LimitCreditReply& reply, Timestamp now);
     /// Ends asks that waited long enough.
     void tick(Timestamp now);
     [[nodiscard]] std::vector<model::Outgoing> takeOutgoing();
@@ -48,14 +48,14 @@
     enum class Reach { Nobody, Region, All };
     struct Waiting {
         HostId from;
-        model::AccountCreditAsk ask;
+        model::LimitCreditAsk ask;
         Timestamp since;
     };
-    /// What this host holds of one account's limit.
+    /// What this host holds of one limit.
     struct Holding {
         model::RateLimit share;
         uint64_t shareAsOf = 0; ///< Of holders and limits.
-        std::vector<HostId> holders; ///< Of this account.
+        std::vector<HostId> holders; ///< Of this id.
         bool isHolder = false; ///< Whether this host is among them.
         double usualShare = 0; ///< Credits a second of each of them.
         double credits = 0;
@@ -69,28 +69,28 @@
         Timestamp promisedUntil; ///< Callers that were refused have been told to return at times up to it.
     };
     struct Transfer {
-        model::ClientAccountName account;
+        model::LimitId id;
         Timestamp askedAt;
     };
 
-    [[nodiscard]] Holding* holdingOf(const model::ClientAccountName& account, Timestamp now);
-    void updateShare(Holding& holding, const model::ClientAccountName& account, const model::RateLimit& limit) const;
+    [[nodiscard]] Holding* holdingOf(const model::LimitId& id, Timestamp now);
+    void updateShare(Holding& holding, const model::LimitId& id, const model::RateLimit& limit) const;
     void fill(Holding& holding, Timestamp now) const;
     void noteDemand(Holding& holding, uint32_t credits, Timestamp now) const;
     [[nodiscard]] bool isLeased(Timestamp now) const;
     [[nodiscard]] bool isPeer(const HostId& host) const;
-    void answerPeer(const HostId& from, const model::AccountCreditAsk& ask, Timestamp now);
-    void answerGateway(const HostId& from, const model::AccountCreditAsk& ask, Timestamp now);
-    void serveWaiting(const model::ClientAccountName& account, Holding& holding);
+    void answerPeer(const HostId& from, const model::LimitCreditAsk& ask, Timestamp now);
+    void answerGateway(const HostId& from, const model::LimitCreditAsk& ask, Timestamp now);
+    void serveWaiting(const model::LimitId& id, Holding& holding);
     /// Asks the other holders, those of its region first; false: there is none left to ask.
-    [[nodiscard]] bool askPeers(const model::ClientAccountName& account, Holding& holding, Timestamp now);
-    void refuseWaiting(const model::ClientAccountName& account, Holding& holding, Timestamp now);
-    void refuse(Holding& holding, const HostId& to, const model::AccountCreditAsk& ask, Timestamp now);
-    void answer(const HostId& to, const model::AccountCreditAnswer& answer);
-    void noteTransferEnded(const model::ClientAccountName& account, Holding& holding, Timestamp now);
+    [[nodiscard]] bool askPeers(const model::LimitId& id, Holding& holding, Timestamp now);
+    void refuseWaiting(const model::LimitId& id, Holding& holding, Timestamp now);
+    void refuse(Holding& holding, const HostId& to, const model::LimitCreditAsk& ask, Timestamp now);
+    void answer(const HostId& to, const model::LimitCreditAnswer& answer);
+    void noteTransferEnded(const model::LimitId& id, Holding& holding, Timestamp now);
     /// Nobody waits any more.
-    void noteQuenched(const model::ClientAccountName& account, Holding& holding);
-    void dropWaiting(const model::ClientAccountName& account);
+    void noteQuenched(const model::LimitId& id, Holding& holding);
+    void dropWaiting(const model::LimitId& id);
     void forgetIdle(Timestamp now);
 
     HostId self_;
@@ -100,13 +100,13 @@
     uint64_t holdersVersion_ = 0;
     std::vector<Peer> peers_;
     AccountLimits limits_;
-    std::unordered_map<model::ClientAccountName, Holding> holdings_;
-    std::set<model::ClientAccountName> waitingAccounts_; ///< With asks that wait.
+    std::unordered_map<model::LimitId, Holding> holdings_;
+    std::set<model::LimitId> waitingLimits_; ///< With asks that wait.
     std::map<uint64_t, Transfer> transfers_; ///< By number, which is by age.
     uint64_t lastTransfer_ = 0;
     size_t nextBucket_ = 0;
-    std::unordered_map<HostId, model::AccountCreditRequest> requests_;
-    std::unordered_map<HostId, model::AccountCreditReply> replies_;
+    std::unordered_map<HostId, model::LimitCreditRequest> requests_;
+    std::unordered_map<HostId, model::LimitCreditReply> replies_;
 };
 
 } // namespace saltvane::registry
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -178,9 +178,9 @@
         return loads_.note(delivery.from, *loads, now);
     if (const auto* suspects = std::get_if<model::SuspectReport>(&delivery.message))
         return suspects_.note(suspects->requests, now);
-    if (const auto* asked = std::get_if<model::AccountCreditRequest>(&delivery.message))
+    if (const auto* asked = std::get_if<model::LimitCreditRequest>(&delivery.message))
         return credits_ ? credits_->handle(delivery.from, *asked, now) : void();
-    if (const auto* given = std::get_if<model::AccountCreditReply>(&delivery.message))
+    if (const auto* given = std::get_if<model::LimitCreditReply>(&delivery.message))
         return credits_ ? credits_->handle(delivery.from, *given, now) : void();
     const bool isGatewayReport = std::holds_alternative<model::Heartbeat>(delivery.message);
     roster_->handle(delivery, now);
--- a/src/registry/tests/creditpooltests.cpp
+++ b/src/registry/tests/creditpooltests.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 const model::ClientAccountName Account("acme");
+const model::LimitId AccountLimit = model::limitIdOf(Account);
 
 HostId registryHost(size_t number) { return HostId("registry-" + std::to_string(number)); }
 HostId gatewayHost(size_t number) { return HostId("gateway-" + std::to_string(number)); }
@@ -74,7 +75,7 @@
         const uint64_t number = ++lastAsk_;
         asked_[number] = pool;
         send(gatewayHost(pool), registryHost(pool),
-            model::AccountCreditRequest {.asks = {{.ask = number, .account = Account, .credits = 1}}});
+            model::LimitCreditRequest {.asks = {{.ask = number, .limit = AccountLimit, .credits = 1}}});
         ++askedInAll;
     }
 
@@ -166,7 +167,7 @@
     {
         const size_t number = numberOf(to);
         if (to.value().starts_with("gateway"))
-            return spend(std::get<model::AccountCreditReply>(message));
+            return spend(std::get<model::LimitCreditReply>(message));
         const bool isCut = side_.contains(number) != side_.contains(numberOf(from));
         if (isCut)
             return;
@@ -174,10 +175,10 @@
             wire_.emplace(pausedUntil_[number], Sent {from, to, message});
             return;
         }
-        if (const auto* request = std::get_if<model::AccountCreditRequest>(&message))
+        if (const auto* request = std::get_if<model::LimitCreditRequest>(&message))
             pools_[number]->handle(from, *request, now_);
         else
-            pools_[number]->handle(from, std::get<model::AccountCreditReply>(message), now_);
+            pools_[number]->handle(from, std::get<model::LimitCreditReply>(message), now_);
         flush(number);
     }
     void flush(size_t number)
@@ -187,9 +188,9 @@
             send(registryHost(number), outgoing.to, std::move(outgoing.message));
         }
     }
-    void spend(const model::AccountCreditReply& reply)
+    void spend(const model::LimitCreditReply& reply)
     {
-        for (const model::AccountCreditAnswer& answer : reply.answers) {
+        for (const model::LimitCreditAnswer& answer : reply.answers) {
             if (asked_.erase(answer.ask) == 0)
                 continue;
             given += answer.credits;
@@ -299,10 +300,10 @@
     const auto givenBy = [&](CreditPool& pool, Timestamp now) {
         uint32_t given = 0;
         for (uint64_t ask = 1; ask <= 100; ++ask)
-            pool.handle(gatewayHost(0), {.asks = {{.ask = ask, .account = Account, .credits = 1}}}, now);
+            pool.handle(gatewayHost(0), {.asks = {{.ask = ask, .limit = AccountLimit, .credits = 1}}}, now);
         for (const model::Outgoing& outgoing : pool.takeOutgoing()) {
-            if (const auto* reply = std::get_if<model::AccountCreditReply>(&outgoing.message)) {
-                for (const model::AccountCreditAnswer& answer : reply->answers)
+            if (const auto* reply = std::get_if<model::LimitCreditReply>(&outgoing.message)) {
+                for (const model::LimitCreditAnswer& answer : reply->answers)
                     given += answer.credits;
             }
         }
@@ -329,12 +330,12 @@
 TEST(CreditPoolTest, AnUnknownAccountIsNoRefusal)
 {
     CreditPool pool(registryHost(0), Timestamp {1s});
-    pool.handle(gatewayHost(0), {.asks = {{.ask = 3, .account = Account, .credits = 1}}}, Timestamp {2s});
+    pool.handle(gatewayHost(0), {.asks = {{.ask = 3, .limit = AccountLimit, .credits = 1}}}, Timestamp {2s});
     const std::vector<model::Outgoing> outgoing = pool.takeOutgoing();
     ASSERT_EQ(outgoing.size(), 1U);
-    const auto& reply = std::get<model::AccountCreditReply>(outgoing[0].message);
+    const auto& reply = std::get<model::LimitCreditReply>(outgoing[0].message);
     ASSERT_EQ(reply.answers.size(), 1U);
-    EXPECT_EQ(reply.answers[0], (model::AccountCreditAnswer {.ask = 3}));
+    EXPECT_EQ(reply.answers[0], (model::LimitCreditAnswer {.ask = 3}));
 }
 
 /// Drawn cuts, pauses, restarts, lost messages, moving crowds and changed limits: no five seconds hold more runs than
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -5,7 +5,7 @@
  */
 #include "wire/framecodec.h"
 
-#include "wire/internal/accountmessagecodec.h"
+#include "wire/internal/limitmessagecodec.h"
 #include "wire/internal/controlmessagecodec.h"
 #include "wire/internal/envelopecodec.h"
 #include "wire/internal/hostmessagecodec.h"
--- a/src/wire/internal/envelopecodec.cpp
+++ b/src/wire/internal/envelopecodec.cpp
@@ -5,7 +5,7 @@
  */
 #include "wire/internal/envelopecodec.h"
 
-#include "wire/internal/accountmessagecodec.h"
+#include "wire/internal/limitmessagecodec.h"
 #include "wire/internal/controlmessagecodec.h"
 #include "wire/internal/hostmessagecodec.h"
 #include "wire/internal/requestmessagecodec.h"
@@ -63,8 +63,9 @@
     &decodeAs<fbs::StartNotice>,
     &decodeAs<fbs::BundlePart>,
     &decodeAs<fbs::SuspectReport>,
-    &decodeAs<fbs::AccountCreditRequest>,
-    &decodeAs<fbs::AccountCreditReply>,
+    &decodeAs<fbs::LimitCreditRequest>,
+    &decodeAs<fbs::LimitCreditReply>,
+    &decodeAs<fbs::BackpressureReport>,
 };
 static_assert(Decoders.size() == static_cast<size_t>(fbs::Payload::MAX) + 1);
 static_assert(Decoders.size() == std::variant_size_v<model::Message> + 1);
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -190,10 +190,13 @@
             .restingFor = 40s,
             .askedAgo = 3s,
             .ends = {{.target = 0x1234567890abcdef, .sentAgo = 900ms, .endedAgo = 800ms, .usualShare = 0.03}}}}});
+    messages.emplace_back(LimitCreditRequest {
+        .asks = {{.ask = 7, .limit = limitIdOf(ClientAccountName("acme")), .credits = 2}, {.ask = 8}}});
     messages.emplace_back(
-        AccountCreditRequest {.asks = {{.ask = 7, .account = ClientAccountName("acme"), .credits = 2}, {.ask = 8}}});
-    messages.emplace_back(
-        AccountCreditReply {.answers = {{.ask = 7, .credits = 2}, {.ask = 8, .credits = 0, .retryAfter = 300ms}}});
+        LimitCreditReply {.answers = {{.ask = 7, .credits = 2}, {.ask = 8, .credits = 0, .retryAfter = 300ms}}});
+    messages.emplace_back(BackpressureReport {
+        .notices = {{.target = {.target = TargetId("valuator-1"), .incarnation = {7}}, .limit = 2.1, .age = 30ms},
+            {.target = {.target = TargetId("valuator-2")}, .age = 2s}}});
     messages.emplace_back(TargetLoads {.targets = {7, 0x1234567890abcdef}, .inFlight = {3, 12}, .isChange = true});
 }
 
