Hold requests to the limits that targets name, over all gateways

Callers saw nothing; targets in need got as much as before: 28 requests in 4 s where 19 were allowed. Cause: no gateway reads what an answer says of how much its target takes (H1). Ruled out: the registry's word replacing it, each gateway holding it alone; with H1 mended by each gateway for itself nine would have sent nine times the limit. Now a gateway that hears a limit tells the registry, and from there all gateways hear; for each request to such a target it asks a registry host for a credit, as for client accounts. One registry host holds a target's limit whole (three credits at the most, then the rate), so no window of four seconds has more than 3 + 4.5 x rate, under 6 x rate + 5. Without a credit a request goes to another target, and the next ones do at once until the time that the registry told; where no target takes more, it is refused with that time, spread. A limit belongs to one start, outlives the registry's records of it, and ends with an answer to a request sent after it was known that names none. A target that takes nothing gets a request in five seconds, whose answer tells when that is over. Probes leave such targets alone, since they take a slot.

--- a/src/gateway/internal/backpressurewatch.cpp
+++ b/src/gateway/internal/backpressurewatch.cpp
@@ -10,6 +10,14 @@
 
 namespace saltvane::gateway {
 
+namespace {
+
+constexpr size_t MostInAReport = 256;
+/// The registry forgets a limit of which it has not heard for 120 s.
+constexpr Duration RepeatPeriod = 30s;
+
+} // namespace
+
 void BackpressureWatch::note(const Answer& answer, Timestamp now)
 {
     if (GatewayTarget* target = targets_.find(answer.target))
@@ -28,8 +36,62 @@
     const std::optional<double> limit
         = named.perSecond.value_or(LargestLimit) < LargestLimit ? named.perSecond : std::nullopt;
     known.limitAt = now;
-    if (std::exchange(known.limit, limit) != limit)
-        log(target, "target_limit", limit ? decimalText(*limit) : "none", now);
+    if (known.limit != limit || now - known.toldAt >= RepeatPeriod)
+        news_.insert(target.start());
+    setLimit(target, limit, now);
+}
+
+void BackpressureWatch::setLimit(GatewayTarget& target, const std::optional<double>& limit, Timestamp now)
+{
+    if (limit)
+        limited_.insert(target.start());
+    else
+        limited_.erase(target.start());
+    if (std::exchange(target.backpressure.limit, limit) == limit)
+        return;
+    target.backpressure.noCreditUntil = {};
+    log(target, "target_limit", limit ? decimalText(*limit) : "none", now);
+}
+
+void BackpressureWatch::handle(const model::BackpressureReport& report, Timestamp now)
+{
+    for (const model::BackpressureNotice& notice : report.notices) {
+        GatewayTarget* target = targets_.find(notice.target);
+        if (target == nullptr || now - notice.age <= target->backpressure.limitAt)
+            continue;
+        target->backpressure.limitAt = now - notice.age;
+        target->backpressure.toldAt = now;
+        setLimit(*target, notice.limit, now);
+    }
+}
+
+void BackpressureWatch::add(model::BackpressureReport& report, const model::TargetIncarnation& start, Timestamp now)
+{
+    GatewayTarget* target = targets_.find(start);
+    if (target == nullptr)
+        return;
+    target->backpressure.toldAt = now;
+    report.notices.push_back(
+        {.target = start, .limit = target->backpressure.limit, .age = now - target->backpressure.limitAt});
+}
+
+model::BackpressureReport BackpressureWatch::takeNews(Timestamp now)
+{
+    model::BackpressureReport report;
+    if (news_.empty() || !reportBudget_.trySpend(now))
+        return report;
+    for (size_t count = 0; count < MostInAReport && !news_.empty(); ++count)
+        add(report, news_.extract(news_.begin()).value(), now);
+    return report;
+}
+
+model::BackpressureReport BackpressureWatch::known(Timestamp now)
+{
+    model::BackpressureReport report;
+    std::erase_if(limited_, [&](const model::TargetIncarnation& start) { return targets_.find(start) == nullptr; });
+    for (const model::TargetIncarnation& start : limited_)
+        add(report, start, now);
+    return report;
 }
 
 void BackpressureWatch::log(const GatewayTarget& target, std::string_view event, std::string_view value, Timestamp now)
--- a/src/gateway/internal/backpressurewatch.h
+++ b/src/gateway/internal/backpressurewatch.h
@@ -5,17 +5,21 @@
  */
 #pragma once
 
-#include "gateway/internal/linebudget.h"
+#include "gateway/internal/ratebudget.h"
 #include "gateway/internal/targetset.h"
 #include "host/hosttypes.h"
+#include "model/limitmessages.h"
 #include "settings/routedhostsettings.h"
 
+#include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
 namespace saltvane::gateway {
 
-/// Reads what targets say in their answers of how much they take.
+/// Reads what targets say in their answers of how much they take, and shares it with other gateways by way of the
+/// registry. docs/design/0018-target-limits.md
 class BackpressureWatch {
 public:
     BackpressureWatch(settings::HeaderNames headers, TargetSet& targets)
@@ -32,18 +36,35 @@
     };
     void note(const Answer& answer, Timestamp now);
 
+    void handle(const model::BackpressureReport& report, Timestamp now);
+    /// No registry host knows of the target's limit.
+    void noteUnknown(const model::TargetIncarnation& target) { news_.insert(target); }
+
+    /// What the registry is to hear: some at a time, the rest later.
+    [[nodiscard]] model::BackpressureReport takeNews(Timestamp now);
+    /// For a registry host that may know nothing.
+    [[nodiscard]] model::BackpressureReport known(Timestamp now);
+
     [[nodiscard]] std::vector<host::LogLine> takeLines() { return std::exchange(lines_, {}); }
 
 private:
     static constexpr double LinesPerSecond = 5;
     static constexpr double MostSavedLines = 20;
 
+    static constexpr double ReportsPerSecond = 10;
+    static constexpr double MostSavedReports = 10;
+
     void noteLimit(GatewayTarget& target, const Answer& answer, Timestamp now);
+    void setLimit(GatewayTarget& target, const std::optional<double>& limit, Timestamp now);
+    void add(model::BackpressureReport& report, const model::TargetIncarnation& start, Timestamp now);
     void log(const GatewayTarget& target, std::string_view event, std::string_view value, Timestamp now);
 
     settings::HeaderNames headers_;
     TargetSet& targets_;
-    LineBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines, .initial = MostSavedLines}};
+    std::set<model::TargetIncarnation> limited_; ///< Those that name a limit, and some that are gone.
+    std::set<model::TargetIncarnation> news_;
+    RateBudget reportBudget_ {{.perSecond = ReportsPerSecond, .burst = MostSavedReports, .initial = MostSavedReports}};
+    RateBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines, .initial = MostSavedLines}};
     std::vector<host::LogLine> lines_;
 };
 
--- a/src/gateway/internal/decisionlog.h
+++ b/src/gateway/internal/decisionlog.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "gateway/internal/linebudget.h"
+#include "gateway/internal/ratebudget.h"
 #include "gateway/internal/requestrunner.h"
 #include "host/hosttypes.h"
 
@@ -33,7 +33,7 @@
     [[nodiscard]] bool mayWrite(const Decision& decision, Timestamp now);
 
     std::vector<host::LogLine> lines_;
-    LineBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines}};
+    RateBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines}};
     uint64_t answered_ = 0;
     uint64_t leftOut_ = 0;
     Timestamp toldAt_ {};
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -22,6 +22,7 @@
     enum class Phase {
         ReceivingBody, ///< Nothing was sent yet.
         AwaitingCredit, ///< Of its client account's limit.
+        AwaitingTargetCredit, ///< Of the limit that the target chosen for it names.
         AwaitingHead, ///< Sent to a target.
         ReceivingAnswer, ///< The head came; the answer is gathered whole.
         Streaming ///< The answer is passed on as it comes.
@@ -39,6 +40,15 @@
     model::Route route; ///< As of its arrival; a new plan changes nothing for it.
     model::AccountRef account; ///< As of its arrival; null: none is asked for.
     bool hasCredit = false; ///< Of the account's limit, not used up by a run.
+    /// The target for which it waits for a credit, as chosen.
+    struct AwaitedTarget {
+        model::TargetIncarnation start;
+        Choice choice = Choice::Other;
+        bool isLikelyWarm = false;
+        Duration work {};
+    };
+    AwaitedTarget awaited;
+    size_t targetCreditsRefused = 0; ///< Targets whose limit left it no credit.
     ServiceName service;
     BundleVersion planVersion;
     Timestamp startedAt;
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -171,6 +171,8 @@
         targets_.noteLoads(*loads, now);
     else if (const auto* suspects = std::get_if<model::SuspectReport>(&delivery.message))
         quarantine_.handle(*suspects, now);
+    else if (const auto* backpressure = std::get_if<model::BackpressureReport>(&delivery.message))
+        backpressure_.handle(*backpressure, now);
     else if (const auto* credits = std::get_if<model::LimitCreditReply>(&delivery.message))
         noteCredits(*credits, now);
 }
@@ -206,6 +208,8 @@
     // Registry hosts that all lost their power and their disks hear from the gateways what is to be refused.
     if (model::SuspectReport report {.requests = quarantine_.blamed(now)}; !report.requests.empty())
         actions_.emplace_back(requests::Action(model::Outgoing {.to = up.host, .message = std::move(report)}));
+    if (model::BackpressureReport report = backpressure_.known(now); !report.notices.empty())
+        actions_.emplace_back(requests::Action(model::Outgoing {.to = up.host, .message = std::move(report)}));
 }
 
 void GatewayCore::accept(const host::LinkDown& down, Timestamp now)
@@ -269,6 +273,15 @@
         actions_.emplace_back(requests::Action(model::Outgoing {.to = host, .message = report}));
 }
 
+void GatewayCore::tellBackpressure(Timestamp now)
+{
+    const model::BackpressureReport report = backpressure_.takeNews(now);
+    if (report.notices.empty())
+        return;
+    for (const HostId& host : roster_->nearControlHosts())
+        actions_.emplace_back(requests::Action(model::Outgoing {.to = host, .message = report}));
+}
+
 std::string GatewayCore::probePathOf(const ServiceName& service) const
 {
     const model::RoutedService* found = routes_ ? routes_->plan().findService(service) : nullptr;
@@ -298,6 +311,7 @@
     runner_.noteCredits(now); // Refusals of requests that found nobody to ask.
     for (requests::Action& action : runner_.takeActions())
         actions_.emplace_back(std::move(action));
+    tellBackpressure(now); // Before credits of these limits are asked for.
     for (model::Outgoing& outgoing : credits_.takeOutgoing())
         actions_.emplace_back(requests::Action(std::move(outgoing)));
     for (model::Outgoing& outgoing : roster_->takeOutgoing())
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -58,6 +58,7 @@
     void updateLinks();
     void tellLoads(Timestamp now);
     void tellSuspects(Timestamp now);
+    void tellBackpressure(Timestamp now);
     [[nodiscard]] std::string probePathOf(const ServiceName& service) const;
     void updateState();
     void updateStop(Timestamp now);
--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -43,13 +43,18 @@
     return namedByReport < zone->reopenedByReport && now < zone->reopenedAt + ReopenHold;
 }
 
-bool GatewayTarget::isOpen(Timestamp now) const
+bool GatewayTarget::isAvailable(Timestamp now) const
 {
     if (record.isLeaving || isSilent || zone->isClosed || now < ejectedUntil || isHeld(now))
         return false;
     return !isOnTrial() || inFlight == 0;
 }
 
+double GatewayTarget::usableSlots() const
+{
+    return std::min<double>(record.slots, backpressure.limit.value_or(record.slots));
+}
+
 void GatewayTarget::noteAnswered(Timestamp now)
 {
     answeredAt = now;
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -62,7 +62,11 @@
     /// Its zone was opened again and it was not named since: it may have turned slow.
     [[nodiscard]] bool isHeld(Timestamp now) const;
     /// Whether new work may be sent to it, but for its slow start.
-    [[nodiscard]] bool isOpen(Timestamp now) const;
+    [[nodiscard]] bool isOpen(Timestamp now) const { return now >= backpressure.closedUntil() && isAvailable(now); }
+    /// The same, but for what it said of how much it takes.
+    [[nodiscard]] bool isAvailable(Timestamp now) const;
+    /// Requests it may have at once: no more of a limit than it allows in a second.
+    [[nodiscard]] double usableSlots() const;
     void noteAnswered(Timestamp now);
     /// It broke off, or did not answer in time. `isCertain`: it can't be reached at all.
     void noteFailure(Timestamp now, bool isCertain);
--- a/src/gateway/internal/limitcredits.cpp
+++ b/src/gateway/internal/limitcredits.cpp
@@ -13,8 +13,6 @@
 
 /// A registry host answers within a round trip to the others and their answers, or is not there.
 constexpr Duration UnansweredAfter = 200ms;
-/// Registry hosts asked for one request, each of them for that long at the most.
-constexpr size_t MostSources = 3;
 /// A credit that its request did not use serves another one within it: what is kept counts against the limit.
 constexpr Duration SpareLifetime = 300ms;
 /// An answer that comes later than that is not waited for any more; its credits are lost.
@@ -57,10 +55,10 @@
     }
 }
 
-void LimitCredits::ask(requests::HttpHandle handle, const model::LimitId& limit, Timestamp now)
+void LimitCredits::ask(requests::HttpHandle handle, const model::LimitId& limit, size_t mostSources, Timestamp now)
 {
     if (!isSilent_ || isProbe(now))
-        return send({.handle = handle, .limit = limit}, now);
+        return send({.handle = handle, .limit = limit, .mostSources = mostSources}, now);
     verdicts_.push_back({.handle = handle, .reason = model::Reason::LimitUnknown, .retryAfter = RetryAfterUnknown});
 }
 
@@ -78,7 +76,7 @@
 {
     const auto source = std::ranges::find_if(
         sources_, [&](const HostId& host) { return std::ranges::find(ask.asked, host) == ask.asked.end(); });
-    if (source == sources_.end() || ask.asked.size() >= MostSources) {
+    if (source == sources_.end() || ask.asked.size() >= ask.mostSources) {
         verdicts_.push_back(
             {.handle = ask.handle, .reason = model::Reason::LimitUnknown, .retryAfter = RetryAfterUnknown});
         return;
--- a/src/gateway/internal/limitcredits.h
+++ b/src/gateway/internal/limitcredits.h
@@ -33,8 +33,8 @@
     void setSources(std::vector<HostId> sources) { sources_ = std::move(sources); }
     /// Takes one that is at hand.
     [[nodiscard]] bool trySpend(const model::LimitId& limit, Timestamp now);
-    /// The verdict follows.
-    void ask(requests::HttpHandle handle, const model::LimitId& limit, Timestamp now);
+    /// The verdict follows, from one of so many registry hosts at the most.
+    void ask(requests::HttpHandle handle, const model::LimitId& limit, size_t mostSources, Timestamp now);
     /// The request has ended before its verdict came.
     void forget(requests::HttpHandle handle);
     /// A credit of a request that has not run.
@@ -53,6 +53,7 @@
     struct Ask {
         requests::HttpHandle handle; ///< 0: nobody waits for it any more.
         model::LimitId limit;
+        size_t mostSources = 0;
         HostId source;
         std::vector<HostId> asked; ///< All so far.
         Timestamp sentAt;
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -195,8 +195,13 @@
     Candidates& near = isLarge && nearness == Nearness::Zone ? groups.zone : groups.region;
     Candidates& group = isLarge && isAway ? groups.away : near;
     for (const auto& [target, score] : ranked) {
-        if (targets_.isUsable(*target, query.service, now) && isPermitted(*target, query))
+        if (!isPermitted(*target, query) || (query.isWithoutCredit && target->backpressure.limit))
+            continue;
+        const Timestamp closedUntil = target->backpressure.closedUntil();
+        if (targets_.isUsable(*target, query.service, now))
             group.push_back({.target = target, .rank = score * weight});
+        else if (now < closedUntil && target->isAvailable(now))
+            groups.reopensAt = std::min(groups.reopensAt.value_or(closedUntil), closedUntil);
     }
 }
 
@@ -218,6 +223,17 @@
     return groups;
 }
 
+PlacementRefusal Placement::refusalWithoutTargets(const Groups& groups, uint32_t known, Timestamp now)
+{
+    if (!groups.reopensAt)
+        return {.reason = model::Reason::NoTarget, .retryAfter = MostRetryAfter, .known = known};
+    // Callers that return as one would all but one be refused again.
+    const Duration spread = fromSeconds(toSeconds(MostRetryAfter) * unit(random_()));
+    return {.reason = model::Reason::BackPressure,
+        .retryAfter = std::max(*groups.reopensAt - now, LeastRetryAfter) + spread,
+        .known = known};
+}
+
 std::variant<Placed, PlacementRefusal> Placement::choose(const PlacementQuery& query, Timestamp now)
 {
     workTimes_.noteAsked(query.service.name, query.route.objective);
@@ -226,7 +242,7 @@
     const auto known = static_cast<uint32_t>(targets_.countOf(query.service.name));
     const auto usable = static_cast<uint32_t>(found.size());
     if (usable == 0)
-        return PlacementRefusal {.reason = model::Reason::NoTarget, .retryAfter = MostRetryAfter, .known = known};
+        return refusalWithoutTargets(found, known, now);
     detours_ = std::min(detours_ + DetoursPerRequest, MostDetours);
     Candidates& away = found.away;
     const bool hasHome = !found.zone.empty() || !found.region.empty();
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -29,6 +29,7 @@
     Duration elapsed {}; ///< Since the request came in.
     Duration left {}; ///< Until its deadline.
     bool isRepeat = false; ///< It was taken on already: also a late answer is wanted.
+    bool isWithoutCredit = false; ///< Only targets that name no limit will do.
     std::span<const TargetId> tried;
 };
 
@@ -77,6 +78,7 @@
         Candidates zone;
         Candidates region;
         Candidates away;
+        std::optional<Timestamp> reopensAt; ///< The first of those that take nothing for now by their own word.
         [[nodiscard]] size_t size() const { return zone.size() + region.size() + away.size(); }
     };
 
@@ -98,6 +100,8 @@
     /// has a free slot for it.
     [[nodiscard]] Placed trial(std::span<const Candidate> candidates, const PlacementQuery& query, Timestamp now);
     [[nodiscard]] bool trySpendDetour(Timestamp now);
+    /// No target may be sent new work.
+    [[nodiscard]] PlacementRefusal refusalWithoutTargets(const Groups& groups, uint32_t known, Timestamp now);
 
     TargetSet& targets_;
     const RegionSplit& split_;
--- a/src/gateway/internal/quarantine.h
+++ b/src/gateway/internal/quarantine.h
@@ -7,7 +7,7 @@
 
 #include "gateway/internal/answeredrequests.h"
 #include "gateway/internal/endrate.h"
-#include "gateway/internal/linebudget.h"
+#include "gateway/internal/ratebudget.h"
 #include "gateway/internal/runwatch.h"
 #include "gateway/internal/targetprober.h"
 #include "gateway/internal/targetset.h"
@@ -91,7 +91,7 @@
     AnsweredRequests answered_;
     RunWatch watch_;
     TargetProber prober_;
-    LineBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines, .initial = MostSavedLines}};
+    RateBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines, .initial = MostSavedLines}};
     std::vector<host::LogLine> lines_;
 };
 
--- a/src/gateway/internal/linebudget.h
+++ b/src/gateway/internal/ratebudget.h
@@ -11,15 +11,15 @@
 
 namespace saltvane::gateway {
 
-/// Bounds how many log lines of one kind are written, however often what they tell happens.
-class LineBudget {
+/// Bounds how often something is done, however often there is reason to: log lines, reports.
+class RateBudget {
 public:
     struct Options {
         double perSecond = 0;
         double burst = 0;
-        double initial = 0; ///< Lines that may be written at once after the start.
+        double initial = 0; ///< What may be done at once after the start.
     };
-    explicit LineBudget(const Options& options)
+    explicit RateBudget(const Options& options)
         : options_(options)
         , balance_(options.initial)
     {
--- a/src/gateway/internal/requestends.cpp
+++ b/src/gateway/internal/requestends.cpp
@@ -116,9 +116,11 @@
 
 void RequestRunner::giveBackCredit(const Exchange& exchange, Timestamp now)
 {
-    if (exchange.phase == Exchange::Phase::AwaitingCredit)
+    const bool isAwaiting
+        = exchange.phase == Exchange::Phase::AwaitingCredit || exchange.phase == Exchange::Phase::AwaitingTargetCredit;
+    if (isAwaiting)
         options_.credits.forget(exchange.handle);
-    else if (exchange.hasCredit && exchange.account && exchange.account->account.limit)
+    if (exchange.hasCredit && exchange.account && exchange.account->account.limit)
         options_.credits.giveBack(model::limitIdOf(exchange.account->account.name), now);
 }
 
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -90,7 +90,8 @@
 
 void RequestRunner::accept(const requests::HttpResponseDone& done, Timestamp /*now*/) { answering_.erase(done.handle); }
 
-std::variant<Placed, PlacementRefusal> RequestRunner::choose(const Exchange& exchange, Timestamp now)
+std::variant<Placed, PlacementRefusal> RequestRunner::choose(
+    const Exchange& exchange, Timestamp now, bool mayAwaitCredit)
 {
     const model::RoutedService* service = routes_->plan().findService(exchange.service);
     if (service == nullptr)
@@ -102,6 +103,7 @@
                                          .elapsed = now - exchange.startedAt,
                                          .left = exchange.deadline - now,
                                          .isRepeat = !exchange.tried.empty(),
+                                         .isWithoutCredit = !mayAwaitCredit,
                                          .tried = exchange.tried},
         now);
 }
@@ -120,34 +122,9 @@
         exchange.targetsUsable = refusal->usable;
         return refuse(exchange, refusal->reason, refusal->retryAfter, now);
     }
-    send(exchange, std::get<Placed>(choice), now);
-}
-
-bool RequestRunner::hasCredit(Exchange& exchange, Timestamp now)
-{
-    if (!exchange.account || !exchange.account->account.limit || exchange.hasCredit)
-        return true;
-    const model::LimitId limit = model::limitIdOf(exchange.account->account.name);
-    exchange.hasCredit = options_.credits.trySpend(limit, now);
-    if (exchange.hasCredit)
-        return true;
-    exchange.phase = Exchange::Phase::AwaitingCredit;
-    options_.credits.ask(exchange.handle, limit, now);
-    return false;
-}
-
-void RequestRunner::noteCredits(Timestamp now)
-{
-    for (const LimitCredits::Verdict& verdict : options_.credits.takeVerdicts()) {
-        Exchange* exchange = find(verdict.handle);
-        if (exchange == nullptr)
-            continue;
-        exchange->hasCredit = verdict.reason == model::Reason::None;
-        if (exchange->hasCredit)
-            dispatch(*exchange, now);
-        else
-            refuse(*exchange, verdict.reason, verdict.retryAfter, now);
-    }
+    const Placed& placed = std::get<Placed>(choice);
+    if (hasTargetCredit(exchange, placed, now))
+        send(exchange, placed, now);
 }
 
 void RequestRunner::send(Exchange& exchange, const Placed& placed, Timestamp now)
@@ -252,7 +229,7 @@
         return;
     target->noteFailure(now, false);
     // The target may still answer: it is left only for another one that can take the request.
-    const auto choice = choose(exchange, now);
+    const auto choice = choose(exchange, now, false);
     const bool mayRepeat = exchange.route.kind != model::RouteKind::AtMostOnce;
     if (!mayRepeat || std::holds_alternative<PlacementRefusal>(choice) || !mayTryElsewhere(exchange, now))
         return;
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -5,9 +5,9 @@
  */
 #pragma once
 
-#include "gateway/internal/limitcredits.h"
 #include "gateway/internal/backpressurewatch.h"
 #include "gateway/internal/exchange.h"
+#include "gateway/internal/limitcredits.h"
 #include "gateway/internal/linkbudget.h"
 #include "gateway/internal/placement.h"
 #include "gateway/internal/quarantine.h"
@@ -108,11 +108,16 @@
     [[nodiscard]] model::AccountRef accountOf(const requests::HttpRequestStarted& request) const;
     /// False: the request waits for a credit of its account's limit.
     [[nodiscard]] bool hasCredit(Exchange& exchange, Timestamp now);
+    /// False: the request waits for a credit of the limit that this target names.
+    [[nodiscard]] bool hasTargetCredit(Exchange& exchange, const Placed& placed, Timestamp now);
+    void noteTargetCredit(Exchange& exchange, const LimitCredits::Verdict& verdict, Timestamp now);
     /// The request is whole.
     void start(Exchange& exchange, Timestamp now);
     /// Chooses a target and sends the request; refuses it where none can be had.
     void dispatch(Exchange& exchange, Timestamp now);
-    [[nodiscard]] std::variant<Placed, PlacementRefusal> choose(const Exchange& exchange, Timestamp now);
+    /// `mayAwaitCredit`: of a target that names a limit.
+    [[nodiscard]] std::variant<Placed, PlacementRefusal> choose(
+        const Exchange& exchange, Timestamp now, bool mayAwaitCredit = true);
     void send(Exchange& exchange, const Placed& placed, Timestamp now);
     /// The target refused it, or failed: elsewhere, or the end.
     void tryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now);
--- a/src/gateway/internal/targetbackpressure.h
+++ b/src/gateway/internal/targetbackpressure.h
@@ -17,7 +17,13 @@
 /// What one start of a target said in its answers of how much it takes.
 struct TargetBackpressure {
     std::optional<double> limit; ///< Requests a second, of all gateways together.
-    Timestamp limitAt {}; ///< When an answer last named one.
+    Timestamp limitAt {}; ///< When an answer last told of it, naming one or none.
+    Timestamp toldAt {}; ///< When the registry was last told.
+    Timestamp noCreditUntil {}; ///< No credit can be expected before.
+
+    [[nodiscard]] bool isEmpty() const { return limitAt == Timestamp {}; }
+    /// New work is not sent before.
+    [[nodiscard]] Timestamp closedUntil() const { return noCreditUntil; }
 };
 
 /// A limit as the head of an answer names it.
--- a/src/gateway/internal/targetprober.cpp
+++ b/src/gateway/internal/targetprober.cpp
@@ -26,7 +26,9 @@
 {
     const bool isUnderWay
         = std::ranges::any_of(probes_, [&](const auto& one) { return one.second.target == target.start(); });
-    if (path.empty() || isUnderWay || probes_.size() >= MostAtOnce)
+    // A probe takes a slot as a request does.
+    const bool isUnwanted = target.backpressure.limit || now < target.backpressure.closedUntil();
+    if (path.empty() || isUnderWay || isUnwanted || probes_.size() >= MostAtOnce)
         return;
     const requests::DispatchId dispatch {ProbeBit | ++last_};
     probes_.emplace(dispatch.value, Probe {.target = target.start(), .endsAt = now + Limit});
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -20,6 +20,7 @@
 constexpr Duration UnnamedLimit = 75s;
 constexpr Duration RegistryMemory = 3s;
 constexpr size_t MostRetired = 16384;
+constexpr size_t MostFormerBackpressure = 1024;
 /// The room of so many targets is counted anew in a tick, so that all 1,356 of a large deployment are in under half a
 /// second of ticks of 20 ms, which is as often as shares of regions may move.
 constexpr size_t RecountsPerTick = 64;
@@ -122,6 +123,8 @@
     target.hash = model::targetHash(record.target);
     target.startHash = model::incarnationHash(target.start());
     target.sumsAt = &sumsAt_;
+    if (const auto former = formerBackpressure_.extract(target.start()))
+        target.backpressure = former.mapped();
     target.position = all_.size();
     all_.push_back(&target);
     byStartHash_.insert_or_assign(target.startHash, &target);
@@ -154,6 +157,8 @@
 void TargetSet::remove(GatewayTarget& target)
 {
     leave(target);
+    if (!target.backpressure.isEmpty() && formerBackpressure_.size() < MostFormerBackpressure)
+        formerBackpressure_.emplace(target.start(), target.backpressure);
     all_.back()->position = target.position;
     std::swap(all_[target.position], all_.back());
     all_.pop_back();
@@ -278,8 +283,9 @@
 
 void TargetSet::recount(GatewayTarget& target, Timestamp now)
 {
-    const bool isCounted = target.isOpen(now) && !target.isSlowStarting(now);
-    const double slots = isCounted ? target.record.slots : 0;
+    // Counted without a look at credits, which come and go several times a second.
+    const bool isCounted = target.isAvailable(now) && !target.isSlowStarting(now);
+    const double slots = isCounted ? target.usableSlots() : 0;
     const double load = isCounted ? target.load(now) : 0;
     Service::Room& room = services_[target.record.service].rooms[target.zone->region];
     room.slots += slots - target.countedSlots;
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -111,6 +111,8 @@
     std::unordered_map<uint64_t, GatewayTarget*> byStartHash_;
     std::map<ServiceName, Service> services_;
     std::vector<model::TargetIncarnation> replaced_;
+    /// Of starts that the registry names no more: where it does again, what they said holds on.
+    std::map<model::TargetIncarnation, TargetBackpressure> formerBackpressure_;
     uint64_t reports_ = 0;
     Timestamp reportedAt_ {}; ///< Last word of any registry host.
     Timestamp sumsAt_ {}; ///< Last word of any target's load.
--- a/src/gateway/tests/backpressuretests.cpp
+++ b/src/gateway/tests/backpressuretests.cpp
@@ -18,10 +18,35 @@
     void serve(const std::vector<model::Header>& headers)
     {
         request({});
+        answerCreditAsks({.credits = 1});
         for (const requests::TargetStart& start : takeStarts())
             answer(start, {.more = headers});
         (void)takeResponse();
     }
+    /// The registry answers all asks for credits so; returns how many there were.
+    size_t answerCreditAsks(const model::LimitCreditAnswer& given)
+    {
+        const std::vector<model::LimitCreditAsk> asks = takeCreditAsks();
+        for (const model::LimitCreditAsk& ask : asks) {
+            model::LimitCreditAnswer answer = given;
+            answer.ask = ask.ask;
+            deliver(model::LimitCreditReply {.answers = {answer}});
+        }
+        return asks.size();
+    }
+    /// Both targets of "quotes" are known, and the one that the usual request goes to names a limit. Returns it.
+    TargetId limitFirst(const std::string& limit = "2.1")
+    {
+        installPlan(1);
+        reportTargets({target("t-1"), target("t-2")});
+        request({});
+        const std::vector<requests::TargetStart> starts = takeStarts();
+        if (starts.size() != 1)
+            return {};
+        answer(starts[0], {.more = {{"Saltvane-Limit", limit}}});
+        (void)takeResponse();
+        return starts[0].target;
+    }
     [[nodiscard]] bool isLogged(const std::string& text)
     {
         const std::vector<std::string> lines = takeLines();
@@ -92,4 +117,127 @@
     EXPECT_FALSE(isLogged("per_second=none"));
 }
 
+TEST_F(BackpressureTest, ATargetWithALimitIsSentARequestForACreditOnly)
+{
+    const TargetId limited = limitFirst();
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+    EXPECT_EQ(answerCreditAsks({.credits = 1}), 1U);
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target, limited);
+}
+
+TEST_F(BackpressureTest, WithoutACreditARequestGoesElsewhereAndTheNextOnesAtOnce)
+{
+    const TargetId limited = limitFirst();
+    request({});
+    EXPECT_EQ(answerCreditAsks({.retryAfter = 700ms}), 1U);
+    request({.id = "try-2"});
+    EXPECT_EQ(takeCreditAsks().size(), 0U);
+    std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 2U);
+    EXPECT_NE(starts[0].target, limited);
+    EXPECT_NE(starts[1].target, limited);
+    advance(720ms);
+    request({.id = "try-3"});
+    EXPECT_EQ(takeCreditAsks().size(), 1U);
+}
+
+TEST_F(BackpressureTest, WhereNoTargetHasACreditARequestIsRefusedAtOnceWithTheTimeOfOne)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    serve({{"Saltvane-Limit", "2.1"}});
+    request({});
+    EXPECT_EQ(answerCreditAsks({.retryAfter = 700ms}), 1U);
+    for (int i = 0; i < 2; ++i) {
+        const std::optional<requests::HttpRespond> refusal = takeResponse();
+        ASSERT_TRUE(refusal);
+        EXPECT_EQ(refusal->status, 503);
+        EXPECT_EQ(header(refusal->headers, "Saltvane-Reason"), "back-pressure");
+        EXPECT_GE(std::stod(header(refusal->headers, "Retry-After")), 0.69);
+        EXPECT_LE(std::stod(header(refusal->headers, "Retry-After")), 1.11);
+        request({.id = "next"});
+    }
+}
+
+TEST_F(BackpressureTest, ALimitOutlivesTheRegistrysWordOfItsStartAndNotTheStart)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    record.incarnation = {5};
+    reportTargets({record});
+    serve({{"Saltvane-Limit", "2.1"}});
+    record.sequence = 7;
+    reportTargets({record});
+    // The registry has not heard of it for long, so that it is forgotten, and hears of it again.
+    record.age = model::TargetSilenceLimit;
+    ++record.sequence;
+    reportTargets({record});
+    advance(100ms);
+    record.age = {};
+    ++record.sequence;
+    reportTargets({record});
+    request({});
+    EXPECT_EQ(takeCreditAsks().size(), 1U);
+    EXPECT_TRUE(takeStarts().empty());
+    record.incarnation = {6};
+    reportTargets({record});
+    request({.id = "try-2"});
+    EXPECT_EQ(takeCreditAsks().size(), 0U);
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+TEST_F(BackpressureTest, ALimitOfWhichTheRegistryTellsBindsAndEndsAsItSays)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    const model::TargetIncarnation start {.target = TargetId("t-1")};
+    deliver(model::BackpressureReport {.notices = {{.target = start, .limit = 2.1, .age = 50ms}}});
+    request({});
+    EXPECT_EQ(answerCreditAsks({.credits = 1}), 1U);
+    deliver(model::BackpressureReport {.notices = {{.target = start, .age = 90ms}}}); // Older.
+    request({.id = "try-2"});
+    EXPECT_EQ(answerCreditAsks({.credits = 1}), 1U);
+    deliver(model::BackpressureReport {.notices = {{.target = start, .age = 10ms}}});
+    request({.id = "try-3"});
+    EXPECT_EQ(takeCreditAsks().size(), 0U);
+    EXPECT_EQ(takeStarts().size(), 3U);
+}
+
+TEST_F(BackpressureTest, WhatIsHeardOfALimitIsToldAndAgainWhereNobodyKnowsIt)
+{
+    limitFirst();
+    std::vector<model::BackpressureNotice> told = takeBackpressure();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].limit, 2.1);
+    request({});
+    EXPECT_TRUE(takeBackpressure().empty());
+    EXPECT_EQ(answerCreditAsks({}), 1U); // It knows of no such limit.
+    advance(100ms);
+    EXPECT_EQ(takeBackpressure().size(), 1U);
+}
+
+TEST_F(BackpressureTest, ACreditWhoseCallerLeftServesTheNextRequest)
+{
+    const TargetId limited = limitFirst();
+    const requests::HttpHandle gone = request({});
+    abort(gone);
+    EXPECT_EQ(answerCreditAsks({.credits = 1}), 1U);
+    request({.id = "try-2"});
+    EXPECT_EQ(takeCreditAsks().size(), 0U);
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target, limited);
+}
+
+TEST_F(BackpressureTest, AHugeLimitCostsNothing)
+{
+    limitFirst("1e300");
+    request({});
+    EXPECT_EQ(takeCreditAsks().size(), 0U);
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
 } // namespace saltvane::gateway::test
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -77,6 +77,10 @@
             = outgoing == nullptr ? nullptr : std::get_if<model::LimitCreditRequest>(&outgoing->message);
         if (credits != nullptr)
             creditAsks_.insert(creditAsks_.end(), credits->asks.begin(), credits->asks.end());
+        const auto* const backpressure
+            = outgoing == nullptr ? nullptr : std::get_if<model::BackpressureReport>(&outgoing->message);
+        if (backpressure != nullptr)
+            backpressure_.insert(backpressure_.end(), backpressure->notices.begin(), backpressure->notices.end());
         if (auto* start = std::get_if<requests::TargetStart>(request))
             (start->path == "/health" ? probes_ : starts_).push_back(std::move(*start));
         else if (auto* response = std::get_if<requests::HttpRespond>(request))
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -81,6 +81,8 @@
     [[nodiscard]] std::vector<model::SuspectRequest> told() const { return told_; }
     /// Asks for credits that the registry has got.
     [[nodiscard]] std::vector<model::LimitCreditAsk> takeCreditAsks() { return std::exchange(creditAsks_, {}); }
+    /// What the registry was told of limits that targets name, since the last look.
+    [[nodiscard]] std::vector<model::BackpressureNotice> takeBackpressure() { return std::exchange(backpressure_, {}); }
     /// Log lines of decisions on requests.
     [[nodiscard]] std::vector<std::string> takeDecisions();
     /// Log lines of anything but requests.
@@ -107,6 +109,7 @@
     uint64_t lastPull_ = 0; ///< Number of the gateway's newest pull of the plan.
     uint64_t pullToAnswer_ = 0;
     std::vector<model::LimitCreditAsk> creditAsks_;
+    std::vector<model::BackpressureNotice> backpressure_;
     std::vector<std::string> decisions_;
     std::vector<std::string> lines_; ///< All the others.
 };
--- a/src/registry/internal/creditpool.cpp
+++ b/src/registry/internal/creditpool.cpp
@@ -67,16 +67,23 @@
     return provenAt_ && toSeconds(now - *provenAt_) < toSeconds(LeaseTime) * UsedPart;
 }
 
+std::optional<model::RateLimit> CreditPool::limitOf(const model::LimitId& id) const
+{
+    const std::optional<model::RateLimit> ofAccount = limits_.find(id);
+    return ofAccount ? ofAccount : targetLimits_.find(id);
+}
+
 CreditPool::Holding* CreditPool::holdingOf(const model::LimitId& id, Timestamp now)
 {
-    const std::optional<model::RateLimit> limit = limits_.find(id);
+    const std::optional<model::RateLimit> limit = limitOf(id);
     if (!limit || !isLeased(now))
         return nullptr;
     const auto [found, isNew] = holdings_.try_emplace(id);
     Holding& holding = found->second;
     if (isNew)
         holding.filledAt = startedAt_; // As full as it can be since this host started with none.
-    if (const uint64_t version = limits_.version() + holdersVersion_; holding.shareAsOf != version) {
+    if (const uint64_t version = limits_.version() + targetLimits_.version() + holdersVersion_;
+        holding.shareAsOf != version) {
         if (!isNew)
             fill(holding, now);
         updateShare(holding, id, *limit);
@@ -277,6 +284,7 @@
             refuseWaiting(id, *holding, now);
     }
     forgetIdle(now);
+    targetLimits_.expire(now);
 }
 
 void CreditPool::dropWaiting(const model::LimitId& id)
--- a/src/registry/internal/creditpool.h
+++ b/src/registry/internal/creditpool.h
@@ -7,6 +7,7 @@
 
 #include "model/message.h"
 #include "registry/internal/accountlimits.h"
+#include "registry/internal/targetlimits.h"
 
 #include <deque>
 #include <map>
@@ -37,6 +38,7 @@
     /// Other registry hosts that are heard.
     void setPeers(std::vector<Peer> peers) { peers_ = std::move(peers); }
     [[nodiscard]] AccountLimits& limits() { return limits_; }
+    [[nodiscard]] TargetLimits& targetLimits() { return targetLimits_; }
 
     void handle(const HostId& from, const model::LimitCreditRequest& request, Timestamp now);
     void handle(const HostId& from, const model::LimitCreditReply& reply, Timestamp now);
@@ -73,6 +75,7 @@
         Timestamp askedAt;
     };
 
+    [[nodiscard]] std::optional<model::RateLimit> limitOf(const model::LimitId& id) const;
     [[nodiscard]] Holding* holdingOf(const model::LimitId& id, Timestamp now);
     void updateShare(Holding& holding, const model::LimitId& id, const model::RateLimit& limit) const;
     void fill(Holding& holding, Timestamp now) const;
@@ -100,6 +103,7 @@
     uint64_t holdersVersion_ = 0;
     std::vector<Peer> peers_;
     AccountLimits limits_;
+    TargetLimits targetLimits_;
     std::unordered_map<model::LimitId, Holding> holdings_;
     std::set<model::LimitId> waitingLimits_; ///< With asks that wait.
     std::map<uint64_t, Transfer> transfers_; ///< By number, which is by age.
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -182,6 +182,8 @@
         return credits_ ? credits_->handle(delivery.from, *asked, now) : void();
     if (const auto* given = std::get_if<model::LimitCreditReply>(&delivery.message))
         return credits_ ? credits_->handle(delivery.from, *given, now) : void();
+    if (const auto* backpressure = std::get_if<model::BackpressureReport>(&delivery.message))
+        return accept(*backpressure, delivery.from, now);
     const bool isGatewayReport = std::holds_alternative<model::Heartbeat>(delivery.message);
     roster_->handle(delivery, now);
     holder_->handle(delivery, now);
@@ -198,6 +200,7 @@
     report.retired.assign(retired.begin() + static_cast<ptrdiff_t>(skipped), retired.end());
     report.targets = targets_.all(gateways(now), now);
     send({{.to = delivery.from, .message = std::move(report)}});
+    sendLimits(delivery.from, now);
 }
 
 void RegistryCore::accept(const host::LinkUp& up, Timestamp now)
@@ -208,6 +211,7 @@
     replica_->noteLinkUp(up.host, up.incarnation);
     recallVerdicts(now);
     sendVerdicts(up.host, now);
+    sendLimits(up.host, now);
 }
 
 void RegistryCore::accept(const host::LinkDown& down, Timestamp /*now*/)
@@ -247,6 +251,7 @@
     orders_.tick(now);
     answerOrders();
     reportSuspects(now);
+    reportLimits(now);
     for (control::StorageWrite& write : replica_->takeWrites())
         actions_.emplace_back(std::move(write));
     send(replica_->takeOutgoing());
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -109,6 +109,11 @@
     void reportLoads(Timestamp now);
     /// Passes on what is new of requests that end targets.
     void reportSuspects(Timestamp now);
+    void accept(const model::BackpressureReport& report, const HostId& from, Timestamp now);
+    /// Passes on what gateways tell of the limits of targets.
+    void reportLimits(Timestamp now);
+    /// The same, all of it.
+    void sendLimits(const HostId& host, Timestamp now);
     /// Limits of the plan's client accounts, and who holds them.
     void updateCredits(Timestamp now);
     void sendVerdicts(const HostId& host, Timestamp now);
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -157,6 +157,38 @@
     }
 }
 
+/// Gateways tell the registry hosts near them: these pass it on to the others, which don't.
+void RegistryCore::accept(const model::BackpressureReport& report, const HostId& from, Timestamp now)
+{
+    if (!credits_)
+        return;
+    for (const model::BackpressureNotice& notice : report.notices)
+        credits_->targetLimits().note(notice, now);
+    if (!toldAll_.contains(from))
+        return;
+    for (const Gateway& host : livingRegistryHosts(now))
+        send({{.to = host.host, .message = report}});
+}
+
+void RegistryCore::reportLimits(Timestamp now)
+{
+    if (!credits_)
+        return;
+    const model::BackpressureReport report {.notices = credits_->targetLimits().takeNews(now)};
+    if (report.notices.empty())
+        return;
+    for (const HostId& gateway : nearGateways_.update(livingRegistryHosts(now), gateways(now)))
+        send({{.to = gateway, .message = report}});
+}
+
+void RegistryCore::sendLimits(const HostId& host, Timestamp now)
+{
+    if (!credits_)
+        return;
+    if (model::BackpressureReport report {.notices = credits_->targetLimits().all(now)}; !report.notices.empty())
+        send({{.to = host, .message = std::move(report)}});
+}
+
 void RegistryCore::updateCredits(Timestamp now)
 {
     if (!credits_)
