Tell gateways that missed it that a target's limit is over

Cause: the end of a limit is told once; a gateway whose link broke just then keeps the limit, asks for credits, and hears for good that nobody knows of such a limit, since its own older notice changes nothing at the registry. Ruled out: credits that run out (the holder had them), the lease of shares. Now a registry host that is told something older answers with what it knows.

--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -162,8 +162,14 @@
 {
     if (!credits_)
         return;
-    for (const model::BackpressureNotice& notice : report.notices)
-        credits_->targetLimits().note(notice, now);
+    model::BackpressureReport newer;
+    for (const model::BackpressureNotice& notice : report.notices) {
+        if (const auto known = credits_->targetLimits().note(notice, now))
+            newer.notices.push_back(*known);
+    }
+    // A gateway that missed the end of a limit would ask for credits that nobody has.
+    if (!newer.notices.empty())
+        send({{.to = from, .message = std::move(newer)}});
     if (!toldAll_.contains(from))
         return;
     for (const Gateway& host : livingRegistryHosts(now))
--- a/src/registry/internal/targetlimits.cpp
+++ b/src/registry/internal/targetlimits.cpp
@@ -20,23 +20,24 @@
 
 } // namespace
 
-void TargetLimits::note(const model::BackpressureNotice& notice, Timestamp now)
+std::optional<model::BackpressureNotice> TargetLimits::note(const model::BackpressureNotice& notice, Timestamp now)
 {
     const model::LimitId id = model::limitIdOf(notice.target);
     const Timestamp saidAt = now - notice.age;
     const auto known = entries_.find(id);
     if (known == entries_.end() && entries_.size() >= MostLimits)
-        return;
+        return std::nullopt;
     if (known != entries_.end() && saidAt <= known->second.saidAt)
-        return;
+        return known->second.limit == notice.limit ? std::nullopt : std::optional(noticeOf(known->second, now));
     const bool isChanged = known == entries_.end() || known->second.limit != notice.limit;
     entries_.insert_or_assign(
         id, Entry {.target = notice.target, .limit = notice.limit, .saidAt = saidAt, .heardAt = now});
     byAge_.emplace_back(now, id);
-    if (!isChanged)
-        return;
-    ++version_;
-    news_.insert(id);
+    if (isChanged) {
+        ++version_;
+        news_.insert(id);
+    }
+    return std::nullopt;
 }
 
 void TargetLimits::expire(Timestamp now)
--- a/src/registry/internal/targetlimits.h
+++ b/src/registry/internal/targetlimits.h
@@ -19,8 +19,9 @@
 /// The limits that targets name in their answers, as gateways tell of them. docs/design/0018-target-limits.md
 class TargetLimits {
 public:
-    /// Newer by when the target said it replaces older, in whatever order they come.
-    void note(const model::BackpressureNotice& notice, Timestamp now);
+    /// Newer by when the target said it replaces older, in whatever order they come. Returns the newer one that stands
+    /// where the notice is older and says otherwise.
+    [[nodiscard]] std::optional<model::BackpressureNotice> note(const model::BackpressureNotice& notice, Timestamp now);
     /// Forgets limits of which no gateway has told for long.
     void expire(Timestamp now);
 
--- a/testing/fleet/limitledger.cpp
+++ b/testing/fleet/limitledger.cpp
@@ -61,7 +61,7 @@
 
 void LimitLedger::noteArrival(const EndingTargets::Contact& contact)
 {
-    ++arrivals_;
+    ++arrivals_[contact.target];
     const auto found = starts_.find(contact.start);
     if (found == starts_.end() || now() < found->second.firstNamedAt + ContactTime)
         return;
--- a/testing/fleet/limitledger.h
+++ b/testing/fleet/limitledger.h
@@ -31,8 +31,13 @@
     [[nodiscard]] const std::string& worst() const { return worst_; }
     /// Requests that reached targets with a limit from the contact time on, of what their limits allowed.
     [[nodiscard]] double usedShare() const { return allowed_ == 0 ? 0 : arrived_ / allowed_; }
-    /// Requests that reached any target.
-    [[nodiscard]] size_t arrivals() const { return arrivals_; }
+    /// Requests that reached this target.
+    [[nodiscard]] size_t arrivalsAt(size_t target) const
+    {
+        const auto found = arrivals_.find(target);
+        return found == arrivals_.end() ? 0 : found->second;
+    }
+    void clearArrivals() { arrivals_.clear(); }
 
     static constexpr Duration ContactTime = 3s;
     static constexpr Duration Window = 4s;
@@ -60,7 +65,7 @@
     std::string worst_;
     double arrived_ = 0;
     double allowed_ = 0;
-    size_t arrivals_ = 0;
+    std::map<size_t, size_t> arrivals_; ///< By target.
 };
 
 } // namespace saltvane::fleet::test
