--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -215,6 +215,18 @@
     await target.start()
 
 
+async def limit_targets(world: World):
+    """Some targets name limits, change them, and take them back."""
+    chosen = world.chooser.sample(world.targets, world.chooser.randint(1, len(world.targets)))
+    for _ in range(world.chooser.randint(1, 3)):
+        for target in chosen:
+            if target.server is not None:
+                target.name_limit(world.chooser.choice([0.0, 0.5, 2.1, 2.9, 8.0]))
+        await asyncio.sleep(a_pause(world, 3, 9))
+    for target in chosen:
+        target.name_limit(None)
+
+
 async def change_plan(world: World):
     await world.operator.replace_plan()
 
@@ -238,11 +250,13 @@
 FIRST_SEED_OF_SILENT_LINKS = 10_000_000
 FIRST_SEED_OF_FATAL_REQUESTS = 100_000_000
 FIRST_SEED_OF_LEAVES = 1_000_000_000
+FIRST_SEED_OF_LIMITS = 10_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_LEAVES: [*WITH_SILENT_LINKS, (leave_beside_ends, 2)],
+WITH_LEAVES = [*WITH_SILENT_LINKS, (leave_beside_ends, 2)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_LIMITS: [*WITH_LEAVES, (limit_targets, 4)], FIRST_SEED_OF_LEAVES: WITH_LEAVES,
                     FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_LEAVES]}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_LIMITS]}
 
 
 def draw(chooser: random.Random, seed: int) -> Fault:
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -15,6 +15,13 @@
 LATEST_AFTER_LEAVE_S = 5
 NOT_RUN = (408, 421, 429, 503)
 LEAST_SERVED = 50
+# In any four seconds, from so long after a target first named a limit, it gets one and a half times what that allows and
+# five requests of gateways that had its word for half a second. Two seconds of it are a margin for a busy machine.
+LIMIT_CONTACT_S = 5
+LIMIT_WINDOW_S = 4
+LIMIT_TOLD_S = 0.5
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 # Of a request that ends the targets that run it: from so long after its third end on, so many more may be sent by
 # gateways that were free of faults for as long. Two seconds of it are a margin for a busy machine.
 CONTACT_S = 5
@@ -115,5 +122,48 @@
     return findings
 
 
+def findings_of_limits(limits: list[tuple[float, str, float | None]], arrivals: list[tuple[float, str, str, str]],
+                       told: list[tuple[float, str, str]], gateways: dict[str, str], spans: dict[str, list[Span]],
+                       held: dict[str, list[Span]]) -> list[str]:
+    """`gateways`: by request id. `held`: when connections to a target's address were held up, by address."""
+    findings = []
+    for start in sorted({start for _, start, _ in limits}):
+        named = [(at, limit) for at, one, limit in limits if one == start]
+        told_at: dict[str, float] = {}
+        for at, one, request in told:
+            if one == start and request in gateways:
+                told_at.setdefault(gateways[request], at)
+        counted = []
+        for at, one, address, request in arrivals:
+            gateway = gateways.get(request)
+            if one != start or gateway not in told_at or at < told_at[gateway] + LIMIT_TOLD_S:
+                continue
+            is_held = any(begin <= at < end + LIMIT_WINDOW_S for begin, end in held.get(address, []))
+            if not is_held and _in_touch(gateway, at, spans):
+                counted.append(at)
+        for index, at in enumerate(counted):
+            begin = at - LIMIT_WINDOW_S
+            allowed = _allowed(named, begin, at)
+            if allowed is None or begin < named[0][0] + LIMIT_CONTACT_S:
+                continue
+            count = sum(begin < one for one in counted[:index + 1])
+            if count > allowed * LIMIT_FACTOR + LIMIT_SLACK:
+                findings.append(f"{start} got {count} requests in {LIMIT_WINDOW_S} s, and its limits allow {allowed:.1f}")
+                break
+    return findings
+
+
+def _allowed(named: list[tuple[float, float | None]], begin: float, end: float) -> float | None:
+    """Requests that a target's limits allow; none where it named no limit for a part of the time."""
+    allowed = 0.0
+    until = [at for at, _ in named[1:]] + [end]
+    for (since, limit), before in zip(named, until):
+        seconds = min(before, end) - max(since, begin)
+        if seconds > 0 and limit is None:
+            return None
+        allowed += max(seconds, 0) * (limit or 0)
+    return allowed if named and named[0][0] <= begin else None
+
+
 def _in_touch(gateway: str, at: float, spans: dict[str, list[Span]]) -> bool:
     return not any(start <= at < end + CONTACT_S for start, end in spans.get(gateway, []))
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -6,7 +6,7 @@
 from callers import Outcome
 from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
 from promises import LATEST_AFTER_LEAVE_S, LATEST_OLD_RUN_S, LEAST_SERVED, findings_of_fatal, findings_of_leaves, \
-    findings_of_orders, findings_of_outcomes, findings_of_plans, findings_of_reads
+    findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, findings_of_reads
 from targets import answer_body
 
 
@@ -152,5 +152,38 @@
         self.assertEqual(len(self.check(9, {"gateway": [(14, 14.5)]})), 1)
 
 
+class LimitsTest(unittest.TestCase):
+    """A target that names a limit of 2 at 100 s, of which gateway g hears at 101 s: 17 requests are allowed."""
+
+    def check(self, requests: int, seconds: float = 3.9, since: float = 110, limits=((100.0, "t", 2.0),), spans=None, held=None):
+        arrivals = [(since + seconds * number / requests, "t", "address", f"r{number}") for number in range(requests)]
+        gateways = {"first": "g"} | {f"r{number}": "g" for number in range(requests)}
+        return findings_of_limits(list(limits), arrivals, [(101.0, "t", "first")], gateways, spans or {}, held or {})
+
+    def test_as_many_as_allowed(self):
+        self.assertEqual(self.check(17), [])
+
+    def test_one_more(self):
+        self.assertIn("18 requests", self.check(18)[0])
+
+    def test_more_over_a_longer_time(self):
+        self.assertEqual(self.check(30, seconds=8), [])
+
+    def test_before_the_gateways_had_contact(self):
+        self.assertEqual(self.check(18, since=103), [])
+
+    def test_after_the_limit_was_lowered(self):
+        self.assertIn("12 requests", self.check(12, limits=((100.0, "t", 20.0), (105.0, "t", 1.0)))[0])
+
+    def test_once_it_is_over(self):
+        self.assertEqual(self.check(50, limits=((100.0, "t", 2.0), (109.0, "t", None))), [])
+
+    def test_of_a_gateway_in_trouble(self):
+        self.assertEqual(self.check(18, spans={"g": [(108.0, 111.0)]}), [])
+
+    def test_held_up_on_the_way(self):
+        self.assertEqual(self.check(18, held={"address": [(108.0, 111.0)]}), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -26,6 +26,9 @@
         self.at: list[tuple[float, str, str]] = []  # Time, start of the target, zone.
         self.services: dict[str, set[str]] = collections.defaultdict(set)  # By request id.
         self.fatal: list[tuple[float, str, str]] = []  # Time, path, request id.
+        self.limits: list[tuple[float, str, float | None]] = []  # Time, start of the target, the limit that it names from then on.
+        self.arrivals: list[tuple[float, str, str, str]] = []  # Time, start of the target, its address, request id.
+        self.told: list[tuple[float, str, str]] = []  # Answers that name a limit: time, start of the target, request id.
         self.after_leave: list[tuple[str, str, float]] = []  # Request id, target, seconds since its leaving was acknowledged.
 
     def note(self, request: str, target: "Target"):
@@ -52,17 +55,23 @@
         self.tasks: set[asyncio.Task] = set()
         self.running = 0
         self.state = "ready"
+        self.limit: float | None = None  # Requests a second, of all gateways together.
         self.left_at: float | None = None  # When a registry host acknowledged that this start leaves.
         self.return_task: asyncio.Task | None = None
 
     async def start(self):
         self.id = f"t-{next(ids)}"
         self.state = "ready"
+        self.limit = None
         self.left_at = None
         self.running = 0
         self.server = await asyncio.start_server(self._serve, *split(self.forwarder.to))
         self._keep(asyncio.create_task(self._report()))
 
+    def name_limit(self, limit: float | None):
+        self.limit = limit
+        self.runs.limits.append((time.monotonic(), self.id, limit))
+
     def crash(self):
         """Everything ends at once, in the middle of whatever it is."""
         if self.server is not None:
@@ -114,6 +123,7 @@
         headers = {"Saltvane-Request-Id": identity, "Saltvane-Load": f"{self.running},0,{SLOTS}"}
         if request.headers.get("saltvane-expect-target") != self.id:
             return encode("HTTP/1.1 421 Misdirected", headers)
+        self.runs.arrivals.append((time.monotonic(), self.id, self.forwarder.listen, identity))
         if self.running >= SLOTS + QUEUED:
             return encode("HTTP/1.1 503 Full", {**headers, "Saltvane-Not-Run": "1"})
         if FATAL_MARK in request.start[1]:
@@ -127,6 +137,9 @@
             await asyncio.sleep(self.chooser.uniform(0.005, 0.08))
         finally:
             self.running -= 1
+        if self.limit is not None:
+            headers["Saltvane-Limit"] = str(self.limit)
+            self.runs.told.append((time.monotonic(), self.id, identity))
         return encode("HTTP/1.1 200 OK", headers, answer_body(identity))
 
 
--- a/testing/soak/troubles.py
+++ b/testing/soak/troubles.py
@@ -17,6 +17,7 @@
         self.deployment = deployment
         self.world = world
         self.spans: dict[str, list[Span]] = {host.front: [] for host in deployment.gateways}
+        self.held: dict[str, list[Span]] = {target.forwarder.listen: [] for target in world.targets}
 
     async def watch(self):
         while True:
@@ -26,6 +27,9 @@
             for host in self.deployment.gateways:
                 if not (has_quorum and self._is_able(host)):
                     self._note(self.spans[host.front], now)
+            for target in self.world.targets:
+                if target.forwarder.is_holding():
+                    self._note(self.held[target.forwarder.listen], now)
             await asyncio.sleep(LOOK_S)
 
     def of(self, gateway: str) -> list[Span]:
