Sight: targets that ask for rest, and that say that they leave

No log told whether a gateway knows that a target asked for rest, so the hypotheses (not read; read where slots are full only; other ways there) could not be told apart. Each such answer has a line now, and one that says that its target leaves has one as well. Nothing is steered by it yet.

--- a/src/gateway/internal/backpressurewatch.cpp
+++ b/src/gateway/internal/backpressurewatch.cpp
@@ -20,8 +20,39 @@
 
 void BackpressureWatch::note(const Answer& answer, Timestamp now)
 {
-    if (GatewayTarget* target = targets_.find(answer.target))
-        noteLimit(*target, answer, now);
+    GatewayTarget* target = targets_.find(answer.target);
+    if (target == nullptr)
+        return;
+    noteLimit(*target, answer, now);
+    noteRest(*target, answer, now);
+    noteLeaving(*target, answer, now);
+}
+
+void BackpressureWatch::noteRest(GatewayTarget& target, const Answer& answer, Timestamp now)
+{
+    constexpr int StatusUnavailable = 503;
+    constexpr int StatusTooManyRequests = 429;
+    // A 429 that the target ran is about the caller.
+    const bool isTurnedAway
+        = answer.status == StatusUnavailable || (answer.status == StatusTooManyRequests && answer.isNotRun);
+    const WantedRest rest = isTurnedAway ? readWantedRest(answer.headers) : WantedRest {};
+    if (!rest.isWanted)
+        return;
+    if (!rest.duration)
+        return log(target,
+            {.event = "target_rest_unreadable",
+                .key = "seconds",
+                .value = requests::firstFieldValue(answer.headers, requests::RetryAfterHeader)},
+            now);
+    log(target, {.event = "target_rest", .key = "seconds", .value = decimalText(toSeconds(*rest.duration))}, now);
+}
+
+void BackpressureWatch::noteLeaving(GatewayTarget& target, const Answer& answer, Timestamp now)
+{
+    constexpr std::string_view Leaves = "1";
+    if (requests::firstFieldValue(answer.headers, headers_.leaving) != Leaves || target.record.isLeaving)
+        return;
+    log(target, {.event = "target_leaving", .key = "told_by", .value = "target"}, now);
 }
 
 void BackpressureWatch::noteLimit(GatewayTarget& target, const Answer& answer, Timestamp now)
@@ -29,7 +60,11 @@
     const NamedLimit named = readNamedLimit(answer.headers, headers_.limit);
     TargetBackpressure& known = target.backpressure;
     if (named.isNamed && !named.perSecond)
-        return log(target, "target_limit_unreadable", requests::firstFieldValue(answer.headers, headers_.limit), now);
+        return log(target,
+            {.event = "target_limit_unreadable",
+                .key = "per_second",
+                .value = requests::firstFieldValue(answer.headers, headers_.limit)},
+            now);
     // Answers overtake each other: one to a request sent before the limit was known may be older than the limit.
     if (!named.isNamed && (!known.limit || answer.sentAt <= known.limitAt))
         return;
@@ -50,7 +85,7 @@
     if (std::exchange(target.backpressure.limit, limit) == limit)
         return;
     target.backpressure.noCreditUntil = {};
-    log(target, "target_limit", limit ? decimalText(*limit) : "none", now);
+    log(target, {.event = "target_limit", .key = "per_second", .value = limit ? decimalText(*limit) : "none"}, now);
 }
 
 void BackpressureWatch::handle(const model::BackpressureReport& report, Timestamp now)
@@ -94,13 +129,13 @@
     return report;
 }
 
-void BackpressureWatch::log(const GatewayTarget& target, std::string_view event, std::string_view value, Timestamp now)
+void BackpressureWatch::log(const GatewayTarget& target, const Line& line, Timestamp now)
 {
     if (!lineBudget_.trySpend(now))
         return;
-    LogText line(event);
-    line.add("target", target.id().value()).add("service", target.record.service.value()).add("per_second", value);
-    lines_.push_back({.severity = host::LogSeverity::Info, .module = "gateway", .text = line.text()});
+    LogText text(line.event);
+    text.add("target", target.id().value()).add("service", target.record.service.value()).add(line.key, line.value);
+    lines_.push_back({.severity = host::LogSeverity::Info, .module = "gateway", .text = text.text()});
 }
 
 } // namespace saltvane::gateway
--- a/src/gateway/internal/backpressurewatch.h
+++ b/src/gateway/internal/backpressurewatch.h
@@ -31,7 +31,9 @@
     /// An answer of this start of a target to a request that was sent to it then.
     struct Answer {
         model::TargetIncarnation target;
+        int status = 0;
         std::span<const model::Header> headers;
+        bool isNotRun = false; ///< It turned the request away.
         Timestamp sentAt;
     };
     void note(const Answer& answer, Timestamp now);
@@ -55,9 +57,16 @@
     static constexpr double MostSavedReports = 10;
 
     void noteLimit(GatewayTarget& target, const Answer& answer, Timestamp now);
+    void noteRest(GatewayTarget& target, const Answer& answer, Timestamp now);
+    void noteLeaving(GatewayTarget& target, const Answer& answer, Timestamp now);
     void setLimit(GatewayTarget& target, const std::optional<double>& limit, Timestamp now);
     void add(model::BackpressureReport& report, const model::TargetIncarnation& start, Timestamp now);
-    void log(const GatewayTarget& target, std::string_view event, std::string_view value, Timestamp now);
+    struct Line {
+        std::string_view event;
+        std::string_view key;
+        std::string_view value;
+    };
+    void log(const GatewayTarget& target, const Line& line, Timestamp now);
 
     settings::HeaderNames headers_;
     TargetSet& targets_;
--- a/src/gateway/internal/requestanswers.cpp
+++ b/src/gateway/internal/requestanswers.cpp
@@ -40,8 +40,12 @@
     }
     // Another target's word says nothing of the one that was asked.
     if (head.status != StatusMisdirected)
-        options_.backpressure.note(
-            {.target = exchange.target, .headers = head.headers, .sentAt = exchange.sentAt}, now);
+        options_.backpressure.note({.target = exchange.target,
+                                       .status = head.status,
+                                       .headers = head.headers,
+                                       .isNotRun = isNotRun,
+                                       .sentAt = exchange.sentAt},
+            now);
     if (isRefusal)
         return noteRefusedByTarget(exchange, head.status, now);
     options_.quarantine.noteAlive(exchange.target);
--- a/src/gateway/internal/targetbackpressure.cpp
+++ b/src/gateway/internal/targetbackpressure.cpp
@@ -39,4 +39,18 @@
     return named;
 }
 
+WantedRest readWantedRest(std::span<const model::Header> headers)
+{
+    WantedRest rest;
+    for (const std::string_view text : requests::fieldValues(headers, requests::RetryAfterHeader)) {
+        rest.isWanted = true;
+        const std::optional<double> seconds = readDecimal(text);
+        if (!seconds)
+            continue;
+        const Duration duration = fromSeconds(std::min(*seconds, toSeconds(LongestRest)));
+        rest.duration = std::max(rest.duration.value_or(duration), duration);
+    }
+    return rest;
+}
+
 } // namespace saltvane::gateway
--- a/src/gateway/internal/targetbackpressure.h
+++ b/src/gateway/internal/targetbackpressure.h
@@ -32,6 +32,18 @@
     std::optional<double> perSecond; ///< None: what is named can't be read.
 };
 
+/// How long a target that turned a request away wants nothing.
+struct WantedRest {
+    bool isWanted = false;
+    std::optional<Duration> duration; ///< None: what is said can't be read.
+};
+
+/// A longer one is cut to it: what the target wants by then, its next answer tells.
+inline constexpr Duration LongestRest = std::chrono::hours(1);
+
+/// Reads `Retry-After` (RFC 9110, 10.2.3) in seconds, fractions included. Of several fields the longest counts.
+[[nodiscard]] WantedRest readWantedRest(std::span<const model::Header> headers);
+
 /// Larger limits bind nobody.
 inline constexpr double LargestLimit = 1e6;
 
--- a/src/gateway/tests/backpressuretests.cpp
+++ b/src/gateway/tests/backpressuretests.cpp
@@ -86,6 +86,40 @@
     }
 }
 
+TEST(WantedRestTest, ReadsSeconds)
+{
+    const auto read = [](const std::vector<std::string>& values) {
+        std::vector<model::Header> headers;
+        for (const std::string& value : values)
+            headers.push_back({.name = "Retry-After", .value = value});
+        return readWantedRest(headers);
+    };
+    EXPECT_FALSE(read({}).isWanted);
+    EXPECT_EQ(read({"3"}).duration, 3s);
+    EXPECT_EQ(read({"0.25"}).duration, 250ms);
+    EXPECT_EQ(read({"0"}).duration, 0s);
+    EXPECT_EQ(read({"1e300"}).duration, LongestRest);
+    EXPECT_EQ(read({"1", "2.5"}).duration, 2500ms);
+    for (const char* text : {"", "-1", "nan", "inf", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        EXPECT_TRUE(read({text}).isWanted) << text;
+        EXPECT_FALSE(read({text}).duration) << text;
+    }
+}
+
+TEST_F(BackpressureTest, RestAndLeavingAreLogged)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({});
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    answer(starts[0],
+        {.status = 503, .more = {{"Saltvane-Not-Run", "1"}, {"Retry-After", "3"}, {"Saltvane-Leaving", "1"}}});
+    const std::vector<std::string> lines = takeLines();
+    EXPECT_EQ(std::ranges::count(lines, "event=target_rest target=t-1 service=quotes seconds=3"), 1);
+    EXPECT_EQ(std::ranges::count(lines, "event=target_leaving target=t-1 service=quotes told_by=target"), 1);
+}
+
 TEST_F(BackpressureTest, ALimitIsLoggedAsItIsNamedAndAsItEnds)
 {
     installPlan(1);
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -41,6 +41,7 @@
     HeaderField {"load", &HeaderNames::load},
     HeaderField {"not_run", &HeaderNames::notRun},
     HeaderField {"limit", &HeaderNames::limit},
+    HeaderField {"leaving", &HeaderNames::leaving},
     HeaderField {"plan_base", &HeaderNames::planBase},
 };
 
--- a/src/settings/routedhostsettings.h
+++ b/src/settings/routedhostsettings.h
@@ -36,6 +36,7 @@
     std::string notRun = "Saltvane-Not-Run"; ///< Of a target: it has not run the request.
     /// Of a target: requests a second that it takes of all gateways together, as long as its answers say so.
     std::string limit = "Saltvane-Limit";
+    std::string leaving = "Saltvane-Leaving"; ///< Of a target: 1, it leaves and wants no new work.
     std::string planBase = "Saltvane-Plan-Base"; ///< Version that a new plan builds on.
 };
 
