Red tests: targets that ask for rest get the next requests

Nine and 89 gateways, 24 targets of which eight turn every request away and ask for 3 s of rest: on the code as found 12 (9 gateways) and 3 (89) requests of one gateway reach one of them in its rest, 2 are allowed.

--- a/testing/fleet/endingtargets.cpp
+++ b/testing/fleet/endingtargets.cpp
@@ -117,10 +117,12 @@
         .isFatal = !isHarmless_ && start.path.find(FatalMark) != std::string::npos,
         .isProbe = start.path == "/health",
         .path = std::string(headerOf(start, "Saltvane-Client-Account")) + start.path};
-    if (onArrival)
-        onArrival(contactOf(target, run));
+    for (const auto& observer : onArrival)
+        observer(contactOf(target, run));
     if (headerOf(start, "Saltvane-Expect-Target") != target.id)
         return answer(target, run, StatusMisdirected, false);
+    if (target.needs.rest)
+        return answer(target, run, StatusFull, true);
     if (run.isProbe)
         return answer(target, run, StatusOk, false);
     if (target.runs.size() >= options_.slots + options_.queue)
@@ -149,6 +151,8 @@
         .bodyLength = 0};
     if (isNotRun)
         head.headers.push_back({.name = "Saltvane-Not-Run", .value = "1"});
+    if (target.needs.rest && status == StatusFull)
+        head.headers.push_back({.name = "Retry-After", .value = std::to_string(toSeconds(*target.needs.rest))});
     if (target.needs.limit)
         head.headers.push_back({.name = "Saltvane-Limit", .value = std::to_string(*target.needs.limit)});
     tell(run.gateway, std::move(head));
@@ -223,8 +227,10 @@
         return true;
     });
     for (Late& late : due) {
-        if (late.answer && onAnswered)
-            onAnswered(late.answer->first, late.answer->second);
+        if (late.answer) {
+            for (const auto& observer : onAnswered)
+                observer(late.answer->first, late.answer->second);
+        }
         fleet_.handle(late.gateway, std::move(late.event));
     }
 }
--- a/testing/fleet/endingtargets.h
+++ b/testing/fleet/endingtargets.h
@@ -55,6 +55,7 @@
     /// What a target's answers say of how much it takes, at its address over all of its starts.
     struct Needs {
         std::optional<double> limit; ///< Requests a second of all gateways together.
+        std::optional<Duration> rest; ///< Every request is turned away, and nothing wanted for so long.
     };
     void setNeeds(size_t target, const Needs& needs);
     [[nodiscard]] const Needs& needsOf(size_t target) const { return targets_.at(target).needs; }
@@ -66,9 +67,9 @@
         size_t gateway = 0;
         bool isProbe = false;
     };
-    std::function<void(const Contact&)> onArrival;
+    std::vector<std::function<void(const Contact&)>> onArrival;
     /// `needs`: as the answer told them.
-    std::function<void(const Contact&, const Needs& needs)> onAnswered;
+    std::vector<std::function<void(const Contact&, const Needs& needs)>> onAnswered;
 
     /// A run of a fatal request.
     struct FatalRun {
--- a/testing/fleet/limitledger.cpp
+++ b/testing/fleet/limitledger.cpp
@@ -20,10 +20,10 @@
 LimitLedger::LimitLedger(Fleet& fleet, EndingTargets& targets)
     : fleet_(fleet)
 {
-    targets.onArrival = [this](const EndingTargets::Contact& contact) { noteArrival(contact); };
-    targets.onAnswered = [this](const EndingTargets::Contact& contact, const EndingTargets::Needs& needs) {
+    targets.onArrival.emplace_back([this](const EndingTargets::Contact& contact) { noteArrival(contact); });
+    targets.onAnswered.emplace_back([this](const EndingTargets::Contact& contact, const EndingTargets::Needs& needs) {
         noteAnswered(contact, needs);
-    };
+    });
 }
 
 void LimitLedger::excuse(size_t gateway, Duration duration)
