Send nothing to a target that asked for rest until that ends

Callers saw up to a third of a service's requests refused while 16 of its 24 targets had room; one gateway sent six and seven requests into 3 s of rest. Cause: the time to rest is not read (H1), and a target that turns work away with slots free by its own load is not taken for full (H2), so it stays the first choice of its objects and takes each request's one repeat with it. H3 (trials, probes, requests that waited) is no cause of the record, but would have been left: they go by the same closing time now. A target that asked this gateway for rest is not open to it until then: no request, repeat, trial or probe, and none that waited for a credit; it counts as lost in the room of its region. Of several times the latest end holds; it belongs to one start and outlives the registry's records.

--- a/src/gateway/internal/backpressurewatch.cpp
+++ b/src/gateway/internal/backpressurewatch.cpp
@@ -44,6 +44,8 @@
                 .key = "seconds",
                 .value = requests::firstFieldValue(answer.headers, requests::RetryAfterHeader)},
             now);
+    // Answers overtake each other, so that a shorter time may be the older one.
+    target.backpressure.restUntil = std::max(target.backpressure.restUntil, now + *rest.duration);
     log(target, {.event = "target_rest", .key = "seconds", .value = decimalText(toSeconds(*rest.duration))}, now);
 }
 
--- a/src/gateway/internal/targetbackpressure.h
+++ b/src/gateway/internal/targetbackpressure.h
@@ -8,6 +8,7 @@
 #include "base/timetypes.h"
 #include "model/requestmessages.h"
 
+#include <algorithm>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -21,9 +22,11 @@
     Timestamp toldAt {}; ///< When the registry was last told.
     Timestamp noCreditUntil {}; ///< No credit can be expected before.
 
-    [[nodiscard]] bool isEmpty() const { return limitAt == Timestamp {}; }
+    Timestamp restUntil {}; ///< It turned requests of this gateway away, and wants none of them before.
+
+    [[nodiscard]] bool isEmpty() const { return limitAt == Timestamp {} && restUntil == Timestamp {}; }
     /// New work is not sent before.
-    [[nodiscard]] Timestamp closedUntil() const { return noCreditUntil; }
+    [[nodiscard]] Timestamp closedUntil() const { return std::max(noCreditUntil, restUntil); }
 };
 
 /// A limit as the head of an answer names it.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -284,7 +284,8 @@
 void TargetSet::recount(GatewayTarget& target, Timestamp now)
 {
     // Counted without a look at credits, which come and go several times a second.
-    const bool isCounted = target.isAvailable(now) && !target.isSlowStarting(now);
+    const bool isResting = now < target.backpressure.restUntil;
+    const bool isCounted = !isResting && target.isAvailable(now) && !target.isSlowStarting(now);
     const double slots = isCounted ? target.usableSlots() : 0;
     const double load = isCounted ? target.load(now) : 0;
     Service::Room& room = services_[target.record.service].rooms[target.zone->region];
--- a/src/gateway/tests/backpressuretests.cpp
+++ b/src/gateway/tests/backpressuretests.cpp
@@ -266,6 +266,81 @@
     EXPECT_EQ(starts[0].target, limited);
 }
 
+/// How targets ask for rest: status, whether they say that the request was not run, and whether that is heard.
+struct RestCase {
+    int status = 503;
+    bool isNotRun = true;
+    bool isHeard = true;
+};
+class RestTest : public BackpressureTest, public testing::WithParamInterface<RestCase> { };
+
+TEST_P(RestTest, ATargetThatAskedForRestIsSentNothingUntilItEnds)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({});
+    std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    const TargetId resting = starts[0].target;
+    std::vector<model::Header> headers {{"Retry-After", "2.5"}, {"Saltvane-Load", "0,0,3"}};
+    if (GetParam().isNotRun)
+        headers.push_back({"Saltvane-Not-Run", "1"});
+    answer(starts[0], {.status = GetParam().status, .more = headers});
+    (void)takeStarts(); // Its repeat.
+    const auto isSentThere = [&] {
+        request({.id = "next"});
+        starts = takeStarts();
+        return !starts.empty() && starts.front().target == resting;
+    };
+    EXPECT_EQ(isSentThere(), !GetParam().isHeard);
+    advance(2480ms);
+    EXPECT_EQ(isSentThere(), !GetParam().isHeard);
+    advance(40ms);
+    EXPECT_TRUE(isSentThere());
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, RestTest,
+    testing::Values(RestCase {}, RestCase {.isNotRun = false}, RestCase {.status = 429},
+        RestCase {.status = 429, .isNotRun = false, .isHeard = false},
+        RestCase {.status = 200, .isNotRun = false, .isHeard = false}));
+
+TEST_F(BackpressureTest, OfTwoRestsTheLaterEndHoldsAndOutlivesTheRegistrysWord)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    reportTargets({record});
+    request({.id = "a"});
+    request({.id = "b"});
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 2U);
+    answer(starts[0], {.status = 503, .id = "a", .more = {{"Saltvane-Not-Run", "1"}, {"Retry-After", "3"}}});
+    answer(starts[1], {.status = 503, .id = "b", .more = {{"Saltvane-Not-Run", "1"}, {"Retry-After", "0.5"}}});
+    advance(1s);
+    record.sequence = 9;
+    reportTargets({record});
+    request({.id = "c"});
+    EXPECT_TRUE(takeStarts().empty());
+    advance(2s);
+    request({.id = "d"});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+// Guards against requests that waited for a credit being sent into a rest that began meanwhile.
+TEST_F(BackpressureTest, ARequestThatWaitedForACreditIsNotSentIntoARest)
+{
+    const TargetId limited = limitFirst();
+    request({.id = "a"});
+    EXPECT_EQ(answerCreditAsks({.credits = 1}), 1U);
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    request({.id = "b"});
+    answer(starts[0], {.status = 503, .id = "a", .more = {{"Saltvane-Not-Run", "1"}, {"Retry-After", "3"}}});
+    (void)takeStarts();
+    EXPECT_GE(answerCreditAsks({.credits = 1}), 1U);
+    for (const requests::TargetStart& start : takeStarts())
+        EXPECT_NE(start.target, limited);
+}
+
 TEST_F(BackpressureTest, AHugeLimitCostsNothing)
 {
     limitFirst("1e300");
