--- a/testing/fleet/endingtargets.cpp
+++ b/testing/fleet/endingtargets.cpp
@@ -153,6 +153,8 @@
         head.headers.push_back({.name = "Saltvane-Not-Run", .value = "1"});
     if (target.needs.rest && status == StatusFull)
         head.headers.push_back({.name = "Retry-After", .value = std::to_string(toSeconds(*target.needs.rest))});
+    if (target.needs.isLeaving)
+        head.headers.push_back({.name = "Saltvane-Leaving", .value = "1"});
     if (target.needs.limit)
         head.headers.push_back({.name = "Saltvane-Limit", .value = std::to_string(*target.needs.limit)});
     tell(run.gateway, std::move(head));
--- a/testing/fleet/endingtargets.h
+++ b/testing/fleet/endingtargets.h
@@ -56,6 +56,7 @@
     struct Needs {
         std::optional<double> limit; ///< Requests a second of all gateways together.
         std::optional<Duration> rest; ///< Every request is turned away, and nothing wanted for so long.
+        bool isLeaving = false;
     };
     void setNeeds(size_t target, const Needs& needs);
     [[nodiscard]] const Needs& needsOf(size_t target) const { return targets_.at(target).needs; }
