Send nothing to a target that says in its answers that it leaves

Targets that report as ready and say in their answers that they leave went on being sent work: no part of a gateway reads that word. The class is the one of limits and rest: a peer says something in an answer, and nobody reads it; an answer to a probe was not read at all but for its id. Now the first answer of whatever kind (success, refusal, probe) retires that start at the gateway, for good, cut off or not, whatever the registry reports of it, and the registry host that the target reports to hears of it and tells all gateways, also those that start later. An answer of another target (421, another id) binds nobody.

--- a/src/gateway/internal/backpressurewatch.cpp
+++ b/src/gateway/internal/backpressurewatch.cpp
@@ -55,6 +55,8 @@
     if (requests::firstFieldValue(answer.headers, headers_.leaving) != Leaves || target.record.isLeaving)
         return;
     log(target, {.event = "target_leaving", .key = "told_by", .value = "target"}, now);
+    leaving_.push_back(target.start());
+    targets_.noteLeaving(target.start());
 }
 
 void BackpressureWatch::noteLimit(GatewayTarget& target, const Answer& answer, Timestamp now)
--- a/src/gateway/internal/backpressurewatch.h
+++ b/src/gateway/internal/backpressurewatch.h
@@ -47,6 +47,9 @@
     /// For a registry host that may know nothing.
     [[nodiscard]] model::BackpressureReport known(Timestamp now);
 
+    /// Targets that said that they leave, since the last call.
+    [[nodiscard]] std::vector<model::TargetIncarnation> takeLeaving() { return std::exchange(leaving_, {}); }
+
     [[nodiscard]] std::vector<host::LogLine> takeLines() { return std::exchange(lines_, {}); }
 
 private:
@@ -72,6 +75,7 @@
     TargetSet& targets_;
     std::set<model::TargetIncarnation> limited_; ///< Those that name a limit, and some that are gone.
     std::set<model::TargetIncarnation> news_;
+    std::vector<model::TargetIncarnation> leaving_;
     RateBudget reportBudget_ {{.perSecond = ReportsPerSecond, .burst = MostSavedReports, .initial = MostSavedReports}};
     RateBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines, .initial = MostSavedLines}};
     std::vector<host::LogLine> lines_;
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -150,11 +150,28 @@
 void GatewayCore::accept(requests::TargetEvent event, Timestamp now)
 {
     const auto dispatch = std::visit([](const auto& one) { return one.dispatch; }, event);
-    if (TargetProber::isOfProbe(dispatch))
+    if (TargetProber::isOfProbe(dispatch)) {
+        noteProbeAnswer(event, now);
         return quarantine_.handle(event, now);
+    }
     runner_.handle(std::move(event), now);
 }
 
+/// What targets say of themselves holds in whatever answer they say it.
+void GatewayCore::noteProbeAnswer(const requests::TargetEvent& event, Timestamp now)
+{
+    const auto* head = std::get_if<requests::TargetResponseHead>(&event);
+    if (head == nullptr)
+        return;
+    if (const std::optional<TargetProber::Question> asked = quarantine_.questionOf(*head))
+        backpressure_.note({.target = asked->target,
+                               .status = head->status,
+                               .headers = head->headers,
+                               .isNotRun = true,
+                               .sentAt = asked->sentAt},
+            now);
+}
+
 void GatewayCore::accept(const model::Delivery& delivery, Timestamp now)
 {
     registry_.noteHeard(now);
@@ -275,11 +292,18 @@
 
 void GatewayCore::tellBackpressure(Timestamp now)
 {
+    const model::TargetReport leaving {.retired = backpressure_.takeLeaving()};
+    if (!leaving.retired.empty())
+        tellNearRegistries(leaving);
     const model::BackpressureReport report = backpressure_.takeNews(now);
-    if (report.notices.empty())
-        return;
+    if (!report.notices.empty())
+        tellNearRegistries(report);
+}
+
+void GatewayCore::tellNearRegistries(const model::Message& message)
+{
     for (const HostId& host : roster_->nearControlHosts())
-        actions_.emplace_back(requests::Action(model::Outgoing {.to = host, .message = report}));
+        actions_.emplace_back(requests::Action(model::Outgoing {.to = host, .message = message}));
 }
 
 std::string GatewayCore::probePathOf(const ServiceName& service) const
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -59,6 +59,8 @@
     void tellLoads(Timestamp now);
     void tellSuspects(Timestamp now);
     void tellBackpressure(Timestamp now);
+    void tellNearRegistries(const model::Message& message);
+    void noteProbeAnswer(const requests::TargetEvent& event, Timestamp now);
     [[nodiscard]] std::string probePathOf(const ServiceName& service) const;
     void updateState();
     void updateStop(Timestamp now);
--- a/src/gateway/internal/quarantine.h
+++ b/src/gateway/internal/quarantine.h
@@ -60,6 +60,10 @@
     void handle(const model::SuspectReport& report, Timestamp now);
     /// Of a probe.
     void handle(const requests::TargetEvent& event, Timestamp now);
+    [[nodiscard]] std::optional<TargetProber::Question> questionOf(const requests::TargetResponseHead& head) const
+    {
+        return prober_.questionOf(head);
+    }
     void tick(Timestamp now);
 
     /// What all registry hosts are to hear.
--- a/src/gateway/internal/targetprober.cpp
+++ b/src/gateway/internal/targetprober.cpp
@@ -50,22 +50,34 @@
     const auto found = probes_.find(dispatch.value);
     if (found == probes_.end())
         return std::nullopt;
-    const model::TargetIncarnation target = found->second.target;
+    const Probe probe = found->second;
     if (const auto* failed = std::get_if<requests::TargetFailed>(&event)) {
         probes_.erase(found);
         // A connection that breaks says nothing: targets refuse connections over their limit that way.
         if (!failed->isRefused)
             return std::nullopt;
-        return Probed {.target = target, .finding = Finding::Gone};
+        return Probed {.target = probe.target, .finding = Finding::Gone};
     }
     const auto* head = std::get_if<requests::TargetResponseHead>(&event);
     if (head == nullptr)
         return std::nullopt;
     probes_.erase(found);
     actions_.emplace_back(requests::TargetCancel {.dispatch = dispatch});
-    const std::string_view id = requests::firstFieldValue(head->headers, headers_.targetId);
-    const bool isOther = head->status == StatusMisdirected || (!id.empty() && id != target.target.value());
-    return Probed {.target = target, .finding = isOther ? Finding::Gone : Finding::Alive};
+    return Probed {.target = probe.target, .finding = isOfOther(*head, probe) ? Finding::Gone : Finding::Alive};
+}
+
+bool TargetProber::isOfOther(const requests::TargetResponseHead& head, const Probe& probe) const
+{
+    const std::string_view id = requests::firstFieldValue(head.headers, headers_.targetId);
+    return head.status == StatusMisdirected || (!id.empty() && id != probe.target.target.value());
+}
+
+std::optional<TargetProber::Question> TargetProber::questionOf(const requests::TargetResponseHead& head) const
+{
+    const auto found = probes_.find(head.dispatch.value);
+    if (found == probes_.end() || isOfOther(head, found->second))
+        return std::nullopt;
+    return Question {.target = found->second.target, .sentAt = found->second.endsAt - Limit};
 }
 
 void TargetProber::tick(Timestamp now)
--- a/src/gateway/internal/targetprober.h
+++ b/src/gateway/internal/targetprober.h
@@ -35,6 +35,12 @@
     };
     /// Whether an event is of a probe, and not of a request.
     [[nodiscard]] static bool isOfProbe(requests::DispatchId dispatch);
+    /// What this is the answer to; none where another target answers.
+    struct Question {
+        model::TargetIncarnation target;
+        Timestamp sentAt;
+    };
+    [[nodiscard]] std::optional<Question> questionOf(const requests::TargetResponseHead& head) const;
     /// None while nothing is known, or nothing will be.
     [[nodiscard]] std::optional<Probed> handle(const requests::TargetEvent& event);
     /// Ends probes that nobody answers.
@@ -51,6 +57,8 @@
         Timestamp endsAt;
     };
 
+    [[nodiscard]] bool isOfOther(const requests::TargetResponseHead& head, const Probe& probe) const;
+
     settings::HeaderNames headers_;
     std::map<uint64_t, Probe> probes_; ///< By dispatch: the oldest first.
     uint64_t last_ = 0;
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -259,6 +259,8 @@
     return loads;
 }
 
+void TargetSet::noteLeaving(const model::TargetIncarnation& start) { noteRetired({&start, 1}); }
+
 void TargetSet::noteGone(const model::TargetIncarnation& start)
 {
     if (GatewayTarget* known = find(start))
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -45,6 +45,8 @@
     void noteLoads(const model::TargetLoads& loads, Timestamp now);
     /// This gateway's own, to be told to the registry.
     [[nodiscard]] model::TargetLoads takeOwnLoads();
+    /// It says that it leaves: this start gets no new work again, whatever the registry reports of it.
+    void noteLeaving(const model::TargetIncarnation& start);
     /// It answered for another one: whatever had this id is gone.
     void noteGone(const model::TargetIncarnation& start);
     /// Forgets targets that the registry has not heard of for long, as long as the registry itself is heard; counts
--- a/src/gateway/tests/backpressuretests.cpp
+++ b/src/gateway/tests/backpressuretests.cpp
@@ -341,6 +341,49 @@
         EXPECT_NE(start.target, limited);
 }
 
+TEST_F(BackpressureTest, ATargetThatSaysThatItLeavesGetsNothingWhateverTheRegistryReports)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    record.incarnation = {5};
+    reportTargets({record});
+    serve({{"Saltvane-Leaving", "0"}});
+    serve({{"Saltvane-Leaving", "1"}});
+    for (int report = 0; report < 3; ++report) {
+        record.sequence += 2;
+        record.age = report == 1 ? model::TargetSilenceLimit : 0s; // It is forgotten, and heard of again.
+        reportTargets({record});
+        advance(100ms);
+        request({});
+        EXPECT_TRUE(takeStarts().empty());
+    }
+    record.incarnation = {6};
+    reportTargets({record});
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+TEST_F(BackpressureTest, ATargetThatSaysSoInARefusalOrAProbesAnswerLeavesAsWell)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({.path = "/write/1", .id = "once", .body = "pay"});
+    std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    const TargetId first = starts[0].target;
+    endTarget(starts[0], false);
+    const std::vector<requests::TargetStart> probes = takeProbes();
+    ASSERT_EQ(probes.size(), 1U);
+    answer(probes[0], {.status = 503, .id = "", .more = {{"Saltvane-Leaving", "1"}}});
+    request({.id = "next"});
+    starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_NE(starts[0].target, first);
+    answer(starts[0], {.status = 503, .id = "next", .more = {{"Saltvane-Not-Run", "1"}, {"Saltvane-Leaving", "1"}}});
+    request({.id = "last"});
+    EXPECT_TRUE(takeStarts().empty());
+}
+
 TEST_F(BackpressureTest, AHugeLimitCostsNothing)
 {
     limitFirst("1e300");
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -184,6 +184,8 @@
         return credits_ ? credits_->handle(delivery.from, *given, now) : void();
     if (const auto* backpressure = std::get_if<model::BackpressureReport>(&delivery.message))
         return accept(*backpressure, delivery.from, now);
+    if (const auto* leaving = std::get_if<model::TargetReport>(&delivery.message))
+        return accept(*leaving, delivery.from, now);
     const bool isGatewayReport = std::holds_alternative<model::Heartbeat>(delivery.message);
     roster_->handle(delivery, now);
     holder_->handle(delivery, now);
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -109,7 +109,10 @@
     void reportLoads(Timestamp now);
     /// Passes on what is new of requests that end targets.
     void reportSuspects(Timestamp now);
+    /// Targets that said to a gateway that they leave.
+    void accept(const model::TargetReport& report, const HostId& from, Timestamp now);
     void accept(const model::BackpressureReport& report, const HostId& from, Timestamp now);
+    void relayFromGateway(const model::Message& message, const HostId& from, Timestamp now);
     /// Passes on what gateways tell of the limits of targets.
     void reportLimits(Timestamp now);
     /// The same, all of it.
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -157,6 +157,13 @@
     }
 }
 
+void RegistryCore::accept(const model::TargetReport& report, const HostId& from, Timestamp now)
+{
+    for (const model::TargetIncarnation& start : report.retired)
+        targets_.noteLeaving(start);
+    relayFromGateway(report, from, now);
+}
+
 /// Gateways tell the registry hosts near them: these pass it on to the others, which don't.
 void RegistryCore::accept(const model::BackpressureReport& report, const HostId& from, Timestamp now)
 {
@@ -170,10 +177,15 @@
     // A gateway that missed the end of a limit would ask for credits that nobody has.
     if (!newer.notices.empty())
         send({{.to = from, .message = std::move(newer)}});
+    relayFromGateway(report, from, now);
+}
+
+void RegistryCore::relayFromGateway(const model::Message& message, const HostId& from, Timestamp now)
+{
     if (!toldAll_.contains(from))
         return;
     for (const Gateway& host : livingRegistryHosts(now))
-        send({{.to = host.host, .message = report}});
+        send({{.to = host.host, .message = message}});
 }
 
 void RegistryCore::reportLimits(Timestamp now)
--- a/src/registry/internal/targetbook.cpp
+++ b/src/registry/internal/targetbook.cpp
@@ -144,6 +144,17 @@
     erase(*other);
 }
 
+void TargetBook::noteLeaving(const model::TargetIncarnation& start)
+{
+    const auto found = entries_.find(start.target);
+    if (found == entries_.end() || found->second.record.incarnation != start.incarnation)
+        return;
+    if (std::exchange(found->second.record.isLeaving, true))
+        return;
+    ++changes_;
+    addNews(found->second);
+}
+
 void TargetBook::remove(const model::TargetIncarnation& start)
 {
     const auto found = entries_.find(start.target);
--- a/src/registry/internal/targetbook.h
+++ b/src/registry/internal/targetbook.h
@@ -34,6 +34,8 @@
 
     /// A target's report; false for one that came after a newer one, or of a start that a later one replaced.
     bool note(model::TargetRecord record, Timestamp now);
+    /// This start says in its answers that it leaves, whatever it reports.
+    void noteLeaving(const model::TargetIncarnation& start);
     /// Forgets this start and all before it.
     void remove(const model::TargetIncarnation& start);
     /// The start that is known under an id; 0 where none is, or it doesn't tell.
