--- a/src/gateway/tests/backpressuretests.cpp
+++ b/src/gateway/tests/backpressuretests.cpp
@@ -384,6 +384,19 @@
     EXPECT_TRUE(takeStarts().empty());
 }
 
+// Guards against probes taking the slots of targets that have too few.
+TEST_F(BackpressureTest, ATargetThatNamesALimitIsNotProbed)
+{
+    const TargetId limited = limitFirst();
+    request({.path = "/write/1", .id = "once", .body = "pay"});
+    EXPECT_EQ(answerCreditAsks({.credits = 1}), 1U);
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target, limited);
+    endTarget(starts[0], false);
+    EXPECT_TRUE(takeProbes().empty());
+}
+
 TEST_F(BackpressureTest, AHugeLimitCostsNothing)
 {
     limitFirst("1e300");
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -227,6 +227,28 @@
         target.name_limit(None)
 
 
+async def rest_targets(world: World):
+    """Some targets turn every request away for a while, and ask for rest."""
+    chosen = world.chooser.sample(world.targets, world.chooser.randint(1, len(world.targets)))
+    for target in chosen:
+        target.rest = world.chooser.choice([0.5, 2.0, 3.0, 3.5])
+    await asyncio.sleep(a_pause(world, 1, 8))
+    for target in chosen:
+        target.rest = None
+
+
+async def leave_by_word(world: World):
+    """A target says in its answers that it leaves, reports as ready, and ends some seconds later."""
+    target = world.chooser.choice(world.targets)
+    if target.server is None or target.state == "leaving" or target.is_leaving_told:
+        return
+    target.is_leaving_told = True
+    await asyncio.sleep(a_pause(world, 6, 9))
+    if target.server is not None and target.is_leaving_told and target.state != "leaving":
+        target.crash()
+        await target.start()
+
+
 async def change_plan(world: World):
     await world.operator.replace_plan()
 
@@ -251,12 +273,15 @@
 FIRST_SEED_OF_FATAL_REQUESTS = 100_000_000
 FIRST_SEED_OF_LEAVES = 1_000_000_000
 FIRST_SEED_OF_LIMITS = 10_000_000_000
+FIRST_SEED_OF_RESTS = 100_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
 WITH_LEAVES = [*WITH_SILENT_LINKS, (leave_beside_ends, 2)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_LIMITS: [*WITH_LEAVES, (limit_targets, 4)], FIRST_SEED_OF_LEAVES: WITH_LEAVES,
+WITH_LIMITS = [*WITH_LEAVES, (limit_targets, 4)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_RESTS: [*WITH_LIMITS, (rest_targets, 3), (leave_by_word, 2)],
+                    FIRST_SEED_OF_LIMITS: WITH_LIMITS, FIRST_SEED_OF_LEAVES: WITH_LEAVES,
                     FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_LIMITS]}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_RESTS]}
 
 
 def draw(chooser: random.Random, seed: int) -> Fault:
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -22,6 +22,10 @@
 LIMIT_TOLD_S = 0.5
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+# A gateway that a target asked for rest sends it two requests at the most from so long after until the end of the rest. A
+# second of it is a margin for a busy machine.
+REST_HEARD_S = 1.5
+MOST_IN_A_REST = 2
 # Of a request that ends the targets that run it: from so long after its third end on, so many more may be sent by
 # gateways that were free of faults for as long. Two seconds of it are a margin for a busy machine.
 CONTACT_S = 5
@@ -153,6 +157,42 @@
     return findings
 
 
+def findings_of_rests(rests: list[tuple[float, str, str, float]], arrivals: list[tuple[float, str, str, str]],
+                      gateways: dict[str, str], spans: dict[str, list[Span]], held: dict[str, list[Span]]) -> list[str]:
+    """`rests`: when a target asked for rest, by which request, for how many seconds. The others as above."""
+    findings = []
+    for asked_at, start, asked_by, seconds in rests:
+        gateway = gateways.get(asked_by)
+        until = asked_at + seconds
+        sent = [at for at, one, address, request in arrivals
+                if one == start and gateway is not None and gateways.get(request) == gateway
+                and asked_at + REST_HEARD_S <= at < until and _in_touch(gateway, at, spans)
+                and not any(begin <= at < end + LIMIT_WINDOW_S for begin, end in held.get(address, []))]
+        if len(sent) > MOST_IN_A_REST:
+            findings.append(f"{start} asked {gateway} for {seconds} s of rest and got {len(sent)} requests of it")
+    return findings[:3]
+
+
+def findings_of_leaving_words(told: list[tuple[float, str, str]], arrivals: list[tuple[float, str, str, str]],
+                              outcomes: list[Outcome], spans: dict[str, list[Span]]) -> list[str]:
+    """A target that said to a gateway that it leaves gets nothing that callers sent that gateway later."""
+    by_request = {outcome.request: outcome for outcome in outcomes}
+    told_at: dict[tuple[str, str], float] = {}
+    for at, start, request in told:
+        if request in by_request:
+            told_at.setdefault((start, by_request[request].gateway), at)
+    findings = []
+    for _, start, _, request in arrivals:
+        outcome = by_request.get(request)
+        since = told_at.get((start, outcome.gateway)) if outcome else None
+        if since is None or outcome.sent_at <= since + LATEST_AFTER_LEAVE_S:
+            continue
+        # A gateway that has started anew since knows nothing.
+        if not any(end > since for _, end in spans.get(outcome.gateway, [])):
+            findings.append(f"{start} got {request} of {outcome.gateway} {outcome.sent_at - since:.1f} s after it said that it leaves")
+    return findings[:3]
+
+
 def _allowed(named: list[tuple[float, float | None]], begin: float, end: float) -> float | None:
     """Requests that a target's limits allow; none where it named no limit for a part of the time."""
     allowed = 0.0
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -6,7 +6,8 @@
 from callers import Outcome
 from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
 from promises import LATEST_AFTER_LEAVE_S, LATEST_OLD_RUN_S, LEAST_SERVED, findings_of_fatal, findings_of_leaves, \
-    findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, findings_of_reads
+    findings_of_leaving_words, findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, findings_of_reads, \
+    findings_of_rests
 from targets import answer_body
 
 
@@ -185,5 +186,49 @@
         self.assertEqual(self.check(18, held={"address": [(108.0, 111.0)]}), [])
 
 
+class RestsTest(unittest.TestCase):
+    """A target that asks gateway g for 3 s of rest at 100 s."""
+
+    def check(self, arrivals, gateway="g", spans=None) -> list[str]:
+        gateways = {"first": "g"} | {f"r{number}": gateway for number in range(len(arrivals))}
+        sent = [(at, "t", "address", f"r{number}") for number, at in enumerate(arrivals)]
+        return findings_of_rests([(100.0, "t", "first", 3.0)], sent, gateways, spans or {}, {})
+
+    def test_two_requests(self):
+        self.assertEqual(self.check([101.6, 102.0]), [])
+
+    def test_three_requests(self):
+        self.assertIn("got 3 requests", self.check([101.6, 102.0, 102.9])[0])
+
+    def test_before_it_was_heard_and_after_its_end(self):
+        self.assertEqual(self.check([100.1, 101.4, 101.6, 102.0, 103.0, 104.0]), [])
+
+    def test_of_another_gateway(self):
+        self.assertEqual(self.check([101.6, 102.0, 102.9], gateway="other"), [])
+
+    def test_of_a_gateway_in_trouble(self):
+        self.assertEqual(self.check([101.6, 102.0, 102.9], spans={"g": [(99.0, 101.0)]}), [])
+
+
+class LeavingWordsTest(unittest.TestCase):
+    """A target that says to gateway g at 100 s that it leaves."""
+
+    def check(self, sent_at: float, gateway: str = "g", spans=None) -> list[str]:
+        outcomes = [served("first", gateway="g", sent_at=99.9), served("r", gateway=gateway, sent_at=sent_at)]
+        return findings_of_leaving_words([(100.0, "t", "first")], [(sent_at, "t", "address", "r")], outcomes, spans or {})
+
+    def test_in_time(self):
+        self.assertEqual(self.check(100 + LATEST_AFTER_LEAVE_S), [])
+
+    def test_late(self):
+        self.assertIn("said that it leaves", self.check(100.1 + LATEST_AFTER_LEAVE_S)[0])
+
+    def test_of_a_gateway_that_was_not_told(self):
+        self.assertEqual(self.check(100.1 + LATEST_AFTER_LEAVE_S, gateway="other"), [])
+
+    def test_of_a_gateway_that_started_anew(self):
+        self.assertEqual(self.check(100.1 + LATEST_AFTER_LEAVE_S, spans={"g": [(101.0, 102.0)]}), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -100,6 +100,12 @@
             self.runs.limits, self.runs.arrivals, self.runs.told,
             {outcome.request: outcome.gateway for outcome in self.outcomes},
             {gateway: self.troubles.of(gateway) for gateway in self.troubles.spans}, self.troubles.held)
+        self.findings += promises.findings_of_rests(
+            self.runs.rests, self.runs.arrivals, {outcome.request: outcome.gateway for outcome in self.outcomes},
+            {gateway: self.troubles.of(gateway) for gateway in self.troubles.spans}, self.troubles.held)
+        self.findings += promises.findings_of_leaving_words(
+            self.runs.leaving_told, self.runs.arrivals, self.outcomes,
+            {gateway: self.troubles.of(gateway) for gateway in self.troubles.spans})
         self.findings += self.deployment.ended_by_themselves()
 
     async def _end_fatal_callers(self):
@@ -217,7 +223,7 @@
     kept = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     known = [int(line.split()[0]) for line in kept if line and not line.startswith("#")]
     seeds = (options.seed or []) + known or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_LIMITS, 10**11) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_RESTS, 10**12) for _ in range(options.runs)]
     bad = [seed for seed in seeds if asyncio.run(play(seed, options))]
     print(f"soak: {len(seeds) - len(bad)} passed, {len(bad)} failed" + (f": {bad}" if bad else ""))
     return 1 if bad else 0
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -29,6 +29,9 @@
         self.limits: list[tuple[float, str, float | None]] = []  # Time, start of the target, the limit that it names from then on.
         self.arrivals: list[tuple[float, str, str, str]] = []  # Time, start of the target, its address, request id.
         self.told: list[tuple[float, str, str]] = []  # Answers that name a limit: time, start of the target, request id.
+        # Answers that ask for rest: time, start of the target, request id, seconds.
+        self.rests: list[tuple[float, str, str, float]] = []
+        self.leaving_told: list[tuple[float, str, str]] = []  # Answers that say that the target leaves; as `told`.
         self.after_leave: list[tuple[str, str, float]] = []  # Request id, target, seconds since its leaving was acknowledged.
 
     def note(self, request: str, target: "Target"):
@@ -56,6 +59,8 @@
         self.running = 0
         self.state = "ready"
         self.limit: float | None = None  # Requests a second, of all gateways together.
+        self.rest: float | None = None  # Every request is turned away, and nothing wanted for so many seconds.
+        self.is_leaving_told = False  # By every answer, while it reports as ready.
         self.left_at: float | None = None  # When a registry host acknowledged that this start leaves.
         self.return_task: asyncio.Task | None = None
 
@@ -63,6 +68,8 @@
         self.id = f"t-{next(ids)}"
         self.state = "ready"
         self.limit = None
+        self.rest = None
+        self.is_leaving_told = False
         self.left_at = None
         self.running = 0
         self.server = await asyncio.start_server(self._serve, *split(self.forwarder.to))
@@ -124,6 +131,12 @@
         if request.headers.get("saltvane-expect-target") != self.id:
             return encode("HTTP/1.1 421 Misdirected", headers)
         self.runs.arrivals.append((time.monotonic(), self.id, self.forwarder.listen, identity))
+        if self.is_leaving_told:
+            headers["Saltvane-Leaving"] = "1"
+            self.runs.leaving_told.append((time.monotonic(), self.id, identity))
+        if self.rest is not None:
+            self.runs.rests.append((time.monotonic(), self.id, identity, self.rest))
+            return encode("HTTP/1.1 503 Resting", {**headers, "Saltvane-Not-Run": "1", "Retry-After": str(self.rest)})
         if self.running >= SLOTS + QUEUED:
             return encode("HTTP/1.1 503 Full", {**headers, "Saltvane-Not-Run": "1"})
         if FATAL_MARK in request.start[1]:
