--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -19,10 +19,8 @@
 constexpr double MarginOfOthers = 1.25;
 /// Targets queue some requests beyond their slots and refuse the rest.
 constexpr double MostLoadPerSlot = 3;
-/// Of the objective, by rank: how late an answer may be expected so that the request is still worth its place. In an
-/// overload all answers come as late as this allows; where objects are cold less lateness refuses what a slot could
-/// serve. Of the factors tried (1.0 to 2.5, even and by rank) these lose the least of both: 0.004 of the worth of ten
-/// days against 2.5, 2.0 and 1.5, and 0.006 against 1.0.
+/// Of the objective, by rank: how late an answer may be expected so that the request still gets a place. In an overload
+/// all answers come as late as this allows; with less of it, requests for cold objects are refused beside free slots.
 constexpr std::array<double, 3> LatenessByRank {2.1, 1.7, 1.3};
 constexpr double PartOfTimeLeft = 0.9;
 
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -88,9 +88,8 @@
 
     [[nodiscard]] bool isWarm(const std::optional<uint64_t>& object, const GatewayTarget& target, Timestamp now) const;
     /// Time to the answer's head: waiting for a slot, then the work. A target that works slowly shows by its load. How
-    /// long its answers took tells more of the queue that they stood in: a factor learnt from that had each overload
-    /// refuse what the targets had room for (0.006 to 0.049 of the worth of days with trouble on three deployments,
-    /// five days and one or two seeds each, with it and without).
+    /// long its answers took is not used: that tells of the queue that they stood in, so that each overload would be
+    /// taken for slow targets.
     [[nodiscard]] Duration estimate(const GatewayTarget& target, Duration work, Timestamp now) const;
     [[nodiscard]] Placed best(Candidates& candidates, const PlacementQuery& query, Timestamp now) const;
     [[nodiscard]] bool fits(const GatewayTarget& target, Duration estimate, bool isLikelyWarm,
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -60,8 +60,7 @@
 
     static constexpr Duration UsualRetryAfter = 200ms;
     /// Of a gateway without a plan, or behind with the registry's word. A start takes 0.2 to 0.6 s: a caller that comes
-    /// back sooner is refused again, and gives up. After a loss of all hosts it serves 0.5 percent more of a day's
-    /// requests than 0.2 s would.
+    /// back sooner is refused again, and gives up.
     static constexpr Duration StartRetryAfter = 400ms;
     static constexpr Duration StopRetryAfter = 50ms; ///< Other gateways serve meanwhile.
 
@@ -147,8 +146,7 @@
     void refuseEarly(const requests::HttpRequestStarted& request, const PlannedRoute* route,
         const EarlyRefusal& refusal, Timestamp now);
     /// Callers come back to a refusal on a new connection. Closing the old one keeps a gateway's connections and
-    /// memory at what its callers use: in an overload of 1.7 times the slots 898 descriptors and 24.5 MB at the most,
-    /// 2,318 and 59 MB where refused connections stay open.
+    /// memory at what its callers use.
     void refuseAtOnce(requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter,
         bool isConnectionClosed = false);
     void respond(requests::HttpRespond answer, bool isConnectionClosed = false);
--- a/src/registry/internal/loadboard.cpp
+++ b/src/registry/internal/loadboard.cpp
@@ -15,9 +15,8 @@
 constexpr Duration Memory = 3600ms;
 
 /// Whether a gateway would choose otherwise by the new sum: one request more or less changes nothing where a target
-/// works on many. Where it works on few each counts: on targets with three slots, sums that may be off by one lost
-/// 0.03 to 0.08 of a day's worth. Telling all sums each time takes a sixth of a gateway's link of 2.6 Mbit/s at 1,356
-/// targets: 12 bytes each, each 300 ms.
+/// works on many. Where it works on few each counts. All sums each time would be 12 bytes a target and 300 ms, a sixth
+/// of a link of 2.6 Mbit/s with 1,356 targets.
 bool differs(uint32_t sum, uint32_t told)
 {
     const uint32_t difference = sum > told ? sum - told : told - sum;
--- /dev/null
+++ b/src/registry/tests/creditpoolfleet.h
@@ -0,0 +1,238 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#pragma once
+
+#include "registry/internal/creditpool.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace saltvane::registry::test {
+
+inline const model::ClientAccountName Account("acme");
+inline const model::LimitId AccountLimit = model::limitIdOf(Account);
+
+inline HostId registryHost(size_t number) { return HostId("registry-" + std::to_string(number)); }
+inline HostId gatewayHost(size_t number) { return HostId("gateway-" + std::to_string(number)); }
+
+/// Pools with a network in between that delays, cuts and loses; gateways that spend each credit as it comes.
+class CreditFleet {
+public:
+    struct Options {
+        size_t pools = 6;
+        model::RateLimit limit {.perSecond = 16, .burst = 16};
+        uint64_t seed = 1;
+        Duration start = 20s; ///< How long the hosts have stood when the test begins.
+    };
+    explicit CreditFleet(const Options& options)
+        : random_(options.seed)
+        , limit_(options.limit)
+    {
+        pools_.resize(options.pools);
+        pausedUntil_.resize(options.pools);
+        for (size_t i = 0; i < pools_.size(); ++i)
+            restart(i);
+        now_ += options.start;
+        refreshAll();
+    }
+
+    void restart(size_t number)
+    {
+        std::unique_ptr<CreditPool>& pool = pools_[number];
+        pool = std::make_unique<CreditPool>(registryHost(number), now_);
+        pool->limits().install(accounts());
+        refresh(number);
+    }
+    void setLimit(const model::RateLimit& limit)
+    {
+        limit_ = limit;
+        for (const auto& pool : pools_)
+            pool->limits().install(accounts());
+    }
+    /// Hosts of two sides hear nothing of each other; a gateway is with its own registry host.
+    void cut(const std::set<size_t>& side)
+    {
+        side_ = side;
+        refreshAll();
+    }
+    void pause(size_t number, Duration duration) { pausedUntil_[number] = now_ + duration; }
+
+    /// A gateway near this pool asks for one.
+    void ask(size_t pool)
+    {
+        const uint64_t number = ++lastAsk_;
+        asked_[number] = pool;
+        send(gatewayHost(pool), registryHost(pool),
+            model::LimitCreditRequest {.asks = {{.ask = number, .limit = AccountLimit, .credits = 1}}});
+        ++askedInAll;
+    }
+
+    void advance(Duration duration)
+    {
+        const Timestamp end = now_ + duration;
+        while (now_ < end) {
+            now_ += 10ms;
+            if (now_ >= nextRefreshAt_) {
+                nextRefreshAt_ = now_ + 200ms;
+                refreshAll();
+            }
+            while (!wire_.empty() && wire_.begin()->first <= now_) {
+                const auto [from, to, message] = std::move(wire_.begin()->second);
+                wire_.erase(wire_.begin());
+                deliver(from, to, message);
+            }
+            for (size_t i = 0; i < pools_.size(); ++i) {
+                if (pausedUntil_[i] <= now_)
+                    pools_[i]->tick(now_);
+                flush(i);
+            }
+        }
+    }
+
+    /// Most runs in five seconds, by when credits came.
+    [[nodiscard]] double mostInWindow() const
+    {
+        size_t most = 0;
+        size_t first = 0;
+        for (size_t last = 0; last < spent_.size(); ++last) {
+            while (spent_[last] - spent_[first] > 5s)
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return static_cast<double>(most);
+    }
+
+    size_t askedInAll = 0;
+    size_t given = 0;
+    size_t refused = 0;
+    std::vector<Duration> retryAfters;
+    size_t transfers = 0; ///< Messages between registry hosts.
+    std::mt19937& random() { return random_; }
+    [[nodiscard]] size_t pools() const { return pools_.size(); }
+
+private:
+    struct Sent {
+        HostId from;
+        HostId to;
+        model::Message message;
+    };
+
+    std::vector<model::AccountRef> accounts() const
+    {
+        return {model::makeAccount({.name = Account, .keys = {"k"}, .limit = limit_})};
+    }
+    void refresh(size_t number)
+    {
+        std::vector<HostId> holders;
+        std::vector<CreditPool::Peer> peers;
+        for (size_t i = 0; i < pools_.size(); ++i) {
+            holders.push_back(registryHost(i));
+            if (i != number && side_.contains(i) == side_.contains(number))
+                peers.push_back({.host = registryHost(i), .isNear = i / 2 == number / 2});
+        }
+        pools_[number]->setHolders(std::move(holders), 0s, now_);
+        pools_[number]->setPeers(std::move(peers));
+    }
+    void refreshAll()
+    {
+        for (size_t i = 0; i < pools_.size(); ++i)
+            refresh(i);
+    }
+
+    void send(const HostId& from, const HostId& to, model::Message message)
+    {
+        const bool isLost = random_() % 200 == 0;
+        const Duration delay = from.value().starts_with("gateway") || to.value().starts_with("gateway")
+            ? Duration(1ms)
+            : Duration(1ms) + Duration(1ms) * static_cast<int64_t>(random_() % 40);
+        if (!isLost)
+            wire_.emplace(now_ + delay, Sent {from, to, std::move(message)});
+    }
+
+    static size_t numberOf(const HostId& host) { return std::stoul(host.value().substr(host.value().rfind('-') + 1)); }
+
+    void deliver(const HostId& from, const HostId& to, const model::Message& message)
+    {
+        const size_t number = numberOf(to);
+        if (to.value().starts_with("gateway"))
+            return spend(std::get<model::LimitCreditReply>(message));
+        const bool isCut = side_.contains(number) != side_.contains(numberOf(from));
+        if (isCut)
+            return;
+        if (pausedUntil_[number] > now_) { // It waits unread.
+            wire_.emplace(pausedUntil_[number], Sent {from, to, message});
+            return;
+        }
+        if (const auto* request = std::get_if<model::LimitCreditRequest>(&message))
+            pools_[number]->handle(from, *request, now_);
+        else
+            pools_[number]->handle(from, std::get<model::LimitCreditReply>(message), now_);
+        flush(number);
+    }
+    void flush(size_t number)
+    {
+        for (model::Outgoing& outgoing : pools_[number]->takeOutgoing()) {
+            transfers += outgoing.to.value().starts_with("registry") ? 1 : 0;
+            send(registryHost(number), outgoing.to, std::move(outgoing.message));
+        }
+    }
+    void spend(const model::LimitCreditReply& reply)
+    {
+        for (const model::LimitCreditAnswer& answer : reply.answers) {
+            if (asked_.erase(answer.ask) == 0)
+                continue;
+            given += answer.credits;
+            for (uint32_t i = 0; i < answer.credits; ++i)
+                spent_.push_back(now_);
+            if (answer.credits > 0)
+                continue;
+            ++refused;
+            retryAfters.push_back(answer.retryAfter);
+        }
+    }
+
+    std::mt19937 random_;
+    model::RateLimit limit_;
+    Timestamp now_ {100s};
+    Timestamp nextRefreshAt_ {};
+    std::vector<std::unique_ptr<CreditPool>> pools_;
+    std::vector<Timestamp> pausedUntil_;
+    std::set<size_t> side_;
+    std::multimap<Timestamp, Sent> wire_;
+    std::map<uint64_t, size_t> asked_;
+    uint64_t lastAsk_ = 0;
+    std::vector<Timestamp> spent_;
+};
+
+/// Requests a second, spread over pools by these weights.
+inline void load(CreditFleet& fleet, double perSecond, const std::vector<double>& weights, Duration duration)
+{
+    constexpr Duration Step = 20ms;
+    std::poisson_distribution<int> arrivals(perSecond * toSeconds(Step));
+    std::discrete_distribution<size_t> places(weights.begin(), weights.end());
+    for (Duration done {}; done < duration; done += Step) {
+        for (int count = arrivals(fleet.random()); count > 0; --count)
+            fleet.ask(places(fleet.random()));
+        fleet.advance(Step);
+    }
+}
+
+inline double bound(const model::RateLimit& limit)
+{
+    constexpr double Window = 5;
+    constexpr double Overage = 1.1;
+    constexpr double Slack = 20;
+    return (limit.perSecond * Window + limit.burst) * Overage + Slack;
+}
+
+} // namespace saltvane::registry::test
