--- a/src/model/message.h
+++ b/src/model/message.h
@@ -5,9 +5,9 @@
  */
 #pragma once
 
-#include "model/limitmessages.h"
 #include "model/controlmessages.h"
 #include "model/hostmessages.h"
+#include "model/limitmessages.h"
 #include "model/requestmessages.h"
 #include "model/suspectmessages.h"
 #include "model/targetmessages.h"
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -5,10 +5,10 @@
  */
 #include "wire/framecodec.h"
 
-#include "wire/internal/limitmessagecodec.h"
 #include "wire/internal/controlmessagecodec.h"
 #include "wire/internal/envelopecodec.h"
 #include "wire/internal/hostmessagecodec.h"
+#include "wire/internal/limitmessagecodec.h"
 #include "wire/internal/requestmessagecodec.h"
 #include "wire/internal/suspectmessagecodec.h"
 #include "wire/internal/targetmessagecodec.h"
