A leaving word is kept also where the registry has told of it before; budgets of lines and reports start full

Found on reading the change: a target that says that it leaves was not remembered for it where its record already said so, so that a record that came back as ready after it was forgotten would have bound nobody. Starts of budgets had an option without an effect.

--- a/src/gateway/internal/backpressurewatch.cpp
+++ b/src/gateway/internal/backpressurewatch.cpp
@@ -52,10 +52,12 @@
 void BackpressureWatch::noteLeaving(GatewayTarget& target, const Answer& answer, Timestamp now)
 {
     constexpr std::string_view Leaves = "1";
-    if (requests::firstFieldValue(answer.headers, headers_.leaving) != Leaves || target.record.isLeaving)
+    if (requests::firstFieldValue(answer.headers, headers_.leaving) != Leaves)
         return;
-    log(target, {.event = "target_leaving", .key = "told_by", .value = "target"}, now);
-    leaving_.push_back(target.start());
+    if (!target.record.isLeaving) {
+        log(target, {.event = "target_leaving", .key = "told_by", .value = "target"}, now);
+        leaving_.push_back(target.start());
+    }
     targets_.noteLeaving(target.start());
 }
 
@@ -104,7 +106,8 @@
     }
 }
 
-void BackpressureWatch::add(model::BackpressureReport& report, const model::TargetIncarnation& start, Timestamp now)
+void BackpressureWatch::addNotice(
+    model::BackpressureReport& report, const model::TargetIncarnation& start, Timestamp now)
 {
     GatewayTarget* target = targets_.find(start);
     if (target == nullptr)
@@ -120,7 +123,7 @@
     if (news_.empty() || !reportBudget_.trySpend(now))
         return report;
     for (size_t count = 0; count < MostInAReport && !news_.empty(); ++count)
-        add(report, news_.extract(news_.begin()).value(), now);
+        addNotice(report, news_.extract(news_.begin()).value(), now);
     return report;
 }
 
@@ -129,7 +132,7 @@
     model::BackpressureReport report;
     std::erase_if(limited_, [&](const model::TargetIncarnation& start) { return targets_.find(start) == nullptr; });
     for (const model::TargetIncarnation& start : limited_)
-        add(report, start, now);
+        addNotice(report, start, now);
     return report;
 }
 
--- a/src/gateway/internal/backpressurewatch.h
+++ b/src/gateway/internal/backpressurewatch.h
@@ -55,7 +55,6 @@
 private:
     static constexpr double LinesPerSecond = 5;
     static constexpr double MostSavedLines = 20;
-
     static constexpr double ReportsPerSecond = 10;
     static constexpr double MostSavedReports = 10;
 
@@ -63,7 +62,7 @@
     void noteRest(GatewayTarget& target, const Answer& answer, Timestamp now);
     void noteLeaving(GatewayTarget& target, const Answer& answer, Timestamp now);
     void setLimit(GatewayTarget& target, const std::optional<double>& limit, Timestamp now);
-    void add(model::BackpressureReport& report, const model::TargetIncarnation& start, Timestamp now);
+    void addNotice(model::BackpressureReport& report, const model::TargetIncarnation& start, Timestamp now);
     struct Line {
         std::string_view event;
         std::string_view key;
@@ -76,8 +75,8 @@
     std::set<model::TargetIncarnation> limited_; ///< Those that name a limit, and some that are gone.
     std::set<model::TargetIncarnation> news_;
     std::vector<model::TargetIncarnation> leaving_;
-    RateBudget reportBudget_ {{.perSecond = ReportsPerSecond, .burst = MostSavedReports, .initial = MostSavedReports}};
-    RateBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines, .initial = MostSavedLines}};
+    RateBudget reportBudget_ {{.perSecond = ReportsPerSecond, .burst = MostSavedReports}};
+    RateBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines}};
     std::vector<host::LogLine> lines_;
 };
 
--- a/src/gateway/internal/quarantine.h
+++ b/src/gateway/internal/quarantine.h
@@ -95,7 +95,7 @@
     AnsweredRequests answered_;
     RunWatch watch_;
     TargetProber prober_;
-    RateBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines, .initial = MostSavedLines}};
+    RateBudget lineBudget_ {{.perSecond = LinesPerSecond, .burst = MostSavedLines}};
     std::vector<host::LogLine> lines_;
 };
 
--- a/src/gateway/internal/ratebudget.h
+++ b/src/gateway/internal/ratebudget.h
@@ -16,12 +16,11 @@
 public:
     struct Options {
         double perSecond = 0;
-        double burst = 0;
-        double initial = 0; ///< What may be done at once after the start.
+        double burst = 0; ///< What may be done at once, also after the start.
     };
     explicit RateBudget(const Options& options)
         : options_(options)
-        , balance_(options.initial)
+        , balance_(options.burst)
     {
     }
 
