--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -23,8 +23,9 @@
 constexpr uint64_t BytesPerMegabyte = 1024 * 1024;
 constexpr IntegerRange MemoryRange {.minimum = 16, .maximum = 1024 * 1024}; ///< Megabytes.
 constexpr DurationRange TtlRange {.minimum = 100ms, .maximum = 1h};
-constexpr DurationRange PropagationLimitRange {.minimum = 1s, .maximum = 1h};
-constexpr DurationRange StopTimeLimitRange {.minimum = 100ms, .maximum = 1h};
+// Narrower than a factor of 1000, so that a limit in the wrong unit is a finding.
+constexpr DurationRange PropagationLimitRange {.minimum = 500ms, .maximum = 60s};
+constexpr DurationRange StopTimeLimitRange {.minimum = 1s, .maximum = 10min};
 
 struct HeaderField {
     std::string_view key;
@@ -150,8 +151,8 @@
         settings_.linkMegabitsPerSecond = root_.decimal("link_mbps", settings_.linkMegabitsPerSecond);
         settings_.shiftCap = root_.decimal("shift_cap", settings_.shiftCap);
         settings_.lookUpTtl = root_.duration("look_up_ttl_s", 1s, settings_.lookUpTtl, TtlRange);
-        settings_.leaveLimit = root_.duration("leave_limit_s", 1s, settings_.leaveLimit, PropagationLimitRange);
-        settings_.planLimit = root_.duration("plan_limit_s", 1s, settings_.planLimit, PropagationLimitRange);
+        settings_.leaveLimit = root_.duration("leave_limit_ms", 1ms, settings_.leaveLimit, PropagationLimitRange);
+        settings_.planLimit = root_.duration("plan_limit_ms", 1ms, settings_.planLimit, PropagationLimitRange);
         // Each connection reserves this much memory. Plans may lower it on a gateway; on a registry host, callers send
         // short headers.
         const uint64_t defaultHeaderBytes
--- a/src/settings/tests/routedhosttests.cpp
+++ b/src/settings/tests/routedhosttests.cpp
@@ -68,6 +68,31 @@
     EXPECT_EQ(read.value().limits.requestHeaderBytes, 2048U);
 }
 
+TEST(RoutedHostTest, ReadsLimitsInMilliseconds)
+{
+    const std::string text = Gateway + "leave_limit_ms: 2000\nplan_limit_ms: 2500\n";
+    const Result<RoutedHostSettings, Findings> read = parseRoutedHostSettings(text, "host.yaml");
+    ASSERT_TRUE(read) << findingsOf(text);
+    EXPECT_EQ(read.value().leaveLimit, 2s);
+    EXPECT_EQ(read.value().planLimit, 2500ms);
+}
+
+/// Guards against limits that are a thousand times too long or too short.
+TEST(RoutedHostTest, LimitsInTheWrongUnitAreFindings)
+{
+    for (const std::string seconds : {"2", "2.5", "4"}) {
+        const std::string milliseconds = std::to_string(std::stoi(seconds) * 1'000'000);
+        for (const std::string key : {"leave_limit_ms", "plan_limit_ms"}) {
+            EXPECT_NE(findingsOf(Gateway + key + ": " + seconds + "\n").find("host.yaml:16:"), std::string::npos);
+            EXPECT_NE(findingsOf(Gateway + key + ": " + milliseconds + "\n").find(key), std::string::npos);
+        }
+    }
+    EXPECT_NE(findingsOf(Gateway + "leave_limit_s: 2\n").find("leave_limit_s"), std::string::npos);
+    std::string stop = Gateway;
+    stop.replace(stop.find("stop_time_limit_s: 6"), 20, "stop_time_limit_s: 6000");
+    EXPECT_NE(findingsOf(stop).find("stop_time_limit_s"), std::string::npos);
+}
+
 TEST(RoutedHostTest, ReportsErrorsWithTheirLocations)
 {
     EXPECT_NE(findingsOf(Gateway + "colour: red\n").find("host.yaml:16"), std::string::npos);
