--- a/src/registry/internal/planqueue.cpp
+++ b/src/registry/internal/planqueue.cpp
@@ -14,6 +14,8 @@
 
 /// Routes and client accounts parsed in one tick: about 6 ms of a core.
 constexpr size_t ItemsPerTick = 800;
+/// Plans up to this size are prepared in one step: about 1 ms of a core.
+constexpr size_t SmallPlanBytes = 64 * 1024;
 
 } // namespace
 
@@ -23,26 +25,35 @@
     if (found == entries_.end())
         return;
     if (found == entries_.begin())
-        isFirstBeingPrepared_ = false;
+        stage_ = Stage::Unread;
     entries_.erase(found);
 }
 
+void PlanQueue::advance(const Entry& first)
+{
+    if (stage_ == Stage::Unread) {
+        reader_.startReadAhead(first.order.content);
+        stage_ = Stage::Reading;
+    } else if (reader_.readAhead(ItemsPerTick)) {
+        stage_ = Stage::Prepared;
+    }
+}
+
 std::optional<PlanQueue::Entry> PlanQueue::popPrepared()
 {
     if (entries_.empty())
         return std::nullopt;
-    if (!std::exchange(isFirstBeingPrepared_, true))
-        reader_.startReadAhead(entries_.front().order.content);
-    if (!reader_.readAhead(ItemsPerTick))
-        return std::nullopt;
-    return popUnprepared();
+    if (stage_ == Stage::Prepared || entries_.front().order.content.size() <= SmallPlanBytes)
+        return popUnprepared();
+    advance(entries_.front());
+    return std::nullopt;
 }
 
 std::optional<PlanQueue::Entry> PlanQueue::popUnprepared()
 {
     if (entries_.empty())
         return std::nullopt;
-    isFirstBeingPrepared_ = false;
+    stage_ = Stage::Unread;
     Entry first = std::move(entries_.front());
     entries_.pop_front();
     return first;
--- a/src/registry/internal/planqueue.h
+++ b/src/registry/internal/planqueue.h
@@ -14,9 +14,9 @@
 
 namespace saltvane::registry {
 
-/// Ordered plans that wait to be parsed. A large plan is parsed in parts, one each tick, so that the host can do other
-/// work in between: parsed at once, 19,000 new routes would block a host with 0.3 of a core for longer than a leader's
-/// lease.
+/// Ordered plans that wait to be parsed. A large plan is split, parsed in parts and released in separate steps, one
+/// each tick, so that the host can do other work in between: in one step, 19,000 routes would block a host with 0.3 of
+/// a core for longer than a leader's lease.
 class PlanQueue {
 public:
     struct Entry {
@@ -32,16 +32,21 @@
     void add(Entry entry) { entries_.push_back(std::move(entry)); }
     /// The caller has disconnected: drops its plan.
     void remove(requests::HttpHandle handle);
-    /// Parses a part of the oldest plan. Returns the plan once it is parsed completely.
+    /// Takes one step with the oldest plan. Returns the plan once it is parsed completely; a small plan at once.
     [[nodiscard]] std::optional<Entry> popPrepared();
     /// Returns the oldest plan without parsing it, for a host that does not check plans.
     [[nodiscard]] std::optional<Entry> popUnprepared();
     [[nodiscard]] bool isEmpty() const { return entries_.empty(); }
 
 private:
+    /// Progress of the first entry.
+    enum class Stage { Unread, Reading, Prepared };
+
+    void advance(const Entry& first);
+
     settings::RoutePlanReader& reader_;
     std::list<Entry> entries_; ///< The reader keeps a reference to the first entry's text.
-    bool isFirstBeingPrepared_ = false;
+    Stage stage_ = Stage::Unread;
 };
 
 } // namespace saltvane::registry
