Savings of retries are divided by the number of gateways

Cause: each gateway could save 0.02 of the whole fleet's slack, whatever the number of gateways. The budget is of all gateways together: at 984 gateways of three requests a second, after a quiet time, 25,584 retries in ten seconds where 6,944 are allowed; at 100 gateways 900 of 800; at 2,000 94,000 of 14,100 (RetryLimitTest on the code before; 10 gateways held). Change: half of the slack is divided by the number of gateways; until a gateway is told the number it assumes 1,000, and one retry is always saved up. Becomes, saved per gateway: 10 gateways (slack 58) 2.9; 100 (200) 1; 984 (1,040) 1; 2,000 (2,100) 1. After: RetryLimitTest passes at 10, 100, 984 and 2,000. Not a larger constant: the bound holds at each size. Ruled out: no savings at all (a gateway with few requests could then never repeat one).

--- a/src/gateway/internal/retryallowance.cpp
+++ b/src/gateway/internal/retryallowance.cpp
@@ -18,8 +18,9 @@
 /// The savings are bounded by what the rest of the ratio earns in this time: half of the shortest window for which a
 /// limit was set.
 constexpr double MaxSavingsSeconds = 5;
-/// Fraction of the slack for gateways with too few requests to save anything; the number of gateways is not known here.
-constexpr double SlackFraction = 0.02;
+/// Fraction of the slack that all gateways together may have saved. The rest is for gateways that start, and for
+/// numbers of gateways that change.
+constexpr double SlackFraction = 0.5;
 constexpr double RateLifetimeSeconds = 1;
 
 } // namespace
@@ -31,7 +32,8 @@
     state.perSecond += 1 / RateLifetimeSeconds;
     state.updatedAt = now;
     const double maxSavings = options_.ratio * (1 - EarnedRatioFraction) * MaxSavingsSeconds * state.perSecond;
-    const double maxBalance = std::max(1.0, options_.slack * SlackFraction) + maxSavings;
+    const double maxBalance
+        = std::max(1.0, options_.slack * SlackFraction / static_cast<double>(gateways_)) + maxSavings;
     state.balance = std::min(maxBalance, state.balance + options_.ratio * EarnedRatioFraction);
 }
 
--- a/src/gateway/internal/retryallowance.h
+++ b/src/gateway/internal/retryallowance.h
@@ -8,6 +8,8 @@
 #include "base/timetypes.h"
 #include "model/routeplan.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <map>
 
 namespace saltvane::gateway {
@@ -27,6 +29,8 @@
     {
     }
 
+    /// Gateways among which the slack is divided.
+    void setGateways(size_t gateways) { gateways_ = std::max<size_t>(gateways, 1); }
     /// A caller's request for the service arrived.
     void recordRequest(const ServiceName& service, Timestamp now);
     [[nodiscard]] bool trySpend(const ServiceName& service);
@@ -39,6 +43,7 @@
     };
 
     Options options_;
+    size_t gateways_ = 1000; ///< Until the registry reports the number: as many as a deployment is designed for.
     std::map<ServiceName, ServiceState> services_;
 };
 
--- a/src/gateway/tests/retryallowancetests.cpp
+++ b/src/gateway/tests/retryallowancetests.cpp
@@ -62,6 +62,37 @@
     EXPECT_LE(spent * Gateways, 0.2 * 16 * 10 * Gateways + 58);
 }
 
+namespace {
+
+struct FleetSize {
+    size_t gateways = 0;
+    double slack = 0; ///< As operators of a deployment of this size state it.
+};
+
+class RetryLimitTest : public testing::TestWithParam<FleetSize> { };
+
+} // namespace
+
+/// Guards against savings of each gateway that add up beyond the limit as gateways are added: a quiet time, then
+/// retries as many as allowed.
+TEST_P(RetryLimitTest, LimitHoldsForAnyNumberOfGateways)
+{
+    constexpr double PerSecond = 3;
+    constexpr Duration Window = 10s;
+    RetryAllowance allowance({.ratio = 0.2, .slack = GetParam().slack});
+    allowance.setGateways(GetParam().gateways);
+    Timestamp now {100s};
+    (void)spend(allowance, now, PerSecond, 120s, 0);
+    const double spent = spend(allowance, now, PerSecond, Window, 10);
+    const auto gateways = static_cast<double>(GetParam().gateways);
+    EXPECT_LE(spent * gateways, 0.2 * PerSecond * toSeconds(Window) * gateways + GetParam().slack);
+    // Half of the ratio at least is usable.
+    EXPECT_GE(spent * gateways, 0.1 * PerSecond * toSeconds(Window) * gateways);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, RetryLimitTest,
+    testing::Values(FleetSize {10, 58}, FleetSize {100, 200}, FleetSize {984, 1040}, FleetSize {2000, 2100}));
+
 TEST(RetryAllowanceTest, ServicesDoNotShareAllowance)
 {
     RetryAllowance allowance(Limit);
