--- a/src/control/controltypes.h
+++ b/src/control/controltypes.h
@@ -12,8 +12,10 @@
 #include "model/bundle.h"
 #include "model/controlmessages.h"
 #include "model/message.h"
+#include "model/rolloutmessages.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -82,10 +84,23 @@
     TargetId target;
     Incarnation incarnation; ///< 0: unknown; applies to the incarnation that a host knows when it receives the order.
 };
+/// Starts a rollout of a service.
+struct StartRollout {
+    ServiceName service;
+    model::TargetVersion version;
+    Duration timeLimit {};
+};
+/// Moves a rollout to a later phase. Submitted by the leader.
+struct AdvanceRollout {
+    ServiceName service;
+    model::TargetVersion version;
+    model::RolloutPhase phase = model::RolloutPhase::RolledBack;
+    std::vector<model::TargetVersion> otherVersions; ///< Versions that are excluded once the rollout is completed.
+};
 /// First entry of a leader's term.
 struct NoOperation { };
 using Command = std::variant<ProposeBundle, ApproveBundle, RevertBundle, ClaimKey, ChangeReplicas, NoOperation,
-    ReplacePlan, SetEvacuation, RetireTarget>;
+    ReplacePlan, SetEvacuation, RetireTarget, StartRollout, AdvanceRollout>;
 
 enum class BundleState { Proposed, InForce, Superseded };
 
@@ -113,13 +128,15 @@
     LogPosition planPosition; ///< Log position at which the plan came into force.
     std::set<ZoneName> evacuatedZones;
     membership::RetiredTargets retiredTargets {MaxRetiredTargets};
-    LogPosition ordersPosition; ///< Log position of the latest change to zones or targets.
+    std::map<ServiceName, model::RolloutOrder> rollouts; ///< The latest rollout of each service.
+    LogPosition ordersPosition; ///< Log position of the latest change to zones, targets or rollouts.
 };
 
 /// Why control refuses an operator's request.
 enum class ControlErrorKind {
     NotCurrent, ///< No recent proof from a quorum; the host may be cut off.
     NotLeader,
+    UnderWay, ///< Another rollout of the service is under way.
     Conflict, ///< The version has other content, or another version is in force; `message` says which.
     NotFound,
     BadSignature,
--- a/src/control/internal/commandcodec.cpp
+++ b/src/control/internal/commandcodec.cpp
@@ -81,6 +81,26 @@
     return {{"kind", "retire"}, {"target", command.target.value()}, {"incarnation", command.incarnation.value}};
 }
 
+Json versionsToJson(const std::vector<model::TargetVersion>& versions)
+{
+    Json list = Json::array();
+    for (const model::TargetVersion& version : versions)
+        list.push_back(version.value());
+    return list;
+}
+
+Json toJson(const StartRollout& command)
+{
+    return {{"kind", "rollout"}, {"service", command.service.value()}, {"version", command.version.value()},
+        {"limitMs", std::chrono::round<std::chrono::milliseconds>(command.timeLimit).count()}};
+}
+
+Json toJson(const AdvanceRollout& command)
+{
+    return {{"kind", "rolloutPhase"}, {"service", command.service.value()}, {"version", command.version.value()},
+        {"phase", static_cast<uint64_t>(command.phase)}, {"others", versionsToJson(command.otherVersions)}};
+}
+
 Json toJson(const NoOperation& /*command*/) { return {{"kind", "none"}}; }
 
 Decoded finish(const FieldReader& reader, Command command)
@@ -173,6 +193,33 @@
     return finish(reader, std::move(command));
 }
 
+Decoded decodeStartRollout(const Json& json)
+{
+    StartRollout command;
+    int64_t milliseconds = 0;
+    FieldReader reader(json, 4);
+    reader.read("service", command.service).read("version", command.version).read("limitMs", milliseconds);
+    command.timeLimit = std::chrono::milliseconds(milliseconds);
+    return finish(reader, std::move(command));
+}
+
+Decoded decodeAdvanceRollout(const Json& json)
+{
+    AdvanceRollout command;
+    uint64_t phase = 0;
+    FieldReader reader(json, 5);
+    reader.read("service", command.service).read("version", command.version).read("phase", phase);
+    for (const Json& version : reader.array("others")) {
+        if (!version.is_string())
+            return CodecError {"version that is not a text"};
+        command.otherVersions.emplace_back(version.get<std::string>());
+    }
+    if (phase > static_cast<uint64_t>(model::RolloutPhase::RolledBack))
+        return CodecError {"unknown phase of a rollout"};
+    command.phase = static_cast<model::RolloutPhase>(phase);
+    return finish(reader, std::move(command));
+}
+
 Decoded decodeNone(const Json& json) { return finish(FieldReader(json, 1), NoOperation {}); }
 
 struct Decoder {
@@ -188,6 +235,8 @@
     Decoder {"plan", &decodePlan},
     Decoder {"evacuation", &decodeEvacuation},
     Decoder {"retire", &decodeRetire},
+    Decoder {"rollout", &decodeStartRollout},
+    Decoder {"rolloutPhase", &decodeAdvanceRollout},
     Decoder {"none", &decodeNone},
 };
 
--- a/src/control/internal/controlstate.cpp
+++ b/src/control/internal/controlstate.cpp
@@ -16,8 +16,10 @@
 namespace saltvane::control {
 
 namespace {
-constexpr uint64_t SnapshotFormat = 2;
+constexpr uint64_t SnapshotFormat = 3;
 constexpr size_t SnapshotFieldCount = 7;
+/// Written by earlier software versions, without rollouts; still readable.
+constexpr uint64_t SnapshotFormatWithoutRollouts = 2;
 /// Written by earlier software versions, without routing state; still readable.
 constexpr uint64_t LegacySnapshotFormat = 1;
 constexpr size_t LegacySnapshotFieldCount = 6;
@@ -76,8 +78,12 @@
     std::optional<BundleTable> bundles = BundleTable::fromJson(reader.array("bundles"));
     std::optional<ClaimTable> claims = ClaimTable::fromJson(reader.array("claims"), clock);
     std::optional<std::vector<ReplicaInfo>> replicas = replicasFromJson(reader.array("replicas"));
-    std::optional<RoutingTable> routing = hasRouting ? RoutingTable::fromJson(json->at("routing")) : RoutingTable {};
-    if (!reader.isOk() || format != (hasRouting ? SnapshotFormat : LegacySnapshotFormat))
+    const bool hasRollouts = format != SnapshotFormatWithoutRollouts;
+    std::optional<RoutingTable> routing
+        = hasRouting ? RoutingTable::fromJson(json->at("routing"), hasRollouts) : RoutingTable {};
+    const bool isKnownFormat = hasRouting ? format == SnapshotFormat || format == SnapshotFormatWithoutRollouts
+                                          : format == LegacySnapshotFormat;
+    if (!reader.isOk() || !isKnownFormat)
         return std::nullopt;
     if (!bundles || !claims || !replicas || !routing)
         return std::nullopt;
--- a/src/control/internal/operatorrequests.h
+++ b/src/control/internal/operatorrequests.h
@@ -52,6 +52,8 @@
     [[nodiscard]] std::optional<ControlError> findError(const ReplacePlan& command);
     [[nodiscard]] static std::optional<ControlError> findError(const SetEvacuation& /*command*/) { return {}; }
     [[nodiscard]] static std::optional<ControlError> findError(const RetireTarget& /*command*/) { return {}; }
+    [[nodiscard]] static std::optional<ControlError> findError(const StartRollout& /*command*/) { return {}; }
+    [[nodiscard]] static std::optional<ControlError> findError(const AdvanceRollout& /*command*/) { return {}; }
     [[nodiscard]] std::optional<ControlError> signatureError(
         const OperatorName& signer, std::string_view text, std::string_view signature);
     [[nodiscard]] const std::vector<model::Operator>& operators();
--- a/src/control/internal/routingtable.cpp
+++ b/src/control/internal/routingtable.cpp
@@ -19,7 +19,12 @@
 
 /// Two days of changes at the expected rate (2,500 a day).
 constexpr size_t MaxPlanDigests = 5000;
-constexpr size_t RoutingFieldCount = 9;
+constexpr size_t RoutingFieldCount = 10;
+/// Snapshots of earlier software versions contain no rollouts.
+constexpr size_t RoutingFieldCountWithoutRollouts = 9;
+constexpr size_t MaxRollouts = 1024; ///< One a service.
+/// Versions that get no requests any more, by service; the oldest are dropped.
+constexpr size_t MaxExcludedVersions = 16;
 
 ControlError errorOf(ControlErrorKind kind, std::string message)
 {
@@ -39,6 +44,45 @@
     return retired;
 }
 
+Json rolloutToJson(const model::RolloutOrder& order)
+{
+    Json excluded = Json::array();
+    for (const model::TargetVersion& version : order.excluded)
+        excluded.push_back(version.value());
+    return {{"service", order.service.value()}, {"version", order.version.value()},
+        {"phase", static_cast<uint64_t>(order.phase)},
+        {"limitMs", std::chrono::round<std::chrono::milliseconds>(order.timeLimit).count()},
+        {"excluded", std::move(excluded)}};
+}
+
+std::optional<model::RolloutOrder> rolloutFromJson(const Json& json)
+{
+    model::RolloutOrder order;
+    uint64_t phase = 0;
+    int64_t milliseconds = 0;
+    FieldReader fields(json, 5);
+    fields.read("service", order.service).read("version", order.version).read("phase", phase);
+    fields.read("limitMs", milliseconds);
+    for (const Json& version : fields.array("excluded")) {
+        if (!version.is_string())
+            return std::nullopt;
+        order.excluded.emplace_back(version.get<std::string>());
+    }
+    if (!fields.isOk() || phase > static_cast<uint64_t>(model::RolloutPhase::RolledBack))
+        return std::nullopt;
+    order.phase = static_cast<model::RolloutPhase>(phase);
+    order.timeLimit = std::chrono::milliseconds(milliseconds);
+    return order;
+}
+
+void exclude(std::vector<model::TargetVersion>& excluded, const model::TargetVersion& version)
+{
+    std::erase(excluded, version);
+    excluded.push_back(version);
+    if (excluded.size() > MaxExcludedVersions)
+        excluded.erase(excluded.begin());
+}
+
 } // namespace
 
 BundleRecord RoutingTable::record(BundleVersion version) const
@@ -84,6 +128,34 @@
     return std::nullopt;
 }
 
+/// A repeated order has the same answer whatever its rollout has come to, so that a resend after a lost answer is never
+/// refused. A version that was rolled back therefore needs a new name to be rolled out again.
+std::optional<BundleOutcome> RoutingTable::answerFor(const StartRollout& command) const
+{
+    const auto known = state_.rollouts.find(command.service);
+    if (known == state_.rollouts.end()) {
+        if (state_.rollouts.size() >= MaxRollouts)
+            return errorOf(ControlErrorKind::Invalid, "too many services have rollouts");
+        return std::nullopt;
+    }
+    if (known->second.version == command.version)
+        return record(state_.planVersion);
+    if (isUnderWay(known->second.phase))
+        return errorOf(
+            ControlErrorKind::UnderWay, "the rollout of version " + known->second.version.value() + " is under way");
+    return std::nullopt;
+}
+
+/// Phases only advance. An order for a rollout that has ended or was replaced has no effect.
+std::optional<BundleOutcome> RoutingTable::answerFor(const AdvanceRollout& command) const
+{
+    const auto known = state_.rollouts.find(command.service);
+    const bool isKnown = known != state_.rollouts.end() && known->second.version == command.version;
+    if (isKnown && isUnderWay(known->second.phase) && command.phase > known->second.phase)
+        return std::nullopt;
+    return record(state_.planVersion);
+}
+
 BundleOutcome RoutingTable::apply(const ReplacePlan& command, LogPosition position)
 {
     if (std::optional<BundleOutcome> known = answerFor(command))
@@ -118,6 +190,37 @@
     return record(state_.planVersion);
 }
 
+BundleOutcome RoutingTable::apply(const StartRollout& command, LogPosition position)
+{
+    if (std::optional<BundleOutcome> known = answerFor(command))
+        return *std::move(known);
+    model::RolloutOrder& order = state_.rollouts[command.service];
+    order.service = command.service;
+    order.version = command.version;
+    order.phase = model::RolloutPhase::Trial;
+    order.timeLimit = command.timeLimit;
+    std::erase(order.excluded, command.version);
+    state_.ordersPosition = position;
+    return record(state_.planVersion);
+}
+
+BundleOutcome RoutingTable::apply(const AdvanceRollout& command, LogPosition position)
+{
+    if (std::optional<BundleOutcome> known = answerFor(command))
+        return *std::move(known);
+    model::RolloutOrder& order = state_.rollouts[command.service];
+    order.phase = command.phase;
+    if (command.phase == model::RolloutPhase::RolledBack)
+        exclude(order.excluded, order.version);
+    if (command.phase == model::RolloutPhase::Completed) {
+        for (const model::TargetVersion& version : command.otherVersions)
+            exclude(order.excluded, version);
+        std::erase(order.excluded, order.version);
+    }
+    state_.ordersPosition = position;
+    return record(state_.planVersion);
+}
+
 Json RoutingTable::toJson() const
 {
     Json zones = Json::array();
@@ -129,17 +232,21 @@
     Json taken = Json::array();
     for (const AcceptedPlan& plan : acceptedPlans_)
         taken.push_back({{"version", plan.version.value}, {"digest", plan.digest}});
+    Json rollouts = Json::array();
+    for (const auto& [service, order] : state_.rollouts)
+        rollouts.push_back(rolloutToJson(order));
     return {{"version", state_.planVersion.value}, {"content", state_.planContent},
         {"planTerm", state_.planPosition.term.value}, {"planIndex", state_.planPosition.index.value},
         {"ordersTerm", state_.ordersPosition.term.value}, {"ordersIndex", state_.ordersPosition.index.value},
-        {"evacuated", std::move(zones)}, {"retired", std::move(targets)}, {"taken", std::move(taken)}};
+        {"evacuated", std::move(zones)}, {"retired", std::move(targets)}, {"taken", std::move(taken)},
+        {"rollouts", std::move(rollouts)}};
 }
 
-std::optional<RoutingTable> RoutingTable::fromJson(const Json& json)
+std::optional<RoutingTable> RoutingTable::fromJson(const Json& json, bool hasRollouts)
 {
     RoutingTable table;
     RoutingState& state = table.state_;
-    FieldReader reader(json, RoutingFieldCount);
+    FieldReader reader(json, hasRollouts ? RoutingFieldCount : RoutingFieldCountWithoutRollouts);
     reader.read("version", state.planVersion).read("content", state.planContent);
     reader.read("planTerm", state.planPosition.term).read("planIndex", state.planPosition.index);
     reader.read("ordersTerm", state.ordersPosition.term).read("ordersIndex", state.ordersPosition.index);
@@ -162,6 +269,14 @@
             return std::nullopt;
         table.acceptedPlans_.push_back(std::move(plan));
     }
+    if (hasRollouts) {
+        for (const Json& item : reader.array("rollouts")) {
+            std::optional<model::RolloutOrder> order = rolloutFromJson(item);
+            if (!order)
+                return std::nullopt;
+            state.rollouts.insert_or_assign(order->service, *order);
+        }
+    }
     if (!reader.isOk())
         return std::nullopt;
     return table;
--- a/src/control/internal/routingtable.h
+++ b/src/control/internal/routingtable.h
@@ -18,24 +18,30 @@
 
 template <typename Kind>
 constexpr bool IsRoutingCommand
-    = std::is_same_v<Kind, ReplacePlan> || std::is_same_v<Kind, SetEvacuation> || std::is_same_v<Kind, RetireTarget>;
+    = std::is_same_v<Kind,
+          ReplacePlan> || std::is_same_v<Kind, SetEvacuation> || std::is_same_v<Kind, RetireTarget> || std::is_same_v<Kind, StartRollout> || std::is_same_v<Kind, AdvanceRollout>;
 
-/// Replicated routing state: the route plan, replaced by compare-and-set, evacuated zones and retired targets. The
-/// order of the log resolves all races. A resend of an accepted request gets the first answer.
+/// Replicated routing state: the route plan, replaced by compare-and-set, evacuated zones, retired targets and
+/// rollouts. The order of the log resolves all races. A resend of an accepted request gets the first answer.
 class RoutingTable {
 public:
     [[nodiscard]] BundleOutcome apply(const ReplacePlan& command, LogPosition position);
     [[nodiscard]] BundleOutcome apply(const SetEvacuation& command, LogPosition position);
     [[nodiscard]] BundleOutcome apply(const RetireTarget& command, LogPosition position);
+    [[nodiscard]] BundleOutcome apply(const StartRollout& command, LogPosition position);
+    [[nodiscard]] BundleOutcome apply(const AdvanceRollout& command, LogPosition position);
 
     /// The answer if it follows from the state alone.
     [[nodiscard]] std::optional<BundleOutcome> answerFor(const ReplacePlan& command) const;
     [[nodiscard]] std::optional<BundleOutcome> answerFor(const SetEvacuation& command) const;
     [[nodiscard]] std::optional<BundleOutcome> answerFor(const RetireTarget& command) const;
+    [[nodiscard]] std::optional<BundleOutcome> answerFor(const StartRollout& command) const;
+    [[nodiscard]] std::optional<BundleOutcome> answerFor(const AdvanceRollout& command) const;
 
     [[nodiscard]] const RoutingState& state() const { return state_; }
     [[nodiscard]] nlohmann::json toJson() const;
-    [[nodiscard]] static std::optional<RoutingTable> fromJson(const nlohmann::json& json);
+    /// `hasRollouts`: false for a snapshot of an earlier software version.
+    [[nodiscard]] static std::optional<RoutingTable> fromJson(const nlohmann::json& json, bool hasRollouts = true);
 
 private:
     struct AcceptedPlan {
--- a/src/control/tests/routingtabletests.cpp
+++ b/src/control/tests/routingtabletests.cpp
@@ -56,6 +56,85 @@
     EXPECT_EQ(table.state().ordersPosition, at(2));
 }
 
+namespace {
+
+StartRollout rolloutOf(const char* version, const char* service = "quotes")
+{
+    return {.service = ServiceName(service), .version = model::TargetVersion(version), .timeLimit = 12s};
+}
+
+AdvanceRollout phaseOf(const char* version, model::RolloutPhase phase)
+{
+    return {.service = ServiceName("quotes"),
+        .version = model::TargetVersion(version),
+        .phase = phase,
+        .otherVersions = {model::TargetVersion("v1")}};
+}
+
+} // namespace
+
+TEST(RoutingTableTest, RolloutAdvancesToItsEnd)
+{
+    using enum model::RolloutPhase;
+    RoutingTable table;
+    EXPECT_TRUE(table.apply(rolloutOf("v2"), at(1)));
+    const model::RolloutOrder& order = table.state().rollouts.at(ServiceName("quotes"));
+    EXPECT_EQ(order.phase, Trial);
+    EXPECT_TRUE(table.apply(phaseOf("v2", Switching), at(2)));
+    EXPECT_TRUE(table.apply(phaseOf("v2", Trial), at(3)));
+    EXPECT_EQ(order.phase, Switching);
+    EXPECT_TRUE(table.apply(phaseOf("v2", Completed), at(4)));
+    EXPECT_EQ(order.excluded, std::vector {model::TargetVersion("v1")});
+    // A rollout that has ended stays as it is.
+    EXPECT_TRUE(table.apply(phaseOf("v2", RolledBack), at(5)));
+    EXPECT_EQ(order.phase, Completed);
+    EXPECT_EQ(table.state().ordersPosition, at(4));
+}
+
+TEST(RoutingTableTest, RepeatedRolloutOrderIsAcknowledgedInEveryPhase)
+{
+    RoutingTable table;
+    EXPECT_TRUE(table.apply(rolloutOf("v2"), at(1)));
+    EXPECT_TRUE(table.answerFor(rolloutOf("v2")).value());
+    EXPECT_TRUE(table.apply(phaseOf("v2", model::RolloutPhase::RolledBack), at(2)));
+    EXPECT_TRUE(table.answerFor(rolloutOf("v2")).value());
+    EXPECT_EQ(table.state().rollouts.at(ServiceName("quotes")).phase, model::RolloutPhase::RolledBack);
+}
+
+TEST(RoutingTableTest, OnlyOneRolloutOfAServiceIsUnderWay)
+{
+    RoutingTable table;
+    EXPECT_TRUE(table.apply(rolloutOf("v2"), at(1)));
+    const BundleOutcome second = table.apply(rolloutOf("v3"), at(2));
+    ASSERT_FALSE(second);
+    EXPECT_EQ(second.error().kind, ControlErrorKind::UnderWay);
+    EXPECT_TRUE(table.apply(rolloutOf("v3", "files"), at(3)));
+    EXPECT_TRUE(table.apply(phaseOf("v2", model::RolloutPhase::RolledBack), at(4)));
+    EXPECT_TRUE(table.apply(rolloutOf("v3"), at(5)));
+    // The version that was rolled back stays excluded until it is rolled out again.
+    const model::RolloutOrder& order = table.state().rollouts.at(ServiceName("quotes"));
+    EXPECT_EQ(order.excluded, std::vector {model::TargetVersion("v2")});
+    EXPECT_TRUE(table.apply(phaseOf("v3", model::RolloutPhase::RolledBack), at(6)));
+    EXPECT_TRUE(table.apply(rolloutOf("v2"), at(7)));
+    EXPECT_EQ(order.excluded, std::vector {model::TargetVersion("v3")});
+}
+
+TEST(RoutingTableTest, SnapshotContainsRollouts)
+{
+    RoutingTable table;
+    EXPECT_TRUE(table.apply(rolloutOf("v2"), at(1)));
+    EXPECT_TRUE(table.apply(phaseOf("v2", model::RolloutPhase::Completed), at(2)));
+    const std::optional<RoutingTable> copy = RoutingTable::fromJson(table.toJson());
+    ASSERT_TRUE(copy);
+    EXPECT_EQ(copy->state().rollouts, table.state().rollouts);
+    nlohmann::json earlier = table.toJson();
+    earlier.erase("rollouts");
+    EXPECT_TRUE(RoutingTable::fromJson(earlier, false));
+    nlohmann::json invalid = table.toJson();
+    invalid["rollouts"][0]["phase"] = 4;
+    EXPECT_FALSE(RoutingTable::fromJson(invalid));
+}
+
 TEST(RoutingTableTest, SnapshotsOfEarlierVersionsAreReadable)
 {
     RoutingTable table;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -60,6 +60,8 @@
     Timestamp sentAt;
     Timestamp stallCheckAt; ///< When to check whether the target is unresponsive.
     double loadAtSend = 0;
+    VersionRole versionRole = VersionRole::Serving; ///< Of the target's software version.
+    bool isCompared = false; ///< Its answer counts for the rollout of the service.
     Choice choice = Choice::Other; ///< Rank of the target among the object's targets.
     bool isLikelyWarm = false; ///< The target recently answered for the object, as far as this gateway knows.
     Duration timeToHead {}; ///< From the last send to the head of the response.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -31,6 +31,8 @@
 constexpr double TtlsBeforeStop = 1.5;
 /// Bytes that were handed to the network reach the callers within this time.
 constexpr Duration ResponseFlushDelay = 100ms;
+/// The rest of the share is kept for requests that a restarted gateway sent before its restart.
+constexpr double UsedRolloutShare = 0.8;
 /// Reserved before the stop time limit for responses that are still being sent.
 constexpr Duration StopReserve = 500ms;
 
@@ -81,12 +83,15 @@
           .credits = credits_,
           .isRegistryLate
           = [this](Timestamp now) { return registry_.freshness(*replica_, now) == RegistryFreshness::Late; },
+          .isRegistryCurrent
+          = [this](Timestamp now) { return registry_.freshness(*replica_, now) == RegistryFreshness::Current; },
           .onDecided =
               [this](const Decision& decision, Timestamp now) {
                   decisions_.logDecision(
                       decision, {.plan = replica_->age(now), .registry = replica_->provenAnswerAge(now)}, now);
               }})
 {
+    targets_.rollouts().setShare(settings_.rolloutShare * UsedRolloutShare);
 }
 
 Duration GatewayCore::tickInterval() const { return TickInterval; }
@@ -118,6 +123,7 @@
     quarantine_.tick(now);
     updateLinks();
     sendLoads(now);
+    sendRolloutReports(now);
     updateStop(now);
     collectActions(now);
 }
@@ -205,6 +211,8 @@
 
 void GatewayCore::onTargetReport(const model::TargetReport& report, Timestamp now)
 {
+    if (report.gateways > 0)
+        retries_.setGateways(report.gateways);
     const size_t before = targets_.size();
     targets_.applyReport(report, now);
     runner_.onTargetsReplaced(targets_.drainReplaced(), now);
@@ -286,6 +294,21 @@
         actions_.emplace_back(requests::Action(model::OutgoingMessage {.to = host, .message = loads}));
 }
 
+/// The host that receives a report forwards it to the leader.
+void GatewayCore::sendRolloutReports(Timestamp now)
+{
+    const std::vector<HostId> hosts = roster_->sameRegionControlHosts();
+    if (hosts.empty())
+        return;
+    for (model::RolloutReport& report : targets_.rollouts().drainReports(now)) {
+        report.gateway = self_;
+        report.incarnation = incarnation_;
+        targets_.complete(report);
+        actions_.emplace_back(
+            requests::Action(model::OutgoingMessage {.to = hosts.front(), .message = std::move(report)}));
+    }
+}
+
 void GatewayCore::sendSuspects(Timestamp now)
 {
     const model::SuspectReport report {.requests = quarantine_.drainReports(now)};
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -57,6 +57,7 @@
     void updateSources(Timestamp now);
     void updateLinks();
     void sendLoads(Timestamp now);
+    void sendRolloutReports(Timestamp now);
     void sendSuspects(Timestamp now);
     void sendBackpressure(Timestamp now);
     void sendToRegionRegistries(const model::Message& message);
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -23,11 +23,14 @@
     uint64_t reopenedByReport = 0; ///< Number of the report that reopened the zone; 0 if it was never closed.
 };
 
+struct TargetVersionGroup;
+
 /// State of one incarnation of a target, from the registry's reports, the target's responses and this gateway's own
 /// requests.
 struct GatewayTarget {
     model::TargetRecord record;
     const TargetZone* zone = nullptr;
+    TargetVersionGroup* group = nullptr; ///< The targets of its service and version.
     uint64_t hash = 0; ///< Hash of the target's id, for ranking.
     uint64_t incarnationHash = 0; ///< Hash of the incarnation: warm objects and load belong to one incarnation.
     Timestamp addressSince {Duration::min() / 2}; ///< When this incarnation took its address over from another one.
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -5,8 +5,11 @@
  */
 #include "gateway/internal/placement.h"
 
+#include "base/unitinterval.h"
+
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <xxhash.h>
 
 namespace saltvane::gateway {
@@ -46,13 +49,6 @@
     return XXH64(both.data(), sizeof(both), 0);
 }
 
-/// Maps a hash to [0, 1).
-double toUnitInterval(uint64_t hash)
-{
-    constexpr int UnusedBits = 11;
-    return static_cast<double>(hash >> UnusedBits) * 0x1p-53;
-}
-
 double objectiveFactor(uint32_t rank)
 {
     return ObjectiveFactorByRank.at(std::min<size_t>(rank, ObjectiveFactorByRank.size() - 1));
@@ -104,6 +100,8 @@
     target.onAnswered(now);
     if (response.object)
         warmObjects_.recordResponse(*response.object, target.incarnationHash, now);
+    if (response.isOfTrial)
+        return;
     const ServiceName& service = target.record.service;
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, response.loadAtSend + 1 - slots) / slots;
@@ -218,20 +216,34 @@
     }
 }
 
+std::span<const TargetRanking::Ranked> Placement::trialTargets(
+    TargetRanking& ranking, uint64_t object, Proximity proximity) const
+{
+    const double count = std::ceil(static_cast<double>(ranking.size(proximity)) * targets_.rollouts().share());
+    const uint64_t subsets = static_cast<uint64_t>(count) / TargetRanking::MaxRanked + 1;
+    const auto targets = ranking.best(object % subsets, proximity);
+    return targets.first(std::min(targets.size(), static_cast<size_t>(count)));
+}
+
 Placement::Groups Placement::groupsFor(const PlacementQuery& query, uint64_t object, Timestamp now)
 {
     Groups groups;
-    TargetRanking* ranking = targets_.ranking(query.service.name);
-    if (ranking == nullptr)
-        return groups;
-    if (query.object) {
-        for (const Proximity proximity : AllProximities)
-            addCandidates(groups, ranking->best(object, proximity), proximity, query, now);
+    const TargetSet::Rankings rankings = targets_.rankings(query.service.name, query.role, now);
+    const bool isOnFewTargets = query.role == VersionRole::Trial && targets_.rollouts().isInTrial(query.service.name);
+    for (TargetRanking* ranking : rankings) {
+        for (const Proximity proximity : AllProximities) {
+            if (isOnFewTargets)
+                addCandidates(groups, trialTargets(*ranking, object, proximity), proximity, query, now);
+            else if (query.object)
+                addCandidates(groups, ranking->best(object, proximity), proximity, query, now);
+        }
     }
     // Without an object, or if all of the object's targets are closed or lost, any target is suitable.
-    if (groups.size() == 0) {
-        for (const Proximity proximity : AllProximities)
-            addCandidates(groups, ranking->sample(proximity, random_), proximity, query, now);
+    if (groups.size() == 0 && !isOnFewTargets) {
+        for (TargetRanking* ranking : rankings) {
+            for (const Proximity proximity : AllProximities)
+                addCandidates(groups, ranking->sample(proximity, random_), proximity, query, now);
+        }
     }
     return groups;
 }
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -29,6 +29,7 @@
     Duration elapsed {}; ///< Since the request arrived.
     Duration remaining {}; ///< Until the deadline.
     bool isRetry = false; ///< The request was sent before: a late response is wanted as well.
+    VersionRole role = VersionRole::Serving; ///< Only targets whose versions have this role are suitable.
     bool needsNoCredit = false; ///< Only targets without a limit are suitable.
     std::span<const TargetId> attemptedTargets;
 };
@@ -61,6 +62,7 @@
         Duration duration {}; ///< From sending the request to the head of the response.
         double loadAtSend = 0; ///< The target's load before this request.
         Choice choice = Choice::Other;
+        bool isOfTrial = false; ///< Of a version on trial: says nothing about the service's processing times.
     };
     void recordResponse(GatewayTarget& target, const Response& response, Timestamp now);
     void recordSent(const ServiceName& service, const TargetSelection& selection)
@@ -87,6 +89,10 @@
     };
 
     [[nodiscard]] Groups groupsFor(const PlacementQuery& query, uint64_t object, Timestamp now);
+    /// The targets on which all gateways place the requests of a trial: as large a part of the new version's targets as
+    /// its share of the requests, so that they are as busy as those of the other versions.
+    [[nodiscard]] std::span<const TargetRanking::Ranked> trialTargets(
+        TargetRanking& ranking, uint64_t object, Proximity proximity) const;
     void addCandidates(Groups& groups, std::span<const TargetRanking::Ranked> ranked, Proximity proximity,
         const PlacementQuery& query, Timestamp now) const;
 
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -18,6 +18,7 @@
 constexpr uint64_t MaxBufferedResponseBytes = 16 * 1024;
 
 constexpr int StatusMisdirected = 421;
+constexpr int FirstServerErrorStatus = 500;
 
 } // namespace
 
@@ -57,7 +58,9 @@
                 .object = exchange.object,
                 .duration = now - exchange.sentAt,
                 .loadAtSend = exchange.loadAtSend,
-                .choice = exchange.choice},
+                .choice = exchange.choice,
+                .isOfTrial = exchange.versionRole == VersionRole::Trial
+                    && options_.targets.rollouts().isInTrial(exchange.service)},
             now);
     stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
     exchange.phase = Exchange::Phase::ReceivingResponse;
@@ -110,6 +113,7 @@
     releaseTarget(exchange);
     options_.quarantine.onAnswered(exchange.digest, now);
     const int status = exchange.response.status;
+    recordAnswer(exchange, status >= FirstServerErrorStatus ? std::nullopt : std::optional(exchange.timeToHead));
     if (exchange.phase == Exchange::Phase::Streaming) {
         actions_.emplace_back(requests::HttpResponseBody {.handle = exchange.handle, .isLast = true});
     } else {
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -24,6 +24,8 @@
 
 /// A connection that was idle since before the present incarnation took the address belongs to the previous one.
 constexpr Duration IdlePrecision = 1s;
+/// Spreads consecutive numbers over all hashes (the golden ratio).
+constexpr uint64_t HashMultiplier = 0x9e3779b97f4a7c15;
 
 std::string millisecondsText(Duration duration)
 {
@@ -100,16 +102,51 @@
     const model::RoutedService* service = routes_->plan().findService(exchange.service);
     if (service == nullptr)
         return PlacementRefusal {.reason = model::Reason::UnknownService, .retryAfter = DefaultRetryAfter};
-    return options_.placement.choose({.route = exchange.route,
-                                         .service = *service,
-                                         .account = exchange.account ? &exchange.account->account : nullptr,
-                                         .object = exchange.object,
-                                         .elapsed = now - exchange.startedAt,
-                                         .remaining = exchange.deadline - now,
-                                         .isRetry = !exchange.attemptedTargets.empty(),
-                                         .needsNoCredit = !mayAwaitCredit,
-                                         .attemptedTargets = exchange.attemptedTargets},
-        now);
+    PlacementQuery query {.route = exchange.route,
+        .service = *service,
+        .account = exchange.account ? &exchange.account->account : nullptr,
+        .object = exchange.object,
+        .elapsed = now - exchange.startedAt,
+        .remaining = exchange.deadline - now,
+        .isRetry = !exchange.attemptedTargets.empty(),
+        .needsNoCredit = !mayAwaitCredit,
+        .attemptedTargets = exchange.attemptedTargets};
+    if (!query.isRetry && isForNewVersion(exchange, now)) {
+        query.role = VersionRole::Trial;
+        const auto choice = options_.placement.choose(query, now);
+        if (std::holds_alternative<TargetSelection>(choice))
+            return choice;
+        query.role = VersionRole::Serving;
+    }
+    return options_.placement.choose(query, now);
+}
+
+bool RequestRunner::isForNewVersion(const Exchange& exchange, Timestamp now) const
+{
+    const RolloutTable& rollouts = options_.targets.rollouts();
+    return rollouts.isUnderWay(exchange.service)
+        && rollouts.mayUseTrial(exchange.service, exchange.object.value_or(exchange.handle.value * HashMultiplier),
+            options_.isRegistryCurrent(now), now);
+}
+
+void RequestRunner::startComparison(Exchange& exchange, const GatewayTarget& target, Timestamp now)
+{
+    RolloutTable& rollouts = options_.targets.rollouts();
+    exchange.isCompared = rollouts.isUnderWay(exchange.service);
+    if (!exchange.isCompared)
+        return;
+    exchange.versionRole = rollouts.roleOf(exchange.service, target.record.version, now);
+    rollouts.recordSent(exchange.service, exchange.versionRole);
+    if (target.isSlowStarting(now))
+        exchange.isCompared = false;
+}
+
+void RequestRunner::recordAnswer(Exchange& exchange, std::optional<Duration> time)
+{
+    if (!std::exchange(exchange.isCompared, false))
+        return;
+    options_.targets.rollouts().recordAnswer(
+        {.service = exchange.service, .route = exchange.route.name, .role = exchange.versionRole, .time = time});
 }
 
 void RequestRunner::dispatch(Exchange& exchange, Timestamp now)
@@ -142,6 +179,7 @@
     exchange.limit = target.backpressure.limit;
     if (exchange.limit)
         options_.counters.add(model::Counter::LimitedDispatches);
+    startComparison(exchange, target, now);
     options_.targets.recordSent(target, service, now);
     options_.split.recordUse(service.name);
     options_.counters.add(model::Counter::Dispatches);
@@ -237,6 +275,7 @@
     const bool mayRetry = exchange.route.kind != model::RouteKind::AtMostOnce;
     if (!mayRetry || std::holds_alternative<PlacementRefusal>(choice) || !mayRetryElsewhere(exchange, now))
         return;
+    recordAnswer(exchange, now - exchange.sentAt);
     exchange.mayHaveRun = true;
     onRunAbandoned(exchange, now);
     exchange.lastReason = model::Reason::TargetStalled;
@@ -262,6 +301,7 @@
         if (exchange == nullptr)
             continue;
         if (exchange->dispatch.value != 0) {
+            recordAnswer(*exchange, now - exchange->sentAt);
             exchange->mayHaveRun = true;
             onRunAbandoned(*exchange, now);
             actions_.emplace_back(requests::TargetCancel {.dispatch = exchange->dispatch});
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -54,6 +54,8 @@
         LimitCredits& credits;
         /// Whether the state of targets and the plan is too old to send requests by.
         std::function<bool(Timestamp)> isRegistryLate;
+        /// Whether that state is known to be current.
+        std::function<bool(Timestamp)> isRegistryCurrent;
         std::function<void(const Decision&, Timestamp)> onDecided;
     };
     explicit RequestRunner(Options options);
@@ -117,7 +119,13 @@
     /// `mayAwaitCredit`: targets with a limit may be selected.
     [[nodiscard]] std::variant<TargetSelection, PlacementRefusal> choose(
         const Exchange& exchange, Timestamp now, bool mayAwaitCredit = true);
+    /// Whether a rollout assigns the request to the new version of its service.
+    [[nodiscard]] bool isForNewVersion(const Exchange& exchange, Timestamp now) const;
     void send(Exchange& exchange, const TargetSelection& selection, Timestamp now);
+    /// Records the target's version for the rollout of the service.
+    void startComparison(Exchange& exchange, const GatewayTarget& target, Timestamp now);
+    /// Counts the answer for the rollout of its service. `time`: its processing time; no value: it failed.
+    void recordAnswer(Exchange& exchange, std::optional<Duration> time);
     /// The target refused the request or failed: retries at another target, or fails the request.
     void retryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now);
     [[nodiscard]] bool mayRetryElsewhere(const Exchange& exchange, Timestamp now);
--- a/src/gateway/internal/targetranking.cpp
+++ b/src/gateway/internal/targetranking.cpp
@@ -38,6 +38,8 @@
     return all;
 }
 
+size_t TargetRanking::size(Proximity proximity) const { return members_[indexOf(proximity)].size(); }
+
 void TargetRanking::insert(std::vector<Ranked>& list, const Ranked& ranked, bool hasAll)
 {
     if (!hasAll && (list.empty() || ranked.score < list.back().score))
--- a/src/gateway/internal/targetranking.h
+++ b/src/gateway/internal/targetranking.h
@@ -34,6 +34,7 @@
     void add(GatewayTarget& target, Proximity proximity);
     void remove(const GatewayTarget& target, Proximity proximity);
     [[nodiscard]] size_t size() const;
+    [[nodiscard]] size_t size(Proximity proximity) const;
     /// The best targets for an object, best first, at most Kept; valid until the next call of a non-const function.
     [[nodiscard]] std::span<const Ranked> best(uint64_t object, Proximity proximity);
     /// A random sample of targets, for requests without an object: at most Kept, best first.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -25,6 +25,8 @@
 /// Targets whose capacity is recounted per tick: with ticks of 20 ms, all 1,356 targets of a large deployment are
 /// recounted in less than half a second, as often as shares of regions may move.
 constexpr size_t CapacityUpdatesPerTick = 64;
+/// Longer than an acknowledged order takes to reach a gateway.
+constexpr Duration NewVersionDelay = 3s;
 
 } // namespace
 
@@ -63,6 +65,7 @@
         }
         zone.isClosed = isClosed;
     }
+    rollouts_.apply(report.rollouts, now);
 }
 
 void TargetSet::applyRetired(std::span<const model::TargetIncarnation> retired)
@@ -97,7 +100,7 @@
         replaced_.push_back(known->targetIncarnation());
         remove(*known);
     }
-    GatewayTarget& target = add(record);
+    GatewayTarget& target = add(record, now);
     if (isAddressUsed)
         target.addressSince = now;
     update(target, record, now);
@@ -113,7 +116,7 @@
     return !record.isRecalled && !isOfEarlier;
 }
 
-GatewayTarget& TargetSet::add(const model::TargetRecord& record)
+GatewayTarget& TargetSet::add(const model::TargetRecord& record, Timestamp now)
 {
     std::unique_ptr<GatewayTarget>& slot = targets_[record.target];
     slot = std::make_unique<GatewayTarget>();
@@ -129,15 +132,41 @@
     target.position = all_.size();
     all_.push_back(&target);
     byIncarnationHash_.insert_or_assign(target.incarnationHash, &target);
-    addToIndexes(target);
+    addToIndexes(target, now);
     return target;
 }
 
-void TargetSet::addToIndexes(GatewayTarget& target)
+TargetVersionGroup& TargetSet::groupOf(const model::TargetRecord& record, Timestamp now)
+{
+    auto& versions = services_[record.service].versions;
+    if (const auto known = versions.find(record.version); known != versions.end())
+        return known->second;
+    if (versions.size() >= MaxVersions)
+        std::erase_if(versions, [](const auto& item) { return item.second.ranking.size() == 0; });
+    if (versions.size() >= MaxVersions)
+        return versions.rbegin()->second;
+    return versions.emplace(record.version, TargetVersionGroup {.firstSeenAt = now}).first->second;
+}
+
+void TargetSet::addToRanking(GatewayTarget& target, Timestamp now)
+{
+    target.group = &groupOf(target.record, now);
+    target.group->ranking.add(target, proximityOf(target));
+    target.group->slots += target.record.slots;
+}
+
+void TargetSet::removeFromRanking(GatewayTarget& target)
+{
+    target.group->ranking.remove(target, proximityOf(target));
+    target.group->slots -= target.record.slots;
+    target.group = nullptr;
+}
+
+void TargetSet::addToIndexes(GatewayTarget& target, Timestamp now)
 {
     byAddress_.insert_or_assign(target.record.address, &target);
     if (!target.record.isLeaving)
-        services_[target.record.service].ranking.add(target, proximityOf(target));
+        addToRanking(target, now);
 }
 
 void TargetSet::removeFromIndexes(GatewayTarget& target)
@@ -146,7 +175,7 @@
         byAddress_.erase(target.record.address);
     Service& service = services_[target.record.service];
     if (!target.record.isLeaving)
-        service.ranking.remove(target, proximityOf(target));
+        removeFromRanking(target);
     Service::Capacity& capacity = service.capacityByRegion[target.zone->region];
     capacity.slots -= target.countedSlots;
     capacity.load -= target.countedLoad;
@@ -171,7 +200,8 @@
 {
     const bool wasLeaving = target.record.isLeaving;
     const bool isMoved = record.address != target.record.address || record.zone != target.record.zone
-        || record.service != target.record.service || record.slots != target.record.slots;
+        || record.service != target.record.service || record.version != target.record.version
+        || record.slots != target.record.slots;
     if (isMoved) {
         displaceOtherAt(record, now);
         removeFromIndexes(target);
@@ -180,7 +210,7 @@
     target.record.isLeaving = wasLeaving;
     if (isMoved) {
         target.zone = &zoneOf(record.zone);
-        addToIndexes(target);
+        addToIndexes(target, now);
     }
     if (record.isLeaving || retired_.contains(target.targetIncarnation()))
         markLeaving(target);
@@ -275,7 +305,7 @@
 {
     if (std::exchange(target.record.isLeaving, true))
         return;
-    services_[target.record.service].ranking.remove(target, proximityOf(target));
+    removeFromRanking(target);
 }
 
 void TargetSet::tick(Timestamp now)
@@ -291,7 +321,10 @@
 {
     // Counted without regard to credits, which change several times per second.
     const bool isBackingOff = now < target.backpressure.backoffUntil;
-    const bool isCounted = !isBackingOff && target.isAvailable(now) && !target.isSlowStarting(now);
+    const VersionRole role = rollouts_.roleOf(target.record.service, target.record.version, now);
+    const bool isInUse
+        = role == VersionRole::Serving || (role == VersionRole::Trial && !rollouts_.isInTrial(target.record.service));
+    const bool isCounted = isInUse && !isBackingOff && target.isAvailable(now) && !target.isSlowStarting(now);
     const double slots = isCounted ? target.usableSlots() : 0;
     const double load = isCounted ? target.load(now) : 0;
     Service::Capacity& capacity = services_[target.record.service].capacityByRegion[target.zone->region];
@@ -337,16 +370,63 @@
     return known != nullptr && known->record.incarnation == targetIncarnation.incarnation ? known : nullptr;
 }
 
-TargetRanking* TargetSet::ranking(const ServiceName& service)
+bool TargetSet::isUnconfirmed(
+    const ServiceName& name, const Service& service, const TargetVersionGroup& group, Timestamp now) const
+{
+    if (now - group.firstSeenAt >= NewVersionDelay)
+        return false;
+    return std::ranges::any_of(service.versions, [&](const auto& item) {
+        const TargetVersionGroup& other = item.second;
+        return other.ranking.size() > 0 && other.firstSeenAt + NewVersionDelay <= group.firstSeenAt
+            && rollouts_.roleOf(name, item.first, now) == VersionRole::Serving;
+    });
+}
+
+TargetSet::Rankings TargetSet::rankings(const ServiceName& service, VersionRole role, Timestamp now)
 {
+    Rankings rankings;
     const auto found = services_.find(service);
-    return found == services_.end() ? nullptr : &found->second.ranking;
+    if (found == services_.end())
+        return rankings;
+    const bool isRolloutUnderWay = rollouts_.isUnderWay(service);
+    for (auto& [version, group] : found->second.versions) {
+        const bool isMember = group.ranking.size() > 0 && rollouts_.roleOf(service, version, now) == role;
+        if (isMember && (isRolloutUnderWay || !isUnconfirmed(service, found->second, group, now)))
+            rankings.push_back(&group.ranking);
+    }
+    if (rankings.empty() && role == VersionRole::Serving)
+        return this->rankings(service, VersionRole::Trial, now);
+    return rankings;
+}
+
+void TargetSet::complete(model::RolloutReport& report) const
+{
+    const auto found = services_.find(report.service);
+    if (found == services_.end())
+        return;
+    for (const auto& [version, group] : found->second.versions) {
+        if (version == report.version) {
+            report.trialSlots = static_cast<uint32_t>(group.slots);
+            continue;
+        }
+        report.otherSlots += static_cast<uint32_t>(group.slots);
+        report.otherVersions.push_back(version);
+    }
+    for (const GatewayTarget& target : busy_) {
+        if (target.record.service == report.service && target.record.version != report.version)
+            report.otherInFlight += target.inFlight;
+    }
 }
 
 size_t TargetSet::countOf(const ServiceName& service) const
 {
     const auto found = services_.find(service);
-    return found == services_.end() ? 0 : found->second.ranking.size();
+    if (found == services_.end())
+        return 0;
+    size_t count = 0;
+    for (const auto& [version, group] : found->second.versions)
+        count += group.ranking.size();
+    return count;
 }
 
 ServiceCapacity TargetSet::capacityOf(const ServiceName& service) const
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -6,11 +6,13 @@
 #pragma once
 
 #include "gateway/internal/gatewaytarget.h"
+#include "gateway/internal/rollouttable.h"
 #include "gateway/internal/targetranking.h"
 #include "membership/displacedtargets.h"
 #include "membership/retiredtargets.h"
 #include "model/routeplan.h"
 
+#include <boost/container/static_vector.hpp>
 #include <map>
 #include <memory>
 #include <span>
@@ -19,6 +21,13 @@
 
 namespace saltvane::gateway {
 
+/// The targets of one service that report the same software version.
+struct TargetVersionGroup {
+    TargetRanking ranking;
+    uint64_t slots = 0;
+    Timestamp firstSeenAt;
+};
+
 /// Usable slots of a service's targets and their load.
 struct ServiceCapacity {
     double localSlots = 0; ///< In this gateway's region.
@@ -59,8 +68,14 @@
 
     /// Returns null if the id belongs to another incarnation by now.
     [[nodiscard]] GatewayTarget* find(const model::TargetIncarnation& targetIncarnation) const;
-    /// Returns null if no target of the service was ever listed.
-    [[nodiscard]] TargetRanking* ranking(const ServiceName& service);
+    /// Software versions of a service that are told apart; the targets of any further version count as one of them.
+    static constexpr size_t MaxVersions = 8;
+    using Rankings = boost::container::static_vector<TargetRanking*, MaxVersions>;
+    /// The targets of the service whose versions have this role. If no version serves, those on trial do.
+    [[nodiscard]] Rankings rankings(const ServiceName& service, VersionRole role, Timestamp now);
+    [[nodiscard]] RolloutTable& rollouts() { return rollouts_; }
+    /// Adds what this gateway knows of the service's targets.
+    void complete(model::RolloutReport& report) const;
     [[nodiscard]] ServiceCapacity capacityOf(const ServiceName& service) const;
     [[nodiscard]] size_t countOf(const ServiceName& service) const;
     /// Whether new requests may be sent to the target; during its slow start only within its rate.
@@ -72,7 +87,7 @@
 
 private:
     struct Service {
-        TargetRanking ranking;
+        std::map<model::TargetVersion, TargetVersionGroup> versions;
         struct Capacity {
             double slots = 0;
             double load = 0;
@@ -86,7 +101,7 @@
     void applyRecord(const model::TargetRecord& record, Timestamp now);
     /// Whether a record of an unknown incarnation may be added as a target.
     [[nodiscard]] bool mayAdd(const model::TargetRecord& record) const;
-    GatewayTarget& add(const model::TargetRecord& record);
+    GatewayTarget& add(const model::TargetRecord& record, Timestamp now);
     void remove(GatewayTarget& target);
     void update(GatewayTarget& target, const model::TargetRecord& record, Timestamp now);
     void displaceOtherAt(const model::TargetRecord& record, Timestamp now);
@@ -96,7 +111,13 @@
     TargetZone& zoneOf(const ZoneName& name);
     /// The target gets no new requests any more, so it is removed from the ranking.
     void markLeaving(GatewayTarget& target);
-    void addToIndexes(GatewayTarget& target);
+    [[nodiscard]] TargetVersionGroup& groupOf(const model::TargetRecord& record, Timestamp now);
+    /// A version that appeared just now beside established ones: an order to roll it out may be on its way.
+    [[nodiscard]] bool isUnconfirmed(
+        const ServiceName& name, const Service& service, const TargetVersionGroup& group, Timestamp now) const;
+    void addToRanking(GatewayTarget& target, Timestamp now);
+    void removeFromRanking(GatewayTarget& target);
+    void addToIndexes(GatewayTarget& target, Timestamp now);
     void removeFromIndexes(GatewayTarget& target);
     void updateCapacity(GatewayTarget& target, Timestamp now);
     void expire(Timestamp now);
@@ -105,6 +126,7 @@
 
     Location location_;
     LogPosition orders_;
+    RolloutTable rollouts_;
     std::map<ZoneName, TargetZone> zones_;
     membership::RetiredTargets retired_;
     membership::DisplacedTargets displaced_;
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -44,6 +44,7 @@
     settings::RoutedHostSettings settings = sampleSettings();
     settings.leaveLimit = options.leaveLimit;
     settings.planLimit = options.planLimit;
+    settings.rolloutShare = options.rolloutShare;
     gateway_ = makeGateway({.settings = settings, .incarnation = {1}});
     advance(Tick);
 }
@@ -81,6 +82,10 @@
             = outgoing == nullptr ? nullptr : std::get_if<model::BackpressureReport>(&outgoing->message);
         if (backpressure != nullptr)
             backpressure_.insert(backpressure_.end(), backpressure->notices.begin(), backpressure->notices.end());
+        const auto* const rollout
+            = outgoing == nullptr ? nullptr : std::get_if<model::RolloutReport>(&outgoing->message);
+        if (rollout != nullptr)
+            rolloutReports_.push_back(*rollout);
         if (auto* start = std::get_if<requests::TargetStart>(request))
             (start->path == "/health" ? probes_ : starts_).push_back(std::move(*start));
         else if (auto* response = std::get_if<requests::HttpRespond>(request))
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -23,6 +23,7 @@
     struct FixtureOptions {
         Duration leaveLimit = 2500ms;
         Duration planLimit = 2500ms;
+        double rolloutShare = 0.05;
     };
     GatewayFixture();
     explicit GatewayFixture(const FixtureOptions& options);
@@ -83,6 +84,8 @@
     [[nodiscard]] std::vector<model::LimitCreditAsk> takeCreditRequests() { return std::exchange(creditRequests_, {}); }
     /// Limits reported to the registry since the last call.
     [[nodiscard]] std::vector<model::BackpressureNotice> takeBackpressure() { return std::exchange(backpressure_, {}); }
+    /// Reports about rollouts since the last call.
+    [[nodiscard]] std::vector<model::RolloutReport> takeRolloutReports() { return std::exchange(rolloutReports_, {}); }
     /// Log lines of request outcomes.
     [[nodiscard]] std::vector<std::string> takeDecisions();
     /// All other log lines.
@@ -110,6 +113,7 @@
     uint64_t pullToAnswer_ = 0;
     std::vector<model::LimitCreditAsk> creditRequests_;
     std::vector<model::BackpressureNotice> backpressure_;
+    std::vector<model::RolloutReport> rolloutReports_;
     std::vector<std::string> decisions_;
     std::vector<std::string> lines_; ///< All other log lines.
 };
--- a/src/host/internal/controlapi.cpp
+++ b/src/host/internal/controlapi.cpp
@@ -61,6 +61,7 @@
     ErrorInfo {control::ControlErrorKind::NotCurrent, 503, "not-current"},
     ErrorInfo {control::ControlErrorKind::NotLeader, 421, "not-leader"},
     ErrorInfo {control::ControlErrorKind::Conflict, 409, "conflict"},
+    ErrorInfo {control::ControlErrorKind::UnderWay, 409, "under-way"},
     ErrorInfo {control::ControlErrorKind::NotFound, 404, "not-found"},
     ErrorInfo {control::ControlErrorKind::BadSignature, 403, "bad-signature"},
     ErrorInfo {control::ControlErrorKind::UnknownOperator, 403, "unknown-operator"},
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -8,6 +8,7 @@
 #include "base/ids.h"
 #include "base/timetypes.h"
 #include "model/hostmessages.h"
+#include "model/rolloutmessages.h"
 
 #include <cstdint>
 #include <vector>
@@ -32,6 +33,7 @@
     TargetId target;
     Incarnation incarnation; ///< As in TargetIncarnation.
     ServiceName service;
+    TargetVersion version; ///< Of its software.
     Address address;
     ZoneName zone;
     uint32_t slots = 0; ///< Number of requests that it processes concurrently.
@@ -52,6 +54,8 @@
     std::vector<ZoneName> evacuatedZones; ///< The complete list.
     std::vector<TargetIncarnation> retired; ///< These and all earlier incarnations get no new work from now on.
     std::vector<TargetRecord> targets;
+    std::vector<RolloutOrder> rollouts; ///< The complete list.
+    uint32_t gateways = 0; ///< Gateways in contact with the control host; 0: unknown.
 };
 
 /// Position of a target in the placement of objects; the same for all its incarnations, so that objects are placed on
--- a/src/registry/internal/calls.cpp
+++ b/src/registry/internal/calls.cpp
@@ -6,6 +6,7 @@
 #include "registry/internal/calls.h"
 
 #include "model/textchecks.h"
+#include "registry/internal/bodyreader.h"
 #include "registry/internal/lookups.h"
 #include "requests/headerfilter.h"
 #include "settings/routeplanformat.h"
@@ -24,11 +25,17 @@
 constexpr std::string_view HeartbeatSuffix = "/heartbeat";
 constexpr std::string_view LeaveSuffix = "/leave";
 constexpr std::string_view EvacuationsPrefix = "/v1/evacuations/";
+constexpr std::string_view RolloutsPath = "/v1/rollouts";
+constexpr std::string_view RolloutsPrefix = "/v1/rollouts/";
 constexpr std::string_view PlanPath = "/v1/plan";
 constexpr std::string_view EntryPath = "/v1/entry";
 constexpr std::string_view StatusPath = "/v1/status";
 constexpr std::string_view RetryAfterSeconds = "0.2"; ///< About the duration of an election's first round.
 
+// A rollout takes its trial, the switch and the last requests of the former version.
+constexpr Duration MinRolloutTime = 2s;
+constexpr Duration MaxRolloutTime = 24h;
+
 constexpr int StatusBadRequest = 400;
 constexpr int StatusRedirect = 307;
 constexpr int StatusUnavailable = 503;
@@ -81,6 +88,10 @@
         return ReadPlanCall {};
     if (path.starts_with(EvacuationsPrefix))
         return readEvacuationCall(method, path);
+    if (method == "POST" && path == RolloutsPath)
+        return StartRolloutCall {};
+    if (method == "GET" && path.starts_with(RolloutsPrefix))
+        return RolloutStatusCall {ServiceName(path.substr(RolloutsPrefix.size()))};
     if (method == "GET" && path == StatusPath)
         return StatusCall {};
     return UnknownCall {};
@@ -107,6 +118,21 @@
     return services;
 }
 
+Result<control::StartRollout, Findings> readRolloutOrder(std::string_view body)
+{
+    BodyReader reader("rollout", body);
+    if (!reader.findings().isEmpty())
+        return reader.findings();
+    control::StartRollout order {.service = ServiceName(reader.name("service")),
+        .version = model::TargetVersion(reader.version("to_version")),
+        .timeLimit = reader.seconds("duration_s", MinRolloutTime, MaxRolloutTime)};
+    if (order.version.isEmpty())
+        reader.add("to_version", "must be the version of targets that report one");
+    if (!reader.findings().isEmpty())
+        return reader.findings();
+    return order;
+}
+
 requests::HttpRespond jsonAnswer(requests::HttpHandle handle, int status, std::string body)
 {
     const uint64_t length = body.size();
--- a/src/registry/internal/calls.h
+++ b/src/registry/internal/calls.h
@@ -39,10 +39,14 @@
     ZoneName zone;
     bool isEvacuated = false;
 };
+struct StartRolloutCall { };
+struct RolloutStatusCall {
+    ServiceName service;
+};
 struct StatusCall { };
 struct UnknownCall { };
 using Call = std::variant<LookUpCall, TargetHeartbeatCall, TargetLeaveCall, ReplacePlanCall, ReadPlanCall,
-    EvacuationCall, StatusCall, UnknownCall>;
+    EvacuationCall, StartRolloutCall, RolloutStatusCall, StatusCall, UnknownCall>;
 
 /// Considers method, path and headers only; the body comes later.
 [[nodiscard]] Call readCall(const requests::HttpRequestStarted& request, const settings::HeaderNames& headers);
@@ -51,6 +55,9 @@
 /// The services named in a plan's text, which is not validated.
 [[nodiscard]] std::set<ServiceName> uncheckedServices(std::string_view plan);
 
+/// The body of an order to start a rollout.
+[[nodiscard]] Result<control::StartRollout, Findings> readRolloutOrder(std::string_view body);
+
 [[nodiscard]] requests::HttpRespond jsonAnswer(requests::HttpHandle handle, int status, std::string body);
 [[nodiscard]] requests::HttpRespond errorAnswer(requests::HttpHandle handle, int status, std::string_view message);
 [[nodiscard]] requests::HttpRespond findingsAnswer(requests::HttpHandle handle, const std::vector<Finding>& findings);
--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -18,7 +18,8 @@
 constexpr int StatusOk = 200;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 412;
+constexpr int StatusConflict = 409;
+constexpr int StatusPreconditionFailed = 412;
 /// Share of a host's memory for bodies of calls, orders and plans being sent: 16 MB of 256.
 constexpr uint64_t CallMemoryDivisor = 16;
 
@@ -88,15 +89,20 @@
 
 bool RegistryCore::isServiceInPlan(const model::TargetRecord& record)
 {
-    const control::RoutingState& routing = replica_->routing();
-    if (routing.planVersion.value == 0)
+    if (replica_->routing().planVersion.value == 0)
         return true; // Targets may report before the first plan.
+    // A target whose service was removed by a newer plan must still be able to leave.
+    return planServices().contains(record.service) || targets_.isKnown(record.target, record.service);
+}
+
+const std::set<ServiceName>& RegistryCore::planServices()
+{
+    const control::RoutingState& routing = replica_->routing();
     if (servicesPosition_ != routing.planPosition) {
         servicesPosition_ = routing.planPosition;
         services_ = uncheckedServices(routing.planContent);
     }
-    // A target whose service was removed by a newer plan must still be able to leave.
-    return services_.contains(record.service) || targets_.isKnown(record.target, record.service);
+    return services_;
 }
 
 void RegistryCore::retire(requests::HttpHandle handle, const model::TargetIncarnation& targetIncarnation, Timestamp now)
@@ -207,6 +213,8 @@
     }
     const control::ControlError& error = std::get<OrderRefused>(order.outcome).error;
     if (error.kind == control::ControlErrorKind::Conflict)
+        return errorAnswer(order.handle, StatusPreconditionFailed, error.message);
+    if (error.kind == control::ControlErrorKind::UnderWay)
         return errorAnswer(order.handle, StatusConflict, error.message);
     if (!error.findings.empty())
         return findingsAnswer(order.handle, error.findings);
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -87,6 +87,7 @@
     , targets_(settings_.zones)
     , orders_(*replica_)
     , nearestGateways_({.host = self_, .zone = settings_.zone, .region = settings_.region})
+    , rollouts_(rollout::makeRolloutController())
     , recalled_(options.softState.targets.targets)
     , recalledVerdicts_(options.softState.suspects.requests)
 {
@@ -115,6 +116,7 @@
     reportTargets(now);
     writeSoftState(now);
     reportLoads(now);
+    decideRollouts(now);
     suspects_.tick(now);
     updateCredits(now);
     updateLinks();
@@ -186,6 +188,8 @@
         return credits_ ? credits_->handle(delivery.from, *creditReply, now) : void();
     if (const auto* backpressure = std::get_if<model::BackpressureReport>(&delivery.message))
         return accept(*backpressure, delivery.from, now);
+    if (const auto* rolloutReport = std::get_if<model::RolloutReport>(&delivery.message))
+        return accept(*rolloutReport, now);
     if (const auto* leaving = std::get_if<model::TargetReport>(&delivery.message))
         return accept(*leaving, delivery.from, now);
     const bool isGatewayReport = std::holds_alternative<model::Heartbeat>(delivery.message);
@@ -197,7 +201,7 @@
     if (!syncedGateways_.insert(delivery.from).second)
         return;
     gatewaysUpdatedAt_.reset(); // Includes it in gateways() at once.
-    model::TargetReport report = makeReport();
+    model::TargetReport report = makeReport(now);
     const control::RoutingState& routing = replica_->routing();
     const auto& retired = routing.retiredTargets.inOrder();
     const size_t skipped = retired.size() - std::min(retired.size(), MaxRetiredSent);
@@ -295,6 +299,11 @@
 
 host::HostStatus RegistryCore::status(Timestamp now) const
 {
+    std::map<ServiceName, model::RolloutPhase> rollouts;
+    if (replica_->isCurrent(now)) {
+        for (const auto& [service, order] : replica_->routing().rollouts)
+            rollouts.emplace(service, order.phase);
+    }
     return {
         .host = self_,
         .incarnation = incarnation_,
@@ -307,6 +316,7 @@
         .stateAge = replica_->proofAge(now),
         .targetsKnown = static_cast<uint32_t>(targets_.size()),
         .gatewaysKnown = static_cast<uint32_t>(gateways(now).size()),
+        .rollouts = std::move(rollouts),
         .callBytes = callBytes_,
     };
 }
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -18,6 +18,7 @@
 #include "registry/internal/suspectrelay.h"
 #include "registry/internal/targettable.h"
 #include "registry/iregistry.h"
+#include "rollout/irolloutcontroller.h"
 #include "settings/routeplanreader.h"
 
 #include <set>
@@ -75,6 +76,8 @@
     void run(requests::HttpHandle handle, const ReplacePlanCall& call, OpenCall& openCall, Timestamp now);
     void run(requests::HttpHandle handle, ReadPlanCall call, OpenCall& openCall, Timestamp now);
     void run(requests::HttpHandle handle, const EvacuationCall& call, OpenCall& openCall, Timestamp now);
+    void run(requests::HttpHandle handle, StartRolloutCall call, OpenCall& openCall, Timestamp now);
+    void run(requests::HttpHandle handle, const RolloutStatusCall& call, OpenCall& openCall, Timestamp now);
     void run(requests::HttpHandle handle, StatusCall call, OpenCall& openCall, Timestamp now);
     void run(requests::HttpHandle handle, UnknownCall call, OpenCall& openCall, Timestamp now);
 
@@ -83,6 +86,8 @@
     void refuseReport(requests::HttpHandle handle, const OpenCall& openCall, const Findings& findings, Timestamp now);
     /// Whether the target's service is in the plan in force; otherwise the target doesn't belong to this deployment.
     [[nodiscard]] bool isServiceInPlan(const model::TargetRecord& record);
+    /// The services of the plan in force; empty before the first plan.
+    [[nodiscard]] const std::set<ServiceName>& planServices();
     void retire(requests::HttpHandle handle, const model::TargetIncarnation& targetIncarnation, Timestamp now);
     void answer(requests::HttpRespond respond);
     void answerOrders();
@@ -116,6 +121,9 @@
     /// Targets that announced to a gateway that they leave.
     void accept(const model::TargetReport& report, const HostId& from, Timestamp now);
     void accept(const model::BackpressureReport& report, const HostId& from, Timestamp now);
+    void accept(const model::RolloutReport& report, Timestamp now);
+    /// The leader moves rollouts to their next phases.
+    void decideRollouts(Timestamp now);
     void relayFromGateway(const model::Message& message, const HostId& from, Timestamp now);
     /// Forwards changes of targets' limits that gateways reported.
     void reportLimits(Timestamp now);
@@ -124,7 +132,7 @@
     /// Updates the limits of the plan's client accounts, and the hosts among which they are divided.
     void updateCredits(Timestamp now);
     void sendVerdicts(const HostId& host, Timestamp now);
-    [[nodiscard]] model::TargetReport makeReport() const;
+    [[nodiscard]] model::TargetReport makeReport(Timestamp now) const;
     /// Gateways with a recent heartbeat; the result is cached for ReportInterval.
     [[nodiscard]] std::span<const HostLocation> gateways(Timestamp now) const;
     [[nodiscard]] std::vector<HostLocation> liveRegistryHosts(Timestamp now) const;
@@ -161,6 +169,8 @@
     NearestGateways nearestGateways_;
     SuspectRelay suspects_;
     std::optional<CreditPool> credits_; ///< Created by the first tick.
+    std::unique_ptr<rollout::IRolloutController> rollouts_;
+    Timestamp nextRolloutDecisionsAt_ {};
     settings::RoutePlanReader accountReader_;
     Timestamp nextHoldersAt_ {};
     LogPosition accountsPosition_; ///< Of the plan that the account limits come from.
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -39,7 +39,11 @@
             targets_.awaitReportsOf(zone, now);
     }
     evacuated_ = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()};
-    model::TargetReport report = makeReport();
+    std::vector<model::RolloutOrder> rollouts;
+    for (const auto& [service, order] : routing.rollouts)
+        rollouts.push_back(order);
+    rollouts_->setOrders(rollouts, now);
+    model::TargetReport report = makeReport(now);
     report.retired = drainNewlyRetired();
     sendToGateways(report);
 }
@@ -82,11 +86,17 @@
     (void)bundleReplica_->popInstalled(); // A registry host routes no requests by the plan.
 }
 
-model::TargetReport RegistryCore::makeReport() const
+model::TargetReport RegistryCore::makeReport(Timestamp now) const
 {
     const control::RoutingState& routing = replica_->routing();
-    return {.orders = routing.ordersPosition,
-        .evacuatedZones = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()}};
+    model::TargetReport report {.orders = routing.ordersPosition,
+        .evacuatedZones = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()},
+        .gateways = static_cast<uint32_t>(gateways(now).size())};
+    for (const auto& [service, order] : routing.rollouts) {
+        report.rollouts.push_back(order);
+        report.rollouts.back().timeLimit = rollouts_->timeLeft(order, now);
+    }
+    return report;
 }
 
 void RegistryCore::reportTargets(Timestamp now)
@@ -94,7 +104,7 @@
     if (now < nextReportAt_)
         return;
     nextReportAt_ = now + ReportInterval;
-    model::TargetReport report = makeReport();
+    model::TargetReport report = makeReport(now);
     report.targets = targets_.drainUpdates(gateways(now), now);
     if (!report.targets.empty())
         sendToGateways(report);
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -66,7 +66,7 @@
     const bool isSlow = record.slowStartLeft > Duration::zero() || entry.record.slowStartLeft > Duration::zero();
     const bool hasMoved = record.address != entry.record.address;
     const bool isChanged = entry.record.isRecalled || record.isLeaving != entry.record.isLeaving
-        || record.slots != entry.record.slots || hasMoved;
+        || record.slots != entry.record.slots || record.version != entry.record.version || hasMoved;
     const bool isAwaited = isAwaitingReport(entry);
     const bool needsUpdate = isSlow || isChanged || hasMissedReports || isAwaited;
     if (isSlow || isChanged || isAwaited)
--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -134,6 +134,15 @@
         host.processor = VirtualProcessor(share);
 }
 
+std::string RegistryCluster::rolloutPhaseAt(size_t number, const ServiceName& service) const
+{
+    if (!isRunning(number))
+        return {};
+    const host::HostStatus hostStatus = status(number);
+    const auto found = hostStatus.rollouts.find(service);
+    return found == hostStatus.rollouts.end() ? std::string() : std::string(model::toString(found->second));
+}
+
 Duration RegistryCluster::longestBusy() const
 {
     Duration longest {};
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -85,6 +85,8 @@
     [[nodiscard]] std::vector<model::Message> drainSentTo(const std::string& host);
 
     [[nodiscard]] std::optional<size_t> leader() const;
+    /// The phase of the service's rollout as known to a current host; empty if there is none.
+    [[nodiscard]] std::string rolloutPhaseAt(size_t number, const ServiceName& service) const;
     [[nodiscard]] bool isRunning(size_t number) const { return hosts_.at(number).core != nullptr; }
     [[nodiscard]] host::HostStatus status(size_t number) const
     {
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -27,6 +27,8 @@
 constexpr DurationRange PropagationLimitRange {.minimum = 500ms, .maximum = 60s};
 constexpr DurationRange StopTimeLimitRange {.minimum = 1s, .maximum = 10min};
 
+constexpr double MaxRolloutShare = 0.5;
+
 struct HeaderField {
     std::string_view key;
     std::string HeaderNames::*name;
@@ -150,6 +152,9 @@
         settings_.retries.slack = root_.decimal("retry_slack", settings_.retries.slack);
         settings_.linkMegabitsPerSecond = root_.decimal("link_mbps", settings_.linkMegabitsPerSecond);
         settings_.shiftCap = root_.decimal("shift_cap", settings_.shiftCap);
+        settings_.rolloutShare = root_.decimal("rollout_share", settings_.rolloutShare);
+        if (settings_.rolloutShare <= 0 || settings_.rolloutShare > MaxRolloutShare)
+            root_.addFinding("rollout_share", "must be over 0 and at most 0.5");
         settings_.lookUpTtl = root_.duration("look_up_ttl_s", 1s, settings_.lookUpTtl, TtlRange);
         settings_.leaveLimit = root_.duration("leave_limit_ms", 1ms, settings_.leaveLimit, PropagationLimitRange);
         settings_.planLimit = root_.duration("plan_limit_ms", 1ms, settings_.planLimit, PropagationLimitRange);
--- a/src/settings/routedhostsettings.h
+++ b/src/settings/routedhostsettings.h
@@ -72,6 +72,7 @@
     HeaderNames headers;
     RetryLimit retries;
     double shiftCap = 0.1; ///< Maximum fraction of a region's requests that may move to other regions within 2 s.
+    double rolloutShare = 0.05; ///< Maximum fraction of a service's requests that a new version gets during its trial.
     Duration lookUpTtl = 2s;
     Duration leaveLimit = 2500ms; ///< From acknowledging that a target leaves until it gets no more requests.
     Duration planLimit = 2500ms; ///< From acknowledging a plan until it is in force on all hosts.
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -10,6 +10,7 @@
 #include "wire/internal/hostmessagecodec.h"
 #include "wire/internal/limitmessagecodec.h"
 #include "wire/internal/requestmessagecodec.h"
+#include "wire/internal/rolloutmessagecodec.h"
 #include "wire/internal/suspectmessagecodec.h"
 #include "wire/internal/targetmessagecodec.h"
 
--- a/src/wire/internal/envelopecodec.cpp
+++ b/src/wire/internal/envelopecodec.cpp
@@ -9,6 +9,7 @@
 #include "wire/internal/hostmessagecodec.h"
 #include "wire/internal/limitmessagecodec.h"
 #include "wire/internal/requestmessagecodec.h"
+#include "wire/internal/rolloutmessagecodec.h"
 #include "wire/internal/suspectmessagecodec.h"
 #include "wire/internal/targetmessagecodec.h"
 
@@ -66,6 +67,7 @@
     &decodeAs<fbs::LimitCreditRequest>,
     &decodeAs<fbs::LimitCreditReply>,
     &decodeAs<fbs::BackpressureReport>,
+    &decodeAs<fbs::RolloutReport>,
 };
 static_assert(Decoders.size() == static_cast<size_t>(fbs::Payload::MAX) + 1);
 static_assert(Decoders.size() == std::variant_size_v<model::Message> + 1);
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -5,6 +5,8 @@
  */
 #include "wire/internal/targetmessagecodec.h"
 
+#include "wire/internal/rolloutmessagecodec.h"
+
 namespace saltvane::wire {
 
 namespace {
@@ -16,9 +18,10 @@
     const auto address = encode(builder, record.address);
     const auto zone = encodeName(builder, record.zone);
     const auto host = encodeName(builder, record.slowStartHost);
+    const auto version = encodeName(builder, record.version);
     return fbs::CreateTargetRecord(builder, target, service, address, zone, record.slots, record.isLeaving,
         encodeDuration(record.slowStartLeft), record.sequence, encodeDuration(record.age), host, record.isRecalled,
-        record.incarnation.value);
+        record.incarnation.value, version);
 }
 
 model::TargetRecord decodeRecord(FieldReader& reader, const fbs::TargetRecord& record)
@@ -27,6 +30,7 @@
         .target = reader.name<TargetId>(record.target(), "TargetRecord.target"),
         .incarnation = {record.incarnation()},
         .service = reader.name<ServiceName>(record.service(), "TargetRecord.service"),
+        .version = reader.name<model::TargetVersion>(record.version(), "TargetRecord.version"),
         .address = decodeAddress(reader, record.address(), "TargetRecord.address"),
         .zone = reader.name<ZoneName>(record.zone(), "TargetRecord.zone"),
         .slots = record.slots(),
@@ -70,7 +74,9 @@
     const auto incarnations = builder.CreateVector(retiredIncarnations);
     const auto targets = encodeTables<fbs::TargetRecord>(builder, message.targets, encodeRecord);
     const fbs::LogPosition orders = encodePosition(message.orders);
-    return fbs::CreateTargetReport(builder, &orders, zones, retired, targets, incarnations);
+    const auto rollouts = encodeTables<fbs::RolloutOrder>(
+        builder, message.rollouts, [](Builder& to, const model::RolloutOrder& order) { return encode(to, order); });
+    return fbs::CreateTargetReport(builder, &orders, zones, retired, targets, incarnations, rollouts, message.gateways);
 }
 
 model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message)
@@ -80,6 +86,9 @@
         .evacuatedZones = decodeNames<ZoneName>(reader, message.evacuated_zones(), "TargetReport.evacuatedZones"),
         .retired = decodeRetired(reader, message),
         .targets = decodeTables<model::TargetRecord>(reader, message.targets(), "TargetReport.targets", decodeRecord),
+        .rollouts = decodeTables<model::RolloutOrder>(reader, message.rollouts(), "TargetReport.rollouts",
+            [](FieldReader& from, const fbs::RolloutOrder& order) { return decode(from, order); }),
+        .gateways = message.gateways(),
     };
 }
 
--- a/src/wire/tests/messagefields.h
+++ b/src/wire/tests/messagefields.h
@@ -37,7 +37,7 @@
 template <typename Message> auto fieldsOf(const Message& m)
 {
     constexpr size_t Count = fieldCount<Message>();
-    static_assert(Count <= 13, "add a case");
+    static_assert(Count <= 14, "add a case");
     if constexpr (Count == 0) {
         return std::tie();
     } else if constexpr (Count == 1) {
@@ -67,9 +67,15 @@
     } else if constexpr (Count == 9) {
         const auto& [a, b, c, d, e, f, g, h, i] = m;
         return std::tie(a, b, c, d, e, f, g, h, i);
+    } else if constexpr (Count == 10) {
+        const auto& [a, b, c, d, e, f, g, h, i, j] = m;
+        return std::tie(a, b, c, d, e, f, g, h, i, j);
     } else if constexpr (Count == 13) {
         const auto& [a, b, c, d, e, f, g, h, i, j, k, l, n] = m;
         return std::tie(a, b, c, d, e, f, g, h, i, j, k, l, n);
+    } else if constexpr (Count == 14) {
+        const auto& [a, b, c, d, e, f, g, h, i, j, k, l, n, o] = m;
+        return std::tie(a, b, c, d, e, f, g, h, i, j, k, l, n, o);
     } else {
         static_assert(Count == 0, "add a case");
     }
