Targets that have not changed are listed by their hashes, not by their records

Cause: each registry host repeated the record of each target to every gateway every 30 s, some 300 bytes each: targets times gateways. At 10,000 targets that is 100 kB/s for each gateway and 100 MB/s for 1,000, two thirds of it between regions. Change: every 30 s eight bytes a target; the whole record every 10 minutes, and at once when it changes. A gateway keeps what is listed. Worked out for one gateway: 1,356 targets 13.6 -> 1.0 kB/s, 10,000 targets 100 -> 7.7 kB/s, 20,000 targets 200 -> 15.4 kB/s. Ruled out: a longer interval alone (gateways drop what nobody lists for 75 s; and it only moves the size at which it is too much).

--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -16,7 +16,7 @@
 /// theirs.
 constexpr double SlowStartRateFraction = 0.8;
 constexpr double SlowStartBurst = 1;
-/// The registry repeats its record of a target every 30 s. A target that no registry host lists for this long is
+/// The registry lists each target every 30 s. A target that no registry host lists for this long is
 /// removed, since the registry host it reported to is lost as well.
 constexpr Duration UnlistedTimeout = 75s;
 constexpr Duration RegistryTimeout = 3s;
@@ -48,6 +48,22 @@
     applyRetired(report.retired);
     for (const model::TargetRecord& record : report.targets)
         applyRecord(record, now);
+    applyUnchanged(report.unchanged, now);
+}
+
+void TargetSet::applyUnchanged(std::span<const uint64_t> incarnationHashes, Timestamp now)
+{
+    for (const uint64_t hash : incarnationHashes) {
+        if (const auto found = byIncarnationHash_.find(hash); found != byIncarnationHash_.end())
+            markListed(*found->second, now);
+    }
+}
+
+void TargetSet::markListed(GatewayTarget& target, Timestamp now)
+{
+    target.lastListedAt = now;
+    target.listedHook.unlink();
+    byLastListed_.push_back(target);
 }
 
 void TargetSet::applyOrders(const model::TargetReport& report, Timestamp now)
@@ -215,11 +231,9 @@
     if (record.isLeaving || retired_.contains(target.targetIncarnation()))
         markLeaving(target);
     target.lastReportAt = now - record.age;
-    target.lastListedAt = now;
     target.lastListedInReport = reports_;
     target.slowUntil = target.lastReportAt + record.slowStartLeft;
-    target.listedHook.unlink();
-    byLastListed_.push_back(target);
+    markListed(target, now);
     target.isUnresponsive = record.age >= model::TargetHeartbeatTimeout;
     target.unresponsiveHook.unlink();
     if (target.isUnresponsive)
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -99,6 +99,8 @@
     void applyOrders(const model::TargetReport& report, Timestamp now);
     void applyRetired(std::span<const model::TargetIncarnation> retired);
     void applyRecord(const model::TargetRecord& record, Timestamp now);
+    void applyUnchanged(std::span<const uint64_t> incarnationHashes, Timestamp now);
+    void markListed(GatewayTarget& target, Timestamp now);
     /// Whether a record of an unknown incarnation may be added as a target.
     [[nodiscard]] bool mayAdd(const model::TargetRecord& record) const;
     GatewayTarget& add(const model::TargetRecord& record, Timestamp now);
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -265,4 +265,22 @@
     EXPECT_EQ(starts[0].target, TargetId("new"));
 }
 
+/// Guards against a gateway that drops targets whose records the registry doesn't repeat.
+TEST_F(TargetTest, TargetsListedAsUnchangedAreKept)
+{
+    installPlan(1);
+    const model::TargetRecord kept = target("t-kept");
+    reportTargets({kept, target("t-unlisted")});
+    const uint64_t hash = model::incarnationHash({.target = kept.target, .incarnation = kept.incarnation});
+    for (int round = 0; round < 5; ++round) {
+        advance(30s);
+        report({.unchanged = {hash, 12345}});
+    }
+    answerPull();
+    request({});
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target, kept.target);
+}
+
 } // namespace saltvane::gateway::test
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -55,6 +55,7 @@
     std::vector<TargetIncarnation> retired; ///< These and all earlier incarnations get no new work from now on.
     std::vector<TargetRecord> targets;
     std::vector<RolloutOrder> rollouts; ///< The complete list.
+    std::vector<uint64_t> unchanged; ///< Targets that still report as in their latest record, by incarnationHash().
     uint32_t gateways = 0; ///< Gateways in contact with the control host; 0: unknown.
 };
 
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -106,7 +106,8 @@
     nextReportAt_ = now + ReportInterval;
     model::TargetReport report = makeReport(now);
     report.targets = targets_.drainUpdates(gateways(now), now);
-    if (!report.targets.empty())
+    report.unchanged = targets_.drainUnchanged();
+    if (!report.targets.empty() || !report.unchanged.empty())
         sendToGateways(report);
 }
 
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -12,9 +12,12 @@
 
 namespace {
 
+/// Gateways remove targets that are not listed for 75 s. Targets that have not changed are listed by their hashes, 8
+/// bytes in place of a record of some 300.
+constexpr Duration ListInterval = 30s;
 /// Repeats records that a gateway may have missed. Open links lose nothing, and a new link starts with all targets, so
 /// this can be rare: sending all targets to all gateways is most of the control traffic.
-constexpr Duration ResendInterval = 30s;
+constexpr Duration ResendInterval = 10min;
 
 uint64_t pairHash(std::string_view left, std::string_view right)
 {
@@ -117,8 +120,14 @@
 void TargetTable::markSent(Entry& entry, Timestamp now)
 {
     entry.sentAt = now;
+    markListed(entry, now);
+}
+
+void TargetTable::markListed(Entry& entry, Timestamp now)
+{
+    entry.listedAt = now;
     entry.sentHook.unlink();
-    bySentAt_.push_back(entry);
+    byListedAt_.push_back(entry);
 }
 
 TargetTable::Entry* TargetTable::atAddress(const model::Address& address) const
@@ -254,11 +263,17 @@
 
 void TargetTable::queueResends(Timestamp now)
 {
-    while (!bySentAt_.empty() && now - bySentAt_.front().sentAt >= ResendInterval) {
-        Entry& entry = bySentAt_.front();
-        entry.sentHook.unlink(); // markSent() links it again, unless the target has stopped reporting.
-        if (entry.receivedAt > entry.sentAt)
+    while (!byListedAt_.empty() && now - byListedAt_.front().listedAt >= ListInterval) {
+        Entry& entry = byListedAt_.front();
+        entry.sentHook.unlink(); // Linked again once it is listed, unless the target has stopped reporting.
+        if (entry.receivedAt <= entry.listedAt)
+            continue;
+        if (now - entry.sentAt >= ResendInterval) {
             queueUpdate(entry);
+        } else if (!entry.updateHook.is_linked()) {
+            unchanged_.push_back(model::incarnationHash(targetIncarnationOf(entry.record)));
+            markListed(entry, now);
+        }
     }
 }
 
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <set>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace saltvane::registry {
@@ -58,6 +59,8 @@
     /// Records that changed since the last call or are due to be sent again. Includes unresponsive targets a last time,
     /// and removes them.
     [[nodiscard]] std::vector<model::TargetRecord> drainUpdates(std::span<const HostLocation> gateways, Timestamp now);
+    /// Targets that are due to be listed again and have not changed, by incarnationHash(); after drainUpdates().
+    [[nodiscard]] std::vector<uint64_t> drainUnchanged() { return std::exchange(unchanged_, {}); }
     [[nodiscard]] std::vector<model::TargetRecord> all(std::span<const HostLocation> gateways, Timestamp now) const;
 
 private:
@@ -66,6 +69,7 @@
         model::TargetRecord record;
         Timestamp receivedAt;
         Timestamp sentAt;
+        Timestamp listedAt; ///< When its record was last sent, or when it was last listed as unchanged.
         Timestamp reportedAt; ///< Of its last report; a recalled target has none.
         Hook updateHook;
         Hook receivedHook;
@@ -83,6 +87,7 @@
     void markReceived(Entry& entry, Timestamp now);
     void markSent(Entry& entry, Timestamp now);
     void queueResends(Timestamp now);
+    void markListed(Entry& entry, Timestamp now);
     [[nodiscard]] model::TargetRecord outgoingRecordOf(
         const Entry& entry, std::span<const HostLocation> gateways, Timestamp now) const;
     [[nodiscard]] HostId slowStartHostOf(
@@ -106,7 +111,8 @@
     // Declared after the entries, so that they are destroyed first.
     EntryList<&Entry::updateHook> updates_; ///< To be sent.
     EntryList<&Entry::receivedHook> byReceivedAt_; ///< Oldest report first.
-    EntryList<&Entry::sentHook> bySentAt_; ///< Least recently sent first.
+    EntryList<&Entry::sentHook> byListedAt_; ///< Least recently listed first.
+    std::vector<uint64_t> unchanged_;
 };
 
 } // namespace saltvane::registry
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -59,6 +59,18 @@
     return retired;
 }
 
+std::vector<uint64_t> decodeUnchanged(FieldReader& reader, const fbs::TargetReport& message)
+{
+    std::vector<uint64_t> unchanged;
+    const auto* hashes = message.unchanged();
+    if (hashes == nullptr || !reader.consumeBudget(hashes->size() * sizeof(uint64_t), "TargetReport.unchanged"))
+        return unchanged;
+    unchanged.reserve(hashes->size());
+    for (flatbuffers::uoffset_t index = 0; index < hashes->size(); ++index)
+        unchanged.push_back(elementAt(*hashes, index));
+    return unchanged;
+}
+
 } // namespace
 
 Offset<fbs::TargetReport> encode(Builder& builder, const model::TargetReport& message)
@@ -74,9 +86,12 @@
     const auto incarnations = builder.CreateVector(retiredIncarnations);
     const auto targets = encodeTables<fbs::TargetRecord>(builder, message.targets, encodeRecord);
     const fbs::LogPosition orders = encodePosition(message.orders);
+    const auto unchanged
+        = message.unchanged.empty() ? Offset<flatbuffers::Vector<uint64_t>>() : builder.CreateVector(message.unchanged);
     const auto rollouts = encodeTables<fbs::RolloutOrder>(
         builder, message.rollouts, [](Builder& to, const model::RolloutOrder& order) { return encode(to, order); });
-    return fbs::CreateTargetReport(builder, &orders, zones, retired, targets, incarnations, rollouts, message.gateways);
+    return fbs::CreateTargetReport(
+        builder, &orders, zones, retired, targets, incarnations, rollouts, message.gateways, unchanged);
 }
 
 model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message)
@@ -88,6 +103,7 @@
         .targets = decodeTables<model::TargetRecord>(reader, message.targets(), "TargetReport.targets", decodeRecord),
         .rollouts = decodeTables<model::RolloutOrder>(reader, message.rollouts(), "TargetReport.rollouts",
             [](FieldReader& from, const fbs::RolloutOrder& order) { return decode(from, order); }),
+        .unchanged = decodeUnchanged(reader, message),
         .gateways = message.gateways(),
     };
 }
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -188,6 +188,7 @@
             .phase = RolloutPhase::Switching,
             .timeLimit = 7s,
             .excluded = {TargetVersion("v0")}}},
+        .unchanged = {7, 0x1234567890abcdef},
         .gateways = 984});
     messages.emplace_back(RolloutReport {.gateway = HostId("host-a"),
         .incarnation = {7},
