--- a/src/registry/internal/bodyreader.h
+++ b/src/registry/internal/bodyreader.h
@@ -22,9 +22,9 @@
 
 /// Parses the fields of the JSON body of a call and collects their errors.
 class BodyReader {
+public:
     using Json = nlohmann::json;
 
-public:
     BodyReader(const char* source, std::string_view body)
         : source_(source)
     {
