--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -303,7 +303,7 @@
     for (model::RolloutReport& report : targets_.rollouts().drainReports(now)) {
         report.gateway = self_;
         report.incarnation = incarnation_;
-        targets_.complete(report);
+        targets_.addTargetState(report);
         actions_.emplace_back(
             requests::Action(model::OutgoingMessage {.to = hosts.front(), .message = std::move(report)}));
     }
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -413,7 +413,7 @@
     return rankings;
 }
 
-void TargetSet::complete(model::RolloutReport& report) const
+void TargetSet::addTargetState(model::RolloutReport& report) const
 {
     const auto found = services_.find(report.service);
     if (found == services_.end())
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -74,8 +74,8 @@
     /// The targets of the service whose versions have this role. If no version serves, those on trial do.
     [[nodiscard]] Rankings rankings(const ServiceName& service, VersionRole role, Timestamp now);
     [[nodiscard]] RolloutTable& rollouts() { return rollouts_; }
-    /// Adds what this gateway knows of the service's targets.
-    void complete(model::RolloutReport& report) const;
+    /// Adds the slots, versions and requests in flight of the service's targets.
+    void addTargetState(model::RolloutReport& report) const;
     [[nodiscard]] ServiceCapacity capacityOf(const ServiceName& service) const;
     [[nodiscard]] size_t countOf(const ServiceName& service) const;
     /// Whether new requests may be sent to the target; during its slow start only within its rate.
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -126,7 +126,7 @@
 void TargetTable::markListed(Entry& entry, Timestamp now)
 {
     entry.listedAt = now;
-    entry.sentHook.unlink();
+    entry.listedHook.unlink();
     byListedAt_.push_back(entry);
 }
 
@@ -261,11 +261,11 @@
     return outgoing;
 }
 
-void TargetTable::queueResends(Timestamp now)
+void TargetTable::queueListings(Timestamp now)
 {
     while (!byListedAt_.empty() && now - byListedAt_.front().listedAt >= ListInterval) {
         Entry& entry = byListedAt_.front();
-        entry.sentHook.unlink(); // Linked again once it is listed, unless the target has stopped reporting.
+        entry.listedHook.unlink(); // Linked again once it is listed, unless the target has stopped reporting.
         if (entry.receivedAt <= entry.listedAt)
             continue;
         if (now - entry.sentAt >= ResendInterval) {
@@ -287,7 +287,7 @@
             updates.push_back(outgoingRecordOf(entry, gateways, now));
         erase(entry);
     }
-    queueResends(now);
+    queueListings(now);
     while (!updates_.empty()) {
         Entry& entry = updates_.front();
         entry.updateHook.unlink();
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -73,7 +73,7 @@
         Timestamp reportedAt; ///< Of its last report; a recalled target has none.
         Hook updateHook;
         Hook receivedHook;
-        Hook sentHook;
+        Hook listedHook;
     };
     template <Hook Entry::*Member>
     using EntryList = boost::intrusive::list<Entry, boost::intrusive::member_hook<Entry, Hook, Member>,
@@ -86,7 +86,7 @@
     void queueUpdate(Entry& entry);
     void markReceived(Entry& entry, Timestamp now);
     void markSent(Entry& entry, Timestamp now);
-    void queueResends(Timestamp now);
+    void queueListings(Timestamp now);
     void markListed(Entry& entry, Timestamp now);
     [[nodiscard]] model::TargetRecord outgoingRecordOf(
         const Entry& entry, std::span<const HostLocation> gateways, Timestamp now) const;
@@ -111,7 +111,7 @@
     // Declared after the entries, so that they are destroyed first.
     EntryList<&Entry::updateHook> updates_; ///< To be sent.
     EntryList<&Entry::receivedHook> byReceivedAt_; ///< Oldest report first.
-    EntryList<&Entry::sentHook> byListedAt_; ///< Least recently listed first.
+    EntryList<&Entry::listedHook> byListedAt_; ///< Least recently listed first.
     std::vector<uint64_t> unchanged_;
 };
 
--- a/src/rollout/internal/rolloutjudge.cpp
+++ b/src/rollout/internal/rolloutjudge.cpp
@@ -21,18 +21,15 @@
 /// Slow answers take over four times as long as the other versions' median, counted from the end of its bucket. Less is
 /// no sign of a slow version: the first request for an object at a target takes up to three times as long, and nearly
 /// all requests of a trial are such.
-constexpr double UsualFraction = 0.5;
+constexpr double MedianFraction = 0.5;
 constexpr size_t SlowBuckets = 5;
 constexpr uint64_t MinUsualAnswers = 30;
+/// Latest answers of the other versions, which older ones leave by halves.
 constexpr double MaxRecentAnswers = 400;
 /// Bounds the memory for routes: a plan may have 19,000. The routes beyond are judged together with all others.
 constexpr size_t MaxRoutes = 256;
 constexpr size_t MaxOtherVersions = 16;
 
-} // namespace
-
-namespace {
-
 void merge(model::AnswerCounts& counts, const model::AnswerCounts& added)
 {
     counts.failed += added.failed;
@@ -64,7 +61,7 @@
         return std::nullopt;
     uint64_t counted = 0;
     size_t bucket = 0;
-    while (static_cast<double>(counted + others.byTime[bucket]) < UsualFraction * static_cast<double>(timed))
+    while (static_cast<double>(counted + others.byTime[bucket]) < MedianFraction * static_cast<double>(timed))
         counted += others.byTime[bucket++];
     return bucket + SlowBuckets;
 }
