Gateways log the time until the first byte; closes with unacknowledged bytes are counted

A decision's line had the time from reading a request to its end, none of the first byte, and no figure told of bytes that wait in a socket when a request is given up.

Change: send_ms in the decision's line (IHostCore::onSending, called by the target client right before the first byte), and saltvane_unacknowledged_closes_total.

Tests: LogsTimeUntilTheFirstByteWasSent, ClosesWithUnacknowledgedRequestBytesAreCounted.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -57,7 +57,8 @@
     Phase phase = Phase::ReceivingBody;
     requests::DispatchId dispatch;
     model::TargetIncarnation target;
-    Timestamp sentAt;
+    Timestamp sentAt; ///< When the request was dispatched to the target.
+    std::optional<Timestamp> firstByteAt; ///< When its first byte was sent there.
     Timestamp stallCheckAt; ///< When to check whether the target is unresponsive.
     double loadAtSend = 0;
     VersionRole versionRole = VersionRole::Serving; ///< Of the target's software version.
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -188,6 +188,7 @@
     exchange.target = target.targetIncarnation();
     exchange.attemptedTargets.push_back(target.id());
     exchange.sentAt = now;
+    exchange.firstByteAt.reset();
     dispatches_.emplace(exchange.dispatch, &exchange);
 
     options_.placement.recordSent(service.name, selection);
@@ -218,6 +219,12 @@
             requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body, .isLast = true});
 }
 
+void RequestRunner::onSending(requests::DispatchId dispatch, Timestamp now)
+{
+    if (Exchange* exchange = find(dispatch))
+        exchange->firstByteAt = now;
+}
+
 void RequestRunner::releaseTarget(Exchange& exchange)
 {
     if (exchange.dispatch.value == 0)
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -82,6 +82,8 @@
     void onCreditResults(Timestamp now);
     void handle(requests::HttpEvent event, Timestamp now);
     void handle(requests::TargetEvent event, Timestamp now);
+    /// The first byte of a request is about to be sent to its target.
+    void onSending(requests::DispatchId dispatch, Timestamp now);
     /// Fails requests whose deadline has passed; checks targets that are unresponsive.
     void tick(Timestamp now);
     [[nodiscard]] std::vector<requests::Action> drainActions();
--- a/src/gateway/tests/decisiontests.cpp
+++ b/src/gateway/tests/decisiontests.cpp
@@ -49,6 +49,22 @@
     EXPECT_TRUE(has(line, "status=503"));
 }
 
+TEST_F(DecisionTest, LogsTimeUntilTheFirstByteWasSent)
+{
+    installPlan(7);
+    reportTargets({target("t-1")});
+    const requests::HttpHandle late = request({.id = "late"});
+    const requests::HttpHandle unsent = request({.id = "unsent"});
+    const requests::TargetStart start = takeStarts().at(0);
+    advance(300ms);
+    gateway_->onSending(start.dispatch, now_);
+    advance(40ms);
+    abort(late);
+    EXPECT_TRUE(has(lineOf("late"), "send_ms=300"));
+    abort(unsent);
+    EXPECT_TRUE(has(lineOf("unsent"), "send_ms=-"));
+}
+
 TEST_F(DecisionTest, LogsAgeOfPlanProof)
 {
     installPlan(7);
--- a/src/host/ihostcore.h
+++ b/src/host/ihostcore.h
@@ -30,6 +30,8 @@
     virtual ~IHostCore() = default;
     virtual void handle(Event event, Timestamp now) = 0;
     virtual void tick(Timestamp now) = 0;
+    /// The first byte of a request is about to be sent to its target, which may be long after its TargetStart.
+    virtual void onSending(requests::DispatchId /*dispatch*/, Timestamp /*now*/) { }
     [[nodiscard]] virtual std::vector<Action> drainActions() = 0;
     /// Interval at which the driver must call tick.
     [[nodiscard]] virtual Duration tickInterval() const { return TickInterval; }
--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -71,6 +71,9 @@
     EventSink sink;
     Duration connectTimeout = 1s;
     int receiveBufferBytes = 0; ///< SO_RCVBUF of each connection, in bytes; 0: the system's default.
+    /// Called right before the first byte of a request is sent. Must not call back into the client.
+    std::function<void(const requests::TargetStart&)> onSending {};
+    model::Counters* counters = nullptr;
 };
 [[nodiscard]] Result<std::unique_ptr<ITargetClient>, IoError> makeTargetClient(TargetClientOptions options);
 
--- a/src/net/internal/targetclient.cpp
+++ b/src/net/internal/targetclient.cpp
@@ -67,6 +67,8 @@
                                                .start = std::move(action),
                                                .connectTimeout = options_.connectTimeout,
                                                .receiveBufferBytes = options_.receiveBufferBytes,
+                                               .onSending = options_.onSending,
+                                               .counters = options_.counters,
                                                .emit = [this](requests::TargetEvent event) { emit(std::move(event)); }},
             acquireTransfer());
     const bool isStarted = exchange->start();
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -12,7 +12,10 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace saltvane::net {
 
@@ -38,6 +41,13 @@
         [name](const model::Header& header) { return equalsIgnoringCase(header.name, name); });
 }
 
+/// Bytes that were written to the socket and that the peer has not acknowledged.
+int unacknowledgedBytes(int fd)
+{
+    int bytes = 0;
+    return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 } // namespace
 
 TargetExchange::TargetExchange(Options options, CURL* transfer)
@@ -108,6 +118,9 @@
         setMaxReuseIdleTime();
     curl_easy_setopt(transfer_, CURLOPT_SOCKOPTFUNCTION, &TargetExchange::onSocketMade);
     curl_easy_setopt(transfer_, CURLOPT_SOCKOPTDATA, this);
+    curl_easy_setopt(transfer_, CURLOPT_CLOSESOCKETFUNCTION, &TargetExchange::onSocketClosing);
+    // The connection may outlive this exchange.
+    curl_easy_setopt(transfer_, CURLOPT_CLOSESOCKETDATA, options_.counters);
     curl_easy_setopt(transfer_, CURLOPT_HEADERFUNCTION, &TargetExchange::onHeader);
     curl_easy_setopt(transfer_, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(transfer_, CURLOPT_WRITEFUNCTION, &TargetExchange::onBody);
@@ -149,6 +162,13 @@
     return CURL_SOCKOPT_OK;
 }
 
+int TargetExchange::onSocketClosing(void* counters, curl_socket_t fd)
+{
+    if (counters != nullptr && unacknowledgedBytes(fd) > 0)
+        static_cast<model::Counters*>(counters)->add(model::Counter::UnacknowledgedCloses);
+    return ::close(fd);
+}
+
 void TargetExchange::setMethod()
 {
     const requests::TargetStart& request = options_.start;
@@ -200,6 +220,8 @@
         return CURL_PREREQFUNC_ABORT;
     }
     self.hasConnected_ = true;
+    if (self.options_.onSending)
+        self.options_.onSending(self.options_.start);
     return CURL_PREREQFUNC_OK;
 }
 
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "model/counters.h"
 #include "net/internal/curlloop.h"
 #include "net/internal/responsehead.h"
 #include "requests/exchangetypes.h"
@@ -25,6 +26,8 @@
         requests::TargetStart start;
         Duration connectTimeout {};
         int receiveBufferBytes = 0;
+        std::function<void(const requests::TargetStart&)> onSending;
+        model::Counters* counters = nullptr;
         /// Must not call back into this exchange synchronously.
         std::function<void(requests::TargetEvent)> emit;
     };
@@ -53,6 +56,7 @@
     static int onReady(void* exchange, char* remoteIp, char* localIp, int remotePort, int localPort);
 
     static int onSocketMade(void* exchange, curl_socket_t fd, curlsocktype purpose);
+    static int onSocketClosing(void* counters, curl_socket_t fd);
 
     [[nodiscard]] bool isSendable() const;
     void setOptions();
--- a/src/net/tests/targetclientfixture.h
+++ b/src/net/tests/targetclientfixture.h
@@ -17,13 +17,17 @@
 
 inline constexpr const char* Response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+inline constexpr size_t UnreadBodyBytes = 32 * 1024 * 1024;
+inline constexpr int TurnsWithoutProgress = 50; ///< Loop iterations after which a transfer is considered stuck.
+
 class TargetClientTest : public testing::Test {
 protected:
     void SetUp() override
     {
         client = std::move(makeTargetClient({.loop = runner.loop(),
                                                 .sink = [this](host::Event event) { log.events.push_back(event); },
-                                                .connectTimeout = 500ms})
+                                                .connectTimeout = 500ms,
+                                                .counters = &counters})
                                .value());
     }
 
@@ -58,6 +62,22 @@
             all += part.bytes;
         return all;
     }
+    /// Sends a request whose body is larger than what the target's host accepts while the target reads nothing.
+    void executeUnread(uint64_t dispatch, RawSocket& target)
+    {
+        TargetStart start = request(dispatch, false);
+        start.method = "POST";
+        start.bodyLength = UnreadBodyBytes;
+        client->execute(start);
+        client->execute(
+            TargetRequestBody {.dispatch = {dispatch}, .bytes = std::string(UnreadBodyBytes, 'x'), .isLast = true});
+        ASSERT_TRUE(runner.runUntil([&] { return listener.accept(target); }));
+        size_t progress = 0;
+        do {
+            progress = log.target<TargetRequestProgress>().size();
+            runner.runTurns(TurnsWithoutProgress);
+        } while (log.target<TargetRequestProgress>().size() > progress);
+    }
     /// Sends a request, responds with `response` and closes the connection. Returns the failure, if there is one.
     [[nodiscard]] std::optional<TargetFailed> failureOf(std::string_view response)
     {
@@ -76,6 +96,7 @@
     LoopRunner runner;
     EventLog log;
     RawListener listener;
+    model::Counters counters;
     uint64_t lastDispatch = 100;
     std::unique_ptr<ITargetClient> client;
 };
--- a/src/net/tests/targetconnectiontests.cpp
+++ b/src/net/tests/targetconnectiontests.cpp
@@ -45,6 +45,21 @@
     EXPECT_FALSE(target.isPeerDisconnected());
 }
 
+TEST_F(TargetConnectionTest, ClosesWithUnacknowledgedRequestBytesAreCounted)
+{
+    const auto closes = [&] { return counters.value(model::Counter::UnacknowledgedCloses); };
+    RawSocket target;
+    client->execute(request(1, false));
+    ASSERT_TRUE(acceptRequest(target));
+    client->execute(TargetCancel {.dispatch = {1}});
+    EXPECT_EQ(closes(), 0u) << "the target's host has acknowledged the whole request";
+
+    RawSocket unread;
+    executeUnread(2, unread);
+    client->execute(TargetCancel {.dispatch = {2}});
+    EXPECT_EQ(closes(), 1u);
+}
+
 TEST_F(TargetConnectionTest, NewConnectionIsUsedIfRequested)
 {
     RawSocket before;
--- a/src/saltvaned/internal/daemonadapters.cpp
+++ b/src/saltvaned/internal/daemonadapters.cpp
@@ -177,7 +177,9 @@
     Result<std::unique_ptr<net::ITargetClient>, IoError> targetClient = net::makeTargetClient({.loop = loop_,
         .sink = [this](host::Event event) { deliver(std::move(event)); },
         .connectTimeout = connectTimeout,
-        .receiveBufferBytes = receiveBufferBytes});
+        .receiveBufferBytes = receiveBufferBytes,
+        .onSending = [this](const requests::TargetStart& start) { core_->onSending(start.dispatch, monotonicNow()); },
+        .counters = &adapterCounters_});
     if (!targetClient)
         return targetClient.error();
     targetClient_ = std::move(targetClient.value());
