A request is checked again right before its first byte, and withheld if its caller has left

Callers saw: nothing; targets got requests of callers that had closed their connections most of a second before, nine at a time.

Cause: a request was decided on facts of one moment (its caller waits, its deadline lies ahead, the target takes work, the registry's information is current) and sent in another: the connection to the target had to be established meanwhile, or the process had no processor time. As it went on, the loop had already collected that the connections were ready, and the transfers wrote before anything looked at the callers' sockets. send_ms of 903 and 904 in the lines of the late requests show it.

Class: a decision that is carried out later than it was made, on facts that changed meanwhile.

Change: the target client asks right before the first byte (TargetClientOptions::recheck, in libcurl's hook between connection and request). The daemon reads the caller's socket anew, and the core checks with the present time: deadline, freshness of the registry's information, quarantine, and whether the target left, moved, asked for backoff, was excluded by a rollout or lies in an evacuated zone. A withheld request was not run and was no attempt: its credits and its part of a rollout's share are given back, no target is blamed, and it is dispatched again, or ends if nobody waits for it. Counted by reason (saltvane_withheld_total) and logged (withheld).

Costs one poll() a request.

A stop in the microseconds between the check and the first byte still lets one request through.

--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -54,6 +54,7 @@
         .add("choice", toString(exchange.choice))
         .add("warm", exchange.isLikelyWarm ? "yes" : "unknown")
         .add("send_ms", exchange.firstByteAt ? millisecondsText(*exchange.firstByteAt - exchange.sentAt) : "")
+        .add("withheld", exchange.timesWithheld)
         .addMilliseconds("target_ms", exchange.timeToHead)
         .add("load", static_cast<int>(exchange.loadAtSend))
         .addMilliseconds("load_age_ms", exchange.loadAge)
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -57,8 +57,12 @@
     Phase phase = Phase::ReceivingBody;
     requests::DispatchId dispatch;
     model::TargetIncarnation target;
+    model::Address targetAddress; ///< To which the request is sent.
     Timestamp sentAt; ///< When the request was dispatched to the target.
     std::optional<Timestamp> firstByteAt; ///< When its first byte was sent there.
+    bool usesTargetCredit = false; ///< A credit of the target's limit was spent for it.
+    bool wasBlamed = false; ///< Known to make targets fail when it was dispatched, so this is a trial.
+    uint32_t timesWithheld = 0; ///< Dispatches that were withheld before their first byte.
     Timestamp stallCheckAt; ///< When to check whether the target is unresponsive.
     double loadAtSend = 0;
     VersionRole versionRole = VersionRole::Serving; ///< Of the target's software version.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -128,6 +128,12 @@
     collectActions(now);
 }
 
+model::Reason GatewayCore::recheckDispatch(requests::DispatchId dispatch, Timestamp now)
+{
+    registry_.onActivity(now);
+    return TargetProber::isProbe(dispatch) ? model::Reason::None : runner_.recheck(dispatch, now);
+}
+
 std::vector<host::Action> GatewayCore::drainActions() { return std::exchange(actions_, {}); }
 
 void GatewayCore::accept(requests::HttpEvent event, Timestamp now)
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -27,7 +27,7 @@
 
     void handle(host::Event event, Timestamp now) override;
     void tick(Timestamp now) override;
-    void onSending(requests::DispatchId dispatch, Timestamp now) override { runner_.onSending(dispatch, now); }
+    [[nodiscard]] model::Reason recheckDispatch(requests::DispatchId dispatch, Timestamp now) override;
     [[nodiscard]] std::vector<host::Action> drainActions() override;
     [[nodiscard]] host::HostStatus status(Timestamp now) const override;
     [[nodiscard]] const model::Counters& counters() const override { return counters_; }
--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -50,6 +50,11 @@
     return !isOnTrial() || inFlight == 0;
 }
 
+bool GatewayTarget::mayReceive(Timestamp now) const
+{
+    return !record.isLeaving && !zone->isClosed && !isAwaitingReport(now) && now >= backpressure.backoffUntil;
+}
+
 double GatewayTarget::usableSlots() const
 {
     return std::min<double>(record.slots, backpressure.limit.value_or(record.slots));
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -72,6 +72,9 @@
     }
     /// The same, ignoring the back-pressure that it signalled.
     [[nodiscard]] bool isAvailable(Timestamp now) const;
+    /// Whether a request that was dispatched to it before may still be sent: no order, report or response since then
+    /// asks for no new requests.
+    [[nodiscard]] bool mayReceive(Timestamp now) const;
     /// Concurrent requests for which it counts: its slots, but no more than its limit in requests per second.
     [[nodiscard]] double usableSlots() const;
     void onAnswered(Timestamp now);
--- a/src/gateway/internal/quarantine.h
+++ b/src/gateway/internal/quarantine.h
@@ -43,6 +43,8 @@
 
     /// Called before a request is sent to a target. Returns the retry delay if the request must not be sent.
     [[nodiscard]] std::optional<Duration> retryDelay(const model::RequestDigest& digest, Timestamp now);
+    /// Whether the request is known to make the targets fail that run it.
+    [[nodiscard]] bool isBlamed(const model::RequestDigest& digest) const { return table_.isBlamed(digest); }
     /// Whether an attempt that lost its target may continue at another one.
     [[nodiscard]] bool mayRetry(const model::RequestDigest& digest) const;
 
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -130,6 +130,8 @@
 
 void RequestRunner::accept(requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
 {
+    if (failed.withheldFor != model::Reason::None)
+        return onWithheld(exchange, failed.withheldFor, now);
     if (GatewayTarget* target = options_.targets.find(exchange.target))
         target->onFailure(now, !failed.mayHaveReachedTarget);
     exchange.lastFailure = std::move(failed.message);
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -186,9 +186,12 @@
     exchange.phase = Exchange::Phase::AwaitingHead;
     exchange.dispatch = {++lastDispatch_};
     exchange.target = target.targetIncarnation();
+    exchange.targetAddress = target.record.address;
     exchange.attemptedTargets.push_back(target.id());
     exchange.sentAt = now;
     exchange.firstByteAt.reset();
+    exchange.usesTargetCredit = exchange.limit.has_value();
+    exchange.wasBlamed = options_.quarantine.isBlamed(exchange.digest);
     dispatches_.emplace(exchange.dispatch, &exchange);
 
     options_.placement.recordSent(service.name, selection);
@@ -213,18 +216,13 @@
         .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce,
         .maxReuseIdleTime = std::min(idleLimit, std::max(addressAge - IdlePrecision, IdlePrecision)),
         .needsNewConnection = addressAge < IdlePrecision * 2,
-        .echoedHeader = options_.headers.requestId});
+        .echoedHeader = options_.headers.requestId,
+        .caller = exchange.handle});
     if (!exchange.body.empty())
         actions_.emplace_back(
             requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body, .isLast = true});
 }
 
-void RequestRunner::onSending(requests::DispatchId dispatch, Timestamp now)
-{
-    if (Exchange* exchange = find(dispatch))
-        exchange->firstByteAt = now;
-}
-
 void RequestRunner::releaseTarget(Exchange& exchange)
 {
     if (exchange.dispatch.value == 0)
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -82,8 +82,9 @@
     void onCreditResults(Timestamp now);
     void handle(requests::HttpEvent event, Timestamp now);
     void handle(requests::TargetEvent event, Timestamp now);
-    /// The first byte of a request is about to be sent to its target.
-    void onSending(requests::DispatchId dispatch, Timestamp now);
+    /// The first byte of a request is about to be sent to its target. Returns why it must not be sent any more, or
+    /// None.
+    [[nodiscard]] model::Reason recheck(requests::DispatchId dispatch, Timestamp now);
     /// Fails requests whose deadline has passed; checks targets that are unresponsive.
     void tick(Timestamp now);
     [[nodiscard]] std::vector<requests::Action> drainActions();
@@ -128,6 +129,10 @@
     void startComparison(Exchange& exchange, const GatewayTarget& target, Timestamp now);
     /// Counts the answer for the rollout of its service. `time`: its processing time; no value: it failed.
     void recordAnswer(Exchange& exchange, std::optional<Duration> time);
+    /// Why a request that was dispatched must not be sent any more, or None.
+    [[nodiscard]] model::Reason reasonToWithhold(const Exchange& exchange, Timestamp now) const;
+    /// The request was withheld: no byte of it was sent to the selected target.
+    void onWithheld(Exchange& exchange, model::Reason reason, Timestamp now);
     /// The target refused the request or failed: retries at another target, or fails the request.
     void retryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now);
     [[nodiscard]] bool mayRetryElsewhere(const Exchange& exchange, Timestamp now);
--- /dev/null
+++ b/src/gateway/internal/requestwithholding.cpp
@@ -0,0 +1,61 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/requestrunner.h"
+
+/// RequestRunner: requests whose first byte is sent, or withheld, some time after they were dispatched. Meanwhile the
+/// connection to the target was established, and the process may have been stalled.
+namespace saltvane::gateway {
+
+model::Reason RequestRunner::recheck(requests::DispatchId dispatch, Timestamp now)
+{
+    Exchange* exchange = find(dispatch);
+    if (exchange == nullptr)
+        return model::Reason::ClientGone;
+    const model::Reason reason = reasonToWithhold(*exchange, now);
+    if (reason == model::Reason::None)
+        exchange->firstByteAt = now;
+    return reason;
+}
+
+model::Reason RequestRunner::reasonToWithhold(const Exchange& exchange, Timestamp now) const
+{
+    if (now >= exchange.deadline)
+        return model::Reason::DeadlineExceeded;
+    if (options_.isRegistryLate(now))
+        return model::Reason::StaleState;
+    if (!exchange.wasBlamed && options_.quarantine.isBlamed(exchange.digest))
+        return model::Reason::RequestQuarantined;
+    const GatewayTarget* target = options_.targets.find(exchange.target);
+    if (target == nullptr)
+        return model::Reason::NoTarget;
+    const model::TargetRecord& record = target->record;
+    const bool isExcluded
+        = options_.targets.rollouts().roleOf(record.service, record.version, now) == VersionRole::Excluded;
+    const bool hasMoved = record.address != exchange.targetAddress;
+    return hasMoved || isExcluded || !target->mayReceive(now) ? model::Reason::NoTarget : model::Reason::None;
+}
+
+void RequestRunner::onWithheld(Exchange& exchange, model::Reason reason, Timestamp now)
+{
+    options_.counters.addWithheld(reason);
+    ++exchange.timesWithheld;
+    options_.targets.rollouts().recordWithheld(exchange.service, exchange.versionRole);
+    if (exchange.usesTargetCredit)
+        options_.credits.returnCredit(model::limitIdOf(exchange.target), now);
+    exchange.hasCredit = true;
+    exchange.isCompared = false;
+    exchange.attemptedTargets.pop_back();
+    releaseTarget(exchange);
+    if (reason == model::Reason::DeadlineExceeded)
+        return fail(exchange, reason, now);
+    if (reason == model::Reason::ClientGone) {
+        const auto outcome = exchange.mayHaveRun ? model::Outcome::Unknown : model::Outcome::NotRun;
+        return finish(exchange, {.exchange = exchange, .outcome = outcome, .reason = reason}, now);
+    }
+    dispatch(exchange, now);
+}
+
+} // namespace saltvane::gateway
--- a/src/gateway/internal/rollouttable.cpp
+++ b/src/gateway/internal/rollouttable.cpp
@@ -98,6 +98,15 @@
     balance = std::min(balance + share_, MaxBalance) - (role == VersionRole::Trial ? 1 : 0);
 }
 
+void RolloutTable::recordWithheld(const ServiceName& service, VersionRole role)
+{
+    const auto found = rollouts_.find(service);
+    if (found == rollouts_.end() || found->second.order.phase != model::RolloutPhase::Trial)
+        return;
+    double& balance = found->second.balance;
+    balance = std::min(balance - share_ + (role == VersionRole::Trial ? 1 : 0), MaxBalance);
+}
+
 void RolloutTable::recordAnswer(const Answer& answer)
 {
     const auto found = rollouts_.find(answer.service);
--- a/src/gateway/internal/rollouttable.h
+++ b/src/gateway/internal/rollouttable.h
@@ -43,6 +43,8 @@
     [[nodiscard]] bool mayUseTrial(const ServiceName& service, uint64_t object, bool isInformed, Timestamp now) const;
 
     void recordSent(const ServiceName& service, VersionRole role);
+    /// The request of the last recordSent() was not sent.
+    void recordWithheld(const ServiceName& service, VersionRole role);
     struct Answer {
         const ServiceName& service;
         const model::RouteName& route;
--- a/src/gateway/tests/decisiontests.cpp
+++ b/src/gateway/tests/decisiontests.cpp
@@ -57,7 +57,7 @@
     const requests::HttpHandle unsent = request({.id = "unsent"});
     const requests::TargetStart start = takeStarts().at(0);
     advance(300ms);
-    gateway_->onSending(start.dispatch, now_);
+    EXPECT_EQ(gateway_->recheckDispatch(start.dispatch, now_), model::Reason::None);
     advance(40ms);
     abort(late);
     EXPECT_TRUE(has(lineOf("late"), "send_ms=300"));
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -208,6 +208,12 @@
         .dispatch = start.dispatch, .mayHaveReachedTarget = mayHaveReachedTarget, .message = "test"}));
 }
 
+void GatewayFixture::withhold(const requests::TargetStart& start, model::Reason reason)
+{
+    handle(requests::TargetEvent(requests::TargetFailed {
+        .dispatch = start.dispatch, .mayHaveReachedTarget = false, .message = "test", .withheldFor = reason}));
+}
+
 void GatewayFixture::stopTarget(const requests::TargetStart& start, bool isKnown)
 {
     handle(requests::TargetEvent(
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -60,6 +60,8 @@
     };
     void answer(const requests::TargetStart& start, const TargetResponse& from);
     void fail(const requests::TargetStart& start, bool mayHaveReachedTarget);
+    /// The request was withheld right before its first byte.
+    void withhold(const requests::TargetStart& start, model::Reason reason);
     /// The connection is lost because the target stopped; `isKnown`: a new connection was refused at once.
     void stopTarget(const requests::TargetStart& start, bool isKnown);
     /// The connection is refused because nothing listens at the address.
--- a/src/gateway/tests/rollouttests.cpp
+++ b/src/gateway/tests/rollouttests.cpp
@@ -163,6 +163,23 @@
     EXPECT_EQ(report.routes[0].others.failed, 100 - toNewVersion);
 }
 
+/// Guards against a trial whose share is used up by requests that were withheld.
+TEST(RolloutTableTest, WithheldRequestsUseNoneOfTheShare)
+{
+    const model::RolloutOrder order {.service = Service, .version = New, .timeLimit = 20s};
+    RolloutTable table;
+    table.setShare(0.5);
+    table.apply({&order, 1}, Timestamp(1s));
+    const auto mayUseTrial = [&] { return table.mayUseTrial(Service, 1, true, Timestamp(2s)); };
+    table.recordSent(Service, VersionRole::Serving);
+    table.recordSent(Service, VersionRole::Serving);
+    EXPECT_TRUE(mayUseTrial());
+    table.recordSent(Service, VersionRole::Trial);
+    EXPECT_FALSE(mayUseTrial());
+    table.recordWithheld(Service, VersionRole::Trial);
+    EXPECT_TRUE(mayUseTrial());
+}
+
 /// The bound holds over any number of gateways, since each holds it for its own requests.
 TEST(RolloutTableTest, TrialShareHoldsOverAnyNumberOfGateways)
 {
--- a/src/host/ihostcore.h
+++ b/src/host/ihostcore.h
@@ -8,6 +8,7 @@
 #include "control/icontrolreplica.h"
 #include "host/hosttypes.h"
 #include "model/latency.h"
+#include "model/reasons.h"
 #include "settings/hostsettings.h"
 #include "steering/steeringtypes.h"
 
@@ -30,8 +31,13 @@
     virtual ~IHostCore() = default;
     virtual void handle(Event event, Timestamp now) = 0;
     virtual void tick(Timestamp now) = 0;
-    /// The first byte of a request is about to be sent to its target, which may be long after its TargetStart.
-    virtual void onSending(requests::DispatchId /*dispatch*/, Timestamp /*now*/) { }
+    /// The driver calls this right before the first byte of a request is sent to its target, which may be long after
+    /// its TargetStart. Returns why the request must not be sent any more, or None. A request that is withheld fails
+    /// with that reason (TargetFailed).
+    [[nodiscard]] virtual model::Reason recheckDispatch(requests::DispatchId /*dispatch*/, Timestamp /*now*/)
+    {
+        return model::Reason::None;
+    }
     [[nodiscard]] virtual std::vector<Action> drainActions() = 0;
     /// Interval at which the driver must call tick.
     [[nodiscard]] virtual Duration tickInterval() const { return TickInterval; }
--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -70,13 +70,16 @@
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> refusals {};
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> retries {};
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> unknowns {};
+    std::array<uint64_t, static_cast<size_t>(Reason::Count)> withheld {};
 
     void add(Counter counter, uint64_t count = 1) { values[static_cast<size_t>(counter)] += count; }
     void addRefusal(Reason reason) { ++refusals[static_cast<size_t>(reason)]; }
     void addRetry(Reason reason) { ++retries[static_cast<size_t>(reason)]; }
     void addUnknown(Reason reason) { ++unknowns[static_cast<size_t>(reason)]; }
+    void addWithheld(Reason reason) { ++withheld[static_cast<size_t>(reason)]; }
     [[nodiscard]] uint64_t value(Counter counter) const { return values[static_cast<size_t>(counter)]; }
     [[nodiscard]] uint64_t refusal(Reason reason) const { return refusals[static_cast<size_t>(reason)]; }
+    [[nodiscard]] uint64_t withheldFor(Reason reason) const { return withheld[static_cast<size_t>(reason)]; }
 };
 
 struct CounterInfo {
--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -37,6 +37,9 @@
     virtual void execute(const requests::HttpRequestWindow& action) = 0;
     /// Applies new limits at once, also to open connections. The core limits bodies.
     virtual void setCallerLimits(const model::CallerLimits& limits) = 0;
+    /// Whether the exchange's caller still waits for a response. Reads the state of its socket, of which the events may
+    /// be delivered later.
+    [[nodiscard]] virtual bool isCallerConnected(requests::HttpHandle handle) const = 0;
     /// Accepts no new connections; open ones continue.
     virtual void stopAccepting() = 0;
     [[nodiscard]] virtual size_t openConnections() const = 0;
@@ -71,8 +74,9 @@
     EventSink sink;
     Duration connectTimeout = 1s;
     int receiveBufferBytes = 0; ///< SO_RCVBUF of each connection, in bytes; 0: the system's default.
-    /// Called right before the first byte of a request is sent. Must not call back into the client.
-    std::function<void(const requests::TargetStart&)> onSending {};
+    /// Called right before the first byte of a request is sent, which may be long after its TargetStart. Returns why
+    /// the request must not be sent any more, or None. Must not call back into the client.
+    std::function<model::Reason(const requests::TargetStart&)> recheck {};
     model::Counters* counters = nullptr;
 };
 [[nodiscard]] Result<std::unique_ptr<ITargetClient>, IoError> makeTargetClient(TargetClientOptions options);
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -13,6 +13,7 @@
 #include <cmath>
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <vector>
 
 namespace saltvane::net {
@@ -34,6 +35,12 @@
     return info.tcpi_bytes_received > 0;
 }
 
+bool isPeerConnected(int fd)
+{
+    pollfd socket {.fd = fd, .events = POLLRDHUP, .revents = 0};
+    return ::poll(&socket, 1, 0) == 0;
+}
+
 std::string remoteIpOf(MHD_Connection* connection)
 {
     const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
@@ -129,6 +136,12 @@
     MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, daemonTimeoutSecondsOf(options_.limits));
 }
 
+bool HttpServer::isCallerConnected(requests::HttpHandle handle) const
+{
+    HttpExchange* exchange = find(handle);
+    return exchange != nullptr && isPeerConnected(exchange->connection().fd);
+}
+
 void HttpServer::stopAccepting()
 {
     const int fd = MHD_quiesce_daemon(daemon_);
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -38,6 +38,7 @@
     void execute(const requests::HttpAbort& action) override;
     void execute(const requests::HttpRequestWindow& action) override;
     void setCallerLimits(const model::CallerLimits& limits) override;
+    [[nodiscard]] bool isCallerConnected(requests::HttpHandle handle) const override;
     void stopAccepting() override;
     [[nodiscard]] size_t openConnections() const override { return connections_.size(); }
     [[nodiscard]] model::Address boundAddress() const override { return boundAddress_; }
--- a/src/net/internal/targetclient.cpp
+++ b/src/net/internal/targetclient.cpp
@@ -67,7 +67,7 @@
                                                .start = std::move(action),
                                                .connectTimeout = options_.connectTimeout,
                                                .receiveBufferBytes = options_.receiveBufferBytes,
-                                               .onSending = options_.onSending,
+                                               .recheck = options_.recheck,
                                                .counters = options_.counters,
                                                .emit = [this](requests::TargetEvent event) { emit(std::move(event)); }},
             acquireTransfer());
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -219,9 +219,13 @@
         self.failure_ = "connection closed without a response";
         return CURL_PREREQFUNC_ABORT;
     }
+    if (self.options_.recheck)
+        self.withheldFor_ = self.options_.recheck(self.options_.start);
+    if (self.withheldFor_ != model::Reason::None) {
+        self.failure_ = "withheld before its first byte";
+        return CURL_PREREQFUNC_ABORT;
+    }
     self.hasConnected_ = true;
-    if (self.options_.onSending)
-        self.options_.onSending(self.options_.start);
     return CURL_PREREQFUNC_OK;
 }
 
@@ -385,7 +389,8 @@
     options_.emit(requests::TargetFailed {.dispatch = options_.start.dispatch,
         .mayHaveReachedTarget = hasConnected_,
         .message = std::move(message),
-        .isRefused = isRefused});
+        .isRefused = isRefused,
+        .withheldFor = withheldFor_});
 }
 
 } // namespace saltvane::net
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -26,7 +26,7 @@
         requests::TargetStart start;
         Duration connectTimeout {};
         int receiveBufferBytes = 0;
-        std::function<void(const requests::TargetStart&)> onSending;
+        std::function<model::Reason(const requests::TargetStart&)> recheck;
         model::Counters* counters = nullptr;
         /// Must not call back into this exchange synchronously.
         std::function<void(requests::TargetEvent)> emit;
@@ -84,6 +84,7 @@
     ResponseHead head_;
     bool isInTransfer_ = false;
     bool hasConnected_ = false; ///< A connection was established, so bytes may have been sent.
+    model::Reason withheldFor_ = model::Reason::None; ///< Why the request was not sent once connected.
     std::string failure_; ///< Set by a callback; more specific than libcurl's code.
 
     // Request body.
--- a/src/net/tests/disconnectedcallertests.cpp
+++ b/src/net/tests/disconnectedcallertests.cpp
@@ -55,10 +55,10 @@
 protected:
     void SetUp() override
     {
-        client = std::move(makeTargetClient(
-            {.loop = runner.loop(), .sink = [this](host::Event event) {
-                 onTargetEvent(event);
-             }}).value());
+        client = std::move(makeTargetClient({.loop = runner.loop(),
+                                                .sink = [this](host::Event event) { onTargetEvent(event); },
+                                                .recheck = [this](const TargetStart& start) { return recheck(start); }})
+                               .value());
         server = std::move(makeHttpServer({.loop = runner.loop(),
                                               .address = {.ip = "127.0.0.1", .port = 0},
                                               .limits = {},
@@ -77,13 +77,18 @@
                 .method = started->method,
                 .path = started->path,
                 .bodyLength = started->bodyLength,
-                .isRepeatable = true});
+                .isRepeatable = true,
+                .caller = started->handle});
         else if (const auto* body = std::get_if<HttpRequestBody>(&http))
             client->execute(
                 TargetRequestBody {.dispatch = {body->handle.value}, .bytes = body->bytes, .isLast = body->isLast});
         else if (const auto* aborted = std::get_if<HttpRequestAborted>(&http))
             client->execute(TargetCancel {.dispatch = {aborted->handle.value}});
     }
+    [[nodiscard]] model::Reason recheck(const TargetStart& start) const
+    {
+        return server->isCallerConnected(start.caller) ? model::Reason::None : model::Reason::ClientGone;
+    }
     void onTargetEvent(const host::Event& event)
     {
         log.events.push_back(event);
@@ -92,6 +97,15 @@
             server->execute(HttpRespond {.handle = {done->dispatch.value}, .bodyLength = 0});
     }
 
+    /// Why requests were withheld.
+    [[nodiscard]] std::vector<model::Reason> withheld() const
+    {
+        std::vector<model::Reason> reasons;
+        for (const auto& failed : log.target<TargetFailed>())
+            reasons.push_back(failed.withheldFor);
+        return reasons;
+    }
+
     [[nodiscard]] RawSocket connect() const { return RawSocket::connectedTo(server->boundAddress()); }
     /// Accepts a connection if `target` has none, and responds to the request that arrives on it.
     [[nodiscard]] bool serveRequest(RawSocket& target)
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -124,6 +124,9 @@
     /// The target refused the connection: no process listens at the address. With mayHaveReachedTarget: an open
     /// connection broke and the new connection was refused.
     bool isRefused = false;
+    /// Why the request was withheld: it was checked again right before its first byte and must not be sent any more.
+    /// None: it was not withheld.
+    model::Reason withheldFor = model::Reason::None;
 };
 using TargetEvent
     = std::variant<TargetResponseHead, TargetResponseBody, TargetResponseDone, TargetRequestProgress, TargetFailed>;
@@ -147,6 +150,8 @@
     /// Request header that the target echoes in its response. A different value means that the response belongs to
     /// another request; the connection is then closed. Empty: not checked.
     std::string echoedHeader {};
+    /// The exchange on this host whose caller waits for the response. 0: none, as for a probe.
+    HttpHandle caller {};
 };
 struct TargetRequestBody {
     DispatchId dispatch;
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -85,6 +85,14 @@
     return daemon;
 }
 
+model::Reason Daemon::recheck(const requests::TargetStart& start)
+{
+    const bool hasCaller = start.caller.value != 0;
+    if (hasCaller && !serverFor(start.caller).isCallerConnected(start.caller))
+        return model::Reason::ClientGone;
+    return core_->recheckDispatch(start.dispatch, monotonicNow());
+}
+
 net::IHttpServer& Daemon::serverFor(requests::HttpHandle handle) const
 {
     return *httpServers_.at(requests::listenerOf(handle));
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -58,6 +58,8 @@
         const model::Address& address, const settings::Limits& limits, bool isMetricsServed, int sendBufferBytes);
     [[nodiscard]] std::unique_ptr<host::IHostCore> makeRoutedCore(
         const settings::RoutedHostSettings& settings, Incarnation incarnation) const;
+    /// Returns why a request must not be sent to its target any more, or None.
+    [[nodiscard]] model::Reason recheck(const requests::TargetStart& start);
     [[nodiscard]] net::IHttpServer& serverFor(requests::HttpHandle handle) const;
     void startWatchers();
     void deliver(host::Event event);
--- a/src/saltvaned/internal/daemonadapters.cpp
+++ b/src/saltvaned/internal/daemonadapters.cpp
@@ -178,7 +178,7 @@
         .sink = [this](host::Event event) { deliver(std::move(event)); },
         .connectTimeout = connectTimeout,
         .receiveBufferBytes = receiveBufferBytes,
-        .onSending = [this](const requests::TargetStart& start) { core_->onSending(start.dispatch, monotonicNow()); },
+        .recheck = [this](const requests::TargetStart& start) { return recheck(start); },
         .counters = &adapterCounters_});
     if (!targetClient)
         return targetClient.error();
--- a/src/saltvaned/internal/metricstext.cpp
+++ b/src/saltvaned/internal/metricstext.cpp
@@ -77,6 +77,8 @@
         makeReasonFamily("saltvane_retries_total", "Attempts repeated, by reason", core.retries, adapters.retries));
     families.push_back(makeReasonFamily(
         "saltvane_unknowns_total", "Requests with an unknown outcome, by reason", core.unknowns, adapters.unknowns));
+    families.push_back(makeReasonFamily("saltvane_withheld_total",
+        "Dispatches withheld before their first byte, by reason", core.withheld, adapters.withheld));
 }
 
 void addZoneGauges(std::vector<prometheus::MetricFamily>& families, const host::HostStatus& status)
