A request that is given up is reset while its bytes are unacknowledged

Targets saw (by test): the rest of a request that the gateway had given up.

Cause: the connection of a repeatable request that is cancelled was closed normally, and the kernel goes on sending what it has not sent or what was not acknowledged. Behind a full or broken path the request reaches its target whenever that can be reached again, and the close only after it.

Change: a connection with unacknowledged bytes is closed with a reset, which drops them; any other is closed as before, since a lost reset is not repeated and a normal close is. At-most-once requests had that already, as their connections are always reset.

--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -41,6 +41,13 @@
         [name](const model::Header& header) { return equalsIgnoringCase(header.name, name); });
 }
 
+/// Closing the socket sends a reset and drops the bytes that were not acknowledged.
+void setResetOnClose(int fd)
+{
+    const linger reset {.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 /// Bytes that were written to the socket and that the peer has not acknowledged.
 int unacknowledgedBytes(int fd)
 {
@@ -153,9 +160,8 @@
 int TargetExchange::onSocketMade(void* exchange, curl_socket_t fd, curlsocktype /*purpose*/)
 {
     const auto& self = *static_cast<const TargetExchange*>(exchange);
-    const linger reset {.l_onoff = 1, .l_linger = 0};
     if (self.needsExclusiveConnection())
-        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        setResetOnClose(fd);
     const int receiveBufferBytes = self.options_.receiveBufferBytes;
     if (receiveBufferBytes > 0)
         ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
@@ -164,8 +170,13 @@
 
 int TargetExchange::onSocketClosing(void* counters, curl_socket_t fd)
 {
-    if (counters != nullptr && unacknowledgedBytes(fd) > 0)
-        static_cast<model::Counters*>(counters)->add(model::Counter::UnacknowledgedCloses);
+    if (unacknowledgedBytes(fd) > 0) {
+        // After a normal close the kernel would go on sending them, and the request would reach the target however
+        // late.
+        setResetOnClose(fd);
+        if (counters != nullptr)
+            static_cast<model::Counters*>(counters)->add(model::Counter::UnacknowledgedCloses);
+    }
     return ::close(fd);
 }
 
--- a/src/net/tests/targetclientfixture.h
+++ b/src/net/tests/targetclientfixture.h
@@ -65,7 +65,7 @@
     /// Sends a request whose body is larger than what the target's host accepts while the target reads nothing.
     void executeUnread(uint64_t dispatch, RawSocket& target)
     {
-        TargetStart start = request(dispatch, false);
+        TargetStart start = request(dispatch);
         start.method = "POST";
         start.bodyLength = UnreadBodyBytes;
         client->execute(start);
--- a/src/net/tests/targetconnectiontests.cpp
+++ b/src/net/tests/targetconnectiontests.cpp
@@ -60,6 +60,21 @@
     EXPECT_EQ(closes(), 1u);
 }
 
+// Guards against requests that reach their target after they were given up: their bytes were still unacknowledged, and
+// the kernel would have sent them once the target could be reached or read again.
+TEST_F(TargetConnectionTest, CancelDropsBytesThatAreNotAcknowledged)
+{
+    RawSocket target;
+    executeUnread(1, target);
+    size_t sent = 0;
+    for (const TargetRequestProgress& progress : log.target<TargetRequestProgress>())
+        sent += progress.bytes;
+    client->execute(TargetCancel {.dispatch = {1}});
+    EXPECT_TRUE(runner.runUntil([&] { return target.isPeerDisconnected(); }));
+    EXPECT_TRUE(target.peerReset);
+    EXPECT_LT(target.received.size(), sent);
+}
+
 TEST_F(TargetConnectionTest, NewConnectionIsUsedIfRequested)
 {
     RawSocket before;
