Targets are told the time that is left at the first byte

Targets saw (by test): more time than was left, by as long as the request had waited for its first byte.

Cause: the header with the time left was computed when the request was dispatched, and sent after the connection was established or the process had run again. Of the same class as requests of callers that have left: decided on one moment's facts, carried out in another.

Change: the target client computes it again right before the first byte (TargetStart::deadlineHeader, deadline), in the memory of the line that libcurl sends.

--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -217,6 +217,8 @@
         .maxReuseIdleTime = std::min(idleLimit, std::max(addressAge - IdlePrecision, IdlePrecision)),
         .needsNewConnection = addressAge < IdlePrecision * 2,
         .echoedHeader = options_.headers.requestId,
+        .deadlineHeader = options_.headers.deadline,
+        .deadline = exchange.deadline,
         .caller = exchange.handle});
     if (!exchange.body.empty())
         actions_.emplace_back(
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -5,6 +5,7 @@
  */
 #include "net/internal/targetexchange.h"
 
+#include "base/monotonicclock.h"
 #include "net/internal/requestframing.h"
 #include "net/internal/socketaddress.h"
 
@@ -41,6 +42,13 @@
         [name](const model::Header& header) { return equalsIgnoringCase(header.name, name); });
 }
 
+curl_slist* lastOf(curl_slist* list)
+{
+    while (list->next != nullptr)
+        list = list->next;
+    return list;
+}
+
 /// Closing the socket sends a reset and drops the bytes that were not acknowledged.
 void setResetOnClose(int fd)
 {
@@ -209,6 +217,8 @@
             continue;
         // libcurl expects "Name;" for an empty value; "Name:" would remove the header.
         addHeader(header.value.empty() ? header.name + ";" : header.name + ": " + header.value);
+        if (!request.deadlineHeader.empty() && equalsIgnoringCase(header.name, request.deadlineHeader))
+            deadlineLine_ = lastOf(headerLines_);
     }
     addHeader("Expect:");
     if (needsExclusiveConnection())
@@ -221,6 +231,17 @@
     curl_easy_setopt(transfer_, CURLOPT_HTTPHEADER, headerLines_);
 }
 
+void TargetExchange::updateDeadlineLine()
+{
+    if (deadlineLine_ == nullptr)
+        return;
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(options_.start.deadline - monotonicNow()).count();
+    const std::string line = options_.start.deadlineHeader + ": " + std::to_string(std::max<int64_t>(left, 1));
+    // The time only gets shorter, so the line fits into the memory of the one that it replaces.
+    if (line.size() <= std::strlen(deadlineLine_->data))
+        std::memcpy(deadlineLine_->data, line.c_str(), line.size() + 1);
+}
+
 int TargetExchange::onReady(
     void* exchange, char* /*remoteIp*/, char* /*localIp*/, int /*remotePort*/, int /*localPort*/)
 {
@@ -236,6 +257,7 @@
         self.failure_ = "withheld before its first byte";
         return CURL_PREREQFUNC_ABORT;
     }
+    self.updateDeadlineLine();
     self.hasConnected_ = true;
     return CURL_PREREQFUNC_OK;
 }
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -66,6 +66,8 @@
     void setMethod();
     void addHeaders();
     void addHeader(const std::string& line);
+    /// Replaces the time left in the header for it by the present one.
+    void updateDeadlineLine();
     [[nodiscard]] bool handleHeadLine(std::string_view line);
     /// True if the complete head belongs to another request: a surplus response arrived instead of the expected one.
     [[nodiscard]] bool isOfAnotherRequest();
@@ -80,6 +82,7 @@
     Options options_;
     CURL* transfer_;
     curl_slist* headerLines_ = nullptr;
+    curl_slist* deadlineLine_ = nullptr; ///< The one of the headerLines_ that tells the time left.
     std::string url_;
     ResponseHead head_;
     bool isInTransfer_ = false;
--- a/src/net/tests/targetclientfixture.h
+++ b/src/net/tests/targetclientfixture.h
@@ -27,6 +27,7 @@
         client = std::move(makeTargetClient({.loop = runner.loop(),
                                                 .sink = [this](host::Event event) { log.events.push_back(event); },
                                                 .connectTimeout = 500ms,
+                                                .recheck = [this](const TargetStart& start) { return recheck(start); },
                                                 .counters = &counters})
                                .value());
     }
@@ -94,6 +95,7 @@
     }
 
     LoopRunner runner;
+    std::function<model::Reason(const TargetStart&)> recheck = [](const TargetStart&) { return model::Reason::None; };
     EventLog log;
     RawListener listener;
     model::Counters counters;
--- a/src/net/tests/targetclienttests.cpp
+++ b/src/net/tests/targetclienttests.cpp
@@ -3,8 +3,11 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
+#include "base/monotonicclock.h"
 #include "net/tests/targetclientfixture.h"
 
+#include <thread>
+
 namespace saltvane::net::tests {
 namespace {
 
@@ -29,6 +32,33 @@
     EXPECT_EQ(log.target<TargetResponseDone>().size(), 1u);
 }
 
+// Guards against targets that are given more time than is left, because the process was stalled between the dispatch
+// and the first byte.
+TEST_F(TargetClientTest, TimeLeftIsThatOfTheFirstByte)
+{
+    constexpr auto Stall = 120ms;
+    constexpr int DeadlineMs = 1000;
+    TargetStart start = request(1);
+    start.headers.push_back({"X-Time-Left", std::to_string(DeadlineMs)});
+    start.headers.push_back({"X-Last", "1"});
+    start.deadlineHeader = "X-Time-Left";
+    start.deadline = monotonicNow() + std::chrono::milliseconds(DeadlineMs);
+    recheck = [&](const TargetStart&) {
+        std::this_thread::sleep_for(Stall);
+        return model::Reason::None;
+    };
+    client->execute(start);
+    RawSocket target;
+    ASSERT_TRUE(acceptRequest(target));
+    const std::string name = "X-Time-Left: ";
+    const size_t at = target.received.find(name);
+    ASSERT_NE(at, std::string::npos) << target.received;
+    const int left = std::stoi(target.received.substr(at + name.size()));
+    EXPECT_GT(left, 0);
+    EXPECT_LE(left, DeadlineMs - Stall / 1ms);
+    EXPECT_NE(target.received.find("\r\nX-Last: 1\r\n"), std::string::npos);
+}
+
 TEST_F(TargetClientTest, FollowsNoRedirect)
 {
     client->execute(request(1));
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -150,6 +150,10 @@
     /// Request header that the target echoes in its response. A different value means that the response belongs to
     /// another request; the connection is then closed. Empty: not checked.
     std::string echoedHeader {};
+    /// Name of the header that tells the target the time left; empty: none. Its value is replaced by the time until
+    /// `deadline` when the first byte is sent.
+    std::string deadlineHeader {};
+    Timestamp deadline {};
     /// The exchange on this host whose caller waits for the response. 0: none, as for a probe.
     HttpHandle caller {};
 };
