Soak: a gateway is stopped behind a burst of requests whose callers leave

Cause: no fault of the soak closed callers' connections while a gateway stood still with their requests, so it could not show that those are sent on afterwards.

Change: fault stop_behind_burst (drawn for seeds from 1,000,000,000,000 on, which new seeds are) and its check: after each stop one request at the most reaches a target later than a second after the close, on connections that were not held back.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -3,17 +3,32 @@
 import asyncio
 import collections.abc
 import dataclasses
+import itertools
 import random
 import signal
 import time
 
 from deployment import Deployment, Host
 from forwarder import TO_CLIENT, TO_DESTINATION
+from messages import encode, split
 from operator_calls import Operator
+from plans import STEADY_PATHS
 from targets import Target
 
 STOP_TIMEOUT_S = 7.5  # stop_time_limit_s plus a margin for a busy machine.
 CATCH_UP_S = 6
+BURST_REQUESTS = 9
+BURST_STOP_DELAY_S = (0, 0.003)  # From the last request of a burst until its gateway is stopped.
+BURST_CLOSE_DELAY_S = 0.1
+burst_numbers = itertools.count(1)
+
+
+@dataclasses.dataclass
+class AbandonedBurst:
+    """Requests whose callers closed their connections while the gateway was stopped that had them."""
+    gateway: str
+    closed_at: float
+    requests: list[str]
 
 
 @dataclasses.dataclass
@@ -25,6 +40,7 @@
     findings: list[str]
     is_wiping: bool = False
     silenced_at: list[float] = dataclasses.field(default_factory=list)  # When most connections between hosts were silenced.
+    abandoned: list[AbandonedBurst] = dataclasses.field(default_factory=list)
 
 
 Fault = collections.abc.Callable[[World], collections.abc.Awaitable[None]]
@@ -252,6 +268,34 @@
         await target.start()
 
 
+async def stop_behind_burst(world: World):
+    """A gateway is stopped right behind a burst of requests on new connections, and their callers leave before it goes on."""
+    gateway = choose_host(world, world.deployment.gateways)
+    if gateway is None:
+        return
+    process = world.deployment.system.processes[gateway.name]
+    try:
+        connections = [await asyncio.open_connection(*split(gateway.front_address)) for _ in range(BURST_REQUESTS)]
+    except OSError:
+        return
+    requests = [f"left-{next(burst_numbers)}" for _ in connections]
+    for request, (_, writer) in zip(requests, connections):
+        path = world.rng.choice(STEADY_PATHS)
+        is_once = path.startswith("/once/")
+        headers = {"Host": "prices.example", "Saltvane-Request-Id": request, "Saltvane-Deadline-Ms": "3000",
+                   "Saltvane-Object": str(world.rng.randrange(40))}
+        writer.write(encode(f"{'POST' if is_once else 'GET'} {path}1 HTTP/1.1", headers, b"body" if is_once else b""))
+    time.sleep(draw_pause(world, *BURST_STOP_DELAY_S))  # Not asyncio's: other tasks must not run before the signal.
+    world.deployment.send(gateway, signal.SIGSTOP)
+    await asyncio.sleep(BURST_CLOSE_DELAY_S)
+    for _, writer in connections:
+        writer.transport.abort()
+    world.abandoned.append(AbandonedBurst(gateway.front_address, time.monotonic(), requests))
+    await asyncio.sleep(draw_pause(world, 1.2, 3))
+    process.send_signal(signal.SIGCONT)
+    gateway.is_paused = False
+
+
 async def change_plan(world: World):
     await world.operator.replace_plan()
 
@@ -277,14 +321,17 @@
 FIRST_SEED_OF_LEAVES = 1_000_000_000
 FIRST_SEED_OF_LIMITS = 10_000_000_000
 FIRST_SEED_OF_BACKOFFS = 100_000_000_000
+FIRST_SEED_OF_BURSTS = 1_000_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
 WITH_LEAVES = [*WITH_SILENT_LINKS, (leave_beside_ends, 2)]
 WITH_LIMITS = [*WITH_LEAVES, (limit_targets, 4)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_BACKOFFS: [*WITH_LIMITS, (rest_targets, 3), (leave_by_word, 2)],
+WITH_BACKOFFS = [*WITH_LIMITS, (rest_targets, 3), (leave_by_word, 2)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_BURSTS: [*WITH_BACKOFFS, (stop_behind_burst, 3)],
+                    FIRST_SEED_OF_BACKOFFS: WITH_BACKOFFS,
                     FIRST_SEED_OF_LIMITS: WITH_LIMITS, FIRST_SEED_OF_LEAVES: WITH_LEAVES,
                     FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_BACKOFFS]}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_BURSTS]}
 
 
 def draw(rng: random.Random, seed: int) -> Fault:
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -2,6 +2,7 @@
 import collections
 
 from callers import Outcome
+from faults import AbandonedBurst
 from plans import STEADY_PATHS, service_of
 from targets import response_body
 from troubles import Span
@@ -32,6 +33,11 @@
 # machine.
 CONVERGENCE_S = 5
 MAX_RUNS_AFTER_THIRD = 3
+# Later than this after their callers have closed their connections, requests of a stopped gateway reach no target: 0.5 s plus
+# a margin for a busy machine.
+MAX_ARRIVAL_AFTER_CLOSE_S = 1
+# A stop between the last look at a caller's socket and the first byte of its request lets that request through.
+MAX_LATE_PER_STOP = 1
 
 
 def findings_of_outcomes(outcomes: list[Outcome], runs: collections.Counter) -> list[str]:
@@ -204,6 +210,19 @@
     return findings[:3]
 
 
+def findings_of_abandoned_bursts(bursts: list[AbandonedBurst], arrivals: list[tuple[float, str, str, str]],
+                                 held_spans: dict[str, list[Span]]) -> list[str]:
+    """`held_spans`: when connections to a target's address were held back, by address."""
+    findings = []
+    for burst in bursts:
+        late = [request for at, _, address, request in arrivals
+                if request in burst.requests and at > burst.closed_at + MAX_ARRIVAL_AFTER_CLOSE_S
+                and not any(begin <= at < end + LIMIT_WINDOW_S for begin, end in held_spans.get(address, []))]
+        if len(late) > MAX_LATE_PER_STOP:
+            findings.append(f"{burst.gateway} sent {len(late)} requests on after their callers had left: {late}")
+    return findings
+
+
 def _allowed_requests(announced: list[tuple[float, float | None]], begin: float, end: float) -> float | None:
     """The number of requests that a target's limits allow; None if it had no limit for part of the time."""
     allowed = 0.0
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -4,10 +4,11 @@
 import unittest
 
 from callers import Outcome
+from faults import AbandonedBurst
 from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
 from promises import MAX_RUN_AFTER_LEAVE_S, MAX_STALE_RUN_S, MIN_SERVED, findings_of_fatal_requests, findings_of_leaves, \
     findings_of_leaving_responses, findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, \
-    findings_of_reads, findings_of_backoffs
+    findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts
 from targets import response_body
 
 
@@ -231,5 +232,26 @@
         self.assertEqual(self.check(100.1 + MAX_RUN_AFTER_LEAVE_S, spans={"g": [(101.0, 102.0)]}), [])
 
 
+class AbandonedBurstsTest(unittest.TestCase):
+    """The callers of three requests leave at 100 s."""
+
+    def check(self, arrivals: list[float], held_spans=None) -> list[str]:
+        burst = AbandonedBurst("g", 100.0, ["r0", "r1", "r2"])
+        arrived = [(at, "t", "address", f"r{number}") for number, at in enumerate(arrivals)]
+        return findings_of_abandoned_bursts([burst], arrived, held_spans or {})
+
+    def test_arrivals_in_time_are_no_finding(self):
+        self.assertEqual(self.check([99.9, 100.1, 101.0]), [])
+
+    def test_one_late_arrival_is_no_finding(self):
+        self.assertEqual(self.check([101.1]), [])
+
+    def test_two_late_arrivals_are_a_finding(self):
+        self.assertIn("2 requests", self.check([99.9, 101.1, 103.0])[0])
+
+    def test_requests_held_back_on_the_way_do_not_count(self):
+        self.assertEqual(self.check([99.9, 101.1, 103.0], {"address": [(100.5, 101.0)]}), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -106,6 +106,8 @@
         self.findings += promises.findings_of_leaving_responses(
             self.runs.leaving_responses, self.runs.arrivals, self.outcomes,
             {gateway: self.troubles.spans_of(gateway) for gateway in self.troubles.spans})
+        self.findings += promises.findings_of_abandoned_bursts(
+            self.world.abandoned, self.runs.arrivals, self.troubles.held_spans)
         self.findings += self.deployment.unexpected_exits()
 
     async def _end_fatal_callers(self):
@@ -225,7 +227,7 @@
     seed_lines = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     listed_seeds = [int(line.split()[0]) for line in seed_lines if line and not line.startswith("#")]
     seeds = (options.seed or []) + listed_seeds or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_BACKOFFS, 10**12) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_BURSTS, 10**13) for _ in range(options.runs)]
     failed_seeds = [seed for seed in seeds if asyncio.run(run_seed(seed, options))]
     print(f"soak: {len(seeds) - len(failed_seeds)} passed, {len(failed_seeds)} failed"
           + (f": {failed_seeds}" if failed_seeds else ""))
