Owner hosts send no request to a target after its deadline

Targets saw (by test): a request of an owner host whose deadline had passed while the connection was established or the process was stalled.

Cause: as at gateways: the deadline was checked when the request was dispatched, and its first byte was sent later.

Change: the owner's requests are checked right before their first byte as well (IOwnerRequests::recheck). A request that is withheld ends as not run, with deadline-exceeded; its target's slot is released and the target is not blamed.

--- a/src/host/internal/hostcore.cpp
+++ b/src/host/internal/hostcore.cpp
@@ -69,6 +69,11 @@
 
 void HostCore::accept(requests::HttpEvent event, Timestamp now) { http_.handle(std::move(event), now); }
 
+model::Reason HostCore::recheckDispatch(requests::DispatchId dispatch, Timestamp now)
+{
+    return modules_.owner->recheck(dispatch, now);
+}
+
 void HostCore::accept(requests::TargetEvent event, Timestamp now) { modules_.owner->handle(std::move(event), now); }
 
 void HostCore::accept(model::Delivery delivery, Timestamp now)
--- a/src/host/internal/hostcore.h
+++ b/src/host/internal/hostcore.h
@@ -29,6 +29,7 @@
 
     void handle(Event event, Timestamp now) override;
     void tick(Timestamp now) override;
+    [[nodiscard]] model::Reason recheckDispatch(requests::DispatchId dispatch, Timestamp now) override;
     [[nodiscard]] std::vector<Action> drainActions() override;
     [[nodiscard]] HostStatus status(Timestamp now) const override;
     [[nodiscard]] const model::Counters& counters() const override { return modules_.counters; }
--- a/src/requests/internal/ownerdispatcher.cpp
+++ b/src/requests/internal/ownerdispatcher.cpp
@@ -207,6 +207,16 @@
     retryOrFinish(exchange, failed, now);
 }
 
+void OwnerDispatcher::onWithheld(OwnerExchange& exchange, model::Reason reason, Timestamp now)
+{
+    const OwnerAttempt& attempt = *exchange.attempt;
+    slots_.release(attempt.slot, steering::DispatchResult::Cancelled, now - attempt.started, now);
+    endAttempt(exchange);
+    --exchange.tries;
+    counters_.addWithheld(reason);
+    finish(exchange, {model::Outcome::NotRun, reason}, now);
+}
+
 void OwnerDispatcher::retryOrFinish(OwnerExchange& exchange, OwnerCompletion completion, Timestamp now)
 {
     const bool mayRetry
--- a/src/requests/internal/ownerdispatcher.h
+++ b/src/requests/internal/ownerdispatcher.h
@@ -40,6 +40,8 @@
     void onAnswered(OwnerExchange& exchange, Timestamp now);
     void onShed(OwnerExchange& exchange, std::span<const model::Header> headers, Timestamp now);
     void onFailed(OwnerExchange& exchange, bool mayHaveReachedTarget, Timestamp now);
+    /// No byte of the attempt was sent, since the request must not run any more.
+    void onWithheld(OwnerExchange& exchange, model::Reason reason, Timestamp now);
     /// Removes the request from its queue or aborts its attempt, and ends it. The outcome of a dispatched request is
     /// unknown.
     void abortRequest(OwnerExchange& exchange, steering::DispatchResult result, model::Reason reason, Timestamp now);
--- a/src/requests/internal/ownerrequests.cpp
+++ b/src/requests/internal/ownerrequests.cpp
@@ -192,9 +192,19 @@
 
 void OwnerRequests::onEvent(OwnerExchange& exchange, TargetFailed& failure, Timestamp now)
 {
+    if (failure.withheldFor != model::Reason::None)
+        return dispatcher_.onWithheld(exchange, failure.withheldFor, now);
     dispatcher_.onFailed(exchange, failure.mayHaveReachedTarget, now);
 }
 
+model::Reason OwnerRequests::recheck(DispatchId dispatch, Timestamp now)
+{
+    const OwnerExchange* exchange = table_.find(dispatch);
+    if (exchange == nullptr)
+        return model::Reason::ClientGone;
+    return exchange->deadline <= now ? model::Reason::DeadlineExceeded : model::Reason::None;
+}
+
 void OwnerRequests::pump(OwnerExchange& exchange, Timestamp now)
 {
     while (auto frame = exchange.download->nextFrame(exchange.key.correlation))
--- a/src/requests/internal/ownerrequests.h
+++ b/src/requests/internal/ownerrequests.h
@@ -21,6 +21,7 @@
 
     void handle(const model::Delivery& delivery, Timestamp now) override;
     void handle(TargetEvent event, Timestamp now) override;
+    [[nodiscard]] model::Reason recheck(DispatchId dispatch, Timestamp now) override;
     void onHostLost(const HostId& host, Timestamp now) override;
     void serveQueues(Timestamp now) override;
     [[nodiscard]] uint32_t inFlight() const override;
--- a/src/requests/iownerrequests.h
+++ b/src/requests/iownerrequests.h
@@ -26,6 +26,9 @@
     /// Handles ForwardRequest (purpose Dispatch), ForwardBody, ForwardWindow and ForwardCancel.
     virtual void handle(const model::Delivery& delivery, Timestamp now) = 0;
     virtual void handle(TargetEvent event, Timestamp now) = 0;
+    /// Called right before the first byte of a request is sent to its target. Returns why it must not be sent any more,
+    /// or None.
+    [[nodiscard]] virtual model::Reason recheck(DispatchId dispatch, Timestamp now) = 0;
     /// The link to the entry host broke or the host restarted: its requests are cancelled.
     virtual void onHostLost(const HostId& host, Timestamp now) = 0;
     /// Dispatches queued requests; called when slots may have become free.
--- a/src/requests/tests/ownerrequeststests.cpp
+++ b/src/requests/tests/ownerrequeststests.cpp
@@ -184,6 +184,24 @@
     EXPECT_EQ(sent<model::ForwardEnd>().front().tries, 0U);
 }
 
+// Guards against requests that reach a target after their deadline, because the process was stalled between the
+// dispatch and the first byte.
+TEST_F(OwnerRequestsTest, DispatchIsNotSentAfterTheDeadline)
+{
+    pool_.add("a", 1);
+    pool_.add("b", 1);
+    model::ForwardRequest timed = request(1);
+    timed.deadline = 500ms;
+    deliver(timed);
+    EXPECT_EQ(owner_->recheck(lastDispatch(), now_ + 499ms), Reason::None);
+    EXPECT_EQ(owner_->recheck(lastDispatch(), now_ + 500ms), Reason::DeadlineExceeded);
+    handleTargetEvent(TargetFailed {
+        .dispatch = lastDispatch(), .mayHaveReachedTarget = false, .withheldFor = Reason::DeadlineExceeded});
+    expectEnd(Outcome::NotRun, Reason::DeadlineExceeded);
+    EXPECT_EQ(actions<TargetStart>().size(), 1U);
+    EXPECT_EQ(sent<model::ForwardEnd>().front().tries, 0U);
+}
+
 TEST_F(OwnerRequestsTest, FailureOfANonRepeatableIsUnknown)
 {
     pool_.add("a", 1);
