Rollouts are started and followed from the command line

Missing: operators could order a rollout and read its state by HTTP calls only.

The client follows the redirects of registry hosts that are not the leader.

Tests: CommandLineTest.RolloutCommandsCheckTheirArguments; testing/system/routedhosts.py with real processes: an order by way of a redirect, the same order again, another version meanwhile (refused), the state, and the wait for its end (rolled back after its limit).

--- a/src/saltvane/internal/arguments.cpp
+++ b/src/saltvane/internal/arguments.cpp
@@ -45,10 +45,13 @@
     TCLAP::ValueArg<uint64_t> toVersion("t", "to", "Version to go back to", false, 0, "version", commandLine);
     TCLAP::ValueArg<unsigned> timeout(
         "", "timeout", "Longest wait of --wait, seconds", false, 30, "seconds", commandLine);
+    TCLAP::ValueArg<unsigned> timeLimit("", "limit",
+        "Time after which a rollout that is not completed is rolled back, seconds", false, 0, "seconds", commandLine);
     TCLAP::SwitchArg json("", "json", "Answer in JSON", commandLine);
-    TCLAP::SwitchArg wait("", "wait", "Follow until in force everywhere", commandLine);
+    TCLAP::SwitchArg wait("", "wait", "Follow until in force everywhere, or until the rollout has ended", commandLine);
     TCLAP::SwitchArg watch("", "watch", "Refresh every second until interrupted", commandLine);
-    TCLAP::UnlabeledMultiArg<std::string> operands("operands", "Files or versions", false, "operand", commandLine);
+    TCLAP::UnlabeledMultiArg<std::string> operands(
+        "operands", "Files, versions or services", false, "operand", commandLine);
     args.insert(args.begin(), "saltvane " + command);
     try {
         commandLine.parse(args);
@@ -71,6 +74,7 @@
         .keyPath = keyPath.getValue(),
         .toVersion = toVersion.getValue(),
         .timeout = std::chrono::seconds(timeout.getValue()),
+        .timeLimit = std::chrono::seconds(timeLimit.getValue()),
         .isJson = json.getValue(),
         .isWaiting = wait.getValue(),
         .isWatching = watch.getValue()};
--- a/src/saltvane/internal/arguments.h
+++ b/src/saltvane/internal/arguments.h
@@ -22,6 +22,7 @@
     std::string keyPath;
     uint64_t toVersion = 0; ///< Of --to; 0: not given.
     Duration timeout = 30s; ///< Longest wait of --wait.
+    Duration timeLimit {}; ///< Of --limit; 0: not given.
     bool isJson = false;
     bool isWaiting = false;
     bool isWatching = false;
--- a/src/saltvane/internal/commandtable.cpp
+++ b/src/saltvane/internal/commandtable.cpp
@@ -9,6 +9,7 @@
 #include "saltvane/internal/bundlecommands.h"
 #include "saltvane/internal/checkcommands.h"
 #include "saltvane/internal/exitcodes.h"
+#include "saltvane/internal/rolloutcommands.h"
 #include "saltvane/internal/statuscommands.h"
 
 #include <array>
@@ -39,6 +40,9 @@
     Command {"bundle show", "VERSION", "one version's content", showBundle},
     Command {
         "bundle status", "[VERSION] [--wait]", "each host's version, laggards, progress of the shift", bundleStatus},
+    Command {"rollout start", "SERVICE VERSION --limit SECONDS [--wait]",
+        "roll a new version of a service's targets out", startRollout},
+    Command {"rollout status", "SERVICE [--wait]", "state of a service's latest rollout", rolloutStatus},
     Command {"status", "[--watch]", "zones, room, hosts, refusals", showStatus},
     Command {"key new", "FILE", "make an operator's key pair", newKey},
 };
@@ -55,7 +59,7 @@
     out << "\n  --server IP:PORT   entry address of a host, may be repeated (or SALTVANE_SERVERS, comma separated)\n"
            "  --json             answers in JSON\n"
            "  --help, --version\n\n"
-           "exit codes: 0 done, 1 refused by control, 2 wrong arguments or findings,\n"
+           "exit codes: 0 done, 1 refused by control or rolled back, 2 wrong arguments or findings,\n"
            "            3 no control host with proof of being current, 4 wait timed out\n";
     return ExitOk;
 }
--- a/src/saltvane/internal/controlclient.cpp
+++ b/src/saltvane/internal/controlclient.cpp
@@ -21,6 +21,7 @@
 
 constexpr long RequestTimeoutMs = 10000;
 constexpr long ConnectTimeoutMs = 1000;
+constexpr long MaxRedirects = 2;
 constexpr int MaxRounds = 5; ///< Passes over the servers; with the pauses they outlast an election (1 to 2 s).
 constexpr std::chrono::milliseconds PauseBetweenRounds {500};
 constexpr long StatusMisdirected = 421;
@@ -44,6 +45,9 @@
     curl_easy_setopt(curl.get(), CURLOPT_NOPROXY, "*");
     curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, RequestTimeoutMs);
     curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
+    // Registry hosts redirect orders to the leader.
+    curl_easy_setopt(curl.get(), CURLOPT_FOLLOWLOCATION, 1L);
+    curl_easy_setopt(curl.get(), CURLOPT_MAXREDIRS, MaxRedirects);
     curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &response.body);
     curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, headers.get());
--- a/src/saltvane/tests/commandlinetests.cpp
+++ b/src/saltvane/tests/commandlinetests.cpp
@@ -69,7 +69,8 @@
 {
     const Outcome help = run({"--help"});
     EXPECT_EQ(help.exitCode, ExitOk);
-    for (const char* text : {"host check", "bundle propose", "bundle status", "status", "key new", "exit codes"})
+    for (const char* text : {"host check", "bundle propose", "bundle status", "rollout start", "rollout status",
+             "status", "key new", "exit codes"})
         EXPECT_NE(help.out.find(text), std::string::npos) << text;
     EXPECT_EQ(run({"--version"}).out, "saltvane 1.2.3\n");
 }
@@ -123,6 +124,20 @@
     EXPECT_GT(findings[0]["line"].get<int>(), 1);
 }
 
+TEST_F(CommandLineTest, RolloutCommandsCheckTheirArguments)
+{
+    for (const std::vector<std::string>& args : {std::vector<std::string> {"rollout", "start", "quotes"},
+             {"rollout", "start", "quotes", "v2"}, {"rollout", "start", "quotes", "v2", "--limit", "0"},
+             {"rollout", "start", "quotes", "v2", "v3", "--limit", "60"},
+             {"rollout", "start", "quotes", "v2", "--limit", "soon"}, {"rollout", "status"},
+             {"rollout", "status", "quotes", "files"}}) {
+        const Outcome outcome = run(args);
+        EXPECT_EQ(outcome.exitCode, ExitUsage) << args.back();
+        EXPECT_NE(outcome.err.find("rollout"), std::string::npos) << outcome.err;
+    }
+    EXPECT_EQ(run({"rollout", "status", "quotes", "--server", UnusedAddress}).exitCode, ExitNoControl);
+}
+
 TEST_F(CommandLineTest, UnreadableFileIsAFinding)
 {
     const std::string missing = folder_ / "missing.yaml";
--- a/testing/system/routedhosts.py
+++ b/testing/system/routedhosts.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""System test with a registry host, a gateway and a test target over loopback: plans, requests, SIGHUP and stops."""
+"""System test with a registry host, a gateway and a test target over loopback: plans, requests, commands for rollouts, SIGHUP and
+stops."""
 import http.server
 import json
 import os
@@ -78,6 +79,24 @@
         pass
 
 
+class Redirector(http.server.BaseHTTPRequestHandler):
+    """Redirects every request to the leader, as a registry host does that is not the leader."""
+    leader = ""
+
+    def redirect(self):
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self.send_response(307)
+        self.send_header("Location", f"http://{Redirector.leader}{self.path}")
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
+    do_GET = redirect
+    do_POST = redirect
+
+    def log_message(self, *_):
+        pass
+
+
 def send_heartbeat(control: str, target: str, sequence: int, state: str = "ready"):
     body = json.dumps({"service": "quotes", "address": target, "zone": "north-a", "version": "v1", "slots": 3,
                        "state": state, "slow_start_left_ms": 0, "sequence": sequence}).encode()
@@ -126,6 +145,23 @@
     wait_until("the small plan", lambda: send_request(front, "/prices/1", f"try-{time.monotonic()}").status == 200, 5)
 
 
+def check_rollout_commands(system: System, control: str, network: str):
+    """A rollout to a version that no target reports ends as rolled back; orders and states go by way of a redirect."""
+    Redirector.leader = control
+    other = f"{network}.102:18080"
+    server = http.server.ThreadingHTTPServer((f"{network}.102", 18080), Redirector)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    start = ("rollout", "start", "quotes", "v2", "--limit", "3")
+    assert "rollout status quotes --wait" in system.command(*start, servers=other)
+    system.command(*start, servers=control)  # The same order again.
+    system.command("rollout", "start", "quotes", "v3", "--limit", "3", servers=control, expected_exit_code=1)
+    state = json.loads(system.command("rollout", "status", "quotes", "--json", servers=other))
+    assert state["to_version"] == "v2" and state["state"] == "running", state
+    text = system.command("rollout", "status", "quotes", "--wait", "--timeout", "20", servers=control, expected_exit_code=1)
+    assert "quotes: v2 running" in text and text.endswith("quotes: v2 rolled_back\n"), text
+    system.command("rollout", "status", "files", servers=control, expected_exit_code=1)
+
+
 def run(system: System, network: str):
     registry, gateway, target_ip = f"{network}.1", f"{network}.2", f"{network}.101"
     for name, role, ip, role_settings in (("registry", "registry", registry, REGISTRY),
@@ -165,6 +201,7 @@
     assert all(process.poll() is None for process in system.processes.values())
     wait_until("a response after SIGHUP", lambda: send_request(front, "/prices/1", "try-5").status == 200, 5)
 
+    check_rollout_commands(system, control, network)
     assert b"saltvane_latency_seconds" in call(f"{gateway}:18082", "/metrics").body
     assert send_heartbeat(control, target, 2, "leaving").status == 200
     wait_until("the target's retirement", lambda: send_request(front, "/prices/1", "try-6").status == 503, 5)
