Reading the change: one way to log a duration, a socket whose state can't be read counts as connected

What read badly: the decision log had a second millisecondsText(), and the time to the first byte was worked out in it. A failed poll() would have counted as a caller that has left; now the event of the disconnect decides. DisconnectedCallerTest holds that the caller's exchange ends as well.

Tests: net (target client, HTTP server, disconnected callers), gateway, base passed.

--- a/src/base/logtext.h
+++ b/src/base/logtext.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -47,6 +48,12 @@
         return add(key, std::min(std::chrono::round<std::chrono::milliseconds>(value).count(), MaxMilliseconds));
     }
 
+    /// Without a value the field is empty.
+    LogText& addMilliseconds(std::string_view key, const std::optional<Duration>& value)
+    {
+        return value ? addMilliseconds(key, *value) : add(key, "");
+    }
+
     [[nodiscard]] const std::string& text() const { return text_; }
 
 private:
--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -16,11 +16,6 @@
 constexpr uint64_t AnsweredPerLogLine = 64;
 constexpr Duration SuppressedCountInterval = 5s;
 
-std::string millisecondsText(Duration duration)
-{
-    return std::to_string(std::chrono::round<std::chrono::milliseconds>(duration).count());
-}
-
 } // namespace
 
 bool DecisionLog::mayLog(const Decision& decision, Timestamp now)
@@ -53,7 +48,7 @@
         .add("tries", exchange.attemptedTargets.size())
         .add("choice", toString(exchange.choice))
         .add("warm", exchange.isLikelyWarm ? "yes" : "unknown")
-        .add("send_ms", exchange.firstByteAt ? millisecondsText(*exchange.firstByteAt - exchange.sentAt) : "")
+        .addMilliseconds("send_ms", exchange.timeToFirstByte())
         .add("withheld", exchange.timesWithheld)
         .addMilliseconds("target_ms", exchange.timeToHead)
         .add("load", static_cast<int>(exchange.loadAtSend))
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -86,6 +86,12 @@
     uint64_t responseBytes = 0;
     bool isResponseStarted = false; ///< The head was sent to the caller.
     bool mayHaveRun = false; ///< A byte may have reached a target that did not report that it did not run the request.
+
+    /// From the last dispatch to its first byte; none if no byte of it was sent.
+    [[nodiscard]] std::optional<Duration> timeToFirstByte() const
+    {
+        return firstByteAt ? std::optional<Duration>(*firstByteAt - sentAt) : std::nullopt;
+    }
 };
 
 } // namespace saltvane::gateway
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -35,10 +35,12 @@
     return info.tcpi_bytes_received > 0;
 }
 
+/// False only if the peer has closed its sending side or the connection is broken. If the state can't be read, the
+/// event of the disconnect decides.
 bool isPeerConnected(int fd)
 {
     pollfd socket {.fd = fd, .events = POLLRDHUP, .revents = 0};
-    return ::poll(&socket, 1, 0) == 0;
+    return ::poll(&socket, 1, 0) <= 0;
 }
 
 std::string remoteIpOf(MHD_Connection* connection)
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -179,8 +179,7 @@
 int TargetExchange::onSocketClosing(void* counters, curl_socket_t fd)
 {
     if (unacknowledgedBytes(fd) > 0) {
-        // After a normal close the kernel would go on sending them, and the request would reach the target however
-        // late.
+        // The kernel would go on sending them after a normal close, and the request would reach its target late.
         setResetOnClose(fd);
         if (counters != nullptr)
             static_cast<model::Counters*>(counters)->add(model::Counter::UnacknowledgedCloses);
--- a/src/net/tests/disconnectedcallertests.cpp
+++ b/src/net/tests/disconnectedcallertests.cpp
@@ -145,7 +145,12 @@
 
 // A request whose caller has closed its connection must not reach a target: here the caller closes while the connection
 // to the target is established, and the loop learns of the latter first.
-TEST_F(DisconnectedCallerTest, RequestIsNotSentOnANewConnection) { EXPECT_EQ(receivedAfterClose(Get), ""); }
+TEST_F(DisconnectedCallerTest, RequestIsNotSentOnANewConnection)
+{
+    EXPECT_EQ(receivedAfterClose(Get), "");
+    EXPECT_EQ(withheld(), std::vector {model::Reason::ClientGone});
+    EXPECT_EQ(log.http<HttpRequestAborted>().size(), 1u) << "the caller's exchange ends as well";
+}
 
 // The same for a request with a body.
 TEST_F(DisconnectedCallerTest, RequestWithBodyIsNotSentOnANewConnection) { EXPECT_EQ(receivedAfterClose(Post), ""); }
