--- a/src/gateway/tests/rechecktests.cpp
+++ b/src/gateway/tests/rechecktests.cpp
@@ -5,8 +5,8 @@
  */
 #include "backpressurefixture.h"
 
-/// Requests are checked again right before their first byte is sent, since what they were dispatched by may have
-/// changed while the connection to the target was established or the process was stalled.
+/// Requests are checked again right before their first byte is sent: the state that their dispatch was based on may
+/// have changed while the connection to the target was established or the process was stalled.
 namespace saltvane::gateway::test {
 
 namespace {
--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -37,8 +37,8 @@
     virtual void execute(const requests::HttpRequestWindow& action) = 0;
     /// Applies new limits at once, also to open connections. The core limits bodies.
     virtual void setCallerLimits(const model::CallerLimits& limits) = 0;
-    /// Whether the exchange's caller still waits for a response. Reads the state of its socket, of which the events may
-    /// be delivered later.
+    /// Whether the exchange's caller still waits for a response. Reads the socket itself: the event of a disconnect may
+    /// not have been delivered yet.
     [[nodiscard]] virtual bool isCallerConnected(requests::HttpHandle handle) const = 0;
     /// Accepts no new connections; open ones continue.
     virtual void stopAccepting() = 0;
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -66,7 +66,7 @@
     void setMethod();
     void addHeaders();
     void addHeader(const std::string& line);
-    /// Replaces the time left in the header for it by the present one.
+    /// Updates the header that tells the target the time left.
     void updateDeadlineLine();
     [[nodiscard]] bool handleHeadLine(std::string_view line);
     /// True if the complete head belongs to another request: a surplus response arrived instead of the expected one.
--- a/src/net/tests/disconnectedcallertests.cpp
+++ b/src/net/tests/disconnectedcallertests.cpp
@@ -143,8 +143,8 @@
     std::unique_ptr<IHttpServer> server;
 };
 
-// A request whose caller has closed its connection must not reach a target: here the caller closes while the connection
-// to the target is established, and the loop learns of the latter first.
+// A request whose caller has closed its connection must not reach a target: here the loop handles the new connection to
+// the target before it learns that the caller has closed.
 TEST_F(DisconnectedCallerTest, RequestIsNotSentOnANewConnection)
 {
     EXPECT_EQ(receivedAfterClose(Get), "");
