Gateways log and export that they reach no target

Evidence is what the gateway's connections to targets do: three targets in two zones (six in one) that fail in a row, with no answer meanwhile. After failed attempts to connect only an answer on a new connection counts, so that connections from before hide nothing. events targets_unreachable, targets_reachable; gauge saltvane_targets_unreachable; TargetResponseHead says whether its connection was new.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -5,6 +5,8 @@
  */
 #include "gateway/internal/gatewaycore.h"
 
+#include "base/logtext.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -76,6 +78,7 @@
           .split = split_,
           .retries = retries_,
           .quarantine = quarantine_,
+          .reachability = reachability_,
           .backpressure = backpressure_,
           .counters = counters_,
           .latencies = latencies_,
@@ -166,6 +169,8 @@
 {
     const auto dispatch = std::visit([](const auto& item) { return item.dispatch; }, event);
     if (TargetProber::isProbe(dispatch)) {
+        if (std::holds_alternative<requests::TargetResponseHead>(event))
+            reachability_.recordAnswer(true, now);
         onProbeResponse(event, now);
         return quarantine_.handle(event, now);
     }
@@ -277,6 +282,23 @@
     roster_->setState(isReady() ? model::HostState::Serving : model::HostState::Joining);
 }
 
+void GatewayCore::logReachability(Timestamp now)
+{
+    const std::optional<Timestamp> since = reachability_.unreachableSince();
+    if (since == unreachableLogged_)
+        return;
+    LogText line(since ? "targets_unreachable" : "targets_reachable");
+    if (since)
+        line.add("failed", reachability_.failedTargets())
+            .add("known", targets_.size())
+            .addMilliseconds("connection_age_ms", reachability_.timeSinceConnection(now))
+            .addMilliseconds("word_age_ms", replica_->provenAnswerAge(now));
+    else
+        line.addMilliseconds("after_ms", now - *unreachableLogged_);
+    log(since ? host::LogSeverity::Warning : host::LogSeverity::Info, line.text());
+    unreachableLogged_ = since;
+}
+
 void GatewayCore::updateLinks()
 {
     if (std::optional<host::DesiredLinks> wanted = links_.update(roster_->controlHosts()))
@@ -366,6 +388,7 @@
 
 void GatewayCore::collectActions(Timestamp now)
 {
+    logReachability(now);
     runner_.onCreditResults(now); // Refuses requests for which no registry host could be asked for a credit.
     for (requests::Action& action : runner_.drainActions())
         actions_.emplace_back(std::move(action));
@@ -406,6 +429,7 @@
         .requestsInFlight = static_cast<uint32_t>(runner_.inFlight()),
         .dispatchesInFlight = static_cast<uint32_t>(runner_.inFlight()),
         .targetsKnown = static_cast<uint32_t>(targets_.size()),
+        .areTargetsUnreachable = !reachability_.isReachable(),
     };
 }
 
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -13,6 +13,7 @@
 #include "gateway/internal/regionsplit.h"
 #include "gateway/internal/registrywatch.h"
 #include "gateway/internal/requestrunner.h"
+#include "gateway/internal/targetreachability.h"
 #include "gateway/internal/targetset.h"
 #include "host/routedlinks.h"
 #include "membership/ihostroster.h"
@@ -65,6 +66,7 @@
     void onProbeResponse(const requests::TargetEvent& event, Timestamp now);
     [[nodiscard]] std::string probePathOf(const ServiceName& service) const;
     void updateState();
+    void logReachability(Timestamp now);
     void updateStop(Timestamp now);
     void collectActions(Timestamp now);
     void log(host::LogSeverity severity, std::string text);
@@ -82,6 +84,8 @@
     Placement placement_;
     RetryAllowance retries_;
     Quarantine quarantine_;
+    TargetReachability reachability_;
+    std::optional<Timestamp> unreachableLogged_; ///< Since when no target is reachable, as last logged.
     BackpressureMonitor backpressure_;
     RequestLatencies latencies_;
     LinkBudget link_;
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -25,6 +25,7 @@
 void RequestRunner::accept(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
 {
     GatewayTarget* target = options_.targets.find(exchange.target);
+    options_.reachability.recordAnswer(head.isNewConnection, now);
     const std::string_view load = requests::firstFieldValue(head.headers, options_.headers.load);
     if (target != nullptr && !load.empty())
         target->updateLoad(load, now);
@@ -132,8 +133,12 @@
 {
     if (failed.withheldFor != model::Reason::None)
         return onWithheld(exchange, failed.withheldFor, now);
-    if (GatewayTarget* target = options_.targets.find(exchange.target))
+    if (GatewayTarget* target = options_.targets.find(exchange.target)) {
         target->onFailure(now, !failed.mayHaveReachedTarget);
+        const auto failure = failed.mayHaveReachedTarget ? TargetReachability::Failure::Response
+                                                         : TargetReachability::Failure::Connect;
+        options_.reachability.recordFailure(*target, failure, exchange.sentAt, now);
+    }
     exchange.lastFailure = std::move(failed.message);
     exchange.isLastTargetGone = failed.isRefused;
     onTargetLost(failed, exchange, now);
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -277,6 +277,7 @@
     if (target->answeredAt >= exchange.sentAt || options_.isRegistryLate(now))
         return;
     target->onFailure(now, false);
+    options_.reachability.recordFailure(*target, TargetReachability::Failure::Response, exchange.sentAt, now);
     // The target may still answer: the request moves only to another target that can take it.
     const auto choice = choose(exchange, now, false);
     const bool mayRetry = exchange.route.kind != model::RouteKind::AtMostOnce;
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -13,6 +13,7 @@
 #include "gateway/internal/quarantine.h"
 #include "gateway/internal/requestlatencies.h"
 #include "gateway/internal/retryallowance.h"
+#include "gateway/internal/targetreachability.h"
 #include "gateway/internal/targetset.h"
 #include "host/hosttypes.h"
 #include "model/counters.h"
@@ -47,6 +48,7 @@
         RegionSplit& split;
         RetryAllowance& retries;
         Quarantine& quarantine;
+        TargetReachability& reachability;
         BackpressureMonitor& backpressure;
         model::Counters& counters;
         RequestLatencies& latencies;
--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -106,6 +106,7 @@
     uint32_t requestsInFlight = 0;
     uint32_t dispatchesInFlight = 0;
     uint32_t targetsKnown = 0; ///< Of a gateway or registry host.
+    bool areTargetsUnreachable = false; ///< Of a gateway: all targets fail on its side of the network.
     uint32_t gatewaysKnown = 0; ///< Of a registry host.
     std::map<ServiceName, model::RolloutPhase> rollouts; ///< Latest rollout of each service; empty without proof.
     uint64_t callBytes = 0; ///< Of a registry host: bytes of bodies, orders and responses of calls in progress.
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -167,7 +167,8 @@
 
 int TargetExchange::onSocketMade(void* exchange, curl_socket_t fd, curlsocktype /*purpose*/)
 {
-    const auto& self = *static_cast<const TargetExchange*>(exchange);
+    auto& self = *static_cast<TargetExchange*>(exchange);
+    self.hasMadeSocket_ = true;
     if (self.needsExclusiveConnection())
         setResetOnClose(fd);
     const int receiveBufferBytes = self.options_.receiveBufferBytes;
@@ -284,7 +285,8 @@
         options_.emit(requests::TargetResponseHead {.dispatch = options_.start.dispatch,
             .status = head_.status(),
             .headers = std::move(head_.headers()),
-            .bodyLength = head_.bodyLength()});
+            .bodyLength = head_.bodyLength(),
+            .isNewConnection = hasMadeSocket_});
     }
     return state != ResponseHead::State::Bad;
 }
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -86,6 +86,7 @@
     std::string url_;
     ResponseHead head_;
     bool isInTransfer_ = false;
+    bool hasMadeSocket_ = false; ///< No connection from before was reused.
     bool hasConnected_ = false; ///< A connection was established, so bytes may have been sent.
     model::Reason withheldFor_ = model::Reason::None; ///< Why the request was not sent once connected.
     std::string failure_; ///< Set by a callback; more specific than libcurl's code.
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -102,6 +102,7 @@
     int status = 0;
     std::vector<model::Header> headers;
     std::optional<uint64_t> bodyLength;
+    bool isNewConnection = false; ///< The connection was established for this request.
 };
 struct TargetResponseBody {
     DispatchId dispatch;
--- a/src/saltvaned/internal/metricstext.cpp
+++ b/src/saltvaned/internal/metricstext.cpp
@@ -146,6 +146,8 @@
     families.push_back(makeGauge(
         "saltvane_control_current", "1 while this control host has proof of being current", status.isControlCurrent));
     families.push_back(makeGauge("saltvane_targets_known", "Targets this host knows", status.targetsKnown));
+    families.push_back(makeGauge(
+        "saltvane_targets_unreachable", "1 while this gateway reaches no target", status.areTargetsUnreachable));
     families.push_back(
         makeGauge("saltvane_gateways_known", "Gateways heard of lately by a registry host", status.gatewaysKnown));
     families.push_back(makeGauge("saltvane_link_backlog_bytes", "Bytes that wait for other hosts to take them",
