Failing test: callers of gateways that reach no target

The fleet in virtual time gets partitions of one gateway from all targets (hanging, reset, new connections refused) and requests between gateways.

--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -17,6 +17,9 @@
 constexpr Duration ReportInterval = 1s;
 /// Timeout of a connection attempt that gets no reply.
 constexpr Duration ConnectTimeout = 500ms;
+/// Fraction of repeatable requests that are sent on a connection from before.
+constexpr double ReuseFraction = 0.5;
+constexpr std::string_view AtMostOncePath = "/once/";
 constexpr int StatusOk = 200;
 constexpr int StatusMisdirected = 421;
 constexpr int StatusUnavailable = 503;
@@ -102,6 +105,8 @@
 
 void CrashingTargets::accept(size_t gateway, const requests::TargetStart& start)
 {
+    if (!passesPartition(gateway, start))
+        return;
     const auto found = std::ranges::find(targets_, start.address, &Target::address);
     if (found == targets_.end() || !found->isUp) {
         const requests::TargetFailed refused {.dispatch = start.dispatch,
@@ -130,6 +135,61 @@
     target.runs.push_back(std::move(run));
 }
 
+CrashingTargets::Partition CrashingTargets::partitionOf(size_t gateway) const
+{
+    const auto found = partitions_.find(gateway);
+    return found == partitions_.end() ? Partition::None : found->second;
+}
+
+void CrashingTargets::setPartition(size_t gateway, Partition partition)
+{
+    partitions_[gateway] = partition;
+    if (partition != Partition::Hang && partition != Partition::Reset)
+        return;
+    std::erase_if(pendingEvents_, [&](const PendingEvent& pending) { return pending.gateway == gateway; });
+    if (partition != Partition::Reset)
+        return;
+    for (const Target& target : targets_) {
+        for (const Run& run : target.runs) {
+            if (run.gateway == gateway)
+                sendEvent(gateway, requests::TargetFailed {.dispatch = run.dispatch, .message = "connection reset"});
+        }
+    }
+}
+
+bool CrashingTargets::passesPartition(size_t gateway, const requests::TargetStart& start)
+{
+    const Partition partition = partitionOf(gateway);
+    if (partition == Partition::None)
+        return true;
+    const bool usesOpenConnection
+        = start.isRepeatable && !start.needsNewConnection && std::bernoulli_distribution(ReuseFraction)(random_);
+    if (usesOpenConnection && partition != Partition::Reset)
+        return partition == Partition::RefuseNew;
+    const bool isSilent = partition == Partition::Hang;
+    sendEvent(gateway,
+        requests::TargetFailed {.dispatch = start.dispatch,
+            .mayHaveReachedTarget = false,
+            .message = "no connection",
+            .isRefused = !isSilent},
+        isSilent ? ConnectTimeout : 10ms);
+    return false;
+}
+
+size_t CrashingTargets::maxRunsOfAtMostOnce() const
+{
+    size_t most = 0;
+    for (const auto& [request, runs] : atMostOnceRuns_)
+        most = std::max(most, runs);
+    return most;
+}
+
+size_t CrashingTargets::runsOfAtMostOnce(const std::string& request) const
+{
+    const auto found = atMostOnceRuns_.find(request);
+    return found == atMostOnceRuns_.end() ? 0 : found->second;
+}
+
 void CrashingTargets::setSignals(size_t target, const Signals& signals) { targets_.at(target).signals = signals; }
 
 CrashingTargets::Exchange CrashingTargets::exchangeOf(const Target& target, const Run& run) const
@@ -172,6 +232,8 @@
         if (std::exchange(run.hasStarted, true))
             continue;
         run.completesAt = now() + Duration(processingTime(random_));
+        if (run.path.find(AtMostOncePath) != std::string::npos)
+            ++atMostOnceRuns_[run.id];
         if (run.isFatal)
             fatalRuns_.push_back({.path = run.path, .startedAt = now(), .gateway = run.gateway});
     }
@@ -183,7 +245,9 @@
     if (std::ranges::any_of(target.runs, [&](const Run& run) { return isComplete(run) && run.isFatal; }))
         return crash(target);
     for (const Run& run : target.runs) {
-        if (isComplete(run))
+        const Partition partition = partitionOf(run.gateway);
+        const bool isLost = partition == Partition::Hang || partition == Partition::Reset;
+        if (isComplete(run) && !isLost)
             respond(target, run, StatusOk, false);
     }
     std::erase_if(target.runs, isComplete);
--- a/testing/fleet/crashingtargets.h
+++ b/testing/fleet/crashingtargets.h
@@ -52,6 +52,19 @@
     /// While set, no request crashes a target.
     void setHarmless(bool isHarmless) { isHarmless_ = isHarmless; }
 
+    /// How connections between one gateway and all targets fail during a partition.
+    enum class Partition {
+        None,
+        Hang, ///< Nothing passes: attempts to connect time out, and open connections fall silent.
+        Reset, ///< Open connections are reset and new ones are refused.
+        RefuseNew ///< Open connections work; new ones are refused.
+    };
+    void setPartition(size_t gateway, Partition partition);
+    /// The largest number of runs of any request that may run at most once.
+    [[nodiscard]] size_t maxRunsOfAtMostOnce() const;
+    /// Runs of the attempt with this request id on a route that allows one run.
+    [[nodiscard]] size_t runsOfAtMostOnce(const std::string& request) const;
+
     /// What a target announces in its responses about the load that it accepts; stays the same across restarts.
     struct Signals {
         std::optional<double> limit; ///< Requests per second of all gateways together.
@@ -112,6 +125,9 @@
     };
 
     void accept(size_t gateway, const requests::TargetStart& start);
+    /// Whether the partition of the gateway, if any, lets the request pass. If not, its failure is scheduled.
+    bool passesPartition(size_t gateway, const requests::TargetStart& start);
+    [[nodiscard]] Partition partitionOf(size_t gateway) const;
     void startRuns(Target& target);
     void completeRuns(Target& target);
     void start(Target& target);
@@ -128,6 +144,8 @@
     std::vector<Target> targets_;
     std::vector<PendingEvent> pendingEvents_;
     std::vector<FatalRun> fatalRuns_;
+    std::map<size_t, Partition> partitions_; ///< By gateway.
+    std::map<std::string, size_t> atMostOnceRuns_; ///< By request id.
     uint64_t incarnations_ = 0;
     bool isHarmless_ = false;
 };
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -22,6 +22,7 @@
 /// the old link.
 constexpr Duration LinkReplacementTime = 600ms;
 constexpr int StatusOk = 200;
+constexpr uint16_t FrontPort = 8000;
 
 const std::map<ZoneName, RegionName> Zones {{ZoneName("north-a"), RegionName("north")},
     {ZoneName("south-a"), RegionName("south")}, {ZoneName("west-a"), RegionName("west")}};
@@ -41,7 +42,7 @@
     settings.linkAddress = addressOf(gateway);
     for (size_t seed = 0; seed < 3; ++seed)
         settings.seeds.push_back(*model::parseAddress(registry::test::RegistryCluster::idOf(seed).value()));
-    settings.frontAddress = {.ip = settings.linkAddress.ip, .port = 8000};
+    settings.frontAddress = {.ip = settings.linkAddress.ip, .port = FrontPort};
     settings.readinessAddress = {.ip = settings.linkAddress.ip, .port = 8001};
     settings.retries = {.ratio = 0.2, .slack = 100};
     settings.limits.stopTimeLimit = 6s;
@@ -138,6 +139,17 @@
     handle(gateway, std::move(event));
 }
 
+std::optional<size_t> Fleet::gatewayAt(const model::Address& frontAddress) const
+{
+    if (frontAddress.port != FrontPort)
+        return std::nullopt;
+    for (size_t gateway = 0; gateway < gateways_.size(); ++gateway) {
+        if (addressOf(gateway).ip == frontAddress.ip)
+            return gateway;
+    }
+    return std::nullopt;
+}
+
 void Fleet::handle(Gateway& gateway, host::Event event)
 {
     gateway.processor.work(registries_.now(), [&] { gateway.core->handle(std::move(event), registries_.now()); });
--- a/testing/fleet/trafficfleet.cpp
+++ b/testing/fleet/trafficfleet.cpp
@@ -21,6 +21,9 @@
 /// Delay of a retry where the response has no Retry-After.
 constexpr double DefaultRetrySeconds = 0.05;
 constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
+
+std::string requestIdOf(uint64_t number) { return "try-" + std::to_string(number); }
 
 std::string planText()
 {
@@ -40,6 +43,7 @@
 TrafficFleet::TrafficFleet(
     unsigned int seed, const CrashingTargets::Options& targets, const FleetOptions& fleet, const CallerOptions& callers)
     : fleet_(fleet)
+    , peers_(fleet_)
     , callers_(callers)
     , random_(seed)
 {
@@ -63,6 +67,7 @@
 void TrafficFleet::restartGateway(size_t gateway)
 {
     targets_->dropGateway(gateway);
+    peers_.dropGateway(gateway);
     fleet_.restartGateway(gateway);
     std::vector<uint64_t> aborted;
     for (const auto& [number, attempt] : attempts_) {
@@ -81,6 +86,7 @@
 void TrafficFleet::step()
 {
     targets_->step();
+    peers_.step();
     if (!areCallersActive_)
         return;
     sendHarmless();
@@ -134,8 +140,8 @@
     requests::HttpRequestStarted started {.handle = handle,
         .method = request.body.empty() ? "GET" : "POST",
         .path = request.path,
-        .headers = {{.name = "Host", .value = "prices.example"},
-            {.name = "Saltvane-Request-Id", .value = "try-" + std::to_string(number)},
+        .headers
+        = {{.name = "Host", .value = "prices.example"}, {.name = "Saltvane-Request-Id", .value = requestIdOf(number)},
             {.name = "Saltvane-Deadline-Ms", .value = "3000"}},
         .bodyLength = request.body.size()};
     if (!request.account.empty())
@@ -157,7 +163,7 @@
 
 void TrafficFleet::handleAction(size_t gateway, const requests::Action& action)
 {
-    if (targets_ && targets_->handleAction(gateway, action))
+    if (peers_.handleAction(gateway, action) || (targets_ && targets_->handleAction(gateway, action)))
         return;
     const auto* response = std::get_if<requests::HttpRespond>(&action);
     const auto found = response == nullptr ? attempts_.end() : attempts_.find(response->handle.value);
@@ -178,6 +184,7 @@
 void TrafficFleet::onOutcome(uint64_t number)
 {
     Attempt& attempt = attempts_.at(number);
+    recordAttempt(number, attempt);
     if (attempt.isHarmless && attempt.outcome.reason == "request-quarantined")
         ++tally_.quarantined;
     const bool isServed = attempt.outcome.status == StatusOk;
@@ -196,6 +203,43 @@
     attempts_.erase(number);
 }
 
+void TrafficFleet::recordAttempt(uint64_t number, const Attempt& attempt)
+{
+    if (attempt.request.isAtMostOnce && attempt.outcome.status == StatusUnavailable)
+        refusedAtMostOnce_.insert(requestIdOf(number));
+    if (!attempt.isHarmless || attempt.isLastAttempt || number <= talliedFrom_)
+        return;
+    FirstAttempts& tally = firstAttempts_[attempt.gateway];
+    ++tally.completed;
+    tally.served += attempt.outcome.status == StatusOk ? 1 : 0;
+}
+
+void TrafficFleet::clearTally()
+{
+    tally_ = {};
+    firstAttempts_.clear();
+    talliedFrom_ = lastNumber_;
+}
+
+double TrafficFleet::firstAttemptsServed(std::span<const size_t> gateways) const
+{
+    FirstAttempts all;
+    for (const size_t gateway : gateways) {
+        const auto found = firstAttempts_.find(gateway);
+        if (found == firstAttempts_.end())
+            continue;
+        all.completed += found->second.completed;
+        all.served += found->second.served;
+    }
+    return all.completed == 0 ? 0 : static_cast<double>(all.served) / static_cast<double>(all.completed);
+}
+
+size_t TrafficFleet::untrueRefusals() const
+{
+    return static_cast<size_t>(std::ranges::count_if(
+        refusedAtMostOnce_, [&](const std::string& request) { return targets_->runsOfAtMostOnce(request) > 0; }));
+}
+
 size_t TrafficFleet::runsOf(const std::string& path) const
 {
     return static_cast<size_t>(std::ranges::count(targets_->fatalRuns(), path, &CrashingTargets::FatalRun::path));
--- a/testing/fleet/trafficfleet.h
+++ b/testing/fleet/trafficfleet.h
@@ -6,10 +6,12 @@
 #pragma once
 
 #include "crashingtargets.h"
+#include "peernetwork.h"
 
 #include <memory>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,7 @@
 
     [[nodiscard]] Fleet& fleet() { return fleet_; }
     [[nodiscard]] CrashingTargets& targets() { return *targets_; }
+    [[nodiscard]] const PeerNetwork& peers() const { return peers_; }
     [[nodiscard]] Timestamp now() { return fleet_.registries().now(); }
 
     /// Adds a caller that sends its request each `interval` and retries it once if it fails.
@@ -60,7 +63,12 @@
         size_t quarantined = 0; ///< Attempts refused as quarantined requests.
     };
     [[nodiscard]] const Tally& tally() const { return tally_; }
-    void clearTally() { tally_ = {}; }
+    void clearTally();
+    /// The fraction of the harmless callers' first attempts at these gateways that were served, of those sent since the
+    /// tally was cleared and completed.
+    [[nodiscard]] double firstAttemptsServed(std::span<const size_t> gateways) const;
+    /// Attempts on routes that allow one run which were refused as not run although a target ran them.
+    [[nodiscard]] size_t untrueRefusals() const;
 
     /// Number of runs of this request that started later than ConvergenceTime after the start of its third run.
     [[nodiscard]] size_t runsAfterThird(const std::string& path) const;
@@ -79,9 +87,13 @@
         size_t gateway = 0;
         Request request;
         bool isHarmless = false;
-        bool isLastAttempt = false;
+        bool isLastAttempt = false; ///< Of a harmless caller: its second attempt.
         Outcome outcome;
     };
+    struct FirstAttempts {
+        size_t completed = 0;
+        size_t served = 0;
+    };
     struct Retry {
         Timestamp at;
         uint64_t number = 0;
@@ -92,9 +104,11 @@
     uint64_t send(size_t gateway, const Request& request, bool isHarmless, bool isLastAttempt);
     void handleAction(size_t gateway, const requests::Action& action);
     void onOutcome(uint64_t number);
+    void recordAttempt(uint64_t number, const Attempt& attempt);
     [[nodiscard]] size_t randomGateway();
 
     Fleet fleet_;
+    PeerNetwork peers_;
     CallerOptions callers_;
     std::mt19937 random_;
     std::unique_ptr<CrashingTargets> targets_;
@@ -102,6 +116,9 @@
     std::map<uint64_t, Attempt> attempts_;
     std::vector<Retry> retries_;
     Tally tally_;
+    std::map<size_t, FirstAttempts> firstAttempts_; ///< By gateway.
+    uint64_t talliedFrom_ = 0; ///< Number of the last attempt before the tally was cleared.
+    std::set<std::string> refusedAtMostOnce_; ///< Request ids.
     uint64_t lastNumber_ = 0;
     uint64_t harmlessSent_ = 0;
     double harmlessPending_ = 0;
