Look-ups leave out gateways that reach no target; registry hosts tell a gateway its peers

What callers saw: look-ups named gateways that reached no target for the whole partition, since 'has a plan and isn't stopping' was all they went by. Heartbeats now say whether a gateway is isolated (a field that older hosts ignore); it is left out as long as any other gateway serves, and never the last one. Nothing sets the state yet.

--- a/src/host/internal/messagerouter.cpp
+++ b/src/host/internal/messagerouter.cpp
@@ -73,7 +73,7 @@
                                                             : toReceiver(delivery, message.correlation, now);
         else if constexpr (OneOf<T, model::TargetReport, model::TargetLoads, model::SuspectReport,
                                model::LimitCreditRequest, model::LimitCreditReply, model::BackpressureReport,
-                               model::RolloutReport>)
+                               model::RolloutReport, model::PeerRequest, model::PeerReport>)
             modules_.counters.add(model::Counter::StaleMessages); // Handled by gateways with a route plan only.
         else {
             static_assert(std::same_as<T, model::ForwardCancel>, "a message type has no handler");
--- a/src/membership/ihostroster.h
+++ b/src/membership/ihostroster.h
@@ -31,6 +31,8 @@
     virtual void setSeeds(std::vector<HostId> seeds) = 0;
     /// A change is reported to all known control hosts at once.
     virtual void setState(model::HostState state) = 0;
+    /// The same, of whether this gateway is isolated from all targets.
+    virtual void setIsolated(bool isIsolated) = 0;
     virtual void tick(Timestamp now) = 0;
     [[nodiscard]] virtual std::vector<model::OutgoingMessage> drainOutgoing() = 0;
 
--- a/src/membership/internal/hostroster.cpp
+++ b/src/membership/internal/hostroster.cpp
@@ -64,6 +64,12 @@
     sendHeartbeats(controlHosts());
 }
 
+void HostRoster::setIsolated(bool isIsolated)
+{
+    if (std::exchange(options_.self.isIsolated, isIsolated) != isIsolated)
+        sendHeartbeats(controlHosts());
+}
+
 void HostRoster::sendHeartbeat(const HostId& to)
 {
     ++options_.self.sequence;
--- a/src/membership/internal/hostroster.h
+++ b/src/membership/internal/hostroster.h
@@ -20,6 +20,7 @@
     void onLinkUp(const HostId& host, Incarnation incarnation) override;
     void setSeeds(std::vector<HostId> seeds) override { options_.seeds = std::move(seeds); }
     void setState(model::HostState state) override;
+    void setIsolated(bool isIsolated) override;
     void tick(Timestamp now) override;
     [[nodiscard]] std::vector<model::OutgoingMessage> drainOutgoing() override;
     [[nodiscard]] std::vector<HostId> controlHosts() const override;
--- a/src/model/hostmessages.h
+++ b/src/model/hostmessages.h
@@ -71,6 +71,7 @@
     std::vector<ServiceRoom> services;
     std::vector<ServiceDemand> demands;
     std::vector<TargetId> ownedTargets; ///< Sent within the zone only; empty in zone reports.
+    bool isIsolated = false; ///< Of a gateway: reaches no target, and serves callers by way of other gateways.
     auto operator<=>(const HostRecord&) const = default;
 };
 
--- a/src/model/message.h
+++ b/src/model/message.h
@@ -8,6 +8,7 @@
 #include "model/controlmessages.h"
 #include "model/hostmessages.h"
 #include "model/limitmessages.h"
+#include "model/peermessages.h"
 #include "model/requestmessages.h"
 #include "model/rolloutmessages.h"
 #include "model/suspectmessages.h"
@@ -22,7 +23,7 @@
     RowsRequest, RowsReply, ForwardRequest, ForwardBody, ForwardWindow, ForwardResponseHead, ForwardEnd, ForwardCancel,
     ClaimRequest, ClaimReply, VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
     JoinRequest, BundlePush, BundlePull, BundleCurrent, TargetReport, TargetLoads, StartNotice, BundlePart,
-    SuspectReport, LimitCreditRequest, LimitCreditReply, BackpressureReport, RolloutReport>;
+    SuspectReport, LimitCreditRequest, LimitCreditReply, BackpressureReport, RolloutReport, PeerRequest, PeerReport>;
 
 /// A message received over a link, with its sender. The link has authenticated the sender.
 struct Delivery {
--- a/src/registry/internal/lookups.cpp
+++ b/src/registry/internal/lookups.cpp
@@ -26,22 +26,6 @@
     return record.region.value() == region ? 1 : 0;
 }
 
-std::vector<const membership::RosterEntry*> servingGateways(
-    const membership::IHostRoster& roster, const RegionName& ownRegion, Timestamp now)
-{
-    std::vector<const membership::RosterEntry*> entries = roster.receivedWithin(OtherRegionTimeout, now);
-    std::erase_if(entries, [](const membership::RosterEntry* entry) {
-        return entry->record.isControl || entry->record.state != model::HostState::Serving;
-    });
-    const auto isFresh = [&](const membership::RosterEntry* entry) {
-        return now - entry->lastReceivedAt
-            <= (entry->record.region == ownRegion ? SameRegionTimeout : OtherRegionTimeout);
-    };
-    if (std::ranges::any_of(entries, isFresh))
-        std::erase_if(entries, [&](const membership::RosterEntry* entry) { return !isFresh(entry); });
-    return entries;
-}
-
 int hexDigit(char c)
 {
     int digit = -1;
@@ -69,6 +53,25 @@
 
 } // namespace
 
+std::vector<const membership::RosterEntry*> servingGateways(
+    const membership::IHostRoster& roster, const RegionName& ownRegion, Timestamp now)
+{
+    std::vector<const membership::RosterEntry*> entries = roster.receivedWithin(OtherRegionTimeout, now);
+    std::erase_if(entries, [](const membership::RosterEntry* entry) {
+        return entry->record.isControl || entry->record.state != model::HostState::Serving;
+    });
+    const auto isFresh = [&](const membership::RosterEntry* entry) {
+        return now - entry->lastReceivedAt
+            <= (entry->record.region == ownRegion ? SameRegionTimeout : OtherRegionTimeout);
+    };
+    if (std::ranges::any_of(entries, isFresh))
+        std::erase_if(entries, [&](const membership::RosterEntry* entry) { return !isFresh(entry); });
+    const auto isIsolated = [](const membership::RosterEntry* entry) { return entry->record.isIsolated; };
+    if (!std::ranges::all_of(entries, isIsolated))
+        std::erase_if(entries, isIsolated);
+    return entries;
+}
+
 std::vector<model::Address> gatewaysFor(
     const membership::IHostRoster& roster, const RegionName& ownRegion, const Origin& caller, Timestamp now)
 {
--- a/src/registry/internal/lookups.h
+++ b/src/registry/internal/lookups.h
@@ -18,8 +18,12 @@
     std::string_view region;
 };
 
+/// The gateways with a recent heartbeat that serve callers, sorted by host: those that reach targets; if there are
+/// none, those that don't. `ownRegion`: the region of this registry host.
+[[nodiscard]] std::vector<const membership::RosterEntry*> servingGateways(
+    const membership::IHostRoster& roster, const RegionName& ownRegion, Timestamp now);
 /// The gateways that a caller should use: those of its zone, else of its region, else all. Empty when none is known to
-/// serve. `ownRegion`: the region of this registry host.
+/// serve.
 [[nodiscard]] std::vector<model::Address> gatewaysFor(
     const membership::IHostRoster& roster, const RegionName& ownRegion, const Origin& caller, Timestamp now);
 
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -192,6 +192,8 @@
         return accept(*rolloutReport, now);
     if (const auto* leaving = std::get_if<model::TargetReport>(&delivery.message))
         return accept(*leaving, delivery.from, now);
+    if (std::holds_alternative<model::PeerRequest>(delivery.message))
+        return sendPeers(delivery.from, now);
     const bool isGatewayReport = std::holds_alternative<model::Heartbeat>(delivery.message);
     roster_->handle(delivery, now);
     bundleReplica_->handle(delivery, now);
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -13,6 +13,7 @@
 #include "registry/internal/loadtable.h"
 #include "registry/internal/nearestgateways.h"
 #include "registry/internal/ordertracker.h"
+#include "registry/internal/peerdirectory.h"
 #include "registry/internal/planqueue.h"
 #include "registry/internal/refusedreports.h"
 #include "registry/internal/suspectrelay.h"
@@ -129,6 +130,8 @@
     void reportLimits(Timestamp now);
     /// Sends all limits of targets in force.
     void sendLimits(const HostId& host, Timestamp now);
+    /// Tells a gateway which other ones may carry its requests.
+    void sendPeers(const HostId& gateway, Timestamp now);
     /// Updates the limits of the plan's client accounts, and the hosts among which they are divided.
     void updateCredits(Timestamp now);
     void sendVerdicts(const HostId& host, Timestamp now);
@@ -179,6 +182,8 @@
     Timestamp nextLoadsAt_ {};
     mutable std::vector<HostLocation> gateways_; ///< As of gatewaysUpdatedAt_.
     mutable std::optional<Timestamp> gatewaysUpdatedAt_;
+    PeerDirectory peers_; ///< As of peersUpdatedAt_.
+    std::optional<Timestamp> peersUpdatedAt_;
     HostId leader_;
     host::RoutedLinks links_;
     std::vector<model::TargetRecord> recalled_; ///< Soft state of the previous run, until it is applied.
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -3,6 +3,7 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
+#include "registry/internal/lookups.h"
 #include "registry/internal/registrycore.h"
 
 #include <algorithm>
@@ -218,6 +219,29 @@
         send({{.to = host, .message = std::move(report)}});
 }
 
+void RegistryCore::sendPeers(const HostId& gateway, Timestamp now)
+{
+    const membership::RosterEntry* sender = roster_->find(gateway);
+    if (sender == nullptr)
+        return;
+    if (!peersUpdatedAt_ || now - *peersUpdatedAt_ >= ReportInterval) {
+        peersUpdatedAt_ = now;
+        std::vector<model::PeerRecord> serving;
+        for (const membership::RosterEntry* entry : servingGateways(*roster_, settings_.region, now)) {
+            const model::HostRecord& record = entry->record;
+            serving.push_back({.host = record.host,
+                .zone = record.zone,
+                .region = record.region,
+                .frontAddress = record.entryAddress});
+        }
+        peers_.update(std::move(serving));
+    }
+    const model::HostRecord& record = sender->record;
+    send({{.to = gateway,
+        .message = model::PeerReport {
+            .peers = peers_.peersOf({.host = record.host, .zone = record.zone, .region = record.region})}}});
+}
+
 void RegistryCore::updateCredits(Timestamp now)
 {
     if (!credits_)
--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -383,8 +383,8 @@
     return call(*leader(), method, path, body, planBase);
 }
 
-void RegistryCluster::gatewayHeartbeat(
-    size_t number, const std::string& host, const std::string& zone, const std::string& region, model::HostState state)
+void RegistryCluster::gatewayHeartbeat(size_t number, const std::string& host, const std::string& zone,
+    const std::string& region, model::HostState state, bool isIsolated)
 {
     const model::Address address = *model::parseAddress(host);
     model::HostRecord record {.host = HostId(host),
@@ -394,7 +394,8 @@
         .region = RegionName(region),
         .linkAddress = address,
         .entryAddress = {.ip = address.ip, .port = 80},
-        .state = state};
+        .state = state,
+        .isIsolated = isIsolated};
     hosts_.at(number).core->handle(
         model::Delivery {
             .from = HostId(host), .fromIncarnation = {1}, .message = model::Heartbeat {.record = std::move(record)}},
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -75,7 +75,7 @@
 
     /// A gateway's heartbeat, sent to one host.
     void gatewayHeartbeat(size_t number, const std::string& host, const std::string& zone, const std::string& region,
-        model::HostState state = model::HostState::Serving);
+        model::HostState state = model::HostState::Serving, bool isIsolated = false);
     void linkUpTo(size_t number, const HostId& gateway, Incarnation incarnation);
     void linkDownTo(size_t number, const HostId& gateway);
     void deliverFromGateway(size_t number, const HostId& gateway, Incarnation incarnation, model::Message message);
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -9,6 +9,7 @@
 #include "wire/internal/envelopecodec.h"
 #include "wire/internal/hostmessagecodec.h"
 #include "wire/internal/limitmessagecodec.h"
+#include "wire/internal/peermessagecodec.h"
 #include "wire/internal/requestmessagecodec.h"
 #include "wire/internal/rolloutmessagecodec.h"
 #include "wire/internal/suspectmessagecodec.h"
--- a/src/wire/internal/envelopecodec.cpp
+++ b/src/wire/internal/envelopecodec.cpp
@@ -8,6 +8,7 @@
 #include "wire/internal/controlmessagecodec.h"
 #include "wire/internal/hostmessagecodec.h"
 #include "wire/internal/limitmessagecodec.h"
+#include "wire/internal/peermessagecodec.h"
 #include "wire/internal/requestmessagecodec.h"
 #include "wire/internal/rolloutmessagecodec.h"
 #include "wire/internal/suspectmessagecodec.h"
@@ -68,6 +69,8 @@
     &decodeAs<fbs::LimitCreditReply>,
     &decodeAs<fbs::BackpressureReport>,
     &decodeAs<fbs::RolloutReport>,
+    &decodeAs<fbs::PeerRequest>,
+    &decodeAs<fbs::PeerReport>,
 };
 static_assert(Decoders.size() == static_cast<size_t>(fbs::Payload::MAX) + 1);
 static_assert(Decoders.size() == std::variant_size_v<model::Message> + 1);
--- a/src/wire/internal/hostmessagecodec.cpp
+++ b/src/wire/internal/hostmessagecodec.cpp
@@ -60,7 +60,7 @@
     const fbs::LogPosition inForce = encodePosition(record.inForce);
     return fbs::CreateHostRecord(builder, host, record.incarnation.value, record.sequence, zone, region, link, entry,
         record.isControl, record.isControlLeader, static_cast<fbs::HostState>(record.state), &inForce,
-        record.inForceVersion.value, services, demands, targets);
+        record.inForceVersion.value, services, demands, targets, record.isIsolated);
 }
 
 model::HostRecord decodeHostRecord(FieldReader& reader, const fbs::HostRecord& record)
@@ -78,6 +78,7 @@
         .state = reader.enumerator(record.state(), model::HostState::Leaving, "HostRecord.state"),
         .inForce = decodePosition(record.in_force()),
         .inForceVersion = {record.in_force_version()},
+        .isIsolated = record.is_isolated(),
     };
     reader.require(!decoded.host.isEmpty(), "HostRecord.host");
     decoded.services
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -33,6 +33,7 @@
             .queueDelay = 5ms}},
         .demands = {{.service = ServiceName("quotes"), .clientRegion = RegionName("region-b"), .concurrency = 2.5}},
         .ownedTargets = {TargetId("target-1"), TargetId("target-2")},
+        .isIsolated = true,
     };
 }
 
@@ -190,6 +191,11 @@
             .excluded = {TargetVersion("v0")}}},
         .unchanged = {7, 0x1234567890abcdef},
         .gateways = 984});
+    messages.emplace_back(PeerRequest {});
+    messages.emplace_back(PeerReport {.peers = {{.host = HostId("host-a"),
+                                          .zone = ZoneName("zone-a"),
+                                          .region = RegionName("region-a"),
+                                          .frontAddress = {.ip = "127.0.0.1", .port = 8000}}}});
     messages.emplace_back(RolloutReport {.gateway = HostId("host-a"),
         .incarnation = {7},
         .service = ServiceName("quotes"),
