--- a/src/gateway/internal/accounttable.cpp
+++ b/src/gateway/internal/accounttable.cpp
@@ -38,18 +38,26 @@
     for (const model::AccountRef& account : former) {
         if (added.erase(account.get()) > 0)
             continue;
+        byName_.erase(account->account.name);
         for (const std::string& key : account->account.keys)
             byKey_.erase(digestOf(key));
     }
     for (const model::AccountRef& account : current) {
         if (!added.contains(account.get()))
             continue;
+        byName_.insert_or_assign(account->account.name, account);
         for (const std::string& key : account->account.keys)
             byKey_.insert_or_assign(digestOf(key), account);
     }
     accounts_.assign(accounts.begin(), accounts.end());
 }
 
+model::AccountRef AccountTable::findNamed(const model::ClientAccountName& name) const
+{
+    const auto found = byName_.find(name);
+    return found == byName_.end() ? nullptr : found->second;
+}
+
 model::AccountRef AccountTable::find(std::string_view key) const
 {
     const auto found = byKey_.find(digestOf(key));
--- a/src/gateway/internal/accounttable.h
+++ b/src/gateway/internal/accounttable.h
@@ -26,6 +26,8 @@
     void install(std::span<const model::AccountRef> accounts);
     /// Returns null if no account holds the key.
     [[nodiscard]] model::AccountRef find(std::string_view key) const;
+    /// Returns null if there is no account of this name.
+    [[nodiscard]] model::AccountRef findNamed(const model::ClientAccountName& name) const;
 
 private:
     using KeyDigest = std::array<unsigned char, 16>;
@@ -43,6 +45,7 @@
     std::array<unsigned char, 16> secret_ {};
     std::vector<model::AccountRef> accounts_;
     std::unordered_map<KeyDigest, model::AccountRef, DigestHash> byKey_;
+    std::unordered_map<model::ClientAccountName, model::AccountRef> byName_;
 };
 
 } // namespace saltvane::gateway
--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -46,6 +46,8 @@
         .add("service", exchange.service.value())
         .add("target", exchange.target.target.value())
         .add("tries", exchange.attemptedTargets.size())
+        .add("peer", exchange.peer.value())
+        .add("forwarded", exchange.isForwarded ? "yes" : "no")
         .add("choice", toString(exchange.choice))
         .add("warm", exchange.isLikelyWarm ? "yes" : "unknown")
         .addMilliseconds("send_ms", exchange.timeToFirstByte())
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -71,6 +71,12 @@
     bool isLikelyWarm = false; ///< The target recently answered for the object, as far as this gateway knows.
     Duration timeToHead {}; ///< From the last send to the head of the response.
     std::vector<TargetId> attemptedTargets;
+    uint32_t maxAttempts = 0; ///< Targets that may be tried, here and by way of peers.
+    uint32_t possibleRuns = 0; ///< Attempts that may have been run.
+    bool isForwarded = false; ///< Another gateway handed it to this one, which must not forward it again.
+    bool isAtPeer = false; ///< The present dispatch went to a peer.
+    HostId peer; ///< The last peer that it was sent to.
+    std::vector<HostId> attemptedPeers;
     size_t targetsLost = 0; ///< Attempted targets that were lost.
     model::Reason lastReason = model::Reason::None;
     // Logged with the outcome: the state on which the last target selection was based.
@@ -87,6 +93,12 @@
     bool isResponseStarted = false; ///< The head was sent to the caller.
     bool mayHaveRun = false; ///< A byte may have reached a target that did not report that it did not run the request.
 
+    /// An attempt may have been run although no response to it is known.
+    void recordPossibleRun()
+    {
+        mayHaveRun = true;
+        ++possibleRuns;
+    }
     /// From the last dispatch to its first byte; none if no byte of it was sent.
     [[nodiscard]] std::optional<Duration> timeToFirstByte() const
     {
--- /dev/null
+++ b/src/gateway/internal/forwardedheader.cpp
@@ -0,0 +1,73 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/forwardedheader.h"
+
+#include <charconv>
+#include <sodium.h>
+
+namespace saltvane::gateway {
+
+namespace {
+
+constexpr std::string_view KeyContext = "saltvane forwarded request v1 key";
+static_assert(KeyContext.size() >= crypto_generichash_KEYBYTES_MIN);
+static_assert(KeyContext.size() <= crypto_generichash_KEYBYTES_MAX);
+constexpr char Separator = ';';
+constexpr Duration MaxElapsed = 1h;
+
+std::optional<uint64_t> parseNumber(std::string_view text)
+{
+    uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isWhole = parsed.ec == std::errc {} && parsed.ptr == text.data() + text.size();
+    return isWhole ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+ForwardedHeaderCodec::ForwardedHeaderCodec(std::string_view linkKey)
+    : key_(deriveKey(linkKey, KeyContext))
+{
+}
+
+std::string ForwardedHeaderCodec::codeOf(std::string_view text, const Request& request) const
+{
+    RequestHasher hasher(key_,
+        {.clientAccount = request.clientAccount, .method = request.method, .host = request.host, .path = request.path});
+    hasher.addField(request.id);
+    hasher.addField(text);
+    const model::RequestDigest code = hasher.finish();
+    return model::toString(code) + model::toString({.high = code.low, .low = 0});
+}
+
+std::string ForwardedHeaderCodec::encode(const ForwardedInfo& info, const Request& request) const
+{
+    const auto elapsedMs = std::chrono::floor<std::chrono::milliseconds>(info.elapsed).count();
+    std::string text = std::to_string(info.attempts) + Separator + std::to_string(elapsedMs);
+    const std::string code = codeOf(text, request);
+    return text + Separator + code;
+}
+
+std::optional<ForwardedInfo> ForwardedHeaderCodec::decode(std::string_view value, const Request& request) const
+{
+    const size_t codeAt = value.rfind(Separator);
+    const size_t elapsedAt = value.find(Separator);
+    if (codeAt == std::string_view::npos || elapsedAt == codeAt)
+        return std::nullopt;
+    const std::string_view text = value.substr(0, codeAt);
+    const std::string_view code = value.substr(codeAt + 1);
+    const std::string expected = codeOf(text, request);
+    if (code.size() != expected.size() || sodium_memcmp(code.data(), expected.data(), expected.size()) != 0)
+        return std::nullopt;
+    const auto attempts = parseNumber(text.substr(0, elapsedAt));
+    const auto elapsedMs = parseNumber(text.substr(elapsedAt + 1));
+    if (!attempts || !elapsedMs || std::chrono::milliseconds(*elapsedMs) > MaxElapsed)
+        return std::nullopt;
+    return ForwardedInfo {
+        .attempts = static_cast<uint32_t>(*attempts), .elapsed = std::chrono::milliseconds(*elapsedMs)};
+}
+
+} // namespace saltvane::gateway
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -31,6 +31,11 @@
 
 /// Callers cache look-up answers for a TTL, some for longer, so a leaving gateway keeps serving for 1.5 TTLs.
 constexpr double TtlsBeforeStop = 1.5;
+/// Between probes while no target is reachable.
+constexpr Duration ReachabilityProbeInterval = 250ms;
+/// Age of the list of peers at which it is renewed, and the same while it is used.
+constexpr Duration PeerRequestInterval = 5s;
+constexpr Duration IsolatedPeerRequestInterval = 500ms;
 /// Bytes that were handed to the network reach the callers within this time.
 constexpr Duration ResponseFlushDelay = 100ms;
 /// The rest of the share is kept for requests that a restarted gateway sent before its restart.
@@ -69,6 +74,7 @@
           .targets = targets_,
           .counters = counters_,
           .probePathOf = [this](const ServiceName& service) { return probePathOf(service); }})
+    , peers_({.zone = settings_.zone, .region = settings_.region})
     , backpressure_(settings_.headers, targets_)
     , link_(settings_.linkMegabitsPerSecond)
     , runner_({.headers = settings_.headers,
@@ -79,6 +85,8 @@
           .retries = retries_,
           .quarantine = quarantine_,
           .reachability = reachability_,
+          .peers = peers_,
+          .forwardedHeader = ForwardedHeaderCodec(settings_.linkKey),
           .backpressure = backpressure_,
           .counters = counters_,
           .latencies = latencies_,
@@ -92,7 +100,8 @@
               [this](const Decision& decision, Timestamp now) {
                   decisions_.logDecision(
                       decision, {.plan = replica_->age(now), .registry = replica_->provenAnswerAge(now)}, now);
-              }})
+              },
+          .onTargetAnswered = [this](bool isNewConnection, Timestamp now) { onTargetAnswered(isNewConnection, now); }})
 {
     targets_.rollouts().setShare(settings_.rolloutShare * UsedRolloutShare);
 }
@@ -124,6 +133,8 @@
     runner_.onCreditResults(now);
     runner_.tick(now);
     quarantine_.tick(now);
+    probeTargets(now);
+    requestPeers(now);
     updateLinks();
     sendLoads(now);
     sendRolloutReports(now);
@@ -153,7 +164,6 @@
     if (started == nullptr)
         return;
     constexpr int StatusOk = 200;
-    constexpr int StatusUnavailable = 503;
     std::string text = isReady() ? "ready\n" : "not ready\n";
     const uint64_t length = text.size();
     actions_.emplace_back(requests::Action(requests::HttpRespond {.handle = started->handle,
@@ -170,7 +180,7 @@
     const auto dispatch = std::visit([](const auto& item) { return item.dispatch; }, event);
     if (TargetProber::isProbe(dispatch)) {
         if (std::holds_alternative<requests::TargetResponseHead>(event))
-            reachability_.recordAnswer(true, now);
+            onTargetAnswered(true, now);
         onProbeResponse(event, now);
         return quarantine_.handle(event, now);
     }
@@ -212,6 +222,8 @@
         backpressure_.handle(*backpressure, now);
     else if (const auto* credits = std::get_if<model::LimitCreditReply>(&delivery.message))
         onCreditReply(*credits, now);
+    else if (const auto* peers = std::get_if<model::PeerReport>(&delivery.message))
+        peers_.applyReport(*peers);
 }
 
 void GatewayCore::onCreditReply(const model::LimitCreditReply& reply, Timestamp now)
@@ -280,6 +292,34 @@
     if (stopRequestedAt_)
         return roster_->setState(model::HostState::Leaving);
     roster_->setState(isReady() ? model::HostState::Serving : model::HostState::Joining);
+    roster_->setIsolated(!reachability_.isReachable());
+}
+
+void GatewayCore::onTargetAnswered(bool isNewConnection, Timestamp now)
+{
+    (void)reachability_.recordAnswer(isNewConnection, now);
+}
+
+void GatewayCore::probeTargets(Timestamp now)
+{
+    if (reachability_.isReachable() || now < nextProbeAt_)
+        return;
+    nextProbeAt_ = now + ReachabilityProbeInterval;
+    if (const GatewayTarget* target = targets_.nextToProbe(now))
+        quarantine_.probe(*target, now);
+}
+
+void GatewayCore::requestPeers(Timestamp now)
+{
+    if (now < nextPeerRequestAt_)
+        return;
+    const std::vector<HostId> hosts = roster_->sameRegionControlHosts();
+    if (hosts.empty())
+        return;
+    nextPeerRequestAt_ = now + (reachability_.isReachable() ? PeerRequestInterval : IsolatedPeerRequestInterval);
+    // Another one each time, since one of them may be down.
+    const HostId& host = hosts[peerRequests_++ % hosts.size()];
+    actions_.emplace_back(requests::Action(model::OutgoingMessage {.to = host, .message = model::PeerRequest {}}));
 }
 
 void GatewayCore::logReachability(Timestamp now)
@@ -297,6 +337,8 @@
         line.addMilliseconds("after_ms", now - *unreachableLogged_);
     log(since ? host::LogSeverity::Warning : host::LogSeverity::Info, line.text());
     unreachableLogged_ = since;
+    updateState();
+    nextPeerRequestAt_ = now;
 }
 
 void GatewayCore::updateLinks()
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -9,6 +9,7 @@
 #include "gateway/igateway.h"
 #include "gateway/internal/backpressuremonitor.h"
 #include "gateway/internal/decisionlog.h"
+#include "gateway/internal/peerset.h"
 #include "gateway/internal/placement.h"
 #include "gateway/internal/regionsplit.h"
 #include "gateway/internal/registrywatch.h"
@@ -67,6 +68,10 @@
     [[nodiscard]] std::string probePathOf(const ServiceName& service) const;
     void updateState();
     void logReachability(Timestamp now);
+    /// Probes targets while none is reachable, to learn when they are again.
+    void probeTargets(Timestamp now);
+    void onTargetAnswered(bool isNewConnection, Timestamp now);
+    void requestPeers(Timestamp now);
     void updateStop(Timestamp now);
     void collectActions(Timestamp now);
     void log(host::LogSeverity severity, std::string text);
@@ -85,6 +90,7 @@
     RetryAllowance retries_;
     Quarantine quarantine_;
     TargetReachability reachability_;
+    PeerSet peers_;
     std::optional<Timestamp> unreachableLogged_; ///< Since when no target is reachable, as last logged.
     BackpressureMonitor backpressure_;
     RequestLatencies latencies_;
@@ -103,6 +109,9 @@
     Timestamp nextLoadsAt_ {};
     Timestamp nextOtherRegionLoadsAt_ {};
     bool haveLoadsBeenSent_ = false;
+    Timestamp nextProbeAt_ {};
+    Timestamp nextPeerRequestAt_ {};
+    size_t peerRequests_ = 0;
     std::optional<Timestamp> stopRequestedAt_;
     Timestamp lastBusyAt_ {}; ///< When a request or a response was last in progress.
     bool isStopReported_ = false;
--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -45,7 +45,7 @@
 
 bool GatewayTarget::isAvailable(Timestamp now) const
 {
-    if (record.isLeaving || isUnresponsive || zone->isClosed || now < ejectedUntil || isAwaitingReport(now))
+    if (record.isLeaving || isUnresponsive || zone->isClosed || isEjected(now) || isAwaitingReport(now))
         return false;
     return !isOnTrial() || inFlight == 0;
 }
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -63,6 +63,8 @@
     [[nodiscard]] bool isSlowStarting(Timestamp now) const { return now < slowUntil; }
     /// Was ejected; a single request shall find out whether it works again.
     [[nodiscard]] bool isOnTrial() const { return failures >= FailuresToEject; }
+    /// Its failures ejected it for now.
+    [[nodiscard]] bool isEjected(Timestamp now) const { return now < ejectedUntil; }
     /// Its zone was reopened and the target was not listed since: it may be in slow start.
     [[nodiscard]] bool isAwaitingReport(Timestamp now) const;
     /// Whether new requests may be sent to it, apart from the slow start.
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -209,6 +209,7 @@
         if (!isPermitted(*target, query) || (query.needsNoCredit && target->backpressure.limit))
             continue;
         const Timestamp unavailableUntil = target->backpressure.unavailableUntil();
+        groups.ejected += target->isEjected(now) ? 1 : 0;
         if (targets_.isUsable(*target, query.service, now))
             group.push_back({.target = target, .rank = score * weight});
         else if (now < unavailableUntil && target->isAvailable(now))
@@ -251,7 +252,8 @@
 PlacementRefusal Placement::refusalWithoutTargets(const Groups& groups, uint32_t known, Timestamp now)
 {
     if (!groups.availableAt)
-        return {.reason = model::Reason::NoTarget, .retryAfter = MaxRetryAfter, .known = known};
+        return {
+            .reason = model::Reason::NoTarget, .retryAfter = MaxRetryAfter, .known = known, .ejected = groups.ejected};
     // If all callers returned at the same time, all but one would be refused again.
     const Duration spread = fromSeconds(toSeconds(MaxRetryAfter) * toUnitInterval(random_()));
     return {.reason = model::Reason::BackPressure,
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -46,6 +46,7 @@
     Duration retryAfter {};
     uint32_t known = 0; ///< Known targets of the service.
     uint32_t usable = 0; ///< Targets considered for the object that may be sent new requests at all.
+    uint32_t ejected = 0; ///< Targets considered that failed at this gateway shortly before.
 };
 
 /// Selects a target for a request: by the request's object, so that the target has it warm; within the region's share;
@@ -85,6 +86,7 @@
         Candidates remote;
         /// Earliest time at which a target accepts requests that accepts none now because of back-pressure.
         std::optional<Timestamp> availableAt;
+        uint32_t ejected = 0; ///< Targets that failed at this gateway shortly before.
         [[nodiscard]] size_t size() const { return zone.size() + region.size() + remote.size(); }
     };
 
--- a/src/gateway/internal/quarantine.cpp
+++ b/src/gateway/internal/quarantine.cpp
@@ -83,7 +83,12 @@
     lostRuns_.record(run);
     if (hasStopped || target == nullptr)
         return onTargetStopped(run.target, now);
-    prober_.probe(*target, options_.probePathOf(target->record.service), now);
+    probe(*target, now);
+}
+
+void Quarantine::probe(const GatewayTarget& target, Timestamp now)
+{
+    prober_.probe(target, options_.probePathOf(target.record.service), now);
 }
 
 void Quarantine::onTargetStopped(const model::TargetIncarnation& target, Timestamp now)
--- a/src/gateway/internal/quarantine.h
+++ b/src/gateway/internal/quarantine.h
@@ -67,6 +67,8 @@
         return prober_.findSentProbe(head);
     }
     void tick(Timestamp now);
+    /// Sends a probe to the target.
+    void probe(const GatewayTarget& target, Timestamp now);
 
     /// Changes to report to all registry hosts.
     [[nodiscard]] std::vector<model::SuspectRequest> drainReports(Timestamp now);
--- a/src/gateway/internal/requestcompletion.cpp
+++ b/src/gateway/internal/requestcompletion.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-/// Statuses that tell callers that the request was not run and may be sent again.
-constexpr int StatusUnavailable = 503;
-constexpr int StatusTooManyRequests = 429;
-
 int notRunStatus(model::Reason reason)
 {
     return reason == model::Reason::RateLimited ? StatusTooManyRequests : StatusUnavailable;
--- /dev/null
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -0,0 +1,256 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/requestrunner.h"
+#include "requests/headerfilter.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+/// RequestRunner: requests that are forwarded to another gateway, since this one does not reach their targets
+/// (docs/design/0021-isolated-gateways.md).
+namespace saltvane::gateway {
+
+namespace {
+
+/// Peers to which one request is sent, one after the other.
+constexpr size_t MaxPeersPerRequest = 3;
+/// Well below the time for which gateways keep idle connections of callers.
+constexpr Duration MaxPeerIdle = 2s;
+constexpr double MaxRetryAfterSeconds = 60;
+
+/// Whether another gateway may be able to serve what one refused for this reason.
+bool isOfThePeer(model::Reason reason)
+{
+    static constexpr std::array Reasons {model::Reason::NotReady, model::Reason::Stopping, model::Reason::StaleState,
+        model::Reason::NoTarget, model::Reason::ConnectFailed, model::Reason::UnknownService, model::Reason::UnknownKey,
+        model::Reason::TooManyConnections, model::Reason::LinkLimitReached};
+    return std::ranges::find(Reasons, reason) != Reasons.end();
+}
+
+Duration retryAfterOf(const requests::TargetResponseHead& head)
+{
+    const std::string_view text = requests::firstFieldValue(head.headers, requests::RetryAfterHeader);
+    double seconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    const bool isValid = parsed.ec == std::errc {} && seconds >= 0 && seconds <= MaxRetryAfterSeconds;
+    return isValid ? fromSeconds(seconds) : RequestRunner::DefaultRetryAfter;
+}
+
+} // namespace
+
+std::optional<ForwardedInfo> RequestRunner::forwardedInfoOf(const requests::HttpRequestStarted& request) const
+{
+    const std::string_view value = requests::firstFieldValue(request.headers, ForwardedHeader);
+    if (value.empty())
+        return std::nullopt;
+    return options_.forwardedHeader.decode(value,
+        {.id = requests::firstFieldValue(request.headers, options_.headers.requestId),
+            .clientAccount = requests::firstFieldValue(request.headers, options_.headers.clientAccount),
+            .method = request.method,
+            .host = requests::firstFieldValue(request.headers, "Host"),
+            .path = request.path});
+}
+
+void RequestRunner::forward(Exchange& exchange, Timestamp now)
+{
+    if (!tryForward(exchange, now))
+        refuse(exchange, model::Reason::NoTarget, UnreachableRetryAfter, now);
+}
+
+Peer* RequestRunner::choosePeer(const Exchange& exchange, Timestamp now)
+{
+    const bool mayRun = !exchange.mayHaveRun || exchange.route.kind != model::RouteKind::AtMostOnce;
+    const bool isPermitted = !exchange.isForwarded && mayRun && exchange.possibleRuns < exchange.maxAttempts;
+    if (!isPermitted || exchange.attemptedPeers.size() >= MaxPeersPerRequest)
+        return nullptr;
+    PeerSet::Query query {.routeRegions = exchange.route.permittedRegions, .attempted = exchange.attemptedPeers};
+    if (exchange.account)
+        query.accountRegions = exchange.account->account.permittedRegions;
+    return options_.peers.choose(query, now);
+}
+
+bool RequestRunner::tryForward(Exchange& exchange, Timestamp now)
+{
+    Peer* peer = choosePeer(exchange, now);
+    if (peer == nullptr)
+        return false;
+    // The peer takes its own credits for the run.
+    returnUnusedCredit(exchange, now);
+    exchange.hasCredit = false;
+    sendTo(*peer, exchange, now);
+    return true;
+}
+
+void RequestRunner::sendTo(Peer& peer, Exchange& exchange, Timestamp now)
+{
+    options_.counters.add(model::Counter::ForwardsSent);
+    ++peer.inFlight;
+    exchange.phase = Exchange::Phase::AwaitingHead;
+    exchange.dispatch = {++lastDispatch_};
+    exchange.isAtPeer = true;
+    exchange.peer = peer.record.host;
+    exchange.attemptedPeers.push_back(peer.record.host);
+    exchange.target = {};
+    exchange.sentAt = now;
+    exchange.firstByteAt.reset();
+    exchange.usesTargetCredit = false;
+    exchange.isCompared = false;
+    exchange.wasBlamed = options_.quarantine.isBlamed(exchange.digest);
+    dispatches_.emplace(exchange.dispatch, &exchange);
+    const Duration slowest = options_.placement.processingTimes().ofService(exchange.service).slowest;
+    scheduleStallCheck(exchange, now + std::max(slowest, exchange.route.objective) * 2);
+
+    std::vector<model::Header> headers = exchange.headers;
+    headers.push_back({.name = std::string(ForwardedHeader),
+        .value = options_.forwardedHeader.encode(
+            {.attempts = exchange.maxAttempts - exchange.possibleRuns, .elapsed = now - exchange.startedAt},
+            {.id = exchange.id.value(),
+                .clientAccount = requests::firstFieldValue(headers, options_.headers.clientAccount),
+                .method = exchange.method,
+                .host = requests::firstFieldValue(headers, "Host"),
+                .path = exchange.path})});
+    headers.push_back({.name = options_.headers.deadline, .value = millisecondsText(exchange.deadline - now)});
+    actions_.emplace_back(requests::TargetStart {.dispatch = exchange.dispatch,
+        .target = TargetId(peer.record.host.value()),
+        .address = peer.record.frontAddress,
+        .method = exchange.method,
+        .path = exchange.path,
+        .headers = std::move(headers),
+        .bodyLength = exchange.body.size(),
+        .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce,
+        .maxReuseIdleTime = MaxPeerIdle,
+        .echoedHeader = options_.headers.requestId,
+        .deadlineHeader = options_.headers.deadline,
+        .deadline = exchange.deadline,
+        .caller = exchange.handle});
+    if (!exchange.body.empty())
+        actions_.emplace_back(
+            requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body, .isLast = true});
+}
+
+void RequestRunner::onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
+{
+    if (Peer* peer = options_.peers.find(exchange.peer))
+        peer->answeredAt = now;
+    const std::string_view reasonText = requests::firstFieldValue(head.headers, requests::ReasonHeader);
+    if (!reasonText.empty())
+        return onPeerError(head, model::reasonFrom(reasonText).value_or(model::Reason::PeerLost), exchange, now);
+    const std::string_view id = requests::firstFieldValue(head.headers, options_.headers.requestId);
+    if (id != exchange.id.value()) {
+        actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
+        exchange.recordPossibleRun();
+        exchange.lastFailure = "answer of another request";
+        releaseTarget(exchange);
+        return fail(exchange, model::Reason::PeerLost, now);
+    }
+    exchange.timeToHead = now - exchange.sentAt;
+    options_.latencies.add(exchange.route.kind, Stage::Target, exchange.timeToHead);
+    stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
+    startResponse(exchange, head);
+}
+
+void RequestRunner::onPeerError(
+    const requests::TargetResponseHead& head, model::Reason reason, Exchange& exchange, Timestamp now)
+{
+    actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
+    releaseTarget(exchange);
+    const bool isNotRun
+        = head.status == StatusUnavailable || head.status == StatusTooManyRequests || isOfThePeer(reason);
+    if (!isNotRun) {
+        exchange.recordPossibleRun();
+        return fail(exchange, reason, now);
+    }
+    if (!isOfThePeer(reason))
+        return refuse(exchange, reason, retryAfterOf(head), now);
+    if (Peer* peer = options_.peers.find(exchange.peer))
+        peer->unavailableUntil = now + PeerSet::RefusalBackoff;
+    forward(exchange, now);
+}
+
+void RequestRunner::onPeerFailed(requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
+{
+    if (Peer* peer = options_.peers.find(exchange.peer))
+        peer->unavailableUntil = now + PeerSet::FailureBackoff;
+    exchange.lastFailure = std::move(failed.message);
+    if (exchange.isResponseStarted) {
+        abort(exchange);
+        options_.counters.add(model::Counter::BrokenBodies);
+        return finish(exchange, {.exchange = exchange, .reason = model::Reason::PeerLost}, now);
+    }
+    exchange.response = {};
+    if (!failed.mayHaveReachedTarget) {
+        releaseTarget(exchange);
+        return forward(exchange, now);
+    }
+    if (tryForwardAgain(exchange, model::Reason::PeerLost, now))
+        return;
+    exchange.recordPossibleRun();
+    releaseTarget(exchange);
+    fail(exchange, model::Reason::PeerLost, now);
+}
+
+void RequestRunner::checkPeerStalled(Exchange& exchange, Timestamp now)
+{
+    Peer* peer = options_.peers.find(exchange.peer);
+    // A peer that answers other requests is only slow.
+    if (peer != nullptr && peer->answeredAt >= exchange.sentAt)
+        return;
+    if (peer != nullptr)
+        peer->unavailableUntil = now + PeerSet::FailureBackoff;
+    (void)tryForwardAgain(exchange, model::Reason::PeerLost, now);
+}
+
+bool RequestRunner::tryForwardAgain(Exchange& exchange, model::Reason reason, Timestamp now)
+{
+    const bool isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce;
+    const bool hasAttempt = exchange.possibleRuns + 1 < exchange.maxAttempts;
+    if (!isRepeatable || !hasAttempt || choosePeer(exchange, now) == nullptr || exchange.deadline - now < MinTimeToRetry
+        || !options_.quarantine.mayRetry(exchange.digest) || !options_.retries.trySpend(exchange.service))
+        return false;
+    exchange.recordPossibleRun();
+    exchange.isCompared = false;
+    exchange.lastReason = reason;
+    actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
+    releaseTarget(exchange);
+    options_.counters.add(model::Counter::Retries);
+    options_.counters.addRetry(reason);
+    return tryForward(exchange, now);
+}
+
+void RequestRunner::recordTargetFailure(
+    const GatewayTarget& target, TargetReachability::Failure failure, Timestamp startedAt, Timestamp now)
+{
+    if (options_.reachability.recordFailure(target, failure, startedAt, now))
+        mustLeaveTargets_ = true;
+}
+
+void RequestRunner::leaveUnreachableTargets(Timestamp now)
+{
+    if (!std::exchange(mustLeaveTargets_, false))
+        return;
+    std::vector<requests::HttpHandle> waiting;
+    for (const auto& [dispatch, exchange] : dispatches_) {
+        if (!exchange->isAtPeer && exchange->phase == Exchange::Phase::AwaitingHead)
+            waiting.push_back(exchange->handle);
+    }
+    std::ranges::sort(waiting); // The order of dispatches_ is arbitrary.
+    for (const requests::HttpHandle handle : waiting) {
+        Exchange& exchange = *find(handle);
+        if (exchange.firstByteAt) {
+            // Its connection may still work. It is not waited for longer than for the objective.
+            scheduleStallCheck(
+                exchange, std::min(exchange.stallCheckAt, std::max(now, exchange.sentAt + exchange.route.objective)));
+            continue;
+        }
+        actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
+        releaseUnsent(exchange, now);
+        forward(exchange, now);
+    }
+}
+
+} // namespace saltvane::gateway
--- a/src/gateway/internal/requesthasher.cpp
+++ b/src/gateway/internal/requesthasher.cpp
@@ -23,23 +23,23 @@
 
 } // namespace
 
-DigestKey deriveDigestKey(std::string_view linkKey)
+DigestKey deriveKey(std::string_view linkKey, std::string_view context)
 {
     DigestKey key {};
-    crypto_generichash(
-        key.data(), key.size(), bytesOf(linkKey), linkKey.size(), bytesOf(KeyContext), KeyContext.size());
+    crypto_generichash(key.data(), key.size(), bytesOf(linkKey), linkKey.size(), bytesOf(context), context.size());
     return key;
 }
 
+DigestKey deriveDigestKey(std::string_view linkKey) { return deriveKey(linkKey, KeyContext); }
+
 RequestHasher::RequestHasher(const DigestKey& key, const Head& head)
 {
     crypto_generichash_init(&state_, key.data(), key.size(), sizeof(model::RequestDigest));
     for (const std::string_view field : {head.clientAccount, head.method, head.host, head.path})
-        addSized(field);
+        addField(field);
 }
 
-/// Prefixes the field with its length, so that different heads never hash the same bytes.
-void RequestHasher::addSized(std::string_view field)
+void RequestHasher::addField(std::string_view field)
 {
     const uint64_t size = field.size();
     std::array<unsigned char, sizeof(size)> prefix {};
--- a/src/gateway/internal/requesthasher.h
+++ b/src/gateway/internal/requesthasher.h
@@ -14,10 +14,12 @@
 
 namespace saltvane::gateway {
 
-/// Key of request digests; the same on all hosts of a deployment.
+/// Key of a keyed hash; the same on all hosts of a deployment.
 using DigestKey = std::array<unsigned char, crypto_generichash_KEYBYTES>;
 
-/// Derives the key from the secret that the hosts share for their links.
+/// Derives a key from the secret that the hosts share for their links. `context` separates it from keys for other uses.
+[[nodiscard]] DigestKey deriveKey(std::string_view linkKey, std::string_view context);
+/// The key of request digests.
 [[nodiscard]] DigestKey deriveDigestKey(std::string_view linkKey);
 
 /// Computes a request's digest while its body arrives.
@@ -32,12 +34,12 @@
     RequestHasher(const DigestKey& key, const Head& head);
 
     void addBody(std::string_view bytes);
+    /// Adds a field, prefixed with its length, so that different fields never hash the same bytes.
+    void addField(std::string_view field);
     /// To be called once, after the whole body.
     [[nodiscard]] model::RequestDigest finish();
 
 private:
-    void addSized(std::string_view field);
-
     crypto_generichash_state state_;
 };
 
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -51,8 +51,14 @@
     return routes_->findAccount(std::ranges::find_if(request.headers, isKey)->value);
 }
 
+model::AccountRef RequestRunner::claimedAccountOf(const requests::HttpRequestStarted& request) const
+{
+    const std::string_view name = requests::firstFieldValue(request.headers, options_.headers.clientAccount);
+    return routes_->findAccountNamed(model::ClientAccountName(std::string(name)));
+}
+
 std::unique_ptr<Exchange> RequestRunner::makeExchange(
-    const requests::HttpRequestStarted& request, PlannedRoute& route, model::AccountRef account, Timestamp now) const
+    const requests::HttpRequestStarted& request, PlannedRoute& route, Origin origin, Timestamp now) const
 {
     const settings::HeaderNames& names = options_.headers;
     auto exchange = std::make_unique<Exchange>();
@@ -60,7 +66,8 @@
     exchange->id = RequestId(requests::firstFieldValue(request.headers, names.requestId));
     exchange->method = request.method;
     exchange->path = request.path;
-    exchange->account = std::move(account);
+    exchange->account = std::move(origin.account);
+    exchange->isForwarded = origin.forwarded.has_value();
     const bool mayClaimAccount = !routes_->plan().hasAccounts;
     const std::string_view claimed = requests::firstFieldValue(request.headers, names.clientAccount);
     const std::string_view proven
@@ -75,6 +82,7 @@
         return model::isSameFieldName(header.name, names.deadline)
             || model::isSameFieldName(header.name, names.expectedTarget)
             || model::isSameFieldName(header.name, names.clientKey)
+            || model::isSameFieldName(header.name, ForwardedHeader)
             || (!mayClaimAccount && model::isSameFieldName(header.name, names.clientAccount))
             || model::isSameFieldName(header.name, "Expect");
     });
@@ -85,7 +93,9 @@
     exchange->route = route.route;
     exchange->service = route.nextService();
     exchange->planVersion = routes_->plan().version;
-    exchange->startedAt = now;
+    exchange->startedAt = now - (origin.forwarded ? origin.forwarded->elapsed : Duration::zero());
+    exchange->maxAttempts
+        = std::min(route.route.attempts, origin.forwarded ? origin.forwarded->attempts : route.route.attempts);
     const Duration stated
         = parseMilliseconds(requests::firstFieldValue(request.headers, names.deadline)).value_or(DefaultDeadline);
     exchange->deadline = now + std::min(stated, route.route.timeout);
@@ -112,11 +122,13 @@
         return refuseOnArrival(
             request, nullptr, {.status = StatusNotFound, .reason = model::Reason::UnknownService}, now);
     const bool needsKey = routes_->plan().hasAccounts && !route->route.isPublic;
-    model::AccountRef account = needsKey ? accountOf(request) : nullptr;
-    if (needsKey && !account && isPlanUncertain_)
+    Origin origin {.forwarded = forwardedInfoOf(request)};
+    if (needsKey)
+        origin.account = origin.forwarded ? claimedAccountOf(request) : accountOf(request);
+    if (needsKey && !origin.account && (isPlanUncertain_ || origin.forwarded))
         return refuseOnArrival(
             request, route, {.reason = model::Reason::NotReady, .retryAfter = NotReadyRetryAfter}, now);
-    if (needsKey && !account)
+    if (needsKey && !origin.account)
         return refuseOnArrival(
             request, route, {.status = StatusUnauthorized, .reason = model::Reason::UnknownKey}, now);
     if (request.bodyLength.value_or(0) > routes_->plan().limits.bodyBytes)
@@ -125,12 +137,16 @@
     if (isLarge && !options_.link.canCarry(route->route))
         return refuseOnArrival(
             request, route, {.reason = model::Reason::LinkLimitReached, .retryAfter = DefaultRetryAfter}, now);
-    std::unique_ptr<Exchange> newExchange = makeExchange(request, *route, std::move(account), now);
+    std::unique_ptr<Exchange> newExchange = makeExchange(request, *route, std::move(origin), now);
     newExchange->isInLinkBudget = isLarge;
     if (isLarge)
         options_.link.recordStart();
     Exchange& exchange = *newExchange;
-    options_.retries.recordRequest(exchange.service, now);
+    // The gateway that forwarded it has counted it.
+    if (exchange.isForwarded)
+        options_.counters.add(model::Counter::ForwardsReceived);
+    else
+        options_.retries.recordRequest(exchange.service, now);
     exchanges_.emplace(request.handle, std::move(newExchange));
     deadlines_.emplace(exchange.deadline, exchange.handle);
     if (request.bodyLength == 0)
--- a/src/gateway/internal/requestlosses.cpp
+++ b/src/gateway/internal/requestlosses.cpp
@@ -25,6 +25,8 @@
 
 void RequestRunner::onRunAbandoned(const Exchange& exchange, Timestamp now)
 {
+    if (exchange.isAtPeer)
+        return;
     const GatewayTarget* target = options_.targets.find(exchange.target);
     if (target == nullptr || (!target->record.isLeaving && target->answeredAt < exchange.sentAt))
         options_.quarantine.onRunAbandoned(lostRunOf(exchange, now));
@@ -56,7 +58,7 @@
 void RequestRunner::abandonStopped(Exchange& exchange, Timestamp now)
 {
     actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
-    exchange.mayHaveRun = true;
+    exchange.recordPossibleRun();
     exchange.lastFailure = "target started anew";
     exchange.isLastTargetGone = true;
     options_.quarantine.onConnectionLost(lostRunOf(exchange, now), true, now);
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -24,8 +24,10 @@
 
 void RequestRunner::accept(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
 {
+    if (exchange.isAtPeer)
+        return onPeerHead(head, exchange, now);
     GatewayTarget* target = options_.targets.find(exchange.target);
-    options_.reachability.recordAnswer(head.isNewConnection, now);
+    options_.onTargetAnswered(head.isNewConnection, now);
     const std::string_view load = requests::firstFieldValue(head.headers, options_.headers.load);
     if (target != nullptr && !load.empty())
         target->updateLoad(load, now);
@@ -36,7 +38,7 @@
     const bool isOwnResponse = id == exchange.id.value() || (id.empty() && isRefusal);
     if (!isOwnResponse) {
         actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
-        exchange.mayHaveRun = true;
+        exchange.recordPossibleRun();
         exchange.lastFailure = "answer of another request";
         return retryElsewhere(exchange, model::Reason::TargetFailed, now);
     }
@@ -64,12 +66,21 @@
                     && options_.targets.rollouts().isInTrial(exchange.service)},
             now);
     stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
+    startResponse(exchange, head);
+}
+
+void RequestRunner::startResponse(Exchange& exchange, const requests::TargetResponseHead& head)
+{
     exchange.phase = Exchange::Phase::ReceivingResponse;
     exchange.response = {.handle = exchange.handle,
         .status = head.status,
         .headers = requests::endToEndHeaders(head.headers),
         .bodyLength = head.bodyLength,
         .isLast = false};
+    // To the gateway that forwarded the request, this header marks a response of this gateway's own.
+    if (exchange.isForwarded)
+        std::erase_if(exchange.response.headers,
+            [](const model::Header& header) { return model::isSameFieldName(header.name, requests::ReasonHeader); });
     if (head.bodyLength.value_or(0) > MaxBufferedResponseBytes)
         startStreaming(exchange);
 }
@@ -133,11 +144,13 @@
 {
     if (failed.withheldFor != model::Reason::None)
         return onWithheld(exchange, failed.withheldFor, now);
+    if (exchange.isAtPeer)
+        return onPeerFailed(failed, exchange, now);
     if (GatewayTarget* target = options_.targets.find(exchange.target)) {
         target->onFailure(now, !failed.mayHaveReachedTarget);
-        const auto failure = failed.mayHaveReachedTarget ? TargetReachability::Failure::Response
-                                                         : TargetReachability::Failure::Connect;
-        options_.reachability.recordFailure(*target, failure, exchange.sentAt, now);
+        recordTargetFailure(*target,
+            failed.mayHaveReachedTarget ? TargetReachability::Failure::Response : TargetReachability::Failure::Connect,
+            exchange.sentAt, now);
     }
     exchange.lastFailure = std::move(failed.message);
     exchange.isLastTargetGone = failed.isRefused;
@@ -149,7 +162,8 @@
         return finish(exchange, {.exchange = exchange, .reason = model::Reason::TargetFailed}, now);
     }
     exchange.hasCredit = !failed.mayHaveReachedTarget;
-    exchange.mayHaveRun = exchange.mayHaveRun || failed.mayHaveReachedTarget;
+    if (failed.mayHaveReachedTarget)
+        exchange.recordPossibleRun();
     retryElsewhere(
         exchange, failed.mayHaveReachedTarget ? model::Reason::TargetFailed : model::Reason::ConnectFailed, now);
 }
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -16,8 +16,6 @@
 /// A target is checked when its response takes longer than this multiple of the slowest recent response, and longer
 /// than the objective.
 constexpr double StallFactor = 1.3;
-/// A retry with less time left is of no use.
-constexpr Duration MinTimeToRetry = 30ms;
 /// Targets may close connections that were idle for longer, which would lose a request that was just sent.
 constexpr Duration MaxIdle = 4s;
 constexpr Duration MaxIdleForAtMostOnce = 2s;
@@ -27,13 +25,13 @@
 /// Spreads consecutive numbers over all hashes (the golden ratio).
 constexpr uint64_t HashMultiplier = 0x9e3779b97f4a7c15;
 
-std::string millisecondsText(Duration duration)
+} // namespace
+
+std::string RequestRunner::millisecondsText(Duration duration)
 {
     return std::to_string(std::max<int64_t>(std::chrono::floor<std::chrono::milliseconds>(duration).count(), 1));
 }
 
-} // namespace
-
 RequestRunner::RequestRunner(Options options)
     : options_(std::move(options))
 {
@@ -52,6 +50,7 @@
                 accept(item, *exchange, now);
         },
         event);
+    leaveUnreachableTargets(now);
 }
 
 std::vector<requests::Action> RequestRunner::drainActions() { return std::exchange(actions_, {}); }
@@ -155,12 +154,16 @@
         return refuse(exchange, model::Reason::StaleState, NotReadyRetryAfter, now);
     if (const std::optional<Duration> wait = options_.quarantine.retryDelay(exchange.digest, now))
         return refuse(exchange, model::Reason::RequestQuarantined, *wait, now);
+    if (!options_.reachability.isReachable())
+        return forward(exchange, now);
     if (!tryAcquireCredit(exchange, now))
         return;
     const auto choice = choose(exchange, now);
     if (const auto* refusal = std::get_if<PlacementRefusal>(&choice)) {
         exchange.targetsKnown = refusal->known;
         exchange.targetsUsable = refusal->usable;
+        if (refusal->ejected > 0 && tryForward(exchange, now))
+            return;
         return refuse(exchange, refusal->reason, refusal->retryAfter, now);
     }
     const TargetSelection& selection = std::get<TargetSelection>(choice);
@@ -185,6 +188,7 @@
     options_.counters.add(model::Counter::Dispatches);
     exchange.phase = Exchange::Phase::AwaitingHead;
     exchange.dispatch = {++lastDispatch_};
+    exchange.isAtPeer = false;
     exchange.target = target.targetIncarnation();
     exchange.targetAddress = target.record.address;
     exchange.attemptedTargets.push_back(target.id());
@@ -232,6 +236,11 @@
     dispatches_.erase(exchange.dispatch);
     stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
     exchange.dispatch = {};
+    if (exchange.isAtPeer) {
+        if (Peer* peer = options_.peers.find(exchange.peer); peer != nullptr && peer->inFlight > 0)
+            --peer->inFlight;
+        return;
+    }
     GatewayTarget* target = options_.targets.find(exchange.target);
     if (target != nullptr)
         TargetSet::recordReleased(*target);
@@ -248,7 +257,7 @@
 bool RequestRunner::mayRetryElsewhere(const Exchange& exchange, Timestamp now)
 {
     const bool mayRetry = exchange.route.kind != model::RouteKind::AtMostOnce || !exchange.mayHaveRun;
-    if (!mayRetry || exchange.attemptedTargets.size() >= exchange.route.attempts)
+    if (!mayRetry || exchange.attemptedTargets.size() >= exchange.maxAttempts)
         return false;
     if (exchange.targetsLost >= Quarantine::MaxLostTargetsForRetry || !options_.quarantine.mayRetry(exchange.digest))
         return false;
@@ -260,16 +269,23 @@
     exchange.lastReason = reason;
     releaseTarget(exchange);
     exchange.response = {};
+    const bool isUnsent = reason == model::Reason::ConnectFailed && !exchange.mayHaveRun;
+    if (isUnsent && !options_.reachability.isReachable())
+        return forward(exchange, now);
     if (mayRetryElsewhere(exchange, now)) {
         options_.counters.add(model::Counter::Retries);
         options_.counters.addRetry(reason);
         return dispatch(exchange, now);
     }
+    if (isUnsent && tryForward(exchange, now))
+        return;
     fail(exchange, reason, now);
 }
 
 void RequestRunner::checkStalled(Exchange& exchange, Timestamp now)
 {
+    if (exchange.isAtPeer)
+        return checkPeerStalled(exchange, now);
     GatewayTarget* target = options_.targets.find(exchange.target);
     if (target == nullptr)
         return abandonStopped(exchange, now);
@@ -277,14 +293,18 @@
     if (target->answeredAt >= exchange.sentAt || options_.isRegistryLate(now))
         return;
     target->onFailure(now, false);
-    options_.reachability.recordFailure(*target, TargetReachability::Failure::Response, exchange.sentAt, now);
+    recordTargetFailure(*target, TargetReachability::Failure::Response, exchange.sentAt, now);
+    if (!options_.reachability.isReachable()) {
+        (void)tryForwardAgain(exchange, model::Reason::TargetStalled, now);
+        return;
+    }
     // The target may still answer: the request moves only to another target that can take it.
     const auto choice = choose(exchange, now, false);
     const bool mayRetry = exchange.route.kind != model::RouteKind::AtMostOnce;
     if (!mayRetry || std::holds_alternative<PlacementRefusal>(choice) || !mayRetryElsewhere(exchange, now))
         return;
     recordAnswer(exchange, now - exchange.sentAt);
-    exchange.mayHaveRun = true;
+    exchange.recordPossibleRun();
     onRunAbandoned(exchange, now);
     exchange.lastReason = model::Reason::TargetStalled;
     actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
@@ -303,6 +323,7 @@
         if (Exchange* exchange = find(handle))
             checkStalled(*exchange, now);
     }
+    leaveUnreachableTargets(now);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
         Exchange* exchange = find(deadlines_.begin()->second);
         deadlines_.erase(deadlines_.begin());
@@ -310,7 +331,7 @@
             continue;
         if (exchange->dispatch.value != 0) {
             recordAnswer(*exchange, now - exchange->sentAt);
-            exchange->mayHaveRun = true;
+            exchange->recordPossibleRun();
             onRunAbandoned(*exchange, now);
             actions_.emplace_back(requests::TargetCancel {.dispatch = exchange->dispatch});
         }
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -7,8 +7,10 @@
 
 #include "gateway/internal/backpressuremonitor.h"
 #include "gateway/internal/exchange.h"
+#include "gateway/internal/forwardedheader.h"
 #include "gateway/internal/limitcredits.h"
 #include "gateway/internal/linkbudget.h"
+#include "gateway/internal/peerset.h"
 #include "gateway/internal/placement.h"
 #include "gateway/internal/quarantine.h"
 #include "gateway/internal/requestlatencies.h"
@@ -29,6 +31,10 @@
 
 namespace saltvane::gateway {
 
+// Statuses that tell callers that the request was not run and may be sent again.
+inline constexpr int StatusUnavailable = 503;
+inline constexpr int StatusTooManyRequests = 429;
+
 /// Outcome of one request, for the log.
 struct Decision {
     const Exchange& exchange;
@@ -49,6 +55,8 @@
         RetryAllowance& retries;
         Quarantine& quarantine;
         TargetReachability& reachability;
+        PeerSet& peers;
+        ForwardedHeaderCodec forwardedHeader;
         BackpressureMonitor& backpressure;
         model::Counters& counters;
         RequestLatencies& latencies;
@@ -59,13 +67,19 @@
         /// Whether that state is known to be current.
         std::function<bool(Timestamp)> isRegistryCurrent;
         std::function<void(const Decision&, Timestamp)> onDecided;
+        /// A target answered something.
+        std::function<void(bool isNewConnection, Timestamp)> onTargetAnswered;
     };
     explicit RequestRunner(Options options);
 
     static constexpr Duration DefaultRetryAfter = 200ms;
+    /// A retry with less time left is of no use.
+    static constexpr Duration MinTimeToRetry = 30ms;
     /// Retry delay while the gateway has no plan or its registry information is late. A start takes 0.2 to 0.6 s: a
     /// caller that comes back sooner is refused again, and gives up.
     static constexpr Duration NotReadyRetryAfter = 400ms;
+    /// Retry delay while no target is reachable: probes show within this time that they are again.
+    static constexpr Duration UnreachableRetryAfter = 400ms;
     static constexpr Duration StoppingRetryAfter = 50ms; ///< Other gateways serve the caller meanwhile.
 
     void install(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
@@ -108,10 +122,18 @@
     void accept(requests::TargetRequestProgress& progress, Exchange& exchange, Timestamp now);
     void accept(requests::TargetFailed& failed, Exchange& exchange, Timestamp now);
 
-    [[nodiscard]] std::unique_ptr<Exchange> makeExchange(const requests::HttpRequestStarted& request,
-        PlannedRoute& route, model::AccountRef account, Timestamp now) const;
+    /// Who sent a request.
+    struct Origin {
+        model::AccountRef account; ///< Null if the route requires no account.
+        std::optional<ForwardedInfo> forwarded; ///< Set if another gateway forwarded it.
+    };
+    [[nodiscard]] std::unique_ptr<Exchange> makeExchange(
+        const requests::HttpRequestStarted& request, PlannedRoute& route, Origin origin, Timestamp now) const;
     /// Returns the client account that holds the request's key, or null.
     [[nodiscard]] model::AccountRef accountOf(const requests::HttpRequestStarted& request) const;
+    /// The client account that the forwarding gateway names, or null.
+    [[nodiscard]] model::AccountRef claimedAccountOf(const requests::HttpRequestStarted& request) const;
+    [[nodiscard]] std::optional<ForwardedInfo> forwardedInfoOf(const requests::HttpRequestStarted& request) const;
     /// Returns false if the request has to wait for a credit of its account's limit.
     [[nodiscard]] bool tryAcquireCredit(Exchange& exchange, Timestamp now);
     /// Returns false if the request has to wait for a credit of the limit that this target stated.
@@ -127,6 +149,8 @@
     /// Whether a rollout assigns the request to the new version of its service.
     [[nodiscard]] bool isForNewVersion(const Exchange& exchange, Timestamp now) const;
     void send(Exchange& exchange, const TargetSelection& selection, Timestamp now);
+    /// The value of the deadline header: whole milliseconds, at least 1.
+    [[nodiscard]] static std::string millisecondsText(Duration duration);
     /// Records the target's version for the rollout of the service.
     void startComparison(Exchange& exchange, const GatewayTarget& target, Timestamp now);
     /// Counts the answer for the rollout of its service. `time`: its processing time; no value: it failed.
@@ -135,6 +159,26 @@
     [[nodiscard]] model::Reason reasonToWithhold(const Exchange& exchange, Timestamp now) const;
     /// The request was withheld: no byte of it was sent to the selected target.
     void onWithheld(Exchange& exchange, model::Reason reason, Timestamp now);
+    /// Releases a dispatch of which no byte was sent.
+    void releaseUnsent(Exchange& exchange, Timestamp now);
+    /// A target failed, or this gateway's connection to it.
+    void recordTargetFailure(
+        const GatewayTarget& target, TargetReachability::Failure failure, Timestamp startedAt, Timestamp now);
+    /// If that showed that no target is reachable: moves requests that wait for one to peers.
+    void leaveUnreachableTargets(Timestamp now);
+    /// Sends the request to a peer; refuses it if there is none.
+    void forward(Exchange& exchange, Timestamp now);
+    /// Returns false if the request must not be forwarded, or no peer is available.
+    [[nodiscard]] bool tryForward(Exchange& exchange, Timestamp now);
+    [[nodiscard]] Peer* choosePeer(const Exchange& exchange, Timestamp now);
+    void sendTo(Peer& peer, Exchange& exchange, Timestamp now);
+    void onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now);
+    /// The peer responded with an error of its own.
+    void onPeerError(const requests::TargetResponseHead& head, model::Reason reason, Exchange& exchange, Timestamp now);
+    void onPeerFailed(requests::TargetFailed& failed, Exchange& exchange, Timestamp now);
+    void checkPeerStalled(Exchange& exchange, Timestamp now);
+    /// A request that may have been run at its target or peer: sends it to another peer if it may run again.
+    [[nodiscard]] bool tryForwardAgain(Exchange& exchange, model::Reason reason, Timestamp now);
     /// The target refused the request or failed: retries at another target, or fails the request.
     void retryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now);
     [[nodiscard]] bool mayRetryElsewhere(const Exchange& exchange, Timestamp now);
@@ -150,6 +194,7 @@
     void abandonStopped(Exchange& exchange, Timestamp now);
     void scheduleStallCheck(Exchange& exchange, Timestamp at);
     void onRefusedByTarget(Exchange& exchange, int status, Timestamp now);
+    void startResponse(Exchange& exchange, const requests::TargetResponseHead& head);
     void startStreaming(Exchange& exchange);
 
     void refuse(Exchange& exchange, model::Reason reason, Duration retryAfter, Timestamp now);
@@ -186,6 +231,7 @@
     bool isPlanUncertain_ = false;
     bool isLeaving_ = false;
     bool isRefusing_ = false;
+    bool mustLeaveTargets_ = false; ///< No target is reachable since the last event.
     std::vector<requests::Action> actions_;
 };
 
--- a/src/gateway/internal/requestwithholding.cpp
+++ b/src/gateway/internal/requestwithholding.cpp
@@ -28,6 +28,8 @@
         return model::Reason::StaleState;
     if (!exchange.wasBlamed && options_.quarantine.isBlamed(exchange.digest))
         return model::Reason::RequestQuarantined;
+    if (exchange.isAtPeer)
+        return model::Reason::None;
     const GatewayTarget* target = options_.targets.find(exchange.target);
     if (target == nullptr)
         return model::Reason::NoTarget;
@@ -42,13 +44,7 @@
 {
     options_.counters.addWithheld(reason);
     ++exchange.timesWithheld;
-    options_.targets.rollouts().recordWithheld(exchange.service, exchange.versionRole);
-    if (exchange.usesTargetCredit)
-        options_.credits.returnCredit(model::limitIdOf(exchange.target), now);
-    exchange.hasCredit = true;
-    exchange.isCompared = false;
-    exchange.attemptedTargets.pop_back();
-    releaseTarget(exchange);
+    releaseUnsent(exchange, now);
     if (reason == model::Reason::DeadlineExceeded)
         return fail(exchange, reason, now);
     if (reason == model::Reason::ClientGone) {
@@ -58,4 +54,17 @@
     dispatch(exchange, now);
 }
 
+void RequestRunner::releaseUnsent(Exchange& exchange, Timestamp now)
+{
+    if (!exchange.isAtPeer) {
+        options_.targets.rollouts().recordWithheld(exchange.service, exchange.versionRole);
+        if (exchange.usesTargetCredit)
+            options_.credits.returnCredit(model::limitIdOf(exchange.target), now);
+        exchange.hasCredit = true;
+        exchange.isCompared = false;
+        exchange.attemptedTargets.pop_back();
+    }
+    releaseTarget(exchange);
+}
+
 } // namespace saltvane::gateway
--- a/src/gateway/internal/routetable.h
+++ b/src/gateway/internal/routetable.h
@@ -47,6 +47,11 @@
     [[nodiscard]] PlannedRoute* find(std::string_view host, std::string_view target) const;
     /// Returns null if no client account holds the key.
     [[nodiscard]] model::AccountRef findAccount(std::string_view key) const { return accounts_.find(key); }
+    /// Returns null if there is no client account of this name.
+    [[nodiscard]] model::AccountRef findAccountNamed(const model::ClientAccountName& name) const
+    {
+        return accounts_.findNamed(name);
+    }
     [[nodiscard]] const model::RoutePlan& plan() const { return plan_; }
 
 private:
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -25,6 +25,8 @@
 /// Targets whose capacity is recounted per tick: with ticks of 20 ms, all 1,356 targets of a large deployment are
 /// recounted in less than half a second, as often as shares of regions may move.
 constexpr size_t CapacityUpdatesPerTick = 64;
+/// Targets that are considered for one probe.
+constexpr size_t MaxProbeCandidates = 8;
 /// Longer than an acknowledged order takes to reach a gateway.
 constexpr Duration NewVersionDelay = 3s;
 
@@ -309,6 +311,17 @@
     applyRetired({&targetIncarnation, 1});
 }
 
+GatewayTarget* TargetSet::nextToProbe(Timestamp now)
+{
+    for (size_t i = 0; i < std::min(all_.size(), MaxProbeCandidates); ++i) {
+        lastProbed_ = (lastProbed_ + 1) % all_.size();
+        GatewayTarget& target = *all_[lastProbed_];
+        if (target.mayReceive(now) && !target.isUnresponsive && !target.isSlowStarting(now))
+            return &target;
+    }
+    return nullptr;
+}
+
 void TargetSet::markStopped(const model::TargetIncarnation& targetIncarnation)
 {
     if (GatewayTarget* known = find(targetIncarnation))
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -57,6 +57,8 @@
     /// The target announced that it is leaving: this incarnation gets no new requests any more, whatever the registry
     /// reports.
     void markLeaving(const model::TargetIncarnation& targetIncarnation);
+    /// A target to send a probe to, each time another one; null if none of the next few may get one.
+    [[nodiscard]] GatewayTarget* nextToProbe(Timestamp now);
     /// Another target answered at its address: the target with this id has stopped.
     void markStopped(const model::TargetIncarnation& targetIncarnation);
     /// Removes targets that are unresponsive or have not been listed by the registry for a long time, as long as the
@@ -144,6 +146,7 @@
     Timestamp reportedAt_ {}; ///< Last report of any registry host.
     Timestamp totalsAt_ {}; ///< Last report of loads.
     size_t nextCapacityUpdate_ = 0;
+    size_t lastProbed_ = 0; ///< Index in all_.
     // Declared after the targets, so that the lists are destroyed first.
     TargetList<&GatewayTarget::listedHook> byLastListed_; ///< The one listed longest ago first.
     TargetList<&GatewayTarget::unresponsiveHook> unresponsive_;
--- /dev/null
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -0,0 +1,333 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gateway/internal/forwardedheader.h"
+#include "gatewayfixture.h"
+
+#include <algorithm>
+
+namespace saltvane::gateway::test {
+
+namespace {
+
+const std::string Accounts
+    = R"([{"name":"acme","keys":["key-a"]},{"name":"limited","keys":["key-l"],"rate_per_s":10,"burst":5},
+    {"name":"southern","keys":["key-s"],"permitted_regions":["south"]}])";
+const model::Header LimitedKey {.name = "Saltvane-Client-Key", .value = "key-l"};
+
+model::PeerRecord peer(const std::string& ip, const std::string& zone, const std::string& region)
+{
+    return {.host = HostId(ip + ":7000"),
+        .zone = ZoneName(zone),
+        .region = RegionName(region),
+        .frontAddress = {.ip = ip, .port = 8000}};
+}
+
+} // namespace
+
+class ForwardingTest : public GatewayFixture {
+protected:
+    ForwardingTest()
+    {
+        installPlan(1);
+        reportTargets({target("t-1"), target("t-2", "quotes", "north-b"), target("t-3", "quotes", "south-a")});
+        deliver(model::PeerReport {.peers = {peer("10.0.0.2", "north-a", "north"), peer("10.0.0.3", "north-b", "north"),
+                                       peer("10.0.0.4", "south-a", "south")}});
+    }
+
+    /// All targets fail to accept connections.
+    void isolate()
+    {
+        for (int i = 0; i < 3 && !isIsolated(); ++i) {
+            request({.id = "isolating-" + std::to_string(i), .object = std::to_string(i)});
+            for (const requests::TargetStart& start : takeStarts()) {
+                if (!isToPeer(start))
+                    fail(start, false);
+            }
+        }
+        ASSERT_TRUE(isIsolated());
+        for (const requests::TargetStart& start : takeStarts())
+            answer(start, {.id = header(start.headers, "Saltvane-Request-Id")});
+        while (takeResponse()) { }
+        (void)takeCancels();
+    }
+    /// Requests that are served earn the retries of later ones.
+    void earnRetries()
+    {
+        for (int i = 0; i < 10; ++i) {
+            request({.id = "earning"});
+            answer(onlyStart(), {.id = "earning"});
+            (void)takeResponse();
+        }
+    }
+    bool isIsolated() { return gateway_->status(now_).areTargetsUnreachable; }
+    static bool isToPeer(const requests::TargetStart& start) { return start.address.port == 8000; }
+    /// The first byte of the request is sent.
+    void sendFirstByte(const requests::TargetStart& start)
+    {
+        EXPECT_EQ(gateway_->recheckDispatch(start.dispatch, now_), model::Reason::None);
+    }
+    requests::TargetStart onlyStart()
+    {
+        const std::vector<requests::TargetStart> starts = takeStarts();
+        EXPECT_EQ(starts.size(), 1U);
+        return starts.empty() ? requests::TargetStart {} : starts.front();
+    }
+    /// The peer refuses the request itself.
+    void answerAsPeer(const requests::TargetStart& start, int status, const std::string& reason)
+    {
+        answer(start,
+            {.status = status,
+                .id = "",
+                .extraHeaders
+                = {{.name = "Saltvane-Reason", .value = reason}, {.name = "Retry-After", .value = "1.5"}}});
+    }
+    /// The request as another gateway would receive it.
+    static CallerRequest receivedAt(const requests::TargetStart& start)
+    {
+        CallerRequest received {.path = start.path, .id = header(start.headers, "Saltvane-Request-Id")};
+        received.extraHeaders
+            = {{.name = std::string(ForwardedHeader), .value = header(start.headers, std::string(ForwardedHeader))}};
+        return received;
+    }
+};
+
+// Guards against gateways that refuse requests while they reach no target and a peer does.
+TEST_F(ForwardingTest, RequestsGoByTheNearestPeerWhileNoTargetIsReachable)
+{
+    isolate();
+    request({.id = "try-9", .deadlineMs = "900"});
+    const requests::TargetStart start = onlyStart();
+    EXPECT_EQ(toString(start.address), "10.0.0.2:8000");
+    EXPECT_EQ(header(start.headers, "Saltvane-Deadline-Ms"), "900");
+    EXPECT_EQ(header(start.headers, "Saltvane-Expect-Target"), "");
+    answer(start, {.id = "try-9", .body = "from a target"});
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->bytes, "from a target");
+}
+
+// Guards against isolated gateways that stay so: probes have to show that targets are reachable again.
+TEST_F(ForwardingTest, OneAnsweredProbeEndsTheIsolation)
+{
+    isolate();
+    advance(300ms);
+    const std::vector<requests::TargetStart> probes = takeProbes();
+    ASSERT_FALSE(probes.empty());
+    EXPECT_TRUE(probes.front().needsNewConnection);
+    answer(probes.front(), {.id = ""});
+    EXPECT_FALSE(isIsolated());
+}
+
+// Guards against callers that wait for connection attempts of an isolated gateway, or whose requests run twice.
+TEST_F(ForwardingTest, RequestsInFlightMoveIfNoByteWasSent)
+{
+    request({.method = "POST", .path = "/write/1", .id = "unsent", .body = "pay"});
+    const requests::TargetStart unsent = onlyStart();
+    request({.method = "POST", .path = "/write/2", .id = "sent", .body = "pay"});
+    const requests::TargetStart sent = onlyStart();
+    sendFirstByte(sent);
+    for (int i = 0; i < 3 && !isIsolated(); ++i) {
+        request({.id = "isolating-" + std::to_string(i), .object = std::to_string(i)});
+        for (const requests::TargetStart& start : takeStarts()) {
+            if (isToPeer(start))
+                continue;
+            fail(start, false);
+            if (isIsolated())
+                break;
+        }
+    }
+    std::vector<std::string> forwarded;
+    for (const requests::TargetStart& start : takeStarts())
+        forwarded.push_back(isToPeer(start) ? header(start.headers, "Saltvane-Request-Id") : "");
+    EXPECT_EQ(std::ranges::count(forwarded, "unsent"), 1);
+    EXPECT_EQ(std::ranges::count(forwarded, "sent"), 0);
+}
+
+// Guards against two isolated gateways that forward requests to each other.
+TEST_F(ForwardingTest, ForwardedRequestsAreNotForwardedAgain)
+{
+    isolate();
+    request({.id = "try-9"});
+    const CallerRequest received = receivedAt(onlyStart());
+    request(received);
+    EXPECT_TRUE(takeStarts().empty());
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_EQ(header(response->headers, "Saltvane-Reason"), "no-target");
+}
+
+// Guards against callers that pass for a gateway.
+TEST_F(ForwardingTest, TheHeaderOfACallerCountsForNothing)
+{
+    CallerRequest caller;
+    caller.extraHeaders = {{.name = std::string(ForwardedHeader), .value = "0;0;0123456789abcdef0123456789abcdef"}};
+    request(caller);
+    const requests::TargetStart start = onlyStart();
+    EXPECT_FALSE(isToPeer(start));
+    EXPECT_EQ(header(start.headers, std::string(ForwardedHeader)), "");
+}
+
+// Guards against a refused request that the caller is told too little about, or that wanders from peer to peer.
+TEST_F(ForwardingTest, RefusalsOfPeersAreFinalUnlessTheyConcernThePeer)
+{
+    isolate();
+    request({.id = "full"});
+    answerAsPeer(onlyStart(), 503, "no-room");
+    auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(header(response->headers, "Saltvane-Reason"), "no-room");
+    EXPECT_EQ(header(response->headers, "Retry-After"), "1.500");
+    EXPECT_TRUE(takeStarts().empty());
+
+    request({.id = "isolated"});
+    for (const std::string_view next : {"10.0.0.2:8000", "10.0.0.3:8000", "10.0.0.4:8000"}) {
+        const requests::TargetStart start = onlyStart();
+        EXPECT_EQ(toString(start.address), next);
+        answerAsPeer(start, 503, "no-target");
+    }
+    response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_NE(header(response->headers, "Retry-After"), "");
+    request({.id = "next"});
+    EXPECT_TRUE(takeStarts().empty()) << "peers that just refused are not asked again";
+}
+
+// Guards against requests that run twice, or are reported as not run, when the peer that carries them is lost.
+TEST_F(ForwardingTest, OnlyRepeatableRequestsOutliveALostPeer)
+{
+    isolate();
+    earnRetries();
+    request({.method = "POST", .path = "/write/1", .id = "once", .body = "pay"});
+    fail(onlyStart(), true);
+    EXPECT_TRUE(takeStarts().empty());
+    auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+
+    request({.id = "again"});
+    const requests::TargetStart first = onlyStart();
+    fail(first, true);
+    const requests::TargetStart second = onlyStart();
+    EXPECT_NE(second.address, first.address);
+    const auto attemptsOf = [](const requests::TargetStart& start) {
+        return header(start.headers, std::string(ForwardedHeader)).substr(0, 2);
+    };
+    EXPECT_EQ(attemptsOf(first), "2;");
+    EXPECT_EQ(attemptsOf(second), "1;");
+}
+
+// Guards against peers that go on with requests whose callers have left.
+TEST_F(ForwardingTest, TheCallersCloseCancelsTheDispatchToThePeer)
+{
+    isolate();
+    const requests::HttpHandle handle = request({.id = "try-9"});
+    sendFirstByte(onlyStart());
+    abort(handle);
+    EXPECT_EQ(takeCancels(), 1U);
+}
+
+// Guards against peers of a region in which the request may not be handled.
+TEST_F(ForwardingTest, PeersOfOtherRegionsThanThePermittedOnesAreNotUsed)
+{
+    installPlan(2, R"(,{"name":"home","host":"prices.example","path_prefix":"/home/","kind":"repeatable",
+        "timeout_ms":1500,"service":"quotes","attempts":2,"permitted_regions":["south"]})");
+    isolate();
+    request({.path = "/home/1", .id = "try-9"});
+    EXPECT_EQ(toString(onlyStart().address), "10.0.0.4:8000");
+}
+
+class ForwardedAccountTest : public ForwardingTest {
+protected:
+    ForwardedAccountTest() { installPlan(2, {}, Accounts); }
+    void isolateWithKey()
+    {
+        for (int i = 0; i < 3 && !isIsolated(); ++i) {
+            CallerRequest caller {.id = "isolating-" + std::to_string(i), .object = std::to_string(i)};
+            caller.extraHeaders = {{.name = "Saltvane-Client-Key", .value = "key-a"}};
+            request(caller);
+            for (const requests::TargetStart& start : takeStarts()) {
+                if (!isToPeer(start))
+                    fail(start, false);
+            }
+        }
+        (void)takeStarts();
+        ASSERT_TRUE(isIsolated());
+    }
+};
+
+// Guards against keys that leave the gateway, and against limits of accounts that are charged twice.
+TEST_F(ForwardedAccountTest, ThePeerIsToldTheAccountAndTakesItsCredit)
+{
+    isolateWithKey();
+    CallerRequest caller {.id = "try-9"};
+    caller.extraHeaders = {LimitedKey};
+    request(caller);
+    EXPECT_TRUE(takeCreditRequests().empty()) << "the sender takes no credit";
+    const requests::TargetStart start = onlyStart();
+    EXPECT_EQ(header(start.headers, "Saltvane-Client-Account"), "limited");
+    EXPECT_EQ(header(start.headers, "Saltvane-Client-Key"), "");
+}
+
+// Guards against accounts whose requests are handled in regions that they do not permit.
+TEST_F(ForwardedAccountTest, AccountsRegionsHoldForPeers)
+{
+    isolateWithKey();
+    CallerRequest caller {.id = "try-9"};
+    caller.extraHeaders = {{.name = "Saltvane-Client-Key", .value = "key-s"}};
+    request(caller);
+    EXPECT_EQ(toString(onlyStart().address), "10.0.0.4:8000");
+}
+
+// Guards against a receiving gateway that asks a forwarded request for a key, or believes any account's name.
+TEST_F(ForwardedAccountTest, TheReceivingGatewayTrustsAuthenticatedAccountsOnly)
+{
+    const ForwardedHeaderCodec codec("");
+    const std::string value = codec.encode({.attempts = 2, .elapsed = 5ms},
+        {.id = "try-9", .clientAccount = "limited", .method = "GET", .host = "prices.example", .path = "/read/1"});
+    CallerRequest received {.id = "try-9"};
+    received.extraHeaders = {{.name = std::string(ForwardedHeader), .value = value},
+        {.name = "Saltvane-Client-Account", .value = "limited"}};
+    request(received);
+    EXPECT_EQ(takeCreditRequests().size(), 1U);
+    received.extraHeaders.back().value = "acme";
+    request(received);
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 401);
+}
+
+// Guards against headers that are accepted for another request, or after a change of any part.
+TEST(ForwardedHeaderTest, IsBoundToItsRequest)
+{
+    const ForwardedHeaderCodec codec("secret");
+    const ForwardedHeaderCodec::Request request {
+        .id = "try-1", .clientAccount = "acme", .method = "GET", .host = "h", .path = "/p?q"};
+    const ForwardedInfo info {.attempts = 3, .elapsed = 1200ms};
+    const std::string value = codec.encode(info, request);
+    EXPECT_EQ(codec.decode(value, request), info);
+    ForwardedHeaderCodec::Request other = request;
+    other.id = "try-2";
+    EXPECT_FALSE(codec.decode(value, other));
+    other = request;
+    other.clientAccount = "else";
+    EXPECT_FALSE(codec.decode(value, other));
+    other = request;
+    other.path = "/p?r";
+    EXPECT_FALSE(codec.decode(value, other));
+    EXPECT_FALSE(ForwardedHeaderCodec("other secret").decode(value, request));
+    for (size_t i = 0; i < value.size(); ++i) {
+        std::string changed = value;
+        changed[i] = changed[i] == '1' ? '2' : '1';
+        EXPECT_FALSE(codec.decode(changed, request)) << i;
+    }
+    for (const std::string& text : {std::string(), std::string(";"), std::string(";;"), value.substr(1), value + "0"})
+        EXPECT_FALSE(codec.decode(text, request)) << text;
+}
+
+} // namespace saltvane::gateway::test
--- a/src/model/internal/reasons.cpp
+++ b/src/model/internal/reasons.cpp
@@ -82,6 +82,15 @@
 
 std::string_view toString(Reason reason) { return infoOf(reason).text; }
 
+std::optional<Reason> reasonFrom(std::string_view text)
+{
+    for (size_t index = 0; index < ReasonInfos.size(); ++index) {
+        if (ReasonInfos.at(index).text == text)
+            return static_cast<Reason>(index);
+    }
+    return std::nullopt;
+}
+
 std::string_view toString(Outcome outcome)
 {
     switch (outcome) {
--- a/src/model/reasons.h
+++ b/src/model/reasons.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <array>
+#include <optional>
 #include <string_view>
 
 namespace saltvane::model {
@@ -61,6 +62,8 @@
 };
 
 [[nodiscard]] std::string_view toString(Reason reason); ///< As in the header Saltvane-Reason, for example "no-room".
+/// Inverse of toString(); no value for other texts.
+[[nodiscard]] std::optional<Reason> reasonFrom(std::string_view text);
 [[nodiscard]] std::string_view toString(Outcome outcome); ///< "answered", "not-run", "unknown".
 /// HTTP status of the response to a request with this outcome and reason (RFC 9110).
 [[nodiscard]] int httpStatus(Outcome outcome, Reason reason);
--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -107,6 +107,12 @@
 {
     if (!passesPartition(gateway, start))
         return;
+    if (const model::Reason reason = fleet_.recheck(gateway, start.dispatch); reason != model::Reason::None)
+        return sendEvent(gateway,
+            requests::TargetFailed {.dispatch = start.dispatch,
+                .mayHaveReachedTarget = false,
+                .message = "withheld",
+                .withheldFor = reason});
     const auto found = std::ranges::find(targets_, start.address, &Target::address);
     if (found == targets_.end() || !found->isUp) {
         const requests::TargetFailed refused {.dispatch = start.dispatch,
@@ -164,8 +170,12 @@
         return true;
     const bool usesOpenConnection
         = start.isRepeatable && !start.needsNewConnection && std::bernoulli_distribution(ReuseFraction)(random_);
-    if (usesOpenConnection && partition != Partition::Reset)
-        return partition == Partition::RefuseNew;
+    if (usesOpenConnection && partition == Partition::RefuseNew)
+        return true;
+    if (usesOpenConnection && partition == Partition::Hang) {
+        (void)fleet_.recheck(gateway, start.dispatch); // Its bytes are lost on the way.
+        return false;
+    }
     const bool isSilent = partition == Partition::Hang;
     sendEvent(gateway,
         requests::TargetFailed {.dispatch = start.dispatch,
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -139,6 +139,11 @@
     handle(gateway, std::move(event));
 }
 
+model::Reason Fleet::recheck(size_t gateway, requests::DispatchId dispatch)
+{
+    return gateways_.at(gateway).core->recheckDispatch(dispatch, registries_.now());
+}
+
 std::optional<size_t> Fleet::gatewayAt(const model::Address& frontAddress) const
 {
     if (frontAddress.port != FrontPort)
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -59,6 +59,8 @@
     void suspendGateway(size_t gateway, Duration duration);
     /// Delivers an event of a caller or a target.
     void handle(size_t gateway, host::Event event);
+    /// Asks the gateway whether a dispatched request may still be sent, as before its first byte.
+    [[nodiscard]] model::Reason recheck(size_t gateway, requests::DispatchId dispatch);
     /// The gateway that accepts callers at this address, if any.
     [[nodiscard]] std::optional<size_t> gatewayAt(const model::Address& frontAddress) const;
     /// Version of the plan in force at a gateway.
--- a/testing/fleet/peernetwork.cpp
+++ b/testing/fleet/peernetwork.cpp
@@ -59,6 +59,12 @@
 void PeerNetwork::start(size_t from, size_t to, const requests::TargetStart& start)
 {
     ++sent_;
+    if (const model::Reason reason = fleet_.recheck(from, start.dispatch); reason != model::Reason::None)
+        return deliver(from,
+            requests::TargetEvent(requests::TargetFailed {.dispatch = start.dispatch,
+                .mayHaveReachedTarget = false,
+                .message = "withheld",
+                .withheldFor = reason}));
     const requests::HttpHandle handle {++lastHandle_};
     exchanges_.emplace(handle, Exchange {.from = from, .dispatch = start.dispatch, .to = to});
     deliver(to,
