Failures during an isolation say nothing about targets after it

What callers saw: a gateway whose link to the targets is back still refused, since each failed probe and connection attempt had doubled its target's ejection, up to 4 s. Failures before the moment at which targets are reachable again are void (one time stamp, no work by target). Test red on the code before: after 3 s of refused probes one of three targets was used.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -297,7 +297,8 @@
 
 void GatewayCore::onTargetAnswered(bool isNewConnection, Timestamp now)
 {
-    (void)reachability_.recordAnswer(isNewConnection, now);
+    if (reachability_.recordAnswer(isNewConnection, now))
+        targets_.onReachableAgain(now);
 }
 
 void GatewayCore::probeTargets(Timestamp now)
--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -69,6 +69,9 @@
 
 void GatewayTarget::onFailure(Timestamp now, bool isCertain)
 {
+    if (areFailuresVoid())
+        failures = 0;
+    failedAt = now;
     failures = std::max(failures + 1, isCertain ? FailuresToEject : 0);
     if (failures < FailuresToEject)
         return;
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -50,6 +50,8 @@
     Timestamp answeredAt; ///< Time of the last response.
     uint32_t failures = 0; ///< Consecutive failures.
     Timestamp ejectedUntil;
+    Timestamp failedAt; ///< Time of the last failure.
+    const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
     double slowStartBalance = 1; ///< Requests that may be sent now during the slow start.
     Timestamp slowStartAt;
 
@@ -62,9 +64,10 @@
     [[nodiscard]] double load(Timestamp now) const;
     [[nodiscard]] bool isSlowStarting(Timestamp now) const { return now < slowUntil; }
     /// Was ejected; a single request shall find out whether it works again.
-    [[nodiscard]] bool isOnTrial() const { return failures >= FailuresToEject; }
+    [[nodiscard]] bool isOnTrial() const { return failures >= FailuresToEject && !areFailuresVoid(); }
     /// Its failures ejected it for now.
-    [[nodiscard]] bool isEjected(Timestamp now) const { return now < ejectedUntil; }
+    [[nodiscard]] bool isEjected(Timestamp now) const { return now < ejectedUntil && !areFailuresVoid(); }
+    [[nodiscard]] bool areFailuresVoid() const { return reachableSince != nullptr && failedAt < *reachableSince; }
     /// Its zone was reopened and the target was not listed since: it may be in slow start.
     [[nodiscard]] bool isAwaitingReport(Timestamp now) const;
     /// Whether new requests may be sent to it, apart from the slow start.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -145,6 +145,7 @@
     target.hash = model::targetHash(record.target);
     target.incarnationHash = model::incarnationHash(target.targetIncarnation());
     target.totalsAt = &totalsAt_;
+    target.reachableSince = &reachableSince_;
     if (const auto former = formerBackpressure_.extract(target.targetIncarnation()))
         target.backpressure = former.mapped();
     target.position = all_.size();
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -57,6 +57,8 @@
     /// The target announced that it is leaving: this incarnation gets no new requests any more, whatever the registry
     /// reports.
     void markLeaving(const model::TargetIncarnation& targetIncarnation);
+    /// Targets are reachable again after none was: their failures until now say nothing about them.
+    void onReachableAgain(Timestamp now) { reachableSince_ = now; }
     /// A target to send a probe to, each time another one; null if none of the next few may get one.
     [[nodiscard]] GatewayTarget* nextToProbe(Timestamp now);
     /// Another target answered at its address: the target with this id has stopped.
@@ -145,6 +147,7 @@
     uint64_t reports_ = 0;
     Timestamp reportedAt_ {}; ///< Last report of any registry host.
     Timestamp totalsAt_ {}; ///< Last report of loads.
+    Timestamp reachableSince_ {Duration::min() / 2};
     size_t nextCapacityUpdate_ = 0;
     size_t lastProbed_ = 0; ///< Index in all_.
     // Declared after the targets, so that the lists are destroyed first.
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -7,6 +7,7 @@
 #include "gatewayfixture.h"
 
 #include <algorithm>
+#include <set>
 
 namespace saltvane::gateway::test {
 
@@ -122,6 +123,28 @@
     EXPECT_FALSE(isIsolated());
 }
 
+// Guards against ejections from an isolation that keep requests from targets after it.
+TEST_F(ForwardingTest, AllTargetsAreUsedRightAfterTheIsolation)
+{
+    isolate();
+    for (int i = 0; i < 30; ++i) {
+        advance(100ms);
+        for (const requests::TargetStart& probe : takeProbes())
+            refuse(probe);
+    }
+    advance(300ms);
+    const std::vector<requests::TargetStart> probes = takeProbes();
+    ASSERT_FALSE(probes.empty());
+    answer(probes.front(), {.id = ""});
+    std::set<TargetId> used;
+    for (int i = 0; i < 20; ++i) {
+        request({.id = "after", .object = std::to_string(i)});
+        for (const requests::TargetStart& start : takeStarts())
+            used.insert(start.target);
+    }
+    EXPECT_EQ(used.size(), 3U);
+}
+
 // Guards against callers that wait for connection attempts of an isolated gateway, or whose requests run twice.
 TEST_F(ForwardingTest, RequestsInFlightMoveIfNoByteWasSent)
 {
