--- a/testing/fleet/partitiontests.cpp
+++ b/testing/fleet/partitiontests.cpp
@@ -126,4 +126,26 @@
     EXPECT_EQ(fleet.untrueRefusals(), 0U);
 }
 
+// Guards against requests that are quarantined at all gateways because partitioned ones lost their connections.
+TEST(TargetPartitionEvidenceTest, LostConnectionsOfPartitionedGatewaysAreNoEvidenceAgainstRequests)
+{
+    TrafficFleet fleet(
+        14, {.count = 24, .minProcessingTime = 200ms}, {}, {.requestsPerSecond = 60, .haveObjects = true});
+    fleet.run(2s);
+    const std::vector<size_t> partitioned {0, 1, 5};
+    for (int i = 0; i < 2; ++i) {
+        for (const size_t gateway : partitioned)
+            (void)fleet.sendRequest(gateway, {.path = "/read/same"});
+    }
+    fleet.run(50ms);
+    for (const size_t gateway : partitioned)
+        fleet.targets().setPartition(gateway, Partition::Reset);
+    fleet.run(1s);
+    for (const size_t gateway : allBut(fleet.fleet().gateways(), {})) {
+        const uint64_t number = fleet.sendRequest(gateway, {.path = "/read/same"});
+        fleet.run(500ms);
+        EXPECT_NE(fleet.outcomeOf(number).reason, "request-quarantined") << gateway;
+    }
+}
+
 } // namespace saltvane::fleet::test
