Two targets are probed at a time while none is reachable

With targets that crash beside it (soak, three fatal callers), a gateway took three crashed targets of six for an isolation and stayed isolated for one or two probe intervals (300 to 660 ms) when the probed target was down as well.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -33,6 +33,8 @@
 constexpr double TtlsBeforeStop = 1.5;
 /// Between probes while no target is reachable.
 constexpr Duration ReachabilityProbeInterval = 250ms;
+/// Targets that are probed at a time: some of them may have stopped.
+constexpr size_t ReachabilityProbes = 2;
 /// Age of the list of peers at which it is renewed, and the same while it is used.
 constexpr Duration PeerRequestInterval = 5s;
 constexpr Duration IsolatedPeerRequestInterval = 500ms;
@@ -306,8 +308,10 @@
     if (reachability_.isReachable() || now < nextProbeAt_)
         return;
     nextProbeAt_ = now + ReachabilityProbeInterval;
-    if (const GatewayTarget* target = targets_.nextToProbe(now))
-        quarantine_.probe(*target, now);
+    for (size_t i = 0; i < ReachabilityProbes; ++i) {
+        if (const GatewayTarget* target = targets_.nextToProbe(now))
+            quarantine_.probe(*target, now);
+    }
 }
 
 void GatewayCore::requestPeers(Timestamp now)
