--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -30,7 +30,8 @@
 
 class Caller:
     def __init__(self, number: int, zone: str, region: str, directory_addresses: list[str], rng: random.Random,
-                 outcomes: list[Outcome]):
+                 outcomes: list[Outcome], follows_look_ups: bool = True):
+        self.follows_look_ups = follows_look_ups  # If not, it uses the gateways of its first look-up for good.
         self.name = f"c{number}"
         self.query = f"/v1/entry?zone={zone}&region={region}"
         self.directory_addresses = directory_addresses
@@ -48,7 +49,7 @@
                 await self._send_request(f"{self.name}-{number}", self._choose_path())
 
     async def _look_up(self):
-        if time.monotonic() - self.looked_up_at < 1:
+        if time.monotonic() - self.looked_up_at < 1 or (self.hosts and not self.follows_look_ups):
             return
         response = await call(self.rng.choice(self.directory_addresses), "GET", self.query, timeout_s=1)
         if response is not None and response.status == 200:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -9,7 +9,7 @@
 import time
 
 from deployment import Deployment, Host
-from forwarder import TO_CLIENT, TO_DESTINATION
+from forwarder import TO_CLIENT, TO_DESTINATION, Partition
 from messages import encode, split
 from operator_calls import Operator
 from plans import STEADY_PATHS
@@ -31,6 +31,14 @@
     requests: list[str]
 
 
+@dataclasses.dataclass
+class Isolation:
+    """Gateways that were partitioned from all targets."""
+    gateways: list[str]  # Their front addresses.
+    started_at: float
+    ended_at: float | None = None
+
+
 @dataclasses.dataclass
 class World:
     deployment: Deployment
@@ -41,6 +49,7 @@
     is_wiping: bool = False
     silenced_at: list[float] = dataclasses.field(default_factory=list)  # When most connections between hosts were silenced.
     abandoned: list[AbandonedBurst] = dataclasses.field(default_factory=list)
+    isolations: list[Isolation] = dataclasses.field(default_factory=list)
 
 
 Fault = collections.abc.Callable[[World], collections.abc.Awaitable[None]]
@@ -296,6 +305,25 @@
     gateway.is_paused = False
 
 
+async def isolate_gateways(world: World):
+    """Partitions some gateways, though not all of them, from all targets."""
+    gateways = world.deployment.gateways
+    chosen = world.rng.sample(gateways, world.rng.randint(1, len(gateways) - 1))
+
+    def pids() -> list[int]:
+        return [world.deployment.system.processes[host.name].pid for host in chosen if world.deployment.is_running(host)]
+
+    partition = Partition(pids, world.rng.choice(["hang", "reset", "refuse_new"]))
+    isolation = Isolation([host.front_address for host in chosen], time.monotonic())
+    world.isolations.append(isolation)
+    for target in world.targets:
+        target.forwarder.begin(partition)
+    await asyncio.sleep(draw_pause(world, 2, 8))
+    for target in world.targets:
+        target.forwarder.end(partition)
+    isolation.ended_at = time.monotonic()
+
+
 async def change_plan(world: World):
     await world.operator.replace_plan()
 
@@ -322,16 +350,19 @@
 FIRST_SEED_OF_LIMITS = 10_000_000_000
 FIRST_SEED_OF_BACKOFFS = 100_000_000_000
 FIRST_SEED_OF_BURSTS = 1_000_000_000_000
+FIRST_SEED_OF_ISOLATIONS = 10_000_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
 WITH_LEAVES = [*WITH_SILENT_LINKS, (leave_beside_ends, 2)]
 WITH_LIMITS = [*WITH_LEAVES, (limit_targets, 4)]
 WITH_BACKOFFS = [*WITH_LIMITS, (rest_targets, 3), (leave_by_word, 2)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_BURSTS: [*WITH_BACKOFFS, (stop_behind_burst, 3)],
+WITH_BURSTS = [*WITH_BACKOFFS, (stop_behind_burst, 3)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_ISOLATIONS: [*WITH_BURSTS, (isolate_gateways, 3)],
+                    FIRST_SEED_OF_BURSTS: WITH_BURSTS,
                     FIRST_SEED_OF_BACKOFFS: WITH_BACKOFFS,
                     FIRST_SEED_OF_LIMITS: WITH_LIMITS, FIRST_SEED_OF_LEAVES: WITH_LEAVES,
                     FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_BURSTS]}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_ISOLATIONS]}
 
 
 def draw(rng: random.Random, seed: int) -> Fault:
--- a/testing/soak/forwarder.py
+++ b/testing/soak/forwarder.py
@@ -1,20 +1,31 @@
 """A loopback TCP forwarder that delays, holds back, resets and silences connections."""
 import asyncio
+import collections.abc
 import contextlib
+import dataclasses
 import random
 
 from messages import split
+from sockets import owner_of
 
 BLOCK = 64 * 1024
 TO_DESTINATION = 0
 TO_CLIENT = 1
 
 
+@dataclasses.dataclass(eq=False)
+class Partition:
+    """Separates some processes from the destinations of forwarders."""
+    pids: collections.abc.Callable[[], list[int]]  # Of the separated processes; a restart changes them.
+    kind: str  # "hang", "reset" or "refuse_new"
+
+
 class Connection:
     """An accepted connection and the forwarded one to the destination."""
 
     def __init__(self, client_writer: asyncio.StreamWriter, destination_writer: asyncio.StreamWriter):
         self.writers = (client_writer, destination_writer)
+        self.client_port = client_writer.get_extra_info("peername")[1]
         self.is_silenced = False
 
     def reset(self):
@@ -33,6 +44,7 @@
         self.is_open = [asyncio.Event(), asyncio.Event()]  # By direction; while cleared, bytes are held back.
         self.heal()
         self.server: asyncio.Server | None = None
+        self.partitions: list[Partition] = []
 
     async def start(self):
         ip, port = split(self.listen)
@@ -69,6 +81,20 @@
         for connection in self.connections:
             connection.is_silenced = connection.is_silenced or fraction >= 1 or rng.random() < fraction
 
+    def begin(self, partition: Partition):
+        self.partitions.append(partition)
+        for connection in list(self.connections):
+            if partition.kind == "refuse_new" or owner_of(connection.client_port, partition.pids()) is None:
+                continue
+            if partition.kind == "hang":
+                connection.is_silenced = True
+            else:
+                connection.reset()
+
+    def end(self, partition: Partition):
+        """Connections that hang stay silent."""
+        self.partitions.remove(partition)
+
     async def _serve(self, client_reader: asyncio.StreamReader, client_writer: asyncio.StreamWriter):
         try:
             destination_reader, destination_writer = await asyncio.open_connection(*split(self.destination))
@@ -76,6 +102,11 @@
             client_writer.transport.abort()
             return
         connection = Connection(client_writer, destination_writer)
+        for partition in self.partitions:
+            if owner_of(connection.client_port, partition.pids()) is not None:
+                if partition.kind != "hang":
+                    return connection.reset()
+                connection.is_silenced = True
         self.connections.add(connection)
         await asyncio.gather(self._relay(connection, client_reader, destination_writer, TO_DESTINATION),
                              self._relay(connection, destination_reader, client_writer, TO_CLIENT))
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -2,7 +2,7 @@
 import collections
 
 from callers import Outcome
-from faults import AbandonedBurst
+from faults import AbandonedBurst, Isolation
 from plans import STEADY_PATHS, service_of
 from targets import response_body
 from troubles import Span
@@ -38,6 +38,11 @@
 MAX_ARRIVAL_AFTER_CLOSE_S = 1
 # A stop between the last look at a caller's socket and the first byte of its request lets that request through.
 MAX_LATE_PER_STOP = 1
+# From this long after the start of a partition between some gateways and all targets, the gateways are served at least
+# MIN_ISOLATED_FRACTION as well as the others.
+ISOLATION_DETECTION_S = 4
+MIN_ISOLATED_FRACTION = 2 / 3
+MIN_ISOLATED_REQUESTS = 10
 
 
 def findings_of_outcomes(outcomes: list[Outcome], runs: collections.Counter) -> list[str]:
@@ -223,6 +228,28 @@
     return findings
 
 
+def findings_of_isolations(isolations: list[Isolation], outcomes: list[Outcome]) -> list[str]:
+    """For runs in which nothing but isolations happens."""
+    findings = []
+    for isolation in isolations:
+        begin, end = isolation.started_at + ISOLATION_DETECTION_S, isolation.ended_at or 0
+        overlaps = [other for other in isolations if other is not isolation
+                    and other.started_at < end and (other.ended_at or end) + ISOLATION_DETECTION_S > begin]
+        counted = [outcome for outcome in outcomes if begin <= outcome.sent_at < end and outcome.path in STEADY_PATHS]
+        isolated = [outcome for outcome in counted if outcome.gateway in isolation.gateways]
+        others = [outcome for outcome in counted if outcome.gateway and outcome.gateway not in isolation.gateways]
+        if overlaps or len(isolated) < MIN_ISOLATED_REQUESTS or not others:
+            continue
+        if _served_fraction(isolated) < MIN_ISOLATED_FRACTION * _served_fraction(others):
+            findings.append(f"isolated gateways served {_served_fraction(isolated):.2f} of {len(isolated)} requests, the others "
+                            f"{_served_fraction(others):.2f} of {len(others)}")
+    return findings
+
+
+def _served_fraction(outcomes: list[Outcome]) -> float:
+    return sum(outcome.status == 200 for outcome in outcomes) / len(outcomes)
+
+
 def _allowed_requests(announced: list[tuple[float, float | None]], begin: float, end: float) -> float | None:
     """The number of requests that a target's limits allow; None if it had no limit for part of the time."""
     allowed = 0.0
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -4,11 +4,11 @@
 import unittest
 
 from callers import Outcome
-from faults import AbandonedBurst
+from faults import AbandonedBurst, Isolation
 from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
 from promises import MAX_RUN_AFTER_LEAVE_S, MAX_STALE_RUN_S, MIN_SERVED, findings_of_fatal_requests, findings_of_leaves, \
     findings_of_leaving_responses, findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, \
-    findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts
+    findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts, findings_of_isolations
 from targets import response_body
 
 
@@ -253,5 +253,27 @@
         self.assertEqual(self.check([99.9, 101.1, 103.0], {"address": [(100.5, 101.0)]}), [])
 
 
+class IsolationsTest(unittest.TestCase):
+    """Gateway "g" is isolated from 100 to 110 s."""
+
+    def check(self, served_requests: int, sent_at: float = 105, isolations=None) -> list[str]:
+        outcomes = [served(f"o{number}", gateway="other", sent_at=sent_at) for number in range(20)]
+        outcomes += [served(f"r{number}", gateway="g", sent_at=sent_at, status=200 if number < served_requests else 503)
+                     for number in range(20)]
+        return findings_of_isolations(isolations or [Isolation(["g"], 100, 110)], outcomes)
+
+    def test_an_isolated_gateway_that_serves_is_no_finding(self):
+        self.assertEqual(self.check(14), [])
+
+    def test_an_isolated_gateway_that_serves_less_is_a_finding(self):
+        self.assertIn("isolated gateways served", self.check(13)[0])
+
+    def test_requests_before_the_detection_do_not_count(self):
+        self.assertEqual(self.check(0, sent_at=103.9), [])
+
+    def test_overlapping_isolations_do_not_count(self):
+        self.assertEqual(self.check(0, isolations=[Isolation(["g"], 100, 110), Isolation(["other"], 103, 108)]), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -76,7 +76,10 @@
         directory_addresses = [host.second_address for host in self.deployment.registries]
         for number in range(CALLER_COUNT):
             host = self.deployment.gateways[number % len(self.deployment.gateways)]
-            caller = Caller(number, host.zone, host.region, directory_addresses, random.Random(f"{number}"), self.outcomes)
+            # Half of the callers stay at the gateways of their first look-up, so that isolated gateways have callers.
+            stays = self.seed >= faults.FIRST_SEED_OF_ISOLATIONS and number >= CALLER_COUNT // 2
+            caller = Caller(number, host.zone, host.region, directory_addresses, random.Random(f"{number}"), self.outcomes,
+                            follows_look_ups=not stays)
             self.tasks.append(asyncio.create_task(caller.run()))
         self.fatal_tasks = [asyncio.create_task(caller.run()) for caller in self.fatal_callers]
         self.tasks.append(asyncio.create_task(self.troubles.monitor()))
@@ -108,6 +111,8 @@
             {gateway: self.troubles.spans_of(gateway) for gateway in self.troubles.spans})
         self.findings += promises.findings_of_abandoned_bursts(
             self.world.abandoned, self.runs.arrivals, self.troubles.held_spans)
+        if self.only == faults.isolate_gateways.__name__:
+            self.findings += promises.findings_of_isolations(self.world.isolations, self.outcomes)
         self.findings += self.deployment.unexpected_exits()
 
     async def _end_fatal_callers(self):
@@ -227,7 +232,7 @@
     seed_lines = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     listed_seeds = [int(line.split()[0]) for line in seed_lines if line and not line.startswith("#")]
     seeds = (options.seed or []) + listed_seeds or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_BURSTS, 10**13) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_ISOLATIONS, 10**14) for _ in range(options.runs)]
     failed_seeds = [seed for seed in seeds if asyncio.run(run_seed(seed, options))]
     print(f"soak: {len(seeds) - len(failed_seeds)} passed, {len(failed_seeds)} failed"
           + (f": {failed_seeds}" if failed_seeds else ""))
--- a/testing/soak/troubles.py
+++ b/testing/soak/troubles.py
@@ -25,7 +25,7 @@
             reachable = sum(self._is_reachable(host) for host in self.deployment.registries) - self.world.is_wiping
             has_quorum = reachable > len(self.deployment.registries) // 2
             for host in self.deployment.gateways:
-                if not (has_quorum and self._is_reachable(host)):
+                if not (has_quorum and self._is_reachable(host) and not self._is_isolated(host)):
                     self._extend(self.spans[host.front_address], now)
             for target in self.world.targets:
                 if target.forwarder.is_holding():
@@ -39,6 +39,11 @@
     def _is_reachable(self, host: Host) -> bool:
         return self.deployment.is_running(host) and not host.is_paused and not host.forwarder.is_holding()
 
+    def _is_isolated(self, host: Host) -> bool:
+        """Other gateways send its requests, and it learns nothing from targets' responses."""
+        return any(isolation.ended_at is None and host.front_address in isolation.gateways
+                   for isolation in self.world.isolations)
+
     @staticmethod
     def _extend(spans: list[Span], now: float):
         # Polls can be late on a busy machine, so that gaps of up to ten intervals are bridged.
