Gateways install large plans in steps

What callers saw: a gateway of 0.1 of a core that took a plan with 19,000 new routes read no request for 0.6 to 2.5 s. It parsed, checked and indexed the plan in one task of 80 to 100 ms of a core (measured: 47 to 79 ms routes, 8 to 11 ms scan, 9 to 13 ms index). Now one step a tick, as registry hosts do (2,000 routes, the scan, the index); the former plan serves meanwhile, unknown routes may come back, and once its last proof is older than 0.8 of the operator's limit requests are refused as stale. A plan that arrives meanwhile is installed next, so that none starves. SlowProcessorTest, longest time busy without a pause at a gateway: 0.577, 1.211, 1.280 s before (three runs), 0.257 s after; GatewaysHandleRequestsWhileALargePlanIsInstalled fails before (bound 0.5 s: half of the time after which callers give up).

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -123,6 +123,7 @@
     roster_->tick(now);
     if (now >= nextSourcesAt_)
         updateSources(now);
+    continuePlanInstallation(now);
     replica_->tick(now);
     installPlan(now);
     updatePlanCertainty(now);
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -11,6 +11,7 @@
 #include "gateway/internal/decisionlog.h"
 #include "gateway/internal/peerset.h"
 #include "gateway/internal/placement.h"
+#include "gateway/internal/planinstaller.h"
 #include "gateway/internal/regionsplit.h"
 #include "gateway/internal/registrywatch.h"
 #include "gateway/internal/requestrunner.h"
@@ -18,7 +19,6 @@
 #include "gateway/internal/targetset.h"
 #include "host/routedlinks.h"
 #include "membership/ihostroster.h"
-#include "settings/routeplanreader.h"
 
 namespace saltvane::gateway {
 
@@ -52,7 +52,11 @@
     void updateSplit(Timestamp now);
     void answerReadiness(const requests::HttpEvent& event);
     [[nodiscard]] bool isReady() const;
+    /// Starts to install a new plan, if there is one; a small one takes effect at once.
     void installPlan(Timestamp now);
+    /// Takes the next step with a large plan.
+    void continuePlanInstallation(Timestamp now);
+    void installParsedPlan(Timestamp now);
     void updatePlanCertainty(Timestamp now);
     void logPlanProof(bool isProven, Timestamp now);
     void updateRegistryFreshness(Timestamp now);
@@ -98,7 +102,8 @@
     LimitCredits credits_;
     DecisionLog decisions_;
     RequestRunner runner_;
-    settings::RoutePlanReader planReader_;
+    PlanInstaller planInstaller_;
+    Timestamp planProvenAt_ {}; ///< When the plan in force was last proven to be the newest.
     std::shared_ptr<RouteTable> routes_;
     /// When the age of the proof of the plan in force exceeded MaxUnprovenAge.
     std::optional<Timestamp> unprovenSince_;
--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -23,33 +23,54 @@
 
 void GatewayCore::installPlan(Timestamp now)
 {
-    if (!replica_->isReady())
+    if (!planInstaller_.isPending() && replica_->isReady()) {
+        if (std::optional<control::IBundleReplica::InForce> newPlan = replica_->popInstalled())
+            planInstaller_.start(*std::move(newPlan));
+    }
+    if (planInstaller_.isSmall()) {
+        planInstaller_.step();
+        installParsedPlan(now);
+    }
+    // The one in force was the newest when it was last proven.
+    registry_.setReplacedPlan(planInstaller_.isPending() ? std::optional(planProvenAt_) : std::nullopt);
+}
+
+void GatewayCore::continuePlanInstallation(Timestamp now)
+{
+    if (!planInstaller_.isPending()) {
+        planProvenAt_ = now - replica_->age(now);
         return;
-    std::optional<control::IBundleReplica::InForce> installed = replica_->popInstalled();
-    if (!installed)
+    }
+    installParsedPlan(now);
+    planInstaller_.step();
+}
+
+void GatewayCore::installParsedPlan(Timestamp now)
+{
+    std::optional<PlanInstaller::Parsed> parsed = planInstaller_.popParsed();
+    if (!parsed)
         return;
-    Result<model::RoutePlan, Findings> plan = planReader_.read(*installed->content, "plan");
-    if (!plan)
-        return log(
-            host::LogSeverity::Error, "event=plan_unreadable version=" + std::to_string(installed->version.value));
+    const PlanInstaller::InForce& source = parsed->source;
+    if (!parsed->plan)
+        return log(host::LogSeverity::Error, "event=plan_unreadable version=" + std::to_string(source.version.value));
     if (!routes_)
         routes_ = std::make_shared<RouteTable>();
-    routes_->install(std::move(plan.value()));
+    routes_->install(std::move(parsed->plan.value()));
     split_.install(routes_->plan());
     runner_.install(routes_);
     updateSplit(now);
     actions_.emplace_back(host::CallerLimitsChanged {.limits = routes_->plan().limits});
     log(host::LogSeverity::Info,
-        "event=plan_in_force version=" + std::to_string(installed->version.value)
-            + " index=" + std::to_string(installed->position.index.value) + " routes="
-            + std::to_string(routes_->plan().routes.size()) + " new_routes=" + std::to_string(planReader_.newRoutes())
+        "event=plan_in_force version=" + std::to_string(source.version.value) + " index="
+            + std::to_string(source.position.index.value) + " routes=" + std::to_string(routes_->plan().routes.size())
+            + " new_routes=" + std::to_string(planInstaller_.newRoutes())
             + " age_ms=" + std::to_string(replica_->age(now).count() / 1'000'000));
 }
 
 void GatewayCore::updatePlanCertainty(Timestamp now)
 {
     const bool isProven = replica_->age(now) <= MaxUnprovenAge;
-    runner_.setPlanUncertain(replica_->isFetching() || !isProven);
+    runner_.setPlanUncertain(replica_->isFetching() || planInstaller_.isPending() || !isProven);
     if (routes_ && isProven == unprovenSince_.has_value())
         logPlanProof(isProven, now);
 }
--- a/src/gateway/internal/registrywatch.cpp
+++ b/src/gateway/internal/registrywatch.cpp
@@ -48,7 +48,8 @@
     // Without a proof at the registry hosts themselves, nothing newer can have been acknowledged as far as they know.
     const bool isPlanReplaced = replica.isFetching() && replica.age(now) > maxReplacedPlanAge_
         && replica.provenAnswerAge(now) <= maxAnswerAge_;
-    if (isAnswered && !isPlanReplaced)
+    const bool isInstallationLate = replacedPlanProvenAt_ && now - *replacedPlanProvenAt_ > maxReplacedPlanAge_;
+    if (isAnswered && !isPlanReplaced && !isInstallationLate)
         return RegistryFreshness::Current;
     const bool isUnresponsive = now - std::max(lastMessageAt_, runningSince_) > UnresponsiveTimeout;
     return isUnresponsive ? RegistryFreshness::CutOff : RegistryFreshness::Late;
--- a/src/gateway/internal/registrywatch.h
+++ b/src/gateway/internal/registrywatch.h
@@ -7,6 +7,7 @@
 
 #include "control/ibundlereplica.h"
 
+#include <optional>
 #include <string_view>
 
 namespace saltvane::gateway {
@@ -38,6 +39,9 @@
     void onActivity(Timestamp now);
     /// A message arrived from a registry host.
     void onMessage(Timestamp now) { lastMessageAt_ = now; }
+    /// A newer plan was received and is being installed. `provenAt`: when the one in force was last proven to be the
+    /// newest; no value: none is being installed.
+    void setReplacedPlan(std::optional<Timestamp> provenAt) { replacedPlanProvenAt_ = provenAt; }
     [[nodiscard]] RegistryFreshness freshness(const control::IBundleReplica& replica, Timestamp now) const;
 
 private:
@@ -46,6 +50,7 @@
     Timestamp lastActivityAt_ {};
     Timestamp runningSince_ {};
     Timestamp lastMessageAt_ {};
+    std::optional<Timestamp> replacedPlanProvenAt_;
 };
 
 } // namespace saltvane::gateway
--- a/testing/fleet/slowprocessortests.cpp
+++ b/testing/fleet/slowprocessortests.cpp
@@ -161,6 +161,14 @@
     EXPECT_EQ(fleet_.registriesOutOfMemory(), 0U) << figures;
 }
 
+/// Guards against callers that wait, and give up, while their gateway parses a large plan in which every route is new.
+TEST_F(SlowProcessorTest, GatewaysHandleRequestsWhileALargePlanIsInstalled)
+{
+    // Callers give up a request that is not read within a second.
+    constexpr Duration MaxBusyTime = 500ms;
+    EXPECT_LE(fleet_.longestGatewayBusyTime(), MaxBusyTime) << toSeconds(fleet_.longestGatewayBusyTime()) << " s";
+}
+
 /// Guards against a leader that stalls beyond its lease while it parses a large plan in which every route is new.
 TEST_F(SlowProcessorTest, ALargePlanOfWhichEveryRouteIsNewCostsNoLeader)
 {
