--- a/testing/fleet/partitiontests.cpp
+++ b/testing/fleet/partitiontests.cpp
@@ -8,6 +8,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <random>
 #include <vector>
 
 namespace saltvane::fleet::test {
@@ -148,4 +151,91 @@
     }
 }
 
+namespace {
+
+int seedCount()
+{
+    constexpr int DefaultSeeds = 8;
+    const char* const requested = std::getenv("SALTVANE_SEEDS");
+    return requested == nullptr ? DefaultSeeds : std::atoi(requested);
+}
+
+/// Partitions of random gateways from all targets, which overlap each other and other faults.
+class RandomPartitions {
+public:
+    explicit RandomPartitions(unsigned int seed)
+        : random_(seed)
+        , fleet_(seed, {.count = 24}, {}, {.requestsPerSecond = 60, .haveObjects = true})
+    {
+    }
+
+    void run()
+    {
+        constexpr int Faults = 14;
+        constexpr std::array Kinds {&RandomPartitions::partition, &RandomPartitions::partition,
+            &RandomPartitions::partition, &RandomPartitions::endPartition, &RandomPartitions::restartGateway,
+            &RandomPartitions::suspendGateway, &RandomPartitions::crashTarget, &RandomPartitions::evacuate,
+            &RandomPartitions::cutOffGateway};
+        for (int fault = 0; fault < Faults; ++fault) {
+            fleet_.run(milliseconds(100, 1500));
+            (this->*Kinds.at(draw(Kinds.size())))();
+        }
+        for (size_t gateway = 0; gateway < fleet_.fleet().gateways(); ++gateway)
+            fleet_.targets().setPartition(gateway, Partition::None);
+        if (evacuated_)
+            (void)fleet_.fleet().registries().order("DELETE", "/v1/evacuations/north-a");
+        constexpr Duration RecoveryTime = 8s; // Of targets that crashed, and of a zone that is in use again.
+        fleet_.run(RecoveryTime);
+        fleet_.clearTally();
+        fleet_.run(3s);
+    }
+    [[nodiscard]] TrafficFleet& fleet() { return fleet_; }
+
+private:
+    size_t draw(size_t count) { return std::uniform_int_distribution<size_t>(0, count - 1)(random_); }
+    Duration milliseconds(int64_t min, int64_t max)
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int64_t>(min, max)(random_));
+    }
+    size_t gateway() { return draw(fleet_.fleet().gateways()); }
+    void partition()
+    {
+        constexpr std::array Kinds {Partition::Hang, Partition::Reset, Partition::RefuseNew};
+        const Partition kind = Kinds.at(draw(Kinds.size()));
+        for (size_t i = 0; i <= draw(3); ++i)
+            fleet_.targets().setPartition(gateway(), kind);
+    }
+    void endPartition() { fleet_.targets().setPartition(gateway(), Partition::None); }
+    void restartGateway() { fleet_.restartGateway(gateway()); }
+    void suspendGateway() { fleet_.fleet().suspendGateway(gateway(), milliseconds(200, 3000)); }
+    void crashTarget() { fleet_.targets().crash(draw(fleet_.targets().size())); }
+    void cutOffGateway() { fleet_.fleet().cutOffGateway(gateway(), milliseconds(200, 3000)); }
+    void evacuate()
+    {
+        evacuated_ = !evacuated_;
+        (void)fleet_.fleet().registries().order(evacuated_ ? "PUT" : "DELETE", "/v1/evacuations/north-a");
+    }
+
+    std::mt19937 random_;
+    TrafficFleet fleet_;
+    bool evacuated_ = false;
+};
+
+} // namespace
+
+// Guards against requests that run twice or are reported as not run, and against gateways that stay isolated, when
+// partitions overlap restarts, stalls, crashes of targets, evacuations and cut links. SALTVANE_SEEDS sets the number of
+// seeds.
+TEST(DrawnPartitionTest, NoRequestRunsTwiceAndAllAreServedAfterwards)
+{
+    for (int seed = 1; seed <= seedCount(); ++seed) {
+        RandomPartitions run(static_cast<unsigned int>(seed));
+        run.run();
+        TrafficFleet& fleet = run.fleet();
+        EXPECT_LE(fleet.targets().maxRunsOfAtMostOnce(), 1U) << "seed " << seed;
+        EXPECT_EQ(fleet.untrueRefusals(), 0U) << "seed " << seed;
+        EXPECT_GE(fleet.firstAttemptsServed(allBut(fleet.fleet().gateways(), {})), MinServed) << "seed " << seed;
+    }
+}
+
 } // namespace saltvane::fleet::test
