--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -38,6 +38,8 @@
 /// Age of the list of peers at which it is renewed, and the same while it is used.
 constexpr Duration PeerRequestInterval = 5s;
 constexpr Duration IsolatedPeerRequestInterval = 500ms;
+/// The same while no peer is known, as after a start.
+constexpr Duration FirstPeerRequestInterval = 1s;
 /// Bytes that were handed to the network reach the callers within this time.
 constexpr Duration ResponseFlushDelay = 100ms;
 /// The rest of the share is kept for requests that a restarted gateway sent before its restart.
@@ -322,12 +324,19 @@
     const std::vector<HostId> hosts = roster_->sameRegionControlHosts();
     if (hosts.empty())
         return;
-    nextPeerRequestAt_ = now + (reachability_.isReachable() ? PeerRequestInterval : IsolatedPeerRequestInterval);
+    nextPeerRequestAt_ = now + peerRequestInterval();
     // Another one each time, since one of them may be down.
     const HostId& host = hosts[peerRequests_++ % hosts.size()];
     actions_.emplace_back(requests::Action(model::OutgoingMessage {.to = host, .message = model::PeerRequest {}}));
 }
 
+Duration GatewayCore::peerRequestInterval() const
+{
+    if (!reachability_.isReachable())
+        return IsolatedPeerRequestInterval;
+    return peers_.isEmpty() ? FirstPeerRequestInterval : PeerRequestInterval;
+}
+
 void GatewayCore::logReachability(Timestamp now)
 {
     const std::optional<Timestamp> since = reachability_.unreachableSince();
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -76,6 +76,7 @@
     void probeTargets(Timestamp now);
     void onTargetAnswered(bool isNewConnection, Timestamp now);
     void requestPeers(Timestamp now);
+    [[nodiscard]] Duration peerRequestInterval() const;
     void updateStop(Timestamp now);
     void collectActions(Timestamp now);
     void log(host::LogSeverity severity, std::string text);
