--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -62,11 +62,10 @@
         refuse(exchange, model::Reason::NoTarget, UnreachableRetryAfter, now);
 }
 
-Peer* RequestRunner::choosePeer(const Exchange& exchange, Timestamp now)
+Peer* RequestRunner::choosePeer(const Exchange& exchange, uint32_t possibleRuns, Timestamp now)
 {
-    const bool mayRun = !exchange.mayHaveRun || exchange.route.kind != model::RouteKind::AtMostOnce;
-    const bool isPermitted = !exchange.isForwarded && mayRun && exchange.possibleRuns < exchange.maxAttempts;
-    if (!isPermitted || exchange.attemptedPeers.size() >= MaxPeersPerRequest)
+    const uint32_t maxRuns = exchange.route.kind == model::RouteKind::AtMostOnce ? 1 : exchange.maxAttempts;
+    if (exchange.isForwarded || possibleRuns >= maxRuns || exchange.attemptedPeers.size() >= MaxPeersPerRequest)
         return nullptr;
     PeerSet::Query query {.routeRegions = exchange.route.permittedRegions, .attempted = exchange.attemptedPeers};
     if (exchange.account)
@@ -76,7 +75,7 @@
 
 bool RequestRunner::tryForward(Exchange& exchange, Timestamp now)
 {
-    Peer* peer = choosePeer(exchange, now);
+    Peer* peer = choosePeer(exchange, exchange.possibleRuns, now);
     if (peer == nullptr)
         return false;
     // The peer takes its own credits for the run.
@@ -207,10 +206,9 @@
 
 bool RequestRunner::tryForwardAgain(Exchange& exchange, model::Reason reason, Timestamp now)
 {
-    const bool isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce;
-    const bool hasAttempt = exchange.possibleRuns + 1 < exchange.maxAttempts;
-    if (!isRepeatable || !hasAttempt || choosePeer(exchange, now) == nullptr || exchange.deadline - now < MinTimeToRetry
-        || !options_.quarantine.mayRetry(exchange.digest) || !options_.retries.trySpend(exchange.service))
+    const bool hasPeer = choosePeer(exchange, exchange.possibleRuns + 1, now) != nullptr;
+    if (!hasPeer || exchange.deadline - now < MinTimeToRetry || !options_.quarantine.mayRetry(exchange.digest)
+        || !options_.retries.trySpend(exchange.service))
         return false;
     exchange.recordPossibleRun();
     exchange.isCompared = false;
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -170,7 +170,8 @@
     void forward(Exchange& exchange, Timestamp now);
     /// Returns false if the request must not be forwarded, or no peer is available.
     [[nodiscard]] bool tryForward(Exchange& exchange, Timestamp now);
-    [[nodiscard]] Peer* choosePeer(const Exchange& exchange, Timestamp now);
+    /// The peer to forward the request to, if it may run once more after this number of possible runs; else null.
+    [[nodiscard]] Peer* choosePeer(const Exchange& exchange, uint32_t possibleRuns, Timestamp now);
     void sendTo(Peer& peer, Exchange& exchange, Timestamp now);
     void onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now);
     /// The peer responded with an error of its own.
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -297,6 +297,28 @@
     EXPECT_EQ(header(start.headers, "Saltvane-Client-Key"), "");
 }
 
+// Guards against credits that are lost with requests that a peer runs in the end.
+TEST_F(ForwardedAccountTest, ACreditThatWasNotUsedIsGivenBack)
+{
+    CallerRequest caller {.id = "limited"};
+    caller.extraHeaders = {LimitedKey};
+    request(caller);
+    const std::vector<model::LimitCreditAsk> asked = takeCreditRequests();
+    ASSERT_EQ(asked.size(), 1U);
+    deliver(model::LimitCreditReply {.answers = {{.ask = asked.front().ask, .credits = 1}}});
+    EXPECT_FALSE(isToPeer(onlyStart()));
+    isolateWithKey(); // Moves the request, of which no byte was sent, to a peer.
+    advance(40ms);
+    const std::vector<requests::TargetStart> probes = takeProbes();
+    ASSERT_FALSE(probes.empty());
+    answer(probes.front(), {.id = ""});
+    (void)takeCreditRequests();
+    caller.id = "next";
+    request(caller);
+    EXPECT_TRUE(takeCreditRequests().empty());
+    EXPECT_FALSE(isToPeer(onlyStart()));
+}
+
 // Guards against accounts whose requests are handled in regions that they do not permit.
 TEST_F(ForwardedAccountTest, AccountsRegionsHoldForPeers)
 {
