An unknown outcome at a peer stays unknown

Found on reading the change: a peer's 502 whose reason is a failed connection (its last attempt, after an earlier one that may have been run) counted as not run, so the request was forwarded again, past its attempts. Only the status tells now. Test red on the code before.

--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -22,6 +22,7 @@
 /// Well below the time for which gateways keep idle connections of callers.
 constexpr Duration MaxPeerIdle = 2s;
 constexpr double MaxRetryAfterSeconds = 60;
+constexpr int FirstServerErrorStatus = 500;
 
 /// Whether another gateway may be able to serve what one refused for this reason.
 bool isOfThePeer(model::Reason reason)
@@ -158,8 +159,8 @@
 {
     actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
     releaseTarget(exchange);
-    const bool isNotRun
-        = head.status == StatusUnavailable || head.status == StatusTooManyRequests || isOfThePeer(reason);
+    // The reason does not tell: a peer's last attempt may have failed to connect after an earlier one was run.
+    const bool isNotRun = head.status < FirstServerErrorStatus || head.status == StatusUnavailable;
     if (!isNotRun) {
         exchange.recordPossibleRun();
         return fail(exchange, reason, now);
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -221,6 +221,19 @@
     EXPECT_TRUE(takeStarts().empty()) << "peers that just refused are not asked again";
 }
 
+// Guards against requests that may have been run by way of a peer and are forwarded again or reported as not run.
+TEST_F(ForwardingTest, AnUnknownOutcomeAtAPeerStaysUnknown)
+{
+    isolate();
+    earnRetries();
+    request({.method = "POST", .path = "/write/1", .id = "once", .body = "pay"});
+    answerAsPeer(onlyStart(), 502, "connect-failed");
+    EXPECT_TRUE(takeStarts().empty());
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+}
+
 // Guards against requests that run twice, or are reported as not run, when the peer that carries them is lost.
 TEST_F(ForwardingTest, OnlyRepeatableRequestsOutliveALostPeer)
 {
