--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -35,11 +35,10 @@
 constexpr Duration ReachabilityProbeInterval = 250ms;
 /// Targets that are probed at a time: some of them may have stopped.
 constexpr size_t ReachabilityProbes = 2;
-/// Age of the list of peers at which it is renewed, and the same while it is used.
+/// How often the list of peers is renewed.
 constexpr Duration PeerRequestInterval = 5s;
-constexpr Duration IsolatedPeerRequestInterval = 500ms;
-/// The same while no peer is known, as after a start.
-constexpr Duration FirstPeerRequestInterval = 1s;
+constexpr Duration IsolatedPeerRequestInterval = 500ms; ///< While requests are forwarded to them.
+constexpr Duration FirstPeerRequestInterval = 1s; ///< While none is known, as after a start.
 /// Bytes that were handed to the network reach the callers within this time.
 constexpr Duration ResponseFlushDelay = 100ms;
 /// The rest of the share is kept for requests that a restarted gateway sent before its restart.
@@ -337,10 +336,10 @@
     return peers_.isEmpty() ? FirstPeerRequestInterval : PeerRequestInterval;
 }
 
-void GatewayCore::logReachability(Timestamp now)
+void GatewayCore::updateReachability(Timestamp now)
 {
     const std::optional<Timestamp> since = reachability_.unreachableSince();
-    if (since == unreachableLogged_)
+    if (since == loggedUnreachableSince_)
         return;
     LogText line(since ? "targets_unreachable" : "targets_reachable");
     if (since)
@@ -349,9 +348,9 @@
             .addMilliseconds("connection_age_ms", reachability_.timeSinceConnection(now))
             .addMilliseconds("word_age_ms", replica_->provenAnswerAge(now));
     else
-        line.addMilliseconds("after_ms", now - *unreachableLogged_);
+        line.addMilliseconds("after_ms", now - *loggedUnreachableSince_);
     log(since ? host::LogSeverity::Warning : host::LogSeverity::Info, line.text());
-    unreachableLogged_ = since;
+    loggedUnreachableSince_ = since;
     updateState();
     nextPeerRequestAt_ = now;
 }
@@ -445,7 +444,7 @@
 
 void GatewayCore::collectActions(Timestamp now)
 {
-    logReachability(now);
+    updateReachability(now);
     runner_.onCreditResults(now); // Refuses requests for which no registry host could be asked for a credit.
     for (requests::Action& action : runner_.drainActions())
         actions_.emplace_back(std::move(action));
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -71,10 +71,12 @@
     void onProbeResponse(const requests::TargetEvent& event, Timestamp now);
     [[nodiscard]] std::string probePathOf(const ServiceName& service) const;
     void updateState();
-    void logReachability(Timestamp now);
+    /// Logs and reports whether targets are reachable if that has changed.
+    void updateReachability(Timestamp now);
     /// Probes targets while none is reachable, to learn when they are again.
     void probeTargets(Timestamp now);
     void onTargetAnswered(bool isNewConnection, Timestamp now);
+    /// Asks a registry host which gateways may carry requests for this one.
     void requestPeers(Timestamp now);
     [[nodiscard]] Duration peerRequestInterval() const;
     void updateStop(Timestamp now);
@@ -96,7 +98,7 @@
     Quarantine quarantine_;
     TargetReachability reachability_;
     PeerSet peers_;
-    std::optional<Timestamp> unreachableLogged_; ///< Since when no target is reachable, as last logged.
+    std::optional<Timestamp> loggedUnreachableSince_; ///< Since when no target is reachable, as last logged.
     BackpressureMonitor backpressure_;
     RequestLatencies latencies_;
     LinkBudget link_;
@@ -117,7 +119,7 @@
     bool haveLoadsBeenSent_ = false;
     Timestamp nextProbeAt_ {};
     Timestamp nextPeerRequestAt_ {};
-    size_t peerRequests_ = 0;
+    size_t peerRequests_ = 0; ///< Number of requests for peers so far.
     std::optional<Timestamp> stopRequestedAt_;
     Timestamp lastBusyAt_ {}; ///< When a request or a response was last in progress.
     bool isStopReported_ = false;
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -25,7 +25,7 @@
 constexpr int FirstServerErrorStatus = 500;
 
 /// Whether another gateway may be able to serve what one refused for this reason.
-bool isOfThePeer(model::Reason reason)
+bool concernsPeerOnly(model::Reason reason)
 {
     static constexpr std::array Reasons {model::Reason::NotReady, model::Reason::Stopping, model::Reason::StaleState,
         model::Reason::NoTarget, model::Reason::ConnectFailed, model::Reason::UnknownService, model::Reason::UnknownKey,
@@ -165,7 +165,7 @@
         exchange.recordPossibleRun();
         return fail(exchange, reason, now);
     }
-    if (!isOfThePeer(reason))
+    if (!concernsPeerOnly(reason))
         return refuse(exchange, reason, retryAfterOf(head), now);
     if (Peer* peer = options_.peers.find(exchange.peer))
         peer->unavailableUntil = now + PeerSet::RefusalBackoff;
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -122,7 +122,7 @@
     void accept(requests::TargetRequestProgress& progress, Exchange& exchange, Timestamp now);
     void accept(requests::TargetFailed& failed, Exchange& exchange, Timestamp now);
 
-    /// Who sent a request.
+    /// The sender of a request: a caller, or a gateway that forwards it.
     struct Origin {
         model::AccountRef account; ///< Null if the route requires no account.
         std::optional<ForwardedInfo> forwarded; ///< Set if another gateway forwarded it.
@@ -178,7 +178,8 @@
     void onPeerError(const requests::TargetResponseHead& head, model::Reason reason, Exchange& exchange, Timestamp now);
     void onPeerFailed(requests::TargetFailed& failed, Exchange& exchange, Timestamp now);
     void checkPeerStalled(Exchange& exchange, Timestamp now);
-    /// A request that may have been run at its target or peer: sends it to another peer if it may run again.
+    /// The present dispatch may have been run: abandons it and forwards the request to another peer, if it may run
+    /// again and a retry is left.
     [[nodiscard]] bool tryForwardAgain(Exchange& exchange, model::Reason reason, Timestamp now);
     /// The target refused the request or failed: retries at another target, or fails the request.
     void retryElsewhere(Exchange& exchange, model::Reason reason, Timestamp now);
@@ -232,7 +233,7 @@
     bool isPlanUncertain_ = false;
     bool isLeaving_ = false;
     bool isRefusing_ = false;
-    bool mustLeaveTargets_ = false; ///< No target is reachable since the last event.
+    bool mustLeaveTargets_ = false; ///< An event showed that no target is reachable.
     std::vector<requests::Action> actions_;
 };
 
--- a/src/gateway/internal/targetreachability.h
+++ b/src/gateway/internal/targetreachability.h
@@ -14,9 +14,10 @@
 
 namespace saltvane::gateway {
 
-/// Determines whether this gateway reaches targets at all. If targets in several zones fail in a row and none answers
-/// meanwhile, the fault is on this gateway's side: the registry still lists them. An answer on a connection from before
-/// does not show that new connections work, so after failed attempts to connect only an answer on a new one counts.
+/// Determines whether this gateway reaches targets at all. If targets that the registry lists as alive fail in a row,
+/// in several zones, and none answers meanwhile, the fault is on this gateway's side. An answer on a connection from
+/// before does not show that new connections work, so after failed attempts to connect only an answer on a new one
+/// counts.
 class TargetReachability {
 public:
     enum class Failure : uint8_t {
