An isolation ends where no target may be probed

Probes are not sent to targets that state a limit or asked for a backoff, so where all do nothing could end the isolation but the end of the limits. Such targets are no candidates for a probe; where there is no candidate the judgement starts anew and requests show it. Test red on the code before.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -311,8 +311,10 @@
         return;
     nextProbeAt_ = now + ReachabilityProbeInterval;
     for (size_t i = 0; i < ReachabilityProbes; ++i) {
-        if (const GatewayTarget* target = targets_.nextToProbe(now))
-            quarantine_.probe(*target, now);
+        const GatewayTarget* target = targets_.nextToProbe(now);
+        if (target == nullptr)
+            return reachability_.reset(); // Only requests can show it.
+        quarantine_.probe(*target, now);
     }
 }
 
--- a/src/gateway/internal/targetreachability.cpp
+++ b/src/gateway/internal/targetreachability.cpp
@@ -35,6 +35,12 @@
     return failures_.size() >= MinTargets && !areInOneZone;
 }
 
+void TargetReachability::reset()
+{
+    failures_.clear();
+    unreachableSince_.reset();
+}
+
 bool TargetReachability::recordAnswer(bool isNewConnection, Timestamp now)
 {
     answeredAt_ = now;
--- a/src/gateway/internal/targetreachability.h
+++ b/src/gateway/internal/targetreachability.h
@@ -29,6 +29,8 @@
     /// A target answered something. Returns true if targets are reachable again.
     bool recordAnswer(bool isNewConnection, Timestamp now);
 
+    /// Forgets all failures.
+    void reset();
     [[nodiscard]] bool isReachable() const { return !unreachableSince_; }
     /// Since when no target is reachable, if so.
     [[nodiscard]] std::optional<Timestamp> unreachableSince() const { return unreachableSince_; }
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -317,7 +317,8 @@
     for (size_t i = 0; i < std::min(all_.size(), MaxProbeCandidates); ++i) {
         lastProbed_ = (lastProbed_ + 1) % all_.size();
         GatewayTarget& target = *all_[lastProbed_];
-        if (target.mayReceive(now) && !target.isUnresponsive && !target.isSlowStarting(now))
+        const bool hasRoom = !target.backpressure.limit && now >= target.backpressure.unavailableUntil();
+        if (hasRoom && target.mayReceive(now) && !target.isUnresponsive && !target.isSlowStarting(now))
             return &target;
     }
     return nullptr;
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -123,6 +123,34 @@
     EXPECT_FALSE(isIsolated());
 }
 
+// Guards against gateways that stay isolated for good because no target may be probed: probes would exceed the limits
+// that the targets state.
+TEST_F(ForwardingTest, WhereNoTargetMayBeProbedRequestsShowWhetherTheyAreReachable)
+{
+    for (int i = 0; i < 12; ++i) {
+        request({.id = "limited", .object = std::to_string(i)});
+        for (const requests::TargetStart& start : takeStarts())
+            answer(start, {.id = "limited", .extraHeaders = {{.name = "Saltvane-Limit", .value = "50"}}});
+        for (const model::LimitCreditAsk& ask : takeCreditRequests())
+            deliver(model::LimitCreditReply {.answers = {{.ask = ask.ask, .credits = 1}}});
+        for (const requests::TargetStart& start : takeStarts())
+            answer(start, {.id = "limited", .extraHeaders = {{.name = "Saltvane-Limit", .value = "50"}}});
+    }
+    for (int i = 0; i < 12 && !isIsolated(); ++i) {
+        request({.id = "isolating", .object = std::to_string(i)});
+        for (const model::LimitCreditAsk& ask : takeCreditRequests())
+            deliver(model::LimitCreditReply {.answers = {{.ask = ask.ask, .credits = 1}}});
+        for (const requests::TargetStart& start : takeStarts()) {
+            if (!isToPeer(start))
+                fail(start, false);
+        }
+    }
+    ASSERT_TRUE(isIsolated());
+    advance(300ms);
+    EXPECT_TRUE(takeProbes().empty());
+    EXPECT_FALSE(isIsolated());
+}
+
 // Guards against ejections from an isolation that keep requests from targets after it.
 TEST_F(ForwardingTest, AllTargetsAreUsedRightAfterTheIsolation)
 {
