Soak: finding a connection's owner reads only its line of the socket table

With 5,649 sockets on the machine each connection accepted during a partition split the whole table, in the process that also plays the targets and callers.

--- a/testing/soak/sockets.py
+++ b/testing/soak/sockets.py
@@ -17,7 +17,16 @@
 
 
 def _inodes_of(local_port: int) -> set[str]:
-    suffix = f":{local_port:04X}"
-    lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
-    fields = [line.split() for line in lines]
-    return {f"socket:[{field[9]}]" for field in fields if field[1].endswith(suffix)}
+    table = pathlib.Path("/proc/net/tcp").read_bytes()
+    # Splits only the lines with this port: the table has thousands of them on a busy machine.
+    port = b":%04X " % local_port
+    lines = (table[table.rfind(b"\n", 0, at) + 1:table.find(b"\n", at)] for at in _positions(table, port))
+    fields = [line.decode().split() for line in lines]
+    return {f"socket:[{field[9]}]" for field in fields if field[1].endswith(port.decode().strip())}
+
+
+def _positions(table: bytes, text: bytes):
+    at = table.find(text)
+    while at >= 0:
+        yield at
+        at = table.find(text, at + 1)
