--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -313,7 +313,7 @@
     for (size_t i = 0; i < ReachabilityProbes; ++i) {
         const GatewayTarget* target = targets_.nextToProbe(now);
         if (target == nullptr)
-            return reachability_.reset(); // Only requests can show it.
+            return reachability_.reset(); // Without probes, only requests show whether targets are reachable.
         quarantine_.probe(*target, now);
     }
 }
--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -31,7 +31,7 @@
         planInstaller_.step();
         installParsedPlan(now);
     }
-    // The one in force was the newest when it was last proven.
+    // While a newer plan is installed, the one in force may be used for a limited time after its last proof.
     registry_.setReplacedPlan(planInstaller_.isPending() ? std::optional(planProvenAt_) : std::nullopt);
 }
 
--- a/src/gateway/internal/peerset.h
+++ b/src/gateway/internal/peerset.h
@@ -18,7 +18,7 @@
     model::PeerRecord record;
     uint32_t inFlight = 0; ///< Requests of this gateway that it carries.
     Timestamp answeredAt; ///< When it last answered anything.
-    Timestamp unavailableUntil; ///< Failed, or could not carry a request either.
+    Timestamp unavailableUntil; ///< Gets no requests until then, after it failed or refused one.
 };
 
 /// The gateways that may carry requests for this one, as the registry last reported them: a few, however many there
