--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -243,12 +243,28 @@
     const size_t before = targets_.size();
     targets_.applyReport(report, now);
     runner_.onTargetsReplaced(targets_.drainReplaced(), now);
+    logSlowStarts(now);
     // Updates the split immediately: a request before the next tick would be sent to a target that does not keep the
     // object.
     if (targets_.size() != before)
         updateSplit(now);
 }
 
+void GatewayCore::logSlowStarts(Timestamp now)
+{
+    for (const SlowStartNotice& notice : targets_.drainSlowStarts()) {
+        if (!slowStartLineBudget_.trySpend(now))
+            continue;
+        LogText line("slow_start");
+        line.add("target", notice.target.value())
+            .addMilliseconds("left_ms", notice.left)
+            .add("own", notice.isOwn ? "yes" : "no")
+            .add("sent", notice.recentSends)
+            .addMilliseconds("word_age_ms", replica_->provenAnswerAge(now));
+        log(host::LogSeverity::Info, line.text());
+    }
+}
+
 void GatewayCore::updateSplit(Timestamp now)
 {
     if (!routes_)
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -49,6 +49,7 @@
 
     void onCreditReply(const model::LimitCreditReply& reply, Timestamp now);
     void onTargetReport(const model::TargetReport& report, Timestamp now);
+    void logSlowStarts(Timestamp now);
     void updateSplit(Timestamp now);
     void answerReadiness(const requests::HttpEvent& event);
     [[nodiscard]] bool isReady() const;
@@ -104,6 +105,7 @@
     LinkBudget link_;
     LimitCredits credits_;
     DecisionLog decisions_;
+    TokenBucket slowStartLineBudget_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
     RequestRunner runner_;
     PlanInstaller planInstaller_;
     Timestamp planProvenAt_ {}; ///< When the plan in force was last proven to be the newest.
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "gateway/internal/sendcounter.h"
 #include "gateway/internal/targetbackpressure.h"
 #include "model/targetmessages.h"
 
@@ -41,6 +42,7 @@
     bool isUnresponsive = false; ///< The registry host that last received its reports receives none any more.
 
     uint32_t inFlight = 0; ///< Requests of this gateway at the target.
+    SendCounter sends; ///< Requests of this gateway.
     /// Requests of other gateways, as of the target's last response that stated its load.
     uint32_t otherGatewaysLoad = 0;
     Timestamp loadUpdatedAt; ///< When that response was received.
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -182,6 +182,8 @@
     exchange.limit = target.backpressure.limit;
     if (exchange.limit)
         options_.counters.add(model::Counter::LimitedDispatches);
+    if (target.isSlowStarting(now))
+        options_.counters.add(model::Counter::SlowStartDispatches);
     startComparison(exchange, target, now);
     options_.targets.recordSent(target, service, now);
     options_.split.recordUse(service.name);
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -225,6 +225,11 @@
         displaceOtherAt(record, now);
         removeFromIndexes(target);
     }
+    if (record.slowStartLeft > Duration::zero() && target.record.slowStartLeft == Duration::zero())
+        slowStarts_.push_back({.target = record.target,
+            .left = record.slowStartLeft - record.age,
+            .isOwn = record.slowStartHost == location_.self,
+            .recentSends = target.sends.recent(now)});
     target.record = record;
     target.record.isLeaving = wasLeaving;
     if (isMoved) {
@@ -497,6 +502,7 @@
 {
     if (++target.inFlight == 1)
         busy_.push_back(target);
+    target.sends.record(now);
     if (!target.isSlowStarting(now))
         return;
     target.slowStartBalance = slowStartBalance(target, service, now) - 1;
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace saltvane::gateway {
@@ -36,6 +37,14 @@
     size_t regions = 0; ///< Regions with usable slots.
 };
 
+/// A known target turned out to be in its slow start.
+struct SlowStartNotice {
+    TargetId target;
+    Duration left {};
+    bool isOwn = false; ///< This gateway may use the target during the slow start.
+    uint32_t recentSends = 0; ///< Requests of this gateway within a recent second.
+};
+
 /// All targets that this gateway knows. The cost of a report, a request or a tick depends on the targets it concerns,
 /// not on the number of known targets.
 class TargetSet {
@@ -70,6 +79,9 @@
     /// address: requests sent to them get no more responses, apart from those sent before.
     [[nodiscard]] std::vector<model::TargetIncarnation> drainReplaced();
 
+    /// Known targets that entered a slow start, as learnt since the last call.
+    [[nodiscard]] std::vector<SlowStartNotice> drainSlowStarts() { return std::exchange(slowStarts_, {}); }
+
     /// Returns null if the id belongs to another incarnation by now.
     [[nodiscard]] GatewayTarget* find(const model::TargetIncarnation& targetIncarnation) const;
     /// Software versions of a service that are told apart; the targets of any further version count as one of them.
@@ -142,6 +154,7 @@
     std::unordered_map<uint64_t, GatewayTarget*> byIncarnationHash_;
     std::map<ServiceName, Service> services_;
     std::vector<model::TargetIncarnation> replaced_;
+    std::vector<SlowStartNotice> slowStarts_;
     /// Back-pressure of incarnations that were removed; it applies again if the registry lists them again.
     std::map<model::TargetIncarnation, TargetBackpressure> formerBackpressure_;
     uint64_t reports_ = 0;
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -5,6 +5,7 @@
  */
 #include "gatewayfixture.h"
 
+#include <algorithm>
 #include <map>
 
 namespace saltvane::gateway::test {
@@ -89,6 +90,31 @@
     EXPECT_EQ(takeStarts().size(), 1U);
 }
 
+// Guards against floods of targets in their slow start that no log shows.
+TEST_F(TargetTest, SlowStartOfKnownTargetIsLoggedWithRecentRequests)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    reportTargets({record});
+    advance(1s);
+    for (int i = 0; i < 3; ++i)
+        request({.object = std::to_string(i)});
+    EXPECT_EQ(takeStarts().size(), 3U);
+    (void)drainLogLines();
+    record.sequence = 2;
+    record.slowStartLeft = 3s;
+    record.slowStartHost = HostId("10.0.0.2:7000");
+    reportTargets({record});
+    record.sequence = 3;
+    reportTargets({record}); // Known by now.
+    const std::vector<std::string> lines = drainLogLines();
+    EXPECT_EQ(std::ranges::count_if(lines,
+                  [](const std::string& line) {
+                      return line.find("event=slow_start target=t-1 left_ms=3000 own=no sent=3") != std::string::npos;
+                  }),
+        1);
+}
+
 TEST_F(TargetTest, ObjectStaysAtItsTarget)
 {
     installPlan(1);
--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -60,6 +60,7 @@
     TargetsLostUnderRequests, ///< Runs that this host saw fail because their target ended.
     RequestsBlamed, ///< Requests that this host found to end the targets that run them.
     LimitedDispatches, ///< Requests sent to targets whose answers name a limit.
+    SlowStartDispatches, ///< Requests sent to targets in their slow start.
     UnacknowledgedCloses, ///< Connections to targets that were closed with unacknowledged bytes of a request.
     Count
 };
