--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -56,14 +56,17 @@
     target.isUp = true;
     target.sequence = 0;
     target.nextReportAt = now();
+    if (target.incarnation > targets_.size())
+        target.slowUntil = now() + options_.slowStart;
 }
 
 void CrashingTargets::report(Target& target)
 {
     target.nextReportAt = now() + ReportInterval;
+    const auto slowStartLeft = std::chrono::duration_cast<std::chrono::milliseconds>(target.slowUntil - now());
     nlohmann::json body {{"service", "quotes"}, {"address", toString(target.address)}, {"zone", target.zone},
-        {"version", "v1"}, {"slots", options_.slots}, {"state", "ready"}, {"slow_start_left_ms", 0},
-        {"sequence", ++target.sequence}};
+        {"version", "v1"}, {"slots", options_.slots}, {"state", "ready"},
+        {"slow_start_left_ms", std::max<int64_t>(slowStartLeft.count(), 0)}, {"sequence", ++target.sequence}};
     if (options_.keepsId)
         body["started_ms"] = target.incarnation;
     const std::optional<size_t> leader = fleet_.registries().leader();
@@ -128,9 +131,12 @@
         .isFatal = !isHarmless_ && start.path.find(FatalMark) != std::string::npos,
         .isProbe = start.path == "/health",
         .path = std::string(headerOf(start, "Saltvane-Client-Account")) + start.path};
+    const bool isMisdirected = headerOf(start, "Saltvane-Expect-Target") != target.id;
+    Exchange arrival = exchangeOf(target, run);
+    arrival.isMisdirected = isMisdirected;
     for (const auto& observer : onArrival)
-        observer(exchangeOf(target, run));
-    if (headerOf(start, "Saltvane-Expect-Target") != target.id)
+        observer(arrival);
+    if (isMisdirected)
         return respond(target, run, StatusMisdirected, false);
     if (target.signals.backoff)
         return respond(target, run, StatusUnavailable, true);
@@ -241,7 +247,8 @@
         Run& run = target.runs[i];
         if (std::exchange(run.hasStarted, true))
             continue;
-        run.completesAt = now() + Duration(processingTime(random_));
+        const int slowdown = now() < target.slowUntil ? 2 : 1;
+        run.completesAt = now() + Duration(processingTime(random_)) * slowdown;
         if (run.path.find(AtMostOncePath) != std::string::npos)
             ++atMostOnceRuns_[run.id];
         if (run.isFatal)
--- a/testing/fleet/crashingtargets.h
+++ b/testing/fleet/crashingtargets.h
@@ -33,6 +33,9 @@
         bool isUnresponsive = false;
         /// Targets retain their id across restarts and report their start time.
         bool keepsId = false;
+        /// Requests per second that a target handles during its slow start, as stated in the plan; 0: none is slow.
+        double slowStartPerSecond = 0;
+        Duration slowStart {}; ///< After a restart.
     };
     CrashingTargets(Fleet& fleet, const Options& options, unsigned int seed);
 
@@ -49,6 +52,10 @@
     [[nodiscard]] bool isUp(size_t target) const { return targets_.at(target).isUp; }
     /// Crashes a target for a reason other than a request.
     void crash(size_t target);
+    /// The target is in a slow start from now on, without a restart: work takes twice as long.
+    void beginSlowStart(size_t target, Duration duration) { targets_.at(target).slowUntil = now() + duration; }
+    [[nodiscard]] bool isSlowStarting(size_t target) const { return now() < targets_.at(target).slowUntil; }
+    [[nodiscard]] const std::string& zoneOf(size_t target) const { return targets_.at(target).zone; }
     /// While set, no request crashes a target.
     void setHarmless(bool isHarmless) { isHarmless_ = isHarmless; }
 
@@ -80,6 +87,7 @@
         std::string incarnation; ///< Id of the target's incarnation.
         size_t gateway = 0;
         bool isProbe = false;
+        bool isMisdirected = false; ///< Intended for another incarnation.
     };
     std::vector<std::function<void(const Exchange&)>> onArrival;
     /// `needs`: as announced in the response.
@@ -113,6 +121,7 @@
         Signals signals;
         bool isUp = false;
         Timestamp restartsAt; ///< Valid while the target is down.
+        Timestamp slowUntil {}; ///< End of its slow start.
         Timestamp nextReportAt;
         std::vector<Run> runs;
     };
--- a/testing/fleet/trafficfleet.cpp
+++ b/testing/fleet/trafficfleet.cpp
@@ -25,10 +25,12 @@
 
 std::string requestIdOf(uint64_t number) { return "try-" + std::to_string(number); }
 
-std::string planText()
+std::string planText(double slowStartPerSecond)
 {
-    nlohmann::json plan {
-        {"version", 1}, {"services", {{{"name", "quotes"}, {"probe_path", "/health"}, {"connections", 100}}}}};
+    nlohmann::json plan {{"version", 1},
+        {"services",
+            {{{"name", "quotes"}, {"probe_path", "/health"}, {"connections", 100}, {"slow_start_s", 3},
+                {"slow_start_per_s", slowStartPerSecond}}}}};
     for (const char* kind : {"repeatable", "at_most_once"}) {
         const bool isRepeatable = std::string_view(kind) == "repeatable";
         plan["routes"].push_back(
@@ -49,7 +51,7 @@
 {
     fleet_.onAction = [this](size_t gateway, requests::Action& action) { handleAction(gateway, action); };
     (void)fleet_.runUntil([this] { return fleet_.registries().leader().has_value(); }, StartTimeout);
-    (void)fleet_.putPlan(0, planText());
+    (void)fleet_.putPlan(0, planText(targets.slowStartPerSecond));
     (void)fleet_.runUntil([this] { return fleet_.isPlanInForceEverywhere(1); }, StartTimeout);
     targets_ = std::make_unique<CrashingTargets>(fleet_, targets, seed + 1);
     fleet_.onStep = [this] { step(); };
