--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -61,6 +61,7 @@
     Timestamp sentAt; ///< When the request was dispatched to the target.
     std::optional<Timestamp> firstByteAt; ///< When its first byte was sent there.
     bool usesTargetCredit = false; ///< A credit of the target's limit was spent for it.
+    SendLimit sendLimit = SendLimit::None; ///< Of the target when the request was dispatched to it.
     bool wasBlamed = false; ///< Known to make targets fail when it was dispatched, so this is a trial.
     uint32_t timesWithheld = 0; ///< Dispatches that were withheld before their first byte.
     Timestamp stallCheckAt; ///< When to check whether the target is unresponsive.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -21,8 +21,11 @@
 constexpr Duration LoadInterval = 300ms;
 /// The same to registry hosts of other regions, which receive few requests for these targets.
 constexpr Duration OtherRegionLoadInterval = 1200ms;
-/// Interval of plan pulls when no plan is pushed; well below the time in which a plan has to be in force.
-constexpr Duration PlanPullInterval = 500ms;
+/// Interval of plan pulls when no plan is pushed. The answers also tell how current the registry's information is
+/// (RegistryWatch::isConfirmed()).
+constexpr Duration PlanPullInterval = 250ms;
+/// Three times the way to a distant region and back.
+constexpr Duration PlanAnswerTimeout = 250ms;
 
 /// A registry host that is connected to the leader has a proof that is at most 0.5 s old and 70 ms away. A host that
 /// was cut off from the others used to count as current for 3 s, which is longer than a new plan may take to be in
@@ -64,12 +67,13 @@
           {.self = recordOf(settings_, incarnation_), .seeds = host::hostIdsFromAddresses(settings_.seeds)}))
     , replica_(control::makeBundleReplica({.self = self_,
           .pullInterval = PlanPullInterval,
-          .answerTimeout = PlanPullInterval / 2,
+          .answerTimeout = PlanAnswerTimeout,
           .maxProofAge = StaleSourceTimeout,
           .isSource = false,
           .counters = &counters_}))
     , registry_({.leave = settings_.leaveLimit, .plan = settings_.planLimit})
-    , targets_({.self = self_, .zone = settings_.zone, .region = settings_.region}, settings_.zones)
+    , targets_(
+          {.self = self_, .zone = settings_.zone, .region = settings_.region}, settings_.zones, settings_.slowStart)
     , split_(settings_.shiftCap)
     , placement_(targets_, split_, options.seed)
     , retries_({.ratio = settings_.retries.ratio, .slack = settings_.retries.slack})
@@ -114,6 +118,7 @@
 void GatewayCore::handle(host::Event event, Timestamp now)
 {
     registry_.onActivity(now);
+    updateConfirmation(now);
     std::visit([&](auto&& item) { accept(std::forward<decltype(item)>(item), now); }, std::move(event));
     collectActions(now);
 }
@@ -121,6 +126,7 @@
 void GatewayCore::tick(Timestamp now)
 {
     registry_.onActivity(now);
+    updateConfirmation(now);
     roster_->tick(now);
     if (now >= nextSourcesAt_)
         updateSources(now);
@@ -149,6 +155,7 @@
 model::Reason GatewayCore::recheckDispatch(requests::DispatchId dispatch, Timestamp now)
 {
     registry_.onActivity(now);
+    updateConfirmation(now);
     return TargetProber::isProbe(dispatch) ? model::Reason::None : runner_.recheck(dispatch, now);
 }
 
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -61,6 +61,8 @@
     void updatePlanCertainty(Timestamp now);
     void logPlanProof(bool isProven, Timestamp now);
     void updateRegistryFreshness(Timestamp now);
+    /// Restricts requests to targets while the registry's information is not current.
+    void updateConfirmation(Timestamp now);
     [[nodiscard]] std::vector<const membership::RosterEntry*> responsiveRegistries(Timestamp now) const;
     void updateSources(Timestamp now);
     void updateLinks();
--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -98,6 +98,12 @@
     log(freshness == RegistryFreshness::Current ? host::LogSeverity::Info : host::LogSeverity::Warning, line.text());
 }
 
+void GatewayCore::updateConfirmation(Timestamp now)
+{
+    const auto isMajorityHeard = [&] { return responsiveRegistries(now).size() * 2 > roster_->controlHosts().size(); };
+    targets_.setConfirmed(RegistryWatch::isConfirmed(*replica_, isMajorityHeard, now));
+}
+
 std::vector<const membership::RosterEntry*> GatewayCore::responsiveRegistries(Timestamp now) const
 {
     // Registry hosts send heartbeats once per second within the region, less often from other regions.
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "gateway/internal/sendcounter.h"
+#include "gateway/internal/slowstartshare.h"
 #include "gateway/internal/targetbackpressure.h"
 #include "model/targetmessages.h"
 
@@ -54,8 +55,8 @@
     Timestamp ejectedUntil;
     Timestamp failedAt; ///< Time of the last failure.
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
-    double slowStartBalance = 1; ///< Requests that may be sent now during the slow start.
-    Timestamp slowStartAt;
+    SendPace slowStartPace; ///< During its slow start, if this gateway is the one that may use it.
+    SendPace unconfirmedPace; ///< While the registry's information is not current.
 
     [[nodiscard]] const TargetId& id() const { return record.target; }
     [[nodiscard]] model::TargetIncarnation targetIncarnation() const
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -214,6 +214,8 @@
             group.push_back({.target = target, .rank = score * weight});
         else if (now < unavailableUntil && target->isAvailable(now))
             groups.availableAt = std::min(groups.availableAt.value_or(unavailableUntil), unavailableUntil);
+        else if (target->isOpen(now) && targets_.limitOf(*target, now) == SendLimit::Unconfirmed)
+            ++groups.unconfirmed;
     }
 }
 
@@ -251,11 +253,17 @@
 
 PlacementRefusal Placement::refusalWithoutTargets(const Groups& groups, uint32_t known, Timestamp now)
 {
+    // If all callers returned at the same time, all but one would be refused again.
+    const Duration spread = fromSeconds(toSeconds(MaxRetryAfter) * toUnitInterval(random_()));
+    if (groups.unconfirmed > 0)
+        return {.reason = model::Reason::StaleState,
+            .retryAfter = MinRetryAfter + spread,
+            .known = known,
+            .ejected = groups.ejected,
+            .unconfirmed = groups.unconfirmed};
     if (!groups.availableAt)
         return {
             .reason = model::Reason::NoTarget, .retryAfter = MaxRetryAfter, .known = known, .ejected = groups.ejected};
-    // If all callers returned at the same time, all but one would be refused again.
-    const Duration spread = fromSeconds(toSeconds(MaxRetryAfter) * toUnitInterval(random_()));
     return {.reason = model::Reason::BackPressure,
         .retryAfter = std::max(*groups.availableAt - now, MinRetryAfter) + spread,
         .known = known};
@@ -297,7 +305,8 @@
     return PlacementRefusal {.reason = isCrossRegion ? model::Reason::NoRoom : model::Reason::ShiftCapReached,
         .retryAfter = std::clamp(typicalTime, MinRetryAfter, MaxRetryAfter),
         .known = known,
-        .usable = usable};
+        .usable = usable,
+        .unconfirmed = found.unconfirmed};
 }
 
 } // namespace saltvane::gateway
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -47,6 +47,8 @@
     uint32_t known = 0; ///< Known targets of the service.
     uint32_t usable = 0; ///< Targets considered for the object that may be sent new requests at all.
     uint32_t ejected = 0; ///< Targets considered that failed at this gateway shortly before.
+    /// Targets considered that get no more requests for now because the registry's information is not current.
+    uint32_t unconfirmed = 0;
 };
 
 /// Selects a target for a request: by the request's object, so that the target has it warm; within the region's share;
@@ -87,6 +89,8 @@
         /// Earliest time at which a target accepts requests that accepts none now because of back-pressure.
         std::optional<Timestamp> availableAt;
         uint32_t ejected = 0; ///< Targets that failed at this gateway shortly before.
+        /// Targets that get no more requests for now because the registry's information is not current.
+        uint32_t unconfirmed = 0;
         [[nodiscard]] size_t size() const { return zone.size() + region.size() + remote.size(); }
     };
 
--- a/src/gateway/internal/registrywatch.cpp
+++ b/src/gateway/internal/registrywatch.cpp
@@ -18,6 +18,11 @@
 constexpr double MaxReplacedFraction = 0.8;
 /// Registry hosts send something every 0.3 s to 1 s; one that sends nothing for longer is unreachable.
 constexpr Duration UnresponsiveTimeout = 1s;
+/// Two pulls and the way between distant regions. Evacuations take longer: a gateway that is cut off has to restrict
+/// itself before the targets of a zone that was evacuated meanwhile are used again.
+constexpr Duration MaxConfirmedAnswerAge = 600ms;
+/// Longer than the registry has no proof while it elects a leader.
+constexpr Duration MaxConfirmedProofAge = 1200ms;
 /// Ticks come every 20 ms; messages that arrived during a longer gap are still unread.
 constexpr Duration StallThreshold = 250ms;
 
@@ -42,6 +47,14 @@
     lastActivityAt_ = now;
 }
 
+bool RegistryWatch::isConfirmed(
+    const control::IBundleReplica& replica, const std::function<bool()>& isMajorityHeard, Timestamp now)
+{
+    if (replica.answerAge(now) > MaxConfirmedAnswerAge)
+        return false;
+    return replica.provenAnswerAge(now) <= MaxConfirmedProofAge || isMajorityHeard();
+}
+
 RegistryFreshness RegistryWatch::freshness(const control::IBundleReplica& replica, Timestamp now) const
 {
     const bool isAnswered = replica.answerAge(now) <= maxAnswerAge_;
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -162,7 +162,8 @@
     if (const auto* refusal = std::get_if<PlacementRefusal>(&choice)) {
         exchange.targetsKnown = refusal->known;
         exchange.targetsUsable = refusal->usable;
-        if (refusal->ejected > 0 && tryForward(exchange, now))
+        const bool mayPeerServe = refusal->ejected > 0 || refusal->unconfirmed > 0;
+        if (mayPeerServe && tryForward(exchange, now))
             return;
         return refuse(exchange, refusal->reason, refusal->retryAfter, now);
     }
@@ -182,8 +183,11 @@
     exchange.limit = target.backpressure.limit;
     if (exchange.limit)
         options_.counters.add(model::Counter::LimitedDispatches);
-    if (target.isSlowStarting(now))
+    exchange.sendLimit = options_.targets.limitOf(target, now);
+    if (exchange.sendLimit == SendLimit::SlowStart)
         options_.counters.add(model::Counter::SlowStartDispatches);
+    else if (exchange.sendLimit == SendLimit::Unconfirmed)
+        options_.counters.add(model::Counter::UnconfirmedDispatches);
     startComparison(exchange, target, now);
     options_.targets.recordSent(target, service, now);
     options_.split.recordUse(service.name);
--- a/src/gateway/internal/requestwithholding.cpp
+++ b/src/gateway/internal/requestwithholding.cpp
@@ -37,7 +37,10 @@
     const bool isExcluded
         = options_.targets.rollouts().roleOf(record.service, record.version, now) == VersionRole::Excluded;
     const bool hasMoved = record.address != exchange.targetAddress;
-    return hasMoved || isExcluded || !target->mayReceive(now) ? model::Reason::NoTarget : model::Reason::None;
+    const SendLimit limit = options_.targets.limitOf(*target, now);
+    const bool isNewlyLimited = limit != SendLimit::None && limit != exchange.sendLimit;
+    const bool mayReceive = target->mayReceive(now) && !isNewlyLimited;
+    return hasMoved || isExcluded || !mayReceive ? model::Reason::NoTarget : model::Reason::None;
 }
 
 void RequestRunner::onWithheld(Exchange& exchange, model::Reason reason, Timestamp now)
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-/// Fraction of its service's rate that a target in slow start is sent: for a moment, two gateways may both consider it
-/// theirs.
-constexpr double SlowStartRateFraction = 0.8;
-constexpr double SlowStartBurst = 1;
 /// The registry lists each target every 30 s. A target that no registry host lists for this long is
 /// removed, since the registry host it reported to is lost as well.
 constexpr Duration UnlistedTimeout = 75s;
@@ -32,8 +28,10 @@
 
 } // namespace
 
-TargetSet::TargetSet(Location location, const std::map<ZoneName, RegionName>& zones)
+TargetSet::TargetSet(
+    Location location, const std::map<ZoneName, RegionName>& zones, const settings::SlowStartBound& slowStart)
     : location_(std::move(location))
+    , slowStartShare_(slowStart)
     , retired_(MaxRetired)
 {
     for (const auto& [zone, region] : zones)
@@ -46,6 +44,8 @@
 {
     reportedAt_ = now;
     ++reports_;
+    if (report.gateways > 0)
+        slowStartShare_.setGateways(report.gatewayNumber, report.gateways);
     applyOrders(report, now);
     applyRetired(report.retired);
     for (const model::TargetRecord& record : report.targets)
@@ -482,20 +482,35 @@
     return all;
 }
 
-double TargetSet::slowStartBalance(const GatewayTarget& target, const model::RoutedService& service, Timestamp now)
+SendLimit TargetSet::limitOf(const GatewayTarget& target, Timestamp now) const
 {
-    const double rate = service.slowStartPerSecond * SlowStartRateFraction;
-    return std::min(SlowStartBurst, target.slowStartBalance + toSeconds(now - target.slowStartAt) * rate);
+    if (!isConfirmed_)
+        return SendLimit::Unconfirmed;
+    return target.isSlowStarting(now) ? SendLimit::SlowStart : SendLimit::None;
 }
 
 bool TargetSet::isUsable(const GatewayTarget& target, const model::RoutedService& service, Timestamp now) const
 {
     if (!target.isOpen(now))
         return false;
-    if (!target.isSlowStarting(now))
+    const double rate = service.slowStartPerSecond;
+    switch (limitOf(target, now)) {
+    case SendLimit::None:
         return true;
-    const bool isOwn = target.record.slowStartHost == location_.self;
-    return isOwn && slowStartBalance(target, service, now) >= 1;
+    case SendLimit::SlowStart:
+        return target.record.slowStartHost == location_.self
+            && target.slowStartPace.maySend(SlowStartShare::namedGatewayRate(rate), now);
+    case SendLimit::Unconfirmed:
+        // Targets of services without a slow start are never in one.
+        return rate == 0 || isUsableUnconfirmed(target, rate, now);
+    }
+    return false;
+}
+
+bool TargetSet::isUsableUnconfirmed(const GatewayTarget& target, double slowStartPerSecond, Timestamp now) const
+{
+    const double rate = slowStartShare_.unconfirmedRate(target.hash, slowStartPerSecond);
+    return rate > 0 && target.unconfirmedPace.maySend(rate, now);
 }
 
 void TargetSet::recordSent(GatewayTarget& target, const model::RoutedService& service, Timestamp now)
@@ -503,10 +518,11 @@
     if (++target.inFlight == 1)
         busy_.push_back(target);
     target.sends.record(now);
-    if (!target.isSlowStarting(now))
-        return;
-    target.slowStartBalance = slowStartBalance(target, service, now) - 1;
-    target.slowStartAt = now;
+    const double rate = service.slowStartPerSecond;
+    if (const SendLimit limit = limitOf(target, now); limit == SendLimit::SlowStart)
+        target.slowStartPace.recordSent(SlowStartShare::namedGatewayRate(rate), now);
+    else if (limit == SendLimit::Unconfirmed)
+        target.unconfirmedPace.recordSent(slowStartShare_.unconfirmedRate(target.hash, rate), now);
 }
 
 void TargetSet::recordReleased(GatewayTarget& target)
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -45,6 +45,13 @@
     uint32_t recentSends = 0; ///< Requests of this gateway within a recent second.
 };
 
+/// What limits the requests that may be sent to a target.
+enum class SendLimit {
+    None,
+    SlowStart, ///< One gateway may use it, at a limited rate.
+    Unconfirmed ///< It may be in a slow start that this gateway has not heard of.
+};
+
 /// All targets that this gateway knows. The cost of a report, a request or a tick depends on the targets it concerns,
 /// not on the number of known targets.
 class TargetSet {
@@ -54,7 +61,8 @@
         ZoneName zone;
         RegionName region;
     };
-    TargetSet(Location location, const std::map<ZoneName, RegionName>& zones);
+    TargetSet(
+        Location location, const std::map<ZoneName, RegionName>& zones, const settings::SlowStartBound& slowStart = {});
     ~TargetSet();
     TargetSet(const TargetSet&) = delete;
     TargetSet& operator=(const TargetSet&) = delete;
@@ -94,7 +102,10 @@
     void addTargetState(model::RolloutReport& report) const;
     [[nodiscard]] ServiceCapacity capacityOf(const ServiceName& service) const;
     [[nodiscard]] size_t countOf(const ServiceName& service) const;
-    /// Whether new requests may be sent to the target; during its slow start only within its rate.
+    /// Whether the registry's information is current (RegistryWatch::isConfirmed()).
+    void setConfirmed(bool isConfirmed) { isConfirmed_ = isConfirmed; }
+    [[nodiscard]] SendLimit limitOf(const GatewayTarget& target, Timestamp now) const;
+    /// Whether new requests may be sent to the target, within the rate of its limit.
     [[nodiscard]] bool isUsable(const GatewayTarget& target, const model::RoutedService& service, Timestamp now) const;
     /// A request of this gateway was sent to the target.
     void recordSent(GatewayTarget& target, const model::RoutedService& service, Timestamp now);
@@ -139,10 +150,11 @@
     void removeFromIndexes(GatewayTarget& target);
     void updateCapacity(GatewayTarget& target, Timestamp now);
     void expire(Timestamp now);
-    [[nodiscard]] static double slowStartBalance(
-        const GatewayTarget& target, const model::RoutedService& service, Timestamp now);
+    [[nodiscard]] bool isUsableUnconfirmed(const GatewayTarget& target, double slowStartPerSecond, Timestamp now) const;
 
     Location location_;
+    SlowStartShare slowStartShare_;
+    bool isConfirmed_ = true;
     LogPosition orders_;
     RolloutTable rollouts_;
     std::map<ZoneName, TargetZone> zones_;
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -95,7 +95,7 @@
     }
     const uint64_t pull = std::exchange(pullToAnswer_, 0);
     if (areAllPullsAnswered_ && pull != 0)
-        deliver(model::BundleCurrent {.age = Duration::max(), .pull = pull});
+        deliver(model::BundleCurrent {.age = pullProofAge_, .pull = pull});
 }
 
 void GatewayFixture::advance(Duration duration)
@@ -154,6 +154,10 @@
 
 void GatewayFixture::report(model::TargetReport report)
 {
+    if (report.gateways == 0) {
+        report.gateways = 1;
+        report.gatewayNumber = 1;
+    }
     handle(model::Delivery {.from = Registry, .fromIncarnation = {1}, .message = std::move(report)});
 }
 
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -35,6 +35,7 @@
     void startFetchingPlan(uint64_t version);
     [[nodiscard]] static model::TargetRecord target(
         const std::string& id, const std::string& service = "quotes", const std::string& zone = "north-a");
+    /// Unless the report says otherwise, this is the only gateway.
     void report(model::TargetReport report);
     void reportTargets(std::vector<model::TargetRecord> records);
 
@@ -94,8 +95,10 @@
     [[nodiscard]] std::vector<std::string> drainLogLines();
     [[nodiscard]] static std::string header(const std::vector<model::Header>& headers, const std::string& name);
 
-    /// Whether the registry answers each pull, without a proof, when the next one arrives.
+    /// Whether the registry answers each pull when the next one arrives, with a proof of this age. The answers don't
+    /// confirm the plan.
     bool areAllPullsAnswered_ = true;
+    Duration pullProofAge_ = 10ms;
     Timestamp now_ {100s};
     std::unique_ptr<host::IHostCore> gateway_;
 
--- a/src/gateway/tests/rechecktests.cpp
+++ b/src/gateway/tests/rechecktests.cpp
@@ -42,6 +42,33 @@
 
 } // namespace
 
+// Guards against requests to a target in the slow start of which the gateway heard only after their dispatch.
+TEST_F(RecheckTest, TargetThatEnteredItsSlowStartGetsNoRequestsDispatchedBefore)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    reportTargets({record});
+    const requests::TargetStart start = dispatch();
+    record.sequence = 2;
+    record.slowStartLeft = 3s;
+    record.slowStartHost = HostId("10.0.0.2:7000");
+    reportTargets({record});
+    EXPECT_EQ(recheck(start), model::Reason::NoTarget);
+    reportTargets({target("t-2")});
+    EXPECT_EQ(targetAfterWithholding(start), TargetId("t-2"));
+}
+
+// Guards against bursts that a gateway chose before it was cut off or suspended and sends at once after that.
+TEST_F(RecheckTest, RequestsDispatchedByConfirmedStateAreWithheldOnceItIsOutOfDate)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    const requests::TargetStart start = dispatch();
+    areAllPullsAnswered_ = false;
+    advance(700ms);
+    EXPECT_EQ(recheck(start), model::Reason::NoTarget);
+}
+
 TEST_F(RecheckTest, UnchangedDispatchIsSent)
 {
     installPlan(1);
--- a/src/gateway/tests/registryfreshnesstests.cpp
+++ b/src/gateway/tests/registryfreshnesstests.cpp
@@ -32,6 +32,12 @@
         EXPECT_TRUE(response && response->status == 503 && !header(response->headers, "Retry-After").empty());
         return false;
     }
+    /// The only registry host is heard.
+    void receiveHeartbeat()
+    {
+        deliver(model::Heartbeat {.record
+            = {.host = HostId("10.0.0.9:7000"), .incarnation = {1}, .sequence = ++heartbeats_, .isControl = true}});
+    }
     /// The registry's reports keep arriving, in the order in which they were sent, but no answer to a pull.
     void receiveOldReports(Duration duration)
     {
@@ -40,6 +46,8 @@
             report({.orders = {.term = {1}, .index = {5}}});
         }
     }
+
+    uint64_t heartbeats_ = 0;
 };
 
 } // namespace
@@ -147,6 +155,7 @@
     for (int step = 0; step < 60; ++step) {
         advance(100ms);
         answerPull(Duration::max());
+        receiveHeartbeat();
         EXPECT_TRUE(isSent()) << step;
     }
 }
--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -61,6 +61,7 @@
     RequestsBlamed, ///< Requests that this host found to end the targets that run them.
     LimitedDispatches, ///< Requests sent to targets whose answers name a limit.
     SlowStartDispatches, ///< Requests sent to targets in their slow start.
+    UnconfirmedDispatches, ///< Requests sent to targets while the registry's information was not current.
     UnacknowledgedCloses, ///< Connections to targets that were closed with unacknowledged bytes of a request.
     Count
 };
--- a/src/model/internal/counters.cpp
+++ b/src/model/internal/counters.cpp
@@ -57,6 +57,8 @@
     {.name = "saltvane_requests_blamed_total", .help = "Requests found by this host to end the targets that run them."},
     {.name = "saltvane_limited_dispatches_total", .help = "Requests sent to targets that name a limit."},
     {.name = "saltvane_slow_start_dispatches_total", .help = "Requests sent to targets in their slow start."},
+    {.name = "saltvane_unconfirmed_dispatches_total",
+        .help = "Requests sent to targets while the registry's information was not current."},
     {.name = "saltvane_unacknowledged_closes_total",
         .help = "Connections to targets that were closed with unacknowledged bytes of a request."},
 }};
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -194,13 +194,20 @@
         return accept(*leaving, delivery.from, now);
     if (std::holds_alternative<model::PeerRequest>(delivery.message))
         return sendPeers(delivery.from, now);
-    const bool isGatewayReport = std::holds_alternative<model::Heartbeat>(delivery.message);
+    // Gateways take the answer to a pull as a sign that they know all orders and targets.
+    if (std::holds_alternative<model::BundlePull>(delivery.message))
+        syncGateway(delivery.from, now);
+    const auto* heartbeat = std::get_if<model::Heartbeat>(&delivery.message);
     roster_->handle(delivery, now);
     bundleReplica_->handle(delivery, now);
     replica_->handle(delivery, now);
-    if (!isGatewayReport || std::get<model::Heartbeat>(delivery.message).record.isControl)
-        return;
-    if (!syncedGateways_.insert(delivery.from).second)
+    if (heartbeat != nullptr && !heartbeat->record.isControl)
+        syncGateway(delivery.from, now);
+}
+
+void RegistryCore::syncGateway(const HostId& gateway, Timestamp now)
+{
+    if (!syncedGateways_.insert(gateway).second)
         return;
     gatewaysUpdatedAt_.reset(); // Includes it in gateways() at once.
     model::TargetReport report = makeReport(now);
@@ -209,8 +216,9 @@
     const size_t skipped = retired.size() - std::min(retired.size(), MaxRetiredSent);
     report.retired.assign(retired.begin() + static_cast<ptrdiff_t>(skipped), retired.end());
     report.targets = targets_.all(gateways(now), now);
-    send({{.to = delivery.from, .message = std::move(report)}});
-    sendLimits(delivery.from, now);
+    report.gatewayNumber = gatewayNumberOf(gateway, now);
+    send({{.to = gateway, .message = std::move(report)}});
+    sendLimits(gateway, now);
 }
 
 void RegistryCore::accept(const host::LinkUp& up, Timestamp now)
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -110,6 +110,13 @@
     void applyOrders(Timestamp now);
     void distribute(Timestamp now);
     void reportTargets(Timestamp now);
+    /// Sends all orders, targets and limits over a new link, once.
+    void syncGateway(const HostId& gateway, Timestamp now);
+    /// Tells each gateway its number as well.
+    void sendReport(model::TargetReport report, Timestamp now);
+    [[nodiscard]] uint32_t gatewayNumberOf(const HostId& gateway, Timestamp now) const;
+    /// Whether gateways have other numbers than last told; checked once per second.
+    [[nodiscard]] bool areGatewaysRenumbered(Timestamp now);
     void sendToGateways(const model::Message& message);
     /// Once the log is proven current: lets recalled targets be reported, except where an order contradicts them.
     void releaseRecalled(Timestamp now);
@@ -167,6 +174,8 @@
     RefusedReports refusedReports_;
     LogPosition appliedOrdersPosition_;
     std::set<HostId> syncedGateways_; ///< Gateways that were sent all targets on their present link.
+    std::vector<HostId> numberedGateways_; ///< As last told to gateways.
+    Timestamp nextNumbersAt_ {};
     Timestamp nextReportAt_ {};
     LoadTable loads_;
     NearestGateways nearestGateways_;
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -7,6 +7,7 @@
 #include "registry/internal/registrycore.h"
 
 #include <algorithm>
+#include <iterator>
 
 /// The part of RegistryCore that distributes the plan, orders, targets, loads, suspects and limits.
 namespace saltvane::registry {
@@ -19,6 +20,8 @@
 constexpr Duration HoldersInterval = 200ms;
 /// How often load sums are sent.
 constexpr Duration LoadInterval = 300ms;
+/// How often gateways are told their numbers while gateways come and go.
+constexpr Duration NumbersInterval = 1s;
 /// A registry host without a heartbeat for this long serves no gateway.
 constexpr Duration LivenessTimeout = 1s;
 /// Gateways with a heartbeat within it are sent plans, and are considered in the assignment of slow starts and loads.
@@ -46,7 +49,7 @@
     rollouts_->setOrders(rollouts, now);
     model::TargetReport report = makeReport(now);
     report.retired = drainNewlyRetired();
-    sendToGateways(report);
+    sendReport(std::move(report), now);
 }
 
 std::vector<model::TargetIncarnation> RegistryCore::drainNewlyRetired()
@@ -108,8 +111,36 @@
     model::TargetReport report = makeReport(now);
     report.targets = targets_.drainUpdates(gateways(now), now);
     report.unchanged = targets_.drainUnchanged();
-    if (!report.targets.empty() || !report.unchanged.empty())
-        sendToGateways(report);
+    if (!report.targets.empty() || !report.unchanged.empty() || areGatewaysRenumbered(now))
+        sendReport(std::move(report), now);
+}
+
+bool RegistryCore::areGatewaysRenumbered(Timestamp now)
+{
+    if (now < nextNumbersAt_)
+        return false;
+    nextNumbersAt_ = now + NumbersInterval;
+    const std::span<const HostLocation> all = gateways(now);
+    if (std::ranges::equal(all, numberedGateways_, {}, &HostLocation::host))
+        return false;
+    numberedGateways_.clear();
+    std::ranges::transform(all, std::back_inserter(numberedGateways_), &HostLocation::host);
+    return true;
+}
+
+uint32_t RegistryCore::gatewayNumberOf(const HostId& gateway, Timestamp now) const
+{
+    const std::span<const HostLocation> all = gateways(now); // Sorted by id.
+    const auto found = std::ranges::lower_bound(all, gateway, {}, &HostLocation::host);
+    return found == all.end() || found->host != gateway ? 0 : static_cast<uint32_t>(found - all.begin()) + 1;
+}
+
+void RegistryCore::sendReport(model::TargetReport report, Timestamp now)
+{
+    for (const HostId& gateway : syncedGateways_) {
+        report.gatewayNumber = gatewayNumberOf(gateway, now);
+        send({{.to = gateway, .message = report}});
+    }
 }
 
 /// Includes gateways without recent heartbeats: as long as their link is up, nothing would repeat a missed message.
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -150,6 +150,10 @@
     {
         settings_.retries.ratio = root_.decimal("retry_ratio", settings_.retries.ratio);
         settings_.retries.slack = root_.decimal("retry_slack", settings_.retries.slack);
+        settings_.slowStart.overage = root_.decimal("slow_start_overage", settings_.slowStart.overage);
+        if (settings_.slowStart.overage < 1)
+            root_.addFinding("slow_start_overage", "must be at least 1");
+        settings_.slowStart.slack = root_.decimal("slow_start_slack", settings_.slowStart.slack);
         settings_.linkMegabitsPerSecond = root_.decimal("link_mbps", settings_.linkMegabitsPerSecond);
         settings_.shiftCap = root_.decimal("shift_cap", settings_.shiftCap);
         settings_.rolloutShare = root_.decimal("rollout_share", settings_.rolloutShare);
--- a/src/settings/routedhostsettings.h
+++ b/src/settings/routedhostsettings.h
@@ -48,6 +48,13 @@
     double slack = 20; ///< Additional retries per window.
 };
 
+/// Requests that a target gets at most in any second of its slow start, from all gateways together, in terms of the
+/// rate that the plan states for its service.
+struct SlowStartBound {
+    double overage = 1.5; ///< Factor of the rate.
+    double slack = 5; ///< Additional requests.
+};
+
 /// Settings of a host that serves route plans (docs/SETTINGS.md). A gateway forwards requests; a registry host stores
 /// the plan, receives the reports of targets and answers look-ups.
 struct RoutedHostSettings {
@@ -71,6 +78,7 @@
     std::string linkKey;
     HeaderNames headers;
     RetryLimit retries;
+    SlowStartBound slowStart;
     double shiftCap = 0.1; ///< Maximum fraction of a region's requests that may move to other regions within 2 s.
     double rolloutShare = 0.05; ///< Maximum fraction of a service's requests that a new version gets during its trial.
     Duration lookUpTtl = 2s;
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -90,8 +90,8 @@
         = message.unchanged.empty() ? Offset<flatbuffers::Vector<uint64_t>>() : builder.CreateVector(message.unchanged);
     const auto rollouts = encodeTables<fbs::RolloutOrder>(
         builder, message.rollouts, [](Builder& to, const model::RolloutOrder& order) { return encode(to, order); });
-    return fbs::CreateTargetReport(
-        builder, &orders, zones, retired, targets, incarnations, rollouts, message.gateways, unchanged);
+    return fbs::CreateTargetReport(builder, &orders, zones, retired, targets, incarnations, rollouts, message.gateways,
+        unchanged, message.gatewayNumber);
 }
 
 model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message)
@@ -105,6 +105,7 @@
             [](FieldReader& from, const fbs::RolloutOrder& order) { return decode(from, order); }),
         .unchanged = decodeUnchanged(reader, message),
         .gateways = message.gateways(),
+        .gatewayNumber = message.gateway_number(),
     };
 }
 
--- a/testing/fleet/slowstarttests.cpp
+++ b/testing/fleet/slowstarttests.cpp
@@ -8,6 +8,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <random>
 #include <vector>
 
 namespace saltvane::fleet::test {
@@ -46,6 +51,72 @@
 
 void PrintTo(const CutOffCase& testCase, std::ostream* stream) { *stream << testCase.name; }
 
+/// Randomized test: zones are evacuated and reopened during cuts, restarts and suspensions of hosts.
+class RandomSlowStarts {
+public:
+    explicit RandomSlowStarts(unsigned int seed)
+        : random_(seed)
+        , fleet_(makeFleet(seed, std::array<size_t, 3> {2, 9, 30}.at(seed % 3), 360))
+        , ledger_(fleet_.fleet(), fleet_.targets(), {.perSecond = SlowStartPerSecond})
+    {
+    }
+
+    void run()
+    {
+        constexpr std::array Events {&RandomSlowStarts::cutOffGateways, &RandomSlowStarts::restartGateway,
+            &RandomSlowStarts::suspendGateway, &RandomSlowStarts::isolateRegistry, &RandomSlowStarts::killRegistry};
+        constexpr int EventsPerSeed = 6;
+        for (int event = 0; event < EventsPerSeed; ++event) {
+            fleet_.run(randomMilliseconds(1000, 4000));
+            (this->*Events.at(randomIndex(Events.size())))();
+            fleet_.run(randomMilliseconds(0, 500));
+            orderEvacuation(fleet_, "PUT");
+            fleet_.run(randomMilliseconds(500, 3000));
+            beginSlowStarts(fleet_);
+            orderEvacuation(fleet_, "DELETE");
+            fleet_.run(3s);
+            fleet_.fleet().registries().heal();
+            for (size_t registry = 0; registry < FleetOptions().registries; ++registry) {
+                if (!fleet_.fleet().registries().isRunning(registry))
+                    fleet_.fleet().startRegistry(registry);
+            }
+        }
+    }
+    [[nodiscard]] const SlowStartLedger& ledger() const { return ledger_; }
+
+private:
+    std::chrono::milliseconds randomMilliseconds(int64_t min, int64_t max)
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int64_t>(min, max)(random_));
+    }
+    size_t randomIndex(size_t count) { return std::uniform_int_distribution<size_t>(0, count - 1)(random_); }
+
+    void cutOffGateways()
+    {
+        const size_t count = randomIndex(fleet_.fleet().gateways() + 1);
+        for (size_t gateway = 0; gateway < count; ++gateway)
+            fleet_.fleet().cutOffGateway(gateway, randomMilliseconds(1000, 8000));
+    }
+    void restartGateway() { fleet_.restartGateway(randomIndex(fleet_.fleet().gateways())); }
+    void suspendGateway()
+    {
+        fleet_.fleet().suspendGateway(randomIndex(fleet_.fleet().gateways()), randomMilliseconds(200, 4000));
+    }
+    void isolateRegistry() { fleet_.fleet().registries().isolate(randomIndex(FleetOptions().registries)); }
+    void killRegistry() { fleet_.fleet().killRegistry(randomIndex(FleetOptions().registries)); }
+
+    std::mt19937 random_;
+    TrafficFleet fleet_;
+    SlowStartLedger ledger_;
+};
+
+int seedCount()
+{
+    constexpr int DefaultSeeds = 8;
+    const char* const requested = std::getenv("SALTVANE_SEEDS");
+    return requested == nullptr ? DefaultSeeds : std::atoi(requested);
+}
+
 class CutOffGatewayTest : public testing::TestWithParam<CutOffCase> { };
 
 } // namespace
@@ -90,4 +161,31 @@
     EXPECT_LE(fleet.targets().maxRunsOfAtMostOnce(), 1U);
 }
 
+// Guards against floods of reopened zones in any trouble of gateways and registry hosts. SALTVANE_SEEDS sets the number
+// of seeds.
+TEST(DrawnSlowStartTest, TargetsOfReopenedZonesAreNotFlooded)
+{
+    double most = 0;
+    for (int seed = 1; seed <= seedCount(); ++seed) {
+        RandomSlowStarts randomized(static_cast<unsigned int>(seed));
+        randomized.run();
+        most = std::max(most, randomized.ledger().maxBoundFraction());
+        EXPECT_LE(randomized.ledger().maxBoundFraction(), 1) << randomized.ledger().worstSecond() << ", seed " << seed;
+    }
+    RecordProperty("most_of_bound", std::to_string(most));
+    std::cout << "most of the bound: " << most << "\n";
+}
+
+// Guards against floods of targets that enter a slow start by themselves, without a restart or an evacuation.
+TEST(UnannouncedSlowStartTest, TargetsAreNotFloodedBeforeTheirNextReport)
+{
+    TrafficFleet fleet = makeFleet(23, 9, 480);
+    SlowStartLedger ledger(fleet.fleet(), fleet.targets(), {.perSecond = SlowStartPerSecond});
+    fleet.run(4s);
+    beginSlowStarts(fleet);
+    fleet.run(4s);
+    std::cout << "most of the bound: " << ledger.maxBoundFraction() << "\n";
+    EXPECT_LE(ledger.maxBoundFraction(), 1) << ledger.worstSecond();
+}
+
 } // namespace saltvane::fleet::test
