--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -16,8 +16,6 @@
 constexpr Duration LoadLifetime = 1s;
 /// A load from the target's own response takes precedence over the registry's total while it is this new.
 constexpr Duration FreshLoadAge = 200ms;
-/// How long the targets of a reopened zone wait for a new report of the registry.
-constexpr Duration ReopenedZoneTimeout = 4s;
 constexpr Duration FirstEjection = 250ms;
 constexpr uint32_t MaxDoublings = 4;
 /// A full target counts as loaded by its slots and a queue of twice as many requests.
@@ -40,7 +38,7 @@
 
 bool GatewayTarget::isAwaitingReport(Timestamp now) const
 {
-    return lastListedInReport < zone->reopenedByReport && now < zone->reopenedAt + ReopenedZoneTimeout;
+    return lastListedInReport < zone->reopenedByReport && now < zone->reopenedAt + model::ReopenedZoneTimeout;
 }
 
 bool GatewayTarget::isAvailable(Timestamp now) const
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -20,6 +20,9 @@
 /// seconds late.
 constexpr Duration TargetHeartbeatTimeout = 12s;
 
+/// How long the targets of a zone that was reopened wait for their next heartbeats: they may be in a slow start.
+constexpr Duration ReopenedZoneTimeout = 4s;
+
 /// One start of a target. A target may restart under the same id; its later incarnation always replaces the earlier
 /// one, in whatever order reports of them arrive (docs/design/0012-target-incarnations.md).
 struct TargetIncarnation {
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -256,6 +256,12 @@
 {
     model::TargetRecord outgoing = entry.record;
     outgoing.age = now - entry.receivedAt;
+    // A gateway that connects now may not know that the zone was closed: no gateway may use the target.
+    if (isAwaitingReport(entry)) {
+        const Timestamp reopenedAt = reportsAwaitedSince_.at(entry.record.zone);
+        outgoing.slowStartLeft = reopenedAt + model::ReopenedZoneTimeout - entry.receivedAt;
+        return outgoing;
+    }
     if (outgoing.slowStartLeft > outgoing.age)
         outgoing.slowStartHost = slowStartHostOf(outgoing, gateways);
     return outgoing;
--- a/src/registry/tests/targettabletests.cpp
+++ b/src/registry/tests/targettabletests.cpp
@@ -65,4 +65,19 @@
     EXPECT_TRUE(changes([this] { (void)table_.drainUpdates({}, now_); })) << "a target that became unresponsive";
 }
 
+// Guards against gateways that connect after a zone was reopened and use targets that may be in a slow start.
+TEST_F(TargetTableChangesTest, TargetsOfAReopenedZoneAreListedAsSlowUntilTheyReport)
+{
+    (void)table_.applyReport(recordOf("t-1", 1), now_);
+    now_ += 1s;
+    table_.awaitReportsOf(Zone, now_);
+    now_ += 500ms;
+    const std::vector<HostLocation> gateways {{.host = HostId("g-1"), .zone = Zone, .region = RegionName("north")}};
+    const model::TargetRecord awaited = table_.all(gateways, now_).at(0);
+    EXPECT_EQ(awaited.slowStartLeft - awaited.age, model::ReopenedZoneTimeout - 500ms);
+    EXPECT_TRUE(awaited.slowStartHost.isEmpty());
+    (void)table_.applyReport(recordOf("t-1", 1), now_);
+    EXPECT_EQ(table_.all(gateways, now_).at(0).slowStartLeft, 0s);
+}
+
 } // namespace saltvane::registry::test
--- a/testing/fleet/slowstarttests.cpp
+++ b/testing/fleet/slowstarttests.cpp
@@ -145,6 +145,25 @@
         CutOffCase {"MostInOverload", 7, 600}, CutOffCase {"All", 9, 360}),
     [](const auto& testCase) { return testCase.param.name; });
 
+// Guards against gateways that are cut off during an evacuation, return right after its end, and flood targets that
+// have not reported since.
+TEST(ReturningGatewayTest, TargetsOfAReopenedZoneAreNotFloodedBeforeTheyReport)
+{
+    for (const Duration cut : {1000ms, 1200ms, 1400ms, 1600ms, 1800ms}) {
+        TrafficFleet fleet = makeFleet(24, 2, 360);
+        SlowStartLedger ledger(fleet.fleet(), fleet.targets(), {.perSecond = SlowStartPerSecond});
+        fleet.run(4300ms); // The targets report 0.7 s after the start of the cut, and again a second later.
+        fleet.fleet().cutOffGateway(0, cut);
+        fleet.run(100ms);
+        orderEvacuation(fleet, "PUT");
+        fleet.run(600ms);
+        beginSlowStarts(fleet);
+        orderEvacuation(fleet, "DELETE");
+        fleet.run(4s);
+        EXPECT_LE(ledger.maxBoundFraction(), 1) << ledger.worstSecond();
+    }
+}
+
 // Guards against gateways that refuse their callers' requests while they are cut off from the registry and other
 // gateways aren't.
 TEST(CutOffGatewayServiceTest, CallersAreServedWhileTheRegistryIsOutOfReach)
