--- a/src/gateway/tests/slowstartsharetests.cpp
+++ b/src/gateway/tests/slowstartsharetests.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
 #include <vector>
 
 namespace saltvane::gateway::test {
@@ -19,11 +20,6 @@
     double slack = 0;
 };
 
-void PrintTo(const ShareCase& testCase, std::ostream* stream)
-{
-    *stream << testCase.gateways << " gateways, " << testCase.slowStartPerSecond << " per second";
-}
-
 class SlowStartShareTest : public testing::TestWithParam<ShareCase> {
 protected:
     static constexpr uint64_t Targets = 500;
@@ -81,7 +77,10 @@
 
 INSTANTIATE_TEST_SUITE_P(Sizes, SlowStartShareTest,
     testing::Values(ShareCase {1, 14, 5}, ShareCase {2, 3.5, 5}, ShareCase {10, 14, 5}, ShareCase {10, 21, 5},
-        ShareCase {10, 3.5, 5}, ShareCase {100, 3.2, 8}, ShareCase {984, 3.7, 10}, ShareCase {2000, 3.7, 10}));
+        ShareCase {10, 3.5, 5}, ShareCase {100, 3.2, 8}, ShareCase {984, 3.7, 10}, ShareCase {2000, 3.7, 10}),
+    [](const auto& testCase) {
+        return std::to_string(testCase.param.gateways) + "GatewaysCase" + std::to_string(testCase.index);
+    });
 
 TEST(SlowStartShareWithoutNumberTest, GatewayOfUnknownNumberTakesNoMoreThanOneOfManyWould)
 {
