--- a/src/gateway/tests/registryfreshnesstests.cpp
+++ b/src/gateway/tests/registryfreshnesstests.cpp
@@ -149,6 +149,52 @@
     }
 }
 
+// Guards against floods of targets by gateways that are cut off and don't know that the targets are in a slow start.
+TEST_F(RegistryFreshnessTest, CutOffGatewaySendsNoMoreThanItsShare)
+{
+    advance(700ms);
+    size_t sent = 0;
+    for (int step = 0; step < 100; ++step) {
+        advance(20ms);
+        sent += isSent() ? 1 : 0;
+    }
+    // Of the 12.5 requests that a target bears, the only gateway may send 6.5 a second, with a burst of one.
+    EXPECT_GE(sent, 12U);
+    EXPECT_LE(sent, 14U);
+}
+
+// Guards against gateways that hear only registry hosts which are cut off from the others themselves.
+TEST_F(RegistryFreshnessTest, GatewayWithoutProofThatHearsAMinoritySendsNoMoreThanItsShare)
+{
+    size_t sent = 0;
+    for (int step = 0; step < 150; ++step) {
+        advance(20ms);
+        answerPull(Duration::max());
+        const bool wasSent = isSent();
+        if (step >= 100)
+            sent += wasSent ? 1 : 0;
+    }
+    EXPECT_LE(sent, 8U);
+}
+
+// Guards against callers who wait or are refused by a cut-off gateway while a peer could serve them.
+TEST_F(RegistryFreshnessTest, CutOffGatewayHandsOtherRequestsToAPeer)
+{
+    deliver(model::PeerReport {.peers = {{.host = HostId("10.0.0.2:7000"),
+                                   .zone = ZoneName("north-a"),
+                                   .region = RegionName("north"),
+                                   .frontAddress = {.ip = "10.0.0.2", .port = 8000}}}});
+    advance(700ms);
+    size_t atPeer = 0;
+    for (int i = 0; i < 10; ++i) {
+        request({.id = "try-" + std::to_string(i)});
+        for (const requests::TargetStart& start : takeStarts())
+            atPeer += start.address.ip == "10.0.0.2" ? 1 : 0;
+    }
+    EXPECT_EQ(atPeer, 9U);
+    EXPECT_FALSE(takeResponse());
+}
+
 /// Without a leader nothing is acknowledged, so nothing can be missed.
 TEST_F(RegistryFreshnessTest, GatewayServesWhileRegistryHasNoLeader)
 {
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -137,9 +137,9 @@
 
 void RegistryCore::sendReport(model::TargetReport report, Timestamp now)
 {
-    for (const HostId& gateway : syncedGateways_) {
-        report.gatewayNumber = gatewayNumberOf(gateway, now);
-        send({{.to = gateway, .message = report}});
+    for (const HostId& receiver : syncedGateways_) {
+        report.gatewayNumber = gatewayNumberOf(receiver, now);
+        send({{.to = receiver, .message = report}});
     }
 }
 
--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -151,6 +151,58 @@
     EXPECT_EQ(records.back(), HostId("10.0.1.1:7000"));
 }
 
+// Guards against gateways that take the answer to a pull as a sign that they know all targets before they do.
+TEST(MembershipTest, TargetsAreSentBeforeTheAnswerToTheFirstPull)
+{
+    RegistryCluster cluster(3);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    ASSERT_EQ(statusOf(cluster.call(0, "POST", "/v1/targets/t-1/heartbeat", heartbeatText(1))), 200);
+    const HostId gateway("10.0.1.1:7000");
+    cluster.linkUpTo(0, gateway, {1});
+    cluster.deliverFromGateway(0, gateway, {1}, model::BundlePull {.pull = 7});
+    cluster.run(100ms);
+    bool areTargetsSent = false;
+    bool isAnswered = false;
+    for (const model::Message& message : cluster.drainSentTo(gateway.value())) {
+        const auto* report = std::get_if<model::TargetReport>(&message);
+        areTargetsSent = areTargetsSent || (report != nullptr && !report->targets.empty());
+        const bool isAnswer = std::holds_alternative<model::BundleCurrent>(message)
+            || std::holds_alternative<model::BundlePush>(message) || std::holds_alternative<model::BundlePart>(message);
+        EXPECT_TRUE(areTargetsSent || !isAnswer);
+        isAnswered = isAnswered || isAnswer;
+    }
+    EXPECT_TRUE(areTargetsSent);
+    EXPECT_TRUE(isAnswered);
+}
+
+// Guards against gateways that share by numbers that changed: two of them would use the same share.
+TEST(MembershipTest, GatewaysAreNumberedAgainWhenOneJoinsOrIsLost)
+{
+    RegistryCluster cluster(3);
+    const auto numbersTold = [&cluster](const std::string& host) {
+        std::pair<uint32_t, uint32_t> told;
+        for (const model::Message& message : cluster.drainSentTo(host)) {
+            if (const auto* report = std::get_if<model::TargetReport>(&message))
+                told = {report->gatewayNumber, report->gateways};
+        }
+        return told;
+    };
+    const auto heartbeatsOf = [&cluster](std::initializer_list<const char*> hosts) {
+        for (int i = 0; i < 8; ++i) {
+            for (const char* host : hosts)
+                cluster.gatewayHeartbeat(0, host, "north-a", "north");
+            cluster.run(1s);
+        }
+    };
+    heartbeatsOf({"10.0.1.2:7000"});
+    EXPECT_EQ(numbersTold("10.0.1.2:7000"), std::pair(1U, 1U));
+    heartbeatsOf({"10.0.1.1:7000", "10.0.1.2:7000"});
+    EXPECT_EQ(numbersTold("10.0.1.1:7000"), std::pair(1U, 2U));
+    EXPECT_EQ(numbersTold("10.0.1.2:7000"), std::pair(2U, 2U));
+    heartbeatsOf({"10.0.1.2:7000"});
+    EXPECT_EQ(numbersTold("10.0.1.2:7000"), std::pair(1U, 1U));
+}
+
 TEST(MembershipTest, OlderHeartbeatIsIgnored)
 {
     RegistryCluster cluster(3);
