--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -357,6 +357,34 @@
     EXPECT_TRUE(recordsAfterRestart().empty());
 }
 
+// Guards against registry hosts that learn of an evacuation and its end at once, and list targets by reports from
+// before.
+TEST(ReopenedZoneTest, HostThatWasCutOffListsTargetsAsSlowUntilTheyReport)
+{
+    RegistryCluster cluster(3);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    const size_t cutOff = (cluster.leader().value() + 1) % 3;
+    ASSERT_EQ(statusOf(cluster.call(cutOff, "POST", "/v1/targets/t-1/heartbeat", heartbeatText(1))), 200);
+    cluster.isolate(cutOff);
+    cluster.run(100ms);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/evacuations/north-a")), 200);
+    ASSERT_EQ(statusOf(cluster.order("DELETE", "/v1/evacuations/north-a")), 200);
+    cluster.heal();
+    cluster.run(1s);
+    const std::string gateway = "10.0.1.1:7000";
+    cluster.linkUpTo(cutOff, HostId(gateway), {1});
+    cluster.gatewayHeartbeat(cutOff, gateway, "north-a", "north");
+    cluster.run(100ms);
+    std::vector<model::TargetRecord> records = drainRecords(cluster, gateway);
+    ASSERT_FALSE(records.empty());
+    EXPECT_GT(records.back().slowStartLeft, records.back().age);
+    ASSERT_EQ(statusOf(cluster.call(cutOff, "POST", "/v1/targets/t-1/heartbeat", heartbeatText(2))), 200);
+    cluster.run(300ms);
+    records = drainRecords(cluster, gateway);
+    ASSERT_FALSE(records.empty());
+    EXPECT_EQ(records.back().slowStartLeft, 0s);
+}
+
 TEST_F(TargetRecallTest, TargetsOfEvacuatedZoneAreNotRecalled)
 {
     report("t-1", 1);
