Control: a replica that was removed from the group joins it again

Callers saw: after a region's registry hosts had been cut off for 25 s and returned, the loss of another region stopped orders and reads of the plan.

Cause: a leader sends nothing to replicas that it has removed. One that was cut off, suspended or down meanwhile keeps a committed configuration that names it, and Joining asked only where that configuration doesn't. Its pre-votes are refused without a reason. Ruled out: the links (removed hosts are answered), the leader (it adds any host that asks).

Now a replica that has had no leader for three election timeouts asks to join; leaders ignore members that ask, as before. It keeps its replica id, since its disk is intact, so it doesn't vote twice in a term. Returning hosts don't count as replacements: otherwise each return would cut the removal delay of other hosts from 20 s to 3 s.

--- a/src/control/internal/consensus.cpp
+++ b/src/control/internal/consensus.cpp
@@ -46,6 +46,7 @@
     if (hasStarted_)
         return;
     hasStarted_ = true;
+    context_.leaderContactAt = now;
     election_.start();
 }
 
@@ -78,6 +79,7 @@
         receiver_.startTerm();
     }
     context_.leaderHost = from;
+    context_.leaderContactAt = context_.now;
     election_.onLeaderContact();
     return true;
 }
--- a/src/control/internal/joining.cpp
+++ b/src/control/internal/joining.cpp
@@ -15,6 +15,8 @@
 namespace {
 constexpr Duration JoinRequestInterval = 200ms;
 constexpr Duration JoinAnswerTimeout = 2s;
+/// Election timeouts without a leader after which a member asks to join: longer than most elections take.
+constexpr int LeaderlessTimeouts = 3;
 } // namespace
 
 Joining::Joining(const ControlReplicaOptions& options, Consensus& consensus)
@@ -29,12 +31,19 @@
     return lowest == options_.bootstrapHosts.end() ? HostId {} : *lowest;
 }
 
-void Joining::tick(Timestamp now)
+bool Joining::isKnownMember(Timestamp now) const
 {
     const ReplicaContext& context = consensus_.context();
-    // Until then the leader that added this replica may fail and the change be lost.
-    const bool isCommittedMember = context.configurations.asOf(context.commit).find(context.self);
-    if (isCommittedMember || (hasRequested_ && now < nextRequestAt_))
+    // Until the change is committed, the leader that added this replica may fail and the change be lost.
+    if (!context.configurations.asOf(context.commit).find(context.self))
+        return false;
+    // Leaders send nothing to replicas that they have removed, so a removed one never receives that configuration.
+    return consensus_.isLeader() || now - context.leaderContactAt <= LeaderlessTimeouts * options_.electionTimeout;
+}
+
+void Joining::tick(Timestamp now)
+{
+    if (isKnownMember(now) || (hasRequested_ && now < nextRequestAt_))
         return;
     hasRequested_ = true;
     nextRequestAt_ = now + JoinRequestInterval;
--- a/src/control/internal/joining.h
+++ b/src/control/internal/joining.h
@@ -12,9 +12,10 @@
 
 namespace saltvane::control {
 
-/// Joining of a replica that is in no configuration it knows to be committed: it sends join requests. If every control
-/// host of the settings has a new disk, the one with the lowest id collects their replica ids and writes the initial
-/// configuration. A single disk with data prevents this, so that a deployment is bootstrapped only once.
+/// Joining of a replica that is in no configuration it knows to be committed, or that has had no leader for a while and
+/// may have been removed meanwhile: it sends join requests, which the leader ignores if the replica is a member. If
+/// every control host of the settings has a new disk, the one with the lowest id collects their replica ids and writes
+/// the initial configuration. A single disk with data prevents this, so that a deployment is bootstrapped only once.
 class Joining {
 public:
     Joining(const ControlReplicaOptions& options, Consensus& consensus);
@@ -30,6 +31,7 @@
         Timestamp at;
     };
 
+    [[nodiscard]] bool isKnownMember(Timestamp now) const;
     void sendJoinRequests();
     void sendJoinRequest(const HostId& host, const model::ReplicaId& inviter);
     void startDeployment(Timestamp now);
--- a/src/control/internal/replicachanges.cpp
+++ b/src/control/internal/replicachanges.cpp
@@ -37,7 +37,7 @@
         || std::ranges::find(options_.bootstrapHosts, from) != options_.bootstrapHosts.end();
     if (!consensus_.isLeader() || !isControlHost || request.host != from || from == options_.self)
         return;
-    joiners_[from] = {.replica = request.replica, .requestedAt = now};
+    joiners_[from] = {.replica = request.replica, .isNewDisk = request.isNewDisk, .requestedAt = now};
 }
 
 void ReplicaChanges::tick(Timestamp now)
@@ -125,7 +125,7 @@
         const HostId& host = joinerHost;
         if (configuration.find(joiner.replica))
             continue;
-        if (!configuration.findHost(host)) {
+        if (joiner.isNewDisk && !configuration.findHost(host)) {
             if (std::optional<std::vector<ReplicaInfo>> freed = withoutUnresponsive(configuration, true, now))
                 return freed;
         }
@@ -134,7 +134,8 @@
             std::erase_if(replicas, [&](const ReplicaInfo& info) { return info.host == host; });
         else {
             replicas.push_back({.replica = joiner.replica, .host = host, .isVoter = false});
-            joinedAt_ = now;
+            if (joiner.isNewDisk)
+                joinedAt_ = now;
         }
         return replicas;
     }
--- a/src/control/internal/replicachanges.h
+++ b/src/control/internal/replicachanges.h
@@ -16,8 +16,8 @@
 
 /// A leader's configuration changes, one replica at a time. If a host joins with a new disk, the replica of its lost
 /// disk is removed and the new one added as a learner, which becomes a voter once it has everything that was committed
-/// when it joined. With open membership unresponsive replicas are removed too: soon if another host requests to join,
-/// otherwise after a longer time.
+/// when it joined. With open membership unresponsive replicas are removed too: soon if a host with a new disk requests
+/// to join, otherwise after a longer time. A removed replica that is responsive again joins like a new one.
 class ReplicaChanges {
 public:
     ReplicaChanges(const ControlReplicaOptions& options, Consensus& consensus);
@@ -28,6 +28,7 @@
 private:
     struct Joiner {
         model::ReplicaId replica;
+        bool isNewDisk = false; ///< May replace an unresponsive host. A replica with data returns to its own place.
         Timestamp requestedAt;
     };
 
--- a/src/control/internal/replicacontext.h
+++ b/src/control/internal/replicacontext.h
@@ -56,6 +56,7 @@
     Role role = Role::Follower;
     model::ReplicaId leader; ///< Empty: unknown.
     HostId leaderHost;
+    Timestamp leaderContactAt {}; ///< Latest message from a leader; before the first, the start of the process.
     ReplicatedLog log;
     ConfigurationHistory configurations;
     StorageQueue storage;
--- a/src/control/tests/fakecluster.cpp
+++ b/src/control/tests/fakecluster.cpp
@@ -44,7 +44,8 @@
 FakeHost* FakeCluster::leader()
 {
     for (const auto& host : hosts_) {
-        if (host->replica && host->replica->isLeader() && host->replica->isCurrent(localNow(*host)))
+        if (host->replica && !host->isSuspended && host->replica->isLeader()
+            && host->replica->isCurrent(localNow(*host)))
             return host.get();
     }
     return nullptr;
@@ -68,6 +69,7 @@
         .bootstrapHosts = {},
         .bootstrapOperators = {TestOperator("ana").info(), TestOperator("ben").info()},
         .parseBundle = &parseTestBundle,
+        .isMembershipOpen = options.isMembershipOpen,
         .wallClockUnixMs = [this] { return (now_.time_since_epoch() + wallClockOffset) / 1ms; },
         .entriesPerSnapshot = options.entriesPerSnapshot,
         .snapshotChunkBytes = options.snapshotChunkBytes,
@@ -85,6 +87,7 @@
 {
     FakeHost& host = *hosts_[number];
     host.replica.reset();
+    host.isSuspended = false;
     if (host.writing && !host.disk->acknowledgesWithoutSync)
         host.disk->write(*host.writing, steps ? *steps : random(host.writing->append.size() + 4));
     host.writing.reset();
@@ -113,6 +116,13 @@
     }
 }
 
+void FakeCluster::resume(size_t number)
+{
+    hosts_[number]->isSuspended = false;
+    for (Event& event : std::exchange(suspendedEvents_, {}))
+        schedule(now_, std::move(event));
+}
+
 void FakeCluster::healLinks() { cuts_.clear(); }
 
 void FakeCluster::tick(size_t number)
@@ -189,6 +199,10 @@
     auto next = events_.extract(events_.begin());
     now_ = next.key();
     FakeHost& host = *hosts_[next.mapped().host];
+    if (host.isSuspended) {
+        suspendedEvents_.push_back(std::move(next.mapped()));
+        return true;
+    }
     if (host.replica && host.incarnation == next.mapped().incarnation) {
         next.mapped().handler(host);
         if (onEvent)
--- a/src/control/tests/fakecluster.h
+++ b/src/control/tests/fakecluster.h
@@ -31,6 +31,7 @@
     Duration maxSyncDelay = 4ms;
     uint32_t entriesPerSnapshot = 4096;
     uint32_t snapshotChunkBytes = 64 * 1024;
+    bool isMembershipOpen = false;
 };
 
 /// One control host of a FakeCluster.
@@ -40,6 +41,7 @@
     std::unique_ptr<IControlReplica> replica; ///< Null while the process is down.
     Incarnation incarnation;
     double clockRate = 1; ///< Speed of the monotonic clock. Leases are only safe at 1.
+    bool isSuspended = false;
     model::Counters counters;
     std::optional<StorageWrite> writing; ///< Write in progress.
     std::map<SubmissionId, Result<BundleRecord, ControlError>> answers;
@@ -59,7 +61,7 @@
     [[nodiscard]] size_t size() const { return hosts_.size(); }
     [[nodiscard]] Timestamp now() const { return now_; }
     [[nodiscard]] Timestamp localNow(const FakeHost& host) const;
-    /// A leader that is current; null if there is none.
+    /// A leader that is current and not suspended; null if there is none.
     [[nodiscard]] FakeHost* leader();
     [[nodiscard]] size_t numberOf(const FakeHost& host) const;
     [[nodiscard]] bool isUp(size_t number) const { return hosts_[number]->replica != nullptr; }
@@ -69,8 +71,12 @@
     void crash(size_t number, std::optional<size_t> steps = {});
     void replaceDisk(size_t number);
     void cut(size_t left, size_t right);
+    void cutOneWay(size_t from, size_t to) { cuts_.emplace(from, to); }
     void isolate(size_t number);
     void healLinks();
+    /// Stops the process. Messages and timers that are due meanwhile are handled when it resumes.
+    void suspend(size_t number) { hosts_[number]->isSuspended = true; }
+    void resume(size_t number);
 
     SubmissionId submit(size_t number, Command command);
     void claim(size_t number, const model::Delivery& request);
@@ -101,6 +107,7 @@
     boost::random::mt19937_64 random_;
     Timestamp now_ {100s};
     std::multimap<Timestamp, Event> events_;
+    std::vector<Event> suspendedEvents_;
     std::vector<std::unique_ptr<FakeHost>> hosts_;
     std::set<std::pair<size_t, size_t>> cuts_;
     uint64_t lastReplica_ = 0;
