Registry: log the members of the group as each host knows them

A host that was removed from the group and doesn't know it could be told from one that has no leader by /v1/status of all hosts only. group_changed gives the members, the voters and this host's place after each change that it has applied.

--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -110,6 +110,7 @@
     submitPreparedPlan(now);
     orders_.retryWaiting(now);
     logLeaderChange(now);
+    logGroupChange();
     distribute(now);
     recallVerdicts(now);
     recallTargets(now);
@@ -296,6 +297,20 @@
             + std::to_string(replica_->replicas().size()) + " current=" + (replica_->isCurrent(now) ? "yes" : "no"));
 }
 
+void RegistryCore::logGroupChange()
+{
+    if (replica_->replicas() == group_)
+        return;
+    group_ = replica_->replicas();
+    const auto self = std::ranges::find(group_, self_, &control::ReplicaInfo::host);
+    std::string place = "outside";
+    if (self != group_.end())
+        place = self->isVoter ? "voter" : "learner";
+    log(host::LogSeverity::Info,
+        "event=group_changed members=" + std::to_string(group_.size()) + " voters="
+            + std::to_string(std::ranges::count_if(group_, &control::ReplicaInfo::isVoter)) + " self=" + place);
+}
+
 void RegistryCore::log(host::LogSeverity severity, std::string text)
 {
     actions_.emplace_back(host::LogLine {.severity = severity, .module = "registry", .text = std::move(text)});
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -148,6 +148,7 @@
     [[nodiscard]] std::vector<HostLocation> liveRegistryHosts(Timestamp now) const;
     void updateLinks();
     void logLeaderChange(Timestamp now);
+    void logGroupChange();
     void log(host::LogSeverity severity, std::string text);
     void send(std::vector<model::OutgoingMessage> outgoing);
 
@@ -194,6 +195,7 @@
     PeerDirectory peers_; ///< As of peersUpdatedAt_.
     std::optional<Timestamp> peersUpdatedAt_;
     HostId leader_;
+    std::vector<control::ReplicaInfo> group_; ///< As logged last.
     host::RoutedLinks links_;
     std::vector<model::TargetRecord> recalled_; ///< Soft state of the previous run, until it is applied.
     std::vector<model::SuspectRequest> recalledVerdicts_; ///< Likewise.
