Control: silence removes a voter only if that lowers the quorum

Of six voters two silent ones were removed after 20 s. The four that were left need three: the group bears one further loss, as with five members, of whom three are needed too. The fifth, however, counts as soon as it is back. With four members, the loss of another region at the moment at which the first returned stopped the group until one of them was back.

Weighed: no removal without a replacement (a group of six bears no loss during a region's outage, and disks that are gone add up against the quorum); removal down to three, as before. Hosts whose place a new one takes are removed as before.

Before: GroupBearsTheLossOfARegionAtTheEndOfAnothersOutage failed, four voters of five expected.

--- a/src/control/internal/replicachanges.cpp
+++ b/src/control/internal/replicachanges.cpp
@@ -76,23 +76,44 @@
     }
 }
 
-Duration ReplicaChanges::removalDelay(Timestamp unresponsiveSince, bool hasJoiner) const
+bool ReplicaChanges::isReplaced(Timestamp unresponsiveSince) const
 {
-    const bool isReplaced = joinedAt_ && *joinedAt_ >= unresponsiveSince - PlannedReplacementTimeout;
-    return hasJoiner || isReplaced ? ReplacementDelay : RemovalDelay;
+    return joinedAt_ && *joinedAt_ >= unresponsiveSince - PlannedReplacementTimeout;
+}
+
+bool ReplicaChanges::isOverdue(const ReplicaInfo& info, bool hasJoiner, Timestamp now) const
+{
+    const auto found = unresponsiveSince_.find(info.replica);
+    if (found == unresponsiveSince_.end())
+        return false;
+    const Duration delay = hasJoiner || isReplaced(found->second) ? ReplacementDelay : RemovalDelay;
+    return now - found->second >= delay;
+}
+
+bool ReplicaChanges::isRemovalUseful(const Configuration& configuration, Timestamp now) const
+{
+    const auto voters = std::ranges::count_if(configuration.replicas, &ReplicaInfo::isVoter);
+    const auto overdue = std::ranges::count_if(
+        configuration.replicas, [&](const ReplicaInfo& info) { return info.isVoter && isOverdue(info, false, now); });
+    // An even group has the quorum of the next larger one. A host that stays a member votes as soon as it is back.
+    const auto smallestUseful = (voters - overdue) | 1;
+    return voters > smallestUseful;
 }
 
 std::optional<std::vector<ReplicaInfo>> ReplicaChanges::withoutUnresponsive(
     const Configuration& configuration, bool hasJoiner, Timestamp now)
 {
+    const bool mayRemoveUnreplaced = isRemovalUseful(configuration, now);
     const ReplicaInfo* longest = nullptr;
     Timestamp since = now;
     for (const ReplicaInfo& info : configuration.replicas) {
-        const auto found = unresponsiveSince_.find(info.replica);
-        if (found == unresponsiveSince_.end() || now - found->second < removalDelay(found->second, hasJoiner)
-            || found->second > since)
+        if (!isOverdue(info, hasJoiner, now))
+            continue;
+        const Timestamp unresponsiveSince = unresponsiveSince_.at(info.replica);
+        const bool isUnreplacedVoter = info.isVoter && !hasJoiner && !isReplaced(unresponsiveSince);
+        if (unresponsiveSince > since || (isUnreplacedVoter && !mayRemoveUnreplaced))
             continue;
-        since = found->second;
+        since = unresponsiveSince;
         longest = &info;
     }
     if (longest == nullptr || configuration.replicas.size() <= MinReplicas)
--- a/src/control/internal/replicachanges.h
+++ b/src/control/internal/replicachanges.h
@@ -17,7 +17,8 @@
 /// A leader's configuration changes, one replica at a time. If a host joins with a new disk, the replica of its lost
 /// disk is removed and the new one added as a learner, which becomes a voter once it has everything that was committed
 /// when it joined. With open membership unresponsive replicas are removed too: soon if a host with a new disk requests
-/// to join, otherwise after a longer time. A removed replica that is responsive again joins like a new one.
+/// to join, otherwise after a longer time and only as far as that lowers the quorum. A removed replica that is
+/// responsive again joins like a new one.
 class ReplicaChanges {
 public:
     ReplicaChanges(const ControlReplicaOptions& options, Consensus& consensus);
@@ -37,7 +38,11 @@
     /// another host waits to join.
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> withoutUnresponsive(
         const Configuration& configuration, bool hasJoiner, Timestamp now);
-    [[nodiscard]] Duration removalDelay(Timestamp unresponsiveSince, bool hasJoiner) const;
+    /// Another host joins in the place of one that has been unresponsive since then.
+    [[nodiscard]] bool isReplaced(Timestamp unresponsiveSince) const;
+    [[nodiscard]] bool isOverdue(const ReplicaInfo& info, bool hasJoiner, Timestamp now) const;
+    /// Whether the group has more overdue voters than it can remove to lower its quorum.
+    [[nodiscard]] bool isRemovalUseful(const Configuration& configuration, Timestamp now) const;
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextChange(Timestamp now);
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextJoin(const Configuration& configuration, Timestamp now);
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextPromotion(const Configuration& configuration) const;
--- a/src/control/tests/replicareturntests.cpp
+++ b/src/control/tests/replicareturntests.cpp
@@ -233,6 +233,30 @@
     EXPECT_TRUE(cluster_->submitAndWait(Ben.approve(1)));
 }
 
+// Guards against a group that removes more hosts than it gains from, and stops when another region is lost at the
+// moment at which they return.
+TEST_F(ReplicaReturnTest, GroupBearsTheLossOfARegionAtTheEndOfAnothersOutage)
+{
+    cutOff(first_);
+    cutOff(second_);
+    cluster_->run(LongOutage + LongOutage);
+    EXPECT_EQ(voters(*cluster_), 5U);
+    cluster_->crash((leader_ + 3) % cluster_->size());
+    cluster_->crash((leader_ + 4) % cluster_->size());
+    cluster_->healLinks();
+    EXPECT_TRUE(cluster_->submitAndWait(Ben.approve(1)));
+}
+
+// Guards against a group that keeps so many hosts that are gone that it bears no further loss.
+TEST_F(ReplicaReturnTest, GroupBearsAFurtherLossDuringALongOutage)
+{
+    cutOff(first_);
+    cutOff(second_);
+    cluster_->run(LongOutage);
+    cluster_->crash((leader_ + 3) % cluster_->size());
+    EXPECT_TRUE(cluster_->submitAndWait(Ben.approve(1)));
+}
+
 // Guards against a former leader that believes in its old group after it was cut off.
 TEST_F(ReplicaReturnTest, LeaderThatWasCutOffIsAVoterAgain)
 {
