Credits are granted by the newest limit that the gateway or the registry host knows

Cause: a registry host granted by the limit of its own plan as long as it had its lease (48 s). The lease proves the set of holders, not the limit, and neither request nor answer said by which limit it was meant. Ruled out: gateways with the former plan (the case waits until all have the new one), credits from before the change (the runs go on).

Requests for credits now name the account's limit with the log position of the sender's plan; the host grants by the newer of that and its own, and names it to the holders it asks. The message grows by about 60 bytes for each account named.

--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -55,7 +55,7 @@
         return log(host::LogSeverity::Error, "event=plan_unreadable version=" + std::to_string(source.version.value));
     if (!routes_)
         routes_ = std::make_shared<RouteTable>();
-    routes_->install(std::move(parsed->plan.value()));
+    routes_->install(std::move(parsed->plan.value()), source.position);
     split_.install(routes_->plan());
     runner_.install(routes_);
     updateSplit(now);
--- a/src/gateway/internal/limitcredits.cpp
+++ b/src/gateway/internal/limitcredits.cpp
@@ -55,11 +55,12 @@
     }
 }
 
-void LimitCredits::request(requests::HttpHandle handle, const model::LimitId& limit, size_t maxSources, Timestamp now)
+void LimitCredits::request(CreditRequest request, Timestamp now)
 {
     if (!isRegistryUnresponsive_ || tryStartProbe(now))
-        return send({.handle = handle, .limit = limit, .maxSources = maxSources}, now);
-    results_.push_back({.handle = handle, .reason = model::Reason::LimitUnknown, .retryAfter = UnknownLimitRetryAfter});
+        return send({.credit = std::move(request)}, now);
+    results_.push_back(
+        {.handle = request.handle, .reason = model::Reason::LimitUnknown, .retryAfter = UnknownLimitRetryAfter});
 }
 
 bool LimitCredits::tryStartProbe(Timestamp now)
@@ -79,9 +80,10 @@
 {
     const auto source = std::ranges::find_if(sources_,
         [&](const HostId& host) { return std::ranges::find(request.askedHosts, host) == request.askedHosts.end(); });
-    if (source == sources_.end() || request.askedHosts.size() >= request.maxSources) {
-        results_.push_back(
-            {.handle = request.handle, .reason = model::Reason::LimitUnknown, .retryAfter = UnknownLimitRetryAfter});
+    if (source == sources_.end() || request.askedHosts.size() >= request.credit.maxSources) {
+        results_.push_back({.handle = request.credit.handle,
+            .reason = model::Reason::LimitUnknown,
+            .retryAfter = UnknownLimitRetryAfter});
         return;
     }
     request.source = *source;
@@ -90,8 +92,12 @@
     request.timeoutAt = now + AnswerTimeout;
     const uint64_t requestNumber = ++lastRequestNumber_;
     timeouts_.emplace(request.timeoutAt, requestNumber);
-    byHandle_[request.handle] = requestNumber;
-    outgoing_[request.source].asks.push_back({.ask = requestNumber, .limit = request.limit, .credits = 1});
+    byHandle_[request.credit.handle] = requestNumber;
+    model::LimitCreditRequest& message = outgoing_[request.source];
+    message.asks.push_back({.ask = requestNumber, .limit = request.credit.limit, .credits = 1});
+    const std::optional<model::AccountLimitNotice>& accountLimit = request.credit.accountLimit;
+    if (accountLimit && (message.accountLimits.empty() || message.accountLimits.back() != *accountLimit))
+        message.accountLimits.push_back(*accountLimit);
     pendingRequests_.emplace(requestNumber, std::move(request));
 }
 
@@ -99,8 +105,8 @@
 {
     PendingRequest& request = pendingRequests_.at(requestNumber);
     timeouts_.erase({request.timeoutAt, requestNumber});
-    byHandle_.erase(request.handle);
-    request.handle = {};
+    byHandle_.erase(request.credit.handle);
+    request.credit.handle = {};
     request.timeoutAt = now + LateAnswerTimeout;
     timeouts_.emplace(request.timeoutAt, requestNumber);
 }
@@ -118,7 +124,7 @@
     if (found == byHandle_.end())
         return;
     // Its timeout stays scheduled: until then a late answer can still be matched to its limit.
-    pendingRequests_.at(found->second).handle = {};
+    pendingRequests_.at(found->second).credit.handle = {};
     byHandle_.erase(found);
 }
 
@@ -130,7 +136,7 @@
         const auto found = pendingRequests_.find(answer.ask);
         if (found == pendingRequests_.end())
             continue;
-        const PendingRequest& request = found->second;
+        const CreditRequest& request = found->second.credit;
         const bool isPending = request.handle != requests::HttpHandle {};
         if (isPending && answer.credits == 0 && answer.retryAfter == Duration::zero()) {
             requestFromNext(answer.ask, now); // It does not know the limit, or its own share.
@@ -144,7 +150,7 @@
         } else if (answer.credits > 0) {
             returnCredit(request.limit, now);
         }
-        timeouts_.erase({request.timeoutAt, answer.ask});
+        timeouts_.erase({found->second.timeoutAt, answer.ask});
         pendingRequests_.erase(found);
     }
 }
@@ -165,7 +171,7 @@
 {
     while (!timeouts_.empty() && timeouts_.begin()->first <= now) {
         const uint64_t requestNumber = timeouts_.begin()->second;
-        if (pendingRequests_.at(requestNumber).handle != requests::HttpHandle {}) {
+        if (pendingRequests_.at(requestNumber).credit.handle != requests::HttpHandle {}) {
             onTimeout(pendingRequests_.at(requestNumber));
             requestFromNext(requestNumber, now);
             continue;
--- a/src/gateway/internal/limitcredits.h
+++ b/src/gateway/internal/limitcredits.h
@@ -10,6 +10,7 @@
 #include "requests/exchangetypes.h"
 
 #include <deque>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -33,8 +34,14 @@
     void setSources(std::vector<HostId> sources) { sources_ = std::move(sources); }
     /// Uses a spare credit if there is one.
     [[nodiscard]] bool trySpend(const model::LimitId& limit, Timestamp now);
+    struct CreditRequest {
+        requests::HttpHandle handle;
+        model::LimitId limit;
+        std::optional<model::AccountLimitNotice> accountLimit; ///< If it is the limit of an account.
+        size_t maxSources = 0;
+    };
     /// Requests a credit from the registry, from at most `maxSources` hosts in turn; the result follows.
-    void request(requests::HttpHandle handle, const model::LimitId& limit, size_t maxSources, Timestamp now);
+    void request(CreditRequest request, Timestamp now);
     /// The request ended before its result arrived.
     void cancel(requests::HttpHandle handle);
     /// Returns the credit of a request that was not run.
@@ -51,9 +58,7 @@
 
 private:
     struct PendingRequest {
-        requests::HttpHandle handle; ///< 0: the caller's request no longer waits for it.
-        model::LimitId limit;
-        size_t maxSources = 0;
+        CreditRequest credit; ///< Its handle is 0 if the caller's request no longer waits for it.
         HostId source;
         std::vector<HostId> askedHosts; ///< All hosts so far.
         Timestamp sentAt;
--- a/src/gateway/internal/requestcredits.cpp
+++ b/src/gateway/internal/requestcredits.cpp
@@ -19,6 +19,17 @@
 
 } // namespace
 
+std::optional<model::AccountLimitNotice> RequestRunner::accountLimitOf(const Exchange& exchange) const
+{
+    // The plan may have been replaced since the request's arrival.
+    const model::AccountRef account = routes_->findAccountNamed(exchange.account->account.name);
+    if (!account || !account->account.limit)
+        return std::nullopt;
+    return model::AccountLimitNotice {.limit = model::limitIdOf(account->account.name),
+        .rate = *account->account.limit,
+        .plan = routes_->planPosition()};
+}
+
 bool RequestRunner::tryAcquireCredit(Exchange& exchange, Timestamp now)
 {
     if (!exchange.account || !exchange.account->account.limit || exchange.hasCredit)
@@ -28,7 +39,11 @@
     if (exchange.hasCredit)
         return true;
     exchange.phase = Exchange::Phase::AwaitingCredit;
-    options_.credits.request(exchange.handle, limit, MaxSourcesPerAccountCredit, now);
+    options_.credits.request({.handle = exchange.handle,
+                                 .limit = limit,
+                                 .accountLimit = accountLimitOf(exchange),
+                                 .maxSources = MaxSourcesPerAccountCredit},
+        now);
     return false;
 }
 
@@ -42,7 +57,10 @@
         .choice = selection.choice,
         .isLikelyWarm = selection.isLikelyWarm,
         .processingTime = selection.processingTime};
-    options_.credits.request(exchange.handle, model::limitIdOf(targetIncarnation), MaxSourcesPerTargetCredit, now);
+    options_.credits.request({.handle = exchange.handle,
+                                 .limit = model::limitIdOf(targetIncarnation),
+                                 .maxSources = MaxSourcesPerTargetCredit},
+        now);
     return false;
 }
 
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -134,6 +134,8 @@
     /// The client account that the forwarding gateway names, or null.
     [[nodiscard]] model::AccountRef claimedAccountOf(const requests::HttpRequestStarted& request) const;
     [[nodiscard]] std::optional<ForwardedInfo> forwardedInfoOf(const requests::HttpRequestStarted& request) const;
+    /// The limit of the request's account by the plan in force; none if the plan sets none.
+    [[nodiscard]] std::optional<model::AccountLimitNotice> accountLimitOf(const Exchange& exchange) const;
     /// Returns false if the request has to wait for a credit of its account's limit.
     [[nodiscard]] bool tryAcquireCredit(Exchange& exchange, Timestamp now);
     /// Returns false if the request has to wait for a credit of the limit that this target stated.
--- a/src/gateway/internal/routetable.cpp
+++ b/src/gateway/internal/routetable.cpp
@@ -39,8 +39,9 @@
     return route.services[best].service;
 }
 
-void RouteTable::install(model::RoutePlan plan)
+void RouteTable::install(model::RoutePlan plan, const LogPosition& position)
 {
+    planPosition_ = position;
     const std::vector<model::RouteRef>& before = plan_.routes;
     const std::vector<model::RouteRef>& after = plan.routes;
     const auto [beforeEnd, afterEnd] = std::ranges::mismatch(before, after);
--- a/src/gateway/internal/routetable.h
+++ b/src/gateway/internal/routetable.h
@@ -41,7 +41,7 @@
 public:
     /// Replaces the plan and keeps the state of routes that are in both; the cost is proportional to the number of
     /// changed routes.
-    void install(model::RoutePlan plan);
+    void install(model::RoutePlan plan, const LogPosition& position = {});
 
     /// Returns null if no route matches. `host` may include a port.
     [[nodiscard]] PlannedRoute* find(std::string_view host, std::string_view target) const;
@@ -53,6 +53,8 @@
         return accounts_.findNamed(name);
     }
     [[nodiscard]] const model::RoutePlan& plan() const { return plan_; }
+    /// Log position at which the plan came into force.
+    [[nodiscard]] const LogPosition& planPosition() const { return planPosition_; }
 
 private:
     using Routes = std::vector<std::unique_ptr<PlannedRoute>>;
@@ -62,6 +64,7 @@
     void sortRoutes(const std::string& host);
 
     model::RoutePlan plan_;
+    LogPosition planPosition_;
     AccountTable accounts_;
     Routes routes_; ///< In the plan's order.
     /// Routes by host name; the longest prefix first, then in the plan's order.
--- a/src/gateway/tests/accounttests.cpp
+++ b/src/gateway/tests/accounttests.cpp
@@ -143,6 +143,22 @@
     EXPECT_EQ(takeStarts().size(), 1U);
 }
 
+// Guards against registry hosts that don't receive plans and can't tell that a limit was changed.
+TEST_F(AccountTest, CreditRequestsNameTheLimitOfThePlanInForce)
+{
+    sendWithKey("key-l");
+    const auto former = takeAccountLimits();
+    ASSERT_EQ(former.size(), 1U);
+    EXPECT_EQ(former[0].limit, model::limitIdOf(model::ClientAccountName("limited")));
+    EXPECT_EQ(former[0].rate, (model::RateLimit {.perSecond = 10, .burst = 5}));
+    installPlan(2, PublicRoute, R"([{"name":"limited","keys":["key-l"],"rate_per_s":3,"burst":2}])");
+    sendWithKey("key-l");
+    const auto latest = takeAccountLimits();
+    ASSERT_EQ(latest.size(), 1U);
+    EXPECT_EQ(latest[0].rate, (model::RateLimit {.perSecond = 3, .burst = 2}));
+    EXPECT_GT(latest[0].plan, former[0].plan);
+}
+
 TEST_F(AccountTest, RequestOverLimitIsRefusedWithRetryAfter)
 {
     sendWithKey("key-l");
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -76,8 +76,10 @@
             reportedSuspects_ = report->requests;
         const auto* const credits
             = outgoing == nullptr ? nullptr : std::get_if<model::LimitCreditRequest>(&outgoing->message);
-        if (credits != nullptr)
+        if (credits != nullptr) {
             creditRequests_.insert(creditRequests_.end(), credits->asks.begin(), credits->asks.end());
+            accountLimits_.insert(accountLimits_.end(), credits->accountLimits.begin(), credits->accountLimits.end());
+        }
         const auto* const backpressure
             = outgoing == nullptr ? nullptr : std::get_if<model::BackpressureReport>(&outgoing->message);
         if (backpressure != nullptr)
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -85,6 +85,11 @@
     [[nodiscard]] std::vector<model::SuspectRequest> reportedSuspects() const { return reportedSuspects_; }
     /// Credit requests to the registry since the last call.
     [[nodiscard]] std::vector<model::LimitCreditAsk> takeCreditRequests() { return std::exchange(creditRequests_, {}); }
+    /// Limits of accounts named in these requests since the last call.
+    [[nodiscard]] std::vector<model::AccountLimitNotice> takeAccountLimits()
+    {
+        return std::exchange(accountLimits_, {});
+    }
     /// Limits reported to the registry since the last call.
     [[nodiscard]] std::vector<model::BackpressureNotice> takeBackpressure() { return std::exchange(backpressure_, {}); }
     /// Reports about rollouts since the last call.
@@ -117,6 +122,7 @@
     uint64_t lastPull_ = 0; ///< Number of the gateway's latest pull of the plan.
     uint64_t pullToAnswer_ = 0;
     std::vector<model::LimitCreditAsk> creditRequests_;
+    std::vector<model::AccountLimitNotice> accountLimits_;
     std::vector<model::BackpressureNotice> backpressure_;
     std::vector<model::RolloutReport> rolloutReports_;
     std::vector<std::string> decisions_;
--- a/src/model/limitmessages.h
+++ b/src/model/limitmessages.h
@@ -31,9 +31,20 @@
     auto operator<=>(const LimitCreditAsk&) const = default;
 };
 
+/// The limit of a client account, by the plan at a log position.
+struct AccountLimitNotice {
+    LimitId limit;
+    RateLimit rate;
+    LogPosition plan;
+    auto operator<=>(const AccountLimitNotice&) const = default;
+};
+
 /// Sent to a registry host by a gateway, or by another registry host that has no credits left.
 struct LimitCreditRequest {
     std::vector<LimitCreditAsk> asks;
+    /// Limits of the accounts asked for, as the sender knows them: a receiver that is cut off from the other registry
+    /// hosts may have an older plan.
+    std::vector<AccountLimitNotice> accountLimits;
 };
 
 struct LimitCreditAnswer {
--- a/src/registry/internal/accountlimits.cpp
+++ b/src/registry/internal/accountlimits.cpp
@@ -9,8 +9,10 @@
 
 namespace saltvane::registry {
 
-void AccountLimits::install(std::span<const model::AccountRef> accounts)
+void AccountLimits::install(std::span<const model::AccountRef> accounts, const LogPosition& plan)
 {
+    plan_ = plan;
+    version_ += std::erase_if(newer_, [&](const auto& item) { return item.second.plan <= plan; }) > 0 ? 1 : 0;
     const auto [formerBegin, newBegin] = std::ranges::mismatch(accounts_, accounts);
     if (formerBegin == accounts_.end() && newBegin == accounts.end())
         return;
@@ -25,10 +27,29 @@
     accounts_.assign(accounts.begin(), accounts.end());
 }
 
-std::optional<model::RateLimit> AccountLimits::find(const model::LimitId& id) const
+void AccountLimits::record(const model::AccountLimitNotice& notice)
+{
+    const std::optional<model::AccountLimitNotice> known = noticeOf(notice.limit);
+    if (notice.plan <= plan_ || (known && notice.plan <= known->plan))
+        return;
+    version_ += known && known->rate == notice.rate ? 0 : 1;
+    newer_.insert_or_assign(notice.limit, NewerLimit {.rate = notice.rate, .plan = notice.plan});
+}
+
+std::optional<model::AccountLimitNotice> AccountLimits::noticeOf(const model::LimitId& id) const
 {
+    if (const auto newer = newer_.find(id); newer != newer_.end())
+        return model::AccountLimitNotice {.limit = id, .rate = newer->second.rate, .plan = newer->second.plan};
     const auto found = limits_.find(id);
-    return found == limits_.end() ? std::nullopt : std::optional(found->second);
+    if (found == limits_.end())
+        return std::nullopt;
+    return model::AccountLimitNotice {.limit = id, .rate = found->second, .plan = plan_};
+}
+
+std::optional<model::RateLimit> AccountLimits::find(const model::LimitId& id) const
+{
+    const std::optional<model::AccountLimitNotice> notice = noticeOf(id);
+    return notice ? std::optional(notice->rate) : std::nullopt;
 }
 
 } // namespace saltvane::registry
--- a/src/registry/internal/creditpool.cpp
+++ b/src/registry/internal/creditpool.cpp
@@ -135,6 +135,8 @@
 
 void CreditPool::handle(const HostId& from, const model::LimitCreditRequest& request, Timestamp now)
 {
+    for (const model::AccountLimitNotice& notice : request.accountLimits)
+        limits_.record(notice);
     const bool isTransfer = isPeer(from);
     for (const model::LimitCreditAsk& ask : request.asks)
         isTransfer ? handlePeerRequest(from, ask, now) : handleGatewayRequest(from, ask, now);
@@ -189,7 +191,10 @@
             std::ceil(needed / static_cast<double>(std::max<size_t>(requestedPeers.size(), 1))));
         for (const HostId& peer : requestedPeers) {
             transfers_.emplace(++lastTransfer_, Transfer {.id = id, .requestedAt = now});
-            requests_[peer].asks.push_back({.ask = lastTransfer_, .limit = id, .credits = creditsPerPeer});
+            model::LimitCreditRequest& request = requests_[peer];
+            request.asks.push_back({.ask = lastTransfer_, .limit = id, .credits = creditsPerPeer});
+            if (const auto notice = limits_.noticeOf(id))
+                request.accountLimits.push_back(*notice);
         }
         state.pendingTransfers = requestedPeers.size();
         if (!requestedPeers.empty())
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -281,7 +281,7 @@
     if (routing.planPosition != accountsPosition_ && routing.planVersion.value != 0) {
         accountsPosition_ = routing.planPosition;
         if (const auto accounts = accountReader_.readAccounts(routing.planContent))
-            credits_->limits().install(*accounts);
+            credits_->limits().install(*accounts, accountsPosition_);
         else
             log(host::LogSeverity::Error,
                 "event=accounts_unreadable version=" + std::to_string(routing.planVersion.value));
--- a/src/registry/tests/creditpoolfleet.h
+++ b/src/registry/tests/creditpoolfleet.h
@@ -41,6 +41,7 @@
     {
         pools_.resize(options.pools);
         pausedUntil_.resize(options.pools);
+        plans_.resize(options.pools, {.limit = limit_, .position = plan_});
         for (size_t i = 0; i < pools_.size(); ++i)
             restart(i);
         now_ += options.start;
@@ -51,14 +52,25 @@
     {
         std::unique_ptr<CreditPool>& pool = pools_[number];
         pool = std::make_unique<CreditPool>(registryHost(number), now_);
-        pool->limits().install(accounts());
+        installPlan(number);
         refresh(number);
     }
     void setLimit(const model::RateLimit& limit)
     {
         limit_ = limit;
-        for (const auto& pool : pools_)
-            pool->limits().install(accounts());
+        plan_.index.value += 1;
+        for (size_t i = 0; i < pools_.size(); ++i)
+            receivePlan(i);
+    }
+    /// Sets the limit by a plan that doesn't reach the registry hosts of `side_`. All gateways receive it.
+    void setLimitBeyondCut(const model::RateLimit& limit)
+    {
+        limit_ = limit;
+        plan_.index.value += 1;
+        for (size_t i = 0; i < pools_.size(); ++i) {
+            if (!side_.contains(i))
+                receivePlan(i);
+        }
     }
     /// Partitions the network: `side` against all other hosts. A gateway is on the side of its registry host.
     void cut(const std::set<size_t>& side)
@@ -66,6 +78,13 @@
         side_ = side;
         refreshAll();
     }
+    /// Ends the partition. All hosts receive the latest plan.
+    void heal()
+    {
+        cut({});
+        for (size_t i = 0; i < pools_.size(); ++i)
+            receivePlan(i);
+    }
     void pause(size_t number, Duration duration) { pausedUntil_[number] = now_ + duration; }
 
     /// A gateway of this pool requests one credit.
@@ -74,7 +93,8 @@
         const uint64_t number = ++lastRequest_;
         pendingRequests_[number] = pool;
         send(gatewayHost(pool), registryHost(pool),
-            model::LimitCreditRequest {.asks = {{.ask = number, .limit = AccountLimit, .credits = 1}}});
+            model::LimitCreditRequest {.asks = {{.ask = number, .limit = AccountLimit, .credits = 1}},
+                .accountLimits = {{.limit = AccountLimit, .rate = limit_, .plan = plan_}}});
         ++requested;
     }
 
@@ -100,12 +120,12 @@
         }
     }
 
-    /// The most credits that gateways received within any five seconds.
-    [[nodiscard]] double maxGrantedInWindow() const
+    /// The most credits that gateways received within any five seconds that begin at `from` or later.
+    [[nodiscard]] double maxGrantedInWindow(Timestamp from = {}) const
     {
         size_t maxCount = 0;
-        size_t first = 0;
-        for (size_t last = 0; last < grantedAt_.size(); ++last) {
+        size_t first = static_cast<size_t>(std::ranges::lower_bound(grantedAt_, from) - grantedAt_.begin());
+        for (size_t last = first; last < grantedAt_.size(); ++last) {
             while (grantedAt_[last] - grantedAt_[first] > 5s)
                 ++first;
             maxCount = std::max(maxCount, last - first + 1);
@@ -120,6 +140,7 @@
     size_t transfers = 0; ///< Messages between registry hosts.
     std::mt19937& random() { return random_; }
     [[nodiscard]] size_t pools() const { return pools_.size(); }
+    [[nodiscard]] Timestamp now() const { return now_; }
 
 private:
     struct Sent {
@@ -128,9 +149,21 @@
         model::Message message;
     };
 
-    std::vector<model::AccountRef> accounts() const
+    struct Plan {
+        model::RateLimit limit;
+        LogPosition position;
+    };
+
+    void receivePlan(size_t number)
+    {
+        plans_[number] = {.limit = limit_, .position = plan_};
+        installPlan(number);
+    }
+    void installPlan(size_t number)
     {
-        return {model::makeAccount({.name = Account, .keys = {"k"}, .limit = limit_})};
+        const Plan& plan = plans_[number];
+        pools_[number]->limits().install(
+            std::vector {model::makeAccount({.name = Account, .keys = {"k"}, .limit = plan.limit})}, plan.position);
     }
     void refresh(size_t number)
     {
@@ -204,9 +237,11 @@
 
     std::mt19937 random_;
     model::RateLimit limit_;
+    LogPosition plan_ {.term = {1}, .index = {1}};
     Timestamp now_ {100s};
     Timestamp nextRefreshAt_ {};
     std::vector<std::unique_ptr<CreditPool>> pools_;
+    std::vector<Plan> plans_; ///< The latest that each registry host has received; kept on its disk.
     std::vector<Timestamp> pausedUntil_;
     std::set<size_t> side_;
     std::multimap<Timestamp, Sent> inFlight_;
--- a/src/registry/tests/creditpooltests.cpp
+++ b/src/registry/tests/creditpooltests.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <optional>
@@ -99,7 +100,8 @@
     CreditPool cutOff(registryHost(1), now);
     for (CreditPool* pool : {&remaining, &cutOff}) {
         const model::RateLimit limit {.perSecond = Rate, .burst = Rate};
-        pool->limits().install(std::vector {model::makeAccount({.name = Account, .keys = {"k"}, .limit = limit})});
+        pool->limits().install(
+            std::vector {model::makeAccount({.name = Account, .keys = {"k"}, .limit = limit})}, {.index = {1}});
         EXPECT_EQ(grantedBy(*pool, now), 0U); // Without a proof of membership a host has no share.
         pool->setHolders({registryHost(0), registryHost(1)}, 0s, now);
     }
@@ -187,4 +189,103 @@
     EXPECT_LE(static_cast<double>(fleet.granted - before), bound(lower));
 }
 
+// Guards against registry hosts that are cut off and grant credits by a limit that was lowered meanwhile.
+TEST(CreditPoolTest, LoweredLimitBindsHostsThatAreCutOff)
+{
+    const model::RateLimit lower {.perSecond = 20, .burst = 20};
+    const std::vector<double> crowdAtCutOffHosts {10, 10, 1, 1, 1, 1};
+    CreditPoolFleet fleet({.limit = {.perSecond = 240, .burst = 240}});
+    load(fleet, 128, crowdAtCutOffHosts, 5s);
+    fleet.cut({0, 1});
+    fleet.setLimitBeyondCut(lower);
+    load(fleet, 128, crowdAtCutOffHosts, 5s);
+    const Timestamp bindingFrom = fleet.now();
+    const size_t before = fleet.granted;
+    load(fleet, 128, crowdAtCutOffHosts, 15s);
+    EXPECT_LE(fleet.maxGrantedInWindow(bindingFrom), bound(lower));
+    // All hosts grant their shares, whatever side the callers are on.
+    EXPECT_GE(static_cast<double>(fleet.granted - before), 0.8 * lower.perSecond * 15);
+}
+
+// Guards against registry hosts that are cut off and refuse what a raised limit allows.
+TEST(CreditPoolTest, RaisedLimitAppliesAtHostsThatAreCutOff)
+{
+    const model::RateLimit higher {.perSecond = 240, .burst = 240};
+    CreditPoolFleet fleet({.limit = {.perSecond = 20, .burst = 20}});
+    fleet.cut({0, 1});
+    fleet.setLimitBeyondCut(higher);
+    load(fleet, 100, Even, 10s);
+    EXPECT_LE(static_cast<double>(fleet.refused), 0.02 * static_cast<double>(fleet.requested));
+    EXPECT_LE(fleet.maxGrantedInWindow(), bound(higher));
+}
+
+// Guards against a notice of an older plan that replaces a newer limit.
+TEST(CreditPoolTest, NoticesOfOlderPlansAreIgnored)
+{
+    AccountLimits limits;
+    const auto accountsWith = [](double rate) {
+        return std::vector {model::makeAccount({.name = Account, .keys = {"k"}, .limit = {{.perSecond = rate}}})};
+    };
+    const auto noticeOf = [](double rate, uint64_t index) {
+        return model::AccountLimitNotice {
+            .limit = AccountLimit, .rate = {.perSecond = rate}, .plan = {.index = {index}}};
+    };
+    const auto rate = [&limits] { return limits.find(AccountLimit)->perSecond; };
+    limits.install(accountsWith(10), {.index = {5}});
+    limits.record(noticeOf(11, 4));
+    EXPECT_EQ(rate(), 10);
+    limits.record(noticeOf(12, 7));
+    limits.record(noticeOf(13, 6));
+    EXPECT_EQ(rate(), 12);
+    limits.install(accountsWith(14), {.index = {6}});
+    EXPECT_EQ(rate(), 12);
+    limits.install(accountsWith(15), {.index = {8}});
+    EXPECT_EQ(rate(), 15);
+}
+
+// Guards against any partition in which registry hosts that plans don't reach grant more than the newest limit. Limits
+// are lowered and raised several times in a row, and hosts restart meanwhile.
+TEST(RandomizedCreditTest, NewestLimitBindsAllSidesOfPartitions)
+{
+    const char* const seedCount = std::getenv("SALTVANE_SEEDS");
+    const uint64_t seeds = seedCount == nullptr ? 100 : std::stoull(seedCount);
+    const model::RateLimit high {.perSecond = 240, .burst = 240};
+    double served = 0;
+    double allowed = 0;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        std::mt19937 random(seed);
+        CreditPoolFleet fleet({.pools = 3 + random() % 7, .limit = high, .seed = seed});
+        std::set<size_t> side;
+        for (size_t i = 0; i < fleet.pools(); ++i) {
+            if (random() % 2 == 0)
+                side.insert(i);
+        }
+        std::vector<double> weights;
+        for (size_t i = 0; i < fleet.pools(); ++i)
+            weights.push_back(side.contains(i) ? 1 + random() % 9 : random() % 2 + 0.1);
+        load(fleet, 100, weights, 3s);
+        fleet.cut(side);
+        model::RateLimit limit = high;
+        for (size_t change = 0; change < 1 + random() % 3; ++change) {
+            limit.perSecond = std::vector<double> {2, 20, 60}[random() % 3];
+            limit.burst = limit.perSecond * static_cast<double>(random() % 3);
+            fleet.setLimitBeyondCut(limit);
+            load(fleet, 100, weights, 500ms * static_cast<int64_t>(1 + random() % 4));
+            if (random() % 4 == 0)
+                fleet.restart(random() % fleet.pools());
+        }
+        load(fleet, 100, weights, 5s);
+        const Timestamp bindingFrom = fleet.now();
+        const size_t before = fleet.granted;
+        load(fleet, 100, weights, 10s);
+        served += static_cast<double>(fleet.granted - before);
+        allowed += limit.perSecond * 10;
+        fleet.heal();
+        load(fleet, 100, weights, 6s);
+        ASSERT_LE(fleet.maxGrantedInWindow(bindingFrom), bound(limit))
+            << "seed " << seed << " rate " << limit.perSecond << " burst " << limit.burst;
+    }
+    std::cout << seeds << " seeds: " << served / allowed << " of the limits was used\n";
+}
+
 } // namespace saltvane::registry::test
--- a/src/wire/internal/limitmessagecodec.cpp
+++ b/src/wire/internal/limitmessagecodec.cpp
@@ -22,6 +22,21 @@
         .credits = ask.credits()};
 }
 
+Offset<fbs::AccountLimitNotice> encodeAccountLimit(Builder& builder, const model::AccountLimitNotice& notice)
+{
+    const auto limit = encodeName(builder, notice.limit);
+    const fbs::LogPosition plan = encodePosition(notice.plan);
+    return fbs::CreateAccountLimitNotice(builder, limit, notice.rate.perSecond, notice.rate.burst, &plan);
+}
+
+model::AccountLimitNotice decodeAccountLimit(FieldReader& reader, const fbs::AccountLimitNotice& notice)
+{
+    return {.limit = model::LimitId(reader.text(notice.limit(), "AccountLimitNotice.limit")),
+        .rate = {.perSecond = reader.nonNegative(notice.per_second(), "AccountLimitNotice.perSecond"),
+            .burst = reader.nonNegative(notice.burst(), "AccountLimitNotice.burst")},
+        .plan = decodePosition(notice.plan())};
+}
+
 Offset<fbs::LimitCreditAnswer> encodeAnswer(Builder& builder, const model::LimitCreditAnswer& answer)
 {
     return fbs::CreateLimitCreditAnswer(builder, answer.ask, answer.credits, encodeDuration(answer.retryAfter));
@@ -58,7 +73,10 @@
 
 Offset<fbs::LimitCreditRequest> encode(Builder& builder, const model::LimitCreditRequest& message)
 {
-    return fbs::CreateLimitCreditRequest(builder, encodeTables<fbs::LimitCreditAsk>(builder, message.asks, encodeAsk));
+    const auto asks = encodeTables<fbs::LimitCreditAsk>(builder, message.asks, encodeAsk);
+    const auto accountLimits
+        = encodeTables<fbs::AccountLimitNotice>(builder, message.accountLimits, encodeAccountLimit);
+    return fbs::CreateLimitCreditRequest(builder, asks, accountLimits);
 }
 
 Offset<fbs::LimitCreditReply> encode(Builder& builder, const model::LimitCreditReply& message)
@@ -69,7 +87,9 @@
 
 model::LimitCreditRequest decode(FieldReader& reader, const fbs::LimitCreditRequest& message)
 {
-    return {.asks = decodeTables<model::LimitCreditAsk>(reader, message.asks(), "LimitCreditRequest.asks", decodeAsk)};
+    return {.asks = decodeTables<model::LimitCreditAsk>(reader, message.asks(), "LimitCreditRequest.asks", decodeAsk),
+        .accountLimits = decodeTables<model::AccountLimitNotice>(
+            reader, message.account_limits(), "LimitCreditRequest.accountLimits", decodeAccountLimit)};
 }
 
 model::LimitCreditReply decode(FieldReader& reader, const fbs::LimitCreditReply& message)
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -218,7 +218,10 @@
             .askedAgo = 3s,
             .ends = {{.target = 0x1234567890abcdef, .sentAgo = 900ms, .endedAgo = 800ms, .usualShare = 0.03}}}}});
     messages.emplace_back(LimitCreditRequest {
-        .asks = {{.ask = 7, .limit = limitIdOf(ClientAccountName("acme")), .credits = 2}, {.ask = 8}}});
+        .asks = {{.ask = 7, .limit = limitIdOf(ClientAccountName("acme")), .credits = 2}, {.ask = 8}},
+        .accountLimits = {{.limit = limitIdOf(ClientAccountName("acme")),
+            .rate = {.perSecond = 20.5, .burst = 40},
+            .plan = {.term = {3}, .index = {17}}}}});
     messages.emplace_back(
         LimitCreditReply {.answers = {{.ask = 7, .credits = 2}, {.ask = 8, .credits = 0, .retryAfter = 300ms}}});
     messages.emplace_back(BackpressureReport {
