Credits of targets are granted by the newest limit that the asking host knows

The same fault as with limits of accounts: the registry host that holds a target's limit granted by what the target stated before, while gateways that knew the lower limit asked it and no notice reached it (it is cut off from the registry hosts that were told).

A request for a target's credit names the limit and its age; registry hosts pass it on when they ask the holder, and answer with a newer one. A limit that is known already isn't recorded again, so that requests don't extend the list of notices to expire.

--- a/src/gateway/internal/limitcredits.cpp
+++ b/src/gateway/internal/limitcredits.cpp
@@ -95,10 +95,18 @@
     byHandle_[request.credit.handle] = requestNumber;
     model::LimitCreditRequest& message = outgoing_[request.source];
     message.asks.push_back({.ask = requestNumber, .limit = request.credit.limit, .credits = 1});
-    const std::optional<model::AccountLimitNotice>& accountLimit = request.credit.accountLimit;
+    addLimit(message, request.credit);
+    pendingRequests_.emplace(requestNumber, std::move(request));
+}
+
+void LimitCredits::addLimit(model::LimitCreditRequest& message, const CreditRequest& request)
+{
+    const std::optional<model::AccountLimitNotice>& accountLimit = request.accountLimit;
     if (accountLimit && (message.accountLimits.empty() || message.accountLimits.back() != *accountLimit))
         message.accountLimits.push_back(*accountLimit);
-    pendingRequests_.emplace(requestNumber, std::move(request));
+    const std::optional<model::BackpressureNotice>& targetLimit = request.targetLimit;
+    if (targetLimit && (message.targetLimits.empty() || message.targetLimits.back() != *targetLimit))
+        message.targetLimits.push_back(*targetLimit);
 }
 
 void LimitCredits::abandon(uint64_t requestNumber, Timestamp now)
@@ -114,6 +122,8 @@
 void LimitCredits::requestFromNext(uint64_t requestNumber, Timestamp now)
 {
     PendingRequest retry = pendingRequests_.at(requestNumber);
+    if (retry.credit.targetLimit)
+        retry.credit.targetLimit->age += now - retry.sentAt;
     abandon(requestNumber, now);
     send(std::move(retry), now);
 }
--- a/src/gateway/internal/limitcredits.h
+++ b/src/gateway/internal/limitcredits.h
@@ -38,6 +38,7 @@
         requests::HttpHandle handle;
         model::LimitId limit;
         std::optional<model::AccountLimitNotice> accountLimit; ///< If it is the limit of an account.
+        std::optional<model::BackpressureNotice> targetLimit; ///< If it is the limit of a target.
         size_t maxSources = 0;
     };
     /// Requests a credit from the registry, from at most `maxSources` hosts in turn; the result follows.
@@ -66,6 +67,7 @@
     };
 
     void send(PendingRequest request, Timestamp now);
+    static void addLimit(model::LimitCreditRequest& message, const CreditRequest& request);
     /// Tries the next host; without one, the result is that the limit is unknown.
     void requestFromNext(uint64_t requestNumber, Timestamp now);
     void abandon(uint64_t requestNumber, Timestamp now);
--- a/src/gateway/internal/requestcredits.cpp
+++ b/src/gateway/internal/requestcredits.cpp
@@ -59,6 +59,9 @@
         .processingTime = selection.processingTime};
     options_.credits.request({.handle = exchange.handle,
                                  .limit = model::limitIdOf(targetIncarnation),
+                                 .targetLimit = model::BackpressureNotice {.target = targetIncarnation,
+                                     .limit = selection.target->backpressure.limit,
+                                     .age = now - selection.target->backpressure.limitUpdatedAt},
                                  .maxSources = MaxSourcesPerTargetCredit},
         now);
     return false;
--- a/src/gateway/tests/backpressuretests.cpp
+++ b/src/gateway/tests/backpressuretests.cpp
@@ -99,6 +99,19 @@
     EXPECT_EQ(takeCreditRequests().size(), 1U);
 }
 
+// Guards against registry hosts that grant credits by a limit that the target has lowered, without a way to tell.
+TEST_F(BackpressureTest, CreditRequestsNameTheLimitOfTheTarget)
+{
+    const TargetId limited = serveWithLimit("2.1");
+    advance(300ms);
+    request({});
+    const std::vector<model::BackpressureNotice> notices = takeTargetLimits();
+    ASSERT_EQ(notices.size(), 1U);
+    EXPECT_EQ(notices[0].target.target, limited);
+    EXPECT_EQ(notices[0].limit, 2.1);
+    EXPECT_EQ(notices[0].age, 300ms);
+}
+
 TEST_F(BackpressureTest, RequestIsRefusedWithRetryAfterIfNoTargetHasCredit)
 {
     installPlan(1);
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -79,6 +79,7 @@
         if (credits != nullptr) {
             creditRequests_.insert(creditRequests_.end(), credits->asks.begin(), credits->asks.end());
             accountLimits_.insert(accountLimits_.end(), credits->accountLimits.begin(), credits->accountLimits.end());
+            targetLimits_.insert(targetLimits_.end(), credits->targetLimits.begin(), credits->targetLimits.end());
         }
         const auto* const backpressure
             = outgoing == nullptr ? nullptr : std::get_if<model::BackpressureReport>(&outgoing->message);
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -85,6 +85,8 @@
     [[nodiscard]] std::vector<model::SuspectRequest> reportedSuspects() const { return reportedSuspects_; }
     /// Credit requests to the registry since the last call.
     [[nodiscard]] std::vector<model::LimitCreditAsk> takeCreditRequests() { return std::exchange(creditRequests_, {}); }
+    /// Limits of targets named in these requests since the last call.
+    [[nodiscard]] std::vector<model::BackpressureNotice> takeTargetLimits() { return std::exchange(targetLimits_, {}); }
     /// Limits of accounts named in these requests since the last call.
     [[nodiscard]] std::vector<model::AccountLimitNotice> takeAccountLimits()
     {
@@ -123,6 +125,7 @@
     uint64_t pullToAnswer_ = 0;
     std::vector<model::LimitCreditAsk> creditRequests_;
     std::vector<model::AccountLimitNotice> accountLimits_;
+    std::vector<model::BackpressureNotice> targetLimits_;
     std::vector<model::BackpressureNotice> backpressure_;
     std::vector<model::RolloutReport> rolloutReports_;
     std::vector<std::string> decisions_;
--- a/src/model/limitmessages.h
+++ b/src/model/limitmessages.h
@@ -39,12 +39,21 @@
     auto operator<=>(const AccountLimitNotice&) const = default;
 };
 
+/// The limit that a target's responses report.
+struct BackpressureNotice {
+    TargetIncarnation target;
+    std::optional<double> limit; ///< Requests per second, of all gateways together; not set: the limit is lifted.
+    Duration age {}; ///< Time since a response reported it.
+    auto operator<=>(const BackpressureNotice&) const = default;
+};
+
 /// Sent to a registry host by a gateway, or by another registry host that has no credits left.
 struct LimitCreditRequest {
     std::vector<LimitCreditAsk> asks;
-    /// Limits of the accounts asked for, as the sender knows them: a receiver that is cut off from the other registry
-    /// hosts may have an older plan.
+    // The limits asked for, as the sender knows them: a receiver that is cut off from the other registry hosts may have
+    // an older plan, or an older limit of a target.
     std::vector<AccountLimitNotice> accountLimits;
+    std::vector<BackpressureNotice> targetLimits;
 };
 
 struct LimitCreditAnswer {
@@ -58,14 +67,6 @@
     std::vector<LimitCreditAnswer> answers;
 };
 
-/// The limit that a target's responses report.
-struct BackpressureNotice {
-    TargetIncarnation target;
-    std::optional<double> limit; ///< Requests per second, of all gateways together; not set: the limit is lifted.
-    Duration age {}; ///< Time since a response reported it.
-    auto operator<=>(const BackpressureNotice&) const = default;
-};
-
 /// Sent by the gateway that received the response to registry hosts, between registry hosts, and from these to
 /// gateways.
 struct BackpressureReport {
--- a/src/registry/internal/creditpool.cpp
+++ b/src/registry/internal/creditpool.cpp
@@ -135,13 +135,39 @@
 
 void CreditPool::handle(const HostId& from, const model::LimitCreditRequest& request, Timestamp now)
 {
-    for (const model::AccountLimitNotice& notice : request.accountLimits)
-        limits_.record(notice);
+    recordLimits(from, request, now);
     const bool isTransfer = isPeer(from);
     for (const model::LimitCreditAsk& ask : request.asks)
         isTransfer ? handlePeerRequest(from, ask, now) : handleGatewayRequest(from, ask, now);
 }
 
+void CreditPool::recordTargetLimits(
+    const HostId& from, std::span<const model::BackpressureNotice> notices, Timestamp now)
+{
+    for (const model::BackpressureNotice& notice : notices) {
+        if (const auto newer = targetLimits_.record(notice, now))
+            newerTargetLimits_[from].notices.push_back(*newer);
+    }
+}
+
+void CreditPool::recordLimits(const HostId& from, const model::LimitCreditRequest& request, Timestamp now)
+{
+    for (const model::AccountLimitNotice& notice : request.accountLimits)
+        limits_.record(notice);
+    for (const model::BackpressureNotice& notice : request.targetLimits) {
+        if (!targetLimits_.isKnown(notice))
+            recordTargetLimits(from, {&notice, 1}, now);
+    }
+}
+
+void CreditPool::addLimit(const model::LimitId& id, model::LimitCreditRequest& request, Timestamp now) const
+{
+    if (const auto accountLimit = limits_.noticeOf(id))
+        request.accountLimits.push_back(*accountLimit);
+    else if (const auto targetLimit = targetLimits_.noticeOf(id, now))
+        request.targetLimits.push_back(*targetLimit);
+}
+
 void CreditPool::handlePeerRequest(const HostId& from, const model::LimitCreditAsk& ask, Timestamp now)
 {
     LimitState* state = findState(ask.limit, now);
@@ -193,8 +219,7 @@
             transfers_.emplace(++lastTransfer_, Transfer {.id = id, .requestedAt = now});
             model::LimitCreditRequest& request = requests_[peer];
             request.asks.push_back({.ask = lastTransfer_, .limit = id, .credits = creditsPerPeer});
-            if (const auto notice = limits_.noticeOf(id))
-                request.accountLimits.push_back(*notice);
+            addLimit(id, request, now);
         }
         state.pendingTransfers = requestedPeers.size();
         if (!requestedPeers.empty())
@@ -326,8 +351,11 @@
         outgoing.push_back({.to = host, .message = std::move(request)});
     for (auto& [host, reply] : replies_)
         outgoing.push_back({.to = host, .message = std::move(reply)});
+    for (auto& [host, report] : newerTargetLimits_)
+        outgoing.push_back({.to = host, .message = std::move(report)});
     requests_.clear();
     replies_.clear();
+    newerTargetLimits_.clear();
     return outgoing;
 }
 
--- a/src/registry/internal/creditpool.h
+++ b/src/registry/internal/creditpool.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -41,6 +42,9 @@
     void setPeers(std::vector<Peer> peers) { peers_ = std::move(peers); }
     [[nodiscard]] AccountLimits& limits() { return limits_; }
     [[nodiscard]] TargetLimits& targetLimits() { return targetLimits_; }
+    /// Records limits that a gateway or another registry host knows, and tells it those that are newer here: a gateway
+    /// that missed the end of a limit would request credits that no host has.
+    void recordTargetLimits(const HostId& from, std::span<const model::BackpressureNotice> notices, Timestamp now);
 
     void handle(const HostId& from, const model::LimitCreditRequest& request, Timestamp now);
     void handle(const HostId& from, const model::LimitCreditReply& reply, Timestamp now);
@@ -84,6 +88,9 @@
     void recordDemand(LimitState& state, uint32_t credits, Timestamp now) const;
     [[nodiscard]] bool hasLease(Timestamp now) const;
     [[nodiscard]] bool isPeer(const HostId& host) const;
+    void recordLimits(const HostId& from, const model::LimitCreditRequest& request, Timestamp now);
+    /// Adds the limit as this host knows it.
+    void addLimit(const model::LimitId& id, model::LimitCreditRequest& request, Timestamp now) const;
     void handlePeerRequest(const HostId& from, const model::LimitCreditAsk& ask, Timestamp now);
     void handleGatewayRequest(const HostId& from, const model::LimitCreditAsk& ask, Timestamp now);
     void servePending(const model::LimitId& id, LimitState& state);
@@ -113,6 +120,7 @@
     size_t nextBucket_ = 0;
     std::unordered_map<HostId, model::LimitCreditRequest> requests_;
     std::unordered_map<HostId, model::LimitCreditReply> replies_;
+    std::unordered_map<HostId, model::BackpressureReport> newerTargetLimits_;
 };
 
 } // namespace saltvane::registry
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -212,14 +212,7 @@
 {
     if (!credits_)
         return;
-    model::BackpressureReport newerNotices;
-    for (const model::BackpressureNotice& notice : report.notices) {
-        if (const auto known = credits_->targetLimits().record(notice, now))
-            newerNotices.notices.push_back(*known);
-    }
-    // A gateway that missed the end of a limit would request credits that no host has.
-    if (!newerNotices.notices.empty())
-        send({{.to = from, .message = std::move(newerNotices)}});
+    credits_->recordTargetLimits(from, report.notices, now);
     relayFromGateway(report, from, now);
 }
 
--- a/src/registry/internal/targetlimits.cpp
+++ b/src/registry/internal/targetlimits.cpp
@@ -28,7 +28,7 @@
     if (known == entries_.end() && entries_.size() >= MaxLimits)
         return std::nullopt;
     if (known != entries_.end() && reportedAt <= known->second.reportedAt)
-        return known->second.limit == notice.limit ? std::nullopt : std::optional(noticeOf(known->second, now));
+        return known->second.limit == notice.limit ? std::nullopt : std::optional(makeNotice(known->second, now));
     const bool isChanged = known == entries_.end() || known->second.limit != notice.limit;
     entries_.insert_or_assign(
         id, Entry {.target = notice.target, .limit = notice.limit, .reportedAt = reportedAt, .receivedAt = now});
@@ -62,7 +62,19 @@
     return model::RateLimit {.perSecond = std::max(*found->second.limit, MinPerSecond), .burst = Burst};
 }
 
-model::BackpressureNotice TargetLimits::noticeOf(const Entry& entry, Timestamp now)
+bool TargetLimits::isKnown(const model::BackpressureNotice& notice) const
+{
+    const auto known = entries_.find(model::limitIdOf(notice.target));
+    return (known == entries_.end() ? std::nullopt : known->second.limit) == notice.limit;
+}
+
+std::optional<model::BackpressureNotice> TargetLimits::noticeOf(const model::LimitId& id, Timestamp now) const
+{
+    const auto known = entries_.find(id);
+    return known == entries_.end() ? std::nullopt : std::optional(makeNotice(known->second, now));
+}
+
+model::BackpressureNotice TargetLimits::makeNotice(const Entry& entry, Timestamp now)
 {
     return {.target = entry.target, .limit = entry.limit, .age = now - entry.reportedAt};
 }
@@ -71,7 +83,7 @@
 {
     std::vector<model::BackpressureNotice> updates;
     for (const model::LimitId& id : updated_)
-        updates.push_back(noticeOf(entries_.at(id), now));
+        updates.push_back(makeNotice(entries_.at(id), now));
     updated_.clear();
     return updates;
 }
@@ -81,7 +93,7 @@
     std::vector<model::BackpressureNotice> all;
     for (const auto& [id, entry] : entries_) {
         if (entry.limit)
-            all.push_back(noticeOf(entry, now));
+            all.push_back(makeNotice(entry, now));
     }
     return all;
 }
--- a/src/registry/internal/targetlimits.h
+++ b/src/registry/internal/targetlimits.h
@@ -26,6 +26,10 @@
     /// Drops limits that no gateway has reported within RetentionTime.
     void expire(Timestamp now);
 
+    /// Whether the notice states the limit that is known, or none is known and it states none.
+    [[nodiscard]] bool isKnown(const model::BackpressureNotice& notice) const;
+    /// None where no gateway has reported a limit of it.
+    [[nodiscard]] std::optional<model::BackpressureNotice> noticeOf(const model::LimitId& id, Timestamp now) const;
     /// What all gateways together may send; none where the target named no limit or has lifted it.
     [[nodiscard]] std::optional<model::RateLimit> find(const model::LimitId& id) const;
     /// Increases with each change.
@@ -46,7 +50,7 @@
         Timestamp reportedAt;
         Timestamp receivedAt;
     };
-    static model::BackpressureNotice noticeOf(const Entry& entry, Timestamp now);
+    static model::BackpressureNotice makeNotice(const Entry& entry, Timestamp now);
 
     std::unordered_map<model::LimitId, Entry> entries_;
     std::deque<std::pair<Timestamp, model::LimitId>>
--- a/src/registry/tests/creditpooltests.cpp
+++ b/src/registry/tests/creditpooltests.cpp
@@ -219,6 +219,38 @@
     EXPECT_LE(fleet.maxGrantedInWindow(), bound(higher));
 }
 
+// Guards against a host that is cut off and grants credits of a target by a limit that the target has lowered.
+TEST(CreditPoolTest, LoweredTargetLimitBindsHostsThatAreCutOff)
+{
+    const model::TargetIncarnation limitedTarget {.target = TargetId("t-1"), .incarnation = {3}};
+    const auto noticeOf = [&](double limit, Duration age) {
+        return model::BackpressureNotice {.target = limitedTarget, .limit = limit, .age = age};
+    };
+    Timestamp now {100s};
+    CreditPool pool(registryHost(0), now);
+    pool.setHolders({registryHost(0)}, 0s, now);
+    pool.recordTargetLimits(gatewayHost(0), std::vector {noticeOf(20, 0s)}, now);
+    uint32_t granted = 0;
+    for (uint64_t ask = 1; ask <= 50; ++ask) {
+        now += 100ms;
+        pool.handle(gatewayHost(0),
+            {.asks = {{.ask = ask, .limit = model::limitIdOf(limitedTarget), .credits = 1}},
+                .targetLimits = {noticeOf(2, 50ms)}},
+            now);
+        for (const model::OutgoingMessage& outgoing : pool.drainOutgoing()) {
+            if (const auto* reply = std::get_if<model::LimitCreditReply>(&outgoing.message))
+                granted += reply->answers[0].credits;
+        }
+    }
+    EXPECT_GE(granted, 10U);
+    EXPECT_LE(granted, 13U); // Five seconds at 2 per second, and the burst.
+    // A limit that was stated before the known one is answered with the newer one.
+    pool.handle(gatewayHost(0), {.targetLimits = {noticeOf(20, 5s)}}, now);
+    const std::vector<model::OutgoingMessage> outgoing = pool.drainOutgoing();
+    ASSERT_EQ(outgoing.size(), 1U);
+    EXPECT_EQ(std::get<model::BackpressureReport>(outgoing[0].message).notices[0].limit, 2);
+}
+
 // Guards against a notice of an older plan that replaces a newer limit.
 TEST(CreditPoolTest, NoticesOfOlderPlansAreIgnored)
 {
--- a/src/wire/internal/limitmessagecodec.cpp
+++ b/src/wire/internal/limitmessagecodec.cpp
@@ -76,7 +76,8 @@
     const auto asks = encodeTables<fbs::LimitCreditAsk>(builder, message.asks, encodeAsk);
     const auto accountLimits
         = encodeTables<fbs::AccountLimitNotice>(builder, message.accountLimits, encodeAccountLimit);
-    return fbs::CreateLimitCreditRequest(builder, asks, accountLimits);
+    const auto targetLimits = encodeTables<fbs::BackpressureNotice>(builder, message.targetLimits, encodeNotice);
+    return fbs::CreateLimitCreditRequest(builder, asks, accountLimits, targetLimits);
 }
 
 Offset<fbs::LimitCreditReply> encode(Builder& builder, const model::LimitCreditReply& message)
@@ -89,7 +90,9 @@
 {
     return {.asks = decodeTables<model::LimitCreditAsk>(reader, message.asks(), "LimitCreditRequest.asks", decodeAsk),
         .accountLimits = decodeTables<model::AccountLimitNotice>(
-            reader, message.account_limits(), "LimitCreditRequest.accountLimits", decodeAccountLimit)};
+            reader, message.account_limits(), "LimitCreditRequest.accountLimits", decodeAccountLimit),
+        .targetLimits = decodeTables<model::BackpressureNotice>(
+            reader, message.target_limits(), "LimitCreditRequest.targetLimits", decodeNotice)};
 }
 
 model::LimitCreditReply decode(FieldReader& reader, const fbs::LimitCreditReply& message)
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -221,7 +221,9 @@
         .asks = {{.ask = 7, .limit = limitIdOf(ClientAccountName("acme")), .credits = 2}, {.ask = 8}},
         .accountLimits = {{.limit = limitIdOf(ClientAccountName("acme")),
             .rate = {.perSecond = 20.5, .burst = 40},
-            .plan = {.term = {3}, .index = {17}}}}});
+            .plan = {.term = {3}, .index = {17}}}},
+        .targetLimits
+        = {{.target = {.target = TargetId("valuator-1"), .incarnation = {7}}, .limit = 2.1, .age = 30ms}}});
     messages.emplace_back(
         LimitCreditReply {.answers = {{.ask = 7, .credits = 2}, {.ask = 8, .credits = 0, .retryAfter = 300ms}}});
     messages.emplace_back(BackpressureReport {
