Gateways report rollouts to two registry hosts, the nearest that responds and another in turn

Cause: each report went to the first control host of the region only, and seeds of the settings count as such for good, whether they respond or not. One without a leader dropped reports as well. Ruled out by reading: the judgement (counts of the reports that arrive are cumulative and judged as before).

Duplicates don't count twice, since counts are cumulative.

Before: ReportsReachRegistryHostsThatRespondWhileTheFirstSeedIsDown 0 reports of 4, with all reports to the first host.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -406,18 +406,26 @@
 /// The host that receives a report forwards it to the leader.
 void GatewayCore::sendRolloutReports(Timestamp now)
 {
-    const std::vector<HostId> hosts = roster_->sameRegionControlHosts();
-    if (hosts.empty())
-        return;
     for (model::RolloutReport& report : targets_.rollouts().drainReports(now)) {
         report.gateway = self_;
         report.incarnation = incarnation_;
         targets_.addTargetState(report);
-        actions_.emplace_back(
-            requests::Action(model::OutgoingMessage {.to = hosts.front(), .message = std::move(report)}));
+        for (const HostId& host : nextRolloutReportReceivers())
+            actions_.emplace_back(requests::Action(model::OutgoingMessage {.to = host, .message = report}));
     }
 }
 
+std::set<HostId> GatewayCore::nextRolloutReportReceivers()
+{
+    std::set<HostId> receivers;
+    if (!registrySources_.empty())
+        receivers.insert(registrySources_.front());
+    const std::vector<HostId> registries = roster_->controlHosts();
+    if (!registries.empty())
+        receivers.insert(registries[rolloutReports_++ % registries.size()]);
+    return receivers;
+}
+
 void GatewayCore::sendSuspects(Timestamp now)
 {
     const model::SuspectReport report {.requests = quarantine_.drainReports(now)};
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -68,6 +68,9 @@
     void updateLinks();
     void sendLoads(Timestamp now);
     void sendRolloutReports(Timestamp now);
+    /// The nearest registry host and another one each time: a single host may be down, or know no leader to forward the
+    /// report to. Counts in reports are cumulative, so the leader may receive several copies of one.
+    [[nodiscard]] std::set<HostId> nextRolloutReportReceivers();
     void sendSuspects(Timestamp now);
     void sendBackpressure(Timestamp now);
     void sendToRegionRegistries(const model::Message& message);
@@ -123,6 +126,8 @@
     bool haveLoadsBeenSent_ = false;
     Timestamp nextProbeAt_ {};
     Timestamp nextPeerRequestAt_ {};
+    std::vector<HostId> registrySources_; ///< Responsive registry hosts, nearest first.
+    size_t rolloutReports_ = 0; ///< Number of reports so far.
     size_t peerRequests_ = 0; ///< Number of requests for peers so far.
     std::optional<Timestamp> stopRequestedAt_;
     Timestamp lastBusyAt_ {}; ///< When a request or a response was last in progress.
--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -131,6 +131,7 @@
         sources = roster_->controlHosts();
     credits_.setSources(sources);
     replica_->setPeers(sources, {}, now);
+    registrySources_ = std::move(sources);
 }
 
 } // namespace saltvane::gateway
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-const HostId Registry("10.0.0.9:7000");
 constexpr Duration Tick = 20ms;
 
 settings::RoutedHostSettings sampleSettings()
@@ -45,6 +44,8 @@
     settings.leaveLimit = options.leaveLimit;
     settings.planLimit = options.planLimit;
     settings.rolloutShare = options.rolloutShare;
+    if (options.isFirstSeedDown)
+        settings.seeds.insert(settings.seeds.begin(), {.ip = "10.0.0.8", .port = 7000});
     gateway_ = makeGateway({.settings = settings, .incarnation = {1}});
     advance(Tick);
 }
@@ -87,8 +88,10 @@
             backpressure_.insert(backpressure_.end(), backpressure->notices.begin(), backpressure->notices.end());
         const auto* const rollout
             = outgoing == nullptr ? nullptr : std::get_if<model::RolloutReport>(&outgoing->message);
-        if (rollout != nullptr)
+        if (rollout != nullptr) {
             rolloutReports_.push_back(*rollout);
+            rolloutReceivers_.push_back(outgoing->to);
+        }
         if (auto* start = std::get_if<requests::TargetStart>(request))
             (start->path == "/health" ? probes_ : starts_).push_back(std::move(*start));
         else if (auto* response = std::get_if<requests::HttpRespond>(request))
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -16,6 +16,9 @@
 
 namespace saltvane::gateway::test {
 
+/// The registry host from which the fixture's messages come.
+inline const HostId Registry("10.0.0.9:7000");
+
 /// A gateway in virtual time; the test acts as the registry, the callers and the targets.
 class GatewayFixture : public testing::Test {
 protected:
@@ -24,6 +27,7 @@
         Duration leaveLimit = 2500ms;
         Duration planLimit = 2500ms;
         double rolloutShare = 0.05;
+        bool isFirstSeedDown = false; ///< Adds a seed before `Registry` that sends nothing.
     };
     GatewayFixture();
     explicit GatewayFixture(const FixtureOptions& options);
@@ -94,6 +98,8 @@
     }
     /// Limits reported to the registry since the last call.
     [[nodiscard]] std::vector<model::BackpressureNotice> takeBackpressure() { return std::exchange(backpressure_, {}); }
+    /// Receivers of reports about rollouts since the last call.
+    [[nodiscard]] std::vector<HostId> takeRolloutReceivers() { return std::exchange(rolloutReceivers_, {}); }
     /// Reports about rollouts since the last call.
     [[nodiscard]] std::vector<model::RolloutReport> takeRolloutReports() { return std::exchange(rolloutReports_, {}); }
     /// Log lines of request outcomes.
@@ -123,6 +129,7 @@
     std::vector<model::SuspectRequest> reportedSuspects_;
     uint64_t lastPull_ = 0; ///< Number of the gateway's latest pull of the plan.
     uint64_t pullToAnswer_ = 0;
+    std::vector<HostId> rolloutReceivers_;
     std::vector<model::LimitCreditAsk> creditRequests_;
     std::vector<model::AccountLimitNotice> accountLimits_;
     std::vector<model::BackpressureNotice> targetLimits_;
--- a/src/gateway/tests/rollouttests.cpp
+++ b/src/gateway/tests/rollouttests.cpp
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 /// Rollouts at a gateway: which targets get its requests, and how many.
@@ -21,8 +22,8 @@
 
 class RolloutTest : public GatewayFixture {
 protected:
-    RolloutTest()
-        : GatewayFixture({.rolloutShare = 0.1})
+    explicit RolloutTest(const FixtureOptions& options = {.rolloutShare = 0.1})
+        : GatewayFixture(options)
     {
         installPlan(1);
         report({.targets = {ofVersion("old-1", Former), ofVersion("old-2", Former)}});
@@ -67,6 +68,31 @@
     uint64_t lastRequest_ = 0;
 };
 
+const HostId FirstSeed("10.0.0.8:7000");
+
+/// A gateway with two seeds, of which the first sends nothing.
+class RolloutReportTest : public RolloutTest {
+protected:
+    RolloutReportTest()
+        : RolloutTest({.rolloutShare = 0.1, .isFirstSeedDown = true})
+    {
+    }
+    model::HostRecord registryRecord()
+    {
+        return {.host = Registry,
+            .incarnation = {1},
+            .sequence = ++lastSequence_,
+            .zone = ZoneName("north-a"),
+            .region = RegionName("north"),
+            .linkAddress = {.ip = "10.0.0.9", .port = 7000},
+            .isControl = true,
+            .state = model::HostState::Serving};
+    }
+
+private:
+    uint64_t lastSequence_ = 0;
+};
+
 } // namespace
 
 TEST_F(RolloutTest, TrialGetsAtMostItsShareOfTheRequests)
@@ -144,6 +170,36 @@
     EXPECT_EQ(toNew(sendRequests(50)), 50U);
 }
 
+// Guards against reports that all go to a registry host that is down, so that a bad version is not rolled back.
+TEST_F(RolloutReportTest, ReportsReachRegistryHostsThatRespondWhileTheFirstSeedIsDown)
+{
+    order(model::RolloutPhase::Trial);
+    addNewTargets();
+    (void)takeRolloutReceivers();
+    constexpr int Seconds = 4;
+    for (int second = 0; second < Seconds; ++second) {
+        deliver(model::Heartbeat {.record = registryRecord()});
+        advance(1s);
+    }
+    const std::vector<HostId> receivers = takeRolloutReceivers();
+    EXPECT_GE(std::ranges::count(receivers, Registry), Seconds);
+}
+
+// Guards against reports that all go to a registry host that responds and knows no leader to forward them to.
+TEST_F(RolloutReportTest, ReportsReachEachRegistryHost)
+{
+    order(model::RolloutPhase::Trial);
+    addNewTargets();
+    (void)takeRolloutReceivers();
+    constexpr int Seconds = 4;
+    for (int second = 0; second < Seconds; ++second) {
+        deliver(model::Heartbeat {.record = registryRecord()});
+        advance(1s);
+    }
+    const std::vector<HostId> receivers = takeRolloutReceivers();
+    EXPECT_GE(std::ranges::count(receivers, FirstSeed), 2);
+}
+
 TEST_F(RolloutTest, ReportsCountTheAnswersOfBothVersions)
 {
     order(model::RolloutPhase::Trial);
