Targets of a reopened zone are awaited by the log position of the order that reopened it

Callers saw: targets that turned cold in an evacuated zone were flooded by way of registry hosts or gateways that learnt of the evacuation and of its end at once.

Cause: both compared the former list of evacuated zones with the present one, in which such a zone never appeared. What a host recalls from its disk is dated by the orders of that time; it is written again after an order, also if the targets are the same. Records of a registry host that doesn't know of the reopening don't count as reports since.

TargetTest.ReopenedZoneWaitsForReportsOfItsTargets sent its last report without orders, as a host that has applied none would; it now names the orders that reopened the zone, and ZoneThatWasReopenedUnseenWaitsForReportsOfItsTargets holds the other case.

--- a/src/control/controltypes.h
+++ b/src/control/controltypes.h
@@ -127,6 +127,9 @@
     std::string planContent;
     LogPosition planPosition; ///< Log position at which the plan came into force.
     std::set<ZoneName> evacuatedZones;
+    /// Log position at which the latest evacuation of each zone ended. Targets that have not reported since may be in a
+    /// slow start.
+    std::map<ZoneName, LogPosition> reopenedZones;
     membership::RetiredTargets retiredTargets {MaxRetiredTargets};
     std::map<ServiceName, model::RolloutOrder> rollouts; ///< The latest rollout of each service.
     LogPosition ordersPosition; ///< Log position of the latest change to zones, targets or rollouts.
--- a/src/control/internal/controlstate.cpp
+++ b/src/control/internal/controlstate.cpp
@@ -16,13 +16,30 @@
 namespace saltvane::control {
 
 namespace {
-constexpr uint64_t SnapshotFormat = 3;
+constexpr uint64_t SnapshotFormat = 4;
 constexpr size_t SnapshotFieldCount = 7;
-/// Written by earlier software versions, without rollouts; still readable.
+/// Written by earlier software versions; still readable.
+constexpr uint64_t SnapshotFormatWithoutReopenedZones = 3;
 constexpr uint64_t SnapshotFormatWithoutRollouts = 2;
 /// Written by earlier software versions, without routing state; still readable.
 constexpr uint64_t LegacySnapshotFormat = 1;
 constexpr size_t LegacySnapshotFieldCount = 6;
+
+/// No value: the format is unknown.
+std::optional<RoutingFormat> routingFormatOf(uint64_t snapshotFormat)
+{
+    switch (snapshotFormat) {
+    case SnapshotFormatWithoutRollouts:
+        return RoutingFormat::WithoutRollouts;
+    case SnapshotFormatWithoutReopenedZones:
+        return RoutingFormat::WithRollouts;
+    case SnapshotFormat:
+        return RoutingFormat::WithReopenedZones;
+    default:
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 void ControlState::apply(const model::LogEntry& entry)
@@ -78,13 +95,12 @@
     std::optional<BundleTable> bundles = BundleTable::fromJson(reader.array("bundles"));
     std::optional<ClaimTable> claims = ClaimTable::fromJson(reader.array("claims"), clock);
     std::optional<std::vector<ReplicaInfo>> replicas = replicasFromJson(reader.array("replicas"));
-    const bool hasRollouts = format != SnapshotFormatWithoutRollouts;
-    std::optional<RoutingTable> routing
-        = hasRouting ? RoutingTable::fromJson(json->at("routing"), hasRollouts) : RoutingTable {};
-    const bool isKnownFormat = hasRouting ? format == SnapshotFormat || format == SnapshotFormatWithoutRollouts
-                                          : format == LegacySnapshotFormat;
+    const std::optional<RoutingFormat> routingFormat = routingFormatOf(format);
+    const bool isKnownFormat = hasRouting ? routingFormat.has_value() : format == LegacySnapshotFormat;
     if (!reader.isOk() || !isKnownFormat)
         return std::nullopt;
+    std::optional<RoutingTable> routing
+        = hasRouting ? RoutingTable::fromJson(json->at("routing"), *routingFormat) : RoutingTable {};
     if (!bundles || !claims || !replicas || !routing)
         return std::nullopt;
     state.routing_ = *std::move(routing);
--- a/src/control/internal/routingtable.cpp
+++ b/src/control/internal/routingtable.cpp
@@ -9,6 +9,7 @@
 #include "control/internal/fieldreader.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace saltvane::control {
@@ -19,9 +20,8 @@
 
 /// Two days of changes at the expected rate (2,500 a day).
 constexpr size_t MaxPlanDigests = 5000;
-constexpr size_t RoutingFieldCount = 10;
-/// Snapshots of earlier software versions contain no rollouts.
-constexpr size_t RoutingFieldCountWithoutRollouts = 9;
+/// Numbers of fields, by RoutingFormat.
+constexpr std::array<size_t, 3> RoutingFieldCounts {9, 10, 11};
 constexpr size_t MaxRollouts = 1024; ///< One a service.
 /// Versions that get no requests any more, by service; the oldest are dropped.
 constexpr size_t MaxExcludedVersions = 16;
@@ -177,6 +177,10 @@
         state_.evacuatedZones.insert(command.zone);
     else
         state_.evacuatedZones.erase(command.zone);
+    if (command.isEvacuated)
+        state_.reopenedZones.erase(command.zone);
+    else
+        state_.reopenedZones.insert_or_assign(command.zone, position);
     state_.ordersPosition = position;
     return record(state_.planVersion);
 }
@@ -235,18 +239,21 @@
     Json rollouts = Json::array();
     for (const auto& [service, order] : state_.rollouts)
         rollouts.push_back(rolloutToJson(order));
+    Json reopened = Json::array();
+    for (const auto& [zone, position] : state_.reopenedZones)
+        reopened.push_back({{"zone", zone.value()}, {"term", position.term.value}, {"index", position.index.value}});
     return {{"version", state_.planVersion.value}, {"content", state_.planContent},
         {"planTerm", state_.planPosition.term.value}, {"planIndex", state_.planPosition.index.value},
         {"ordersTerm", state_.ordersPosition.term.value}, {"ordersIndex", state_.ordersPosition.index.value},
         {"evacuated", std::move(zones)}, {"retired", std::move(targets)}, {"taken", std::move(taken)},
-        {"rollouts", std::move(rollouts)}};
+        {"rollouts", std::move(rollouts)}, {"reopened", std::move(reopened)}};
 }
 
-std::optional<RoutingTable> RoutingTable::fromJson(const Json& json, bool hasRollouts)
+std::optional<RoutingTable> RoutingTable::fromJson(const Json& json, RoutingFormat format)
 {
     RoutingTable table;
     RoutingState& state = table.state_;
-    FieldReader reader(json, hasRollouts ? RoutingFieldCount : RoutingFieldCountWithoutRollouts);
+    FieldReader reader(json, RoutingFieldCounts.at(static_cast<size_t>(format)));
     reader.read("version", state.planVersion).read("content", state.planContent);
     reader.read("planTerm", state.planPosition.term).read("planIndex", state.planPosition.index);
     reader.read("ordersTerm", state.ordersPosition.term).read("ordersIndex", state.ordersPosition.index);
@@ -269,7 +276,7 @@
             return std::nullopt;
         table.acceptedPlans_.push_back(std::move(plan));
     }
-    if (hasRollouts) {
+    if (format >= RoutingFormat::WithRollouts) {
         for (const Json& item : reader.array("rollouts")) {
             std::optional<model::RolloutOrder> order = rolloutFromJson(item);
             if (!order)
@@ -277,6 +284,17 @@
             state.rollouts.insert_or_assign(order->service, *order);
         }
     }
+    if (format >= RoutingFormat::WithReopenedZones) {
+        for (const Json& item : reader.array("reopened")) {
+            ZoneName zone;
+            LogPosition position;
+            FieldReader fields(item, 3);
+            fields.read("zone", zone).read("term", position.term).read("index", position.index);
+            if (!fields.isOk())
+                return std::nullopt;
+            state.reopenedZones.insert_or_assign(zone, position);
+        }
+    }
     if (!reader.isOk())
         return std::nullopt;
     return table;
--- a/src/control/internal/routingtable.h
+++ b/src/control/internal/routingtable.h
@@ -21,6 +21,9 @@
     = std::is_same_v<Kind,
           ReplacePlan> || std::is_same_v<Kind, SetEvacuation> || std::is_same_v<Kind, RetireTarget> || std::is_same_v<Kind, StartRollout> || std::is_same_v<Kind, AdvanceRollout>;
 
+/// What the routing state in a snapshot contains; earlier software versions wrote less.
+enum class RoutingFormat { WithoutRollouts, WithRollouts, WithReopenedZones };
+
 /// Replicated routing state: the route plan, replaced by compare-and-set, evacuated zones, retired targets and
 /// rollouts. The order of the log resolves all races. A resend of an accepted request gets the first answer.
 class RoutingTable {
@@ -40,8 +43,8 @@
 
     [[nodiscard]] const RoutingState& state() const { return state_; }
     [[nodiscard]] nlohmann::json toJson() const;
-    /// `hasRollouts`: false for a snapshot of an earlier software version.
-    [[nodiscard]] static std::optional<RoutingTable> fromJson(const nlohmann::json& json, bool hasRollouts = true);
+    [[nodiscard]] static std::optional<RoutingTable> fromJson(
+        const nlohmann::json& json, RoutingFormat format = RoutingFormat::WithReopenedZones);
 
 private:
     struct AcceptedPlan {
--- a/src/control/tests/routingtabletests.cpp
+++ b/src/control/tests/routingtabletests.cpp
@@ -32,6 +32,24 @@
     EXPECT_TRUE(resend && resend->isOk());
 }
 
+// Guards against hosts that recover from a snapshot and don't know that targets may be in a slow start.
+TEST(RoutingTableTest, SnapshotContainsWhenZonesWereReopened)
+{
+    const ZoneName zone("a");
+    RoutingTable table;
+    EXPECT_TRUE(table.apply(SetEvacuation {.zone = zone, .isEvacuated = true}, at(3)));
+    EXPECT_TRUE(table.state().reopenedZones.empty());
+    EXPECT_TRUE(table.apply(SetEvacuation {.zone = zone, .isEvacuated = false}, at(4)));
+    const std::optional<RoutingTable> copy = RoutingTable::fromJson(table.toJson());
+    ASSERT_TRUE(copy);
+    EXPECT_EQ(copy->state().reopenedZones, (std::map<ZoneName, LogPosition> {{zone, at(4)}}));
+    EXPECT_TRUE(table.apply(SetEvacuation {.zone = zone, .isEvacuated = true}, at(5)));
+    EXPECT_TRUE(table.state().reopenedZones.empty());
+    nlohmann::json invalid = copy->toJson();
+    invalid["reopened"][0].erase("index");
+    EXPECT_FALSE(RoutingTable::fromJson(invalid));
+}
+
 TEST(RoutingTableTest, OtherContentOfAnAcceptedVersionIsAConflict)
 {
     RoutingTable table;
@@ -128,8 +146,11 @@
     ASSERT_TRUE(copy);
     EXPECT_EQ(copy->state().rollouts, table.state().rollouts);
     nlohmann::json earlier = table.toJson();
+    earlier.erase("reopened");
+    EXPECT_TRUE(RoutingTable::fromJson(earlier, RoutingFormat::WithRollouts));
     earlier.erase("rollouts");
-    EXPECT_TRUE(RoutingTable::fromJson(earlier, false));
+    EXPECT_TRUE(RoutingTable::fromJson(earlier, RoutingFormat::WithoutRollouts));
+    EXPECT_FALSE(RoutingTable::fromJson(earlier));
     nlohmann::json invalid = table.toJson();
     invalid["rollouts"][0]["phase"] = 4;
     EXPECT_FALSE(RoutingTable::fromJson(invalid));
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -21,8 +21,9 @@
     ZoneName name;
     RegionName region;
     bool isClosed = false;
-    Timestamp reopenedAt;
-    uint64_t reopenedByReport = 0; ///< Number of the report that reopened the zone; 0 if it was never closed.
+    Timestamp reopenedAt; ///< When this gateway learnt that the zone's evacuation had ended.
+    LogPosition reopenedPosition; ///< Of the order that ended it.
+    uint64_t reopenedByReport = 0; ///< Number of the report that told of it; 0 if the zone was never reopened.
 };
 
 struct TargetVersionGroup;
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -44,6 +44,7 @@
 {
     reportedAt_ = now;
     ++reports_;
+    reportedOrders_ = report.orders;
     if (report.gateways > 0)
         slowStartShare_.setGateways(report.gatewayNumber, report.gateways);
     applyOrders(report, now);
@@ -72,20 +73,30 @@
 {
     if (report.orders <= orders_)
         return;
-    orders_ = report.orders;
+    const LogPosition known = std::exchange(orders_, report.orders);
     for (const ZoneName& zone : report.evacuatedZones)
         (void)zoneOf(zone);
     for (auto& [name, zone] : zones_) {
         const bool isClosed = std::ranges::find(report.evacuatedZones, name) != report.evacuatedZones.end();
-        if (zone.isClosed && !isClosed) {
-            zone.reopenedAt = now;
-            zone.reopenedByReport = reports_;
-        }
+        if (zone.isClosed && !isClosed)
+            markReopened(zone, report.orders, now);
         zone.isClosed = isClosed;
     }
+    // A zone may have been closed and reopened without a report in between.
+    for (const model::ReopenedZone& reopened : report.reopenedZones) {
+        if (reopened.position > known)
+            markReopened(zoneOf(reopened.zone), reopened.position, now);
+    }
     rollouts_.apply(report.rollouts, now);
 }
 
+void TargetSet::markReopened(TargetZone& zone, const LogPosition& position, Timestamp now) const
+{
+    zone.reopenedAt = now;
+    zone.reopenedPosition = position;
+    zone.reopenedByReport = reports_;
+}
+
 void TargetSet::applyRetired(std::span<const model::TargetIncarnation> retired)
 {
     for (model::TargetIncarnation targetIncarnation : retired) {
@@ -239,7 +250,9 @@
     if (record.isLeaving || retired_.contains(target.targetIncarnation()))
         markLeaving(target);
     target.lastReportAt = now - record.age;
-    target.lastListedInReport = reports_;
+    // A registry host that has not applied the reopening lists the target by a report from before it.
+    if (reportedOrders_ >= target.zone->reopenedPosition)
+        target.lastListedInReport = reports_;
     target.slowUntil = target.lastReportAt + record.slowStartLeft;
     markListed(target, now);
     target.isUnresponsive = record.age >= model::TargetHeartbeatTimeout;
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -124,6 +124,7 @@
     };
 
     void applyOrders(const model::TargetReport& report, Timestamp now);
+    void markReopened(TargetZone& zone, const LogPosition& position, Timestamp now) const;
     void applyRetired(std::span<const model::TargetIncarnation> retired);
     void applyRecord(const model::TargetRecord& record, Timestamp now);
     void applyUnchanged(std::span<const uint64_t> incarnationHashes, Timestamp now);
@@ -156,6 +157,7 @@
     SlowStartShare slowStartShare_;
     bool isConfirmed_ = true;
     LogPosition orders_;
+    LogPosition reportedOrders_; ///< Of the report being applied.
     RolloutTable rollouts_;
     std::map<ZoneName, TargetZone> zones_;
     membership::RetiredTargets retired_;
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -50,7 +50,28 @@
     request({});
     EXPECT_EQ(takeResponse()->status, 503); // The target may be in slow start now.
     record.sequence = 2;
-    reportTargets({record});
+    report({.orders = {.term = {1}, .index = {6}}, .targets = {record}});
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+// Guards against gateways that learn of an evacuation and its end at once and use targets that may be in a slow start.
+TEST_F(TargetTest, ZoneThatWasReopenedUnseenWaitsForReportsOfItsTargets)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    report({.orders = {.term = {1}, .index = {4}}, .targets = {record}});
+    const LogPosition reopening {.term = {1}, .index = {6}};
+    report({.orders = reopening, .reopenedZones = {{.zone = ZoneName("north-a"), .position = reopening}}});
+    request({});
+    EXPECT_EQ(takeResponse()->status, 503);
+    // From a registry host that does not know of the reopening.
+    record.sequence = 2;
+    report({.orders = {.term = {1}, .index = {4}}, .targets = {record}});
+    request({});
+    EXPECT_EQ(takeResponse()->status, 503);
+    record.sequence = 3;
+    report({.orders = reopening, .targets = {record}});
     request({});
     EXPECT_EQ(takeStarts().size(), 1U);
 }
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -51,10 +51,19 @@
     auto operator<=>(const TargetRecord&) const = default;
 };
 
+/// The end of a zone's evacuation.
+struct ReopenedZone {
+    ZoneName zone;
+    LogPosition position; ///< Of the order that ended it.
+    auto operator<=>(const ReopenedZone&) const = default;
+};
+
 /// Sent by a control host to a gateway: the changes since its last report, or the full state.
 struct TargetReport {
     LogPosition orders; ///< Log position of the operator's orders in this report; older orders are obsolete.
     std::vector<ZoneName> evacuatedZones; ///< The complete list.
+    /// The zones that were reopened last; the full state lists all.
+    std::vector<ReopenedZone> reopenedZones;
     std::vector<TargetIncarnation> retired; ///< These and all earlier incarnations get no new work from now on.
     std::vector<TargetRecord> targets;
     std::vector<RolloutOrder> rollouts; ///< The complete list.
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -8,6 +8,7 @@
 #include "settings/routeplanreader.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace saltvane::registry {
@@ -88,6 +89,7 @@
     , orders_(*replica_)
     , nearestGateways_({.host = self_, .zone = settings_.zone, .region = settings_.region})
     , rollouts_(rollout::makeRolloutController())
+    , recalledOrdersPosition_(options.softState.targets.orders)
     , recalled_(options.softState.targets.targets)
     , recalledVerdicts_(options.softState.suspects.requests)
 {
@@ -216,6 +218,7 @@
     const auto& retired = routing.retiredTargets.inOrder();
     const size_t skipped = retired.size() - std::min(retired.size(), MaxRetiredSent);
     report.retired.assign(retired.begin() + static_cast<ptrdiff_t>(skipped), retired.end());
+    report.reopenedZones = reopenedZones(std::numeric_limits<size_t>::max());
     report.targets = targets_.all(gateways(now), now);
     report.gatewayNumber = gatewayNumberOf(gateway, now);
     send({{.to = gateway, .message = std::move(report)}});
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -112,6 +112,8 @@
     void reportTargets(Timestamp now);
     /// Sends all orders, targets and limits over a new link, once.
     void syncGateway(const HostId& gateway, Timestamp now);
+    /// At most `most` zones, those that were reopened last.
+    [[nodiscard]] std::vector<model::ReopenedZone> reopenedZones(size_t most) const;
     /// Tells each gateway its number as well.
     void sendReport(model::TargetReport report, Timestamp now);
     [[nodiscard]] uint32_t gatewayNumberOf(const HostId& gateway, Timestamp now) const;
@@ -197,6 +199,7 @@
     HostId leader_;
     std::vector<control::ReplicaInfo> group_; ///< As logged last.
     host::RoutedLinks links_;
+    LogPosition recalledOrdersPosition_; ///< Recalled targets reported after these orders.
     std::vector<model::TargetRecord> recalled_; ///< Soft state of the previous run, until it is applied.
     std::vector<model::SuspectRequest> recalledVerdicts_; ///< Likewise.
     bool isRecallReleased_ = false;
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+/// Gateways that are connected are told of each order, so that they need only those of the last moments.
+constexpr size_t MaxReopenedZonesSent = 8;
 /// Changes of targets are batched for this long.
 constexpr Duration ReportInterval = 100ms;
 /// How often the hosts that share the limits, and the live registry hosts, are updated.
@@ -36,12 +38,13 @@
         distribute(now);
     if (routing.ordersPosition == appliedOrdersPosition_)
         return;
-    appliedOrdersPosition_ = routing.ordersPosition;
-    // Targets of a formerly evacuated zone may be in a slow start by now: gateways wait for their next report.
-    for (const ZoneName& zone : evacuated_) {
-        if (!routing.evacuatedZones.contains(zone))
+    // Targets of a formerly evacuated zone may be in a slow start by now: gateways wait for their next report. The
+    // order and its end may have been applied at once.
+    for (const auto& [zone, position] : routing.reopenedZones) {
+        if (position > std::max(appliedOrdersPosition_, recalledOrdersPosition_))
             targets_.awaitReportsOf(zone, now);
     }
+    appliedOrdersPosition_ = routing.ordersPosition;
     evacuated_ = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()};
     std::vector<model::RolloutOrder> rollouts;
     for (const auto& [service, order] : routing.rollouts)
@@ -90,11 +93,22 @@
     (void)bundleReplica_->popInstalled(); // A registry host routes no requests by the plan.
 }
 
+std::vector<model::ReopenedZone> RegistryCore::reopenedZones(size_t most) const
+{
+    std::vector<model::ReopenedZone> zones;
+    for (const auto& [zone, position] : replica_->routing().reopenedZones)
+        zones.push_back({.zone = zone, .position = position});
+    std::ranges::sort(zones, std::ranges::greater {}, &model::ReopenedZone::position);
+    zones.resize(std::min(zones.size(), most));
+    return zones;
+}
+
 model::TargetReport RegistryCore::makeReport(Timestamp now) const
 {
     const control::RoutingState& routing = replica_->routing();
     model::TargetReport report {.orders = routing.ordersPosition,
         .evacuatedZones = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()},
+        .reopenedZones = reopenedZones(MaxReopenedZonesSent),
         .gateways = static_cast<uint32_t>(gateways(now).size())};
     for (const auto& [service, order] : routing.rollouts) {
         report.rollouts.push_back(order);
--- a/src/registry/internal/softstate.cpp
+++ b/src/registry/internal/softstate.cpp
@@ -21,10 +21,10 @@
 constexpr Duration SoftStateInterval = 1s;
 
 /// Covers what matters after a restart; excludes the time of the last report, which changes all the time.
-uint64_t contentHash(std::span<const model::TargetRecord> records)
+uint64_t contentHash(const model::TargetReport& state)
 {
-    uint64_t hash = 1;
-    for (const model::TargetRecord& record : records) {
+    uint64_t hash = state.orders.index.value + 1;
+    for (const model::TargetRecord& record : state.targets) {
         const bool isSlow = record.slowStartLeft > Duration::zero();
         const std::string text = record.target.value() + '|' + std::to_string(record.incarnation.value) + '|'
             + toString(record.address) + '|' + record.service.value() + '|' + record.zone.value() + '|'
@@ -77,10 +77,11 @@
     if (std::exchange(softStateVersion_, version) == version)
         return;
     host::SoftState state;
+    state.targets.orders = appliedOrdersPosition_;
     state.targets.targets = targets_.recallable(evacuated_);
     for (const model::SuspectReport& report : suspects_.verdicts(now))
         state.suspects.requests.insert(state.suspects.requests.end(), report.requests.begin(), report.requests.end());
-    const uint64_t hash = contentHash(state.targets.targets) + suspects_.verdictChanges();
+    const uint64_t hash = contentHash(state.targets) + suspects_.verdictChanges();
     if (hash == writtenSoftStateHash_)
         return;
     writtenSoftStateHash_ = hash;
--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -385,6 +385,33 @@
     EXPECT_EQ(records.back().slowStartLeft, 0s);
 }
 
+// Guards against hosts that restart right after a zone was reopened and recall its targets as ready for any rate.
+TEST_F(TargetRecallTest, TargetsThatReportedBeforeTheirZoneWasReopenedAreListedAsSlow)
+{
+    report("t-1", 1);
+    cluster_.run(SoftStateDelay);
+    ASSERT_EQ(statusOf(cluster_.order("PUT", "/v1/evacuations/north-a")), 200);
+    ASSERT_EQ(statusOf(cluster_.order("DELETE", "/v1/evacuations/north-a")), 200);
+    restartAll();
+    for (const model::TargetRecord& record : recordsAfterRestart())
+        EXPECT_GT(record.slowStartLeft, record.age);
+}
+
+// Guards against hosts that make callers wait after each restart because a zone was evacuated once.
+TEST_F(TargetRecallTest, TargetsThatReportedAfterTheirZoneWasReopenedAreRecalled)
+{
+    report("t-1", 1);
+    ASSERT_EQ(statusOf(cluster_.order("PUT", "/v1/evacuations/north-a")), 200);
+    ASSERT_EQ(statusOf(cluster_.order("DELETE", "/v1/evacuations/north-a")), 200);
+    cluster_.run(500ms); // Until all hosts have applied the orders.
+    report("t-1", 2);
+    cluster_.run(SoftStateDelay);
+    restartAll();
+    const std::vector<model::TargetRecord> records = recordsAfterRestart();
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records[0].slowStartLeft, 0s);
+}
+
 TEST_F(TargetRecallTest, TargetsOfEvacuatedZoneAreNotRecalled)
 {
     report("t-1", 1);
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -45,6 +45,19 @@
     return decoded;
 }
 
+Offset<fbs::ReopenedZone> encodeReopenedZone(Builder& builder, const model::ReopenedZone& reopened)
+{
+    const auto zone = encodeName(builder, reopened.zone);
+    const fbs::LogPosition position = encodePosition(reopened.position);
+    return fbs::CreateReopenedZone(builder, zone, &position);
+}
+
+model::ReopenedZone decodeReopenedZone(FieldReader& reader, const fbs::ReopenedZone& reopened)
+{
+    return {.zone = reader.name<ZoneName>(reopened.zone(), "ReopenedZone.zone"),
+        .position = decodePosition(reopened.position())};
+}
+
 /// Earlier versions send only the target ids. Their incarnations are then unknown (0).
 std::vector<model::TargetIncarnation> decodeRetired(FieldReader& reader, const fbs::TargetReport& message)
 {
@@ -90,8 +103,9 @@
         = message.unchanged.empty() ? Offset<flatbuffers::Vector<uint64_t>>() : builder.CreateVector(message.unchanged);
     const auto rollouts = encodeTables<fbs::RolloutOrder>(
         builder, message.rollouts, [](Builder& to, const model::RolloutOrder& order) { return encode(to, order); });
+    const auto reopened = encodeTables<fbs::ReopenedZone>(builder, message.reopenedZones, encodeReopenedZone);
     return fbs::CreateTargetReport(builder, &orders, zones, retired, targets, incarnations, rollouts, message.gateways,
-        unchanged, message.gatewayNumber);
+        unchanged, message.gatewayNumber, reopened);
 }
 
 model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message)
@@ -99,6 +113,8 @@
     return {
         .orders = decodePosition(message.orders()),
         .evacuatedZones = decodeNames<ZoneName>(reader, message.evacuated_zones(), "TargetReport.evacuatedZones"),
+        .reopenedZones = decodeTables<model::ReopenedZone>(
+            reader, message.reopened_zones(), "TargetReport.reopenedZones", decodeReopenedZone),
         .retired = decodeRetired(reader, message),
         .targets = decodeTables<model::TargetRecord>(reader, message.targets(), "TargetReport.targets", decodeRecord),
         .rollouts = decodeTables<model::RolloutOrder>(reader, message.rollouts(), "TargetReport.rollouts",
