--- a/src/control/internal/joining.cpp
+++ b/src/control/internal/joining.cpp
@@ -15,7 +15,7 @@
 namespace {
 constexpr Duration JoinRequestInterval = 200ms;
 constexpr Duration JoinAnswerTimeout = 2s;
-/// Election timeouts without a leader after which a member asks to join: longer than most elections take.
+/// Election timeouts without a leader after which a member sends join requests: longer than most elections take.
 constexpr int LeaderlessTimeouts = 3;
 } // namespace
 
--- a/src/control/internal/replicachanges.cpp
+++ b/src/control/internal/replicachanges.cpp
@@ -95,9 +95,10 @@
     const auto voters = std::ranges::count_if(configuration.replicas, &ReplicaInfo::isVoter);
     const auto overdue = std::ranges::count_if(
         configuration.replicas, [&](const ReplicaInfo& info) { return info.isVoter && isOverdue(info, false, now); });
-    // An even group has the quorum of the next larger one. A host that stays a member votes as soon as it is back.
-    const auto smallestUseful = (voters - overdue) | 1;
-    return voters > smallestUseful;
+    // An even number of voters needs the quorum of the next odd one, in which one more host may return and vote.
+    const auto responsive = voters - overdue;
+    const auto smallestOddGroup = responsive % 2 == 0 ? responsive + 1 : responsive;
+    return voters > smallestOddGroup;
 }
 
 std::optional<std::vector<ReplicaInfo>> ReplicaChanges::withoutUnresponsive(
--- a/src/control/internal/replicachanges.h
+++ b/src/control/internal/replicachanges.h
@@ -38,10 +38,10 @@
     /// another host waits to join.
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> withoutUnresponsive(
         const Configuration& configuration, bool hasJoiner, Timestamp now);
-    /// Another host joins in the place of one that has been unresponsive since then.
+    /// Whether another host has joined in the place of one that has been unresponsive since then.
     [[nodiscard]] bool isReplaced(Timestamp unresponsiveSince) const;
     [[nodiscard]] bool isOverdue(const ReplicaInfo& info, bool hasJoiner, Timestamp now) const;
-    /// Whether the group has more overdue voters than it can remove to lower its quorum.
+    /// Whether the removal of an overdue voter lowers the quorum, alone or together with that of the next one.
     [[nodiscard]] bool isRemovalUseful(const Configuration& configuration, Timestamp now) const;
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextChange(Timestamp now);
     [[nodiscard]] std::optional<std::vector<ReplicaInfo>> nextJoin(const Configuration& configuration, Timestamp now);
--- a/src/control/tests/fakecluster.cpp
+++ b/src/control/tests/fakecluster.cpp
@@ -56,6 +56,23 @@
     return static_cast<size_t>(std::ranges::find(hosts_, &host, &std::unique_ptr<FakeHost>::get) - hosts_.begin());
 }
 
+size_t FakeCluster::voters()
+{
+    const FakeHost* current = leader();
+    if (current == nullptr || !std::ranges::all_of(current->replica->replicas(), &ReplicaInfo::isVoter))
+        return 0;
+    return current->replica->replicas().size();
+}
+
+bool FakeCluster::isMember(size_t number)
+{
+    const FakeHost* current = leader();
+    if (current == nullptr)
+        return false;
+    const std::vector<ReplicaInfo>& replicas = current->replica->replicas();
+    return std::ranges::find(replicas, host(number).id, &ReplicaInfo::host) != replicas.end();
+}
+
 void FakeCluster::schedule(Timestamp time, Event event) { events_.emplace(time, std::move(event)); }
 
 void FakeCluster::start(size_t number)
--- a/src/control/tests/fakecluster.h
+++ b/src/control/tests/fakecluster.h
@@ -64,6 +64,11 @@
     /// A leader that is current and not suspended; null if there is none.
     [[nodiscard]] FakeHost* leader();
     [[nodiscard]] size_t numberOf(const FakeHost& host) const;
+    /// Members of the leader's committed configuration; 0 without a leader, or while some are not voters.
+    [[nodiscard]] size_t voters();
+    [[nodiscard]] bool hasAllVoters() { return voters() == size(); }
+    /// Whether the leader's committed configuration contains the host.
+    [[nodiscard]] bool isMember(size_t number);
     [[nodiscard]] bool isUp(size_t number) const { return hosts_[number]->replica != nullptr; }
 
     void start(size_t number);
--- a/src/gateway/tests/rollouttests.cpp
+++ b/src/gateway/tests/rollouttests.cpp
@@ -77,6 +77,20 @@
         : RolloutTest({.rolloutShare = 0.1, .isFirstSeedDown = true})
     {
     }
+    /// Receivers of the reports of a trial, while the other seed responds.
+    std::vector<HostId> receiversOfReports(Duration duration)
+    {
+        order(model::RolloutPhase::Trial);
+        addNewTargets();
+        (void)takeRolloutReceivers();
+        for (Duration passed {}; passed < duration; passed += 1s) {
+            deliver(model::Heartbeat {.record = registryRecord()});
+            advance(1s);
+        }
+        return takeRolloutReceivers();
+    }
+
+private:
     model::HostRecord registryRecord()
     {
         return {.host = Registry,
@@ -89,7 +103,6 @@
             .state = model::HostState::Serving};
     }
 
-private:
     uint64_t lastSequence_ = 0;
 };
 
@@ -173,31 +186,13 @@
 // Guards against reports that all go to a registry host that is down, so that a bad version is not rolled back.
 TEST_F(RolloutReportTest, ReportsReachRegistryHostsThatRespondWhileTheFirstSeedIsDown)
 {
-    order(model::RolloutPhase::Trial);
-    addNewTargets();
-    (void)takeRolloutReceivers();
-    constexpr int Seconds = 4;
-    for (int second = 0; second < Seconds; ++second) {
-        deliver(model::Heartbeat {.record = registryRecord()});
-        advance(1s);
-    }
-    const std::vector<HostId> receivers = takeRolloutReceivers();
-    EXPECT_GE(std::ranges::count(receivers, Registry), Seconds);
+    EXPECT_GE(std::ranges::count(receiversOfReports(4s), Registry), 4);
 }
 
 // Guards against reports that all go to a registry host that responds and knows no leader to forward them to.
 TEST_F(RolloutReportTest, ReportsReachEachRegistryHost)
 {
-    order(model::RolloutPhase::Trial);
-    addNewTargets();
-    (void)takeRolloutReceivers();
-    constexpr int Seconds = 4;
-    for (int second = 0; second < Seconds; ++second) {
-        deliver(model::Heartbeat {.record = registryRecord()});
-        advance(1s);
-    }
-    const std::vector<HostId> receivers = takeRolloutReceivers();
-    EXPECT_GE(std::ranges::count(receivers, FirstSeed), 2);
+    EXPECT_GE(std::ranges::count(receiversOfReports(4s), FirstSeed), 2);
 }
 
 TEST_F(RolloutTest, ReportsCountTheAnswersOfBothVersions)
