--- a/src/registry/tests/creditpooltests.cpp
+++ b/src/registry/tests/creditpooltests.cpp
@@ -207,6 +207,20 @@
     EXPECT_GE(static_cast<double>(fleet.granted - before), 0.8 * lower.perSecond * 15);
 }
 
+// Guards against holders that no gateway asks, and that pass on credits by a limit that was lowered.
+TEST(CreditPoolTest, LoweredLimitBindsHoldersThatOnlyOtherHoldersAsk)
+{
+    const model::RateLimit lower {.perSecond = 20, .burst = 20};
+    const std::vector<double> crowdAtOneHost {1, 0, 0, 0, 0, 0};
+    CreditPoolFleet fleet({.limit = {.perSecond = 480, .burst = 480}});
+    fleet.cut({0, 1, 2});
+    fleet.setLimitBeyondCut(lower);
+    load(fleet, 200, crowdAtOneHost, 5s);
+    const Timestamp bindingFrom = fleet.now();
+    load(fleet, 200, crowdAtOneHost, 15s);
+    EXPECT_LE(fleet.maxGrantedInWindow(bindingFrom), bound(lower));
+}
+
 // Guards against registry hosts that are cut off and refuse what a raised limit allows.
 TEST(CreditPoolTest, RaisedLimitAppliesAtHostsThatAreCutOff)
 {
