Tests and comments of the group: sentences that had to be read twice, times of return, foreign hosts

HostsThatMayNotJoinStayOutside is new: a request that names another host, and any request of a host that the settings of a closed group don't name, change nothing. FakeCluster::claim is named deliver, since it delivers any message. No change of behaviour.

--- a/src/control/internal/replicachanges.cpp
+++ b/src/control/internal/replicachanges.cpp
@@ -95,7 +95,7 @@
     const auto voters = std::ranges::count_if(configuration.replicas, &ReplicaInfo::isVoter);
     const auto overdue = std::ranges::count_if(
         configuration.replicas, [&](const ReplicaInfo& info) { return info.isVoter && isOverdue(info, false, now); });
-    // An even number of voters needs the quorum of the next odd one, in which one more host may return and vote.
+    // An even group needs as many votes as the next larger odd one, so the last removal would gain nothing.
     const auto responsive = voters - overdue;
     const auto smallestOddGroup = responsive % 2 == 0 ? responsive + 1 : responsive;
     return voters > smallestOddGroup;
--- a/src/control/internal/replicachanges.h
+++ b/src/control/internal/replicachanges.h
@@ -29,7 +29,7 @@
 private:
     struct Joiner {
         model::ReplicaId replica;
-        bool isNewDisk = false; ///< May replace an unresponsive host. A replica with data returns to its own place.
+        bool isNewDisk = false; ///< May replace an unresponsive host. A replica with data is returning.
         Timestamp requestedAt;
     };
 
--- a/src/control/tests/claimtests.cpp
+++ b/src/control/tests/claimtests.cpp
@@ -35,7 +35,7 @@
     {
         FakeHost& leader = *cluster_.leader();
         leader.toHosts.clear();
-        cluster_.claim(cluster_.numberOf(leader), request);
+        cluster_.deliver(cluster_.numberOf(leader), request);
         EXPECT_TRUE(cluster_.runUntil([&] { return !leader.toHosts.empty(); }, 5s));
         return leader.toHosts.empty() ? model::ClaimReply {} : std::get<model::ClaimReply>(leader.toHosts[0].message);
     }
@@ -78,9 +78,9 @@
     const size_t number = cluster_.numberOf(leader);
     cluster_.isolate(number);
     leader.toHosts.clear();
-    cluster_.claim(number, claimOf("entry1", 1, "key")); // Within the lease: appended, but never committed.
+    cluster_.deliver(number, claimOf("entry1", 1, "key")); // Within the lease: appended, but never committed.
     EXPECT_TRUE(cluster_.runUntil([&] { return !leader.toHosts.empty(); }, 5s));
-    cluster_.claim(number, claimOf("entry1", 2, "other"));
+    cluster_.deliver(number, claimOf("entry1", 2, "other"));
     ASSERT_EQ(leader.toHosts.size(), 2U);
     for (const model::OutgoingMessage& outgoing : leader.toHosts)
         EXPECT_EQ(std::get<model::ClaimReply>(outgoing.message).result, model::ClaimResult::NoQuorum);
--- a/src/control/tests/drawnoutages.h
+++ b/src/control/tests/drawnoutages.h
@@ -37,7 +37,7 @@
     void blockIncoming(size_t number);
     void suspend(size_t number);
     void crash(size_t number);
-    /// Crashes a second one with its disk.
+    /// Only one disk is lost in each outage; further hosts crash and keep theirs.
     void loseDisk(size_t number);
     void restart(size_t number);
 
--- a/src/control/tests/fakecluster.cpp
+++ b/src/control/tests/fakecluster.cpp
@@ -255,10 +255,10 @@
     return submission;
 }
 
-void FakeCluster::claim(size_t number, const model::Delivery& request)
+void FakeCluster::deliver(size_t number, const model::Delivery& delivery)
 {
     FakeHost& host = *hosts_[number];
-    host.replica->handle(request, localNow(host));
+    host.replica->handle(delivery, localNow(host));
     pump(number);
 }
 
--- a/src/control/tests/fakecluster.h
+++ b/src/control/tests/fakecluster.h
@@ -84,7 +84,8 @@
     void resume(size_t number);
 
     SubmissionId submit(size_t number, Command command);
-    void claim(size_t number, const model::Delivery& request);
+    /// Delivers a message from a host outside of the cluster.
+    void deliver(size_t number, const model::Delivery& delivery);
     /// Submits at the leader and runs until the answer arrives; no value if it does not arrive in time.
     std::optional<Result<BundleRecord, ControlError>> submitAndWait(Command command);
     [[nodiscard]] uint64_t random(uint64_t below);
--- a/src/control/tests/randomrun.cpp
+++ b/src/control/tests/randomrun.cpp
@@ -125,7 +125,7 @@
         cluster_.wallClockOffset += 2 * ClaimRetention;
     const std::string key = std::to_string(cluster_.random(ClaimKeys));
     checker_.recordClaim(++lastClaim_, key);
-    cluster_.claim(number,
+    cluster_.deliver(number,
         {.from = HostId("entry" + std::to_string(cluster_.random(3))),
             .fromIncarnation = Incarnation {1},
             .message = model::ClaimRequest {.claim = lastClaim_,
--- a/src/control/tests/replicareturntests.cpp
+++ b/src/control/tests/replicareturntests.cpp
@@ -52,8 +52,10 @@
 
     void expectReturn()
     {
+        const Timestamp begin = cluster_->now();
         EXPECT_TRUE(cluster_->runUntil([this] { return cluster_->hasAllVoters(); }, MaxReturnTime))
             << cluster_->voters() << " voters";
+        std::cout << "all hosts were voters after " << (cluster_->now() - begin) / 1ms << " ms\n";
     }
 
     void TearDown() override
@@ -94,8 +96,8 @@
     EXPECT_TRUE(cluster_->submitAndWait(Ben.approve(1)));
 }
 
-// Guards against a group that removes more hosts than it gains from, and stops when another region is lost at the
-// moment at which they return.
+// Guards against removals that don't lower the quorum: the group stops if another region is lost at the moment at which
+// the removed hosts return.
 TEST_F(ReplicaReturnTest, GroupBearsTheLossOfARegionAtTheEndOfAnothersOutage)
 {
     cutOff(first_);
@@ -108,7 +110,7 @@
     EXPECT_TRUE(cluster_->submitAndWait(Ben.approve(1)));
 }
 
-// Guards against a group that keeps so many hosts that are gone that it bears no further loss.
+// Guards against a group that keeps all unresponsive hosts and so tolerates no further loss.
 TEST_F(ReplicaReturnTest, GroupBearsAFurtherLossDuringALongOutage)
 {
     cutOff(first_);
@@ -179,7 +181,7 @@
     expectReturn();
 }
 
-// Guards against a learner that was removed before it became a voter and doesn't know of either.
+// Guards against a learner that is removed before its promotion and keeps waiting for it.
 TEST_F(ReplicaReturnTest, LearnerThatWasRemovedIsAVoterAgain)
 {
     cluster_->crash(first_);
@@ -205,7 +207,7 @@
     expectReturn();
 }
 
-// Guards against a return during a replacement, of which only one change can be made at a time.
+// Guards against a return that waits for, or undoes, the replacement of another host's disk.
 TEST_F(ReplicaReturnTest, HostReturnsWhileAnotherGetsANewDisk)
 {
     cutOff(first_);
@@ -244,6 +246,26 @@
     EXPECT_EQ(leader->replica->term(), term);
 }
 
+// Guards against hosts that join a group by a request which another host has sent, or which no setting allows.
+TEST_F(ReplicaReturnTest, HostsThatMayNotJoinStayOutside)
+{
+    const auto requestToJoin = [this](const HostId& from, const HostId& host) {
+        for (size_t number = 0; number < cluster_->size(); ++number) {
+            cluster_->deliver(number,
+                {.from = from,
+                    .fromIncarnation = {1},
+                    .message = model::JoinRequest {.replica = model::ReplicaId("foreign"), .host = host}});
+        }
+        cluster_->run(MaxReturnTime);
+        return cluster_->leader()->replica->replicas();
+    };
+    const std::vector<ReplicaInfo> members = cluster_->leader()->replica->replicas();
+    EXPECT_EQ(requestToJoin(HostId("stranger"), HostId("other")), members);
+    start({.hosts = 6, .isMembershipOpen = false});
+    const std::vector<ReplicaInfo> closed = cluster_->leader()->replica->replicas();
+    EXPECT_EQ(requestToJoin(HostId("stranger"), HostId("stranger")), closed);
+}
+
 // Guards against outages of any combination of hosts after which the group stays smaller, or loses what was committed.
 TEST(ReplicaReturn, DrawnOutagesLeaveNoHostOutsideTheGroup)
 {
