Gateways count the registry's voters as registry hosts report them

Callers saw: nothing yet; found on reading what ends the restriction of gateways without current information. Such a gateway counts as confirmed while it hears a majority of the registry hosts, but the majority was one of the hosts in its roster, which forgets a host after 10 s of silence. A gateway that hears two of six therefore took these for all after a while, while the other four may evacuate and reopen a zone, and sent at the full rate to targets that may be in a slow start.

Reports to gateways name the voters of the group as the sender knows them; a host that is cut off goes on naming the former ones. Until a report names them the roster counts. Ruled out: the proof of the plan, which such hosts don't have.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -247,6 +247,8 @@
 {
     if (report.gateways > 0)
         retries_.setGateways(report.gateways);
+    if (report.registryVoters > 0)
+        registryVoters_ = report.registryVoters;
     const size_t before = targets_.size();
     targets_.applyReport(report, now);
     runner_.onTargetsReplaced(targets_.drainReplaced(), now);
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -126,6 +126,7 @@
     bool haveLoadsBeenSent_ = false;
     Timestamp nextProbeAt_ {};
     Timestamp nextPeerRequestAt_ {};
+    size_t registryVoters_ = 0; ///< As a registry host reported last; 0: unknown.
     std::vector<HostId> registrySources_; ///< Responsive registry hosts, nearest first.
     size_t rolloutReports_ = 0; ///< Number of reports so far.
     size_t peerRequests_ = 0; ///< Number of requests for peers so far.
--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -100,7 +100,11 @@
 
 void GatewayCore::updateConfirmation(Timestamp now)
 {
-    const auto isMajorityHeard = [&] { return responsiveRegistries(now).size() * 2 > roster_->controlHosts().size(); };
+    const auto isMajorityHeard = [&] {
+        // The roster forgets hosts that are silent for a while.
+        const size_t voters = registryVoters_ > 0 ? registryVoters_ : roster_->controlHosts().size();
+        return responsiveRegistries(now).size() * 2 > voters;
+    };
     targets_.setConfirmed(RegistryWatch::isConfirmed(*replica_, isMajorityHeard, now));
 }
 
--- a/src/gateway/tests/registryfreshnesstests.cpp
+++ b/src/gateway/tests/registryfreshnesstests.cpp
@@ -177,6 +177,22 @@
     EXPECT_LE(sent, 8U);
 }
 
+// Guards against gateways that forget the registry hosts which they don't hear, and take a minority for all of them.
+TEST_F(RegistryFreshnessTest, GatewayThatForgotRegistryHostsSendsNoMoreThanItsShare)
+{
+    report({.orders = {.term = {1}, .index = {5}}, .registryVoters = 6});
+    size_t sent = 0;
+    for (int step = 0; step < 150; ++step) {
+        advance(20ms);
+        answerPull(Duration::max());
+        receiveHeartbeat();
+        const bool wasSent = isSent();
+        if (step >= 100)
+            sent += wasSent ? 1 : 0;
+    }
+    EXPECT_LE(sent, 8U);
+}
+
 // Guards against callers who wait or are refused by a cut-off gateway while a peer could serve them.
 TEST_F(RegistryFreshnessTest, CutOffGatewayHandsOtherRequestsToAPeer)
 {
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -70,6 +70,7 @@
     std::vector<uint64_t> unchanged; ///< Targets that still report as in their latest record, by incarnationHash().
     uint32_t gateways = 0; ///< Gateways in contact with the control host; 0: unknown.
     uint32_t gatewayNumber = 0; ///< Position of the receiver among them, from 1; 0: unknown.
+    uint32_t registryVoters = 0; ///< Voters of the registry's group, as the sender knows it; 0: unknown.
 };
 
 /// Position of a target in the placement of objects; the same for all its incarnations, so that objects are placed on
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -112,8 +112,8 @@
     void reportTargets(Timestamp now);
     /// Sends all orders, targets and limits over a new link, once.
     void syncGateway(const HostId& gateway, Timestamp now);
-    /// At most `most` zones, those that were reopened last.
-    [[nodiscard]] std::vector<model::ReopenedZone> reopenedZones(size_t most) const;
+    /// The zones that were reopened last, `maxCount` at most.
+    [[nodiscard]] std::vector<model::ReopenedZone> reopenedZones(size_t maxCount) const;
     /// Tells each gateway its number as well.
     void sendReport(model::TargetReport report, Timestamp now);
     [[nodiscard]] uint32_t gatewayNumberOf(const HostId& gateway, Timestamp now) const;
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -93,13 +93,13 @@
     (void)bundleReplica_->popInstalled(); // A registry host routes no requests by the plan.
 }
 
-std::vector<model::ReopenedZone> RegistryCore::reopenedZones(size_t most) const
+std::vector<model::ReopenedZone> RegistryCore::reopenedZones(size_t maxCount) const
 {
     std::vector<model::ReopenedZone> zones;
     for (const auto& [zone, position] : replica_->routing().reopenedZones)
         zones.push_back({.zone = zone, .position = position});
     std::ranges::sort(zones, std::ranges::greater {}, &model::ReopenedZone::position);
-    zones.resize(std::min(zones.size(), most));
+    zones.resize(std::min(zones.size(), maxCount));
     return zones;
 }
 
@@ -109,7 +109,9 @@
     model::TargetReport report {.orders = routing.ordersPosition,
         .evacuatedZones = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()},
         .reopenedZones = reopenedZones(MaxReopenedZonesSent),
-        .gateways = static_cast<uint32_t>(gateways(now).size())};
+        .gateways = static_cast<uint32_t>(gateways(now).size()),
+        .registryVoters
+        = static_cast<uint32_t>(std::ranges::count_if(replica_->replicas(), &control::ReplicaInfo::isVoter))};
     for (const auto& [service, order] : routing.rollouts) {
         report.rollouts.push_back(order);
         report.rollouts.back().timeLimit = rollouts_->timeLeft(order, now);
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -105,7 +105,7 @@
         builder, message.rollouts, [](Builder& to, const model::RolloutOrder& order) { return encode(to, order); });
     const auto reopened = encodeTables<fbs::ReopenedZone>(builder, message.reopenedZones, encodeReopenedZone);
     return fbs::CreateTargetReport(builder, &orders, zones, retired, targets, incarnations, rollouts, message.gateways,
-        unchanged, message.gatewayNumber, reopened);
+        unchanged, message.gatewayNumber, reopened, message.registryVoters);
 }
 
 model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message)
@@ -122,6 +122,7 @@
         .unchanged = decodeUnchanged(reader, message),
         .gateways = message.gateways(),
         .gatewayNumber = message.gateway_number(),
+        .registryVoters = message.registry_voters(),
     };
 }
 
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -192,7 +192,8 @@
             .excluded = {TargetVersion("v0")}}},
         .unchanged = {7, 0x1234567890abcdef},
         .gateways = 984,
-        .gatewayNumber = 61});
+        .gatewayNumber = 61,
+        .registryVoters = 9});
     messages.emplace_back(PeerRequest {});
     messages.emplace_back(PeerReport {.peers = {{.host = HostId("host-a"),
                                           .zone = ZoneName("zone-a"),
