Gateways count as confirmed while they hear half of the registry's voters

Cause: three of six registry hosts are cut off from everything for 6.5 s.

An order is acknowledged once more than half of the voters have stored it, so any half contains one that knows it; docs/design/0022 has the argument with evacuations. With an odd number of voters nothing changes. The bound on slow starts stays as it is.

GatewayThatHearsHalfOfTheRegistryHostsSendsAtTheFullRate fails 24 times with the former comparison; gateway 223 tests pass.

--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -100,12 +100,13 @@
 
 void GatewayCore::updateConfirmation(Timestamp now)
 {
-    const auto isMajorityHeard = [&] {
+    const auto isEachQuorumHeard = [&] {
         // The roster forgets hosts that are silent for a while.
         const size_t voters = registryVoters_ > 0 ? registryVoters_ : roster_->controlHosts().size();
-        return responsiveRegistries(now).size() * 2 > voters;
+        // A quorum is more than half of the voters, so it contains one of any half.
+        return voters > 0 && responsiveRegistries(now).size() * 2 >= voters;
     };
-    targets_.setConfirmed(RegistryWatch::isConfirmed(*replica_, isMajorityHeard, now));
+    targets_.setConfirmed(RegistryWatch::isConfirmed(*replica_, isEachQuorumHeard, now));
 }
 
 std::vector<const membership::RosterEntry*> GatewayCore::responsiveRegistries(Timestamp now) const
--- a/src/gateway/internal/registrywatch.cpp
+++ b/src/gateway/internal/registrywatch.cpp
@@ -48,11 +48,11 @@
 }
 
 bool RegistryWatch::isConfirmed(
-    const control::IBundleReplica& replica, const std::function<bool()>& isMajorityHeard, Timestamp now)
+    const control::IBundleReplica& replica, const std::function<bool()>& isEachQuorumHeard, Timestamp now)
 {
     if (replica.answerAge(now) > MaxConfirmedAnswerAge)
         return false;
-    return replica.provenAnswerAge(now) <= MaxConfirmedProofAge || isMajorityHeard();
+    return replica.provenAnswerAge(now) <= MaxConfirmedProofAge || isEachQuorumHeard();
 }
 
 RegistryFreshness RegistryWatch::freshness(const control::IBundleReplica& replica, Timestamp now) const
--- a/src/gateway/internal/registrywatch.h
+++ b/src/gateway/internal/registrywatch.h
@@ -45,10 +45,11 @@
     void setReplacedPlan(std::optional<Timestamp> provenAt) { replacedPlanProvenAt_ = provenAt; }
     [[nodiscard]] RegistryFreshness freshness(const control::IBundleReplica& replica, Timestamp now) const;
     /// Whether the state of zones and targets is as new as the registry's. If not, a zone may have been evacuated and
-    /// reopened since, with targets that are in their slow start now. `isMajorityHeard`: a majority of the registry
-    /// hosts is heard. One of them knows of each acknowledged order, even if none has a proof.
+    /// reopened since, with targets that are in their slow start now. `isEachQuorumHeard`: each quorum of the
+    /// registry hosts contains one that is heard, so that one of these stored each acknowledged order, even if none has
+    /// a proof.
     [[nodiscard]] static bool isConfirmed(
-        const control::IBundleReplica& replica, const std::function<bool()>& isMajorityHeard, Timestamp now);
+        const control::IBundleReplica& replica, const std::function<bool()>& isEachQuorumHeard, Timestamp now);
 
 private:
     Duration maxAnswerAge_;
--- a/src/gateway/tests/registryfreshnesstests.cpp
+++ b/src/gateway/tests/registryfreshnesstests.cpp
@@ -193,6 +193,19 @@
     EXPECT_LE(sent, 8U);
 }
 
+// Guards against gateways that restrict all targets while half of an even number of registry hosts is lost and nothing
+// can be acknowledged without the other half.
+TEST_F(RegistryFreshnessTest, GatewayThatHearsHalfOfTheRegistryHostsSendsAtTheFullRate)
+{
+    report({.orders = {.term = {1}, .index = {5}}, .registryVoters = 2});
+    for (int step = 0; step < 60; ++step) {
+        advance(100ms);
+        answerPull(Duration::max());
+        receiveHeartbeat();
+        EXPECT_TRUE(isSent()) << step;
+    }
+}
+
 // Guards against callers who wait or are refused by a cut-off gateway while a peer could serve them.
 TEST_F(RegistryFreshnessTest, CutOffGatewayHandsOtherRequestsToAPeer)
 {
