Decisions log the orders by which a target was chosen; registry hosts log targets that they retire

The logs could not tell whether a gateway that used a target after its leave lacked the order, or a report undid it. Each decision's line has the log index of the newest orders known (orders=), registry hosts log targets_retired with the same index and the number of gateways told, and saltvane_orders_index shows both sides as a gauge. No behaviour changes.

DecisionTest.LogsTheOrdersByWhichTheTargetWasChosen; gateway tests pass.

--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -43,6 +43,7 @@
         .add("plan", exchange.planVersion.value)
         .addMilliseconds("plan_age_ms", ages.plan)
         .addMilliseconds("word_age_ms", ages.registry)
+        .add("orders", exchange.orders.value)
         .add("service", exchange.service.value())
         .add("target", exchange.target.target.value())
         .add("tries", exchange.attemptedTargets.size())
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -517,6 +517,7 @@
         .inForceVersion = routes_ ? routes_->plan().version : BundleVersion {},
         .stateAge = replica_->age(now),
         .registryInfoAge = replica_->provenAnswerAge(now),
+        .orders = targets_.orders(),
         .requestsInFlight = static_cast<uint32_t>(runner_.inFlight()),
         .dispatchesInFlight = static_cast<uint32_t>(runner_.inFlight()),
         .targetsKnown = static_cast<uint32_t>(targets_.size()),
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -179,6 +179,7 @@
     const model::RoutedService& service = *routes_->plan().findService(exchange.service);
     exchange.loadAtSend = target.load(now);
     exchange.loadAge = now - target.loadUpdatedAt;
+    exchange.orders = options_.targets.orders().index;
     exchange.targetAge = now - target.lastReportAt;
     exchange.limit = target.backpressure.limit;
     if (exchange.limit)
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -111,6 +111,8 @@
     void recordSent(GatewayTarget& target, const model::RoutedService& service, Timestamp now);
     static void recordReleased(GatewayTarget& target);
     [[nodiscard]] size_t size() const { return all_.size(); }
+    /// Log position of the newest orders that are known: retired targets, evacuated zones and rollouts.
+    [[nodiscard]] const LogPosition& orders() const { return orders_; }
 
 private:
     struct Service {
--- a/src/gateway/tests/decisiontests.cpp
+++ b/src/gateway/tests/decisiontests.cpp
@@ -65,6 +65,16 @@
     EXPECT_TRUE(has(lineOf("unsent"), "send_ms=-"));
 }
 
+TEST_F(DecisionTest, LogsTheOrdersByWhichTheTargetWasChosen)
+{
+    installPlan(7);
+    report({.orders = {.term = {1}, .index = {42}}, .targets = {target("t-1")}});
+    const requests::HttpHandle sent = request({.id = "sent"});
+    report({.orders = {.term = {1}, .index = {43}}});
+    abort(sent);
+    EXPECT_TRUE(has(lineOf("sent"), "orders=42"));
+}
+
 TEST_F(DecisionTest, LogsAgeOfPlanProof)
 {
     installPlan(7);
--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -98,6 +98,7 @@
     Duration stateAge {};
     Duration
         registryInfoAge {}; ///< Of a gateway: since it sent the last registry request whose response carried a proof.
+    LogPosition orders; ///< Of a gateway or registry host: the newest orders about targets and zones that it knows.
     std::vector<ZoneStatus> zones;
     std::vector<model::HostRecord> hosts;
     std::vector<model::RouteRow> rows;
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -342,6 +342,7 @@
         .inForce = replica_->routing().planPosition,
         .inForceVersion = replica_->routing().planVersion,
         .stateAge = replica_->proofAge(now),
+        .orders = appliedOrdersPosition_,
         .targetsKnown = static_cast<uint32_t>(targets_.size()),
         .gatewaysKnown = static_cast<uint32_t>(gateways(now).size()),
         .rollouts = std::move(rollouts),
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -52,6 +52,11 @@
     rollouts_->setOrders(rollouts, now);
     model::TargetReport report = makeReport(now);
     report.retired = drainNewlyRetired();
+    if (!report.retired.empty())
+        log(host::LogSeverity::Info,
+            "event=targets_retired count=" + std::to_string(report.retired.size()) + " last="
+                + report.retired.back().target.value() + " orders=" + std::to_string(report.orders.index.value)
+                + " told=" + std::to_string(syncedGateways_.size()));
     sendReport(std::move(report), now);
 }
 
--- a/src/saltvaned/internal/metricstext.cpp
+++ b/src/saltvaned/internal/metricstext.cpp
@@ -163,6 +163,9 @@
     families.push_back(makeGauge("saltvane_word_age_seconds",
         "Time since a gateway asked the registry something that was answered with a proof",
         toSeconds(status.registryInfoAge)));
+    families.push_back(makeGauge("saltvane_orders_index",
+        "Log index of the newest orders about targets and zones that this host knows",
+        static_cast<double>(status.orders.index.value)));
     if (!input.latencies.empty())
         families.push_back(makeLatencies(input.latencies));
     return prometheus::TextSerializer().Serialize(families);
