Known red: messages lost with a link beside its replacement are not reported

A host that dials a replacement of a suspect link delays its proof by 250 ms, so the other side has a link that awaits its proof for that long. If the old link ends meanwhile, LinkHub neither reports LinkDown nor, once the new link is authenticated, LinkUp: what was under way on the old link, and what is sent in between, is gone, and the core counts the peer as up to date. Both tests fail on this code: no second LinkUp within 10 s.

--- a/src/net/tests/linktimeouttests.cpp
+++ b/src/net/tests/linktimeouttests.cpp
@@ -73,6 +73,46 @@
     EXPECT_EQ(b.downs(), 1U);
 }
 
+// Guards against messages that are lost although the core is never told to start over: the link ended with messages
+// that the peer had not read, while the peer's next link was being authenticated.
+TEST_F(LinkHubTest, MessagesLostWithALinkAreReportedBesideItsReplacement)
+{
+    Host a(runner, "a");
+    Host b(runner, "b");
+    RawPeer before(a, "b");
+    ASSERT_TRUE(before.join(runner, a));
+    RawPeer replacement(a, "b");
+    replacement.socket.send(RawPeer::framed(replacement.hello));
+    ASSERT_TRUE(replacement.readPeerHello(runner));
+    a.sendClaim(b, 1); // Not read by the peer.
+    runner.runTurns(5);
+    before.socket.close();
+    runner.runTurns(50);
+    replacement.socket.send(replacement.proof(Key));
+    EXPECT_TRUE(runner.runUntil([&] { return a.ups() == 2; }));
+    EXPECT_EQ(a.downs(), 1U);
+}
+
+// The same for messages that the core sends in between.
+TEST_F(LinkHubTest, MessagesSentBetweenTwoLinksAreReportedAsLost)
+{
+    Host a(runner, "a");
+    Host b(runner, "b");
+    RawPeer before(a, "b");
+    ASSERT_TRUE(before.join(runner, a));
+    RawPeer replacement(a, "b");
+    replacement.socket.send(RawPeer::framed(replacement.hello));
+    ASSERT_TRUE(replacement.readPeerHello(runner));
+    runner.runTurns(5);
+    before.socket.pump();
+    before.socket.close();
+    runner.runTurns(50);
+    a.sendClaim(b, 1);
+    replacement.socket.send(replacement.proof(Key));
+    EXPECT_TRUE(runner.runUntil([&] { return a.ups() == 2; }));
+    EXPECT_EQ(a.downs(), 1U);
+}
+
 /// A host keeps its links over a short stall: with new ones, all state would be sent again.
 TEST_F(LinkHubTest, LinkSurvivesAShortStallOfThePeer)
 {
