Links: a link that ends with unacknowledged messages is reported, also beside its replacement

Callers saw: targets whose leave was acknowledged seconds before got their requests, at some gateways and for as long as the targets ran (suspected way; the users' record shows neither side of a link).

Cause: LinkHub kept a peer up when its link ended while the peer's next one awaited its proof, so that two hosts that dial each other at once don't start over. A replacement of a suspect link awaits its proof for 250 ms and a round trip, and the side that dialled closes the old link as it sends the proof: both arrive at once. If the end is handled first, what was under way on the old link and what is sent in between is lost, and the core, which sends each change once, counts the peer as up to date.

Fix: the grace holds only for a link that the peer ended in order after its kernel had acknowledged everything, and while nothing was sent in between; otherwise the next link is reported as LinkDown and LinkUp, upon which both cores start over.

Ruled out: reporting each end (hosts that dial each other at once would start over at each start).

--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -8,8 +8,10 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -205,6 +207,14 @@
     flush();
 }
 
+/// A peer that closes its socket with unread data resets the connection instead.
+bool Link::isAllAcknowledged() const
+{
+    int unacknowledgedBytes = 0;
+    return unsent_.isEmpty() && ::ioctl(options_.fd.get(), SIOCOUTQ, &unacknowledgedBytes) == 0
+        && unacknowledgedBytes == 0;
+}
+
 void Link::close(LinkCloseReason reason, std::string_view detail)
 {
     if (state_ == State::Closed)
@@ -232,8 +242,10 @@
         const ssize_t count = ::recv(options_.fd.get(), scratch.data(), scratch.size(), 0);
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
             return;
-        if (count <= 0)
+        if (count <= 0) {
+            isEndedComplete_ = count == 0 && isAllAcknowledged();
             return close(LinkCloseReason::PeerClosed, count < 0 ? std::strerror(errno) : "");
+        }
         lastReceivedAt_ = monotonicNow();
         received_.append(scratch.data(), static_cast<size_t>(count));
         total += static_cast<size_t>(count);
--- a/src/net/internal/link.h
+++ b/src/net/internal/link.h
@@ -127,6 +127,9 @@
     /// in bytes.
     size_t send(const model::Message& message);
     [[nodiscard]] size_t queuedBytes() const { return unsent_.bytes(); }
+    /// Of a closed link: the peer ended it in an orderly way after its kernel had acknowledged everything that was
+    /// sent.
+    [[nodiscard]] bool isEndedComplete() const { return isEndedComplete_; }
     /// Bytes allocated by its buffers.
     [[nodiscard]] size_t memory() const { return unsent_.memory() + received_.capacity(); }
     /// To be called each KeepAliveTick: sends a keep-alive record if nothing was sent since the last tick; closes the
@@ -157,6 +160,7 @@
     [[nodiscard]] std::string_view unread() const { return std::string_view(received_).substr(consumed_); }
     [[nodiscard]] LinkHellos hellos() const;
     void watch();
+    [[nodiscard]] bool isAllAcknowledged() const;
     void setSocketOptions() const;
 
     Options options_;
@@ -177,6 +181,7 @@
     bool isReceivingPaused_ = false;
     bool isProofDelayed_ = false; ///< The hello was received; further input waits for proofTimer_.
     bool isWriteClosed_ = false;
+    bool isEndedComplete_ = false;
     IoWatcher watcher_;
     TimerWatcher deadline_;
     TimerWatcher proofTimer_;
--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -167,9 +167,12 @@
     if (peer.current != nullptr)
         return replaceCurrent(link, peer);
     peer.current = &link;
+    if (peer.isUp && peer.hasLostMessages)
+        reportLinkDown(link.peerHost(), peer);
     if (peer.isUp)
         return;
     peer.isUp = true;
+    peer.hasLostMessages = false;
     LOG_TAGGED(INFO, "net") << "event=link_up peer=" << link.peerHost().value()
                             << " incarnation=" << link.peerIncarnation().value << " remote=" << link.remote();
     emit(host::LinkUp {.host = link.peerHost(), .incarnation = link.peerIncarnation()});
@@ -233,8 +236,10 @@
 
 void LinkHub::onPeerLinkClosed(const Link& link, Peer& peer)
 {
-    if (peer.current == &link)
+    if (peer.current == &link) {
         peer.current = nullptr;
+        peer.hasLostMessages = peer.hasLostMessages || !link.isEndedComplete();
+    }
     if (peer.retiring != &link)
         return;
     peer.retiring = nullptr;
@@ -272,8 +277,12 @@
 void LinkHub::send(const model::OutgoingMessage& outgoing)
 {
     const auto found = peers_.find(outgoing.to);
-    if (found == peers_.end() || found->second.current == nullptr)
+    if (found == peers_.end())
         return;
+    if (found->second.current == nullptr) {
+        found->second.hasLostMessages = true;
+        return;
+    }
     Link& link = *found->second.current;
     const size_t bytes = link.send(outgoing.message);
     options_.counters->add(model::Counter::LinkBytes, bytes);
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -49,6 +49,8 @@
         Link* current = nullptr; ///< The link that is used for sending.
         Link* retiring = nullptr; ///< Its last messages are delivered before those of `current`.
         bool isUp = false; ///< LinkUp was sent to the core.
+        /// Messages to the peer may have been lost since then. The next link is reported as a new one.
+        bool hasLostMessages = false;
     };
 
     void onLinkAuthenticated(Link& link) override;
