Links: messages lost with a retired link are reported

The same cause on the other path on which two links to a peer exist: of two hosts that dial each other at once, the older link is retired after its queued messages are sent. If it ended by a reset or its time limit instead, they were lost without a word. The remaining link is reported as a new one then.

MessagesLostWithARetiredLinkAreReported failed before (no second LinkUp within 10 s).

--- a/src/net/internal/linkhub.cpp
+++ b/src/net/internal/linkhub.cpp
@@ -169,8 +169,12 @@
     peer.current = &link;
     if (peer.isUp && peer.hasLostMessages)
         reportLinkDown(link.peerHost(), peer);
-    if (peer.isUp)
-        return;
+    if (!peer.isUp)
+        reportLinkUp(link, peer);
+}
+
+void LinkHub::reportLinkUp(const Link& link, Peer& peer)
+{
     peer.isUp = true;
     peer.hasLostMessages = false;
     LOG_TAGGED(INFO, "net") << "event=link_up peer=" << link.peerHost().value()
@@ -243,8 +247,14 @@
     if (peer.retiring != &link)
         return;
     peer.retiring = nullptr;
-    if (peer.current != nullptr)
-        peer.current->setReceivingPaused(false);
+    peer.hasLostMessages = peer.hasLostMessages || !link.isEndedComplete();
+    if (peer.current == nullptr)
+        return;
+    if (peer.hasLostMessages) {
+        reportLinkDown(link.peerHost(), peer);
+        reportLinkUp(*peer.current, peer);
+    }
+    peer.current->setReceivingPaused(false);
 }
 
 bool LinkHub::hasLinkAwaitingProof(const HostId& host) const
--- a/src/net/internal/linkhub.h
+++ b/src/net/internal/linkhub.h
@@ -81,6 +81,7 @@
     void replaceCurrent(Link& link, Peer& peer);
     void refuse(Link& link, std::string_view reason);
     void onPeerLinkClosed(const Link& link, Peer& peer);
+    void reportLinkUp(const Link& link, Peer& peer);
     void reportOrphanedPeers();
     void reportLinkDown(const HostId& host, Peer& peer);
     void emit(host::Event event);
--- a/src/net/tests/linktimeouttests.cpp
+++ b/src/net/tests/linktimeouttests.cpp
@@ -93,6 +93,42 @@
     EXPECT_EQ(a.downs(), 1U);
 }
 
+// The same for the older of two links that both hosts dialled at once, which ends while it is retired.
+TEST_F(LinkHubTest, MessagesLostWithARetiredLinkAreReported)
+{
+    Host hub(runner, "b");
+    Host peer(runner, "a");
+    RawListener listener;
+    hub.requestLinks({{.host = HostId("a"), .address = listener.address()}});
+    RawSocket dialled;
+    ASSERT_TRUE(runner.runUntil([&] { return listener.accept(dialled); }));
+    const std::string ownHello
+        = encodeLinkHello({.deployment = "d", .host = HostId("a"), .incarnation = {1}, .nonce = freshLinkNonce()});
+    std::string hubHello;
+    ASSERT_TRUE(runner.runUntil([&] {
+        dialled.pump();
+        if (dialled.received.size() < LinkHelloLengthBytes)
+            return false;
+        const size_t length = decodeLinkInteger(dialled.received.substr(0, LinkHelloLengthBytes));
+        hubHello = dialled.received.substr(LinkHelloLengthBytes, length);
+        return hubHello.size() == length;
+    }));
+    dialled.send(RawPeer::framed(ownHello)
+        + makeLinkProof(deriveLinkSecret(Key), LinkRole::Responder, {.initiator = hubHello, .responder = ownHello}));
+    ASSERT_TRUE(runner.runUntil([&] { return hub.ups() == 1; }));
+    hub.sendClaim(peer, 1); // Not read by the peer.
+    runner.runTurns(5);
+    RawPeer preferred(hub, "a");
+    preferred.socket.send(RawPeer::framed(preferred.hello));
+    ASSERT_TRUE(preferred.readPeerHello(runner));
+    preferred.socket.send(preferred.proof(Key));
+    runner.runTurns(50);
+    EXPECT_EQ(hub.downs(), 0U);
+    dialled.closeWithReset();
+    EXPECT_TRUE(runner.runUntil([&] { return hub.ups() == 2; }));
+    EXPECT_EQ(hub.downs(), 1U);
+}
+
 // The same for messages that the core sends in between.
 TEST_F(LinkHubTest, MessagesSentBetweenTwoLinksAreReportedAsLost)
 {
