--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -371,8 +371,25 @@
     const requests::HttpHandle handle = startCall(number, method, path, body, planBase);
     if (!runUntil([&] { return responses_.contains(handle); }, limit))
         return std::nullopt;
-    const requests::HttpRespond response = responses_.extract(handle).mapped();
-    return Answer {.status = response.status, .body = response.bytes, .headers = response.headers};
+    return takeAnswer(handle);
+}
+
+std::optional<RegistryCluster::Answer> RegistryCluster::takeAnswer(requests::HttpHandle handle)
+{
+    const auto response = responses_.extract(handle);
+    if (response.empty())
+        return std::nullopt;
+    return Answer {
+        .status = response.mapped().status, .body = response.mapped().bytes, .headers = response.mapped().headers};
+}
+
+std::optional<size_t> RegistryCluster::numberOfUrl(const std::string& url) const
+{
+    for (size_t number = 0; number < hosts_.size(); ++number) {
+        if (url.starts_with("http://" + toString(settingsOf(number, false).controlAddress) + "/"))
+            return number;
+    }
+    return std::nullopt;
 }
 
 std::optional<RegistryCluster::Answer> RegistryCluster::order(
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -54,6 +54,8 @@
     /// Simulates clocks that stop while the machine is suspended, from the next wake() on.
     bool doClocksStopWhileSuspended = false;
     void isolate(size_t number) { isolated_.insert(number); }
+    [[nodiscard]] bool isIsolated(size_t number) const { return isolated_.contains(number); }
+    [[nodiscard]] bool isSuspended(size_t number) const { return hosts_.at(number).suspendedSince.has_value(); }
     void heal() { isolated_.clear(); }
 
     struct Answer {
@@ -69,6 +71,14 @@
         const std::string& part, uint64_t bodyLength);
     /// POSTs without waiting for an answer.
     void post(size_t number, const std::string& path, const std::string& body);
+    /// POSTs; takeAnswer() returns the answer once there is one.
+    [[nodiscard]] requests::HttpHandle beginPost(size_t number, const std::string& path, const std::string& body)
+    {
+        return startCall(number, "POST", path, body, {});
+    }
+    [[nodiscard]] std::optional<Answer> takeAnswer(requests::HttpHandle handle);
+    /// The host with this address for calls, as named in a redirect; none if there is none.
+    [[nodiscard]] std::optional<size_t> numberOfUrl(const std::string& url) const;
     /// Waits for a leader and calls it.
     std::optional<Answer> order(const std::string& method, const std::string& path, const std::string& body = {},
         const std::string& planBase = {});
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -64,7 +64,7 @@
     };
     registries_.toGateway = [this](size_t from, const model::OutgoingMessage& outgoing) {
         Gateway* gateway = find(outgoing.to);
-        if (gateway == nullptr || gateway->cutOffUntil)
+        if (gateway == nullptr || !gateway->linked.contains(from) || gateway->cutUntil.contains(from))
             return;
         const double bytes = sizeOf(outgoing.message);
         gateway->bytesSent += static_cast<uint64_t>(bytes);
@@ -87,20 +87,53 @@
     gateway.deferredEvents.clear();
     gateway.processor = registry::test::VirtualProcessor(options_.gatewayCpuFraction);
     gateway.core = gateway::makeGateway({.settings = settingsOf(number), .incarnation = gateway.incarnation});
-    for (size_t registry = 0; registry < options_.registries; ++registry)
-        connect(gateway, registry);
+    gateway.wantedLinks.clear();
+    gateway.linked.clear();
 }
 
-void Fleet::connect(Gateway& gateway, size_t registry)
+/// Closes links that the gateway does not want any more, and establishes those that it wants.
+void Fleet::updateLinks(Gateway& gateway)
 {
-    if (!registries_.isRunning(registry))
-        return;
+    const Timestamp now = registries_.now();
+    for (size_t registry = 0; registry < options_.registries; ++registry) {
+        const bool isWanted = gateway.wantedLinks.contains(registry::test::RegistryCluster::idOf(registry));
+        const auto cut = gateway.cutUntil.find(registry);
+        const bool isCutEnding = cut != gateway.cutUntil.end() && now >= cut->second;
+        if (gateway.linked.contains(registry) && (!isWanted || isCutEnding))
+            linkDown(gateway, registry);
+        if (isCutEnding)
+            gateway.cutUntil.erase(cut);
+        const bool mayConnect = registries_.isRunning(registry) && !gateway.cutUntil.contains(registry);
+        if (isWanted && mayConnect && !gateway.linked.contains(registry))
+            linkUp(gateway, registry);
+    }
+}
+
+void Fleet::linkUp(Gateway& gateway, size_t registry)
+{
+    gateway.linked.insert(registry);
     registries_.linkUpTo(registry, gateway.id, gateway.incarnation);
     handle(gateway,
         host::LinkUp {.host = registry::test::RegistryCluster::idOf(registry),
             .incarnation = registries_.status(registry).incarnation});
 }
 
+void Fleet::linkDown(Gateway& gateway, size_t registry)
+{
+    gateway.linked.erase(registry);
+    dropPackets(gateway, registry);
+    if (registries_.isRunning(registry))
+        registries_.linkDownTo(registry, gateway.id);
+    handle(gateway, host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)});
+}
+
+void Fleet::dropPackets(Gateway& gateway, size_t registry)
+{
+    gateway.senders.erase(registry);
+    std::erase_if(gateway.packets, [&](const Packet& packet) { return packet.registry == registry; });
+    std::erase_if(gateway.outbound, [&](const PendingMessage& pending) { return pending.registry == registry; });
+}
+
 void Fleet::stallGatewayLinks()
 {
     for (size_t gateway = 0; gateway < gateways_.size(); ++gateway)
@@ -108,12 +141,22 @@
 }
 
 void Fleet::cutOffGateway(size_t number, Duration duration)
+{
+    for (size_t registry = 0; registry < options_.registries; ++registry)
+        cutLink(number, registry, duration);
+}
+
+void Fleet::cutLink(size_t number, size_t registry, Duration duration)
 {
     Gateway& gateway = gateways_.at(number);
-    gateway.cutOffUntil = registries_.now() + duration;
-    gateway.senders.clear();
-    gateway.packets.clear();
-    gateway.outbound.clear();
+    Timestamp& until = gateway.cutUntil[registry];
+    until = std::max(until, registries_.now() + duration);
+    dropPackets(gateway, registry);
+}
+
+bool Fleet::isLinkCut(size_t gateway, size_t registry) const
+{
+    return gateways_.at(gateway).cutUntil.contains(registry);
 }
 
 void Fleet::suspendGateway(size_t number, Duration duration)
@@ -161,40 +204,24 @@
     dispatchActions(gateway);
 }
 
-void Fleet::replaceLinks(Gateway& gateway)
-{
-    gateway.cutOffUntil.reset();
-    for (size_t registry = 0; registry < options_.registries; ++registry) {
-        if (registries_.isRunning(registry))
-            registries_.linkDownTo(registry, gateway.id);
-        handle(gateway, host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)});
-        connect(gateway, registry);
-    }
-}
-
 void Fleet::killRegistry(size_t registry)
 {
     registries_.kill(registry);
     for (Gateway& gateway : gateways_) {
-        gateway.senders.erase(registry);
-        std::erase_if(gateway.packets, [&](const Packet& packet) { return packet.registry == registry; });
-        handle(gateway, host::LinkDown {.host = registry::test::RegistryCluster::idOf(registry)});
+        if (gateway.linked.contains(registry))
+            linkDown(gateway, registry);
     }
 }
 
-void Fleet::startRegistry(size_t registry)
-{
-    registries_.start(registry, false);
-    for (Gateway& gateway : gateways_)
-        connect(gateway, registry);
-}
+void Fleet::startRegistry(size_t registry) { registries_.start(registry, false); }
 
 void Fleet::restartGateway(size_t number)
 {
     Gateway& gateway = gateways_.at(number);
-    gateway.senders.clear();
-    gateway.packets.clear();
-    gateway.outbound.clear();
+    for (size_t registry = 0; registry < options_.registries; ++registry) {
+        if (gateway.linked.contains(registry))
+            linkDown(gateway, registry);
+    }
     startGateway(number);
 }
 
@@ -227,8 +254,7 @@
         return;
     if (gateway.suspendedUntil || !gateway.deferredEvents.empty())
         resume(gateway);
-    if (gateway.cutOffUntil && now >= *gateway.cutOffUntil)
-        replaceLinks(gateway);
+    updateLinks(gateway);
     deliverInbound(gateway);
     gateway.processor.work(now, [&] { gateway.core->tick(now); });
     dispatchActions(gateway);
@@ -342,6 +368,11 @@
 void Fleet::dispatchActions(Gateway& gateway)
 {
     for (host::Action& action : gateway.core->drainActions()) {
+        if (const auto* links = std::get_if<host::DesiredLinks>(&action)) {
+            gateway.wantedLinks.clear();
+            for (const auto& peer : links->peers)
+                gateway.wantedLinks.insert(peer.host);
+        }
         auto* const request = std::get_if<requests::Action>(&action);
         if (request == nullptr)
             continue;
@@ -354,9 +385,10 @@
         if (const auto* response = std::get_if<requests::HttpRespond>(request))
             gateway.lastStatus = response->status;
         auto* const outgoing = std::get_if<model::OutgoingMessage>(request);
-        if (outgoing == nullptr || gateway.cutOffUntil)
+        if (outgoing == nullptr)
             continue;
-        if (const std::optional<size_t> registry = registries_.numberOf(outgoing->to))
+        const std::optional<size_t> registry = registries_.numberOf(outgoing->to);
+        if (registry && gateway.linked.contains(*registry) && !gateway.cutUntil.contains(*registry))
             gateway.outbound.push_back({.at = registries_.now() + options_.gatewayDelay,
                 .registry = *registry,
                 .message = std::move(outgoing->message)});
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,9 @@
     void stallGatewayLinks();
     /// Stops all links of one gateway for `duration`.
     void cutOffGateway(size_t gateway, Duration duration);
+    /// Stops the link between a gateway and a registry host for `duration`, or for longer if it is cut already.
+    void cutLink(size_t gateway, size_t registry, Duration duration);
+    [[nodiscard]] bool isLinkCut(size_t gateway, size_t registry) const;
 
     /// Puts a plan through the leader and repeats that until it is acknowledged; false if that takes more than 10 s.
     [[nodiscard]] bool putPlan(uint64_t base, const std::string& plan);
@@ -131,7 +135,9 @@
         uint64_t maxBacklogBytes = 0;
         std::optional<requests::TargetStart> lastStart;
         int lastStatus = 0;
-        std::optional<Timestamp> cutOffUntil; ///< Links pass nothing until then and are replaced at that time.
+        std::set<HostId> wantedLinks;
+        std::set<size_t> linked; ///< Registry hosts to which a link is up.
+        std::map<size_t, Timestamp> cutUntil; ///< Links that pass nothing until then and are replaced at that time.
         std::optional<Timestamp> suspendedUntil;
         /// Events of callers and targets that arrived while it was suspended or busy.
         std::vector<host::Event> deferredEvents;
@@ -144,8 +150,10 @@
     void enforceMemoryLimit();
     void handle(Gateway& gateway, host::Event event);
     void startGateway(size_t number);
-    void connect(Gateway& gateway, size_t registry);
-    void replaceLinks(Gateway& gateway);
+    void updateLinks(Gateway& gateway);
+    void linkUp(Gateway& gateway, size_t registry);
+    void linkDown(Gateway& gateway, size_t registry);
+    static void dropPackets(Gateway& gateway, size_t registry);
     void resume(Gateway& gateway);
     void fillSendWindows(Gateway& gateway);
     void deliverInbound(Gateway& gateway);
