Gateways notice reports of orders that they missed, and ask for the full one

Callers saw: requests to targets seconds after their leave was acknowledged.

Cause, as a class: state that is sent as changes, once, by a sender that assumes it arrived. A gateway learns of a leave by one message of each registry host; a target that leaves by a call, or reports once, is never reported again. Nothing told a gateway that it lacked an order, whatever lost the message.

Fix: a report names the position that its changes build on (ordersSince), and a registry host's answer to a pull the position that its reports led up to. Links keep the order, so an answer with a higher position than the gateway has without a gap shows that a report is missing: the next pull asks for the full report (at most one a second).

Ruled out: position alone (a later report hides a gap); a resync by the registry host after a time limit (repeats full reports on links that are merely slow).

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -24,6 +24,8 @@
 /// Interval of plan pulls when no plan is pushed. The answers also tell how current the registry's information is
 /// (RegistryWatch::isConfirmed()).
 constexpr Duration PlanPullInterval = 250ms;
+/// A full report lists all targets; on a slow link it takes longer than a pull.
+constexpr Duration FullReportInterval = 1s;
 /// Three times the way to a distant region and back.
 constexpr Duration PlanAnswerTimeout = 250ms;
 
@@ -235,6 +237,32 @@
         onCreditReply(*credits, now);
     else if (const auto* peers = std::get_if<model::PeerReport>(&delivery.message))
         peers_.applyReport(*peers);
+    else if (const auto* current = std::get_if<model::BundleCurrent>(&delivery.message))
+        checkOrders(delivery.from, current->orders);
+}
+
+/// Links preserve the order of messages: what the answer's sender had reported before it has arrived, or was lost.
+void GatewayCore::checkOrders(const HostId& from, const LogPosition& reportedOrders)
+{
+    if (reportedOrders <= targets_.orders())
+        return;
+    missedReportsOf_ = from;
+    if (reportedOrders <= missedOrders_)
+        return; // Logged already.
+    missedOrders_ = reportedOrders;
+    LogText line("orders_missed");
+    line.add("peer", from.value()).add("known", targets_.orders().index.value).add("told", reportedOrders.index.value);
+    log(host::LogSeverity::Warning, line.text());
+}
+
+void GatewayCore::requestFullReport(model::OutgoingMessage& outgoing, Timestamp now)
+{
+    auto* pull = std::get_if<model::BundlePull>(&outgoing.message);
+    const bool isMissing = missedOrders_ > targets_.orders();
+    if (pull == nullptr || !isMissing || outgoing.to != missedReportsOf_ || now < nextFullReportAt_)
+        return;
+    pull->wantsFullReport = true;
+    nextFullReportAt_ = now + FullReportInterval;
 }
 
 void GatewayCore::onCreditReply(const model::LimitCreditReply& reply, Timestamp now)
@@ -488,8 +516,10 @@
         actions_.emplace_back(requests::Action(std::move(outgoing)));
     for (model::OutgoingMessage& outgoing : roster_->drainOutgoing())
         actions_.emplace_back(requests::Action(std::move(outgoing)));
-    for (model::OutgoingMessage& outgoing : replica_->drainOutgoing())
+    for (model::OutgoingMessage& outgoing : replica_->drainOutgoing()) {
+        requestFullReport(outgoing, now);
         actions_.emplace_back(requests::Action(std::move(outgoing)));
+    }
     for (requests::Action& action : quarantine_.drainActions())
         actions_.emplace_back(std::move(action));
     sendSuspects(now);
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -48,6 +48,9 @@
     void accept(const host::SeedsChanged& changed, Timestamp now);
 
     void onCreditReply(const model::LimitCreditReply& reply, Timestamp now);
+    void checkOrders(const HostId& from, const LogPosition& reportedOrders);
+    /// Asks the host whose report was missed for its full report, with the next pull.
+    void requestFullReport(model::OutgoingMessage& outgoing, Timestamp now);
     void onTargetReport(const model::TargetReport& report, Timestamp now);
     void logSlowStarts(Timestamp now);
     void updateSplit(Timestamp now);
@@ -127,6 +130,9 @@
     Timestamp nextProbeAt_ {};
     Timestamp nextPeerRequestAt_ {};
     size_t registryVoters_ = 0; ///< As a registry host reported last; 0: unknown.
+    HostId missedReportsOf_; ///< Reported orders up to missedOrders_ in a message that did not arrive.
+    LogPosition missedOrders_;
+    Timestamp nextFullReportAt_ {};
     std::vector<HostId> registrySources_; ///< Responsive registry hosts, nearest first.
     size_t rolloutReports_ = 0; ///< Number of reports so far.
     size_t peerRequests_ = 0; ///< Number of requests for peers so far.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -49,6 +49,8 @@
         slowStartShare_.setGateways(report.gatewayNumber, report.gateways);
     applyOrders(report, now);
     applyRetired(report.retired);
+    if (report.ordersSince <= completeOrders_)
+        completeOrders_ = std::max(completeOrders_, report.orders);
     for (const model::TargetRecord& record : report.targets)
         applyRecord(record, now);
     applyUnchanged(report.unchanged, now);
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -111,8 +111,8 @@
     void recordSent(GatewayTarget& target, const model::RoutedService& service, Timestamp now);
     static void recordReleased(GatewayTarget& target);
     [[nodiscard]] size_t size() const { return all_.size(); }
-    /// Log position of the newest orders that are known: retired targets, evacuated zones and rollouts.
-    [[nodiscard]] const LogPosition& orders() const { return orders_; }
+    /// Log position up to which all orders are known: retired targets, evacuated zones and rollouts.
+    [[nodiscard]] const LogPosition& orders() const { return completeOrders_; }
 
 private:
     struct Service {
@@ -158,7 +158,8 @@
     Location location_;
     SlowStartShare slowStartShare_;
     bool isConfirmed_ = true;
-    LogPosition orders_;
+    LogPosition orders_; ///< Of the newest zones and rollouts.
+    LogPosition completeOrders_; ///< No report of earlier orders is missing.
     LogPosition reportedOrders_; ///< Of the report being applied.
     RolloutTable rollouts_;
     std::map<ZoneName, TargetZone> zones_;
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -69,8 +69,10 @@
             continue;
         const auto* const outgoing = std::get_if<model::OutgoingMessage>(request);
         const auto* const pull = outgoing == nullptr ? nullptr : std::get_if<model::BundlePull>(&outgoing->message);
-        if (pull != nullptr)
+        if (pull != nullptr) {
             pullToAnswer_ = std::exchange(lastPull_, pull->pull);
+            fullReportRequests_ += pull->wantsFullReport ? 1 : 0;
+        }
         const auto* const report
             = outgoing == nullptr ? nullptr : std::get_if<model::SuspectReport>(&outgoing->message);
         if (report != nullptr)
@@ -241,9 +243,10 @@
     handle(model::Delivery {.from = Registry, .fromIncarnation = {1}, .message = std::move(message)});
 }
 
-void GatewayFixture::answerPull(Duration proofAge)
+void GatewayFixture::answerPull(Duration proofAge, const LogPosition& orders)
 {
-    deliver(model::BundleCurrent {.position = {.term = {1}, .index = {position_}}, .age = proofAge, .pull = lastPull_});
+    deliver(model::BundleCurrent {
+        .position = {.term = {1}, .index = {position_}}, .age = proofAge, .pull = lastPull_, .orders = orders});
 }
 
 void GatewayFixture::requestStop() { handle(host::StopRequested {}); }
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -74,7 +74,9 @@
     void deliver(model::Message message);
     /// The registry confirms in an answer to the latest pull that the current plan is the newest. `proofAge`: age of
     /// the proof; Duration::max() for none.
-    void answerPull(Duration proofAge = 10ms);
+    void answerPull(Duration proofAge = 10ms, const LogPosition& orders = {});
+    /// Pulls since the last call that asked for the full report of targets and orders.
+    [[nodiscard]] size_t takeFullReportRequests() { return std::exchange(fullReportRequests_, 0); }
     void advance(Duration duration);
     void requestStop();
 
@@ -129,6 +131,7 @@
     std::vector<model::SuspectRequest> reportedSuspects_;
     uint64_t lastPull_ = 0; ///< Number of the gateway's latest pull of the plan.
     uint64_t pullToAnswer_ = 0;
+    size_t fullReportRequests_ = 0;
     std::vector<HostId> rolloutReceivers_;
     std::vector<model::LimitCreditAsk> creditRequests_;
     std::vector<model::AccountLimitNotice> accountLimits_;
--- a/src/model/controlmessages.h
+++ b/src/model/controlmessages.h
@@ -132,12 +132,15 @@
     LogPosition partBase {}; ///< State that those parts were compressed against.
     uint64_t offset = 0; ///< Offset of the requested part.
     bool wantsWhole = false; ///< Not to be compressed against `have`, because decompressing against it failed.
+    bool wantsFullReport = false; ///< A report of orders was missed: the receiver has to send its full TargetReport.
 };
 
 struct BundleCurrent {
     LogPosition position;
     Duration age {}; ///< As in BundlePush.
     uint64_t pull = 0; ///< Number of the pull that this answers.
+    /// From a registry host to a gateway: the orders that its TargetReports before this answer led up to.
+    LogPosition orders {};
 };
 
 } // namespace saltvane::model
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -61,6 +61,8 @@
 /// Sent by a control host to a gateway: the changes since its last report, or the full state.
 struct TargetReport {
     LogPosition orders; ///< Log position of the operator's orders in this report; older orders are obsolete.
+    /// `retired` lists the orders after this position; position 0: all that are kept, as in the full state.
+    LogPosition ordersSince {};
     std::vector<ZoneName> evacuatedZones; ///< The complete list.
     /// The zones that were reopened last; the full state lists all.
     std::vector<ReopenedZone> reopenedZones;
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -197,9 +197,8 @@
         return accept(*leaving, delivery.from, now);
     if (std::holds_alternative<model::PeerRequest>(delivery.message))
         return sendPeers(delivery.from, now);
-    // Gateways take the answer to a pull as a sign that they know all orders and targets.
-    if (std::holds_alternative<model::BundlePull>(delivery.message))
-        syncGateway(delivery.from, now);
+    if (const auto* pull = std::get_if<model::BundlePull>(&delivery.message))
+        accept(*pull, delivery.from, now);
     const auto* heartbeat = std::get_if<model::Heartbeat>(&delivery.message);
     roster_->handle(delivery, now);
     bundleReplica_->handle(delivery, now);
@@ -208,12 +207,21 @@
         syncGateway(delivery.from, now);
 }
 
+/// Gateways take the answer to a pull as a sign that they know all orders and targets.
+void RegistryCore::accept(const model::BundlePull& pull, const HostId& from, Timestamp now)
+{
+    if (pull.wantsFullReport)
+        syncedGateways_.erase(from);
+    syncGateway(from, now);
+}
+
 void RegistryCore::syncGateway(const HostId& gateway, Timestamp now)
 {
     if (!syncedGateways_.insert(gateway).second)
         return;
     gatewaysUpdatedAt_.reset(); // Includes it in gateways() at once.
     model::TargetReport report = makeReport(now);
+    report.ordersSince = {};
     const control::RoutingState& routing = replica_->routing();
     const auto& retired = routing.retiredTargets.inOrder();
     const size_t skipped = retired.size() - std::min(retired.size(), MaxRetiredSent);
@@ -278,11 +286,22 @@
         actions_.emplace_back(std::move(write));
     send(replica_->drainOutgoing());
     send(roster_->drainOutgoing());
-    send(bundleReplica_->drainOutgoing());
+    sendPlanMessages();
     if (credits_)
         send(credits_->drainOutgoing());
 }
 
+/// After the reports of the orders: a gateway that receives the answer without them has missed one.
+void RegistryCore::sendPlanMessages()
+{
+    std::vector<model::OutgoingMessage> outgoing = bundleReplica_->drainOutgoing();
+    for (model::OutgoingMessage& message : outgoing) {
+        if (auto* current = std::get_if<model::BundleCurrent>(&message.message))
+            current->orders = appliedOrdersPosition_;
+    }
+    send(std::move(outgoing));
+}
+
 void RegistryCore::updateLinks()
 {
     if (std::optional<host::DesiredLinks> links = links_.update(roster_->controlHosts()))
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -120,6 +120,7 @@
     /// Whether gateways have other numbers than last told; checked once per second.
     [[nodiscard]] bool areGatewaysRenumbered(Timestamp now);
     void sendToGateways(const model::Message& message);
+    void sendPlanMessages();
     /// Once the log is proven current: lets recalled targets be reported, except where an order contradicts them.
     void releaseRecalled(Timestamp now);
     void recallTargets(Timestamp now);
@@ -131,6 +132,7 @@
     /// Targets that announced to a gateway that they leave.
     void accept(const model::TargetReport& report, const HostId& from, Timestamp now);
     void accept(const model::BackpressureReport& report, const HostId& from, Timestamp now);
+    void accept(const model::BundlePull& pull, const HostId& from, Timestamp now);
     void accept(const model::RolloutReport& report, Timestamp now);
     /// The leader moves rollouts to their next phases.
     void decideRollouts(Timestamp now);
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -44,13 +44,14 @@
         if (position > std::max(appliedOrdersPosition_, recalledOrdersPosition_))
             targets_.awaitReportsOf(zone, now);
     }
-    appliedOrdersPosition_ = routing.ordersPosition;
+    const LogPosition reportedOrders = std::exchange(appliedOrdersPosition_, routing.ordersPosition);
     evacuated_ = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()};
     std::vector<model::RolloutOrder> rollouts;
     for (const auto& [service, order] : routing.rollouts)
         rollouts.push_back(order);
     rollouts_->setOrders(rollouts, now);
     model::TargetReport report = makeReport(now);
+    report.ordersSince = reportedOrders;
     report.retired = drainNewlyRetired();
     if (!report.retired.empty())
         log(host::LogSeverity::Info,
@@ -112,6 +113,7 @@
 {
     const control::RoutingState& routing = replica_->routing();
     model::TargetReport report {.orders = routing.ordersPosition,
+        .ordersSince = routing.ordersPosition,
         .evacuatedZones = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()},
         .reopenedZones = reopenedZones(MaxReopenedZonesSent),
         .gateways = static_cast<uint32_t>(gateways(now).size()),
--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -476,4 +476,33 @@
     EXPECT_TRUE(isRetirementSent);
 }
 
+// Guards against gateways that never learn of a target which left because a report was lost on a standing link.
+TEST(MembershipTest, GatewayThatMissedAReportReceivesAllOrdersAgain)
+{
+    const std::string gateway = "10.1.0.1:7000";
+    RegistryCluster cluster(6);
+    ASSERT_TRUE(cluster.order("PUT", "/v1/plan", planText(1), "0"));
+    const size_t registry = *cluster.leader();
+    cluster.linkUpTo(registry, HostId(gateway), {1});
+    cluster.gatewayHeartbeat(registry, gateway, "north-a", "north");
+    ASSERT_TRUE(cluster.order("POST", "/v1/targets/t-1/leave"));
+    cluster.run(500ms);
+    (void)cluster.drainSentTo(gateway);
+    cluster.deliverFromGateway(registry, HostId(gateway), {1},
+        model::BundlePull {.have = cluster.status(registry).inForce, .pull = 7, .wantsFullReport = true});
+    cluster.run(100ms);
+    LogPosition retiredAt;
+    LogPosition answeredAt;
+    for (const model::Message& message : cluster.drainSentTo(gateway)) {
+        const auto* report = std::get_if<model::TargetReport>(&message);
+        if (report != nullptr && !report->retired.empty() && report->ordersSince == LogPosition {})
+            retiredAt = report->orders;
+        const auto* answer = std::get_if<model::BundleCurrent>(&message);
+        if (answer != nullptr && retiredAt != LogPosition {})
+            answeredAt = answer->orders;
+    }
+    EXPECT_NE(retiredAt, LogPosition {});
+    EXPECT_EQ(answeredAt, retiredAt);
+}
+
 } // namespace saltvane::registry::test
--- a/src/wire/internal/controlmessagecodec.cpp
+++ b/src/wire/internal/controlmessagecodec.cpp
@@ -231,8 +231,8 @@
     const fbs::LogPosition have = encodePosition(message.have);
     const fbs::LogPosition partOf = encodePosition(message.partOf);
     const fbs::LogPosition partBase = encodePosition(message.partBase);
-    return fbs::CreateBundlePull(
-        builder, &have, message.isStarting, message.pull, &partOf, message.offset, message.wantsWhole, &partBase);
+    return fbs::CreateBundlePull(builder, &have, message.isStarting, message.pull, &partOf, message.offset,
+        message.wantsWhole, &partBase, message.wantsFullReport);
 }
 
 model::BundlePull decode(FieldReader& /*reader*/, const fbs::BundlePull& message)
@@ -243,13 +243,15 @@
         .partOf = decodePosition(message.part_of()),
         .partBase = decodePosition(message.part_base()),
         .offset = message.offset(),
-        .wantsWhole = message.wants_whole()};
+        .wantsWhole = message.wants_whole(),
+        .wantsFullReport = message.wants_full_report()};
 }
 
 Offset<fbs::BundleCurrent> encode(Builder& builder, const model::BundleCurrent& message)
 {
     const fbs::LogPosition position = encodePosition(message.position);
-    return fbs::CreateBundleCurrent(builder, &position, encodeDuration(message.age), message.pull);
+    const fbs::LogPosition orders = encodePosition(message.orders);
+    return fbs::CreateBundleCurrent(builder, &position, encodeDuration(message.age), message.pull, &orders);
 }
 
 model::BundleCurrent decode(FieldReader& reader, const fbs::BundleCurrent& message)
@@ -258,6 +260,7 @@
         .position = decodePosition(message.position()),
         .age = reader.duration(message.age(), "BundleCurrent.age"),
         .pull = message.pull(),
+        .orders = decodePosition(message.orders()),
     };
 }
 
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -99,19 +99,21 @@
     const auto incarnations = builder.CreateVector(retiredIncarnations);
     const auto targets = encodeTables<fbs::TargetRecord>(builder, message.targets, encodeRecord);
     const fbs::LogPosition orders = encodePosition(message.orders);
+    const fbs::LogPosition ordersSince = encodePosition(message.ordersSince);
     const auto unchanged
         = message.unchanged.empty() ? Offset<flatbuffers::Vector<uint64_t>>() : builder.CreateVector(message.unchanged);
     const auto rollouts = encodeTables<fbs::RolloutOrder>(
         builder, message.rollouts, [](Builder& to, const model::RolloutOrder& order) { return encode(to, order); });
     const auto reopened = encodeTables<fbs::ReopenedZone>(builder, message.reopenedZones, encodeReopenedZone);
     return fbs::CreateTargetReport(builder, &orders, zones, retired, targets, incarnations, rollouts, message.gateways,
-        unchanged, message.gatewayNumber, reopened, message.registryVoters);
+        unchanged, message.gatewayNumber, reopened, message.registryVoters, &ordersSince);
 }
 
 model::TargetReport decode(FieldReader& reader, const fbs::TargetReport& message)
 {
     return {
         .orders = decodePosition(message.orders()),
+        .ordersSince = decodePosition(message.orders_since()),
         .evacuatedZones = decodeNames<ZoneName>(reader, message.evacuated_zones(), "TargetReport.evacuatedZones"),
         .reopenedZones = decodeTables<model::ReopenedZone>(
             reader, message.reopened_zones(), "TargetReport.reopenedZones", decodeReopenedZone),
--- a/src/wire/tests/messagefields.h
+++ b/src/wire/tests/messagefields.h
@@ -70,6 +70,9 @@
     } else if constexpr (Count == 10) {
         const auto& [a, b, c, d, e, f, g, h, i, j] = m;
         return std::tie(a, b, c, d, e, f, g, h, i, j);
+    } else if constexpr (Count == 11) {
+        const auto& [a, b, c, d, e, f, g, h, i, j, k] = m;
+        return std::tie(a, b, c, d, e, f, g, h, i, j, k);
     } else if constexpr (Count == 13) {
         const auto& [a, b, c, d, e, f, g, h, i, j, k, l, n] = m;
         return std::tie(a, b, c, d, e, f, g, h, i, j, k, l, n);
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -164,13 +164,16 @@
         .partOf = {.term = {5}, .index = {60}},
         .partBase = {.term = {5}, .index = {59}},
         .offset = 20,
-        .wantsWhole = true});
-    messages.emplace_back(BundleCurrent {.position = {.term = {5}, .index = {60}}, .age = 40ms, .pull = 4});
+        .wantsWhole = true,
+        .wantsFullReport = true});
+    messages.emplace_back(BundleCurrent {
+        .position = {.term = {5}, .index = {60}}, .age = 40ms, .pull = 4, .orders = {.term = {5}, .index = {61}}});
 }
 
 void addTargetMessages(std::vector<Message>& messages)
 {
     messages.emplace_back(TargetReport {.orders = {.term = {5}, .index = {61}},
+        .ordersSince = {.term = {4}, .index = {58}},
         .evacuatedZones = {ZoneName("zone-a")},
         .reopenedZones = {{.zone = ZoneName("zone-b"), .position = {.term = {5}, .index = {60}}}},
         .retired = {{.target = TargetId("target-1")}, {.target = TargetId("target-2"), .incarnation = {7}}},
--- a/testing/fleet/drawnleavetests.cpp
+++ b/testing/fleet/drawnleavetests.cpp
@@ -105,7 +105,7 @@
             &RandomLeaves::killAllRegistries, &RandomLeaves::powerOffAll, &RandomLeaves::isolateRegion,
             &RandomLeaves::isolateRegistries, &RandomLeaves::cutOffRegion, &RandomLeaves::suspendRegistry,
             &RandomLeaves::cutOffGateway, &RandomLeaves::cutLinks, &RandomLeaves::restartGateway,
-            &RandomLeaves::stallLinks, &RandomLeaves::fillDisk};
+            &RandomLeaves::stallLinks, &RandomLeaves::fillDisk, &RandomLeaves::loseReports};
         (this->*Faults.at(index(Faults.size())))();
     }
 
@@ -229,6 +229,13 @@
         gatewayFaultAt_.at(gateway) = std::max(gatewayFaultAt_.at(gateway), now());
     }
     void restartGateway() { restart(index(Gateways)); }
+    /// No fault of its own: gateways have to notice it.
+    void loseReports()
+    {
+        const Duration duration = milliseconds(200, 1000);
+        for (const size_t gateway : someOf(Gateways, draw(1, Gateways)))
+            fleet_.loseReports(gateway, duration);
+    }
     void fillDisk()
     {
         const size_t registry = index(Registries);
--- a/testing/fleet/fleet.cpp
+++ b/testing/fleet/fleet.cpp
@@ -66,6 +66,9 @@
         Gateway* gateway = find(outgoing.to);
         if (gateway == nullptr || !gateway->linked.contains(from) || gateway->cutUntil.contains(from))
             return;
+        const bool isReport = std::holds_alternative<model::TargetReport>(outgoing.message);
+        if (isReport && registries_.now() < gateway->losesReportsUntil)
+            return;
         const double bytes = sizeOf(outgoing.message);
         gateway->bytesSent += static_cast<uint64_t>(bytes);
         Sender& sender = gateway->senders[from];
@@ -154,6 +157,11 @@
     dropPackets(gateway, registry);
 }
 
+void Fleet::loseReports(size_t gateway, Duration duration)
+{
+    gateways_.at(gateway).losesReportsUntil = registries_.now() + duration;
+}
+
 bool Fleet::isLinkCut(size_t gateway, size_t registry) const
 {
     return gateways_.at(gateway).cutUntil.contains(registry);
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -75,6 +75,9 @@
     /// Stops the link between a gateway and a registry host for `duration`, or for longer if it is cut already.
     void cutLink(size_t gateway, size_t registry, Duration duration);
     [[nodiscard]] bool isLinkCut(size_t gateway, size_t registry) const;
+    /// Loses the reports of targets and orders that registry hosts send to a gateway within `duration`, although its
+    /// links stay up and deliver everything else.
+    void loseReports(size_t gateway, Duration duration);
 
     /// Puts a plan through the leader and repeats that until it is acknowledged; false if that takes more than 10 s.
     [[nodiscard]] bool putPlan(uint64_t base, const std::string& plan);
@@ -130,6 +133,7 @@
         std::map<size_t, Sender> senders; ///< By index of the registry host.
         std::deque<Packet> packets; ///< Packets in flight, queued before the gateway's link.
         double linkBudgetBytes = 0; ///< Bytes that the link may carry in this step.
+        Timestamp losesReportsUntil {};
         std::deque<PendingMessage> outbound;
         uint64_t bytesSent = 0;
         uint64_t maxBacklogBytes = 0;
