Target client: trailers without end fail the request

Cause: the bound on a response's head ends with the head; lines of trailers were accepted without a count, and libcurl keeps them until the transfer ends. A response's trailers may have 16 KiB now. TrailersWithoutEndFailTheRequest failed before (no failure within 10 s of lines of 1 kB).

--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -25,6 +25,7 @@
 // Buffers of each transfer in flight.
 constexpr long ReceiveBufferBytes = 16 * 1024;
 constexpr long SendBufferBytes = 16 * 1024;
+constexpr size_t MaxTrailerBytes = 16 * 1024;
 
 /// Request headers that are not forwarded: this class sets them from the request's framing, or omits them.
 constexpr std::array<std::string_view, 4> ReservedHeaders {
@@ -271,7 +272,7 @@
 bool TargetExchange::handleHeadLine(std::string_view line)
 {
     if (head_.state() == ResponseHead::State::Complete)
-        return true; // A trailer.
+        return handleTrailerLine(line);
     const ResponseHead::State state = head_.addLine(line);
     if (state == ResponseHead::State::Bad)
         failure_ = head_.error();
@@ -291,6 +292,16 @@
     return state != ResponseHead::State::Bad;
 }
 
+/// Trailers are not forwarded, but libcurl stores them until the transfer ends.
+bool TargetExchange::handleTrailerLine(std::string_view line)
+{
+    trailerBytes_ += line.size();
+    if (trailerBytes_ <= MaxTrailerBytes)
+        return true;
+    failure_ = "trailers too large";
+    return false;
+}
+
 bool TargetExchange::isOfAnotherRequest()
 {
     const std::string& name = options_.start.echoedHeader;
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -69,6 +69,7 @@
     /// Updates the header that tells the target the time left.
     void updateDeadlineLine();
     [[nodiscard]] bool handleHeadLine(std::string_view line);
+    [[nodiscard]] bool handleTrailerLine(std::string_view line);
     /// True if the complete head belongs to another request: a surplus response arrived instead of the expected one.
     [[nodiscard]] bool isOfAnotherRequest();
     [[nodiscard]] size_t receiveBody(std::string_view bytes);
@@ -100,6 +101,7 @@
 
     // Response body.
     uint64_t window_ = requests::InitialBodyWindow;
+    size_t trailerBytes_ = 0;
     std::string buffered_; ///< Bytes received beyond the window.
     bool isReceivePaused_ = false;
     bool isResponseComplete_ = false; ///< The response was received; buffered_ is not delivered yet.
--- a/src/net/tests/targetclienttests.cpp
+++ b/src/net/tests/targetclienttests.cpp
@@ -32,6 +32,33 @@
     EXPECT_EQ(log.target<TargetResponseDone>().size(), 1u);
 }
 
+// Guards against a target that sends trailers without end, which fill the gateway's memory.
+TEST_F(TargetClientTest, TrailersWithoutEndFailTheRequest)
+{
+    client->execute(request(1));
+    RawSocket target;
+    ASSERT_TRUE(acceptRequest(target));
+    target.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n");
+    const std::string trailer = "X-Trailer: " + std::string(1000, 'x') + "\r\n";
+    ASSERT_TRUE(runner.runUntil([&] {
+        target.send(trailer);
+        return log.target<TargetFailed>().size() == 1 || target.unsent() > UnreadBodyBytes;
+    }));
+    ASSERT_EQ(log.target<TargetFailed>().size(), 1U);
+    EXPECT_EQ(log.target<TargetFailed>().front().message, "trailers too large");
+}
+
+TEST_F(TargetClientTest, TrailersAreAccepted)
+{
+    client->execute(request(1));
+    RawSocket target;
+    ASSERT_TRUE(acceptRequest(target));
+    target.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n");
+    ASSERT_TRUE(waitForCompletion());
+    EXPECT_EQ(log.target<TargetResponseDone>().size(), 1U);
+    EXPECT_EQ(body(), "ok");
+}
+
 // Guards against targets that are given more time than is left, because the process was stalled between the dispatch
 // and the first byte.
 TEST_F(TargetClientTest, TimeLeftIsThatOfTheFirstByte)
