Gateways eject targets whose responses begin and don't end, and send stalled small ones elsewhere

Cause: a response's head ended a target's row of failures, and nothing after it counted: a body that broke off was one failure, void with the next head, and one that did not end by the deadline was none. A head also ended the check for stalled targets.

Now responses that break off after their head, or that are overdue (state no length, or are small, and have not ended at the deadline, 0.5 s or more after the head, while the caller reads), count in a row of their own, which only a whole response ends. A small response that stalls for the route's objective (0.5 s at least) is requested elsewhere, if it may be repeated. Large responses of known length are not judged: the gateway's own link or the caller may be slow.

Not tried with real processes on this code. Probes, targets that pour at registry hosts and links: not tried.

--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -62,7 +62,23 @@
 {
     answeredAt = now;
     failures = 0;
-    ejectedUntil = {};
+    if (brokenResponses < FailuresToEject)
+        ejectedUntil = {};
+}
+
+void GatewayTarget::onResponseCompleted()
+{
+    brokenResponses = 0;
+    if (failures < FailuresToEject)
+        ejectedUntil = {};
+}
+
+void GatewayTarget::onResponseBroken(Timestamp now)
+{
+    if (areFailuresVoid())
+        brokenResponses = 0;
+    failedAt = now;
+    eject(++brokenResponses, now);
 }
 
 void GatewayTarget::onFailure(Timestamp now, bool isCertain)
@@ -71,9 +87,14 @@
         failures = 0;
     failedAt = now;
     failures = std::max(failures + 1, isCertain ? FailuresToEject : 0);
-    if (failures < FailuresToEject)
+    eject(failures, now);
+}
+
+void GatewayTarget::eject(uint32_t consecutiveFailures, Timestamp now)
+{
+    if (consecutiveFailures < FailuresToEject)
         return;
-    const uint32_t doublings = std::min(failures - FailuresToEject, MaxDoublings);
+    const uint32_t doublings = std::min(consecutiveFailures - FailuresToEject, MaxDoublings);
     ejectedUntil = now + FirstEjection * (1 << doublings);
 }
 
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -10,6 +10,7 @@
 #include "gateway/internal/targetbackpressure.h"
 #include "model/targetmessages.h"
 
+#include <algorithm>
 #include <boost/intrusive/list.hpp>
 
 #include <string_view>
@@ -53,6 +54,7 @@
     const Timestamp* totalsAt = nullptr; ///< When the registry last reported loads of any targets.
     Timestamp answeredAt; ///< Time of the last response.
     uint32_t failures = 0; ///< Consecutive failures.
+    uint32_t brokenResponses = 0; ///< Consecutive responses that began and did not end in time.
     Timestamp ejectedUntil;
     Timestamp failedAt; ///< Time of the last failure.
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
@@ -68,7 +70,10 @@
     [[nodiscard]] double load(Timestamp now) const;
     [[nodiscard]] bool isSlowStarting(Timestamp now) const { return now < slowUntil; }
     /// Was ejected; a single request shall find out whether it works again.
-    [[nodiscard]] bool isOnTrial() const { return failures >= FailuresToEject && !areFailuresVoid(); }
+    [[nodiscard]] bool isOnTrial() const
+    {
+        return std::max(failures, brokenResponses) >= FailuresToEject && !areFailuresVoid();
+    }
     /// Its failures ejected it for now.
     [[nodiscard]] bool isEjected(Timestamp now) const { return now < ejectedUntil && !areFailuresVoid(); }
     [[nodiscard]] bool areFailuresVoid() const { return reachableSince != nullptr && failedAt < *reachableSince; }
@@ -86,9 +91,15 @@
     [[nodiscard]] bool mayReceive(Timestamp now) const;
     /// Concurrent requests for which it counts: its slots, but no more than its limit in requests per second.
     [[nodiscard]] double usableSlots() const;
+    /// The head of a response was received.
     void onAnswered(Timestamp now);
+    void onResponseCompleted();
+    /// A response broke off after its head, or did not end in time.
+    void onResponseBroken(Timestamp now);
     /// The target lost the connection or did not answer in time. `isCertain`: it can't be reached at all.
     void onFailure(Timestamp now, bool isCertain);
+    /// Ejects it for longer with each consecutive failure.
+    void eject(uint32_t consecutiveFailures, Timestamp now);
     /// Parses the load header "running,waiting,slots"; malformed values are ignored.
     void updateLoad(std::string_view text, Timestamp now);
     [[nodiscard]] bool hasFreeSlots(Timestamp now) const { return loadUpdatedAt == now && load(now) < record.slots; }
--- a/src/gateway/internal/requestlosses.cpp
+++ b/src/gateway/internal/requestlosses.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/requestrunner.h"
 
 #include <algorithm>
+#include <utility>
 
 /// RequestRunner: requests that lost their target, or may have.
 namespace saltvane::gateway {
@@ -15,6 +16,8 @@
 /// How long responses of a target that has stopped may still arrive, over two regions and a slow link. After that its
 /// requests are retried or failed, instead of waiting until the route's timeout.
 constexpr Duration LastResponsesTimeout = 500ms;
+/// A caller that has read nothing for this long holds up the response itself.
+constexpr Duration CallerStallTimeout = 250ms;
 
 } // namespace
 
@@ -32,6 +35,27 @@
         options_.quarantine.onRunAbandoned(lostRunOf(exchange, now));
 }
 
+bool RequestRunner::isResponseOverdue(const Exchange& exchange, Timestamp now)
+{
+    const bool isStreaming = exchange.phase == Exchange::Phase::Streaming;
+    const bool hasHead = isStreaming || exchange.phase == Exchange::Phase::ReceivingResponse;
+    if (exchange.isAtPeer || !hasHead || now - exchange.sentAt - exchange.timeToHead < MinBodyTime)
+        return false;
+    if (!isStreaming)
+        return true;
+    // A large response of known length may be slow because of this gateway's own link or the caller.
+    const bool isCallerBehind = exchange.bytesReadByCaller < exchange.responseBytes;
+    const bool isCallerReading = !isCallerBehind || now - exchange.callerReadAt < CallerStallTimeout;
+    return !exchange.isResponseLengthKnown && isCallerReading;
+}
+
+void RequestRunner::recordBrokenResponse(Exchange& exchange, Timestamp now)
+{
+    GatewayTarget* target = options_.targets.find(exchange.target);
+    if (target != nullptr && !std::exchange(exchange.isResponseLate, true))
+        target->onResponseBroken(now);
+}
+
 void RequestRunner::onTargetLost(const requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
 {
     if (failed.mayHaveReachedTarget) {
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -65,13 +65,14 @@
                 .isOfTrial = exchange.versionRole == VersionRole::Trial
                     && options_.targets.rollouts().isInTrial(exchange.service)},
             now);
-    stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
+    scheduleStallCheck(exchange, now + std::max(exchange.route.objective, MinBodyTime));
     startResponse(exchange, head);
 }
 
 void RequestRunner::startResponse(Exchange& exchange, const requests::TargetResponseHead& head)
 {
     exchange.phase = Exchange::Phase::ReceivingResponse;
+    exchange.isResponseLengthKnown = head.bodyLength.has_value();
     exchange.response = {.handle = exchange.handle,
         .status = head.status,
         .headers = requests::endToEndHeaders(head.headers),
@@ -87,6 +88,7 @@
 
 void RequestRunner::startStreaming(Exchange& exchange)
 {
+    stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
     exchange.phase = Exchange::Phase::Streaming;
     exchange.isResponseStarted = true;
     exchange.response.isLast = false;
@@ -122,6 +124,8 @@
 
 void RequestRunner::accept(requests::TargetResponseDone& /*done*/, Exchange& exchange, Timestamp now)
 {
+    if (GatewayTarget* target = exchange.isAtPeer ? nullptr : options_.targets.find(exchange.target))
+        target->onResponseCompleted();
     releaseTarget(exchange);
     options_.quarantine.onAnswered(exchange.digest, now);
     const int status = exchange.response.status;
@@ -148,6 +152,8 @@
         return onPeerFailed(failed, exchange, now);
     if (GatewayTarget* target = options_.targets.find(exchange.target)) {
         target->onFailure(now, !failed.mayHaveReachedTarget);
+        if (exchange.phase != Exchange::Phase::AwaitingHead)
+            recordBrokenResponse(exchange, now);
         recordTargetFailure(*target,
             failed.mayHaveReachedTarget ? TargetReachability::Failure::Response : TargetReachability::Failure::Connect,
             exchange.sentAt, now);
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -83,11 +83,14 @@
     erase(*exchange);
 }
 
-void RequestRunner::accept(const requests::HttpResponseProgress& progress, Timestamp /*now*/)
+void RequestRunner::accept(const requests::HttpResponseProgress& progress, Timestamp now)
 {
-    const Exchange* exchange = find(progress.handle);
-    if (exchange != nullptr && exchange->phase == Exchange::Phase::Streaming && exchange->dispatch.value != 0)
-        actions_.emplace_back(requests::TargetResponseWindow {.dispatch = exchange->dispatch, .bytes = progress.bytes});
+    Exchange* exchange = find(progress.handle);
+    if (exchange == nullptr || exchange->phase != Exchange::Phase::Streaming || exchange->dispatch.value == 0)
+        return;
+    exchange->bytesReadByCaller += progress.bytes;
+    exchange->callerReadAt = now;
+    actions_.emplace_back(requests::TargetResponseWindow {.dispatch = exchange->dispatch, .bytes = progress.bytes});
 }
 
 void RequestRunner::accept(const requests::HttpResponseDone& done, Timestamp /*now*/)
@@ -201,6 +204,7 @@
     exchange.attemptedTargets.push_back(target.id());
     exchange.sentAt = now;
     exchange.firstByteAt.reset();
+    exchange.isResponseLate = false;
     exchange.usesTargetCredit = exchange.limit.has_value();
     exchange.wasBlamed = options_.quarantine.isBlamed(exchange.digest);
     dispatches_.emplace(exchange.dispatch, &exchange);
@@ -296,11 +300,17 @@
     GatewayTarget* target = options_.targets.find(exchange.target);
     if (target == nullptr)
         return abandonStopped(exchange, now);
-    // A target that answers other requests is only slow.
-    if (target->answeredAt >= exchange.sentAt || options_.isRegistryLate(now))
+    if (options_.isRegistryLate(now))
         return;
-    target->onFailure(now, false);
-    recordTargetFailure(*target, TargetReachability::Failure::Response, exchange.sentAt, now);
+    if (exchange.phase == Exchange::Phase::ReceivingResponse) {
+        recordBrokenResponse(exchange, now);
+    } else {
+        // A target that answers other requests is only slow.
+        if (target->answeredAt >= exchange.sentAt)
+            return;
+        target->onFailure(now, false);
+        recordTargetFailure(*target, TargetReachability::Failure::Response, exchange.sentAt, now);
+    }
     if (!options_.reachability.isReachable()) {
         (void)tryForwardAgain(exchange, model::Reason::TargetStalled, now);
         return;
@@ -337,6 +347,8 @@
         if (exchange == nullptr)
             continue;
         if (exchange->dispatch.value != 0) {
+            if (isResponseOverdue(*exchange, now))
+                recordBrokenResponse(*exchange, now);
             recordAnswer(*exchange, now - exchange->sentAt);
             exchange->recordPossibleRun();
             onRunAbandoned(*exchange, now);
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -34,6 +34,9 @@
 // Statuses that tell callers that the request was not run and may be sent again.
 inline constexpr int StatusUnavailable = 503;
 inline constexpr int StatusTooManyRequests = 429;
+/// A small response that has not ended this long after its head has stalled. A response whose head arrived later than
+/// this before the deadline may only be late.
+inline constexpr Duration MinBodyTime = 500ms;
 
 /// Outcome of one request, for the log.
 struct Decision {
@@ -197,6 +200,9 @@
     /// The target's incarnation has stopped: no response will arrive any more.
     void abandonStopped(Exchange& exchange, Timestamp now);
     void scheduleStallCheck(Exchange& exchange, Timestamp at);
+    /// Whether the target is to blame for a response that began and has not ended by the deadline.
+    [[nodiscard]] static bool isResponseOverdue(const Exchange& exchange, Timestamp now);
+    void recordBrokenResponse(Exchange& exchange, Timestamp now);
     void onRefusedByTarget(Exchange& exchange, int status, Timestamp now);
     void startResponse(Exchange& exchange, const requests::TargetResponseHead& head);
     void startStreaming(Exchange& exchange);
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -214,6 +214,25 @@
     handle(requests::TargetEvent(requests::TargetResponseDone {.dispatch = start.dispatch}));
 }
 
+void GatewayFixture::sendHead(const requests::TargetStart& start, const std::string& id)
+{
+    handle(requests::TargetEvent(requests::TargetResponseHead {.dispatch = start.dispatch,
+        .status = 200,
+        .headers = {{.name = "Saltvane-Request-Id", .value = id}},
+        .bodyLength = std::nullopt}));
+}
+
+void GatewayFixture::sendBody(const requests::TargetStart& start, size_t bytes)
+{
+    handle(requests::TargetEvent(
+        requests::TargetResponseBody {.dispatch = start.dispatch, .bytes = std::string(bytes, 'x')}));
+}
+
+void GatewayFixture::readResponse(requests::HttpHandle caller, size_t bytes)
+{
+    handle(requests::HttpEvent(requests::HttpResponseProgress {.handle = caller, .bytes = bytes}));
+}
+
 void GatewayFixture::fail(const requests::TargetStart& start, bool mayHaveReachedTarget)
 {
     handle(requests::TargetEvent(requests::TargetFailed {
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -64,6 +64,11 @@
         std::vector<model::Header> extraHeaders;
     };
     void answer(const requests::TargetStart& start, const TargetResponse& from);
+    /// The first parts of a response whose length is not stated.
+    void sendHead(const requests::TargetStart& start, const std::string& id);
+    void sendBody(const requests::TargetStart& start, size_t bytes);
+    /// The caller has read some bytes of its response.
+    void readResponse(requests::HttpHandle handle, size_t bytes);
     void fail(const requests::TargetStart& start, bool mayHaveReachedTarget);
     /// The request was withheld right before its first byte.
     void withhold(const requests::TargetStart& start, model::Reason reason);
