Links: two sides that retire a link at once have both ended it in order

The kernel counts the end of the own sending side as an unacknowledged byte. Two hosts that retire the same link at once each receive the other's end before the acknowledgement of their own, and would have taken the link for one that lost messages: a needless LinkDown and LinkUp, seconds after a common start.

Found by reading. No test: on loopback the acknowledgement always comes first.

--- a/src/net/internal/link.cpp
+++ b/src/net/internal/link.cpp
@@ -210,9 +210,11 @@
 /// A peer that closes its socket with unread data resets the connection instead.
 bool Link::isAllAcknowledged() const
 {
+    // The end of the own sending side counts as one byte; the peer may have ended its side at the same time.
+    const int allowedBytes = isWriteClosed_ ? 1 : 0;
     int unacknowledgedBytes = 0;
     return unsent_.isEmpty() && ::ioctl(options_.fd.get(), SIOCOUTQ, &unacknowledgedBytes) == 0
-        && unacknowledgedBytes == 0;
+        && unacknowledgedBytes <= allowedBytes;
 }
 
 void Link::close(LinkCloseReason reason, std::string_view detail)
