--- a/src/gateway/internal/requestlosses.cpp
+++ b/src/gateway/internal/requestlosses.cpp
@@ -52,7 +52,7 @@
 void RequestRunner::recordBrokenResponse(Exchange& exchange, Timestamp now)
 {
     GatewayTarget* target = options_.targets.find(exchange.target);
-    if (target != nullptr && !std::exchange(exchange.isResponseLate, true))
+    if (target != nullptr && !std::exchange(exchange.isResponseBroken, true))
         target->onResponseBroken(now);
 }
 
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -204,7 +204,7 @@
     exchange.attemptedTargets.push_back(target.id());
     exchange.sentAt = now;
     exchange.firstByteAt.reset();
-    exchange.isResponseLate = false;
+    exchange.isResponseBroken = false;
     exchange.usesTargetCredit = exchange.limit.has_value();
     exchange.wasBlamed = options_.quarantine.isBlamed(exchange.digest);
     dispatches_.emplace(exchange.dispatch, &exchange);
