--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -81,7 +81,7 @@
     size_t targetsLost = 0; ///< Attempted targets that were lost.
     model::Reason lastReason = model::Reason::None;
     // Logged with the outcome: the state on which the last target selection was based.
-    LogIndex orders; ///< Of the newest orders known, such as targets that left.
+    LogIndex orders; ///< Up to which all orders were known, such as targets that left.
     Duration targetAge {}; ///< Since the target's last report to the registry.
     Duration loadAge {}; ///< Since the last update of the target's load.
     std::string lastFailure; ///< Error text of the last failed target.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -241,7 +241,7 @@
         checkOrders(delivery.from, current->orders);
 }
 
-/// Links preserve the order of messages: what the answer's sender had reported before it has arrived, or was lost.
+/// Links preserve the order of messages: a report that was sent before this answer has either arrived or been lost.
 void GatewayCore::checkOrders(const HostId& from, const LogPosition& reportedOrders)
 {
     if (reportedOrders <= targets_.orders())
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -54,7 +54,7 @@
     const Timestamp* totalsAt = nullptr; ///< When the registry last reported loads of any targets.
     Timestamp answeredAt; ///< Time of the last response.
     uint32_t failures = 0; ///< Consecutive failures.
-    uint32_t brokenResponses = 0; ///< Consecutive responses that began and did not end in time.
+    uint32_t brokenResponses = 0; ///< Consecutive responses that broke off or did not end in time.
     Timestamp ejectedUntil;
     Timestamp failedAt; ///< Time of the last failure.
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -34,8 +34,8 @@
 // Statuses that tell callers that the request was not run and may be sent again.
 inline constexpr int StatusUnavailable = 503;
 inline constexpr int StatusTooManyRequests = 429;
-/// A small response that has not ended this long after its head has stalled. A response whose head arrived later than
-/// this before the deadline may only be late.
+/// A small response that has not ended this long after its head has stalled. If the head is more recent than this at
+/// the deadline, the response is late, but the target is not to blame.
 inline constexpr Duration MinBodyTime = 500ms;
 
 /// Outcome of one request, for the log.
--- a/src/model/controlmessages.h
+++ b/src/model/controlmessages.h
@@ -139,7 +139,8 @@
     LogPosition position;
     Duration age {}; ///< As in BundlePush.
     uint64_t pull = 0; ///< Number of the pull that this answers.
-    /// From a registry host to a gateway: the orders that its TargetReports before this answer led up to.
+    /// From a registry host to a gateway: log position up to which its TargetReports before this answer told the
+    /// orders.
     LogPosition orders {};
 };
 
