--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -297,7 +297,10 @@
             .addMilliseconds("left_ms", notice.left)
             .add("own", notice.isOwn ? "yes" : "no")
             .add("sent", notice.recentSends)
-            .addMilliseconds("word_age_ms", replica_->provenAnswerAge(now));
+            .addMilliseconds("since_report_ms", notice.sinceReport);
+        if (notice.sinceReopening)
+            line.addMilliseconds("since_reopening_ms", *notice.sinceReopening);
+        line.addMilliseconds("word_age_ms", replica_->provenAnswerAge(now));
         log(host::LogSeverity::Info, line.text());
     }
 }
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -239,10 +239,7 @@
         removeFromIndexes(target);
     }
     if (record.slowStartLeft > Duration::zero() && target.record.slowStartLeft == Duration::zero())
-        slowStarts_.push_back({.target = record.target,
-            .left = record.slowStartLeft - record.age,
-            .isOwn = record.slowStartHost == location_.self,
-            .recentSends = target.sends.recent(now)});
+        addSlowStartNotice(target, record, now);
     target.record = record;
     target.record.isLeaving = wasLeaving;
     if (isMoved) {
@@ -264,6 +261,18 @@
     updateCapacity(target, now);
 }
 
+void TargetSet::addSlowStartNotice(GatewayTarget& target, const model::TargetRecord& record, Timestamp now)
+{
+    SlowStartNotice notice {.target = record.target,
+        .left = record.slowStartLeft - record.age,
+        .isOwn = record.slowStartHost == location_.self,
+        .recentSends = target.sends.recent(now),
+        .sinceReport = now - target.lastReportAt};
+    if (target.zone->reopenedByReport > 0)
+        notice.sinceReopening = now - target.zone->reopenedAt;
+    slowStarts_.push_back(notice);
+}
+
 void TargetSet::displaceOtherAt(const model::TargetRecord& record, Timestamp now)
 {
     GatewayTarget* other = atAddress(record.address);
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -15,6 +15,7 @@
 #include <boost/container/static_vector.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -43,6 +44,8 @@
     Duration left {};
     bool isOwn = false; ///< This gateway may use the target during the slow start.
     uint32_t recentSends = 0; ///< Requests of this gateway within a recent second.
+    Duration sinceReport {}; ///< Time since the report before, which named no slow start.
+    std::optional<Duration> sinceReopening; ///< Time since the end of its zone's evacuation; none: never evacuated.
 };
 
 /// What limits the requests that may be sent to a target.
@@ -129,6 +132,7 @@
     void markReopened(TargetZone& zone, const LogPosition& position, Timestamp now) const;
     void applyRetired(std::span<const model::TargetIncarnation> retired);
     void applyRecord(const model::TargetRecord& record, Timestamp now);
+    void addSlowStartNotice(GatewayTarget& target, const model::TargetRecord& record, Timestamp now);
     void applyUnchanged(std::span<const uint64_t> incarnationHashes, Timestamp now);
     void markListed(GatewayTarget& target, Timestamp now);
     /// Whether a record of an unknown incarnation may be added as a target.
