--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -69,9 +69,33 @@
         {"slow_start_left_ms", std::max<int64_t>(slowStartLeft.count(), 0)}, {"sequence", ++target.sequence}};
     if (options_.keepsId)
         body["started_ms"] = target.incarnation;
+    const std::string path = "/v1/targets/" + target.id + "/heartbeat";
+    if (now() < target.reportsDelayedUntil) {
+        lateReports_.push_back({.at = now() + target.reportDelay, .path = path, .body = body.dump()});
+        return;
+    }
     const std::optional<size_t> leader = fleet_.registries().leader();
     if (leader)
-        fleet_.registries().post(*leader, "/v1/targets/" + target.id + "/heartbeat", body.dump());
+        fleet_.registries().post(*leader, path, body.dump());
+}
+
+void CrashingTargets::delayReports(size_t target, Duration delay, Duration duration)
+{
+    targets_.at(target).reportDelay = delay;
+    targets_.at(target).reportsDelayedUntil = now() + duration;
+}
+
+void CrashingTargets::deliverLateReports()
+{
+    std::erase_if(lateReports_, [this](const LateReport& late) {
+        if (now() < late.at)
+            return false;
+        const size_t registry = std::uniform_int_distribution<size_t>(0, FleetOptions().registries - 1)(random_);
+        if (!fleet_.registries().isRunning(registry))
+            return false;
+        fleet_.registries().post(registry, late.path, late.body);
+        return true;
+    });
 }
 
 void CrashingTargets::sendEvent(size_t gateway, requests::TargetEvent event, Duration delay)
@@ -303,6 +327,7 @@
         if (target.isUp && now() >= target.nextReportAt)
             report(target);
     }
+    deliverLateReports();
     std::vector<PendingEvent> dueEvents;
     std::erase_if(pendingEvents_, [&](PendingEvent& pending) {
         if (pending.at > now())
--- a/testing/fleet/crashingtargets.h
+++ b/testing/fleet/crashingtargets.h
@@ -55,6 +55,8 @@
     /// The target is in a slow start from now on, without a restart: work takes twice as long.
     void beginSlowStart(size_t target, Duration duration) { targets_.at(target).slowUntil = now() + duration; }
     [[nodiscard]] bool isSlowStarting(size_t target) const { return now() < targets_.at(target).slowUntil; }
+    /// Reports that the target sends within `duration` arrive `delay` later, each at a random registry host.
+    void delayReports(size_t target, Duration delay, Duration duration);
     [[nodiscard]] const std::string& zoneOf(size_t target) const { return targets_.at(target).zone; }
     /// While set, no request crashes a target.
     void setHarmless(bool isHarmless) { isHarmless_ = isHarmless; }
@@ -123,8 +125,15 @@
         Timestamp restartsAt; ///< Valid while the target is down.
         Timestamp slowUntil {}; ///< End of its slow start.
         Timestamp nextReportAt;
+        Duration reportDelay {};
+        Timestamp reportsDelayedUntil {};
         std::vector<Run> runs;
     };
+    struct LateReport {
+        Timestamp at;
+        std::string path;
+        std::string body;
+    };
     struct PendingEvent {
         Timestamp at;
         size_t gateway = 0;
@@ -142,6 +151,7 @@
     void start(Target& target);
     void crash(Target& target);
     void report(Target& target);
+    void deliverLateReports();
     void sendEvent(size_t gateway, requests::TargetEvent event, Duration delay = 10ms);
     void respond(const Target& target, const Run& run, int status, bool isNotRun);
     [[nodiscard]] Exchange exchangeOf(const Target& target, const Run& run) const;
@@ -152,6 +162,7 @@
     std::mt19937 random_;
     std::vector<Target> targets_;
     std::vector<PendingEvent> pendingEvents_;
+    std::vector<LateReport> lateReports_;
     std::vector<FatalRun> fatalRuns_;
     std::map<size_t, Partition> partitions_; ///< By gateway.
     std::map<std::string, size_t> atMostOnceRuns_; ///< By request id.
--- a/testing/fleet/slowstarttests.cpp
+++ b/testing/fleet/slowstarttests.cpp
@@ -69,6 +69,7 @@
         for (int event = 0; event < EventsPerSeed; ++event) {
             fleet_.run(randomMilliseconds(1000, 4000));
             (this->*Events.at(randomIndex(Events.size())))();
+            delayReports();
             fleet_.run(randomMilliseconds(0, 500));
             orderEvacuation(fleet_, "PUT");
             fleet_.run(randomMilliseconds(500, 3000));
@@ -91,6 +92,15 @@
     }
     size_t randomIndex(size_t count) { return std::uniform_int_distribution<size_t>(0, count - 1)(random_); }
 
+    /// Delays the reports of some targets, so that some arrive after the zone was reopened.
+    void delayReports()
+    {
+        constexpr size_t DelayedOneIn = 2;
+        for (size_t target = 0; target < fleet_.targets().size(); ++target) {
+            if (randomIndex(DelayedOneIn) == 0)
+                fleet_.targets().delayReports(target, randomMilliseconds(300, 4000), randomMilliseconds(500, 3000));
+        }
+    }
     void cutOffGateways()
     {
         const size_t count = randomIndex(fleet_.fleet().gateways() + 1);
@@ -164,6 +174,25 @@
     }
 }
 
+// Guards against floods of targets whose reports from before their slow start arrive after their zone was reopened.
+TEST(LateReportTest, TargetsOfAReopenedZoneAreNotFlooded)
+{
+    for (const Duration late : {150ms, 300ms, 450ms}) {
+        TrafficFleet fleet = makeFleet(25, 9, 480);
+        SlowStartLedger ledger(fleet.fleet(), fleet.targets(), {.perSecond = SlowStartPerSecond});
+        fleet.run(3900ms); // The targets report in 0.1 s, and again a second later.
+        for (size_t target = 0; target < fleet.targets().size(); ++target)
+            fleet.targets().delayReports(target, 400ms + late, 1500ms);
+        orderEvacuation(fleet, "PUT");
+        fleet.run(200ms);
+        beginSlowStarts(fleet);
+        fleet.run(300ms);
+        orderEvacuation(fleet, "DELETE");
+        fleet.run(4s);
+        EXPECT_LE(ledger.maxBoundFraction(), 1) << ledger.worstSecond() << ", " << toSeconds(late) << " s late";
+    }
+}
+
 // Guards against gateways that refuse their callers' requests while they are cut off from the registry and other
 // gateways aren't.
 TEST(CutOffGatewayServiceTest, CallersAreServedWhileTheRegistryIsOutOfReach)
