Limit the targets of a reopened zone for the length of a slow start, whatever reports say

Cause: the first report that arrived after a zone was reopened counted as news from after it. Reports may arrive seconds late; one that was sent before the slow start, and delayed by a cut, names none, and all gateways used the target at the full rate until its next report. The class: a message's arrival taken as proof that its content is newer than an event.

Now a gateway limits the zone's targets until a slow start that began before the reopening has ended by the plan's own figure, so that no report has to be believed. Registry hosts name the gateway that may use such a target, tell how long ago a zone was reopened, and treat the reopening as not yet applied in their soft state until then. The wait of 4 s, at whose end targets were used in full, is gone.

Tests changed: three expected a report without a slow start to end the limit, which was the fault. They now expect use by the named gateway alone, or the end of the limit after the slow start; TargetsAreReportedAgainAfterTheirZonesEvacuationEnds has a plan now, since without one no service has a slow start.

--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -57,6 +57,7 @@
         routes_ = std::make_shared<RouteTable>();
     routes_->install(std::move(parsed->plan.value()), source.position);
     split_.install(routes_->plan());
+    targets_.install(routes_->plan());
     runner_.install(routes_);
     updateSplit(now);
     actions_.emplace_back(host::CallerLimitsChanged {.limits = routes_->plan().limits});
--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -38,7 +38,7 @@
 
 bool GatewayTarget::isAwaitingReport(Timestamp now) const
 {
-    return lastListedInReport < zone->reopenedByReport && now < zone->reopenedAt + model::ReopenedZoneTimeout;
+    return lastListedInReport < zone->reopenedByReport && isRecentlyReopened(now);
 }
 
 bool GatewayTarget::isAvailable(Timestamp now) const
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -22,7 +22,7 @@
     ZoneName name;
     RegionName region;
     bool isClosed = false;
-    Timestamp reopenedAt; ///< When this gateway learnt that the zone's evacuation had ended.
+    Timestamp reopenedAt; ///< When the zone's evacuation ended, as far as known; never earlier than that.
     LogPosition reopenedPosition; ///< Of the order that ended it.
     uint64_t reopenedByReport = 0; ///< Number of the report that told of it; 0 if the zone was never reopened.
 };
@@ -34,6 +34,7 @@
 struct GatewayTarget {
     model::TargetRecord record;
     const TargetZone* zone = nullptr;
+    const Duration* serviceSlowStart = nullptr; ///< How long a slow start takes in its service, as the plan states.
     TargetVersionGroup* group = nullptr; ///< The targets of its service and version.
     uint64_t hash = 0; ///< Hash of the target's id, for ranking.
     uint64_t incarnationHash = 0; ///< Hash of the incarnation: warm objects and load belong to one incarnation.
@@ -41,7 +42,7 @@
     Timestamp lastReportAt; ///< When the target last reported to the registry, as far as known.
     Timestamp lastListedAt; ///< When a registry host's report last listed the target.
     uint64_t lastListedInReport = 0; ///< Number of that report.
-    Timestamp slowUntil; ///< End of the slow start.
+    Timestamp slowUntil; ///< End of the slow start that the target reported.
     bool isUnresponsive = false; ///< The registry host that last received its reports receives none any more.
 
     uint32_t inFlight = 0; ///< Requests of this gateway at the target.
@@ -68,7 +69,13 @@
     }
     /// Requests that the target runs or queues, as far as known.
     [[nodiscard]] double load(Timestamp now) const;
-    [[nodiscard]] bool isSlowStarting(Timestamp now) const { return now < slowUntil; }
+    [[nodiscard]] bool isSlowStarting(Timestamp now) const { return now < slowUntil || isRecentlyReopened(now); }
+    /// Whether the target may be in a slow start that began before its zone was reopened. Its reports don't show that
+    /// it isn't: one from before the slow start may arrive after the reopening.
+    [[nodiscard]] bool isRecentlyReopened(Timestamp now) const
+    {
+        return zone->reopenedByReport > 0 && now < zone->reopenedAt + *serviceSlowStart;
+    }
     /// Was ejected; a single request shall find out whether it works again.
     [[nodiscard]] bool isOnTrial() const
     {
@@ -77,7 +84,7 @@
     /// Its failures ejected it for now.
     [[nodiscard]] bool isEjected(Timestamp now) const { return now < ejectedUntil && !areFailuresVoid(); }
     [[nodiscard]] bool areFailuresVoid() const { return reachableSince != nullptr && failedAt < *reachableSince; }
-    /// Its zone was reopened and the target was not listed since: it may be in slow start.
+    /// Its zone was reopened recently and the target was not listed since: the gateway that may use it is unknown.
     [[nodiscard]] bool isAwaitingReport(Timestamp now) const;
     /// Whether new requests may be sent to it, apart from the slow start.
     [[nodiscard]] bool isOpen(Timestamp now) const
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -87,14 +87,14 @@
     // A zone may have been closed and reopened without a report in between.
     for (const model::ReopenedZone& reopened : report.reopenedZones) {
         if (reopened.position > known)
-            markReopened(zoneOf(reopened.zone), reopened.position, now);
+            markReopened(zoneOf(reopened.zone), reopened.position, now - reopened.age);
     }
     rollouts_.apply(report.rollouts, now);
 }
 
-void TargetSet::markReopened(TargetZone& zone, const LogPosition& position, Timestamp now) const
+void TargetSet::markReopened(TargetZone& zone, const LogPosition& position, Timestamp reopenedAt) const
 {
-    zone.reopenedAt = now;
+    zone.reopenedAt = reopenedAt;
     zone.reopenedPosition = position;
     zone.reopenedByReport = reports_;
 }
@@ -197,6 +197,7 @@
 void TargetSet::addToIndexes(GatewayTarget& target, Timestamp now)
 {
     byAddress_.insert_or_assign(target.record.address, &target);
+    target.serviceSlowStart = &services_[target.record.service].slowStart;
     if (!target.record.isLeaving)
         addToRanking(target, now);
 }
@@ -506,6 +507,16 @@
     return all;
 }
 
+void TargetSet::install(const model::RoutePlan& plan)
+{
+    for (auto& [name, service] : services_)
+        service.slowStart = {};
+    for (const model::RoutedService& service : plan.services) {
+        if (service.slowStartPerSecond > 0)
+            services_[service.name].slowStart = service.slowStart;
+    }
+}
+
 SendLimit TargetSet::limitOf(const GatewayTarget& target, Timestamp now) const
 {
     if (!isConfirmed_)
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -105,6 +105,8 @@
     void addTargetState(model::RolloutReport& report) const;
     [[nodiscard]] ServiceCapacity capacityOf(const ServiceName& service) const;
     [[nodiscard]] size_t countOf(const ServiceName& service) const;
+    /// Takes over how long slow starts take.
+    void install(const model::RoutePlan& plan);
     /// Whether the registry's information is current (RegistryWatch::isConfirmed()).
     void setConfirmed(bool isConfirmed) { isConfirmed_ = isConfirmed; }
     [[nodiscard]] SendLimit limitOf(const GatewayTarget& target, Timestamp now) const;
@@ -119,6 +121,7 @@
 
 private:
     struct Service {
+        Duration slowStart {}; ///< As the plan states; zero if the service has none.
         std::map<model::TargetVersion, TargetVersionGroup> versions;
         struct Capacity {
             double slots = 0;
@@ -129,7 +132,7 @@
     };
 
     void applyOrders(const model::TargetReport& report, Timestamp now);
-    void markReopened(TargetZone& zone, const LogPosition& position, Timestamp now) const;
+    void markReopened(TargetZone& zone, const LogPosition& position, Timestamp reopenedAt) const;
     void applyRetired(std::span<const model::TargetIncarnation> retired);
     void applyRecord(const model::TargetRecord& record, Timestamp now);
     void addSlowStartNotice(GatewayTarget& target, const model::TargetRecord& record, Timestamp now);
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -12,7 +12,29 @@
 
 namespace {
 
-class TargetTest : public GatewayFixture { };
+class TargetTest : public GatewayFixture {
+protected:
+    /// Sends 50 requests a second and answers those that reach a target. Returns how many did.
+    size_t requestsSentWithin(Duration duration)
+    {
+        constexpr Duration Interval = 20ms;
+        size_t sent = 0;
+        for (Duration elapsed {}; elapsed < duration; elapsed += Interval) {
+            request({.object = std::to_string(++objects_), .deadlineMs = "20000"});
+            for (const requests::TargetStart& start : takeStarts()) {
+                ++sent;
+                answer(start, {});
+            }
+            advance(Interval);
+        }
+        return sent;
+    }
+
+    const HostId Self {"10.0.0.1:7000"};
+
+private:
+    int objects_ = 0;
+};
 
 } // namespace
 
@@ -50,11 +72,47 @@
     request({});
     EXPECT_EQ(takeResponse()->status, 503); // The target may be in slow start now.
     record.sequence = 2;
+    record.slowStartHost = Self;
     report({.orders = {.term = {1}, .index = {6}}, .targets = {record}});
     request({});
     EXPECT_EQ(takeStarts().size(), 1U);
 }
 
+// Guards against targets in their slow start that are flooded since a report from before it arrives after their zone
+// was reopened and names no slow start.
+TEST_F(TargetTest, ReportWithoutASlowStartDoesNotEndTheLimitAfterAReopening)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    reportTargets({record});
+    const LogPosition reopening {.term = {1}, .index = {6}};
+    report({.orders = reopening, .reopenedZones = {{.zone = ZoneName("north-a"), .position = reopening}}});
+    record.sequence = 2;
+    record.slowStartHost = Self;
+    report({.orders = reopening, .targets = {record}});
+    // 4 per second (0.8 of the service's rate of 5), with a burst of one.
+    EXPECT_LE(requestsSentWithin(2s), 10U);
+    record.sequence = 3;
+    record.slowStartHost = HostId("10.0.0.2:7000");
+    report({.orders = reopening, .targets = {record}});
+    EXPECT_EQ(requestsSentWithin(500ms), 0U) << "another gateway may use it";
+    advance(1s); // The slow start that may have begun before the reopening has ended.
+    EXPECT_GE(requestsSentWithin(500ms), 20U);
+}
+
+// Guards against full use of a reopened zone's targets as soon as a wait for their reports has timed out, and against a
+// limit that outlasts the slow start.
+TEST_F(TargetTest, TargetsWithoutAReportAreUsedOnceTheSlowStartHasEnded)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    const LogPosition reopening {.term = {1}, .index = {6}};
+    report({.orders = reopening, .reopenedZones = {{.zone = ZoneName("north-a"), .position = reopening, .age = 1s}}});
+    EXPECT_EQ(requestsSentWithin(1900ms), 0U);
+    advance(200ms);
+    EXPECT_GE(requestsSentWithin(500ms), 20U);
+}
+
 // Guards against gateways that learn of an evacuation and its end at once and use targets that may be in a slow start.
 TEST_F(TargetTest, ZoneThatWasReopenedUnseenWaitsForReportsOfItsTargets)
 {
@@ -71,6 +129,7 @@
     request({});
     EXPECT_EQ(takeResponse()->status, 503);
     record.sequence = 3;
+    record.slowStartHost = Self;
     report({.orders = reopening, .targets = {record}});
     request({});
     EXPECT_EQ(takeStarts().size(), 1U);
@@ -81,18 +140,10 @@
     installPlan(1);
     model::TargetRecord own = target("t-1");
     own.slowStartLeft = 3s;
-    own.slowStartHost = HostId("10.0.0.1:7000");
+    own.slowStartHost = Self;
     reportTargets({own});
-    size_t sent = 0;
-    for (int i = 0; i < 100; ++i) {
-        request({.object = std::to_string(i), .deadlineMs = "20000"});
-        for (const requests::TargetStart& start : takeStarts()) {
-            ++sent;
-            answer(start, {});
-        }
-        advance(20ms);
-    }
     // 4 per second (0.8 of the service's rate of 5) for two seconds.
+    const size_t sent = requestsSentWithin(2s);
     EXPECT_GE(sent, 6U);
     EXPECT_LE(sent, 10U);
 }
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -20,9 +20,6 @@
 /// seconds late.
 constexpr Duration TargetHeartbeatTimeout = 12s;
 
-/// How long the targets of a zone that was reopened wait for their next heartbeats: they may be in a slow start.
-constexpr Duration ReopenedZoneTimeout = 4s;
-
 /// One start of a target. A target may restart under the same id; its later incarnation always replaces the earlier
 /// one, in whatever order reports of them arrive (docs/design/0012-target-incarnations.md).
 struct TargetIncarnation {
@@ -51,10 +48,11 @@
     auto operator<=>(const TargetRecord&) const = default;
 };
 
-/// The end of a zone's evacuation.
+/// The end of a zone's evacuation. Its targets may have entered a slow start shortly before.
 struct ReopenedZone {
     ZoneName zone;
     LogPosition position; ///< Of the order that ended it.
+    Duration age {}; ///< Time since the sender learnt of it.
     auto operator<=>(const ReopenedZone&) const = default;
 };
 
@@ -64,7 +62,8 @@
     /// `retired` lists the orders after this position; position 0: all that are kept, as in the full state.
     LogPosition ordersSince {};
     std::vector<ZoneName> evacuatedZones; ///< The complete list.
-    /// The zones that were reopened last; the full state lists all.
+    /// The newest of the zones whose targets may still be in a slow start since they were reopened; the full state
+    /// lists all of these.
     std::vector<ReopenedZone> reopenedZones;
     std::vector<TargetIncarnation> retired; ///< These and all earlier incarnations get no new work from now on.
     std::vector<TargetRecord> targets;
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -226,7 +226,7 @@
     const auto& retired = routing.retiredTargets.inOrder();
     const size_t skipped = retired.size() - std::min(retired.size(), MaxRetiredSent);
     report.retired.assign(retired.begin() + static_cast<ptrdiff_t>(skipped), retired.end());
-    report.reopenedZones = reopenedZones(std::numeric_limits<size_t>::max());
+    report.reopenedZones = recentlyReopenedZones(std::numeric_limits<size_t>::max(), now);
     report.targets = targets_.all(gateways(now), now);
     report.gatewayNumber = gatewayNumberOf(gateway, now);
     send({{.to = gateway, .message = std::move(report)}});
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -113,7 +113,7 @@
     /// Sends all orders, targets and limits over a new link, once.
     void syncGateway(const HostId& gateway, Timestamp now);
     /// The zones that were reopened last, `maxCount` at most.
-    [[nodiscard]] std::vector<model::ReopenedZone> reopenedZones(size_t maxCount) const;
+    [[nodiscard]] std::vector<model::ReopenedZone> recentlyReopenedZones(size_t maxCount, Timestamp now) const;
     /// Tells each gateway its number as well.
     void sendReport(model::TargetReport report, Timestamp now);
     [[nodiscard]] uint32_t gatewayNumberOf(const HostId& gateway, Timestamp now) const;
@@ -125,6 +125,7 @@
     void releaseRecalled(Timestamp now);
     void recallTargets(Timestamp now);
     void recallVerdicts(Timestamp now);
+    [[nodiscard]] LogPosition settledOrdersPosition(Timestamp now) const;
     void writeSoftState(Timestamp now);
     void reportLoads(Timestamp now);
     /// Forwards new information about requests under which targets fail.
@@ -144,6 +145,7 @@
     /// Tells a gateway which other ones may carry its requests.
     void sendPeers(const HostId& gateway, Timestamp now);
     /// Updates the limits of the plan's client accounts, and the hosts among which they are divided.
+    void installPlanSettings(Timestamp now);
     void updateCredits(Timestamp now);
     void sendVerdicts(const HostId& host, Timestamp now);
     [[nodiscard]] model::TargetReport makeReport(Timestamp now) const;
@@ -185,12 +187,12 @@
     LoadTable loads_;
     NearestGateways nearestGateways_;
     SuspectRelay suspects_;
-    std::optional<CreditPool> credits_; ///< Created by the first tick.
+    std::optional<CreditPool> credits_; ///< Created by the first tick or plan.
     std::unique_ptr<rollout::IRolloutController> rollouts_;
     Timestamp nextRolloutDecisionsAt_ {};
-    settings::RoutePlanReader accountReader_;
+    settings::RoutePlanReader planSettingsReader_;
     Timestamp nextHoldersAt_ {};
-    LogPosition accountsPosition_; ///< Of the plan that the account limits come from.
+    LogPosition planSettingsPosition_; ///< Of the plan that account limits and slow starts come from.
     std::set<HostId>
         loadSyncedGateways_; ///< Gateways that receive load sums from this host, and were sent all of them.
     Timestamp nextLoadsAt_ {};
@@ -201,12 +203,12 @@
     HostId leader_;
     std::vector<control::ReplicaInfo> group_; ///< As logged last.
     host::RoutedLinks links_;
-    LogPosition recalledOrdersPosition_; ///< Recalled targets reported after these orders.
+    LogPosition recalledOrdersPosition_; ///< Of the settled orders when the soft state was written.
     std::vector<model::TargetRecord> recalled_; ///< Soft state of the previous run, until it is applied.
     std::vector<model::SuspectRequest> recalledVerdicts_; ///< Likewise.
     bool isRecallReleased_ = false;
-    /// Versions of targets, orders and verdicts that writeSoftState() last considered.
-    std::tuple<uint64_t, LogPosition, uint64_t> softStateVersion_;
+    /// Versions of targets, orders, settled orders and verdicts that writeSoftState() last considered.
+    std::tuple<uint64_t, LogPosition, LogPosition, uint64_t> softStateVersion_;
     uint64_t writtenSoftStateHash_ = 0; ///< 0: nothing written in this run.
     Timestamp nextSoftStateAt_ {};
     std::vector<host::Action> actions_;
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -34,15 +34,15 @@
 void RegistryCore::applyOrders(Timestamp now)
 {
     const control::RoutingState& routing = replica_->routing();
+    installPlanSettings(now); // Before the orders: how long a reopening matters depends on the plan.
     if (routing.planVersion.value != 0 && (!bundleReplica_->isReady() || bundleReplica_->age(now) > tickInterval()))
         distribute(now);
     if (routing.ordersPosition == appliedOrdersPosition_)
         return;
-    // Targets of a formerly evacuated zone may be in a slow start by now: gateways wait for their next report. The
-    // order and its end may have been applied at once.
+    // The order and its end may have been applied at once.
     for (const auto& [zone, position] : routing.reopenedZones) {
         if (position > std::max(appliedOrdersPosition_, recalledOrdersPosition_))
-            targets_.awaitReportsOf(zone, now);
+            targets_.onReopened(zone, now);
     }
     const LogPosition reportedOrders = std::exchange(appliedOrdersPosition_, routing.ordersPosition);
     evacuated_ = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()};
@@ -99,11 +99,13 @@
     (void)bundleReplica_->popInstalled(); // A registry host routes no requests by the plan.
 }
 
-std::vector<model::ReopenedZone> RegistryCore::reopenedZones(size_t maxCount) const
+std::vector<model::ReopenedZone> RegistryCore::recentlyReopenedZones(size_t maxCount, Timestamp now) const
 {
     std::vector<model::ReopenedZone> zones;
-    for (const auto& [zone, position] : replica_->routing().reopenedZones)
-        zones.push_back({.zone = zone, .position = position});
+    for (const auto& [zone, position] : replica_->routing().reopenedZones) {
+        if (const std::optional<Duration> age = targets_.recentReopeningAge(zone, now))
+            zones.push_back({.zone = zone, .position = position, .age = *age});
+    }
     std::ranges::sort(zones, std::ranges::greater {}, &model::ReopenedZone::position);
     zones.resize(std::min(zones.size(), maxCount));
     return zones;
@@ -115,7 +117,7 @@
     model::TargetReport report {.orders = routing.ordersPosition,
         .ordersSince = routing.ordersPosition,
         .evacuatedZones = {routing.evacuatedZones.begin(), routing.evacuatedZones.end()},
-        .reopenedZones = reopenedZones(MaxReopenedZonesSent),
+        .reopenedZones = recentlyReopenedZones(MaxReopenedZonesSent, now),
         .gateways = static_cast<uint32_t>(gateways(now).size()),
         .registryVoters
         = static_cast<uint32_t>(std::ranges::count_if(replica_->replicas(), &control::ReplicaInfo::isVoter))};
@@ -289,19 +291,30 @@
             .peers = peers_.peersOf({.host = record.host, .zone = record.zone, .region = record.region})}}});
 }
 
+/// Takes over what a registry host itself needs of the newest plan.
+void RegistryCore::installPlanSettings(Timestamp now)
+{
+    const control::RoutingState& routing = replica_->routing();
+    if (routing.planPosition == planSettingsPosition_ || routing.planVersion.value == 0)
+        return;
+    planSettingsPosition_ = routing.planPosition;
+    const std::optional<model::RoutePlan> plan = planSettingsReader_.readWithoutRoutes(routing.planContent);
+    if (!plan)
+        return log(host::LogSeverity::Error,
+            "event=plan_settings_unreadable version=" + std::to_string(routing.planVersion.value));
+    if (!credits_)
+        credits_.emplace(self_, now);
+    credits_->limits().install(plan->accounts, planSettingsPosition_);
+    Duration longest {};
+    for (const model::RoutedService& service : plan->services)
+        longest = std::max(longest, service.slowStart);
+    targets_.setLongestSlowStart(longest);
+}
+
 void RegistryCore::updateCredits(Timestamp now)
 {
     if (!credits_)
         credits_.emplace(self_, now);
-    const control::RoutingState& routing = replica_->routing();
-    if (routing.planPosition != accountsPosition_ && routing.planVersion.value != 0) {
-        accountsPosition_ = routing.planPosition;
-        if (const auto accounts = accountReader_.readAccounts(routing.planContent))
-            credits_->limits().install(*accounts, accountsPosition_);
-        else
-            log(host::LogSeverity::Error,
-                "event=accounts_unreadable version=" + std::to_string(routing.planVersion.value));
-    }
     credits_->tick(now);
     if (now < nextHoldersAt_)
         return;
--- a/src/registry/internal/softstate.cpp
+++ b/src/registry/internal/softstate.cpp
@@ -5,6 +5,8 @@
  */
 #include "registry/internal/registrycore.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 #include <xxhash.h>
 
@@ -64,6 +66,17 @@
     nextReportAt_ = now;
 }
 
+/// Orders up to this position need not be taken for new after a restart: none of them reopened a zone recently.
+LogPosition RegistryCore::settledOrdersPosition(Timestamp now) const
+{
+    LogPosition settled = appliedOrdersPosition_;
+    for (const model::ReopenedZone& zone : recentlyReopenedZones(std::numeric_limits<size_t>::max(), now)) {
+        const LogPosition before {.term = zone.position.term, .index = {zone.position.index.value - 1}};
+        settled = std::min(settled, before);
+    }
+    return settled;
+}
+
 void RegistryCore::writeSoftState(Timestamp now)
 {
     const bool isFirstTick = nextSoftStateAt_ == Timestamp {};
@@ -73,12 +86,13 @@
     if (isFirstTick) // The disk is busy while the host starts.
         return;
     // Iterates over all targets only if a target, an order or a verdict changed.
-    const std::tuple version(targets_.changes(), appliedOrdersPosition_, suspects_.verdictChanges());
+    const LogPosition settledOrders = settledOrdersPosition(now);
+    const std::tuple version(targets_.changes(), appliedOrdersPosition_, settledOrders, suspects_.verdictChanges());
     if (std::exchange(softStateVersion_, version) == version)
         return;
     host::SoftState state;
-    state.targets.orders = appliedOrdersPosition_;
-    state.targets.targets = targets_.recallable(evacuated_);
+    state.targets.orders = settledOrders;
+    state.targets.targets = targets_.recallable(evacuated_, now);
     for (const model::SuspectReport& report : suspects_.verdicts(now))
         state.suspects.requests.insert(state.suspects.requests.end(), report.requests.begin(), report.requests.end());
     const uint64_t hash = contentHash(state.targets) + suspects_.verdictChanges();
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -70,8 +70,9 @@
     const bool hasMoved = record.address != entry.record.address;
     const bool isChanged = entry.record.isRecalled || record.isLeaving != entry.record.isLeaving
         || record.slots != entry.record.slots || record.version != entry.record.version || hasMoved;
-    const bool isAwaited = isAwaitingReport(entry);
-    const bool needsUpdate = isSlow || isChanged || hasMissedReports || isAwaited;
+    const bool isAwaited = isAwaitingReport(entry, now);
+    const bool mayBeSlow = isSlow || recentReopeningAge(record.zone, now);
+    const bool needsUpdate = mayBeSlow || isChanged || hasMissedReports;
     if (isSlow || isChanged || isAwaited)
         ++changes_;
     if (hasMoved) {
@@ -209,11 +210,12 @@
     }
 }
 
-std::vector<model::TargetRecord> TargetTable::recallable(const std::set<ZoneName>& evacuatedZones) const
+std::vector<model::TargetRecord> TargetTable::recallable(const std::set<ZoneName>& evacuatedZones, Timestamp now) const
 {
     std::vector<model::TargetRecord> records;
     for (const auto& [target, entry] : entries_) {
-        if (entry.record.isLeaving || isAwaitingReport(entry) || evacuatedZones.contains(entry.record.zone))
+        const ZoneName& zone = entry.record.zone;
+        if (entry.record.isLeaving || recentReopeningAge(zone, now) || evacuatedZones.contains(zone))
             continue;
         model::TargetRecord& record = records.emplace_back(entry.record);
         record.sequence = 0; // Any report is newer than a recalled record.
@@ -222,16 +224,24 @@
     return records;
 }
 
-void TargetTable::awaitReportsOf(const ZoneName& zone, Timestamp now)
+void TargetTable::onReopened(const ZoneName& zone, Timestamp now)
 {
     ++changes_;
-    reportsAwaitedSince_.insert_or_assign(zone, now);
+    reopenedAt_.insert_or_assign(zone, now);
 }
 
-bool TargetTable::isAwaitingReport(const Entry& entry) const
+std::optional<Duration> TargetTable::recentReopeningAge(const ZoneName& zone, Timestamp now) const
 {
-    const auto awaited = reportsAwaitedSince_.find(entry.record.zone);
-    return awaited != reportsAwaitedSince_.end() && entry.reportedAt <= awaited->second;
+    const auto reopened = reopenedAt_.find(zone);
+    if (reopened == reopenedAt_.end() || now - reopened->second >= longestSlowStart_)
+        return std::nullopt;
+    return now - reopened->second;
+}
+
+bool TargetTable::isAwaitingReport(const Entry& entry, Timestamp now) const
+{
+    const std::optional<Duration> age = recentReopeningAge(entry.record.zone, now);
+    return age && entry.reportedAt <= now - *age;
 }
 
 HostId TargetTable::slowStartHostOf(const model::TargetRecord& record, std::span<const HostLocation> gateways) const
@@ -256,13 +266,13 @@
 {
     model::TargetRecord outgoing = entry.record;
     outgoing.age = now - entry.receivedAt;
+    const std::optional<Duration> reopeningAge = recentReopeningAge(entry.record.zone, now);
     // A gateway that connects now may not know that the zone was closed: no gateway may use the target.
-    if (isAwaitingReport(entry)) {
-        const Timestamp reopenedAt = reportsAwaitedSince_.at(entry.record.zone);
-        outgoing.slowStartLeft = reopenedAt + model::ReopenedZoneTimeout - entry.receivedAt;
+    if (isAwaitingReport(entry, now)) {
+        outgoing.slowStartLeft = outgoing.age + longestSlowStart_ - *reopeningAge;
         return outgoing;
     }
-    if (outgoing.slowStartLeft > outgoing.age)
+    if (outgoing.slowStartLeft > outgoing.age || reopeningAge)
         outgoing.slowStartHost = slowStartHostOf(outgoing, gateways);
     return outgoing;
 }
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -12,6 +12,7 @@
 #include <boost/intrusive/list.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <utility>
@@ -47,13 +48,20 @@
     void recall(std::span<const model::TargetRecord> records, Timestamp now);
     /// From now on recalled targets are sent, except retired ones, which are removed.
     void releaseRecalled(const membership::RetiredTargets& retired);
-    /// The records to recall after a restart. Excludes targets that leave, targets of evacuated zones, and targets
-    /// whose next report is awaited, since they may be in a slow start.
-    [[nodiscard]] std::vector<model::TargetRecord> recallable(const std::set<ZoneName>& evacuatedZones) const;
+    /// The records to recall after a restart. Excludes targets that leave, and targets of evacuated and of recently
+    /// reopened zones, since they may be in a slow start.
+    [[nodiscard]] std::vector<model::TargetRecord> recallable(
+        const std::set<ZoneName>& evacuatedZones, Timestamp now) const;
     /// Increases whenever `recallable` may have changed; reports without changes don't increase it.
     [[nodiscard]] uint64_t changes() const { return changes_; }
-    /// The zone's targets are sent again with their next report.
-    void awaitReportsOf(const ZoneName& zone, Timestamp now);
+    /// The longest slow start of any service.
+    void setLongestSlowStart(Duration duration) { longestSlowStart_ = duration; }
+    /// The evacuation of the zone has ended. Its targets are sent again with each report while they may be in a slow
+    /// start since then.
+    void onReopened(const ZoneName& zone, Timestamp now);
+    /// Time since then, while its targets may be in a slow start since then. A report from before the slow start may
+    /// arrive after the reopening, so that reports don't show that there is none.
+    [[nodiscard]] std::optional<Duration> recentReopeningAge(const ZoneName& zone, Timestamp now) const;
     [[nodiscard]] size_t size() const { return entries_.size(); }
 
     /// Records that changed since the last call or are due to be sent again. Includes unresponsive targets a last time,
@@ -98,13 +106,14 @@
     void displaceOthersAt(const model::TargetRecord& record, Timestamp now);
     [[nodiscard]] static bool isUnresponsive(const Entry& entry, Timestamp now);
     [[nodiscard]] bool isWithheld(const Entry& entry) const { return entry.record.isRecalled && !isRecallReleased_; }
-    /// The evacuation of its zone has ended, and it has not reported since.
-    [[nodiscard]] bool isAwaitingReport(const Entry& entry) const;
+    /// The evacuation of its zone ended recently, and it has not reported since.
+    [[nodiscard]] bool isAwaitingReport(const Entry& entry, Timestamp now) const;
 
     std::map<ZoneName, RegionName> zones_;
     std::map<TargetId, Entry> entries_;
     std::map<model::Address, Entry*> byAddress_;
-    std::map<ZoneName, Timestamp> reportsAwaitedSince_;
+    std::map<ZoneName, Timestamp> reopenedAt_;
+    Duration longestSlowStart_ {};
     membership::DisplacedTargets displaced_;
     bool isRecallReleased_ = false;
     uint64_t changes_ = 0;
--- a/src/registry/tests/membershiptests.cpp
+++ b/src/registry/tests/membershiptests.cpp
@@ -232,6 +232,16 @@
     return records;
 }
 
+model::TargetReport drainLastReport(RegistryCluster& cluster, const std::string& gateway)
+{
+    model::TargetReport last;
+    for (const model::Message& message : cluster.drainSentTo(gateway)) {
+        if (const auto* report = std::get_if<model::TargetReport>(&message))
+            last = *report;
+    }
+    return last;
+}
+
 class TargetUpdateTest : public testing::Test {
 protected:
     TargetUpdateTest() { heartbeats(); }
@@ -288,6 +298,7 @@
 TEST_F(TargetUpdateTest, TargetsAreReportedAgainAfterTheirZonesEvacuationEnds)
 {
     ASSERT_TRUE(cluster_.runUntil([&] { return cluster_.leader().has_value(); }));
+    ASSERT_EQ(statusOf(cluster_.order("PUT", "/v1/plan", planText(1), "0")), 200);
     report("t-1", 1);
     ASSERT_EQ(statusOf(cluster_.order("PUT", "/v1/evacuations/north-a")), 200);
     ASSERT_EQ(statusOf(cluster_.order("DELETE", "/v1/evacuations/north-a")), 200);
@@ -326,6 +337,7 @@
     }
     static constexpr size_t Hosts = 3;
     static constexpr Duration SoftStateDelay = 2500ms; ///< Until the soft state is written.
+    static constexpr Duration SlowStart = 3s; ///< As planText() states.
 };
 
 } // namespace
@@ -405,11 +417,30 @@
     ASSERT_EQ(statusOf(cluster_.order("DELETE", "/v1/evacuations/north-a")), 200);
     cluster_.run(500ms); // Until all hosts have applied the orders.
     report("t-1", 2);
-    cluster_.run(SoftStateDelay);
+    cluster_.run(SlowStart + SoftStateDelay);
     restartAll();
     const std::vector<model::TargetRecord> records = recordsAfterRestart();
     ASSERT_EQ(records.size(), 1U);
     EXPECT_EQ(records[0].slowStartLeft, 0s);
+    report("t-1", 3);
+    EXPECT_TRUE(drainLastReport(cluster_, Gateway).reopenedZones.empty());
+}
+
+// Guards against hosts that restart shortly after a zone was reopened, and take a report from before the slow start of
+// its target, which arrives after the restart, for a sign that there is none.
+TEST_F(TargetRecallTest, ReopeningIsRecentAfterARestartWithinTheSlowStart)
+{
+    report("t-1", 1);
+    ASSERT_EQ(statusOf(cluster_.order("PUT", "/v1/evacuations/north-a")), 200);
+    ASSERT_EQ(statusOf(cluster_.order("DELETE", "/v1/evacuations/north-a")), 200);
+    cluster_.run(SlowStart - 500ms); // The soft state is written at least twice meanwhile.
+    restartAll();
+    (void)recordsAfterRestart();
+    report("t-1", 2);
+    const std::vector<model::ReopenedZone> zones = drainLastReport(cluster_, Gateway).reopenedZones;
+    ASSERT_EQ(zones.size(), 1U);
+    EXPECT_EQ(zones[0].zone, ZoneName("north-a"));
+    EXPECT_LT(zones[0].age, SlowStart);
 }
 
 TEST_F(TargetRecallTest, TargetsOfEvacuatedZoneAreNotRecalled)
--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -46,7 +46,8 @@
 {
     return R"({"version":)" + std::to_string(version)
         + R"(,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"repeatable","timeout_ms":1000,"attempts":2,"service":")"
-        + service + R"("}],"services":[{"name":"quotes","probe_path":"/health"}]})";
+        + service
+        + R"("}],"services":[{"name":"quotes","probe_path":"/health","slow_start_s":3,"slow_start_per_s":5}]})";
 }
 
 std::string heartbeatText(uint64_t sequence, const std::string& state, int slowMs)
--- a/src/registry/tests/targettabletests.cpp
+++ b/src/registry/tests/targettabletests.cpp
@@ -33,6 +33,9 @@
         return table_.changes() != before;
     }
 
+    TargetTableChangesTest() { table_.setLongestSlowStart(LongestSlowStart); }
+
+    static constexpr Duration LongestSlowStart = 4s;
     Timestamp now_ {100s};
     uint64_t sequence_ = 0;
     TargetTable table_ {{{Zone, RegionName("north")}}};
@@ -52,7 +55,7 @@
     (void)table_.applyReport(recordOf("t-1", 1), now_);
     EXPECT_TRUE(changes([this] { (void)table_.applyReport(recordOf("t-2", 2), now_); }));
     EXPECT_TRUE(changes([this] { (void)table_.applyReport(recordOf("t-2", 3), now_); })) << "another address";
-    EXPECT_TRUE(changes([this] { table_.awaitReportsOf(Zone, now_); }));
+    EXPECT_TRUE(changes([this] { table_.onReopened(Zone, now_); }));
     EXPECT_TRUE(changes([this] { (void)table_.applyReport(recordOf("t-1", 1), now_); })) << "a report that was awaited";
     model::TargetRecord slow = recordOf("t-1", 1);
     slow.slowStartLeft = 3s;
@@ -70,14 +73,32 @@
 {
     (void)table_.applyReport(recordOf("t-1", 1), now_);
     now_ += 1s;
-    table_.awaitReportsOf(Zone, now_);
+    table_.onReopened(Zone, now_);
     now_ += 500ms;
     const std::vector<HostLocation> gateways {{.host = HostId("g-1"), .zone = Zone, .region = RegionName("north")}};
     const model::TargetRecord awaited = table_.all(gateways, now_).at(0);
-    EXPECT_EQ(awaited.slowStartLeft - awaited.age, model::ReopenedZoneTimeout - 500ms);
+    EXPECT_EQ(awaited.slowStartLeft - awaited.age, LongestSlowStart - 500ms);
     EXPECT_TRUE(awaited.slowStartHost.isEmpty());
     (void)table_.applyReport(recordOf("t-1", 1), now_);
     EXPECT_EQ(table_.all(gateways, now_).at(0).slowStartLeft, 0s);
 }
 
+// Guards against targets that no gateway may use because a late report names no slow start, and so no gateway for it.
+TEST_F(TargetTableChangesTest, GatewayIsNamedForTargetsOfARecentlyReopenedZone)
+{
+    const std::vector<HostLocation> gateways {{.host = HostId("g-1"), .zone = Zone, .region = RegionName("north")}};
+    table_.onReopened(Zone, now_);
+    now_ += 100ms;
+    (void)table_.applyReport(recordOf("t-1", 1), now_);
+    EXPECT_EQ(table_.drainUpdates(gateways, now_).at(0).slowStartHost, HostId("g-1"));
+    now_ += 1s;
+    (void)table_.applyReport(recordOf("t-1", 1), now_);
+    EXPECT_EQ(table_.drainUpdates(gateways, now_).size(), 1U) << "the named gateway may have gone";
+    EXPECT_TRUE(table_.recallable({}, now_).empty());
+    now_ += LongestSlowStart;
+    EXPECT_FALSE(table_.recentReopeningAge(Zone, now_));
+    EXPECT_EQ(table_.recallable({}, now_).size(), 1U);
+    EXPECT_TRUE(table_.all(gateways, now_).at(0).slowStartHost.isEmpty());
+}
+
 } // namespace saltvane::registry::test
--- a/src/settings/internal/routeplanreader.cpp
+++ b/src/settings/internal/routeplanreader.cpp
@@ -187,13 +187,15 @@
     return *std::move(plan);
 }
 
-std::optional<std::vector<model::AccountRef>> RoutePlanReader::readAccounts(std::string_view text)
+std::optional<model::RoutePlan> RoutePlanReader::readWithoutRoutes(std::string_view text)
 {
     const std::optional<PlanText> parts = splitPlanText(text);
     if (!parts)
         return std::nullopt;
     Findings findings;
+    model::RoutePlan plan;
     try {
+        plan = readPlanFields(Json::parse(parts->remainder), "plan", findings);
         readList(accounts_, parts->accounts, [&](const Json& json, size_t position) {
             return model::makeAccount(readPlanAccount(json, position, "plan", findings));
         });
@@ -202,9 +204,9 @@
     }
     if (!findings.isEmpty())
         return std::nullopt;
-    std::vector<model::AccountRef> accounts = refsOf<model::AccountRef>(accounts_.read);
+    plan.accounts = refsOf<model::AccountRef>(accounts_.read);
     accounts_.cached = std::move(accounts_.read);
-    return accounts;
+    return plan;
 }
 
 std::optional<model::RoutePlan> RoutePlanReader::readParts(std::string_view text, const std::string& sourceName)
--- a/src/settings/routeplanreader.h
+++ b/src/settings/routeplanreader.h
@@ -31,8 +31,8 @@
     RoutePlanReader(RoutePlanReader&&) noexcept;
     RoutePlanReader& operator=(RoutePlanReader&&) noexcept;
 
-    /// Reads only the client accounts; no value if the text cannot be split or an account is invalid.
-    [[nodiscard]] std::optional<std::vector<model::AccountRef>> readAccounts(std::string_view text);
+    /// Reads everything but the routes; no value if the text cannot be split or a part is invalid.
+    [[nodiscard]] std::optional<model::RoutePlan> readWithoutRoutes(std::string_view text);
     [[nodiscard]] Result<model::RoutePlan, Findings> read(std::string_view text, const std::string& sourceName);
     /// Starts reading a plan ahead of read(), which then only scans the text. One plan at a time; `text` must remain
     /// valid until readAhead() has returned true.
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -49,13 +49,14 @@
 {
     const auto zone = encodeName(builder, reopened.zone);
     const fbs::LogPosition position = encodePosition(reopened.position);
-    return fbs::CreateReopenedZone(builder, zone, &position);
+    return fbs::CreateReopenedZone(builder, zone, &position, encodeDuration(reopened.age));
 }
 
 model::ReopenedZone decodeReopenedZone(FieldReader& reader, const fbs::ReopenedZone& reopened)
 {
     return {.zone = reader.name<ZoneName>(reopened.zone(), "ReopenedZone.zone"),
-        .position = decodePosition(reopened.position())};
+        .position = decodePosition(reopened.position()),
+        .age = reader.duration(reopened.age(), "ReopenedZone.age")};
 }
 
 /// Earlier versions send only the target ids. Their incarnations are then unknown (0).
--- a/src/wire/tests/samplemessages.cpp
+++ b/src/wire/tests/samplemessages.cpp
@@ -175,7 +175,7 @@
     messages.emplace_back(TargetReport {.orders = {.term = {5}, .index = {61}},
         .ordersSince = {.term = {4}, .index = {58}},
         .evacuatedZones = {ZoneName("zone-a")},
-        .reopenedZones = {{.zone = ZoneName("zone-b"), .position = {.term = {5}, .index = {60}}}},
+        .reopenedZones = {{.zone = ZoneName("zone-b"), .position = {.term = {5}, .index = {60}}, .age = 700ms}},
         .retired = {{.target = TargetId("target-1")}, {.target = TargetId("target-2"), .incarnation = {7}}},
         .targets = {{.target = TargetId("target-3"),
             .service = ServiceName("quotes"),
