A response to an earlier request doesn't raise a target's limit

A response from before a target lowered its limit, delayed on its way, raised it again at all gateways until the next response. Clearing a limit already took a request that was sent after the limit was known; raising one does now too. ResponseToEarlierRequestDoesNotRaiseLimit failed before (50 after 2). A target that raises its limit is believed one round trip later.

--- a/src/gateway/internal/backpressuremonitor.cpp
+++ b/src/gateway/internal/backpressuremonitor.cpp
@@ -72,12 +72,15 @@
                 .key = "per_second",
                 .value = requests::firstFieldValue(response.headers, headers_.limit)},
             now);
+    const std::optional<double> limit
+        = stated.perSecond.value_or(MaxLimitPerSecond) < MaxLimitPerSecond ? stated.perSecond : std::nullopt;
     // Responses may arrive out of order: the response to a request that was sent before the limit was known may be
     // older than the limit.
-    if (!stated.isStated && (!known.limit || response.sentAt <= known.limitUpdatedAt))
+    const bool isRaised = known.limit && limit.value_or(MaxLimitPerSecond) > *known.limit;
+    if (isRaised && response.sentAt <= known.limitUpdatedAt)
+        return;
+    if (!stated.isStated && !known.limit)
         return;
-    const std::optional<double> limit
-        = stated.perSecond.value_or(MaxLimitPerSecond) < MaxLimitPerSecond ? stated.perSecond : std::nullopt;
     known.limitUpdatedAt = now;
     if (known.limit != limit || now - known.reportedAt >= RepeatInterval)
         pendingReports_.insert(target.targetIncarnation());
--- a/src/gateway/tests/backpressuretests.cpp
+++ b/src/gateway/tests/backpressuretests.cpp
@@ -72,6 +72,26 @@
     EXPECT_FALSE(isLogged("per_second=none"));
 }
 
+// Guards against a limit that is raised by a response from before it was lowered, which arrives later.
+TEST_F(BackpressureTest, ResponseToEarlierRequestDoesNotRaiseLimit)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({.id = "try-1"});
+    request({.id = "try-2"});
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 2U);
+    advance(20ms);
+    answer(starts[1], {.id = "try-2", .extraHeaders = {{"Saltvane-Limit", "2"}}});
+    EXPECT_TRUE(isLogged("per_second=2"));
+    advance(20ms);
+    answer(starts[0], {.id = "try-1", .extraHeaders = {{"Saltvane-Limit", "50"}}});
+    EXPECT_FALSE(isLogged("per_second=50"));
+    advance(20ms);
+    serve({{"Saltvane-Limit", "50"}});
+    EXPECT_TRUE(isLogged("per_second=50")) << "this request was sent after the limit was known";
+}
+
 TEST_F(BackpressureTest, TargetWithLimitGetsRequestsOnlyWithCredit)
 {
     const TargetId limited = serveWithLimit();
