Full reports repeat the gateway that was named for a slow start

Names are now given when a record is sent to all, and full reports repeat them. Names given by two registry hosts that hear different gateways are left as they are.

--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -227,7 +227,7 @@
     const size_t skipped = retired.size() - std::min(retired.size(), MaxRetiredSent);
     report.retired.assign(retired.begin() + static_cast<ptrdiff_t>(skipped), retired.end());
     report.reopenedZones = recentlyReopenedZones(std::numeric_limits<size_t>::max(), now);
-    report.targets = targets_.all(gateways(now), now);
+    report.targets = targets_.all(now);
     report.gatewayNumber = gatewayNumberOf(gateway, now);
     send({{.to = gateway, .message = std::move(report)}});
     sendLimits(gateway, now);
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -261,19 +261,21 @@
     return best == nullptr ? HostId {} : best->host;
 }
 
-model::TargetRecord TargetTable::outgoingRecordOf(
-    const Entry& entry, std::span<const HostLocation> gateways, Timestamp now) const
+bool TargetTable::mayBeInSlowStart(const Entry& entry, Timestamp now) const
+{
+    return entry.record.slowStartLeft > now - entry.receivedAt || recentReopeningAge(entry.record.zone, now);
+}
+
+model::TargetRecord TargetTable::outgoingRecordOf(const Entry& entry, Timestamp now) const
 {
     model::TargetRecord outgoing = entry.record;
     outgoing.age = now - entry.receivedAt;
-    const std::optional<Duration> reopeningAge = recentReopeningAge(entry.record.zone, now);
     // A gateway that connects now may not know that the zone was closed: no gateway may use the target.
-    if (isAwaitingReport(entry, now)) {
-        outgoing.slowStartLeft = outgoing.age + longestSlowStart_ - *reopeningAge;
-        return outgoing;
-    }
-    if (outgoing.slowStartLeft > outgoing.age || reopeningAge)
-        outgoing.slowStartHost = slowStartHostOf(outgoing, gateways);
+    if (isAwaitingReport(entry, now))
+        outgoing.slowStartLeft
+            = outgoing.age + longestSlowStart_ - recentReopeningAge(entry.record.zone, now).value_or(Duration::zero());
+    else if (mayBeInSlowStart(entry, now))
+        outgoing.slowStartHost = entry.slowStartHost;
     return outgoing;
 }
 
@@ -300,14 +302,16 @@
     while (!byReceivedAt_.empty() && isUnresponsive(byReceivedAt_.front(), now)) {
         Entry& entry = byReceivedAt_.front();
         if (!isWithheld(entry))
-            updates.push_back(outgoingRecordOf(entry, gateways, now));
+            updates.push_back(outgoingRecordOf(entry, now));
         erase(entry);
     }
     queueListings(now);
     while (!updates_.empty()) {
         Entry& entry = updates_.front();
         entry.updateHook.unlink();
-        updates.push_back(outgoingRecordOf(entry, gateways, now));
+        // Full reports repeat it: gateways that were told different names would each use the target.
+        entry.slowStartHost = mayBeInSlowStart(entry, now) ? slowStartHostOf(entry.record, gateways) : HostId();
+        updates.push_back(outgoingRecordOf(entry, now));
         markSent(entry, now);
     }
     return updates;
@@ -318,13 +322,13 @@
     return now - entry.receivedAt >= model::TargetHeartbeatTimeout;
 }
 
-std::vector<model::TargetRecord> TargetTable::all(std::span<const HostLocation> gateways, Timestamp now) const
+std::vector<model::TargetRecord> TargetTable::all(Timestamp now) const
 {
     std::vector<model::TargetRecord> records;
     records.reserve(entries_.size());
     for (const auto& [target, entry] : entries_) {
         if (!isWithheld(entry))
-            records.push_back(outgoingRecordOf(entry, gateways, now));
+            records.push_back(outgoingRecordOf(entry, now));
     }
     return records;
 }
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -69,7 +69,7 @@
     [[nodiscard]] std::vector<model::TargetRecord> drainUpdates(std::span<const HostLocation> gateways, Timestamp now);
     /// Targets that are due to be listed again and have not changed, by incarnationHash(); after drainUpdates().
     [[nodiscard]] std::vector<uint64_t> drainUnchanged() { return std::exchange(unchanged_, {}); }
-    [[nodiscard]] std::vector<model::TargetRecord> all(std::span<const HostLocation> gateways, Timestamp now) const;
+    [[nodiscard]] std::vector<model::TargetRecord> all(Timestamp now) const;
 
 private:
     using Hook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
@@ -79,6 +79,7 @@
         Timestamp sentAt;
         Timestamp listedAt; ///< When its record was last sent, or when it was last listed as unchanged.
         Timestamp reportedAt; ///< Of its last report; a recalled target has none.
+        HostId slowStartHost; ///< The gateway that was named for it when its record was last sent.
         Hook updateHook;
         Hook receivedHook;
         Hook listedHook;
@@ -96,8 +97,8 @@
     void markSent(Entry& entry, Timestamp now);
     void queueListings(Timestamp now);
     void markListed(Entry& entry, Timestamp now);
-    [[nodiscard]] model::TargetRecord outgoingRecordOf(
-        const Entry& entry, std::span<const HostLocation> gateways, Timestamp now) const;
+    [[nodiscard]] model::TargetRecord outgoingRecordOf(const Entry& entry, Timestamp now) const;
+    [[nodiscard]] bool mayBeInSlowStart(const Entry& entry, Timestamp now) const;
     [[nodiscard]] HostId slowStartHostOf(
         const model::TargetRecord& record, std::span<const HostLocation> gateways) const;
     [[nodiscard]] Entry* atAddress(const model::Address& address) const;
--- a/src/registry/tests/incarnationtests.cpp
+++ b/src/registry/tests/incarnationtests.cpp
@@ -185,7 +185,7 @@
             for (const model::TargetRecord& update : table.drainUpdates({}, now))
                 ASSERT_EQ(update.incarnation, latest.at(update.target)) << "seed " << seed << " step " << step;
         }
-        for (const model::TargetRecord& record : table.all({}, now))
+        for (const model::TargetRecord& record : table.all(now))
             ASSERT_EQ(record.incarnation, latest.at(record.target)) << "seed " << seed;
     }
 }
@@ -197,8 +197,8 @@
     // The earlier one reported to another host before: this host never knew it.
     EXPECT_TRUE(table.applyReport(recordOf("later", 2000, 1, 9000), now));
     EXPECT_FALSE(table.applyReport(recordOf("earlier", 1000, 70, 9000), now));
-    ASSERT_EQ(table.all({}, now).size(), 1U);
-    EXPECT_EQ(table.all({}, now).front().target, TargetId("later"));
+    ASSERT_EQ(table.all(now).size(), 1U);
+    EXPECT_EQ(table.all(now).front().target, TargetId("later"));
     // Once the later one is unresponsive, its address is free.
     now += model::TargetHeartbeatTimeout;
     (void)table.drainUpdates({}, now);
--- a/src/registry/tests/targettabletests.cpp
+++ b/src/registry/tests/targettabletests.cpp
@@ -75,12 +75,11 @@
     now_ += 1s;
     table_.onReopened(Zone, now_);
     now_ += 500ms;
-    const std::vector<HostLocation> gateways {{.host = HostId("g-1"), .zone = Zone, .region = RegionName("north")}};
-    const model::TargetRecord awaited = table_.all(gateways, now_).at(0);
+    const model::TargetRecord awaited = table_.all(now_).at(0);
     EXPECT_EQ(awaited.slowStartLeft - awaited.age, LongestSlowStart - 500ms);
     EXPECT_TRUE(awaited.slowStartHost.isEmpty());
     (void)table_.applyReport(recordOf("t-1", 1), now_);
-    EXPECT_EQ(table_.all(gateways, now_).at(0).slowStartLeft, 0s);
+    EXPECT_EQ(table_.all(now_).at(0).slowStartLeft, 0s);
 }
 
 // Guards against targets that no gateway may use because a late report names no slow start, and so no gateway for it.
@@ -98,7 +97,24 @@
     now_ += LongestSlowStart;
     EXPECT_FALSE(table_.recentReopeningAge(Zone, now_));
     EXPECT_EQ(table_.recallable({}, now_).size(), 1U);
-    EXPECT_TRUE(table_.all(gateways, now_).at(0).slowStartHost.isEmpty());
+    EXPECT_TRUE(table_.all(now_).at(0).slowStartHost.isEmpty());
+}
+
+// Guards against two gateways that both use a target in its slow start: one that was named for it, and one that
+// connects later and is told of itself.
+TEST_F(TargetTableChangesTest, FullReportsNameTheGatewayThatWasNamedBefore)
+{
+    const HostLocation distant {.host = HostId("g-1"), .zone = ZoneName("south-a"), .region = RegionName("south")};
+    const HostLocation near {.host = HostId("g-2"), .zone = Zone, .region = RegionName("north")};
+    model::TargetRecord record = recordOf("t-1", 1);
+    record.slowStartLeft = 3s;
+    (void)table_.applyReport(record, now_);
+    EXPECT_EQ(table_.drainUpdates({{distant}}, now_).at(0).slowStartHost, distant.host);
+    EXPECT_EQ(table_.all(now_).at(0).slowStartHost, distant.host) << "whoever has connected since";
+    ++record.sequence;
+    (void)table_.applyReport(record, now_);
+    EXPECT_EQ(table_.drainUpdates({{distant, near}}, now_).at(0).slowStartHost, near.host);
+    EXPECT_EQ(table_.all(now_).at(0).slowStartHost, near.host);
 }
 
 } // namespace saltvane::registry::test
