--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -12,7 +12,7 @@
 from forwarder import TO_CLIENT, TO_DESTINATION, Partition
 from messages import encode, split
 from operator_calls import Operator
-from plans import STEADY_PATHS
+from plans import SLOW_START_S, STEADY_PATHS
 from targets import Target
 
 STOP_TIMEOUT_S = 7.5  # stop_time_limit_s plus a margin for a busy machine.
@@ -20,6 +20,7 @@
 BURST_REQUESTS = 9
 BURST_STOP_DELAY_S = (0, 0.003)  # From the last request of a burst until its gateway is stopped.
 BURST_CLOSE_DELAY_S = 0.1
+LATE_REPORT_FRACTION = 0.7  # Of the targets of a zone that is reopened.
 burst_numbers = itertools.count(1)
 
 
@@ -337,6 +338,25 @@
         await world.operator.end_evacuation(zone)
 
 
+async def reopen_with_late_reports(world: World):
+    """A zone is evacuated and reopened. Its targets enter a slow start shortly before it is reopened; heartbeats that some of
+    them sent before that arrive after it."""
+    zone = world.rng.choice(world.deployment.gateways).zone
+    targets = [target for target in world.targets if target.zone == zone and target.server is not None]
+    if world.operator.evacuated or not await world.operator.evacuate(zone):
+        return
+    for target in targets:
+        if world.rng.random() < LATE_REPORT_FRACTION:
+            target.delay_reports(draw_pause(world, 0.5, 2), draw_pause(world, 2, 4))
+    await asyncio.sleep(draw_pause(world, 1, 2))  # All gateways know of the evacuation, or that they are cut off.
+    for target in targets:
+        if target.server is not None:
+            target.begin_slow_start(SLOW_START_S)
+    await asyncio.sleep(draw_pause(world, 0.05, 0.4))
+    await world.operator.end_evacuation(zone)
+    await asyncio.sleep(SLOW_START_S)
+
+
 FAULTS: list[tuple[Fault, float]] = [
     (kill, 3), (kill_all_registries, 0.7), (wipe, 1), (stop, 2), (pause, 2), (reload, 1), (hold, 3), (delay, 1), (reset, 2),
     (silence, 2), (crash_target, 2), (leave_target, 1), (empty_zone, 1)]
@@ -351,18 +371,21 @@
 FIRST_SEED_OF_BACKOFFS = 100_000_000_000
 FIRST_SEED_OF_BURSTS = 1_000_000_000_000
 FIRST_SEED_OF_ISOLATIONS = 10_000_000_000_000
+FIRST_SEED_OF_SLOW_STARTS = 100_000_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
 WITH_LEAVES = [*WITH_SILENT_LINKS, (leave_beside_ends, 2)]
 WITH_LIMITS = [*WITH_LEAVES, (limit_targets, 4)]
 WITH_BACKOFFS = [*WITH_LIMITS, (rest_targets, 3), (leave_by_word, 2)]
 WITH_BURSTS = [*WITH_BACKOFFS, (stop_behind_burst, 3)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_ISOLATIONS: [*WITH_BURSTS, (isolate_gateways, 3)],
+WITH_ISOLATIONS = [*WITH_BURSTS, (isolate_gateways, 3)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_SLOW_STARTS: [*WITH_ISOLATIONS, (reopen_with_late_reports, 6)],
+                    FIRST_SEED_OF_ISOLATIONS: WITH_ISOLATIONS,
                     FIRST_SEED_OF_BURSTS: WITH_BURSTS,
                     FIRST_SEED_OF_BACKOFFS: WITH_BACKOFFS,
                     FIRST_SEED_OF_LIMITS: WITH_LIMITS, FIRST_SEED_OF_LEAVES: WITH_LEAVES,
                     FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_ISOLATIONS]}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_SLOW_STARTS]}
 
 
 def draw(rng: random.Random, seed: int) -> Fault:
--- a/testing/soak/operator_calls.py
+++ b/testing/soak/operator_calls.py
@@ -5,14 +5,15 @@
 import time
 
 from messages import call
-from plans import SERVICES, routes_of
+from plans import SERVICES, SLOW_START_PER_S, SLOW_START_S, routes_of
 
 
 class Operator:
-    def __init__(self, registries: list[str], rng: random.Random, extra_routes: int = 0):
+    def __init__(self, registries: list[str], rng: random.Random, extra_routes: int = 0, has_slow_starts: bool = False):
         self.registries = registries
         self.rng = rng
         self.extra_routes = extra_routes  # Used by no request; they make plans large.
+        self.has_slow_starts = has_slow_starts
         self.version = 0  # Newest acknowledged version.
         self.acknowledged: list[tuple[float, int]] = [(0.0, 0)]
         self.sent: list[tuple[float, int]] = []  # Time and version: it may be in force from then on.
@@ -30,8 +31,9 @@
         routes += [{**routes[0], "name": f"further-{number}", "path_prefix": f"/further/{number}/",
                     "rank": version % 3 if number == version % self.extra_routes else 0}
                    for number in range(self.extra_routes)]
-        services = [{"name": name, "probe_path": "/health", "connections": 100, "slow_start_s": 0, "slow_start_per_s": 50}
-                    for name in SERVICES]
+        slow_start = ({"slow_start_s": SLOW_START_S, "slow_start_per_s": SLOW_START_PER_S} if self.has_slow_starts
+                      else {"slow_start_s": 0, "slow_start_per_s": 50})
+        services = [{"name": name, "probe_path": "/health", "connections": 100, **slow_start} for name in SERVICES]
         return json.dumps({"version": version, "routes": routes, "services": services}).encode()
 
     async def _submit(self, method: str, path: str, body: bytes, headers: dict[str, str], timeout_s: float) -> bool:
--- a/testing/soak/plans.py
+++ b/testing/soak/plans.py
@@ -3,6 +3,8 @@
 import random
 
 SERVICES = ("quotes", "files")
+SLOW_START_S = 3.0  # Of each service, in runs with slow starts.
+SLOW_START_PER_S = 3.0
 ROUTES = 8
 # Each route moves once in this many versions, and each at a different version: a gateway with an older plan is wrong on
 # some route, and no route returns to its old service before the plan must be in force everywhere.
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -3,7 +3,7 @@
 
 from callers import Outcome
 from faults import AbandonedBurst, Isolation
-from plans import STEADY_PATHS, service_of
+from plans import SLOW_START_PER_S, STEADY_PATHS, service_of
 from targets import response_body
 from troubles import Span
 
@@ -43,6 +43,9 @@
 ISOLATION_DETECTION_S = 4
 MIN_ISOLATED_FRACTION = 2 / 3
 MIN_ISOLATED_REQUESTS = 10
+# Requests that a target in its slow start gets in any second, of all gateways together: as the defaults of the gateways'
+# settings slow_start_overage and slow_start_slack.
+SLOW_START_ALLOWED = SLOW_START_PER_S * 1.5 + 5
 
 
 def findings_of_outcomes(outcomes: list[Outcome], runs: collections.Counter) -> list[str]:
@@ -194,6 +197,19 @@
     return findings[:3]
 
 
+def findings_of_slow_starts(slow_starts: list[tuple[float, float, str]], arrivals: list[tuple[float, str, str, str]],
+                            held_spans: dict[str, list[Span]]) -> list[str]:
+    """`slow_starts`: start, end and target of each. Gateways in trouble count as well."""
+    findings = []
+    for start, end, incarnation in slow_starts:
+        arrived = sorted(at for at, target, address, _ in arrivals if target == incarnation and start <= at < end
+                         and not any(begin <= at < until + 1 for begin, until in held_spans.get(address, [])))
+        most = max((sum(at - 1 < other <= at for other in arrived) for at in arrived), default=0)
+        if most > SLOW_START_ALLOWED:
+            findings.append(f"{incarnation} got {most} requests in a second of its slow start, {SLOW_START_ALLOWED:.0f} allowed")
+    return findings
+
+
 def findings_of_leaving_responses(responses: list[tuple[float, str, str]], arrivals: list[tuple[float, str, str, str]],
                                   outcomes: list[Outcome], spans: dict[str, list[Span]]) -> list[str]:
     """After a target announced its leave to a gateway, it gets no request that callers sent to that gateway later."""
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -6,7 +6,8 @@
 from callers import Outcome
 from faults import AbandonedBurst, Isolation
 from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
-from promises import MAX_RUN_AFTER_LEAVE_S, MAX_STALE_RUN_S, MIN_SERVED, findings_of_fatal_requests, findings_of_leaves, \
+from promises import MAX_RUN_AFTER_LEAVE_S, MAX_STALE_RUN_S, MIN_SERVED, SLOW_START_ALLOWED, findings_of_fatal_requests, \
+    findings_of_leaves, findings_of_slow_starts, \
     findings_of_leaving_responses, findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, \
     findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts, findings_of_isolations
 from targets import response_body
@@ -212,6 +213,24 @@
         self.assertEqual(self.check([101.6, 102.0, 102.9], spans={"g": [(99.0, 101.0)]}), [])
 
 
+class SlowStartsTest(unittest.TestCase):
+    def check(self, arrivals: list[float], held_spans=None) -> list[str]:
+        arrived = [(at, "t", "address", f"r{number}") for number, at in enumerate(arrivals)]
+        return findings_of_slow_starts([(100.0, 103.0, "t")], arrived, held_spans or {})
+
+    def test_allowed_requests_are_no_finding(self):
+        self.assertEqual(self.check([100 + number / int(SLOW_START_ALLOWED) for number in range(27)]), [])
+
+    def test_burst_is_a_finding(self):
+        self.assertEqual(len(self.check([101.5] * (int(SLOW_START_ALLOWED) + 1))), 1)
+
+    def test_burst_outside_the_slow_start_is_no_finding(self):
+        self.assertEqual(self.check([99.9] * 50 + [103.1] * 50), [])
+
+    def test_burst_after_held_connections_is_no_finding(self):
+        self.assertEqual(self.check([101.5] * 50, {"address": [(100.0, 101.0)]}), [])
+
+
 class LeavingResponsesTest(unittest.TestCase):
     """A target announces its leave to gateway g at 100 s."""
 
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -47,7 +47,9 @@
         self.outcomes: list[Outcome] = []
         self.findings: list[str] = []
         registries = [host.front_address for host in self.deployment.registries]
-        self.operator = Operator(registries, random.Random(seed + 1), options.routes)
+        has_slow_starts = (seed >= faults.FIRST_SEED_OF_SLOW_STARTS
+                           or self.only == faults.reopen_with_late_reports.__name__)
+        self.operator = Operator(registries, random.Random(seed + 1), options.routes, has_slow_starts)
         zones = [host.zone for host in self.deployment.gateways[:len(REGIONS)] for _ in range(TARGETS_PER_ZONE)]
         network = self.deployment.network
         self.targets = [Target(f"{network}.{101 + i}:{18080}", f"{network}.{141 + i}:{18080}", SERVICES[i % len(SERVICES)],
@@ -111,6 +113,8 @@
             {gateway: self.troubles.spans_of(gateway) for gateway in self.troubles.spans})
         self.findings += promises.findings_of_abandoned_bursts(
             self.world.abandoned, self.runs.arrivals, self.troubles.held_spans)
+        self.findings += promises.findings_of_slow_starts(
+            self.runs.slow_starts, self.runs.arrivals, self.troubles.held_spans)
         if self.only == faults.isolate_gateways.__name__:
             self.findings += promises.findings_of_isolations(self.world.isolations, self.outcomes)
         self.findings += self.deployment.unexpected_exits()
@@ -232,7 +236,7 @@
     seed_lines = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     listed_seeds = [int(line.split()[0]) for line in seed_lines if line and not line.startswith("#")]
     seeds = (options.seed or []) + listed_seeds or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_ISOLATIONS, 10**14) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_SLOW_STARTS, 10**15) for _ in range(options.runs)]
     failed_seeds = [seed for seed in seeds if asyncio.run(run_seed(seed, options))]
     print(f"soak: {len(seeds) - len(failed_seeds)} passed, {len(failed_seeds)} failed"
           + (f": {failed_seeds}" if failed_seeds else ""))
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -36,6 +36,7 @@
         self.leaving_responses: list[tuple[float, str, str]] = []
         # Request id, incarnation, seconds since its leave was acknowledged.
         self.after_leave: list[tuple[str, str, float]] = []
+        self.slow_starts: list[tuple[float, float, str]] = []  # Start, end, incarnation.
 
     def record(self, request: str, target: "Target"):
         self.count[request] += 1
@@ -65,6 +66,9 @@
         self.backoff_s: float | None = None  # If set, every request is refused with this many seconds in Retry-After.
         self.announces_leaving = False  # In every response, while it still reports as ready.
         self.leave_acknowledged_at: float | None = None  # When a registry host acknowledged the leaving heartbeat.
+        self.slow_until = 0.0  # End of its slow start: requests take twice as long.
+        self.report_delay_s = 0.0  # Heartbeats that it sends until reports_delayed_until arrive this much later.
+        self.reports_delayed_until = 0.0
         self.restart_task: asyncio.Task | None = None
 
     async def start(self):
@@ -74,6 +78,8 @@
         self.backoff_s = None
         self.announces_leaving = False
         self.leave_acknowledged_at = None
+        self.slow_until = 0.0
+        self.reports_delayed_until = 0.0
         self.running = 0
         self.server = await asyncio.start_server(self._serve, *split(self.forwarder.destination))
         self._track(asyncio.create_task(self._report()))
@@ -82,6 +88,14 @@
         self.limit = limit
         self.runs.limits.append((time.monotonic(), self.id, limit))
 
+    def begin_slow_start(self, duration_s: float):
+        self.slow_until = time.monotonic() + duration_s
+        self.runs.slow_starts.append((time.monotonic(), self.slow_until, self.id))
+
+    def delay_reports(self, delay_s: float, duration_s: float):
+        self.report_delay_s = delay_s
+        self.reports_delayed_until = time.monotonic() + duration_s
+
     def crash(self):
         """Stops the server and aborts all running requests at once."""
         if self.server is not None:
@@ -109,7 +123,12 @@
         for sequence in itertools.count(1):
             leaving = self.state == "leaving"
             body = json.dumps({"service": self.service, "address": self.forwarder.listen, "zone": self.zone, "slots": SLOTS,
-                               "state": self.state, "slow_start_left_ms": 0, "sequence": sequence}).encode()
+                               "state": self.state, "slow_start_left_ms": self._slow_start_left_ms(),
+                               "sequence": sequence}).encode()
+            if time.monotonic() < self.reports_delayed_until:
+                self._track(asyncio.create_task(self._send_late(body)))
+                await asyncio.sleep(HEARTBEAT_S)
+                continue
             response = await call(registry, "POST", f"/v1/targets/{self.id}/heartbeat", body, timeout_s=1)
             if response is None or response.status != 200:
                 registry = self.rng.choice(self.registries)
@@ -119,6 +138,18 @@
                 self.leave_acknowledged_at = time.monotonic()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _slow_start_left_ms(self) -> int:
+        return max(0, round((self.slow_until - time.monotonic()) * 1000))
+
+    async def _send_late(self, body: bytes):
+        """Delivers a heartbeat after the delay, to any registry host that accepts it."""
+        path = f"/v1/targets/{self.id}/heartbeat"
+        await asyncio.sleep(self.report_delay_s)
+        for registry in self.rng.sample(self.registries, len(self.registries)):
+            response = await call(registry, "POST", path, body, timeout_s=1)
+            if response is not None and response.status == 200:
+                return
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         self._track(asyncio.current_task())
         try:
@@ -150,7 +181,8 @@
         self.runs.record(request_id, self)
         self.running += 1
         try:
-            await asyncio.sleep(self.rng.uniform(0.005, 0.08))
+            slowness = 2 if time.monotonic() < self.slow_until else 1
+            await asyncio.sleep(self.rng.uniform(0.005, 0.08) * slowness)
         finally:
             self.running -= 1
         if self.limit is not None:
