Known red: a target that gets no requests for 12 s after it withdrew its limit

DrawnLimitTest with 60 seeds, played by hand: seed 53 fails, target 13 idle from 12 to 16 s after the end of all limits, used like the others after that (56 to 98 requests in 12 s). Suspected: its limit was 0.4 or less, so that it is offered one credit in 5 s, and two of them lapsed unused. Not traced further: its own test, listed.

--- a/testing/fleet/targetlimittests.cpp
+++ b/testing/fleet/targetlimittests.cpp
@@ -174,6 +174,15 @@
     }
 }
 
+// Guards against a target that gets no requests for 12 s and more after it withdrew its limit.
+TEST(DrawnLimitSeedTest, TargetIsUsedAgainAfterItWithdrewItsLimit)
+{
+    constexpr unsigned int Seed = 53;
+    RandomLimits randomized(Seed);
+    randomized.run();
+    EXPECT_TRUE(randomized.idleAfterLimitsEnd().empty());
+}
+
 // Guards against refusing requests of a service whose targets all announce limits while credits are left.
 TEST(TargetLimitTest, AServiceOfLimitedTargetsIsServedUpToItsLimits)
 {
