--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+const HostId Self("10.0.0.1:7000");
+
 class TargetTest : public GatewayFixture {
 protected:
     /// Sends 50 requests a second and answers those that reach a target. Returns how many did.
@@ -30,8 +32,6 @@
         return sent;
     }
 
-    const HostId Self {"10.0.0.1:7000"};
-
 private:
     int objects_ = 0;
 };
