--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -105,7 +105,7 @@
     void addTargetState(model::RolloutReport& report) const;
     [[nodiscard]] ServiceCapacity capacityOf(const ServiceName& service) const;
     [[nodiscard]] size_t countOf(const ServiceName& service) const;
-    /// Takes over how long slow starts take.
+    /// Applies the lengths of slow starts that the plan states.
     void install(const model::RoutePlan& plan);
     /// Whether the registry's information is current (RegistryWatch::isConfirmed()).
     void setConfirmed(bool isConfirmed) { isConfirmed_ = isConfirmed; }
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -291,7 +291,7 @@
             .peers = peers_.peersOf({.host = record.host, .zone = record.zone, .region = record.region})}}});
 }
 
-/// Takes over what a registry host itself needs of the newest plan.
+/// Applies the parts of the newest plan that a registry host itself uses: client accounts and slow starts.
 void RegistryCore::installPlanSettings(Timestamp now)
 {
     const control::RoutingState& routing = replica_->routing();
--- a/src/registry/internal/softstate.cpp
+++ b/src/registry/internal/softstate.cpp
@@ -66,7 +66,7 @@
     nextReportAt_ = now;
 }
 
-/// Orders up to this position need not be taken for new after a restart: none of them reopened a zone recently.
+/// After a restart, only orders after this position are treated as new. It precedes each recent reopening of a zone.
 LogPosition RegistryCore::settledOrdersPosition(Timestamp now) const
 {
     LogPosition settled = appliedOrdersPosition_;
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -59,8 +59,8 @@
     /// The evacuation of the zone has ended. Its targets are sent again with each report while they may be in a slow
     /// start since then.
     void onReopened(const ZoneName& zone, Timestamp now);
-    /// Time since then, while its targets may be in a slow start since then. A report from before the slow start may
-    /// arrive after the reopening, so that reports don't show that there is none.
+    /// Time since the zone was reopened; no value once slow starts from before that have ended. Reports don't show that
+    /// there is no slow start, since one that was sent before it may arrive later.
     [[nodiscard]] std::optional<Duration> recentReopeningAge(const ZoneName& zone, Timestamp now) const;
     [[nodiscard]] size_t size() const { return entries_.size(); }
 
