--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -56,7 +56,8 @@
     if (!report.retired.empty())
         log(host::LogSeverity::Info,
             "event=targets_retired count=" + std::to_string(report.retired.size()) + " last="
-                + report.retired.back().target.value() + " orders=" + std::to_string(report.orders.index.value)
+                + report.retired.back().target.value()
+                + " incarnation=" + std::to_string(report.retired.back().incarnation.value) + " orders=" + std::to_string(report.orders.index.value)
                 + " told=" + std::to_string(syncedGateways_.size()));
     sendReport(std::move(report), now);
 }
