Leaves without a start: the log finds out which start left, and until then all are held

Callers saw: requests to targets whose leave had been acknowledged, for as long as the targets ran.

Cause: a leave call that states no start was ordered with the start that the leader knew, or with none. Each registry host and each gateway then put in the start that it knew when it heard of the order. A gateway that started later heard of the order before the target's record, took it for start 0, and used the target by the record of the registry host that it reports to. Gateways that started after the target had started again under its id took the later start for the one that left. A leader that knew an earlier start, or an earlier start that had left, acknowledged without effect. Class: a reference that each receiver resolves by its own state at its own time.

Now an order without a start holds all starts of its target (RetiredTargets::isUnresolved). Where none knows it, the first start that reports counts, and where none reports and all members of the group are in touch, none.

IncarnationTest holds what was by reading only: an earlier start at the leader, a leave after that of an earlier start.

Checks changed: OrderTest expected that any host acknowledges a call without a start of a target that had left, without the log. That is the fault itself; the test now holds it for a call that states the start, and that the leader orders one that doesn't. LeaveWithoutIncarnationAppliesToTheKnownOne waits until the order is resolved.

--- a/src/control/controltypes.h
+++ b/src/control/controltypes.h
@@ -82,7 +82,8 @@
 /// incarnations under the same id are not affected.
 struct RetireTarget {
     TargetId target;
-    Incarnation incarnation; ///< 0: unknown; applies to the incarnation that a host knows when it receives the order.
+    /// 0: not known yet; a later order for the target names it, and until then all of its incarnations are retired.
+    Incarnation incarnation;
 };
 /// Starts a rollout of a service.
 struct StartRollout {
@@ -131,6 +132,7 @@
     /// slow start.
     std::map<ZoneName, LogPosition> reopenedZones;
     membership::RetiredTargets retiredTargets {MaxRetiredTargets};
+    uint64_t retirements = 0; ///< Number of entries added to retiredTargets so far; tells the new ones.
     std::map<ServiceName, model::RolloutOrder> rollouts; ///< The latest rollout of each service.
     LogPosition ordersPosition; ///< Log position of the latest change to zones, targets or rollouts.
 };
--- a/src/control/internal/controlstate.cpp
+++ b/src/control/internal/controlstate.cpp
@@ -16,9 +16,10 @@
 namespace saltvane::control {
 
 namespace {
-constexpr uint64_t SnapshotFormat = 4;
+constexpr uint64_t SnapshotFormat = 5;
 constexpr size_t SnapshotFieldCount = 7;
 /// Written by earlier software versions; still readable.
+constexpr uint64_t SnapshotFormatWithoutRetirements = 4;
 constexpr uint64_t SnapshotFormatWithoutReopenedZones = 3;
 constexpr uint64_t SnapshotFormatWithoutRollouts = 2;
 /// Written by earlier software versions, without routing state; still readable.
@@ -33,8 +34,10 @@
         return RoutingFormat::WithoutRollouts;
     case SnapshotFormatWithoutReopenedZones:
         return RoutingFormat::WithRollouts;
-    case SnapshotFormat:
+    case SnapshotFormatWithoutRetirements:
         return RoutingFormat::WithReopenedZones;
+    case SnapshotFormat:
+        return RoutingFormat::WithRetirements;
     default:
         return std::nullopt;
     }
--- a/src/control/internal/routingtable.cpp
+++ b/src/control/internal/routingtable.cpp
@@ -21,7 +21,7 @@
 /// Two days of changes at the expected rate (2,500 a day).
 constexpr size_t MaxPlanDigests = 5000;
 /// Numbers of fields, by RoutingFormat.
-constexpr std::array<size_t, 3> RoutingFieldCounts {9, 10, 11};
+constexpr std::array<size_t, 4> RoutingFieldCounts {9, 10, 11, 12};
 constexpr size_t MaxRollouts = 1024; ///< One a service.
 /// Versions that get no requests any more, by service; the oldest are dropped.
 constexpr size_t MaxExcludedVersions = 16;
@@ -123,7 +123,7 @@
 
 std::optional<BundleOutcome> RoutingTable::answerFor(const RetireTarget& command) const
 {
-    if (state_.retiredTargets.contains({.target = command.target, .incarnation = command.incarnation}))
+    if (state_.retiredTargets.covers({.target = command.target, .incarnation = command.incarnation}))
         return record(state_.planVersion);
     return std::nullopt;
 }
@@ -190,6 +190,7 @@
     if (std::optional<BundleOutcome> known = answerFor(command))
         return *std::move(known);
     state_.retiredTargets.record({.target = command.target, .incarnation = command.incarnation});
+    ++state_.retirements;
     state_.ordersPosition = position;
     return record(state_.planVersion);
 }
@@ -246,7 +247,7 @@
         {"planTerm", state_.planPosition.term.value}, {"planIndex", state_.planPosition.index.value},
         {"ordersTerm", state_.ordersPosition.term.value}, {"ordersIndex", state_.ordersPosition.index.value},
         {"evacuated", std::move(zones)}, {"retired", std::move(targets)}, {"taken", std::move(taken)},
-        {"rollouts", std::move(rollouts)}, {"reopened", std::move(reopened)}};
+        {"rollouts", std::move(rollouts)}, {"reopened", std::move(reopened)}, {"retirements", state_.retirements}};
 }
 
 std::optional<RoutingTable> RoutingTable::fromJson(const Json& json, RoutingFormat format)
@@ -295,6 +296,9 @@
             state.reopenedZones.insert_or_assign(zone, position);
         }
     }
+    state.retirements = state.retiredTargets.inOrder().size();
+    if (format >= RoutingFormat::WithRetirements)
+        reader.read("retirements", state.retirements);
     if (!reader.isOk())
         return std::nullopt;
     return table;
--- a/src/control/internal/routingtable.h
+++ b/src/control/internal/routingtable.h
@@ -22,7 +22,7 @@
           ReplacePlan> || std::is_same_v<Kind, SetEvacuation> || std::is_same_v<Kind, RetireTarget> || std::is_same_v<Kind, StartRollout> || std::is_same_v<Kind, AdvanceRollout>;
 
 /// What the routing state in a snapshot contains; earlier software versions wrote less.
-enum class RoutingFormat { WithoutRollouts, WithRollouts, WithReopenedZones };
+enum class RoutingFormat { WithoutRollouts, WithRollouts, WithReopenedZones, WithRetirements };
 
 /// Replicated routing state: the route plan, replaced by compare-and-set, evacuated zones, retired targets and
 /// rollouts. The order of the log resolves all races. A resend of an accepted request gets the first answer.
@@ -44,7 +44,7 @@
     [[nodiscard]] const RoutingState& state() const { return state_; }
     [[nodiscard]] nlohmann::json toJson() const;
     [[nodiscard]] static std::optional<RoutingTable> fromJson(
-        const nlohmann::json& json, RoutingFormat format = RoutingFormat::WithReopenedZones);
+        const nlohmann::json& json, RoutingFormat format = RoutingFormat::WithRetirements);
 
 private:
     struct AcceptedPlan {
--- a/src/control/tests/routingtabletests.cpp
+++ b/src/control/tests/routingtabletests.cpp
@@ -146,6 +146,8 @@
     ASSERT_TRUE(copy);
     EXPECT_EQ(copy->state().rollouts, table.state().rollouts);
     nlohmann::json earlier = table.toJson();
+    earlier.erase("retirements");
+    EXPECT_TRUE(RoutingTable::fromJson(earlier, RoutingFormat::WithReopenedZones));
     earlier.erase("reopened");
     EXPECT_TRUE(RoutingTable::fromJson(earlier, RoutingFormat::WithRollouts));
     earlier.erase("rollouts");
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -43,6 +43,7 @@
     Timestamp lastListedAt; ///< When a registry host's report last listed the target.
     uint64_t lastListedInReport = 0; ///< Number of that report.
     Timestamp slowUntil; ///< End of the slow start that the target reported.
+    bool isLeaveUnresolved = false; ///< It counts as leaving until the registry knows which incarnation leaves.
     bool isUnresponsive = false; ///< The registry host that last received its reports receives none any more.
 
     uint32_t inFlight = 0; ///< Requests of this gateway at the target.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -48,7 +48,7 @@
     if (report.gateways > 0)
         slowStartShare_.setGateways(report.gatewayNumber, report.gateways);
     applyOrders(report, now);
-    applyRetired(report.retired);
+    applyRetired(report.retired, now);
     if (report.ordersSince <= completeOrders_)
         completeOrders_ = std::max(completeOrders_, report.orders);
     for (const model::TargetRecord& record : report.targets)
@@ -99,17 +99,34 @@
     zone.reopenedByReport = reports_;
 }
 
-void TargetSet::applyRetired(std::span<const model::TargetIncarnation> retired)
+void TargetSet::applyRetired(std::span<const model::TargetIncarnation> entries, Timestamp now)
 {
-    for (model::TargetIncarnation targetIncarnation : retired) {
-        GatewayTarget* known = findById(targetIncarnation.target);
-        // An order without an incarnation applies to the one known now.
-        if (targetIncarnation.incarnation.value == 0 && known != nullptr)
-            targetIncarnation.incarnation = known->record.incarnation;
-        retired_.record(targetIncarnation);
-        if (known != nullptr && known->record.incarnation <= targetIncarnation.incarnation)
-            markLeaving(*known);
+    // Of orders that are known already, an entry without an incarnation may have been resolved by a later one.
+    const bool isKnown = reportedOrders_ < completeOrders_;
+    for (const model::TargetIncarnation& entry : entries) {
+        if (!isKnown || entry.incarnation != Incarnation {})
+            retired_.record(entry);
     }
+    for (const model::TargetIncarnation& entry : entries) {
+        if (GatewayTarget* known = findById(entry.target))
+            updateRetirement(*known, now);
+    }
+}
+
+void TargetSet::updateRetirement(GatewayTarget& target, Timestamp now)
+{
+    if (retired_.contains(target.targetIncarnation())) {
+        target.isLeaveUnresolved = false;
+        return markLeaving(target);
+    }
+    if (retired_.isUnresolved(target.id())) {
+        target.isLeaveUnresolved = target.isLeaveUnresolved || !target.record.isLeaving;
+        return markLeaving(target);
+    }
+    if (!std::exchange(target.isLeaveUnresolved, false))
+        return;
+    target.record.isLeaving = false;
+    addToRanking(target, now);
 }
 
 void TargetSet::applyRecord(const model::TargetRecord& record, Timestamp now)
@@ -247,8 +264,11 @@
         target.zone = &zoneOf(record.zone);
         addToIndexes(target, now);
     }
-    if (record.isLeaving || retired_.contains(target.targetIncarnation()))
+    if (record.isLeaving) {
+        target.isLeaveUnresolved = false;
         markLeaving(target);
+    }
+    updateRetirement(target, now);
     target.lastReportAt = now - record.age;
     // A registry host that has not applied the reopening lists the target by a report from before it.
     if (reportedOrders_ >= target.zone->reopenedPosition)
@@ -339,7 +359,10 @@
 
 void TargetSet::markLeaving(const model::TargetIncarnation& targetIncarnation)
 {
-    applyRetired({&targetIncarnation, 1});
+    retired_.record(membership::RetiredTargets::entryFor(targetIncarnation));
+    GatewayTarget* known = findById(targetIncarnation.target);
+    if (known != nullptr && known->record.incarnation <= targetIncarnation.incarnation)
+        markLeaving(*known);
 }
 
 GatewayTarget* TargetSet::nextToProbe(Timestamp now)
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -133,7 +133,8 @@
 
     void applyOrders(const model::TargetReport& report, Timestamp now);
     void markReopened(TargetZone& zone, const LogPosition& position, Timestamp reopenedAt) const;
-    void applyRetired(std::span<const model::TargetIncarnation> retired);
+    void applyRetired(std::span<const model::TargetIncarnation> entries, Timestamp now);
+    void updateRetirement(GatewayTarget& target, Timestamp now);
     void applyRecord(const model::TargetRecord& record, Timestamp now);
     void addSlowStartNotice(GatewayTarget& target, const model::TargetRecord& record, Timestamp now);
     void applyUnchanged(std::span<const uint64_t> incarnationHashes, Timestamp now);
--- a/src/gateway/tests/incarnationtests.cpp
+++ b/src/gateway/tests/incarnationtests.cpp
@@ -23,6 +23,7 @@
         record.sequence = sequence;
         return record;
     }
+    static LogPosition positionOf(uint64_t index) { return {.term = {1}, .index = {index}}; }
 };
 
 } // namespace
@@ -76,6 +77,68 @@
     EXPECT_EQ(takeStarts().size(), 1U);
 }
 
+// Guards against gateways that use a target which left, because they know another incarnation than the order meant.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationStopsAllUntilItIsResolved)
+{
+    installPlan(1);
+    const model::TargetRecord before = recordOf("t-1", 1000);
+    reportTargets({before});
+    report({.orders = positionOf(5), .retired = {{.target = TargetId("t-1")}}});
+    reportTargets({recordOf("t-1", 2000)});
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+    (void)takeResponse();
+    // The registry names the incarnation that left: the later one is used.
+    report({.orders = positionOf(6),
+        .ordersSince = positionOf(5),
+        .retired = {{.target = TargetId("t-1"), .incarnation = {1000}}}});
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+// Guards against gateways that start after a leave and use the target, since the order came before its record.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationStopsTargetsThatAreReportedLater)
+{
+    installPlan(1);
+    report({.orders = positionOf(5), .retired = {{.target = TargetId("t-1")}}, .targets = {recordOf("t-1", 1000)}});
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+    (void)takeResponse();
+    report({.orders = positionOf(6),
+        .ordersSince = positionOf(5),
+        .retired = {{.target = TargetId("t-1"), .incarnation = {1000}}}});
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+}
+
+// Guards against targets that stay unused because a registry host reports an order late that was resolved since.
+TEST_F(IncarnationTest, LateReportOfAResolvedLeaveStopsNone)
+{
+    installPlan(1);
+    const std::vector<model::TargetIncarnation> both {
+        {.target = TargetId("t-1")}, {.target = TargetId("t-1"), .incarnation = {1000}}};
+    report({.orders = positionOf(6), .retired = both, .targets = {recordOf("t-1", 2000)}});
+    report({.orders = positionOf(5), .ordersSince = positionOf(4), .retired = {{.target = TargetId("t-1")}}});
+    report({.orders = positionOf(6), .ordersSince = positionOf(4), .retired = both});
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+// Guards against a target that said itself that it leaves, and is used again once an order about it is resolved.
+TEST_F(IncarnationTest, ResolvedLeaveDoesNotBringATargetBackThatReportsThatItLeaves)
+{
+    installPlan(1);
+    report({.orders = positionOf(5), .retired = {{.target = TargetId("t-1")}}, .targets = {recordOf("t-1", 2000)}});
+    model::TargetRecord leaving = recordOf("t-1", 2000, 2);
+    leaving.isLeaving = true;
+    reportTargets({leaving});
+    report({.orders = positionOf(6),
+        .ordersSince = positionOf(5),
+        .retired = {{.target = TargetId("t-1"), .incarnation = {1000}}}});
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+}
+
 // Guards against requests waiting for a target that has restarted. When a target's host loses power and is back a
 // second later, its old connections report nothing; requests waited until their route's timeout, 6 to 8 s, instead of
 // half a second after the new incarnation is reported.
--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -53,13 +53,14 @@
     counters_->add(model::Counter::Announcements);
     const model::TargetIncarnation targetIncarnation {
         .target = call.target, .incarnation = heartbeat.value().incarnation};
-    const bool isAlreadyRetired = isRetired(targetIncarnation);
+    const bool isAlreadyRetired = retired_.contains(targetIncarnation);
     const bool mustRetire = heartbeat.value().isLeaving && !isAlreadyRetired;
     heartbeat.value().isLeaving = heartbeat.value().isLeaving || isAlreadyRetired;
     if (!targets_.applyReport(std::move(heartbeat.value()), now))
         counters_->add(model::Counter::StaleMessages);
+    leaveResolver_.recordReport(targetIncarnation);
     if (mustRetire)
-        return retire(handle, targetIncarnation, now);
+        return retire(handle, membership::RetiredTargets::entryFor(targetIncarnation), now);
     answer(jsonAnswer(handle, StatusOk, "{}"));
 }
 
@@ -68,14 +69,11 @@
     const Result<Incarnation, Findings> leavingIncarnation = readTargetLeave(call.target, openCall.body);
     if (!leavingIncarnation)
         return refuseReport(handle, openCall, leavingIncarnation.error(), now);
-    // Without an incarnation the call refers to the known one.
-    const Incarnation known = targets_.incarnationOf(call.target);
-    const model::TargetIncarnation targetIncarnation {.target = call.target,
-        .incarnation = leavingIncarnation.value().value == 0 ? known : leavingIncarnation.value()};
-    targets_.remove(targetIncarnation);
-    if (isRetired(targetIncarnation))
+    // Not completed by what this host knows: the target may have started again and report to another host.
+    const model::TargetIncarnation entry {.target = call.target, .incarnation = leavingIncarnation.value()};
+    if (retired_.covers(entry))
         return answer(jsonAnswer(handle, StatusOk, "{}"));
-    retire(handle, targetIncarnation, now);
+    retire(handle, entry, now);
 }
 
 void RegistryCore::refuseReport(
@@ -105,10 +103,9 @@
     return services_;
 }
 
-void RegistryCore::retire(requests::HttpHandle handle, const model::TargetIncarnation& targetIncarnation, Timestamp now)
+void RegistryCore::retire(requests::HttpHandle handle, const model::TargetIncarnation& entry, Timestamp now)
 {
-    orders_.submit(handle,
-        control::RetireTarget {.target = targetIncarnation.target, .incarnation = targetIncarnation.incarnation}, now);
+    orders_.submit(handle, control::RetireTarget {.target = entry.target, .incarnation = entry.incarnation}, now);
 }
 
 void RegistryCore::run(requests::HttpHandle handle, const ReplacePlanCall& call, OpenCall& openCall, Timestamp now)
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -115,11 +115,11 @@
     logGroupChange();
     distribute(now);
     recallVerdicts(now);
-    recallTargets(now);
     reportTargets(now);
     writeSoftState(now);
     reportLoads(now);
     decideRollouts(now);
+    resolveLeaves(now);
     suspects_.tick(now);
     updateCredits(now);
     updateLinks();
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -10,6 +10,7 @@
 #include "membership/ihostroster.h"
 #include "registry/internal/calls.h"
 #include "registry/internal/creditpool.h"
+#include "registry/internal/leaveresolver.h"
 #include "registry/internal/loadtable.h"
 #include "registry/internal/nearestgateways.h"
 #include "registry/internal/ordertracker.h"
@@ -89,7 +90,7 @@
     [[nodiscard]] bool isServiceInPlan(const model::TargetRecord& record);
     /// The services of the plan in force; empty before the first plan.
     [[nodiscard]] const std::set<ServiceName>& planServices();
-    void retire(requests::HttpHandle handle, const model::TargetIncarnation& targetIncarnation, Timestamp now);
+    void retire(requests::HttpHandle handle, const model::TargetIncarnation& entry, Timestamp now);
     void answer(requests::HttpRespond respond);
     void answerOrders();
     [[nodiscard]] requests::HttpRespond answerOf(const OrderAnswer& order, const OpenCall& openCall) const;
@@ -98,12 +99,11 @@
     void closeCall(requests::HttpHandle handle);
     void answerWithPlan(requests::HttpHandle handle);
     [[nodiscard]] std::string statusText(Timestamp now) const;
-    [[nodiscard]] bool isRetired(const model::TargetIncarnation& targetIncarnation) const
-    {
-        return retired_.contains(targetIncarnation);
-    }
-    /// The incarnations that the log retired since the last call. Adds them to retired_.
-    [[nodiscard]] std::vector<model::TargetIncarnation> drainNewlyRetired();
+    /// The entries that the log added to its retired targets since the last call. Adds them to retired_.
+    [[nodiscard]] std::vector<model::TargetIncarnation> drainNewlyRetired(Timestamp now);
+    void applyRetirement(const model::TargetIncarnation& entry, Timestamp now);
+    /// Finds the incarnations of retired targets whose orders name none.
+    void resolveLeaves(Timestamp now);
 
     /// Applies what the log committed, and moves the outputs of all components to actions_.
     void collectOutputs(Timestamp now);
@@ -175,7 +175,8 @@
     /// As of appliedOrdersPosition_. Same capacity as in the log, whose older entries no host needs any more.
     membership::RetiredTargets retired_ {control::RoutingState::MaxRetiredTargets};
     std::set<ZoneName> evacuated_; ///< As of appliedOrdersPosition_.
-    std::optional<model::TargetIncarnation> lastRetired_; ///< The newest one in the log that was applied.
+    uint64_t appliedRetirements_ = 0; ///< Of RoutingState::retirements.
+    LeaveResolver leaveResolver_;
     std::set<ServiceName> services_; ///< Services of the plan at servicesPosition_.
     LogPosition servicesPosition_;
     RefusedReports refusedReports_;
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -35,6 +35,7 @@
 {
     const control::RoutingState& routing = replica_->routing();
     installPlanSettings(now); // Before the orders: how long a reopening matters depends on the plan.
+    recallTargets(now); // Before the orders: an order without an incarnation applies to targets of the previous run.
     if (routing.planVersion.value != 0 && (!bundleReplica_->isReady() || bundleReplica_->age(now) > tickInterval()))
         distribute(now);
     if (routing.ordersPosition == appliedOrdersPosition_)
@@ -52,33 +53,63 @@
     rollouts_->setOrders(rollouts, now);
     model::TargetReport report = makeReport(now);
     report.ordersSince = reportedOrders;
-    report.retired = drainNewlyRetired();
+    report.retired = drainNewlyRetired(now);
     if (!report.retired.empty())
         log(host::LogSeverity::Info,
-            "event=targets_retired count=" + std::to_string(report.retired.size()) + " last="
-                + report.retired.back().target.value()
-                + " incarnation=" + std::to_string(report.retired.back().incarnation.value) + " orders=" + std::to_string(report.orders.index.value)
-                + " told=" + std::to_string(syncedGateways_.size()));
+            "event=targets_retired count=" + std::to_string(report.retired.size())
+                + " last=" + report.retired.back().target.value()
+                + " incarnation=" + std::to_string(report.retired.back().incarnation.value) + " orders="
+                + std::to_string(report.orders.index.value) + " told=" + std::to_string(syncedGateways_.size()));
     sendReport(std::move(report), now);
 }
 
-std::vector<model::TargetIncarnation> RegistryCore::drainNewlyRetired()
+std::vector<model::TargetIncarnation> RegistryCore::drainNewlyRetired(Timestamp now)
 {
-    const auto& inOrder = replica_->routing().retiredTargets.inOrder();
-    const auto known = std::find(inOrder.rbegin(), inOrder.rend(), lastRetired_);
+    const control::RoutingState& routing = replica_->routing();
+    const auto& inOrder = routing.retiredTargets.inOrder();
+    const uint64_t applied = std::exchange(appliedRetirements_, routing.retirements);
+    // A snapshot of an earlier software version may count fewer than were applied: all of its entries count as new.
+    const uint64_t added = routing.retirements >= applied ? routing.retirements - applied : inOrder.size();
+    const auto count = static_cast<ptrdiff_t>(std::min<uint64_t>(added, inOrder.size()));
+    std::vector<model::TargetIncarnation> retired(inOrder.end() - count, inOrder.end());
     // Oldest first, so that retired_ drops the oldest when it is full.
-    std::vector<model::TargetIncarnation> retired(known.base(), inOrder.end());
-    if (!inOrder.empty())
-        lastRetired_ = inOrder.back();
-    for (model::TargetIncarnation& targetIncarnation : retired) {
-        // An order without an incarnation refers to the one that is known now.
-        if (targetIncarnation.incarnation.value == 0)
-            targetIncarnation.incarnation = targets_.incarnationOf(targetIncarnation.target);
-        retired_.record(targetIncarnation);
-    }
+    for (const model::TargetIncarnation& entry : retired)
+        applyRetirement(entry, now);
     return retired;
 }
 
+void RegistryCore::applyRetirement(const model::TargetIncarnation& entry, Timestamp now)
+{
+    retired_.record(entry);
+    if (entry.incarnation != Incarnation {})
+        return targets_.retire(entry);
+    leaveResolver_.add(entry.target, now);
+    if (const std::optional<Incarnation> known = targets_.incarnationOf(entry.target))
+        leaveResolver_.recordKnown({.target = entry.target, .incarnation = *known}, now);
+}
+
+void RegistryCore::resolveLeaves(Timestamp now)
+{
+    if (!leaveResolver_.isDue(now))
+        return;
+    const LeaveResolver::Role role {.isLeader = replica_->isLeader(),
+        .isGroupComplete = liveRegistryHosts(now).size() + 1 >= replica_->replicas().size()};
+    std::vector<model::TargetIncarnation> due = leaveResolver_.drainDue(retired_, role, now);
+    if (due.empty())
+        return;
+    if (!role.isLeader) {
+        if (!replica_->leaderHost().isEmpty())
+            send({{.to = replica_->leaderHost(), .message = model::TargetReport {.retired = std::move(due)}}});
+        return;
+    }
+    for (const model::TargetIncarnation& entry : due) {
+        log(host::LogSeverity::Info,
+            "event=leave_resolved target=" + entry.target.value()
+                + " incarnation=" + std::to_string(entry.incarnation.value));
+        retire({}, entry, now);
+    }
+}
+
 void RegistryCore::distribute(Timestamp now)
 {
     std::vector<HostId> receivers;
@@ -228,8 +259,10 @@
 
 void RegistryCore::accept(const model::TargetReport& report, const HostId& from, Timestamp now)
 {
-    for (const model::TargetIncarnation& targetIncarnation : report.retired)
+    for (const model::TargetIncarnation& targetIncarnation : report.retired) {
         targets_.markLeaving(targetIncarnation);
+        leaveResolver_.recordKnown(targetIncarnation, now);
+    }
     relayFromGateway(report, from, now);
 }
 
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -157,25 +157,29 @@
 void TargetTable::markLeaving(const model::TargetIncarnation& targetIncarnation)
 {
     const auto found = entries_.find(targetIncarnation.target);
-    if (found == entries_.end() || found->second.record.incarnation != targetIncarnation.incarnation)
-        return;
-    if (std::exchange(found->second.record.isLeaving, true))
-        return;
-    ++changes_;
-    queueUpdate(found->second);
+    if (found != entries_.end() && found->second.record.incarnation == targetIncarnation.incarnation)
+        markLeaving(found->second);
 }
 
-void TargetTable::remove(const model::TargetIncarnation& targetIncarnation)
+void TargetTable::retire(const model::TargetIncarnation& targetIncarnation)
 {
     const auto found = entries_.find(targetIncarnation.target);
     if (found != entries_.end() && found->second.record.incarnation <= targetIncarnation.incarnation)
-        erase(found->second);
+        markLeaving(found->second);
+}
+
+void TargetTable::markLeaving(Entry& entry)
+{
+    if (std::exchange(entry.record.isLeaving, true))
+        return;
+    ++changes_;
+    queueUpdate(entry);
 }
 
-Incarnation TargetTable::incarnationOf(const TargetId& target) const
+std::optional<Incarnation> TargetTable::incarnationOf(const TargetId& target) const
 {
     const auto found = entries_.find(target);
-    return found == entries_.end() ? Incarnation {} : found->second.record.incarnation;
+    return found == entries_.end() ? std::nullopt : std::optional(found->second.record.incarnation);
 }
 
 bool TargetTable::isKnown(const TargetId& target, const ServiceName& service) const
@@ -203,7 +207,7 @@
             recalled.push_back(&entry);
     }
     for (Entry* entry : recalled) {
-        if (retired.contains(targetIncarnationOf(entry->record)))
+        if (retired.blocks(targetIncarnationOf(entry->record)))
             erase(*entry);
         else
             queueUpdate(*entry);
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -39,10 +39,10 @@
     bool applyReport(model::TargetRecord record, Timestamp now);
     /// This incarnation announced in its answers that it leaves: overrides what it reports.
     void markLeaving(const model::TargetIncarnation& targetIncarnation);
-    /// Removes the target if its incarnation is this one or an older one.
-    void remove(const model::TargetIncarnation& targetIncarnation);
-    /// The known incarnation of a target; 0 where the target is unknown or doesn't report its incarnation.
-    [[nodiscard]] Incarnation incarnationOf(const TargetId& target) const;
+    /// The log retired this incarnation and all earlier ones of the target: the same for these.
+    void retire(const model::TargetIncarnation& targetIncarnation);
+    /// The known incarnation of a target; 0 where the target doesn't report it, no value where it is unknown.
+    [[nodiscard]] std::optional<Incarnation> incarnationOf(const TargetId& target) const;
     [[nodiscard]] bool isKnown(const TargetId& target, const ServiceName& service) const;
     /// Adds targets read from the disk. They are not sent before `releaseRecalled`.
     void recall(std::span<const model::TargetRecord> records, Timestamp now);
@@ -92,6 +92,7 @@
     void updateEntry(Entry& entry, model::TargetRecord record, Timestamp now);
     Entry& add(model::TargetRecord record, Timestamp now);
     void erase(Entry& entry);
+    void markLeaving(Entry& entry);
     void queueUpdate(Entry& entry);
     void markReceived(Entry& entry, Timestamp now);
     void markSent(Entry& entry, Timestamp now);
--- a/src/registry/tests/incarnationtests.cpp
+++ b/src/registry/tests/incarnationtests.cpp
@@ -9,6 +9,8 @@
 #include <boost/random/mersenne_twister.hpp>
 #include <gtest/gtest.h>
 
+#include <set>
+
 /// Targets that restart under the same id.
 namespace saltvane::registry::test {
 
@@ -50,7 +52,26 @@
         }
         return last;
     }
+    void reportTo(size_t host, uint64_t startedMs, uint64_t sequence)
+    {
+        EXPECT_EQ(statusOf(cluster_.call(host, "POST", HeartbeatPath, heartbeatOfStart(startedMs, sequence))), 200);
+    }
+    [[nodiscard]] size_t follower() const { return (*cluster_.leader() + 1) % Hosts; }
+    /// The incarnations of retired targets that any host sent to the gateway since the last call.
+    std::set<uint64_t> drainRetired()
+    {
+        std::set<uint64_t> retired;
+        for (const model::Message& message : cluster_.drainSentTo(Gateway)) {
+            if (const auto* report = std::get_if<model::TargetReport>(&message)) {
+                for (const model::TargetIncarnation& entry : report->retired)
+                    retired.insert(entry.incarnation.value);
+            }
+        }
+        return retired;
+    }
     static constexpr size_t Hosts = 3;
+    /// More than the hosts take to tell the leader which incarnation left.
+    static constexpr Duration ResolveTime = 1s;
     RegistryCluster cluster_ {Hosts};
 };
 
@@ -109,12 +130,90 @@
 {
     report(1000, 5);
     EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    cluster_.run(ResolveTime);
     report(1000, 6);
     EXPECT_TRUE(takeLastRecord()->isLeaving);
     report(2000, 1);
     EXPECT_FALSE(takeLastRecord()->isLeaving);
 }
 
+// Guards against targets that stay unused because they started again within moments of a leave without an incarnation.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationDoesNotApplyToAQuickRestart)
+{
+    reportTo(follower(), 1000, 5);
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    report(2000, 1);
+    cluster_.run(ResolveTime);
+    EXPECT_EQ(drainRetired(), (std::set<uint64_t> {0, 1000}));
+    report(2000, 4);
+    EXPECT_FALSE(takeLastRecord()->isLeaving);
+}
+
+// Guards against leaves without an incarnation that are ordered for an earlier one, which the leader happens to know.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationAppliesToTheLatestThatAnyHostKnows)
+{
+    report(1000, 5);
+    reportTo(follower(), 2000, 1);
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    cluster_.run(ResolveTime);
+    EXPECT_EQ(drainRetired(), (std::set<uint64_t> {0, 2000}));
+}
+
+// Guards against leaves without an incarnation that are acknowledged without effect because an earlier one left.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationIsOrderedAgainAfterThatOfAnEarlierOne)
+{
+    report(1000, 5, "leaving");
+    reportTo(follower(), 2000, 1);
+    (void)drainRetired();
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    cluster_.run(ResolveTime);
+    EXPECT_EQ(drainRetired(), (std::set<uint64_t> {0, 2000}));
+}
+
+// Guards against a target that left, is known to none of the hosts in touch, and is used once one returns that knows
+// it.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationWaitsForHostsThatAreCutOff)
+{
+    const size_t cutOff = follower();
+    reportTo(cutOff, 1000, 5);
+    cluster_.isolate(cutOff);
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    for (int i = 0; i < 20; ++i) {
+        cluster_.run(1s);
+        heartbeat();
+        cluster_.post(cutOff, HeartbeatPath, heartbeatOfStart(1000, 6 + static_cast<uint64_t>(i)));
+    }
+    EXPECT_EQ(drainRetired(), (std::set<uint64_t> {0}));
+    cluster_.heal();
+    cluster_.run(5s);
+    EXPECT_EQ(drainRetired(), (std::set<uint64_t> {0, 1000}));
+}
+
+// Guards against targets that stay unused because they left while no registry host knew them.
+TEST_F(IncarnationTest, LeaveOfAnUnknownTargetDoesNotApplyToLaterIncarnations)
+{
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    cluster_.run(model::TargetHeartbeatTimeout + 5s);
+    report(1000, 1);
+    EXPECT_FALSE(takeLastRecord()->isLeaving);
+    report(1000, 2, "leaving");
+    EXPECT_TRUE(takeLastRecord()->isLeaving);
+}
+
+// Guards against a leave without an incarnation that applies to none because its target reports to another host only
+// after it.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationAppliesToTheFirstReportWhereNoneIsKnown)
+{
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    reportTo(follower(), 1000, 5);
+    for (uint64_t sequence = 6; sequence < 24; ++sequence) {
+        cluster_.run(1s);
+        heartbeat();
+        reportTo(follower(), 1000, sequence);
+    }
+    EXPECT_EQ(drainRetired(), (std::set<uint64_t> {0, 1000}));
+}
+
 TEST_F(IncarnationTest, RetiredIncarnationsSurviveRestartOfAllHosts)
 {
     report(1000, 5, "leaving");
--- a/src/registry/tests/ordertests.cpp
+++ b/src/registry/tests/ordertests.cpp
@@ -93,8 +93,9 @@
     ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
     for (size_t number = 0; number < 6; ++number)
         cluster.gatewayHeartbeat(number, "10.0.1.1:7000", "north-a", "north");
-    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", heartbeatText(1))), 200);
-    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-1/heartbeat", heartbeatText(2, "leaving"))), 200);
+    const std::string heartbeatPath = "/v1/targets/t-1/heartbeat";
+    EXPECT_EQ(statusOf(cluster.order("POST", heartbeatPath, heartbeatOfStart(1000, 1))), 200);
+    EXPECT_EQ(statusOf(cluster.order("POST", heartbeatPath, heartbeatOfStart(1000, 2, "leaving"))), 200);
     cluster.run(300ms);
     size_t reports = 0;
     for (const model::Message& message : cluster.drainSentTo("10.0.1.1:7000")) {
@@ -104,7 +105,14 @@
     }
     EXPECT_EQ(reports, 6U); // From every host, so that the loss of one has no effect.
     // Now any host acknowledges it, without the log.
-    EXPECT_EQ(statusOf(cluster.call((*cluster.leader() + 1) % 6, "POST", "/v1/targets/t-1/leave")), 200);
+    const size_t follower = (*cluster.leader() + 1) % 6;
+    const std::string leavePath = "/v1/targets/t-1/leave";
+    EXPECT_EQ(statusOf(cluster.call(follower, "POST", leavePath, R"({"started_ms":1000})")), 200);
+    // A call that states no start may be of a later one: the leader orders it, and then any host acknowledges it.
+    EXPECT_EQ(statusOf(cluster.call(follower, "POST", leavePath)), 307);
+    EXPECT_EQ(statusOf(cluster.order("POST", leavePath)), 200);
+    cluster.run(300ms);
+    EXPECT_EQ(statusOf(cluster.call(follower, "POST", leavePath)), 200);
 }
 
 TEST(OrderTest, EvacuationsAreAcceptedAsOrders)
--- a/src/registry/tests/targettabletests.cpp
+++ b/src/registry/tests/targettabletests.cpp
@@ -63,7 +63,7 @@
     model::TargetRecord leaving = recordOf("t-1", 1);
     leaving.isLeaving = true;
     EXPECT_TRUE(changes([&] { (void)table_.applyReport(leaving, now_); }));
-    EXPECT_TRUE(changes([this] { table_.remove({.target = TargetId("t-1")}); }));
+    EXPECT_TRUE(changes([this] { table_.retire({.target = TargetId("t-2")}); }));
     now_ += model::TargetHeartbeatTimeout;
     EXPECT_TRUE(changes([this] { (void)table_.drainUpdates({}, now_); })) << "a target that became unresponsive";
 }
--- a/testing/fleet/drawnleavetests.cpp
+++ b/testing/fleet/drawnleavetests.cpp
@@ -306,7 +306,8 @@
             return;
         constexpr int Lookups = 3;
         for (int i = 0; i < Lookups; ++i) {
-            const auto [target, address, status] = fleet_.sendRequest(gateway, "/read/1", std::to_string(draw(0, 9999)));
+            const auto [target, address, status]
+                = fleet_.sendRequest(gateway, "/read/1", std::to_string(draw(0, 9999)));
             ++checked_;
             if (!target)
                 continue;
--- a/testing/fleet/unresolvedleavetests.cpp
+++ b/testing/fleet/unresolvedleavetests.cpp
@@ -69,8 +69,8 @@
     {
         const std::set<model::Address> used = usedAddresses();
         const std::vector<size_t> leaving = leavingTargets();
-        return static_cast<size_t>(std::ranges::count_if(
-            leaving, [&](size_t target) { return used.contains(targets_.addressOf(target)); }));
+        return static_cast<size_t>(
+            std::ranges::count_if(leaving, [&](size_t target) { return used.contains(targets_.addressOf(target)); }));
     }
 
     Fleet fleet_;
