--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -21,6 +21,7 @@
 BURST_STOP_DELAY_S = (0, 0.003)  # From the last request of a burst until its gateway is stopped.
 BURST_CLOSE_DELAY_S = 0.1
 LATE_REPORT_FRACTION = 0.7  # Of the targets of a zone that is reopened.
+MAX_LEAVE_CALLS = 4  # Targets that leave together.
 burst_numbers = itertools.count(1)
 
 
@@ -357,6 +358,34 @@
     await asyncio.sleep(SLOW_START_S)
 
 
+async def leave_by_call(world: World):
+    """Targets that state their start in heartbeats leave by a call, most of them without stating it there. Right after the
+    acknowledgement, hosts restart. The targets start again, half of them under their id."""
+    chosen = [target for target in world.rng.sample(world.targets, world.rng.randint(1, MAX_LEAVE_CALLS))
+              if target.server is not None and target.state == "ready" and not target.announces_leaving]
+    for target in chosen:
+        target.crash()
+        await target.start(states_start=True)
+    await asyncio.sleep(draw_pause(world, 3, 5))
+    calls = [target.call_leave(states_start=world.rng.random() < 0.25, goes_on_reporting=world.rng.random() < 0.5)
+             for target in chosen if target.started_ms is not None]
+    await asyncio.gather(*calls)
+    deployment = world.deployment
+    hit = world.rng.choice([deployment.gateways, deployment.gateways, deployment.registries, deployment.hosts,
+                            world.rng.sample(deployment.hosts, 2)])
+    killed = [host for host in hit if deployment.is_running(host) and not host.is_paused]
+    for host in killed:
+        deployment.kill(host)
+    await asyncio.sleep(draw_pause(world, 0.1, 1))
+    for host in killed:
+        deployment.launch(host)
+    await asyncio.sleep(draw_pause(world, 9, 14))
+    for target in chosen:
+        if target.server is not None and target.leave_acknowledged_at is not None:
+            target.crash()
+            await target.start(states_start=True, keeps_id=world.rng.random() < 0.5)
+
+
 FAULTS: list[tuple[Fault, float]] = [
     (kill, 3), (kill_all_registries, 0.7), (wipe, 1), (stop, 2), (pause, 2), (reload, 1), (hold, 3), (delay, 1), (reset, 2),
     (silence, 2), (crash_target, 2), (leave_target, 1), (empty_zone, 1)]
@@ -372,6 +401,7 @@
 FIRST_SEED_OF_BURSTS = 1_000_000_000_000
 FIRST_SEED_OF_ISOLATIONS = 10_000_000_000_000
 FIRST_SEED_OF_SLOW_STARTS = 100_000_000_000_000
+FIRST_SEED_OF_LEAVE_CALLS = 1_000_000_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
 WITH_LEAVES = [*WITH_SILENT_LINKS, (leave_beside_ends, 2)]
@@ -379,13 +409,15 @@
 WITH_BACKOFFS = [*WITH_LIMITS, (rest_targets, 3), (leave_by_word, 2)]
 WITH_BURSTS = [*WITH_BACKOFFS, (stop_behind_burst, 3)]
 WITH_ISOLATIONS = [*WITH_BURSTS, (isolate_gateways, 3)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_SLOW_STARTS: [*WITH_ISOLATIONS, (reopen_with_late_reports, 6)],
+WITH_SLOW_STARTS = [*WITH_ISOLATIONS, (reopen_with_late_reports, 6)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_LEAVE_CALLS: [*WITH_SLOW_STARTS, (leave_by_call, 5)],
+                    FIRST_SEED_OF_SLOW_STARTS: WITH_SLOW_STARTS,
                     FIRST_SEED_OF_ISOLATIONS: WITH_ISOLATIONS,
                     FIRST_SEED_OF_BURSTS: WITH_BURSTS,
                     FIRST_SEED_OF_BACKOFFS: WITH_BACKOFFS,
                     FIRST_SEED_OF_LIMITS: WITH_LIMITS, FIRST_SEED_OF_LEAVES: WITH_LEAVES,
                     FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_SLOW_STARTS]}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_LEAVE_CALLS]}
 
 
 def draw(rng: random.Random, seed: int) -> Fault:
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -236,7 +236,7 @@
     seed_lines = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     listed_seeds = [int(line.split()[0]) for line in seed_lines if line and not line.startswith("#")]
     seeds = (options.seed or []) + listed_seeds or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_SLOW_STARTS, 10**15) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_LEAVE_CALLS, 10**16) for _ in range(options.runs)]
     failed_seeds = [seed for seed in seeds if asyncio.run(run_seed(seed, options))]
     print(f"soak: {len(seeds) - len(failed_seeds)} passed, {len(failed_seeds)} failed"
           + (f": {failed_seeds}" if failed_seeds else ""))
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -58,6 +58,8 @@
         self.runs = runs
         self.rng = rng
         self.id = ""
+        self.started_ms: int | None = None  # States its start in heartbeats, so that it may start again under its id.
+        self.is_reporting = False
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task] = set()
         self.running = 0
@@ -71,8 +73,11 @@
         self.reports_delayed_until = 0.0
         self.restart_task: asyncio.Task | None = None
 
-    async def start(self):
-        self.id = f"t-{next(incarnation_ids)}"
+    async def start(self, states_start: bool = False, keeps_id: bool = False):
+        if not keeps_id:
+            self.id = f"t-{next(incarnation_ids)}"
+        self.started_ms = round(time.time() * 1000) if states_start else None
+        self.is_reporting = True
         self.state = "ready"
         self.limit = None
         self.backoff_s = None
@@ -121,10 +126,13 @@
     async def _report(self):
         registry = self.rng.choice(self.registries)
         for sequence in itertools.count(1):
+            if not self.is_reporting:
+                return
             leaving = self.state == "leaving"
+            start = {} if self.started_ms is None else {"started_ms": self.started_ms}
             body = json.dumps({"service": self.service, "address": self.forwarder.listen, "zone": self.zone, "slots": SLOTS,
                                "state": self.state, "slow_start_left_ms": self._slow_start_left_ms(),
-                               "sequence": sequence}).encode()
+                               "sequence": sequence, **start}).encode()
             if time.monotonic() < self.reports_delayed_until:
                 self._track(asyncio.create_task(self._send_late(body)))
                 await asyncio.sleep(HEARTBEAT_S)
@@ -138,6 +146,17 @@
                 self.leave_acknowledged_at = time.monotonic()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def call_leave(self, states_start: bool, goes_on_reporting: bool):
+        """Calls /leave at registry hosts in random order until one acknowledges it."""
+        self.is_reporting = goes_on_reporting
+        body = json.dumps({"started_ms": self.started_ms}).encode() if states_start else b""
+        while self.server is not None and self.leave_acknowledged_at is None:
+            response = await call(self.rng.choice(self.registries), "POST", f"/v1/targets/{self.id}/leave", body, timeout_s=1)
+            if response is not None and response.status == 200:
+                self.leave_acknowledged_at = time.monotonic()
+            else:
+                await asyncio.sleep(0.05)
+
     def _slow_start_left_ms(self) -> int:
         return max(0, round((self.slow_until - time.monotonic()) * 1000))
 
