Credits: a transfer that ends without a limit or a lease in force counts as ended

Callers saw: a target that gets no requests for 12 s and more after it withdrew its limit. A registry host granted no credit of that limit any more.

Cause: a registry host counts the holders that it has asked for credits of a limit, and asks none while some are pending. The count went down only while the limit was in force and the host had its lease: where a limit was lifted, or a lease expired, in the 120 ms until the answer or its timeout, it stayed up, and with it the host refused each request under that limit for as long as it ran. Class: outstanding operations whose end is counted only on the path of success. Looked for in LimitCredits (timeouts and answers remove the request in any case), LostRunTracker, OrderTracker: none by reading.

--- a/src/registry/internal/creditpool.cpp
+++ b/src/registry/internal/creditpool.cpp
@@ -236,23 +236,25 @@
             continue; // The answer came after the timeout: its credits are lost.
         const model::LimitId id = found->second.id;
         transfers_.erase(found);
-        if (LimitState* state = findState(id, now)) {
-            state->credits += answer.credits;
-            servePending(id, *state);
-            state->credits = std::min(state->credits, state->share.burst);
-            onTransferCompleted(id, *state, now);
-        }
+        completeTransfer(id, answer.credits, now);
     }
 }
 
-void CreditPool::onTransferCompleted(const model::LimitId& id, LimitState& state, Timestamp now)
+void CreditPool::completeTransfer(const model::LimitId& id, uint32_t credits, Timestamp now)
 {
-    if (state.pendingTransfers > 0)
-        --state.pendingTransfers;
-    if (state.pendingTransfers > 0 || state.pending.empty())
+    // Also without a limit or a lease in force: a transfer that stayed pending would prevent all later ones.
+    if (const auto found = limitStates_.find(id); found != limitStates_.end() && found->second.pendingTransfers > 0)
+        --found->second.pendingTransfers;
+    LimitState* state = findState(id, now);
+    if (state == nullptr)
+        return;
+    state->credits += credits;
+    servePending(id, *state);
+    state->credits = std::min(state->credits, state->share.burst);
+    if (state->pendingTransfers > 0 || state->pending.empty())
         return;
-    if (!requestFromPeers(id, state, now))
-        refusePending(id, state, now);
+    if (!requestFromPeers(id, *state, now))
+        refusePending(id, *state, now);
 }
 
 void CreditPool::servePending(const model::LimitId& id, LimitState& state)
@@ -300,8 +302,7 @@
     while (!transfers_.empty() && transfers_.begin()->second.requestedAt + TransferTimeout <= now) {
         const model::LimitId id = transfers_.begin()->second.id;
         transfers_.erase(transfers_.begin());
-        if (LimitState* state = findState(id, now))
-            onTransferCompleted(id, *state, now);
+        completeTransfer(id, 0, now);
     }
     const std::vector<model::LimitId> ids(pendingLimits_.begin(), pendingLimits_.end());
     for (const model::LimitId& id : ids) {
--- a/src/registry/internal/creditpool.h
+++ b/src/registry/internal/creditpool.h
@@ -99,7 +99,8 @@
     void refusePending(const model::LimitId& id, LimitState& state, Timestamp now);
     void refuse(LimitState& state, const HostId& to, const model::LimitCreditAsk& ask, Timestamp now);
     void answer(const HostId& to, const model::LimitCreditAnswer& answer);
-    void onTransferCompleted(const model::LimitId& id, LimitState& state, Timestamp now);
+    /// A transfer was answered, or timed out without credits.
+    void completeTransfer(const model::LimitId& id, uint32_t credits, Timestamp now);
     /// No request is pending any more.
     void onPendingCleared(const model::LimitId& id, LimitState& state);
     void dropPending(const model::LimitId& id);
--- a/src/registry/tests/creditpooltests.cpp
+++ b/src/registry/tests/creditpooltests.cpp
@@ -265,6 +265,82 @@
     EXPECT_EQ(std::get<model::BackpressureReport>(outgoing[0].message).notices[0].limit, 2);
 }
 
+namespace {
+
+/// One of two holders of a limit, without credits of its own, at which a gateway asks for credits.
+class AskingPool {
+public:
+    AskingPool()
+    {
+        refresh();
+        pool_.setPeers({{.host = registryHost(1)}});
+    }
+    void setLimit(std::optional<double> limit)
+    {
+        const model::BackpressureNotice notice {.target = target_, .limit = limit};
+        pool_.recordTargetLimits(gatewayHost(0), std::vector {notice}, now_);
+        now_ += 10ms;
+    }
+    /// Whether the request makes the pool ask the other holder for a credit.
+    [[nodiscard]] bool isOtherHolderAsked()
+    {
+        (void)pool_.drainOutgoing();
+        pool_.handle(
+            gatewayHost(0), {.asks = {{.ask = ++lastAsk_, .limit = model::limitIdOf(target_), .credits = 1}}}, now_);
+        const std::vector<model::OutgoingMessage> outgoing = pool_.drainOutgoing();
+        return std::ranges::any_of(
+            outgoing, [](const model::OutgoingMessage& message) { return message.to == registryHost(1); });
+    }
+    void advance(Duration duration)
+    {
+        for (const Timestamp end = now_ + duration; now_ < end; now_ += 10ms)
+            pool_.tick(now_);
+    }
+    void refresh() { pool_.setHolders({registryHost(0), registryHost(1)}, 0s, now_); }
+    /// Skips the credits that this pool holds itself, if it is the one holder of this target's limit.
+    [[nodiscard]] bool selectTargetOfOtherHolder()
+    {
+        for (int number = 0; number < 20; ++number) {
+            target_ = {.target = TargetId("t-" + std::to_string(number)), .incarnation = {3}};
+            setLimit(0.4);
+            if (isOtherHolderAsked())
+                return true;
+        }
+        return false;
+    }
+
+private:
+    model::TargetIncarnation target_;
+    Timestamp now_ {100s};
+    CreditPool pool_ {registryHost(0), now_ - 20s};
+    uint64_t lastAsk_ = 0;
+};
+
+} // namespace
+
+// Guards against a registry host that grants no credits of a limit any more, since the limit was lifted for a moment
+// while another holder was asked for credits.
+TEST(CreditPoolTest, OtherHoldersAreAskedAgainAfterALimitWasLifted)
+{
+    AskingPool pool;
+    ASSERT_TRUE(pool.selectTargetOfOtherHolder());
+    pool.setLimit(std::nullopt);
+    pool.advance(1s);
+    pool.setLimit(0.4);
+    EXPECT_TRUE(pool.isOtherHolderAsked());
+}
+
+// Guards against the same after the registry host's lease had expired while another holder was asked.
+TEST(CreditPoolTest, OtherHoldersAreAskedAgainAfterALeaseExpired)
+{
+    AskingPool pool;
+    pool.advance(CreditPool::LeaseDuration * 4 / 5 - 50ms);
+    ASSERT_TRUE(pool.selectTargetOfOtherHolder());
+    pool.advance(1s);
+    pool.refresh();
+    EXPECT_TRUE(pool.isOtherHolderAsked());
+}
+
 // Guards against a notice of an older plan that replaces a newer limit.
 TEST(CreditPoolTest, NoticesOfOlderPlansAreIgnored)
 {
