--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -152,6 +152,8 @@
     /// Gateways with a recent heartbeat; the result is cached for ReportInterval.
     [[nodiscard]] std::span<const HostLocation> gateways(Timestamp now) const;
     [[nodiscard]] std::vector<HostLocation> liveRegistryHosts(Timestamp now) const;
+    /// Whether this host hears every member of the group.
+    [[nodiscard]] bool isGroupComplete(Timestamp now) const;
     void updateLinks();
     void logLeaderChange(Timestamp now);
     void logGroupChange();
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -92,8 +92,7 @@
 {
     if (!leaveResolver_.isDue(now))
         return;
-    const LeaveResolver::Role role {.isLeader = replica_->isLeader(),
-        .isGroupComplete = liveRegistryHosts(now).size() + 1 >= replica_->replicas().size()};
+    const LeaveResolver::Role role {.isLeader = replica_->isLeader(), .isGroupComplete = isGroupComplete(now)};
     std::vector<model::TargetIncarnation> due = leaveResolver_.drainDue(retired_, role, now);
     if (due.empty())
         return;
@@ -218,6 +217,14 @@
     return live;
 }
 
+bool RegistryCore::isGroupComplete(Timestamp now) const
+{
+    const std::vector<HostLocation> live = liveRegistryHosts(now);
+    return std::ranges::all_of(replica_->replicas(), [&](const control::ReplicaInfo& member) {
+        return member.host == self_ || std::ranges::find(live, member.host, &HostLocation::host) != live.end();
+    });
+}
+
 void RegistryCore::reportLoads(Timestamp now)
 {
     if (now < nextLoadsAt_)
--- a/src/registry/tests/incarnationtests.cpp
+++ b/src/registry/tests/incarnationtests.cpp
@@ -189,6 +189,29 @@
     EXPECT_EQ(drainRetired(), (std::set<uint64_t> {0, 1000}));
 }
 
+// Guards against a host that learns of a leave without an incarnation by a snapshot, and lists the target again.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationAppliesToWhatAHostKnowsThatReceivesASnapshot)
+{
+    constexpr int OrdersUntilSnapshot = 4200;
+    const size_t cutOff = follower();
+    reportTo(cutOff, 1000, 5);
+    cluster_.isolate(cutOff);
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    for (int i = 0; i < OrdersUntilSnapshot; ++i) {
+        const std::string method = i % 2 == 0 ? "PUT" : "DELETE";
+        ASSERT_EQ(statusOf(cluster_.order(method, "/v1/evacuations/north-a")), 200);
+        if (i % 50 == 0)
+            cluster_.post(cutOff, HeartbeatPath, heartbeatOfStart(1000, 6 + static_cast<uint64_t>(i)));
+    }
+    heartbeat();
+    (void)drainRetired();
+    cluster_.heal();
+    cluster_.run(3s);
+    heartbeat();
+    cluster_.run(3s);
+    EXPECT_TRUE(drainRetired().contains(1000));
+}
+
 // Guards against targets that stay unused because they left while no registry host knew them.
 TEST_F(IncarnationTest, LeaveOfAnUnknownTargetDoesNotApplyToLaterIncarnations)
 {
