--- a/src/registry/tests/incarnationtests.cpp
+++ b/src/registry/tests/incarnationtests.cpp
@@ -212,6 +212,30 @@
     EXPECT_TRUE(drainRetired().contains(1000));
 }
 
+// Guards against targets that stay unused because they started again while the host was down that knew them before.
+TEST_F(IncarnationTest, LeaveWithoutIncarnationWaitsForAHostThatIsDown)
+{
+    const size_t down = follower();
+    reportTo(down, 1000, 5);
+    cluster_.run(3s); // The host writes it to its disk.
+    cluster_.kill(down);
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    reportTo(*cluster_.leader(), 2000, 1);
+    cluster_.run(5s);
+    cluster_.start(down, false);
+    cluster_.run(5s);
+    heartbeat();
+    (void)takeLastRecord();
+    report(2000, 9);
+    ASSERT_TRUE(cluster_.leader());
+    const auto later = takeLastRecord();
+    ASSERT_TRUE(later);
+    EXPECT_EQ(later->incarnation, Incarnation {2000});
+    EXPECT_FALSE(later->isLeaving);
+    report(2000, 10, "leaving");
+    EXPECT_TRUE(takeLastRecord()->isLeaving);
+}
+
 // Guards against targets that stay unused because they left while no registry host knew them.
 TEST_F(IncarnationTest, LeaveOfAnUnknownTargetDoesNotApplyToLaterIncarnations)
 {
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -363,9 +363,11 @@
     acknowledgement, hosts restart. The targets start again, half of them under their id."""
     chosen = [target for target in world.rng.sample(world.targets, world.rng.randint(1, MAX_LEAVE_CALLS))
               if target.server is not None and target.state == "ready" and not target.announces_leaving]
+    # Gateways that start connect to registry hosts in the order of their addresses, and what the last one reports stands.
+    registry = world.rng.choice([world.deployment.registries[0], world.deployment.registries[-1]])
     for target in chosen:
         target.crash()
-        await target.start(states_start=True)
+        await target.start(states_start=True, first_registry=registry.front_address)
     await asyncio.sleep(draw_pause(world, 3, 5))
     calls = [target.call_leave(states_start=world.rng.random() < 0.25, goes_on_reporting=world.rng.random() < 0.5)
              for target in chosen if target.started_ms is not None]
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -60,6 +60,7 @@
         self.id = ""
         self.started_ms: int | None = None  # States its start in heartbeats, so that it may start again under its id.
         self.is_reporting = False
+        self.first_registry: str | None = None  # That it reports to after its start; none: a random one.
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task] = set()
         self.running = 0
@@ -73,11 +74,12 @@
         self.reports_delayed_until = 0.0
         self.restart_task: asyncio.Task | None = None
 
-    async def start(self, states_start: bool = False, keeps_id: bool = False):
+    async def start(self, states_start: bool = False, keeps_id: bool = False, first_registry: str | None = None):
         if not keeps_id:
             self.id = f"t-{next(incarnation_ids)}"
         self.started_ms = round(time.time() * 1000) if states_start else None
         self.is_reporting = True
+        self.first_registry = first_registry
         self.state = "ready"
         self.limit = None
         self.backoff_s = None
@@ -124,7 +126,7 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _report(self):
-        registry = self.rng.choice(self.registries)
+        registry = self.first_registry or self.rng.choice(self.registries)
         for sequence in itertools.count(1):
             if not self.is_reporting:
                 return
