--- a/src/gateway/tests/incarnationtests.cpp
+++ b/src/gateway/tests/incarnationtests.cpp
@@ -119,6 +119,8 @@
         {.target = TargetId("t-1")}, {.target = TargetId("t-1"), .incarnation = {1000}}};
     report({.orders = positionOf(6), .retired = both, .targets = {recordOf("t-1", 2000)}});
     report({.orders = positionOf(5), .ordersSince = positionOf(4), .retired = {{.target = TargetId("t-1")}}});
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
     report({.orders = positionOf(6), .ordersSince = positionOf(4), .retired = both});
     request({});
     EXPECT_EQ(takeStarts().size(), 1U);
