--- a/src/registry/tests/incarnationtests.cpp
+++ b/src/registry/tests/incarnationtests.cpp
@@ -9,6 +9,7 @@
 #include <boost/random/mersenne_twister.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 /// Targets that restart under the same id.
@@ -212,6 +213,26 @@
     EXPECT_TRUE(drainRetired().contains(1000));
 }
 
+// Guards against gateways that start and use a target because more targets left after it than a full report names.
+TEST_F(IncarnationTest, TargetsThatLeftAreListedAsLeavingWhateverLeftSince)
+{
+    constexpr int LaterLeaves = 520;
+    reportTo(follower(), 1000, 5);
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath, R"({"started_ms":1000})")), 200);
+    for (int i = 0; i < LaterLeaves; ++i) {
+        const std::string path = "/v1/targets/other-" + std::to_string(i) + "/leave";
+        ASSERT_EQ(statusOf(cluster_.order("POST", path, R"({"started_ms":1000})")), 200);
+    }
+    const std::string started = "10.0.1.2:7000";
+    cluster_.gatewayHeartbeat(follower(), started, "north-a", "north");
+    const std::vector<model::Message> sent = cluster_.drainSentTo(started);
+    const auto isListedAsLeaving = [](const model::Message& message) {
+        const auto* report = std::get_if<model::TargetReport>(&message);
+        return report != nullptr && report->targets.size() == 1 && report->targets[0].isLeaving;
+    };
+    EXPECT_TRUE(std::ranges::any_of(sent, isListedAsLeaving));
+}
+
 // Guards against targets that stay unused because they started again while the host was down that knew them before.
 TEST_F(IncarnationTest, LeaveWithoutIncarnationWaitsForAHostThatIsDown)
 {
