--- a/testing/fleet/drawnleavetests.cpp
+++ b/testing/fleet/drawnleavetests.cpp
@@ -41,8 +41,9 @@
 
 class RandomLeaves {
 public:
-    explicit RandomLeaves(unsigned int seed)
+    explicit RandomLeaves(unsigned int seed, bool areDisksLost = false)
         : random_(seed)
+        , areDisksLost_(areDisksLost)
         , fleet_({.registries = Registries, .gateways = Gateways})
         , targets_(fleet_.registries(), Targets, seed)
         , gatewayFaultAt_(Gateways, fleet_.registries().now())
@@ -106,6 +107,8 @@
             &RandomLeaves::isolateRegistries, &RandomLeaves::cutOffRegion, &RandomLeaves::suspendRegistry,
             &RandomLeaves::cutOffGateway, &RandomLeaves::cutLinks, &RandomLeaves::restartGateway,
             &RandomLeaves::stallLinks, &RandomLeaves::fillDisk, &RandomLeaves::loseReports};
+        if (areDisksLost_ && draw(0, 2) == 0)
+            return powerOffAllAndLoseDisks();
         (this->*Faults.at(index(Faults.size())))();
     }
 
@@ -162,6 +165,18 @@
         for (size_t gateway = 0; gateway < Gateways; ++gateway)
             restart(gateway);
     }
+    /// The group tolerates the loss of two disks once it has recovered from the loss before.
+    void powerOffAllAndLoseDisks()
+    {
+        constexpr Duration RecoveryTime = 20s;
+        const bool isRecovered = now() - disksLostAt_ >= RecoveryTime && !isIsolationUnderWay_;
+        powerOffAll();
+        if (!isRecovered)
+            return;
+        disksLostAt_ = now();
+        for (const size_t registry : someOf(Registries, draw(1, 2)))
+            fleet_.registries().wipeDisk(registry);
+    }
     void isolate(const std::vector<size_t>& registries)
     {
         if (isIsolationUnderWay_)
@@ -321,6 +336,8 @@
     }
 
     std::mt19937 random_;
+    bool areDisksLost_;
+    Timestamp disksLostAt_ {};
     Fleet fleet_;
     LeavingTargets targets_;
     std::vector<Timed> timed_;
@@ -336,13 +353,14 @@
 
 } // namespace
 
-// Guards against gateways that go on using targets whose leave was acknowledged.
-TEST(DrawnLeaveTest, TargetsThatLeftAreNotUsedByGatewaysInTouch)
+namespace {
+
+void expectNoLateUse(bool areDisksLost)
 {
     size_t acknowledged = 0;
     size_t checked = 0;
     for (int seed = 1; seed <= seedCount(); ++seed) {
-        RandomLeaves randomized(static_cast<unsigned int>(seed));
+        RandomLeaves randomized(static_cast<unsigned int>(seed), areDisksLost);
         randomized.run();
         EXPECT_TRUE(randomized.findings().empty())
             << "seed " << seed << ": " << randomized.findings().size() << ", first: " << randomized.findings().front();
@@ -353,4 +371,12 @@
     EXPECT_GT(checked, static_cast<size_t>(1000 * seedCount()));
 }
 
+} // namespace
+
+// Guards against gateways that go on using targets whose leave was acknowledged.
+TEST(DrawnLeaveTest, TargetsThatLeftAreNotUsedByGatewaysInTouch) { expectNoLateUse(false); }
+
+// Guards against the same where all hosts lose power and up to two registry hosts their disks.
+TEST(DrawnLeaveTest, TargetsThatLeftAreNotUsedAfterDisksAreLost) { expectNoLateUse(true); }
+
 } // namespace saltvane::fleet::test
