--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -102,9 +102,9 @@
 void TargetSet::applyRetired(std::span<const model::TargetIncarnation> entries, Timestamp now)
 {
     // Of orders that are known already, an entry without an incarnation may have been resolved by a later one.
-    const bool isKnown = reportedOrders_ < completeOrders_;
+    const bool areOrdersKnown = reportedOrders_ < completeOrders_;
     for (const model::TargetIncarnation& entry : entries) {
-        if (!isKnown || entry.incarnation != Incarnation {})
+        if (!areOrdersKnown || entry.incarnation != Incarnation {})
             retired_.record(entry);
     }
     for (const model::TargetIncarnation& entry : entries) {
