--- a/src/control/tests/routingtabletests.cpp
+++ b/src/control/tests/routingtabletests.cpp
@@ -170,6 +170,24 @@
     EXPECT_FALSE(read->answerFor(RetireTarget {.target = TargetId("u"), .incarnation = {1}}));
 }
 
+// Guards against targets that left by an order without an incarnation and are used again after an upgrade.
+TEST(RoutingTableTest, OrdersWithoutIncarnationInEarlierSnapshotsAreUnresolved)
+{
+    nlohmann::json earlier = RoutingTable().toJson();
+    earlier.erase("retirements");
+    earlier["retired"] = nlohmann::json::array({"t", nlohmann::json::object({{"target", "u"}, {"incarnation", 0U}})});
+    std::optional<RoutingTable> read = RoutingTable::fromJson(earlier, RoutingFormat::WithReopenedZones);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->state().retirements, 2U);
+    for (const char* const target : {"t", "u"}) {
+        const model::TargetIncarnation reported {.target = TargetId(target), .incarnation = {1'700'000'000'000}};
+        EXPECT_TRUE(read->state().retiredTargets.blocks(reported)) << target;
+        EXPECT_TRUE(read->apply(RetireTarget {.target = TargetId(target), .incarnation = {20}}, at(9)));
+        EXPECT_FALSE(read->state().retiredTargets.blocks(reported)) << target;
+    }
+    EXPECT_EQ(read->state().retirements, 4U);
+}
+
 TEST(RoutingTableTest, OldestRetirementsAreRemovedFirst)
 {
     RoutingTable table;
