--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -20,6 +20,10 @@
 constexpr Duration MaxIdle = 4s;
 constexpr Duration MaxIdleForAtMostOnce = 2s;
 
+/// Callers count their deadline from when they send a request, so that they leave up to this long before the deadline
+/// here, which counts from when the request was read.
+constexpr Duration MaxReadDelay = 250ms;
+
 /// A connection that was idle since before the present incarnation took the address belongs to the previous one.
 constexpr Duration IdlePrecision = 1s;
 /// Spreads consecutive numbers over all hashes (the golden ratio).
@@ -76,6 +80,9 @@
     options_.onDecided(
         {.exchange = *exchange, .outcome = model::Outcome::Unknown, .reason = model::Reason::ClientGone}, now);
     if (exchange->dispatch.value != 0) {
+        const bool hasWaitedUntilDeadline = exchange->deadline - now <= MaxReadDelay;
+        if (hasWaitedUntilDeadline && isResponseOverdue(*exchange, now))
+            recordBrokenResponse(*exchange, now);
         onRunAbandoned(*exchange, now);
         actions_.emplace_back(requests::TargetCancel {.dispatch = exchange->dispatch});
     }
--- a/src/gateway/tests/endlessresponsetests.cpp
+++ b/src/gateway/tests/endlessresponsetests.cpp
@@ -75,6 +75,33 @@
     EXPECT_EQ(sendRequests(20, streamWithoutEnd), 0U);
 }
 
+// Guards against endless responses that eject no target because their callers leave just before the gateway's own
+// deadline.
+TEST_F(EndlessResponseTest, TargetWhoseBodiesDoNotEndBeforeCallersLeaveIsEjected)
+{
+    const auto streamWithoutEnd = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes); };
+    ASSERT_GE(sendRequests(20, streamWithoutEnd), 2U);
+    advance(RouteTimeout - 100ms);
+    for (uint64_t handle = 1; handle <= lastId_; ++handle) {
+        readResponse({handle}, LargeBodyBytes);
+        abort({handle});
+    }
+    EXPECT_EQ(sendRequests(20, streamWithoutEnd), 0U);
+}
+
+// Callers that leave early say nothing about a large response.
+TEST_F(EndlessResponseTest, CallersThatLeaveEarlyDoNotEjectTheTarget)
+{
+    const auto stream = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes); };
+    ASSERT_GE(sendRequests(20, stream), 2U);
+    advance(RouteTimeout / 2);
+    for (uint64_t handle = 1; handle <= lastId_; ++handle) {
+        readResponse({handle}, LargeBodyBytes);
+        abort({handle});
+    }
+    EXPECT_GE(sendRequests(20, stream), 2U);
+}
+
 // The same for a target whose responses break off.
 TEST_F(EndlessResponseTest, TargetWhoseBodiesBreakOffIsEjected)
 {
