Entry hosts: a response that is sent before its owner reports the end leaves nothing in flight

Callers saw nothing; operators saw a planned stop that lasted until its time limit.

Cause: the HTTP server completes a streamed response of known length with its last byte. The owner's end frame follows a turn of the event loop later, or more under load. HttpResponseDone was ignored unless the outcome was final already, and the end frame then waited for a second one that never came. Each such request stayed in the table of requests for as long as the process ran, and counted against the limit of requests in flight. Class: an event that counts only if it comes after another one, though nothing orders the two.

Ruled out: credits of the leaving host (capacity is 0), the hand-over (no peer in its zone), the owner's table (its deadlines end every exchange). The gateway's pendingResponses_ holds: it is filled with the head, and its end is independent of the target's.

RequestReceiverTest.ResponseSentBeforeTheOwnersEndFrameIsNotInFlightAfterIt: 1 in flight before, 0 after.

--- a/src/requests/internal/callerwriter.cpp
+++ b/src/requests/internal/callerwriter.cpp
@@ -73,6 +73,12 @@
     return headers;
 }
 
+/// The caller's HTTP exchange while its response is incomplete; null for other callers.
+const HttpOrigin* incompleteHttpOrigin(const Exchange& exchange)
+{
+    return exchange.isResponseDelivered ? nullptr : std::get_if<HttpOrigin>(&exchange.origin);
+}
+
 bool isBodyless(const Exchange& exchange, const ResponseHead& head)
 {
     return exchange.method == "HEAD" || head.status == 204 || head.status == 304;
@@ -157,7 +163,7 @@
 
 void CallerWriter::finishStream(Exchange& exchange)
 {
-    if (const auto* http = std::get_if<HttpOrigin>(&exchange.origin))
+    if (const HttpOrigin* http = incompleteHttpOrigin(exchange))
         context_.actions.emplace_back(HttpResponseBody {.handle = http->handle, .bytes = {}, .isLast = true});
     if (const auto* forwarded = std::get_if<ForwardedOrigin>(&exchange.origin)) {
         sendBody(exchange, *forwarded, {}, true);
@@ -167,7 +173,7 @@
 
 void CallerWriter::abort(Exchange& exchange, const Completion& completion)
 {
-    if (const auto* http = std::get_if<HttpOrigin>(&exchange.origin))
+    if (const HttpOrigin* http = incompleteHttpOrigin(exchange))
         context_.actions.emplace_back(HttpAbort {.handle = http->handle});
     if (const auto* forwarded = std::get_if<ForwardedOrigin>(&exchange.origin))
         sendEnd(exchange, *forwarded, completion);
--- a/src/requests/internal/exchange.h
+++ b/src/requests/internal/exchange.h
@@ -97,6 +97,8 @@
     ZoneName rowZone;
 
     bool isHeadSent = false;
+    /// The HTTP server has sent the whole response, of known length, before the owner reported its end.
+    bool isResponseDelivered = false;
     uint64_t responseBytesSent = 0; ///< Bytes of the response body sent to the caller.
     int status = 0; ///< HTTP status sent to the caller.
 
--- a/src/requests/internal/finalizer.cpp
+++ b/src/requests/internal/finalizer.cpp
@@ -107,7 +107,8 @@
     context_.table.clearDeadline(exchange);
     exchange.phase = Phase::Finalized;
     const bool isReportedToCaller = !exchange.isCallerDisconnected();
-    const bool isFlushing = std::holds_alternative<HttpOrigin>(exchange.origin) && !exchange.isHeadSent;
+    const bool isFlushing
+        = std::holds_alternative<HttpOrigin>(exchange.origin) && !exchange.isHeadSent && !exchange.isResponseDelivered;
     if (!isFlushing)
         context_.table.remove(exchange);
     if (exchange.isRunner)
--- a/src/requests/internal/requestreceiver.cpp
+++ b/src/requests/internal/requestreceiver.cpp
@@ -79,8 +79,12 @@
 void RequestReceiver::handle(const HttpResponseDone& done, Timestamp)
 {
     Exchange* exchange = context_.table.find(done.handle);
-    if (exchange && exchange->phase == Phase::Finalized)
+    if (!exchange)
+        return;
+    if (exchange->phase == Phase::Finalized)
         context_.table.remove(*exchange);
+    else
+        exchange->isResponseDelivered = true;
 }
 
 void RequestReceiver::handle(const model::Delivery& delivery, const model::ForwardRequest& request, Timestamp now)
--- a/src/requests/tests/entrystresstests.cpp
+++ b/src/requests/tests/entrystresstests.cpp
@@ -305,7 +305,9 @@
         bodies_[name] = action.bytes;
         outcomes_[name] = headerOf(action.headers, OutcomeHeader);
         if (action.isLast)
-            finish(name);
+            return finish(name);
+        if (action.bodyLength)
+            streamedLengths_[name] = *action.bodyLength;
     }
     void handleAction(HttpResponseBody& action)
     {
@@ -314,8 +316,22 @@
         if (action.isLast)
             return finish(name);
         entry_->handle(HttpResponseProgress {.handle = action.handle, .bytes = action.bytes.size()}, now_);
+        const auto length = streamedLengths_.find(name);
+        if (length != streamedLengths_.end() && length->second == bodies_[name].size() && chance(50))
+            completeBeforeOwner(action.handle);
+    }
+    /// The HTTP server needs no end of the stream to complete a response of known length.
+    void completeBeforeOwner(HttpHandle handle)
+    {
+        recordCompletion(nameOf(handle));
+        entry_->handle(HttpResponseDone {.handle = handle}, now_);
     }
     void finish(const std::string& name)
+    {
+        recordCompletion(name);
+        flushingCalls_.push_back(name);
+    }
+    void recordCompletion(const std::string& name)
     {
         const std::string& text = outcomes_[name];
         const Outcome outcome = text == "answered" ? Outcome::Answered
@@ -323,7 +339,6 @@
                                                    : Outcome::Unknown;
         checker_.recordOutcome(name, outcome, bodies_[name]);
         std::erase(openCalls_, name);
-        flushingCalls_.push_back(name);
     }
     void handleAction(HttpAbort& action)
     {
@@ -382,6 +397,7 @@
     std::vector<std::string> keys_;
     std::vector<std::string> openCalls_;
     std::vector<std::string> flushingCalls_;
+    std::map<std::string, uint64_t> streamedLengths_;
     std::vector<uint64_t> forwardedCalls_;
     std::vector<model::ClaimRequest> claims_;
     std::vector<CorrelationId> cancelled_;
--- a/src/requests/tests/requestreceivertests.cpp
+++ b/src/requests/tests/requestreceivertests.cpp
@@ -4,6 +4,7 @@
  * Copyright (c) 2026 the saltvane authors
  */
 #include "requests/headerfilter.h"
+#include "requests/internal/responsestream.h"
 #include "requests/tests/entryfixture.h"
 
 namespace saltvane::requests {
@@ -169,6 +170,28 @@
     expectRefusal(call({}), Outcome::NotRun, Reason::NotReady, 503);
 }
 
+// Guards against requests that stay in flight after their response was sent: the host then waits for them until the
+// time limit of its stop.
+TEST_F(RequestReceiverTest, ResponseSentBeforeTheOwnersEndFrameIsNotInFlightAfterIt)
+{
+    const std::string body(MaxBufferedResponseBytes + 1, 'x');
+    const HttpHandle handle = call({});
+    const auto forward = sent<model::ForwardRequest>().at(0);
+    deliver(LocalOwner,
+        model::ForwardResponseHead {.correlation = forward.correlation, .status = 200, .bodyLength = body.size()});
+    deliver(LocalOwner,
+        model::ForwardBody {.correlation = forward.correlation,
+            .direction = model::Direction::ToClient,
+            .bytes = body,
+            .isLast = true});
+    handleHttp(HttpResponseDone {.handle = handle});
+    completeForward(forward, Outcome::Answered, Reason::None);
+    EXPECT_EQ(entry_->inFlight(), 0U);
+    EXPECT_EQ(creditStore_.inUse(), 0);
+    ASSERT_EQ(records_.size(), 1U);
+    EXPECT_EQ(records_[0].outcome, Outcome::Answered);
+}
+
 TEST_F(RequestReceiverTest, TooManyInFlightAreRefused)
 {
     build({.maxInFlight = 1});
