Leaves without a start: a start that was known before the order stays retired, whatever the order is resolved to

Requests reached targets that had left by a call without their start: 2.6 to 8 s after the acknowledgement, seconds after the last fault.

Cause: the leader orders the latest start that any registry host tells it within 500 ms. Where the only host that knew the present start was down, that is an earlier one. Gateways that knew the present start from that host took it for one that came after the leave and used it again, and so did the host itself once it was back. Class: as before, a reference that is resolved by what some hosts happen to know; here the resolution undid what was known elsewhere. A start that was known before the order can't have come after it, so each gateway and host keeps it retired.

Red before: IncarnationTest.LeaveResolvedToAnEarlierIncarnationDoesNotBringTheKnownOneBack (gateway), LeaveResolvedWhileAHostIsDownAppliesToWhatThatHostKnows (registry).

Ruled out: quick restarts (their tests hold: a start that becomes known after the order is used once it is resolved).

--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -103,14 +103,24 @@
 {
     // Of orders that are known already, an entry without an incarnation may have been resolved by a later one.
     const bool areOrdersKnown = reportedOrders_ < completeOrders_;
+    std::vector<TargetId> newlyUnresolved;
     for (const model::TargetIncarnation& entry : entries) {
-        if (!areOrdersKnown || entry.incarnation != Incarnation {})
-            retired_.record(entry);
+        const bool isUnresolved = entry.incarnation == Incarnation {};
+        if (areOrdersKnown && isUnresolved)
+            continue;
+        if (retired_.record(entry) && isUnresolved)
+            newlyUnresolved.push_back(entry.target);
     }
     for (const model::TargetIncarnation& entry : entries) {
         if (GatewayTarget* known = findById(entry.target))
             updateRetirement(*known, now);
     }
+    // An incarnation that was known before the order has left, even if the registry hosts in touch know only earlier
+    // ones.
+    for (const TargetId& target : newlyUnresolved) {
+        if (GatewayTarget* known = findById(target); known != nullptr && retired_.isUnresolved(target))
+            known->isLeaveUnresolved = false;
+    }
 }
 
 void TargetSet::updateRetirement(GatewayTarget& target, Timestamp now)
--- a/src/gateway/tests/incarnationtests.cpp
+++ b/src/gateway/tests/incarnationtests.cpp
@@ -96,6 +96,25 @@
     EXPECT_EQ(takeStarts().size(), 1U);
 }
 
+// Guards against gateways that use a target which left, because the registry resolved the leave to an earlier start:
+// the only registry host that knew the later one was down.
+TEST_F(IncarnationTest, LeaveResolvedToAnEarlierIncarnationDoesNotBringTheKnownOneBack)
+{
+    installPlan(1);
+    reportTargets({recordOf("t-1", 2000)});
+    report({.orders = positionOf(5), .retired = {{.target = TargetId("t-1")}}});
+    report({.orders = positionOf(6),
+        .ordersSince = positionOf(5),
+        .retired = {{.target = TargetId("t-1"), .incarnation = {1000}}}});
+    reportTargets({recordOf("t-1", 2000, 9)});
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+    (void)takeResponse();
+    reportTargets({recordOf("t-1", 3000)});
+    request({});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
 // Guards against gateways that start after a leave and use the target, since the order came before its record.
 TEST_F(IncarnationTest, LeaveWithoutIncarnationStopsTargetsThatAreReportedLater)
 {
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -84,8 +84,13 @@
     if (entry.incarnation != Incarnation {})
         return targets_.retire(entry);
     leaveResolver_.add(entry.target, now);
-    if (const std::optional<Incarnation> known = targets_.incarnationOf(entry.target))
-        leaveResolver_.recordKnown({.target = entry.target, .incarnation = *known}, now);
+    const std::optional<Incarnation> known = targets_.incarnationOf(entry.target);
+    if (!known)
+        return;
+    const model::TargetIncarnation instance {.target = entry.target, .incarnation = *known};
+    // Not once the leave is resolved: the leader resolves it to an earlier incarnation while this host is down.
+    targets_.retire(instance);
+    leaveResolver_.recordKnown(instance, now);
 }
 
 void RegistryCore::resolveLeaves(Timestamp now)
--- a/src/registry/tests/incarnationtests.cpp
+++ b/src/registry/tests/incarnationtests.cpp
@@ -257,6 +257,28 @@
     EXPECT_TRUE(takeLastRecord()->isLeaving);
 }
 
+// Guards against a target that left, is known to a host that is down, and is used once that host returns: the others
+// know an earlier start and resolve the leave to it.
+TEST_F(IncarnationTest, LeaveResolvedWhileAHostIsDownAppliesToWhatThatHostKnows)
+{
+    const size_t down = follower();
+    report(1000, 5);
+    reportTo(down, 2000, 1);
+    cluster_.run(3s); // The host writes it to its disk.
+    cluster_.kill(down);
+    EXPECT_EQ(statusOf(cluster_.order("POST", LeavePath)), 200);
+    cluster_.run(5s);
+    (void)takeLastRecord();
+    cluster_.start(down, false);
+    cluster_.run(5s);
+    heartbeat();
+    cluster_.run(1s);
+    const std::optional<model::TargetRecord> returned = takeLastRecord();
+    ASSERT_TRUE(returned);
+    EXPECT_EQ(returned->incarnation, Incarnation {2000});
+    EXPECT_TRUE(returned->isLeaving);
+}
+
 // Guards against targets that stay unused because they left while no registry host knew them.
 TEST_F(IncarnationTest, LeaveOfAnUnknownTargetDoesNotApplyToLaterIncarnations)
 {
--- a/testing/fleet/drawnleavetests.cpp
+++ b/testing/fleet/drawnleavetests.cpp
@@ -118,12 +118,29 @@
         const int64_t count = draw(1, 3);
         for (int64_t i = 0; i < count && leaving_ + MinTargets < Targets; ++i) {
             const size_t target = leaving_++;
-            if (draw(0, 1) == 0)
-                targets_.sendLateReport(target, milliseconds(0, 9000));
-            targets_.startLeave(target, static_cast<LeavingTargets::LeaveKind>(draw(0, 2)));
-            later(milliseconds(3000, 20000), [this, target] { restartTarget(target); });
+            const bool isRestarted
+                = targets_.startStatementOf(target) != LeavingTargets::StartStatement::None && draw(0, 2) == 0;
+            if (isRestarted)
+                targets_.restart(target);
+            later(isRestarted ? milliseconds(1200, 3000) : Duration::zero(),
+                [this, target, isRestarted] { leave(target, isRestarted); });
+            later(milliseconds(6000, 20000), [this, target] { restartTarget(target); });
         }
     }
+    void leave(size_t target, bool isRestarted)
+    {
+        using LeaveKind = LeavingTargets::LeaveKind;
+        // Where the start is known to no host and not stated by the call, reports that arrive after it can't be told
+        // from those of a later start.
+        const bool mayStartBeUnknown
+            = isRestarted && targets_.startStatementOf(target) == LeavingTargets::StartStatement::Reports;
+        if (!mayStartBeUnknown && draw(0, 1) == 0)
+            targets_.sendLateReport(target, milliseconds(0, 9000));
+        auto kind = static_cast<LeaveKind>(draw(0, 3));
+        if (mayStartBeUnknown && kind == LeaveKind::CallBetweenReports)
+            kind = LeaveKind::Call;
+        targets_.startLeave(target, kind);
+    }
     /// Only later starts of targets that state theirs can be told from earlier ones.
     void restartTarget(size_t target)
     {
--- a/testing/fleet/leavingtargets.cpp
+++ b/testing/fleet/leavingtargets.cpp
@@ -72,8 +72,14 @@
         target.registry = randomRegistry();
     if (!registries_.isRunning(target.registry))
         return;
+    const bool isLeaveReported = target.leave && target.leave != LeaveKind::CallBetweenReports;
     registries_.post(
-        target.registry, pathOf(target, "heartbeat"), reportOf(target, target.leave ? "leaving" : "ready"));
+        target.registry, pathOf(target, "heartbeat"), reportOf(target, isLeaveReported ? "leaving" : "ready"));
+}
+
+bool LeavingTargets::leavesByCall(const Target& target)
+{
+    return target.leave == LeaveKind::Call || target.leave == LeaveKind::CallBetweenReports;
 }
 
 void LeavingTargets::startLeave(size_t number, LeaveKind kind) { targets_.at(number).leave = kind; }
@@ -85,6 +91,7 @@
     target.startedMs += RestartMs;
     target.port = static_cast<uint16_t>(target.port + PortsPerGeneration);
     target.sequence = 0;
+    target.registry = randomRegistry();
     target.leave.reset();
     target.leaveCall.reset();
     target.acknowledgedAt.reset();
@@ -103,7 +110,7 @@
     if (!registries_.isRunning(registry))
         return;
     ++target.sequence;
-    const bool isCall = target.leave == LeaveKind::Call;
+    const bool isCall = leavesByCall(target);
     const std::string call = target.startStatement == StartStatement::Everywhere
         ? R"({"started_ms":)" + std::to_string(target.startedMs) + "}"
         : std::string();
@@ -141,7 +148,7 @@
 {
     for (Target& target : targets_) {
         const bool isSilent
-            = target.leave == LeaveKind::Call || (target.acknowledgedAt && target.leave != LeaveKind::Report);
+            = target.leave == LeaveKind::Call || (target.acknowledgedAt && target.leave == LeaveKind::SingleReport);
         if (target.leave)
             advanceLeave(target);
         if (!isSilent && registries_.now() >= target.nextReportAt)
--- a/testing/fleet/leavingtargets.h
+++ b/testing/fleet/leavingtargets.h
@@ -23,7 +23,8 @@
     enum class LeaveKind {
         Report, ///< Reports that it leaves, and goes on reporting so.
         SingleReport, ///< Reports that it leaves, and is silent once that is acknowledged.
-        Call ///< Calls /leave, and is silent from then on.
+        Call, ///< Calls /leave, and is silent from then on.
+        CallBetweenReports ///< Calls /leave, and goes on reporting that it is ready.
     };
     /// Where a target states when it started, which is its incarnation.
     enum class StartStatement {
@@ -39,7 +40,7 @@
     void startLeave(size_t target, LeaveKind kind);
     /// A report from before its leave arrives `delay` from now.
     void sendLateReport(size_t target, Duration delay);
-    /// Starts a target that has left again, under its id, at another address.
+    /// Starts a target again, under its id, at another address; it reports to a random registry host from then on.
     void restart(size_t target);
     [[nodiscard]] size_t size() const { return targets_.size(); }
     [[nodiscard]] StartStatement startStatementOf(size_t target) const { return targets_.at(target).startStatement; }
@@ -84,6 +85,7 @@
     void report(Target& target);
     void advanceLeave(Target& target);
     void callLeave(Target& target, size_t registry);
+    [[nodiscard]] static bool leavesByCall(const Target& target);
     [[nodiscard]] static std::string pathOf(const Target& target, const std::string& call);
     [[nodiscard]] std::string reportOf(const Target& target, const std::string& state) const;
     [[nodiscard]] size_t indexOf(const Target& target) const { return static_cast<size_t>(&target - targets_.data()); }
