HTTP server: streamed responses hold only what is unsent

Cause: the part of a streamed body that libmicrohttpd had read was freed only when nothing was left unsent. A caller that is always some bytes behind, as with each download that is faster than its link, made the gateway hold the whole response. The windows between the hosts bound what is unsent, not that. Class: memory that is freed at a moment which need not come. SendQueue, made for links, frees each block as it is sent.

An empty part would have hidden the later ones in SendQueue: EmptyPartsDoNotHideLaterOnes.

--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -64,9 +64,12 @@
 {
     if (response_)
         return false;
-    body_ = std::move(response.bytes);
-    bodyTotal_ = body_.size();
+    bodyTotal_ = response.bytes.size();
     isBodyComplete_ = response.isLast;
+    if (response.isLast)
+        completeBody_ = std::move(response.bytes);
+    else
+        unsentBody_.append(response.bytes);
     response_ = std::move(response);
     return true;
 }
@@ -94,11 +97,7 @@
         return false;
     if (hasNoBody())
         return true;
-    if (bodySent_ == body_.size()) {
-        body_.clear();
-        bodySent_ = 0;
-    }
-    body_.append(bytes);
+    unsentBody_.append(bytes);
     isBodyComplete_ = isBodyComplete_ || isLast;
     return true;
 }
@@ -108,8 +107,9 @@
     const auto length = declaredLength();
     if (hasNoBody() && length.value_or(0) == 0)
         return MHD_create_response_from_buffer(0, nullptr, MHD_RESPMEM_PERSISTENT);
-    if (!hasNoBody() && response_->isLast && (!length || *length == body_.size()))
-        return MHD_create_response_from_buffer(body_.size(), body_.data(), MHD_RESPMEM_PERSISTENT);
+    if (!hasNoBody() && response_->isLast && (!length || *length == completeBody_.size()))
+        return MHD_create_response_from_buffer(completeBody_.size(), completeBody_.data(), MHD_RESPMEM_PERSISTENT);
+    unsentBody_.append(std::exchange(completeBody_, {})); // Its declared length differs.
     if (!length && !head_.isHttp11)
         return nullptr; // An HTTP/1.0 caller cannot tell a truncated body from a complete one.
     const uint64_t size = length.value_or(MHD_SIZE_UNKNOWN);
@@ -148,7 +148,8 @@
 {
     if (isAborted_)
         return MHD_CONTENT_READER_END_WITH_ERROR;
-    const size_t count = std::min(capacity, body_.size() - bodySent_);
+    const std::string_view unsent = unsentBody_.front();
+    const size_t count = std::min(capacity, unsent.size());
     if (count == 0 && isBodyComplete_) {
         if (!response_->bodyLength)
             return MHD_CONTENT_READER_END_OF_STREAM;
@@ -159,8 +160,8 @@
         suspend();
         return 0;
     }
-    std::memcpy(buffer, body_.data() + bodySent_, count);
-    bodySent_ += count;
+    std::memcpy(buffer, unsent.data(), count);
+    unsentBody_.consume(count);
     progress_ += count;
     onProgress();
     return static_cast<ssize_t>(count);
--- a/src/net/internal/httpexchange.h
+++ b/src/net/internal/httpexchange.h
@@ -7,6 +7,7 @@
 
 #include "net/internal/httpconnection.h"
 #include "net/internal/requestframing.h"
+#include "net/internal/sendqueue.h"
 #include "requests/exchangetypes.h"
 
 #include <boost/intrusive/list.hpp>
@@ -83,8 +84,8 @@
     bool isSuspended_ = false;
     bool isAborted_ = false;
     bool isBodyComplete_ = false; ///< The last part of the response body was added.
-    std::string body_; ///< Part of the response body that is buffered.
-    size_t bodySent_ = 0; ///< Bytes of body_ that were passed to libmicrohttpd.
+    std::string completeBody_; ///< Of a response that was complete from the beginning.
+    SendQueue unsentBody_; ///< Bytes of a streamed response that libmicrohttpd has not read yet.
     uint64_t bodyTotal_ = 0; ///< Bytes of the response body received from the core so far.
     uint64_t progress_ = 0;
 };
--- a/src/net/internal/sendqueue.h
+++ b/src/net/internal/sendqueue.h
@@ -24,6 +24,8 @@
 
     void append(std::string_view bytes)
     {
+        if (bytes.empty())
+            return;
         const bool isFitting = !blocks_.empty() && blocks_.back().capacity() - blocks_.back().size() >= bytes.size();
         if (!isFitting)
             addBlock(bytes.size());
--- a/src/net/tests/httpservertests.cpp
+++ b/src/net/tests/httpservertests.cpp
@@ -5,9 +5,17 @@
  */
 #include "net/tests/httpserverfixture.h"
 
+#include <malloc.h>
+
 namespace saltvane::net::tests {
 namespace {
 
+size_t allocatedBytes()
+{
+    const auto info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 TEST_F(HttpServerTest, RespondsImmediatelyAndKeepsTheConnection)
 {
     respondAtOnce({.headers = {{"X-A", "1"}, {"X-A", "2"}, {"Content-Length", "99"}}, .bodyLength = 2, .bytes = "ok"});
@@ -81,6 +89,33 @@
     EXPECT_FALSE(client.isPeerDisconnected());
 }
 
+// Guards against memory that grows with all that was sent of a response, while its caller is never level with it.
+TEST_F(HttpServerTest, StreamedResponsesHoldOnlyWhatIsUnsent)
+{
+    constexpr size_t UnsentBytes = 16 * 1024 * 1024; // More than sockets buffer.
+    constexpr uint64_t TotalBytes = 64 * 1024 * 1024;
+    constexpr size_t MaxGrowthBytes = 4 * 1024 * 1024;
+    auto client = connect();
+    client.send(PlainGet);
+    ASSERT_TRUE(waitStarted(1));
+    const HttpHandle handle = handleOf(0);
+    server->execute(HttpRespond {.handle = handle, .isLast = false});
+    server->execute(HttpResponseBody {.handle = handle, .bytes = std::string(UnsentBytes, 'x')});
+    const size_t before = allocatedBytes();
+    uint64_t sent = 0;
+    ASSERT_TRUE(runner.runUntil([&] {
+        (void)client.isPeerDisconnected();
+        client.received.clear();
+        for (const auto& part : log.http<HttpResponseProgress>()) {
+            sent += part.bytes;
+            server->execute(HttpResponseBody {.handle = handle, .bytes = std::string(part.bytes, 'x')});
+        }
+        log.events.clear();
+        return sent >= TotalBytes;
+    }));
+    EXPECT_LT(allocatedBytes(), before + MaxGrowthBytes);
+}
+
 TEST_F(HttpServerTest, AbortedResponseIsVisiblyIncomplete)
 {
     for (const bool isChunked : {true, false}) {
--- a/src/net/tests/sendqueuetests.cpp
+++ b/src/net/tests/sendqueuetests.cpp
@@ -38,4 +38,12 @@
     EXPECT_EQ(queue.memory(), 0U);
 }
 
+TEST(SendQueueTest, EmptyPartsDoNotHideLaterOnes)
+{
+    SendQueue queue;
+    queue.append("");
+    queue.append(std::string(40'000, 'x'));
+    EXPECT_EQ(queue.front().size(), 40'000U);
+}
+
 } // namespace saltvane::net::tests
