Registry hosts write verdicts on requests within 100 ms

Trace: the request is blamed at 03.628, and all three registry hosts and gateways know it within 1 ms. All hosts lose their power about half a second later and start at 04.5 to 04.8; no host logs verdicts_recalled. The request crashes seven more targets until 23.08: losses at targets that another fatal request crashed at the same time don't count.

Cause: what a registry host keeps for its restart is written once a second, verdicts with it. Class: knowledge that is acted on before it is durable. Verdicts are rare, so a change of one is written 100 ms after the last write at the earliest, whatever the number of hosts or targets; a write costs what it cost before. Not taken: verdicts in the replicated log (they need no order, and have to be known without a quorum).

--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -213,7 +213,8 @@
     /// Versions of targets, orders, settled orders and verdicts that writeSoftState() last considered.
     std::tuple<uint64_t, LogPosition, LogPosition, uint64_t> softStateVersion_;
     uint64_t writtenSoftStateHash_ = 0; ///< 0: nothing written in this run.
-    Timestamp nextSoftStateAt_ {};
+    uint64_t writtenVerdictChanges_ = 0; ///< Verdicts of which writeSoftState() has considered the changes.
+    Timestamp softStateCheckedAt_ {};
     std::vector<host::Action> actions_;
     std::optional<Timestamp> stopAt_;
 };
--- a/src/registry/internal/softstate.cpp
+++ b/src/registry/internal/softstate.cpp
@@ -21,6 +21,8 @@
 
 /// At most one write, of a few syncs, in this time. A crash loses the changes of targets within it.
 constexpr Duration SoftStateInterval = 1s;
+/// The same for verdicts, which are rare: where all hosts forget one, its request crashes further targets.
+constexpr Duration VerdictInterval = 100ms;
 
 /// Covers what matters after a restart; excludes the time of the last report, which changes all the time.
 uint64_t contentHash(const model::TargetReport& state)
@@ -54,6 +56,7 @@
         return;
     const std::vector<model::SuspectRequest> verdicts = std::exchange(recalledVerdicts_, {});
     suspects_.record(verdicts, now);
+    writtenVerdictChanges_ = suspects_.verdictChanges(); // They are on the disk.
     log(host::LogSeverity::Info, "event=verdicts_recalled count=" + std::to_string(verdicts.size()));
 }
 
@@ -79,12 +82,14 @@
 
 void RegistryCore::writeSoftState(Timestamp now)
 {
-    const bool isFirstTick = nextSoftStateAt_ == Timestamp {};
-    if (now < nextSoftStateAt_)
+    const bool isFirstTick = softStateCheckedAt_ == Timestamp {};
+    const bool hasNewVerdict = suspects_.verdictChanges() != writtenVerdictChanges_;
+    if (now - softStateCheckedAt_ < (hasNewVerdict ? VerdictInterval : SoftStateInterval))
         return;
-    nextSoftStateAt_ = now + SoftStateInterval;
+    softStateCheckedAt_ = now;
     if (isFirstTick) // The disk is busy while the host starts.
         return;
+    writtenVerdictChanges_ = suspects_.verdictChanges();
     // Iterates over all targets only if a target, an order or a verdict changed.
     const LogPosition settledOrders = settledOrdersPosition(now);
     const std::tuple version(targets_.changes(), appliedOrdersPosition_, settledOrders, suspects_.verdictChanges());
--- a/testing/fleet/fatalrequesttests.cpp
+++ b/testing/fleet/fatalrequesttests.cpp
@@ -195,6 +195,29 @@
     EXPECT_EQ(fleet.runsOf(Fatal), found);
 }
 
+// Guards against a verdict that all hosts forget because they lose their power before it is on a disk: the request
+// crashes targets anew.
+TEST(FatalRequestTest, StaysKnownWhenAllHostsLoseTheirPowerSoonAfterTheVerdict)
+{
+    for (unsigned int seed = 20; seed < 26; ++seed) {
+        TrafficFleet fleet(seed);
+        fleet.addFatalCaller(Fatal);
+        for (int step = 0; step < 200 && fleet.runsOf(Fatal) < 3; ++step)
+            fleet.run(50ms);
+        ASSERT_GE(fleet.runsOf(Fatal), 3U);
+        fleet.run(500ms);
+        const size_t found = fleet.runsOf(Fatal);
+        for (size_t registry = 0; registry < 6; ++registry)
+            fleet.fleet().killRegistry(registry);
+        for (size_t gateway = 0; gateway < fleet.fleet().gateways(); ++gateway)
+            fleet.restartGateway(gateway);
+        for (size_t registry = 0; registry < 6; ++registry)
+            fleet.fleet().startRegistry(registry);
+        fleet.run(10s);
+        EXPECT_EQ(fleet.runsOf(Fatal), found) << "seed " << seed;
+    }
+}
+
 /// Waves of crashes that no request caused, each of a third of the targets at short intervals.
 TEST(CrashWaveTest, RefusesNobody)
 {
