--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -88,7 +88,7 @@
     if (!known)
         return;
     const model::TargetIncarnation instance {.target = entry.target, .incarnation = *known};
-    // Not once the leave is resolved: the leader resolves it to an earlier incarnation while this host is down.
+    // Retired at once: a leave that was resolved while this host was down may name an earlier incarnation.
     targets_.retire(instance);
     leaveResolver_.recordKnown(instance, now);
 }
