--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -43,7 +43,9 @@
     Timestamp lastListedAt; ///< When a registry host's report last listed the target.
     uint64_t lastListedInReport = 0; ///< Number of that report.
     Timestamp slowUntil; ///< End of the slow start that the target reported.
-    bool isLeaveUnresolved = false; ///< It counts as leaving until the registry knows which incarnation leaves.
+    /// It became known after a leave without an incarnation, and counts as leaving until the registry knows which
+    /// leaves.
+    bool isLeaveUnresolved = false;
     bool isUnresponsive = false; ///< The registry host that last received its reports receives none any more.
 
     uint32_t inFlight = 0; ///< Requests of this gateway at the target.
--- a/src/net/tests/httpservertests.cpp
+++ b/src/net/tests/httpservertests.cpp
@@ -89,7 +89,7 @@
     EXPECT_FALSE(client.isPeerDisconnected());
 }
 
-// Guards against memory that grows with all that was sent of a response, while its caller is never level with it.
+// Guards against memory that grows with all that was sent of a response, while its caller is always behind.
 TEST_F(HttpServerTest, StreamedResponsesHoldOnlyWhatIsUnsent)
 {
     constexpr size_t UnsentBytes = 16 * 1024 * 1024; // More than sockets buffer.
