Gateways find slow starts that no report names yet

Cause: between two reports nobody is told; only the target's responses show it, which take longer, and its answers to probes name the time left.

Change: a gateway probes a target once a request has waited longer than the target's last 8 to 16 responses, where the target gets at least half of what it bears in a slow start. The gateway that finds a slow start stops using the target and tells the registry hosts of its region; these tell the others, and all gateways. Reports that name none don't end it. A target that was in use until its slow start became known has no named gateway for a second.

--- a/src/gateway/internal/backpressuremonitor.cpp
+++ b/src/gateway/internal/backpressuremonitor.cpp
@@ -26,6 +26,7 @@
     updateLimit(*target, response, now);
     updateBackoff(*target, response, now);
     updateLeaving(*target, response, now);
+    updateSlowStart(*target, response, now);
 }
 
 void BackpressureMonitor::updateBackoff(GatewayTarget& target, const Response& response, Timestamp now)
@@ -62,6 +63,22 @@
     targets_.markLeaving(target.targetIncarnation());
 }
 
+void BackpressureMonitor::updateSlowStart(GatewayTarget& target, const Response& response, Timestamp now)
+{
+    const std::string_view text = requests::firstFieldValue(response.headers, headers_.slowStartLeftMs);
+    if (text.empty() || target.isSlowStarting(now))
+        return;
+    const std::optional<Duration> left = readSlowStartLeft(text);
+    if (!left)
+        return log(target, {.event = "target_slow_start_unreadable", .key = "left_ms", .value = text}, now);
+    if (*left <= Duration::zero())
+        return;
+    log(target, {.event = "target_slow_start", .key = "left_ms", .value = text}, now);
+    targets_.startSlowStart(target, *left, now);
+    slowStarts_.push_back(target.record);
+    slowStarts_.back().slowStartLeft = *left;
+}
+
 void BackpressureMonitor::updateLimit(GatewayTarget& target, const Response& response, Timestamp now)
 {
     const StatedLimit stated = readStatedLimit(response.headers, headers_.limit);
--- a/src/gateway/internal/backpressuremonitor.h
+++ b/src/gateway/internal/backpressuremonitor.h
@@ -18,8 +18,8 @@
 
 namespace saltvane::gateway {
 
-/// Reads the limits, backoff times and leaving notices in targets' responses, and shares them with other gateways
-/// through the registry. docs/design/0018-target-limits.md
+/// Reads the limits, backoff times, slow starts and leaving notices in targets' responses, and shares them with other
+/// gateways through the registry. docs/design/0018-target-limits.md
 class BackpressureMonitor {
 public:
     BackpressureMonitor(settings::HeaderNames headers, TargetSet& targets)
@@ -50,6 +50,9 @@
     /// Targets that announced since the last call that they are leaving.
     [[nodiscard]] std::vector<model::TargetIncarnation> drainLeaving() { return std::exchange(leaving_, {}); }
 
+    /// Records of targets that stated since the last call that they are in a slow start.
+    [[nodiscard]] std::vector<model::TargetRecord> drainSlowStarts() { return std::exchange(slowStarts_, {}); }
+
     [[nodiscard]] std::vector<host::LogLine> drainLogLines() { return std::exchange(logLines_, {}); }
 
 private:
@@ -61,6 +64,7 @@
     void updateLimit(GatewayTarget& target, const Response& response, Timestamp now);
     void updateBackoff(GatewayTarget& target, const Response& response, Timestamp now);
     void updateLeaving(GatewayTarget& target, const Response& response, Timestamp now);
+    void updateSlowStart(GatewayTarget& target, const Response& response, Timestamp now);
     void setLimit(GatewayTarget& target, const std::optional<double>& limit, Timestamp now);
     void addNotice(model::BackpressureReport& report, const model::TargetIncarnation& targetIncarnation, Timestamp now);
     struct Line {
@@ -76,6 +80,7 @@
     std::set<model::TargetIncarnation> limited_;
     std::set<model::TargetIncarnation> pendingReports_;
     std::vector<model::TargetIncarnation> leaving_;
+    std::vector<model::TargetRecord> slowStarts_;
     TokenBucket reportBudget_ {{.perSecond = MaxReportsPerSecond, .burst = MaxReportBurst}};
     TokenBucket logLineBudget_ {{.perSecond = MaxLogLinesPerSecond, .burst = MaxLogLineBurst}};
     std::vector<host::LogLine> logLines_;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -64,7 +64,9 @@
     SendLimit sendLimit = SendLimit::None; ///< Of the target when the request was dispatched to it.
     bool wasBlamed = false; ///< Known to make targets fail when it was dispatched, so this is a trial.
     uint32_t timesWithheld = 0; ///< Dispatches that were withheld before their first byte.
-    Timestamp stallCheckAt; ///< When to check whether the target is unresponsive.
+    Duration expectedDuration {}; ///< From sentAt to the head of the response, as estimated then.
+    Timestamp stalledAt; ///< Without a response by then, the target may be unresponsive.
+    Timestamp nextCheckAt; ///< Then, or once the response takes longer than the target's recent ones.
     double loadAtSend = 0;
     VersionRole versionRole = VersionRole::Serving; ///< Of the target's software version.
     bool isCompared = false; ///< Its answer counts for the rollout of the service.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -200,7 +200,7 @@
     runner_.handle(std::move(event), now);
 }
 
-/// Limits and leaving notices count in responses to probes as well.
+/// Limits, slow starts and leaving notices count in responses to probes as well.
 void GatewayCore::onProbeResponse(const requests::TargetEvent& event, Timestamp now)
 {
     const auto* head = std::get_if<requests::TargetResponseHead>(&event);
@@ -470,9 +470,10 @@
 
 void GatewayCore::sendBackpressure(Timestamp now)
 {
-    const model::TargetReport leaving {.retired = backpressure_.drainLeaving()};
-    if (!leaving.retired.empty())
-        sendToRegionRegistries(leaving);
+    const model::TargetReport stated {
+        .retired = backpressure_.drainLeaving(), .targets = backpressure_.drainSlowStarts()};
+    if (!stated.retired.empty() || !stated.targets.empty())
+        sendToRegionRegistries(stated);
     const model::BackpressureReport report = backpressure_.drainReports(now);
     if (!report.notices.empty())
         sendToRegionRegistries(report);
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "gateway/internal/responsetimewindow.h"
 #include "gateway/internal/sendcounter.h"
 #include "gateway/internal/slowstartshare.h"
 #include "gateway/internal/targetbackpressure.h"
@@ -42,7 +43,9 @@
     Timestamp lastReportAt; ///< When the target last reported to the registry, as far as known.
     Timestamp lastListedAt; ///< When a registry host's report last listed the target.
     uint64_t lastListedInReport = 0; ///< Number of that report.
-    Timestamp slowUntil; ///< End of the slow start that the target reported.
+    Timestamp slowUntil; ///< End of the slow start that the target reported to the registry, or stated in a response.
+    Timestamp statedSlowUntil; ///< The latter. A report to the registry may be from before that slow start.
+    ResponseTimeWindow responseTimes;
     /// It became known after a leave without an incarnation, and counts as leaving until the registry knows which
     /// leaves.
     bool isLeaveUnresolved = false;
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -107,6 +107,8 @@
     const double waiting = std::max(0.0, response.loadAtSend + 1 - slots) / slots;
     processingTimes_.record(
         service, response.route, {.choice = response.choice, .duration = response.duration, .hasQueued = waiting > 0});
+    if (response.expectedDuration > Duration::zero() && !target.isSlowStarting(now))
+        target.responseTimes.record(toSeconds(response.duration) / toSeconds(response.expectedDuration));
 }
 
 bool Placement::isPermitted(const GatewayTarget& target, const PlacementQuery& query) const
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -63,11 +63,17 @@
         const model::RouteName& route;
         std::optional<uint64_t> object;
         Duration duration {}; ///< From sending the request to the head of the response.
+        Duration expectedDuration {}; ///< The same as estimated when the request was sent.
         double loadAtSend = 0; ///< The target's load before this request.
         Choice choice = Choice::Other;
         bool isOfTrial = false; ///< Of a version on trial: says nothing about the service's processing times.
     };
     void recordResponse(GatewayTarget& target, const Response& response, Timestamp now);
+    /// Estimated time to the head of the response of a request that is sent now.
+    [[nodiscard]] Duration expectedDuration(const TargetSelection& selection, Timestamp now) const
+    {
+        return estimate(*selection.target, selection.processingTime, now);
+    }
     void recordSent(const ServiceName& service, const TargetSelection& selection)
     {
         processingTimes_.recordSent(service, selection.processingTime);
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -150,7 +150,7 @@
     }
     exchange.timeToHead = now - exchange.sentAt;
     options_.latencies.add(exchange.route.kind, Stage::Target, exchange.timeToHead);
-    stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
+    checks_.erase({exchange.nextCheckAt, exchange.handle});
     startResponse(exchange, head);
 }
 
@@ -243,7 +243,7 @@
         if (exchange.firstByteAt) {
             // Its connection may still work. It is not waited for longer than for the objective.
             scheduleStallCheck(
-                exchange, std::min(exchange.stallCheckAt, std::max(now, exchange.sentAt + exchange.route.objective)));
+                exchange, std::min(exchange.stalledAt, std::max(now, exchange.sentAt + exchange.route.objective)));
             continue;
         }
         actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
--- a/src/gateway/internal/requestlosses.cpp
+++ b/src/gateway/internal/requestlosses.cpp
@@ -75,7 +75,7 @@
     for (const auto& [dispatch, exchange] : dispatches_) {
         const bool isAffected = std::ranges::find(targetIncarnations, exchange->target) != targetIncarnations.end();
         if (isAffected && exchange->phase == Exchange::Phase::AwaitingHead)
-            scheduleStallCheck(*exchange, std::min(exchange->stallCheckAt, now + LastResponsesTimeout));
+            scheduleStallCheck(*exchange, std::min(exchange->stalledAt, now + LastResponsesTimeout));
     }
 }
 
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -60,6 +60,7 @@
             {.route = exchange.route.name,
                 .object = exchange.object,
                 .duration = now - exchange.sentAt,
+                .expectedDuration = exchange.expectedDuration,
                 .loadAtSend = exchange.loadAtSend,
                 .choice = exchange.choice,
                 .isOfTrial = exchange.versionRole == VersionRole::Trial
@@ -88,7 +89,7 @@
 
 void RequestRunner::startStreaming(Exchange& exchange)
 {
-    stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
+    checks_.erase({exchange.nextCheckAt, exchange.handle});
     exchange.phase = Exchange::Phase::Streaming;
     exchange.isResponseStarted = true;
     exchange.response.isLast = false;
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -26,6 +26,9 @@
 
 /// A connection that was idle since before the present incarnation took the address belongs to the previous one.
 constexpr Duration IdlePrecision = 1s;
+/// Slow responses are probed for a slow start where a target gets this fraction of what it bears in one. The rate is
+/// estimated from the target's momentary load, which varies.
+constexpr double ProbedRateFraction = 0.5;
 /// Spreads consecutive numbers over all hashes (the golden ratio).
 constexpr uint64_t HashMultiplier = 0x9e3779b97f4a7c15;
 
@@ -187,6 +190,7 @@
     exchange.hasCredit = false;
     GatewayTarget& target = *selection.target;
     const model::RoutedService& service = *routes_->plan().findService(exchange.service);
+    const Duration expectedDuration = options_.placement.expectedDuration(selection, now);
     exchange.loadAtSend = target.load(now);
     exchange.loadAge = now - target.loadUpdatedAt;
     exchange.orders = options_.targets.orders().index;
@@ -221,7 +225,10 @@
     exchange.isLikelyWarm = selection.isLikelyWarm;
     const double slowest = toSeconds(options_.placement.processingTimes().ofService(service.name).slowest);
     const double stallTimeout = std::max(slowest * StallFactor, toSeconds(exchange.route.objective));
-    scheduleStallCheck(exchange, now + fromSeconds(stallTimeout));
+    exchange.expectedDuration = expectedDuration;
+    exchange.stalledAt = now + fromSeconds(stallTimeout);
+    scheduleCheck(
+        exchange, std::min(exchange.stalledAt, slowResponseAt(exchange, target, service).value_or(exchange.stalledAt)));
 
     const Duration idleLimit = exchange.route.kind == model::RouteKind::AtMostOnce ? MaxIdleForAtMostOnce : MaxIdle;
     const Duration addressAge = now - target.addressSince;
@@ -252,7 +259,7 @@
     if (exchange.dispatch.value == 0)
         return;
     dispatches_.erase(exchange.dispatch);
-    stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
+    checks_.erase({exchange.nextCheckAt, exchange.handle});
     exchange.dispatch = {};
     if (exchange.isAtPeer) {
         if (Peer* peer = options_.peers.find(exchange.peer); peer != nullptr && peer->inFlight > 0)
@@ -266,10 +273,37 @@
 
 void RequestRunner::scheduleStallCheck(Exchange& exchange, Timestamp at)
 {
-    stallChecks_.erase({exchange.stallCheckAt, exchange.handle});
-    exchange.stallCheckAt = at;
+    exchange.stalledAt = at;
+    scheduleCheck(exchange, at);
+}
+
+void RequestRunner::scheduleCheck(Exchange& exchange, Timestamp at)
+{
+    checks_.erase({exchange.nextCheckAt, exchange.handle});
+    exchange.nextCheckAt = at;
     if (at < exchange.deadline)
-        stallChecks_.emplace(at, exchange.handle);
+        checks_.emplace(at, exchange.handle);
+}
+
+std::optional<Timestamp> RequestRunner::slowResponseAt(
+    const Exchange& exchange, const GatewayTarget& target, const model::RoutedService& service) const
+{
+    const std::optional<double> slowest = target.responseTimes.slowest();
+    if (!slowest || exchange.sendLimit != SendLimit::None || service.slowStartPerSecond <= 0)
+        return std::nullopt;
+    const double expected = toSeconds(exchange.expectedDuration);
+    const double requestsPerSecond = target.load(exchange.sentAt) / expected; // Little's law.
+    if (requestsPerSecond < ProbedRateFraction * options_.targets.bearableRequests(service))
+        return std::nullopt;
+    return exchange.sentAt + fromSeconds(expected * *slowest);
+}
+
+void RequestRunner::onSlowResponse(Exchange& exchange, Timestamp now)
+{
+    scheduleStallCheck(exchange, exchange.stalledAt);
+    // It may have entered a slow start since its last report; its answer to a probe tells.
+    if (const GatewayTarget* target = options_.targets.find(exchange.target))
+        options_.quarantine.probe(*target, now);
 }
 
 bool RequestRunner::mayRetryElsewhere(const Exchange& exchange, Timestamp now)
@@ -302,6 +336,8 @@
 
 void RequestRunner::checkStalled(Exchange& exchange, Timestamp now)
 {
+    if (now < exchange.stalledAt)
+        return onSlowResponse(exchange, now);
     if (exchange.isAtPeer)
         return checkPeerStalled(exchange, now);
     GatewayTarget* target = options_.targets.find(exchange.target);
@@ -341,9 +377,9 @@
 
 void RequestRunner::tick(Timestamp now)
 {
-    while (!stallChecks_.empty() && stallChecks_.begin()->first <= now) {
-        const requests::HttpHandle handle = stallChecks_.begin()->second;
-        stallChecks_.erase(stallChecks_.begin());
+    while (!checks_.empty() && checks_.begin()->first <= now) {
+        const requests::HttpHandle handle = checks_.begin()->second;
+        checks_.erase(checks_.begin());
         if (Exchange* exchange = find(handle))
             checkStalled(*exchange, now);
     }
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -200,6 +200,13 @@
     /// The target's incarnation has stopped: no response will arrive any more.
     void abandonStopped(Exchange& exchange, Timestamp now);
     void scheduleStallCheck(Exchange& exchange, Timestamp at);
+    void scheduleCheck(Exchange& exchange, Timestamp at);
+    /// When the response to a request that is sent now has taken longer than the target's recent ones. None where that
+    /// doesn't matter, since the target would bear its present requests in a slow start as well.
+    [[nodiscard]] std::optional<Timestamp> slowResponseAt(
+        const Exchange& exchange, const GatewayTarget& target, const model::RoutedService& service) const;
+    /// The target's response takes longer than its recent ones.
+    void onSlowResponse(Exchange& exchange, Timestamp now);
     /// Whether the target is to blame for a response that began and has not ended by the deadline.
     [[nodiscard]] static bool isResponseOverdue(const Exchange& exchange, Timestamp now);
     void recordBrokenResponse(Exchange& exchange, Timestamp now);
@@ -235,7 +242,7 @@
     Exchanges exchanges_;
     std::unordered_map<requests::DispatchId, Exchange*> dispatches_;
     std::set<std::pair<Timestamp, requests::HttpHandle>> deadlines_;
-    std::set<std::pair<Timestamp, requests::HttpHandle>> stallChecks_;
+    std::set<std::pair<Timestamp, requests::HttpHandle>> checks_;
     std::unordered_set<requests::HttpHandle> pendingResponses_;
     uint64_t lastDispatch_ = 0;
     bool isPlanUncertain_ = false;
--- a/src/gateway/internal/slowstartshare.h
+++ b/src/gateway/internal/slowstartshare.h
@@ -45,6 +45,11 @@
 
     /// `number`: position of this gateway among all, from 1; 0: unknown.
     void setGateways(uint32_t number, uint32_t count);
+    /// Requests that a target bears in any second of its slow start.
+    [[nodiscard]] double bearableRequests(double slowStartPerSecond) const
+    {
+        return slowStartPerSecond * bound_.overage + bound_.slack;
+    }
     /// Requests per second that the gateway named by the registry may send.
     [[nodiscard]] static double namedGatewayRate(double slowStartPerSecond)
     {
--- a/src/gateway/internal/targetbackpressure.cpp
+++ b/src/gateway/internal/targetbackpressure.cpp
@@ -39,6 +39,15 @@
     return stated;
 }
 
+std::optional<Duration> readSlowStartLeft(std::string_view text)
+{
+    constexpr double MillisecondsPerSecond = 1000;
+    const std::optional<double> milliseconds = readDecimal(text);
+    if (!milliseconds)
+        return std::nullopt;
+    return fromSeconds(std::min(*milliseconds / MillisecondsPerSecond, toSeconds(MaxSlowStart)));
+}
+
 RequestedBackoff readRequestedBackoff(std::span<const model::Header> headers)
 {
     RequestedBackoff backoff;
--- a/src/gateway/internal/targetbackpressure.h
+++ b/src/gateway/internal/targetbackpressure.h
@@ -53,4 +53,10 @@
 /// Reads a non-negative decimal number. The lowest valid value of several fields is used.
 [[nodiscard]] StatedLimit readStatedLimit(std::span<const model::Header> headers, std::string_view field);
 
+/// Longer slow starts are cut to this.
+inline constexpr Duration MaxSlowStart = std::chrono::hours(24);
+
+/// Reads the milliseconds that are left of a slow start; none if the text is not a non-negative decimal number.
+[[nodiscard]] std::optional<Duration> readSlowStartLeft(std::string_view text);
+
 } // namespace saltvane::gateway
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -283,7 +283,7 @@
     // A registry host that has not applied the reopening lists the target by a report from before it.
     if (reportedOrders_ >= target.zone->reopenedPosition)
         target.lastListedInReport = reports_;
-    target.slowUntil = target.lastReportAt + record.slowStartLeft;
+    target.slowUntil = std::max(target.lastReportAt + record.slowStartLeft, target.statedSlowUntil);
     markListed(target, now);
     target.isUnresponsive = record.age >= model::TargetHeartbeatTimeout;
     target.unresponsiveHook.unlink();
@@ -400,6 +400,14 @@
     removeFromRanking(target);
 }
 
+void TargetSet::startSlowStart(GatewayTarget& target, Duration left, Timestamp now)
+{
+    target.statedSlowUntil = now + left;
+    target.slowUntil = std::max(target.slowUntil, target.statedSlowUntil);
+    target.record.slowStartHost = {};
+    updateCapacity(target, now);
+}
+
 void TargetSet::tick(Timestamp now)
 {
     expire(now);
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -77,6 +77,9 @@
     /// The target announced that it is leaving: this incarnation gets no new requests any more, whatever the registry
     /// reports.
     void markLeaving(const model::TargetIncarnation& targetIncarnation);
+    /// The target stated in a response that it is in a slow start. It is not used until the registry names the gateway
+    /// that may use it.
+    void startSlowStart(GatewayTarget& target, Duration left, Timestamp now);
     /// Targets are reachable again after none was: their failures until now say nothing about them.
     void onReachableAgain(Timestamp now) { reachableSince_ = now; }
     /// A target to send a probe to, each time another one; null if none of the next few may get one.
@@ -109,6 +112,11 @@
     void install(const model::RoutePlan& plan);
     /// Whether the registry's information is current (RegistryWatch::isConfirmed()).
     void setConfirmed(bool isConfirmed) { isConfirmed_ = isConfirmed; }
+    /// Requests that a target of the service bears in any second of its slow start.
+    [[nodiscard]] double bearableRequests(const model::RoutedService& service) const
+    {
+        return slowStartShare_.bearableRequests(service.slowStartPerSecond);
+    }
     [[nodiscard]] SendLimit limitOf(const GatewayTarget& target, Timestamp now) const;
     /// Whether new requests may be sent to the target, within the rate of its limit.
     [[nodiscard]] bool isUsable(const GatewayTarget& target, const model::RoutedService& service, Timestamp now) const;
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -67,33 +67,8 @@
         auto* const request = std::get_if<requests::Action>(&action);
         if (request == nullptr)
             continue;
-        const auto* const outgoing = std::get_if<model::OutgoingMessage>(request);
-        const auto* const pull = outgoing == nullptr ? nullptr : std::get_if<model::BundlePull>(&outgoing->message);
-        if (pull != nullptr) {
-            pullToAnswer_ = std::exchange(lastPull_, pull->pull);
-            fullReportRequests_ += pull->wantsFullReport ? 1 : 0;
-        }
-        const auto* const report
-            = outgoing == nullptr ? nullptr : std::get_if<model::SuspectReport>(&outgoing->message);
-        if (report != nullptr)
-            reportedSuspects_ = report->requests;
-        const auto* const credits
-            = outgoing == nullptr ? nullptr : std::get_if<model::LimitCreditRequest>(&outgoing->message);
-        if (credits != nullptr) {
-            creditRequests_.insert(creditRequests_.end(), credits->asks.begin(), credits->asks.end());
-            accountLimits_.insert(accountLimits_.end(), credits->accountLimits.begin(), credits->accountLimits.end());
-            targetLimits_.insert(targetLimits_.end(), credits->targetLimits.begin(), credits->targetLimits.end());
-        }
-        const auto* const backpressure
-            = outgoing == nullptr ? nullptr : std::get_if<model::BackpressureReport>(&outgoing->message);
-        if (backpressure != nullptr)
-            backpressure_.insert(backpressure_.end(), backpressure->notices.begin(), backpressure->notices.end());
-        const auto* const rollout
-            = outgoing == nullptr ? nullptr : std::get_if<model::RolloutReport>(&outgoing->message);
-        if (rollout != nullptr) {
-            rolloutReports_.push_back(*rollout);
-            rolloutReceivers_.push_back(outgoing->to);
-        }
+        if (const auto* const outgoing = std::get_if<model::OutgoingMessage>(request))
+            collectMessage(*outgoing);
         if (auto* start = std::get_if<requests::TargetStart>(request))
             (start->path == "/health" ? probes_ : starts_).push_back(std::move(*start));
         else if (auto* response = std::get_if<requests::HttpRespond>(request))
@@ -106,6 +81,28 @@
         deliver(model::BundleCurrent {.age = pullProofAge_, .pull = pull});
 }
 
+void GatewayFixture::collectMessage(const model::OutgoingMessage& outgoing)
+{
+    const auto append = [](auto& list, const auto& added) { list.insert(list.end(), added.begin(), added.end()); };
+    if (const auto* const pull = std::get_if<model::BundlePull>(&outgoing.message)) {
+        pullToAnswer_ = std::exchange(lastPull_, pull->pull);
+        fullReportRequests_ += pull->wantsFullReport ? 1 : 0;
+    } else if (const auto* const suspects = std::get_if<model::SuspectReport>(&outgoing.message)) {
+        reportedSuspects_ = suspects->requests;
+    } else if (const auto* const credits = std::get_if<model::LimitCreditRequest>(&outgoing.message)) {
+        append(creditRequests_, credits->asks);
+        append(accountLimits_, credits->accountLimits);
+        append(targetLimits_, credits->targetLimits);
+    } else if (const auto* const backpressure = std::get_if<model::BackpressureReport>(&outgoing.message)) {
+        append(backpressure_, backpressure->notices);
+    } else if (const auto* const targets = std::get_if<model::TargetReport>(&outgoing.message)) {
+        append(statedSlowStarts_, targets->targets);
+    } else if (const auto* const rollout = std::get_if<model::RolloutReport>(&outgoing.message)) {
+        rolloutReports_.push_back(*rollout);
+        rolloutReceivers_.push_back(outgoing.to);
+    }
+}
+
 void GatewayFixture::advance(Duration duration)
 {
     const Timestamp end = now_ + duration;
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -105,6 +105,11 @@
     }
     /// Limits reported to the registry since the last call.
     [[nodiscard]] std::vector<model::BackpressureNotice> takeBackpressure() { return std::exchange(backpressure_, {}); }
+    /// Records of targets in their slow start that were sent to the registry since the last call.
+    [[nodiscard]] std::vector<model::TargetRecord> takeStatedSlowStarts()
+    {
+        return std::exchange(statedSlowStarts_, {});
+    }
     /// Receivers of reports about rollouts since the last call.
     [[nodiscard]] std::vector<HostId> takeRolloutReceivers() { return std::exchange(rolloutReceivers_, {}); }
     /// Reports about rollouts since the last call.
@@ -125,6 +130,7 @@
 private:
     void handle(host::Event event);
     void collectActions();
+    void collectMessage(const model::OutgoingMessage& outgoing);
 
     uint64_t lastHandle_ = 0;
     uint64_t position_ = 0;
@@ -142,6 +148,7 @@
     std::vector<model::AccountLimitNotice> accountLimits_;
     std::vector<model::BackpressureNotice> targetLimits_;
     std::vector<model::BackpressureNotice> backpressure_;
+    std::vector<model::TargetRecord> statedSlowStarts_;
     std::vector<model::RolloutReport> rolloutReports_;
     std::vector<std::string> decisions_;
     std::vector<std::string> lines_; ///< All other log lines.
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -275,6 +275,10 @@
         targets_.markLeaving(targetIncarnation);
         leaveResolver_.recordKnown(targetIncarnation, now);
     }
+    for (const model::TargetRecord& record : report.targets) {
+        if (targets_.startSlowStart(record, now))
+            nextReportAt_ = now; // Until then the gateways use the target at its full rate.
+    }
     relayFromGateway(report, from, now);
 }
 
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -5,6 +5,7 @@
  */
 #include "registry/internal/targettable.h"
 
+#include <algorithm>
 #include <utility>
 #include <xxhash.h>
 
@@ -18,6 +19,8 @@
 /// Repeats records that a gateway may have missed. Open links lose nothing, and a new link starts with all targets, so
 /// this can be rare: sending all targets to all gateways is most of the control traffic.
 constexpr Duration ResendInterval = 10min;
+/// What a target bears in its slow start is stated as requests in any second.
+constexpr Duration SlowStartWindow = 1s;
 
 uint64_t pairHash(std::string_view left, std::string_view right)
 {
@@ -66,7 +69,8 @@
     record.isLeaving = record.isLeaving || entry.record.isLeaving;
     // The target reported to another registry host in between, from which gateways may have newer information.
     const bool hasMissedReports = record.sequence > entry.record.sequence + 1;
-    const bool isSlow = record.slowStartLeft > Duration::zero() || entry.record.slowStartLeft > Duration::zero();
+    const bool isSlow = record.slowStartLeft > Duration::zero() || entry.record.slowStartLeft > Duration::zero()
+        || now < entry.statedSlowUntil;
     const bool hasMoved = record.address != entry.record.address;
     const bool isChanged = entry.record.isRecalled || record.isLeaving != entry.record.isLeaving
         || record.slots != entry.record.slots || record.version != entry.record.version || hasMoved;
@@ -75,6 +79,8 @@
     const bool needsUpdate = mayBeSlow || isChanged || hasMissedReports;
     if (isSlow || isChanged || isAwaited)
         ++changes_;
+    if (record.slowStartLeft > Duration::zero() && now >= slowUntil(entry))
+        onSlowStart(entry, now);
     if (hasMoved) {
         displaceOthersAt(record, now);
         byAddress_.erase(entry.record.address);
@@ -176,6 +182,25 @@
     queueUpdate(entry);
 }
 
+bool TargetTable::startSlowStart(const model::TargetRecord& record, Timestamp now)
+{
+    const auto found = entries_.find(record.target);
+    if (found == entries_.end() || found->second.record.incarnation != record.incarnation
+        || slowUntil(found->second) > now)
+        return false;
+    ++changes_;
+    onSlowStart(found->second, now);
+    found->second.statedSlowUntil = now + record.slowStartLeft;
+    queueUpdate(found->second);
+    return true;
+}
+
+void TargetTable::onSlowStart(Entry& entry, Timestamp now) const
+{
+    if (!recentReopeningAge(entry.record.zone, now))
+        entry.namesGatewayFrom = now + SlowStartWindow;
+}
+
 std::optional<Incarnation> TargetTable::incarnationOf(const TargetId& target) const
 {
     const auto found = entries_.find(target);
@@ -222,6 +247,7 @@
         if (entry.record.isLeaving || recentReopeningAge(zone, now) || evacuatedZones.contains(zone))
             continue;
         model::TargetRecord& record = records.emplace_back(entry.record);
+        record.slowStartLeft = std::max(record.slowStartLeft, entry.statedSlowUntil - now);
         record.sequence = 0; // Any report is newer than a recalled record.
         record.isRecalled = false;
     }
@@ -265,15 +291,21 @@
     return best == nullptr ? HostId {} : best->host;
 }
 
+Timestamp TargetTable::slowUntil(const Entry& entry)
+{
+    return std::max(entry.receivedAt + entry.record.slowStartLeft, entry.statedSlowUntil);
+}
+
 bool TargetTable::mayBeInSlowStart(const Entry& entry, Timestamp now) const
 {
-    return entry.record.slowStartLeft > now - entry.receivedAt || recentReopeningAge(entry.record.zone, now);
+    return now < slowUntil(entry) || recentReopeningAge(entry.record.zone, now);
 }
 
 model::TargetRecord TargetTable::outgoingRecordOf(const Entry& entry, Timestamp now) const
 {
     model::TargetRecord outgoing = entry.record;
     outgoing.age = now - entry.receivedAt;
+    outgoing.slowStartLeft = std::max(outgoing.slowStartLeft, entry.statedSlowUntil - entry.receivedAt);
     // A gateway that connects now may not know that the zone was closed: no gateway may use the target.
     if (isAwaitingReport(entry, now))
         outgoing.slowStartLeft
@@ -314,7 +346,8 @@
         Entry& entry = updates_.front();
         entry.updateHook.unlink();
         // Full reports repeat it: gateways that were told different names would each use the target.
-        entry.slowStartHost = mayBeInSlowStart(entry, now) ? slowStartHostOf(entry.record, gateways) : HostId();
+        const bool namesGateway = mayBeInSlowStart(entry, now) && now >= entry.namesGatewayFrom;
+        entry.slowStartHost = namesGateway ? slowStartHostOf(entry.record, gateways) : HostId();
         updates.push_back(outgoingRecordOf(entry, now));
         markSent(entry, now);
     }
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -39,6 +39,9 @@
     bool applyReport(model::TargetRecord record, Timestamp now);
     /// This incarnation announced in its answers that it leaves: overrides what it reports.
     void markLeaving(const model::TargetIncarnation& targetIncarnation);
+    /// The target told a gateway that it is in a slow start, for which `slowStartLeft` of the gateway's record is left.
+    /// False where its incarnation is not known, or known to be in one.
+    bool startSlowStart(const model::TargetRecord& record, Timestamp now);
     /// The log retired this incarnation and all earlier ones of the target: the same for these.
     void retire(const model::TargetIncarnation& targetIncarnation);
     /// The known incarnation of a target; 0 where the target doesn't report it, no value where it is unknown.
@@ -79,6 +82,9 @@
         Timestamp sentAt;
         Timestamp listedAt; ///< When its record was last sent, or when it was last listed as unchanged.
         Timestamp reportedAt; ///< Of its last report; a recalled target has none.
+        Timestamp statedSlowUntil; ///< End of the slow start that it stated to a gateway. Its reports may be older.
+        /// No gateway is named for its slow start before: until it became known, all of them used the target.
+        Timestamp namesGatewayFrom;
         HostId slowStartHost; ///< The gateway that was named for it when its record was last sent.
         Hook updateHook;
         Hook receivedHook;
@@ -99,6 +105,10 @@
     void queueListings(Timestamp now);
     void markListed(Entry& entry, Timestamp now);
     [[nodiscard]] model::TargetRecord outgoingRecordOf(const Entry& entry, Timestamp now) const;
+    /// A target that was in use turned out to be in a slow start.
+    void onSlowStart(Entry& entry, Timestamp now) const;
+    /// End of the slow start that is known from the target.
+    [[nodiscard]] static Timestamp slowUntil(const Entry& entry);
     [[nodiscard]] bool mayBeInSlowStart(const Entry& entry, Timestamp now) const;
     [[nodiscard]] HostId slowStartHostOf(
         const model::TargetRecord& record, std::span<const HostLocation> gateways) const;
--- a/src/registry/tests/targettabletests.cpp
+++ b/src/registry/tests/targettabletests.cpp
@@ -100,6 +100,43 @@
     EXPECT_TRUE(table_.all(now_).at(0).slowStartHost.isEmpty());
 }
 
+// Guards against floods of targets that enter a slow start by themselves, when reports of theirs from before arrive.
+TEST_F(TargetTableChangesTest, SlowStartThatAGatewayFoundIsSentUntilItsEnd)
+{
+    const std::vector<HostLocation> gateways {{.host = HostId("g-1"), .zone = Zone, .region = RegionName("north")}};
+    model::TargetRecord found = recordOf("t-1", 1);
+    (void)table_.applyReport(found, now_);
+    (void)table_.drainUpdates(gateways, now_);
+    found.slowStartLeft = 3s;
+    now_ += 500ms;
+    EXPECT_TRUE(changes([&] { EXPECT_TRUE(table_.startSlowStart(found, now_)); }));
+    const model::TargetRecord sent = table_.drainUpdates(gateways, now_).at(0);
+    EXPECT_EQ(sent.slowStartLeft - sent.age, 3s);
+    EXPECT_TRUE(sent.slowStartHost.isEmpty()) << "all gateways used it within the last second";
+    EXPECT_EQ(table_.recallable({}, now_).at(0).slowStartLeft, 3s);
+    EXPECT_FALSE(table_.startSlowStart(found, now_)) << "it is known";
+    now_ += 1s;
+    (void)table_.applyReport(recordOf("t-1", 1), now_);
+    const std::vector<model::TargetRecord> later = table_.drainUpdates(gateways, now_);
+    ASSERT_EQ(later.size(), 1U);
+    EXPECT_EQ(later[0].slowStartLeft - later[0].age, 2s);
+    EXPECT_EQ(later[0].slowStartHost, HostId("g-1"));
+    now_ += 2s;
+    EXPECT_TRUE(table_.all(now_).at(0).slowStartHost.isEmpty());
+}
+
+TEST_F(TargetTableChangesTest, SlowStartOfAnotherIncarnationIsIgnored)
+{
+    model::TargetRecord record = recordOf("t-1", 1);
+    record.incarnation = {5};
+    (void)table_.applyReport(record, now_);
+    record.incarnation = {4};
+    record.slowStartLeft = 3s;
+    EXPECT_FALSE(table_.startSlowStart(record, now_));
+    record.target = TargetId("unknown");
+    EXPECT_FALSE(table_.startSlowStart(record, now_));
+}
+
 // Guards against two gateways that both use a target in its slow start: one that was named for it, and one that
 // connects later and is told of itself.
 TEST_F(TargetTableChangesTest, FullReportsNameTheGatewayThatWasNamedBefore)
--- a/src/settings/internal/routedhostparser.cpp
+++ b/src/settings/internal/routedhostparser.cpp
@@ -45,6 +45,7 @@
     HeaderField {"not_run", &HeaderNames::notRun},
     HeaderField {"limit", &HeaderNames::limit},
     HeaderField {"leaving", &HeaderNames::leaving},
+    HeaderField {"slow_start_left_ms", &HeaderNames::slowStartLeftMs},
     HeaderField {"plan_base", &HeaderNames::planBase},
 };
 
--- a/src/settings/routedhostsettings.h
+++ b/src/settings/routedhostsettings.h
@@ -39,6 +39,8 @@
     /// this header.
     std::string limit = "Saltvane-Limit";
     std::string leaving = "Saltvane-Leaving"; ///< From a target: 1 if it is leaving and wants no new work.
+    /// From a target, in its response to a health probe: milliseconds until the end of its slow start.
+    std::string slowStartLeftMs = "Saltvane-Slow-Start-Left-Ms";
     std::string planBase = "Saltvane-Plan-Base"; ///< Version that a new plan is based on.
 };
 
--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -257,6 +257,9 @@
         head.headers.push_back({.name = "Saltvane-Leaving", .value = "1"});
     if (target.signals.limit)
         head.headers.push_back({.name = "Saltvane-Limit", .value = std::to_string(*target.signals.limit)});
+    if (run.isProbe && now() < target.slowUntil)
+        head.headers.push_back(
+            {.name = "Saltvane-Slow-Start-Left-Ms", .value = std::to_string((target.slowUntil - now()) / 1ms)});
     sendEvent(run.gateway, std::move(head));
     pendingEvents_.back().response = {exchangeOf(target, run), target.signals};
     sendEvent(run.gateway, requests::TargetResponseDone {.dispatch = run.dispatch});
--- a/testing/fleet/slowstarttests.cpp
+++ b/testing/fleet/slowstarttests.cpp
@@ -236,4 +236,22 @@
     EXPECT_LE(ledger.maxBoundFraction(), 1) << ledger.worstSecond();
 }
 
+// Guards against floods of targets that enter a slow start by themselves at any moment between two of their reports.
+// SALTVANE_SEEDS sets the number of seeds.
+TEST(DrawnUnannouncedSlowStartTest, TargetsAreNotFlooded)
+{
+    constexpr unsigned int ReportTenths = 10; // Targets report each second.
+    double most = 0;
+    for (int seed = 1; seed <= seedCount(); ++seed) {
+        TrafficFleet fleet = makeFleet(static_cast<unsigned int>(seed), 9, 480);
+        SlowStartLedger ledger(fleet.fleet(), fleet.targets(), {.perSecond = SlowStartPerSecond});
+        fleet.run(4s + 100ms * (seed % ReportTenths));
+        beginSlowStarts(fleet);
+        fleet.run(4s);
+        most = std::max(most, ledger.maxBoundFraction());
+        EXPECT_LE(ledger.maxBoundFraction(), 1) << ledger.worstSecond() << ", seed " << seed;
+    }
+    std::cout << "most of the bound: " << most << "\n";
+}
+
 } // namespace saltvane::fleet::test
