--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -258,10 +258,18 @@
             continue
         if _served_fraction(isolated) < MIN_ISOLATED_FRACTION * _served_fraction(others):
             findings.append(f"isolated gateways served {_served_fraction(isolated):.2f} of {len(isolated)} requests, the others "
-                            f"{_served_fraction(others):.2f} of {len(others)}")
+                            f"{_served_fraction(others):.2f} of {len(others)}, in {end - begin:.2f} s; not served: "
+                            f"{_unserved(isolated)}")
     return findings
 
 
+def _unserved(outcomes: list[Outcome]) -> str:
+    """The numbers of requests that were not served, by gateway, status and reason."""
+    counts = collections.Counter((outcome.gateway, outcome.status, outcome.headers.get("saltvane-reason", "none"))
+                                 for outcome in outcomes if outcome.status != 200)
+    return ", ".join(f"{count} at {gateway} ({status}, {reason})" for (gateway, status, reason), count in counts.items())
+
+
 def _served_fraction(outcomes: list[Outcome]) -> float:
     return sum(outcome.status == 200 for outcome in outcomes) / len(outcomes)
 
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -286,6 +286,7 @@
 
     def test_an_isolated_gateway_that_serves_less_is_a_finding(self):
         self.assertIn("isolated gateways served", self.check(13)[0])
+        self.assertIn("not served: 7 at g (503, none)", self.check(13)[0])
 
     def test_requests_before_the_detection_do_not_count(self):
         self.assertEqual(self.check(0, sent_at=103.9), [])
