Tests: requests that wait at an unresponsive target are not repeated by late reports

The mutant repeats-by-late-word lived, since no test had a request at a silent target while the registry's information is late.

--- a/src/gateway/tests/registryfreshnesstests.cpp
+++ b/src/gateway/tests/registryfreshnesstests.cpp
@@ -47,6 +47,15 @@
         }
     }
 
+    /// Sends a request that no target answers. Returns to how many targets it is sent within its time limit, while
+    /// pulls stay unanswered.
+    size_t sendUnansweredRequest()
+    {
+        request({});
+        receiveOldReports(1400ms);
+        return takeStarts().size();
+    }
+
     uint64_t heartbeats_ = 0;
 };
 
@@ -76,6 +85,20 @@
     EXPECT_TRUE(isSent());
 }
 
+TEST_F(RegistryFreshnessTest, StalledRequestIsRepeatedAtAnotherTarget)
+{
+    reportTargets({target("t-1"), target("t-2")});
+    EXPECT_EQ(sendUnansweredRequest(), 2U);
+}
+
+/// Guards against requests that waited at an unresponsive target and are sent to another one by outdated information.
+TEST_F(RegistryFreshnessTest, StalledRequestIsNotRepeatedByLateReports)
+{
+    reportTargets({target("t-1"), target("t-2")});
+    receiveOldReports(600ms);
+    EXPECT_EQ(sendUnansweredRequest(), 1U);
+}
+
 /// Guards against requests by a plan that was replaced long ago, while the newer one is still being received.
 TEST_F(RegistryFreshnessTest, ReplacedPlanIsNotUsedAfterItsLimit)
 {
