Gateways: checks of awaited responses have a name; no division by an expected time of zero

Read as a newcomer: checkStalled did two things. The expected time of a response comes from learnt averages and may become zero.

--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -292,12 +292,22 @@
     if (!slowest || exchange.sendLimit != SendLimit::None || service.slowStartPerSecond <= 0)
         return std::nullopt;
     const double expected = toSeconds(exchange.expectedDuration);
+    if (expected <= 0)
+        return std::nullopt;
     const double requestsPerSecond = target.load(exchange.sentAt) / expected; // Little's law.
     if (requestsPerSecond < ProbedRateFraction * options_.targets.bearableRequests(service))
         return std::nullopt;
     return exchange.sentAt + fromSeconds(expected * *slowest);
 }
 
+void RequestRunner::checkResponse(Exchange& exchange, Timestamp now)
+{
+    if (now < exchange.stalledAt)
+        onSlowResponse(exchange, now);
+    else
+        checkStalled(exchange, now);
+}
+
 void RequestRunner::onSlowResponse(Exchange& exchange, Timestamp now)
 {
     scheduleStallCheck(exchange, exchange.stalledAt);
@@ -336,8 +346,6 @@
 
 void RequestRunner::checkStalled(Exchange& exchange, Timestamp now)
 {
-    if (now < exchange.stalledAt)
-        return onSlowResponse(exchange, now);
     if (exchange.isAtPeer)
         return checkPeerStalled(exchange, now);
     GatewayTarget* target = options_.targets.find(exchange.target);
@@ -381,7 +389,7 @@
         const requests::HttpHandle handle = checks_.begin()->second;
         checks_.erase(checks_.begin());
         if (Exchange* exchange = find(handle))
-            checkStalled(*exchange, now);
+            checkResponse(*exchange, now);
     }
     leaveUnreachableTargets(now);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -201,6 +201,8 @@
     void abandonStopped(Exchange& exchange, Timestamp now);
     void scheduleStallCheck(Exchange& exchange, Timestamp at);
     void scheduleCheck(Exchange& exchange, Timestamp at);
+    /// The response has not arrived by the time of its next check.
+    void checkResponse(Exchange& exchange, Timestamp now);
     /// When the response to a request that is sent now has taken longer than the target's recent ones. None where that
     /// doesn't matter, since the target would bear its present requests in a slow start as well.
     [[nodiscard]] std::optional<Timestamp> slowResponseAt(
@@ -242,7 +244,7 @@
     Exchanges exchanges_;
     std::unordered_map<requests::DispatchId, Exchange*> dispatches_;
     std::set<std::pair<Timestamp, requests::HttpHandle>> deadlines_;
-    std::set<std::pair<Timestamp, requests::HttpHandle>> checks_;
+    std::set<std::pair<Timestamp, requests::HttpHandle>> checks_; ///< By Exchange::nextCheckAt.
     std::unordered_set<requests::HttpHandle> pendingResponses_;
     uint64_t lastDispatch_ = 0;
     bool isPlanUncertain_ = false;
--- a/src/gateway/internal/slowstartshare.cpp
+++ b/src/gateway/internal/slowstartshare.cpp
@@ -27,8 +27,7 @@
 
 double SlowStartShare::unconfirmedRate(uint64_t targetHash, double slowStartPerSecond) const
 {
-    const double all = slowStartPerSecond * bound_.overage + bound_.slack;
-    const double requests = all - namedGatewayRate(slowStartPerSecond) - Burst;
+    const double requests = bearableRequests(slowStartPerSecond) - namedGatewayRate(slowStartPerSecond) - Burst;
     const double wanted = std::clamp(requests / MinRequestsPerGateway, 1.0, static_cast<double>(gateways_));
     const auto members = static_cast<uint32_t>(wanted);
     if ((index_ + targetHash) % gateways_ >= members)
