Gateways repeat leaving notices until a registry host lists the target as leaving

Callers: requests reach a target that said in an answer that it leaves, from gateways that were not told. Cause: a gateway sends the notice once, to the registry hosts of its region; if these have just ended it is lost, and the other gateways go on. Class: state that is sent once by a sender that takes for granted that it arrived. Now it goes to all registry hosts each second until one lists the target as leaving, or the target is gone. Why it works: the record with which a registry host lists the target comes back to the gateway on the same links as all others.

--- a/src/gateway/internal/backpressuremonitor.cpp
+++ b/src/gateway/internal/backpressuremonitor.cpp
@@ -15,6 +15,8 @@
 constexpr size_t MaxNoticesPerReport = 256;
 /// The registry drops a limit that was not reported for 120 s.
 constexpr Duration RepeatInterval = 30s;
+/// A notice reaches a registry host, and its answer this one, in less.
+constexpr Duration LeavingRepeatInterval = 1s;
 
 } // namespace
 
@@ -59,10 +61,25 @@
     if (!target.record.isLeaving) {
         log(target, {.event = "target_leaving", .key = "told_by", .value = "target"}, now);
         leaving_.push_back(target.targetIncarnation());
+        if (unconfirmedLeaving_.empty())
+            nextLeavingAt_ = now + LeavingRepeatInterval;
+        unconfirmedLeaving_.push_back(target.targetIncarnation());
     }
     targets_.markLeaving(target.targetIncarnation());
 }
 
+std::vector<model::TargetIncarnation> BackpressureMonitor::drainUnconfirmedLeaving(Timestamp now)
+{
+    if (unconfirmedLeaving_.empty() || now < nextLeavingAt_)
+        return {};
+    nextLeavingAt_ = now + LeavingRepeatInterval;
+    std::erase_if(unconfirmedLeaving_, [&](const model::TargetIncarnation& targetIncarnation) {
+        const GatewayTarget* target = targets_.find(targetIncarnation);
+        return target == nullptr || target->isListedAsLeaving;
+    });
+    return unconfirmedLeaving_;
+}
+
 void BackpressureMonitor::updateSlowStart(GatewayTarget& target, const Response& response, Timestamp now)
 {
     const std::string_view text = requests::firstFieldValue(response.headers, headers_.slowStartLeftMs);
--- a/src/gateway/internal/backpressuremonitor.h
+++ b/src/gateway/internal/backpressuremonitor.h
@@ -49,6 +49,9 @@
 
     /// Targets that announced since the last call that they are leaving.
     [[nodiscard]] std::vector<model::TargetIncarnation> drainLeaving() { return std::exchange(leaving_, {}); }
+    /// The same of earlier calls, about once a second, while no registry host lists them as leaving: the notice may
+    /// have been lost with a registry host.
+    [[nodiscard]] std::vector<model::TargetIncarnation> drainUnconfirmedLeaving(Timestamp now);
 
     /// Records of targets that stated since the last call that they are in a slow start.
     [[nodiscard]] std::vector<model::TargetRecord> drainSlowStarts() { return std::exchange(slowStarts_, {}); }
@@ -80,6 +83,8 @@
     std::set<model::TargetIncarnation> limited_;
     std::set<model::TargetIncarnation> pendingReports_;
     std::vector<model::TargetIncarnation> leaving_;
+    std::vector<model::TargetIncarnation> unconfirmedLeaving_;
+    Timestamp nextLeavingAt_ {}; ///< When the unconfirmed ones are due again.
     std::vector<model::TargetRecord> slowStarts_;
     TokenBucket reportBudget_ {{.perSecond = MaxReportsPerSecond, .burst = MaxReportBurst}};
     TokenBucket logLineBudget_ {{.perSecond = MaxLogLinesPerSecond, .burst = MaxLogLineBurst}};
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -474,6 +474,11 @@
         .retired = backpressure_.drainLeaving(), .targets = backpressure_.drainSlowStarts()};
     if (!stated.retired.empty() || !stated.targets.empty())
         sendToRegionRegistries(stated);
+    if (const model::TargetReport repeated {.retired = backpressure_.drainUnconfirmedLeaving(now)};
+        !repeated.retired.empty()) {
+        for (const HostId& host : roster_->controlHosts()) // Those of the region may be down.
+            actions_.emplace_back(requests::Action(model::OutgoingMessage {.to = host, .message = repeated}));
+    }
     const model::BackpressureReport report = backpressure_.drainReports(now);
     if (!report.notices.empty())
         sendToRegionRegistries(report);
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -49,6 +49,7 @@
     /// It became known after a leave without an incarnation, and counts as leaving until the registry knows which
     /// leaves.
     bool isLeaveUnresolved = false;
+    bool isListedAsLeaving = false; ///< A registry host knows that it leaves.
     bool isUnresponsive = false; ///< The registry host that last received its reports receives none any more.
 
     uint32_t inFlight = 0; ///< Requests of this gateway at the target.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -275,6 +275,7 @@
         addToIndexes(target, now);
     }
     if (record.isLeaving) {
+        target.isListedAsLeaving = true;
         target.isLeaveUnresolved = false;
         markLeaving(target);
     }
--- a/src/gateway/tests/backofftests.cpp
+++ b/src/gateway/tests/backofftests.cpp
@@ -140,6 +140,29 @@
     EXPECT_EQ(takeStarts().size(), 1U);
 }
 
+// Guards against targets that other gateways go on using because the registry hosts that were told of the leave have
+// just stopped.
+TEST_F(BackpressureTest, LeavingNoticeIsRepeatedUntilTheRegistryListsTheTargetAsLeaving)
+{
+    installPlan(1);
+    model::TargetRecord record = target("t-1");
+    reportTargets({record});
+    serve({{"Saltvane-Leaving", "1"}});
+    EXPECT_EQ(takeLeavingNotices().size(), 1U);
+    for (int repeat = 0; repeat < 2; ++repeat) {
+        ++record.sequence;
+        reportTargets({record}); // Of a registry host that was not told.
+        advance(1100ms);
+        EXPECT_EQ(takeLeavingNotices(),
+            std::vector<model::TargetIncarnation>({{.target = record.target, .incarnation = record.incarnation}}));
+    }
+    ++record.sequence;
+    record.isLeaving = true;
+    reportTargets({record});
+    advance(3s);
+    EXPECT_TRUE(takeLeavingNotices().empty());
+}
+
 TEST_F(BackpressureTest, LeavingCountsInRefusalsAndProbeResponses)
 {
     installPlan(1);
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -96,6 +96,7 @@
     } else if (const auto* const backpressure = std::get_if<model::BackpressureReport>(&outgoing.message)) {
         append(backpressure_, backpressure->notices);
     } else if (const auto* const targets = std::get_if<model::TargetReport>(&outgoing.message)) {
+        append(leavingNotices_, targets->retired);
         append(statedSlowStarts_, targets->targets);
     } else if (const auto* const rollout = std::get_if<model::RolloutReport>(&outgoing.message)) {
         rolloutReports_.push_back(*rollout);
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -105,6 +105,11 @@
     }
     /// Limits reported to the registry since the last call.
     [[nodiscard]] std::vector<model::BackpressureNotice> takeBackpressure() { return std::exchange(backpressure_, {}); }
+    /// Targets that the registry was told are leaving since the last call.
+    [[nodiscard]] std::vector<model::TargetIncarnation> takeLeavingNotices()
+    {
+        return std::exchange(leavingNotices_, {});
+    }
     /// Records of targets in their slow start that were sent to the registry since the last call.
     [[nodiscard]] std::vector<model::TargetRecord> takeStatedSlowStarts()
     {
@@ -148,6 +153,7 @@
     std::vector<model::AccountLimitNotice> accountLimits_;
     std::vector<model::BackpressureNotice> targetLimits_;
     std::vector<model::BackpressureNotice> backpressure_;
+    std::vector<model::TargetIncarnation> leavingNotices_;
     std::vector<model::TargetRecord> statedSlowStarts_;
     std::vector<model::RolloutReport> rolloutReports_;
     std::vector<std::string> decisions_;
