Soak: a forwarder that stops resets connections that are accepted meanwhile

Cause, by reading: a connection whose forwarded one is established after the reset is added to the list and never reset. The product is not involved.

--- a/testing/soak/forwarder.py
+++ b/testing/soak/forwarder.py
@@ -54,8 +54,8 @@
         if self.server is not None:
             self.server.close()
         self.heal()
-        self.reset()
         while self.connections:
+            self.reset()  # Again, since connections that were being accepted may be added meanwhile.
             await asyncio.sleep(0.01)
 
     def heal(self):
