Soak: waits for the targets that the last fatal requests crash

Its leaving state was set at 34.2, and it started again at 37.0 as t-62, as ready, so that nothing was left to acknowledge. Now the run waits for a second before it looks which targets restart: a fatal run takes 0.08 s at most. The checks are as they were.

--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -34,6 +34,8 @@
 RECOVERY_S = 20
 ORDER_TIMEOUT_S = 15
 IN_FORCE_S = 5
+# A fatal request that is on its way when its caller ends crashes its target within this time.
+LAST_CRASH_S = 1
 
 
 class Run:
@@ -124,6 +126,7 @@
         for task in self.fatal_tasks:
             task.cancel()
         await asyncio.gather(*self.fatal_tasks, return_exceptions=True)
+        await asyncio.sleep(LAST_CRASH_S)
         restarting = [target.restart_task for target in self.targets if target.restart_task is not None]
         await asyncio.gather(*restarting, return_exceptions=True)
 
