--- a/src/gateway/internal/backpressuremonitor.cpp
+++ b/src/gateway/internal/backpressuremonitor.cpp
@@ -15,7 +15,7 @@
 constexpr size_t MaxNoticesPerReport = 256;
 /// The registry drops a limit that was not reported for 120 s.
 constexpr Duration RepeatInterval = 30s;
-/// A notice reaches a registry host, and its answer this one, in less.
+/// Longer than a notice takes to a registry host and the target's record takes back.
 constexpr Duration LeavingRepeatInterval = 1s;
 
 } // namespace
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -66,7 +66,7 @@
     uint32_t timesWithheld = 0; ///< Dispatches that were withheld before their first byte.
     Duration expectedDuration {}; ///< From sentAt to the head of the response, as estimated then.
     Timestamp stalledAt; ///< Without a response by then, the target may be unresponsive.
-    Timestamp nextCheckAt; ///< Then, or once the response takes longer than the target's recent ones.
+    Timestamp nextCheckAt; ///< stalledAt, or earlier: once the response takes longer than the target's recent ones.
     double loadAtSend = 0;
     VersionRole versionRole = VersionRole::Serving; ///< Of the target's software version.
     bool isCompared = false; ///< Its answer counts for the rollout of the service.
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -44,7 +44,7 @@
     Timestamp lastListedAt; ///< When a registry host's report last listed the target.
     uint64_t lastListedInReport = 0; ///< Number of that report.
     Timestamp slowUntil; ///< End of the slow start that the target reported to the registry, or stated in a response.
-    Timestamp statedSlowUntil; ///< The latter. A report to the registry may be from before that slow start.
+    Timestamp statedSlowUntil; ///< Of a slow start stated in a response. Reports to the registry may be older than it.
     ResponseTimeWindow responseTimes;
     /// It became known after a leave without an incarnation, and counts as leaving until the registry knows which
     /// leaves.
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -203,8 +203,8 @@
     void scheduleCheck(Exchange& exchange, Timestamp at);
     /// The response has not arrived by the time of its next check.
     void checkResponse(Exchange& exchange, Timestamp now);
-    /// When the response to a request that is sent now has taken longer than the target's recent ones. None where that
-    /// doesn't matter, since the target would bear its present requests in a slow start as well.
+    /// When the response to a request that is sent now has taken longer than the target's recent ones. None if the
+    /// target gets so few requests that it would bear them in a slow start as well.
     [[nodiscard]] std::optional<Timestamp> slowResponseAt(
         const Exchange& exchange, const GatewayTarget& target, const model::RoutedService& service) const;
     /// The target's response takes longer than its recent ones.
--- a/src/gateway/internal/responsetimewindow.h
+++ b/src/gateway/internal/responsetimewindow.h
@@ -12,8 +12,8 @@
 
 namespace saltvane::gateway {
 
-/// The longest of one target's recent response times. While these don't change, chance alone makes one response in
-/// MinResponses take longer at most, however the times are distributed.
+/// The longest of one target's recent response times. While their distribution does not change, whatever it is, at most
+/// one response in MinResponses takes longer by chance.
 class ResponseTimeWindow {
 public:
     /// The window contains at least this many responses, and at most twice as many.
