--- a/src/gateway/internal/backpressuremonitor.h
+++ b/src/gateway/internal/backpressuremonitor.h
@@ -49,8 +49,8 @@
 
     /// Targets that announced since the last call that they are leaving.
     [[nodiscard]] std::vector<model::TargetIncarnation> drainLeaving() { return std::exchange(leaving_, {}); }
-    /// Targets of earlier calls that no registry host lists as leaving yet, about once a second: the notice may have been
-    /// lost with a registry host.
+    /// Targets of earlier calls that no registry host lists as leaving yet, about once a second: the notice may have
+    /// been lost with a registry host.
     [[nodiscard]] std::vector<model::TargetIncarnation> drainUnconfirmedLeaving(Timestamp now);
 
     /// Records of targets that stated since the last call that they are in a slow start.
