Gateways: decisions tell on which connection a response came

The record of the incident can't tell a response that was read after the rest of another one from a request that was sent twice: no line names the connection or what it had carried. A table of the open connections to targets counts their requests; libcurl names a connection by its local port before each request. Closing a socket moves to that table. No change of logic.

--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -53,6 +53,8 @@
         .add("warm", exchange.isLikelyWarm ? "yes" : "unknown")
         .addMilliseconds("send_ms", exchange.timeToFirstByte())
         .add("withheld", exchange.timesWithheld)
+        .add("connection", exchange.connection.localPort)
+        .add("connection_requests", exchange.connection.earlierRequests)
         .addMilliseconds("target_ms", exchange.timeToHead)
         .add("load", static_cast<int>(exchange.loadAtSend))
         .addMilliseconds("load_age_ms", exchange.loadAge)
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -86,6 +86,7 @@
     LogIndex orders; ///< Up to which all orders were known, such as targets that left.
     Duration targetAge {}; ///< Since the target's last report to the registry.
     Duration loadAge {}; ///< Since the last update of the target's load.
+    requests::ConnectionUse connection; ///< On which the last response or failure of a target or peer came.
     std::string lastFailure; ///< Error text of the last failed target.
     bool isLastTargetGone = false; ///< The last failed target refuses connections.
     std::optional<double> limit; ///< The target's limit in requests per second when it was selected.
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -24,6 +24,7 @@
 
 void RequestRunner::accept(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
 {
+    exchange.connection = head.connection;
     if (exchange.isAtPeer)
         return onPeerHead(head, exchange, now);
     GatewayTarget* target = options_.targets.find(exchange.target);
@@ -149,6 +150,7 @@
 {
     if (failed.withheldFor != model::Reason::None)
         return onWithheld(exchange, failed.withheldFor, now);
+    exchange.connection = failed.connection;
     if (exchange.isAtPeer)
         return onPeerFailed(failed, exchange, now);
     if (GatewayTarget* target = options_.targets.find(exchange.target)) {
--- a/src/net/internal/targetclient.cpp
+++ b/src/net/internal/targetclient.cpp
@@ -26,6 +26,7 @@
 
 TargetClient::TargetClient(TargetClientOptions options)
     : options_(std::move(options))
+    , connections_(options_.counters)
     , curl_(options_.loop, [this](CURL* transfer, CURLcode code) { onTransferDone(transfer, code); })
     , deliverTask_(options_.loop, TaskOrder::AfterIo, [this] { deliver(); })
 {
@@ -68,7 +69,7 @@
                                                .connectTimeout = options_.connectTimeout,
                                                .receiveBufferBytes = options_.receiveBufferBytes,
                                                .recheck = options_.recheck,
-                                               .counters = options_.counters,
+                                               .connections = connections_,
                                                .emit = [this](requests::TargetEvent event) { emit(std::move(event)); }},
             acquireTransfer());
     const bool isStarted = exchange->start();
--- a/src/net/internal/targetclient.h
+++ b/src/net/internal/targetclient.h
@@ -40,7 +40,8 @@
     void deliver();
 
     TargetClientOptions options_;
-    CurlLoop curl_;
+    TargetConnections connections_;
+    CurlLoop curl_; ///< Closes its connections through connections_.
     std::unordered_map<requests::DispatchId, std::unique_ptr<TargetExchange>> exchanges_;
     std::vector<CURL*> pooledTransfers_;
     std::deque<requests::TargetEvent> events_;
--- /dev/null
+++ b/src/net/internal/targetconnections.cpp
@@ -0,0 +1,59 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "net/internal/targetconnections.h"
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace saltvane::net {
+
+namespace {
+
+/// Bytes that were written to the socket and that the peer has not acknowledged.
+int unacknowledgedBytes(int fd)
+{
+    int bytes = 0;
+    return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
+} // namespace
+
+void setResetOnClose(int fd)
+{
+    const linger reset {.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+void TargetConnections::add(const Key& key, int fd)
+{
+    connections_.insert_or_assign(key, Connection {.fd = fd});
+    keys_.insert_or_assign(fd, key);
+}
+
+uint32_t TargetConnections::recordRequest(const Key& key)
+{
+    const auto found = connections_.find(key);
+    return found == connections_.end() ? 0 : found->second.requests++;
+}
+
+int TargetConnections::close(int fd)
+{
+    if (const auto found = keys_.find(fd); found != keys_.end()) {
+        connections_.erase(found->second);
+        keys_.erase(found);
+    }
+    if (unacknowledgedBytes(fd) > 0) {
+        // The kernel would go on sending them after a normal close, and the request would reach its target late.
+        setResetOnClose(fd);
+        if (counters_ != nullptr)
+            counters_->add(model::Counter::UnacknowledgedCloses);
+    }
+    return ::close(fd);
+}
+
+} // namespace saltvane::net
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -13,10 +13,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace saltvane::net {
 
@@ -50,20 +47,6 @@
     return list;
 }
 
-/// Closing the socket sends a reset and drops the bytes that were not acknowledged.
-void setResetOnClose(int fd)
-{
-    const linger reset {.l_onoff = 1, .l_linger = 0};
-    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-}
-
-/// Bytes that were written to the socket and that the peer has not acknowledged.
-int unacknowledgedBytes(int fd)
-{
-    int bytes = 0;
-    return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
-}
-
 } // namespace
 
 TargetExchange::TargetExchange(Options options, CURL* transfer)
@@ -136,7 +119,7 @@
     curl_easy_setopt(transfer_, CURLOPT_SOCKOPTDATA, this);
     curl_easy_setopt(transfer_, CURLOPT_CLOSESOCKETFUNCTION, &TargetExchange::onSocketClosing);
     // The connection may outlive this exchange.
-    curl_easy_setopt(transfer_, CURLOPT_CLOSESOCKETDATA, options_.counters);
+    curl_easy_setopt(transfer_, CURLOPT_CLOSESOCKETDATA, &options_.connections);
     curl_easy_setopt(transfer_, CURLOPT_HEADERFUNCTION, &TargetExchange::onHeader);
     curl_easy_setopt(transfer_, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(transfer_, CURLOPT_WRITEFUNCTION, &TargetExchange::onBody);
@@ -169,7 +152,7 @@
 int TargetExchange::onSocketMade(void* exchange, curl_socket_t fd, curlsocktype /*purpose*/)
 {
     auto& self = *static_cast<TargetExchange*>(exchange);
-    self.hasMadeSocket_ = true;
+    self.newSocket_ = fd;
     if (self.needsExclusiveConnection())
         setResetOnClose(fd);
     const int receiveBufferBytes = self.options_.receiveBufferBytes;
@@ -178,15 +161,9 @@
     return CURL_SOCKOPT_OK;
 }
 
-int TargetExchange::onSocketClosing(void* counters, curl_socket_t fd)
+int TargetExchange::onSocketClosing(void* connections, curl_socket_t fd)
 {
-    if (unacknowledgedBytes(fd) > 0) {
-        // The kernel would go on sending them after a normal close, and the request would reach its target late.
-        setResetOnClose(fd);
-        if (counters != nullptr)
-            static_cast<model::Counters*>(counters)->add(model::Counter::UnacknowledgedCloses);
-    }
-    return ::close(fd);
+    return static_cast<TargetConnections*>(connections)->close(fd);
 }
 
 void TargetExchange::setMethod()
@@ -243,8 +220,7 @@
         std::memcpy(deadlineLine_->data, line.c_str(), line.size() + 1);
 }
 
-int TargetExchange::onReady(
-    void* exchange, char* /*remoteIp*/, char* /*localIp*/, int /*remotePort*/, int /*localPort*/)
+int TargetExchange::onReady(void* exchange, char* /*remoteIp*/, char* /*localIp*/, int /*remotePort*/, int localPort)
 {
     auto& self = *static_cast<TargetExchange*>(exchange);
     if (self.hasConnected_) {
@@ -258,11 +234,20 @@
         self.failure_ = "withheld before its first byte";
         return CURL_PREREQFUNC_ABORT;
     }
+    self.recordConnection(localPort);
     self.updateDeadlineLine();
     self.hasConnected_ = true;
     return CURL_PREREQFUNC_OK;
 }
 
+void TargetExchange::recordConnection(int localPort)
+{
+    const TargetConnections::Key key {.target = options_.start.address, .localPort = localPort};
+    if (newSocket_)
+        options_.connections.add(key, *newSocket_);
+    connection_ = {.localPort = localPort, .earlierRequests = options_.connections.recordRequest(key)};
+}
+
 size_t TargetExchange::onHeader(char* data, size_t size, size_t count, void* exchange)
 {
     auto& self = *static_cast<TargetExchange*>(exchange);
@@ -287,7 +272,8 @@
             .status = head_.status(),
             .headers = std::move(head_.headers()),
             .bodyLength = head_.bodyLength(),
-            .isNewConnection = hasMadeSocket_});
+            .isNewConnection = newSocket_.has_value(),
+            .connection = connection_});
     }
     return state != ResponseHead::State::Bad;
 }
@@ -434,6 +420,7 @@
     options_.emit(requests::TargetFailed {.dispatch = options_.start.dispatch,
         .mayHaveReachedTarget = hasConnected_,
         .message = std::move(message),
+        .connection = connection_,
         .isRefused = isRefused,
         .withheldFor = withheldFor_});
 }
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -5,14 +5,15 @@
  */
 #pragma once
 
-#include "model/counters.h"
 #include "net/internal/curlloop.h"
 #include "net/internal/responsehead.h"
+#include "net/internal/targetconnections.h"
 #include "requests/exchangetypes.h"
 
 #include <curl/curl.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,7 +28,7 @@
         Duration connectTimeout {};
         int receiveBufferBytes = 0;
         std::function<model::Reason(const requests::TargetStart&)> recheck;
-        model::Counters* counters = nullptr;
+        TargetConnections& connections;
         /// Must not call back into this exchange synchronously.
         std::function<void(requests::TargetEvent)> emit;
     };
@@ -56,8 +57,10 @@
     static int onReady(void* exchange, char* remoteIp, char* localIp, int remotePort, int localPort);
 
     static int onSocketMade(void* exchange, curl_socket_t fd, curlsocktype purpose);
-    static int onSocketClosing(void* counters, curl_socket_t fd);
+    static int onSocketClosing(void* connections, curl_socket_t fd);
 
+    /// The request is about to be sent on the connection with this local port.
+    void recordConnection(int localPort);
     [[nodiscard]] bool isSendable() const;
     void setOptions();
     [[nodiscard]] bool needsExclusiveConnection() const;
@@ -87,7 +90,8 @@
     std::string url_;
     ResponseHead head_;
     bool isInTransfer_ = false;
-    bool hasMadeSocket_ = false; ///< No connection from before was reused.
+    std::optional<int> newSocket_; ///< Of the connection that was established for this request, if one was.
+    requests::ConnectionUse connection_;
     bool hasConnected_ = false; ///< A connection was established, so bytes may have been sent.
     model::Reason withheldFor_ = model::Reason::None; ///< Why the request was not sent once connected.
     std::string failure_; ///< Set by a callback; more specific than libcurl's code.
--- a/src/net/tests/targetconnectiontests.cpp
+++ b/src/net/tests/targetconnectiontests.cpp
@@ -161,6 +161,24 @@
     EXPECT_EQ(log.target<TargetResponseDone>().size(), 2U);
 }
 
+TEST_F(TargetConnectionTest, ResponsesTellWhatTheirConnectionHasCarried)
+{
+    RawSocket target;
+    for (const uint64_t dispatch : {1, 2}) {
+        target.received.clear();
+        client->execute(request(dispatch, true));
+        ASSERT_TRUE(acceptRequest(target));
+        target.send(Response);
+        ASSERT_TRUE(waitForCompletion(dispatch));
+    }
+    const auto heads = log.target<TargetResponseHead>();
+    ASSERT_EQ(heads.size(), 2U);
+    EXPECT_EQ(heads[0].connection.earlierRequests, 0U);
+    EXPECT_EQ(heads[1].connection.earlierRequests, 1U);
+    EXPECT_GT(heads[0].connection.localPort, 0);
+    EXPECT_EQ(heads[0].connection.localPort, heads[1].connection.localPort);
+}
+
 TEST_F(TargetConnectionTest, RefusedReconnectAfterABrokenConnectionIsReported)
 {
     RawSocket target;
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -96,6 +96,12 @@
     uint64_t bytes = 0;
 };
 
+/// The connection to a target on which a request was sent.
+struct ConnectionUse {
+    int localPort = 0; ///< 0: the request was not sent.
+    uint32_t earlierRequests = 0; ///< That the connection had carried before.
+};
+
 // Events of a target's exchange.
 struct TargetResponseHead {
     DispatchId dispatch;
@@ -103,6 +109,7 @@
     std::vector<model::Header> headers;
     std::optional<uint64_t> bodyLength;
     bool isNewConnection = false; ///< The connection was established for this request.
+    ConnectionUse connection {};
 };
 struct TargetResponseBody {
     DispatchId dispatch;
@@ -122,6 +129,7 @@
     DispatchId dispatch;
     bool mayHaveReachedTarget = true; ///< False only if it is certain that no byte was sent.
     std::string message;
+    ConnectionUse connection {};
     /// The target refused the connection: no process listens at the address. With mayHaveReachedTarget: an open
     /// connection broke and the new connection was refused.
     bool isRefused = false;
