Target client: a head consists of the bytes of one response

Callers saw a success where their target had answered another status: a late second response broke off within its head, the next one followed on the same connection, and the two were read as one head, with the status of the first and the id, length and body of the second.

Cause: the status line was read up to its three digits and what followed was ignored, and a field's value could be anything. A head that is accepted now can't begin with bytes of an earlier response: those don't name this request, so that its own status line would lie within the head, at the beginning of a line, which is no field, or within one, which is looked for in each line. Mentions of HTTP without a status stay allowed. The status line is read by RFC 9112.

Ruled out: looking for the one shape of a longer reason phrase, since a cut can lie in any field.

The request itself fails or is sent elsewhere.

--- a/src/net/internal/responsehead.cpp
+++ b/src/net/internal/responsehead.cpp
@@ -7,7 +7,7 @@
 
 #include "net/internal/requestframing.h"
 
-#include <charconv>
+#include <algorithm>
 
 namespace saltvane::net {
 
@@ -15,8 +15,11 @@
 
 constexpr size_t MaxHeadBytes = 256 * 1024; ///< Including heads of interim responses.
 constexpr std::string_view VersionPrefix = "HTTP/1.";
+constexpr size_t VersionEnd = 8; ///< After "HTTP/1.1".
 constexpr size_t StatusOffset = 9; ///< After "HTTP/1.1 ".
-constexpr size_t StatusDigits = 3;
+constexpr size_t StatusEnd = 12; ///< After "HTTP/1.1 200".
+constexpr size_t MaxQuotedBytes = 80; ///< Of a line in an error.
+constexpr int MinStatus = 100;
 constexpr int FirstFinalStatus = 200;
 constexpr int SwitchingProtocols = 101;
 constexpr int NoContent = 204;
@@ -31,6 +34,28 @@
     return text.substr(first, text.find_last_not_of(Whitespace) - first + 1);
 }
 
+bool isDigit(char character) { return character >= '0' && character <= '9'; }
+
+/// Whether the text begins with an HTTP version, a space and a status (RFC 9112, section 4).
+bool startsWithStatus(std::string_view text)
+{
+    if (!text.starts_with(VersionPrefix) || text.size() < StatusEnd || text[VersionEnd] != ' ')
+        return false;
+    return isDigit(text[VersionEnd - 1])
+        && std::ranges::all_of(text.substr(StatusOffset, StatusEnd - StatusOffset), isDigit);
+}
+
+/// Whether a status line begins within the line. Nothing else shows that the line consists of two: the beginning of
+/// one, where a response broke off, and the status line of the response that follows it.
+bool containsStatusLine(std::string_view line)
+{
+    for (size_t at = line.find(VersionPrefix, 1); at != std::string_view::npos; at = line.find(VersionPrefix, at + 1)) {
+        if (startsWithStatus(line.substr(at)))
+            return true;
+    }
+    return false;
+}
+
 std::string_view withoutLineEnd(std::string_view line)
 {
     if (line.ends_with('\n'))
@@ -56,6 +81,8 @@
     if (size_ > MaxHeadBytes)
         return fail("head too large");
     line = withoutLineEnd(line);
+    if (containsStatusLine(line))
+        return fail("response begins within the head of another one: " + std::string(line.substr(0, MaxQuotedBytes)));
     if (status_ == 0)
         return startHead(line);
     if (line.empty())
@@ -65,13 +92,15 @@
 
 ResponseHead::State ResponseHead::startHead(std::string_view statusLine)
 {
-    if (!statusLine.starts_with(VersionPrefix) || statusLine.size() < StatusOffset + StatusDigits)
-        return fail("not an HTTP/1 status line");
-    const std::string_view digits = statusLine.substr(StatusOffset, StatusDigits);
-    const auto parsed = parseLength(digits);
-    if (!parsed || *parsed < 100 || *parsed > 999)
+    if (!startsWithStatus(statusLine))
+        return fail("not an HTTP/1 status line: " + std::string(statusLine.substr(0, MaxQuotedBytes)));
+    const std::string_view reason = statusLine.substr(StatusEnd);
+    if (!isFieldValue(reason) || (!reason.empty() && reason.front() != ' '))
+        return fail("bad reason phrase: " + std::string(statusLine.substr(0, MaxQuotedBytes)));
+    const auto status = parseLength(statusLine.substr(StatusOffset, StatusEnd - StatusOffset));
+    if (!status || *status < MinStatus)
         return fail("bad status");
-    status_ = static_cast<int>(*parsed);
+    status_ = static_cast<int>(*status);
     if (status_ == SwitchingProtocols)
         return fail("protocol switched without a request");
     return state_;
