Target client: connections on which bytes wait carry no request

A second response that arrives while its connection is idle was read as the beginning of the response to the next request there: libcurl 7.88 takes a connection with unread input for alive. The request failed where the id showed it, and got a status that was not its own where the second response broke off within its head.

Right before the first byte the socket is looked at: with anything to read, or closed, the connection is dropped and the request sent on a new one. No byte of it was sent, so that this holds for requests at most once too. Cost: one system call a request on a kept connection.

--- a/src/net/internal/targetconnections.cpp
+++ b/src/net/internal/targetconnections.cpp
@@ -5,6 +5,7 @@
  */
 #include "net/internal/targetconnections.h"
 
+#include <cerrno>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -35,6 +36,19 @@
     keys_.insert_or_assign(fd, key);
 }
 
+TargetConnections::Input TargetConnections::pendingInput(const Key& key) const
+{
+    const auto found = connections_.find(key);
+    if (found == connections_.end())
+        return Input::None;
+    char byte = 0;
+    const ssize_t count = ::recv(found->second.fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        return Input::Bytes;
+    const bool isQuiet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return isQuiet ? Input::None : Input::End;
+}
+
 uint32_t TargetConnections::recordRequest(const Key& key)
 {
     const auto found = connections_.find(key);
--- a/src/net/internal/targetconnections.h
+++ b/src/net/internal/targetconnections.h
@@ -28,6 +28,12 @@
         int localPort = 0;
         auto operator<=>(const Key&) const = default;
     };
+    enum class Input {
+        None,
+        Bytes,
+        End ///< The target has closed the connection.
+    };
+
     explicit TargetConnections(model::Counters* counters)
         : counters_(counters)
     {
@@ -35,6 +41,8 @@
 
     /// A connection was established on this socket.
     void add(const Key& key, int fd);
+    /// What waits to be read on the connection.
+    [[nodiscard]] Input pendingInput(const Key& key) const;
     /// Closes the socket. Bytes that its peer has not acknowledged are dropped.
     int close(int fd);
     /// Counts a request that is about to be sent. Returns how many the connection had carried before.
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -228,24 +228,49 @@
         self.failure_ = "connection closed without a response";
         return CURL_PREREQFUNC_ABORT;
     }
+    if (!self.useConnection(localPort))
+        return CURL_PREREQFUNC_ABORT;
     if (self.options_.recheck)
         self.withheldFor_ = self.options_.recheck(self.options_.start);
     if (self.withheldFor_ != model::Reason::None) {
         self.failure_ = "withheld before its first byte";
         return CURL_PREREQFUNC_ABORT;
     }
-    self.recordConnection(localPort);
+    self.connection_.earlierRequests = self.options_.connections.recordRequest(self.connectionKey());
     self.updateDeadlineLine();
     self.hasConnected_ = true;
     return CURL_PREREQFUNC_OK;
 }
 
-void TargetExchange::recordConnection(int localPort)
+TargetConnections::Key TargetExchange::connectionKey() const
+{
+    return {.target = options_.start.address, .localPort = connection_.localPort};
+}
+
+bool TargetExchange::useConnection(int localPort)
 {
-    const TargetConnections::Key key {.target = options_.start.address, .localPort = localPort};
+    connection_ = {.localPort = localPort};
     if (newSocket_)
-        options_.connections.add(key, *newSocket_);
-    connection_ = {.localPort = localPort, .earlierRequests = options_.connections.recordRequest(key)};
+        options_.connections.add(connectionKey(), *newSocket_);
+    // libcurl takes a connection with unread bytes for a usable one and would read them as the response.
+    const TargetConnections::Input input = options_.connections.pendingInput(connectionKey());
+    hasSurplus_ = hasSurplus_ || input == TargetConnections::Input::Bytes;
+    if (input == TargetConnections::Input::None)
+        return true;
+    mustReconnect_ = !newSocket_;
+    failure_ = input == TargetConnections::Input::Bytes ? "bytes arrived before the request was sent"
+                                                        : "connection closed before the request was sent";
+    return false;
+}
+
+void TargetExchange::reconnect()
+{
+    mustReconnect_ = false;
+    failure_.clear();
+    curl_easy_setopt(transfer_, CURLOPT_FRESH_CONNECT, 1L);
+    isInTransfer_ = options_.curl.add(transfer_);
+    if (!isInTransfer_)
+        fail("transfer not started");
 }
 
 size_t TargetExchange::onHeader(char* data, size_t size, size_t count, void* exchange)
@@ -397,6 +422,8 @@
 void TargetExchange::end(CURLcode code)
 {
     isInTransfer_ = false;
+    if (mustReconnect_)
+        return reconnect();
     if (code != CURLE_OK)
         return fail(failure_.empty() ? curl_easy_strerror(code) : failure_, isConnectionRefused(code));
     if (head_.state() != ResponseHead::State::Complete)
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -59,8 +59,11 @@
     static int onSocketMade(void* exchange, curl_socket_t fd, curlsocktype purpose);
     static int onSocketClosing(void* connections, curl_socket_t fd);
 
-    /// The request is about to be sent on the connection with this local port.
-    void recordConnection(int localPort);
+    /// libcurl has chosen the connection with this local port. Returns false if no request may be sent on it.
+    [[nodiscard]] bool useConnection(int localPort);
+    [[nodiscard]] TargetConnections::Key connectionKey() const;
+    /// Starts the transfer again, on a new connection. No byte of it was sent.
+    void reconnect();
     [[nodiscard]] bool isSendable() const;
     void setOptions();
     [[nodiscard]] bool needsExclusiveConnection() const;
@@ -92,6 +95,8 @@
     bool isInTransfer_ = false;
     std::optional<int> newSocket_; ///< Of the connection that was established for this request, if one was.
     requests::ConnectionUse connection_;
+    bool mustReconnect_ = false; ///< The kept connection that libcurl chose can't be used.
+    bool hasSurplus_ = false; ///< The target sent bytes on a connection on which no request waited for them.
     bool hasConnected_ = false; ///< A connection was established, so bytes may have been sent.
     model::Reason withheldFor_ = model::Reason::None; ///< Why the request was not sent once connected.
     std::string failure_; ///< Set by a callback; more specific than libcurl's code.
