Gateways: only a response that names the request counts on a kept connection

Callers got a 503 for a request that ran, or had it run twice: a second copy of a refusal without an id counted for whichever request waited on the connection.

Cause: refusals were taken without an id. Without one, only what comes on a connection that has carried no other request counts now; with one, the head names the request once. The load that another request's response states is not taken either.

Tests of kept connections name their requests; MisdirectedTargetIsNotUsedAgain answers without an id on a new connection, since on a kept one that is the fault itself (RefusalWithoutIdOnAKeptConnectionDoesNotTellThatTheRequestWasNotRun).

--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -25,24 +25,28 @@
 void RequestRunner::accept(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
 {
     exchange.connection = head.connection;
+    if (head.hasSurplus)
+        options_.onSurplusBytes(exchange.target, now);
     if (exchange.isAtPeer)
         return onPeerHead(head, exchange, now);
     GatewayTarget* target = options_.targets.find(exchange.target);
     options_.onTargetAnswered(head.isNewConnection, now);
-    const std::string_view load = requests::firstFieldValue(head.headers, options_.headers.load);
-    if (target != nullptr && !load.empty())
-        target->updateLoad(load, now);
     const std::string_view id = requests::firstFieldValue(head.headers, options_.headers.requestId);
     const bool isNotRun = !requests::firstFieldValue(head.headers, options_.headers.notRun).empty();
     const bool isRefusal = isNotRun || head.status == StatusMisdirected;
-    // An extra response to an earlier request carries another id. Only refusals may come without an id.
-    const bool isOwnResponse = id == exchange.id.value() || (id.empty() && isRefusal);
-    if (!isOwnResponse) {
+    // An extra response to an earlier request carries another id or none. Without an id, a refusal counts on a
+    // connection that has carried no earlier request.
+    const bool isOwnRefusal = id.empty() && isRefusal && head.isNewConnection;
+    if (id != exchange.id.value() && !isOwnRefusal) {
         actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
         exchange.recordPossibleRun();
         exchange.lastFailure = "answer of another request";
+        options_.onSurplusBytes(exchange.target, now);
         return retryElsewhere(exchange, model::Reason::TargetFailed, now);
     }
+    const std::string_view load = requests::firstFieldValue(head.headers, options_.headers.load);
+    if (target != nullptr && !load.empty())
+        target->updateLoad(load, now);
     // A response of another target says nothing about the selected one.
     if (head.status != StatusMisdirected)
         options_.backpressure.onResponse({.target = exchange.target,
@@ -151,6 +155,8 @@
     if (failed.withheldFor != model::Reason::None)
         return onWithheld(exchange, failed.withheldFor, now);
     exchange.connection = failed.connection;
+    if (failed.hasSurplus)
+        options_.onSurplusBytes(exchange.target, now);
     if (exchange.isAtPeer)
         return onPeerFailed(failed, exchange, now);
     if (GatewayTarget* target = options_.targets.find(exchange.target)) {
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -207,7 +207,9 @@
     handle(requests::TargetEvent(requests::TargetResponseHead {.dispatch = start.dispatch,
         .status = from.status,
         .headers = std::move(headers),
-        .bodyLength = from.body.size()}));
+        .bodyLength = from.body.size(),
+        .isNewConnection = from.isNewConnection,
+        .hasSurplus = from.hasSurplus}));
     handle(requests::TargetEvent(requests::TargetResponseBody {.dispatch = start.dispatch, .bytes = from.body}));
     handle(requests::TargetEvent(requests::TargetResponseDone {.dispatch = start.dispatch}));
 }
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -61,6 +61,8 @@
         int status = 200;
         std::string id = "try-1";
         std::string body = "answer";
+        bool isNewConnection = false;
+        bool hasSurplus = false; ///< Bytes that no request waited for came before.
         std::vector<model::Header> extraHeaders;
     };
     void answer(const requests::TargetStart& start, const TargetResponse& from);
--- a/src/gateway/tests/requesttests.cpp
+++ b/src/gateway/tests/requesttests.cpp
@@ -167,13 +167,49 @@
     EXPECT_EQ(takeCancels(), 1U);
 }
 
+// Guards against a request that runs twice, or whose caller is told that it has not run: a second copy of a refusal
+// without an id arrives on the kept connection on which the request waits.
+TEST_F(RequestTest, RefusalWithoutIdOnAKeptConnectionDoesNotTellThatTheRequestWasNotRun)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    for (const int status : {503, 421}) {
+        request({.method = "POST", .path = "/write/1"});
+        answer(takeStarts().at(0), {.status = status, .id = "", .extraHeaders = {NotRun}});
+        EXPECT_TRUE(takeStarts().empty());
+        EXPECT_EQ(takeResponse()->status, 502);
+    }
+}
+
+// Guards against refusals that can't be retried, since their target leaves the id out.
+TEST_F(RequestTest, RefusalWithoutIdOnANewConnectionIsRetriedElsewhere)
+{
+    installPlan(1);
+    reportTargets({target("t-1"), target("t-2")});
+    request({.method = "POST", .path = "/write/1"});
+    answer(takeStarts().at(0), {.status = 503, .id = "", .extraHeaders = {NotRun}, .isNewConnection = true});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
+// Guards against a target that is chosen or avoided by a load that another request's response states.
+TEST_F(RequestTest, LoadInAResponseOfAnotherRequestIsIgnored)
+{
+    installPlan(1);
+    reportTargets({target("t-1")});
+    request({});
+    answer(takeStarts().at(0), {.id = "try-0", .extraHeaders = {{.name = "Saltvane-Load", .value = "50,50,2"}}});
+    (void)takeResponse();
+    request({.id = "try-2"});
+    EXPECT_EQ(takeStarts().size(), 1U);
+}
+
 TEST_F(RequestTest, MisdirectedTargetIsNotUsedAgain)
 {
     installPlan(1);
     reportTargets({target("t-1"), target("t-2")});
     request({.method = "POST", .path = "/write/1"});
     const auto first = takeStarts();
-    answer(first.at(0), {.status = 421, .id = ""});
+    answer(first.at(0), {.status = 421, .id = "", .isNewConnection = true});
     const TargetId misdirected = first[0].target;
     EXPECT_EQ(takeStarts().size(), 1U);
     for (int i = 0; i < 20; ++i)
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -132,7 +132,9 @@
 
 bool TargetExchange::needsExclusiveConnection() const
 {
-    return !options_.start.isRepeatable && options_.start.maxReuseIdleTime <= Duration::zero();
+    const requests::TargetStart& request = options_.start;
+    const bool isReusable = request.isRepeatable || request.maxReuseIdleTime > Duration::zero();
+    return request.needsExclusiveConnection || request.echoedHeader.empty() || !isReusable;
 }
 
 void TargetExchange::setMaxReuseIdleTime()
@@ -284,23 +286,24 @@
     if (head_.state() == ResponseHead::State::Complete)
         return handleTrailerLine(line);
     const ResponseHead::State state = head_.addLine(line);
-    if (state == ResponseHead::State::Bad)
-        failure_ = head_.error();
-    if (state == ResponseHead::State::Complete && isOfAnotherRequest()) {
+    const bool isComplete = state == ResponseHead::State::Complete;
+    if (state == ResponseHead::State::Bad || (isComplete && !isOwnResponse())) {
         // The failed transfer makes libcurl close the connection. If it stayed open, every later request on it would
         // receive the response of the previous one.
-        failure_ = "answer of another request";
+        failure_ = isComplete ? "answer of another request" : head_.error();
+        hasSurplus_ = hasSurplus_ || !newSocket_;
         return false;
     }
-    if (state == ResponseHead::State::Complete) {
+    if (isComplete) {
         options_.emit(requests::TargetResponseHead {.dispatch = options_.start.dispatch,
             .status = head_.status(),
             .headers = std::move(head_.headers()),
             .bodyLength = head_.bodyLength(),
             .isNewConnection = newSocket_.has_value(),
-            .connection = connection_});
+            .connection = connection_,
+            .hasSurplus = hasSurplus_});
     }
-    return state != ResponseHead::State::Bad;
+    return true;
 }
 
 /// Trailers are not forwarded, but libcurl stores them until the transfer ends.
@@ -313,15 +316,18 @@
     return false;
 }
 
-bool TargetExchange::isOfAnotherRequest()
+bool TargetExchange::isOwnResponse()
 {
     const std::string& name = options_.start.echoedHeader;
     if (name.empty())
-        return false;
+        return true; // Its connection has carried no other request.
     const auto isEcho = [&](const model::Header& header) { return equalsIgnoringCase(header.name, name); };
     const auto sent = std::ranges::find_if(options_.start.headers, isEcho);
     const auto echoed = std::ranges::find_if(head_.headers(), isEcho);
-    return sent != options_.start.headers.end() && echoed != head_.headers().end() && echoed->value != sent->value;
+    if (echoed == head_.headers().end())
+        return newSocket_.has_value();
+    const bool isSingle = std::ranges::none_of(std::next(echoed), head_.headers().end(), isEcho);
+    return isSingle && sent != options_.start.headers.end() && echoed->value == sent->value;
 }
 
 size_t TargetExchange::onBody(char* data, size_t size, size_t count, void* exchange)
@@ -448,6 +454,7 @@
         .mayHaveReachedTarget = hasConnected_,
         .message = std::move(message),
         .connection = connection_,
+        .hasSurplus = hasSurplus_,
         .isRefused = isRefused,
         .withheldFor = withheldFor_});
 }
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -76,8 +76,9 @@
     void updateDeadlineLine();
     [[nodiscard]] bool handleHeadLine(std::string_view line);
     [[nodiscard]] bool handleTrailerLine(std::string_view line);
-    /// True if the complete head belongs to another request: a surplus response arrived instead of the expected one.
-    [[nodiscard]] bool isOfAnotherRequest();
+    /// Whether the complete head is that of the response to this request. A response without an id is only on a
+    /// connection that has carried no other request.
+    [[nodiscard]] bool isOwnResponse();
     [[nodiscard]] size_t receiveBody(std::string_view bytes);
     [[nodiscard]] size_t readBody(char* buffer, size_t capacity);
     void emitBody(std::string_view bytes);
--- a/src/net/tests/targetclientfixture.h
+++ b/src/net/tests/targetclientfixture.h
@@ -16,6 +16,7 @@
 using namespace requests; // NOLINT(google-global-names-in-headers): test code only
 
 inline constexpr const char* Response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+inline constexpr const char* NamedResponse = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok";
 
 inline constexpr size_t UnreadBodyBytes = 32 * 1024 * 1024;
 inline constexpr int TurnsWithoutProgress = 50; ///< Loop iterations after which a transfer is considered stuck.
@@ -42,6 +43,14 @@
             .bodyLength = 0,
             .isRepeatable = isRepeatable};
     }
+    /// A request that can share a connection, since its responses name it: NamedResponse is one.
+    [[nodiscard]] TargetStart namedRequest(uint64_t dispatch, bool isRepeatable = true) const
+    {
+        TargetStart start = request(dispatch, isRepeatable);
+        start.headers.push_back({"X-Id", "1"});
+        start.echoedHeader = "X-Id";
+        return start;
+    }
     /// Accepts a connection if `socket` has none, and reads a request's head from it.
     [[nodiscard]] bool acceptRequest(RawSocket& socket)
     {
--- a/src/net/tests/targetclienttests.cpp
+++ b/src/net/tests/targetclienttests.cpp
@@ -155,19 +155,19 @@
 
 TEST_F(TargetClientTest, ResponsesWithoutBody)
 {
-    TargetStart start = request(1);
+    TargetStart start = namedRequest(1);
     start.method = "HEAD";
     client->execute(start);
     RawSocket target;
     ASSERT_TRUE(acceptRequest(target));
-    target.send("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n");
+    target.send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 99\r\n\r\n");
     ASSERT_TRUE(waitForCompletion());
     EXPECT_EQ(log.target<TargetResponseHead>().front().bodyLength, 0u);
     EXPECT_EQ(log.target<TargetResponseDone>().size(), 1u);
     target.received.clear();
-    client->execute(request(2));
+    client->execute(namedRequest(2));
     ASSERT_TRUE(acceptRequest(target));
-    target.send("HTTP/1.1 204 No\r\n\r\n");
+    target.send("HTTP/1.1 204 No\r\nX-Id: 1\r\n\r\n");
     ASSERT_TRUE(waitForCompletion(2));
     EXPECT_EQ(log.target<TargetResponseDone>().size(), 2u);
 }
--- a/src/net/tests/targetconnectiontests.cpp
+++ b/src/net/tests/targetconnectiontests.cpp
@@ -27,18 +27,18 @@
     RawSocket target;
     for (const uint64_t dispatch : {1, 2}) {
         target.received.clear();
-        client->execute(request(dispatch, true));
+        client->execute(namedRequest(dispatch, true));
         ASSERT_TRUE(acceptRequest(target));
-        target.send(Response);
+        target.send(NamedResponse);
         ASSERT_TRUE(waitForCompletion(dispatch));
     }
     EXPECT_EQ(listener.accepted, 1);
     RawSocket fresh;
-    client->execute(request(3, false));
+    client->execute(namedRequest(3, false));
     ASSERT_TRUE(acceptRequest(fresh));
     EXPECT_EQ(listener.accepted, 2);
     EXPECT_TRUE(fresh.hasReceived("Connection: close\r\n"));
-    fresh.send(Response);
+    fresh.send(NamedResponse);
     ASSERT_TRUE(waitForCompletion(3));
     EXPECT_EQ(log.target<TargetResponseDone>().size(), 3u);
     EXPECT_TRUE(runner.runUntil([&] { return fresh.isPeerDisconnected(); }));
@@ -78,17 +78,17 @@
 TEST_F(TargetConnectionTest, NewConnectionIsUsedIfRequested)
 {
     RawSocket before;
-    client->execute(request(1, true));
+    client->execute(namedRequest(1, true));
     ASSERT_TRUE(acceptRequest(before));
-    before.send(Response);
+    before.send(NamedResponse);
     ASSERT_TRUE(waitForCompletion(1));
     RawSocket now;
-    auto second = request(2, true);
+    auto second = namedRequest(2, true);
     second.needsNewConnection = true;
     client->execute(second);
     ASSERT_TRUE(acceptRequest(now));
     EXPECT_EQ(listener.accepted, 2);
-    now.send(Response);
+    now.send(NamedResponse);
     ASSERT_TRUE(waitForCompletion(2));
 }
 
@@ -101,12 +101,12 @@
     const bool isRepeatable = GetParam();
     int runs = 0;
     RawSocket target;
-    client->execute(request(1, isRepeatable));
+    client->execute(namedRequest(1, isRepeatable));
     ASSERT_TRUE(acceptRequest(target));
-    target.send(Response);
+    target.send(NamedResponse);
     ASSERT_TRUE(waitForCompletion(1));
     target.received.clear();
-    client->execute(request(2, isRepeatable));
+    client->execute(namedRequest(2, isRepeatable));
     if (!isRepeatable)
         target = RawSocket();
     ASSERT_TRUE(acceptRequest(target));
@@ -118,7 +118,7 @@
             (void)listener.accept(repeated);
         if (repeated.isOpen() && repeated.hasReceived("\r\n\r\n")) {
             ++runs;
-            repeated.send(Response);
+            repeated.send(NamedResponse);
             repeated.received.clear();
         }
         return log.target<TargetResponseDone>().size() + log.target<TargetFailed>().size() >= 2;
@@ -166,9 +166,9 @@
     RawSocket target;
     for (const uint64_t dispatch : {1, 2}) {
         target.received.clear();
-        client->execute(request(dispatch, true));
+        client->execute(namedRequest(dispatch, true));
         ASSERT_TRUE(acceptRequest(target));
-        target.send(Response);
+        target.send(NamedResponse);
         ASSERT_TRUE(waitForCompletion(dispatch));
     }
     const auto heads = log.target<TargetResponseHead>();
@@ -182,12 +182,12 @@
 TEST_F(TargetConnectionTest, RefusedReconnectAfterABrokenConnectionIsReported)
 {
     RawSocket target;
-    client->execute(request(1, true));
+    client->execute(namedRequest(1, true));
     ASSERT_TRUE(acceptRequest(target));
-    target.send(Response);
+    target.send(NamedResponse);
     ASSERT_TRUE(waitForCompletion(1));
     target.received.clear();
-    client->execute(request(2, true));
+    client->execute(namedRequest(2, true));
     ASSERT_TRUE(acceptRequest(target));
     listener.close();
     target.close();
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -110,6 +110,8 @@
     std::optional<uint64_t> bodyLength;
     bool isNewConnection = false; ///< The connection was established for this request.
     ConnectionUse connection {};
+    /// The target sent bytes on a kept connection on which no request waited for them.
+    bool hasSurplus = false;
 };
 struct TargetResponseBody {
     DispatchId dispatch;
@@ -130,6 +132,7 @@
     bool mayHaveReachedTarget = true; ///< False only if it is certain that no byte was sent.
     std::string message;
     ConnectionUse connection {};
+    bool hasSurplus = false; ///< As in TargetResponseHead.
     /// The target refused the connection: no process listens at the address. With mayHaveReachedTarget: an open
     /// connection broke and the new connection was refused.
     bool isRefused = false;
@@ -156,8 +159,11 @@
     /// Opens a new connection: existing ones may belong to a target that had the address before. The new connection may
     /// be reused later.
     bool needsNewConnection = false;
-    /// Request header that the target echoes in its response. A different value means that the response belongs to
-    /// another request; the connection is then closed. Empty: not checked.
+    /// Uses a connection that carries no other request, neither before nor after this one.
+    bool needsExclusiveConnection = false;
+    /// Request header that the target echoes in its response. Another value, or none on a connection that has carried
+    /// another request, means that the response belongs to another request; the connection is then closed. Empty: the
+    /// response does not name its request, which therefore gets an exclusive connection.
     std::string echoedHeader {};
     /// Name of the header that tells the target the time left; empty: none. Its value is replaced by the time until
     /// `deadline` when the first byte is sent.
