Gateways: targets that send surplus bytes get a connection for each request

Each second response that arrives on a kept connection while a request waits costs that request: one at most once fails, one that may be repeated is sent elsewhere.

The gateway learns from bytes that no request waited for, whether they failed a request or were found before one was sent, and uses a connection for each request to that target for 5 s, doubled up to 80 s where it recurs after a period. Requests at most once wait twice as long, so that others find out whether it has ended. Log line target_surplus, metric saltvane_surplus_responses_total.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -110,7 +110,9 @@
                   decisions_.logDecision(
                       decision, {.plan = replica_->age(now), .registry = replica_->provenAnswerAge(now)}, now);
               },
-          .onTargetAnswered = [this](bool isNewConnection, Timestamp now) { onTargetAnswered(isNewConnection, now); }})
+          .onTargetAnswered = [this](bool isNewConnection, Timestamp now) { onTargetAnswered(isNewConnection, now); },
+          .onSurplusBytes
+          = [this](const model::TargetIncarnation& target, Timestamp now) { onSurplusBytes(target, now); }})
 {
     targets_.rollouts().setShare(settings_.rolloutShare * UsedRolloutShare);
 }
@@ -361,6 +363,19 @@
         targets_.onReachableAgain(now);
 }
 
+void GatewayCore::onSurplusBytes(const model::TargetIncarnation& targetIncarnation, Timestamp now)
+{
+    counters_.add(model::Counter::SurplusResponses);
+    GatewayTarget* target = targets_.find(targetIncarnation);
+    if (target == nullptr || !target->onSurplusBytes(now) || !surplusLogBudget_.trySpend(now))
+        return;
+    LogText line("target_surplus");
+    line.add("target", target->id().value())
+        .add("service", target->record.service.value())
+        .addMilliseconds("single_use_ms", target->singleUsePeriod);
+    log(host::LogSeverity::Warning, line.text());
+}
+
 void GatewayCore::probeTargets(Timestamp now)
 {
     if (reachability_.isReachable() || now < nextProbeAt_)
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -85,6 +85,7 @@
     /// Probes targets while none is reachable, to learn when they are again.
     void probeTargets(Timestamp now);
     void onTargetAnswered(bool isNewConnection, Timestamp now);
+    void onSurplusBytes(const model::TargetIncarnation& targetIncarnation, Timestamp now);
     /// Asks a registry host which gateways may carry requests for this one.
     void requestPeers(Timestamp now);
     [[nodiscard]] Duration peerRequestInterval() const;
@@ -114,6 +115,7 @@
     LimitCredits credits_;
     DecisionLog decisions_;
     TokenBucket slowStartLineBudget_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
+    TokenBucket surplusLogBudget_ {{.perSecond = 5, .burst = 20}};
     RequestRunner runner_;
     PlanInstaller planInstaller_;
     Timestamp planProvenAt_ {}; ///< When the plan in force was last proven to be the newest.
--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -18,6 +18,8 @@
 constexpr Duration FreshLoadAge = 200ms;
 constexpr Duration FirstEjection = 250ms;
 constexpr uint32_t MaxDoublings = 4;
+constexpr Duration FirstSingleUsePeriod = 5s;
+constexpr Duration MaxSingleUsePeriod = 80s;
 /// A full target counts as loaded by its slots and a queue of twice as many requests.
 constexpr uint32_t FullLoadFactor = 3;
 
@@ -98,6 +100,16 @@
     ejectedUntil = now + FirstEjection * (1 << doublings);
 }
 
+bool GatewayTarget::onSurplusBytes(Timestamp now)
+{
+    if (now < singleUseUntil)
+        return false; // On a connection from before the period.
+    const bool hasRecurred = singleUsePeriod > Duration::zero() && now < singleUseUntil + singleUsePeriod * 2;
+    singleUsePeriod = hasRecurred ? std::min(singleUsePeriod * 2, MaxSingleUsePeriod) : FirstSingleUsePeriod;
+    singleUseUntil = now + singleUsePeriod;
+    return true;
+}
+
 void GatewayTarget::updateLoad(std::string_view text, Timestamp now)
 {
     uint32_t running = 0;
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -66,6 +66,9 @@
     Timestamp ejectedUntil;
     Timestamp failedAt; ///< Time of the last failure.
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
+    /// Its connections carry one request each until then, since it sent bytes that no request waited for.
+    Timestamp singleUseUntil;
+    Duration singleUsePeriod {};
     SendPace slowStartPace; ///< During its slow start, if this gateway is the one that may use it.
     SendPace unconfirmedPace; ///< While the registry's information is not current.
 
@@ -112,6 +115,15 @@
     void onResponseBroken(Timestamp now);
     /// The target lost the connection or did not answer in time. `isCertain`: it can't be reached at all.
     void onFailure(Timestamp now, bool isCertain);
+    /// It sent bytes on a connection on which no request waited for them: the next response there can't be relied on.
+    /// Returns whether a period in which its connections carry one request each begins.
+    bool onSurplusBytes(Timestamp now);
+    /// Whether a request must have a connection of its own. Repeatable requests are the first to share connections
+    /// again: one that gets a surplus response can be sent elsewhere.
+    [[nodiscard]] bool needsExclusiveConnection(bool isRepeatable, Timestamp now) const
+    {
+        return now < singleUseUntil + (isRepeatable ? Duration::zero() : singleUsePeriod);
+    }
     /// Ejects it for longer with each consecutive failure.
     void eject(uint32_t consecutiveFailures, Timestamp now);
     /// Parses the load header "running,waiting,slots"; malformed values are ignored.
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -230,7 +230,8 @@
     scheduleCheck(
         exchange, std::min(exchange.stalledAt, slowResponseAt(exchange, target, service).value_or(exchange.stalledAt)));
 
-    const Duration idleLimit = exchange.route.kind == model::RouteKind::AtMostOnce ? MaxIdleForAtMostOnce : MaxIdle;
+    const bool isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce;
+    const Duration idleLimit = isRepeatable ? MaxIdle : MaxIdleForAtMostOnce;
     const Duration addressAge = now - target.addressSince;
     std::vector<model::Header> headers = exchange.headers;
     headers.push_back({.name = options_.headers.deadline, .value = millisecondsText(exchange.deadline - now)});
@@ -242,9 +243,10 @@
         .path = exchange.path,
         .headers = std::move(headers),
         .bodyLength = exchange.body.size(),
-        .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce,
+        .isRepeatable = isRepeatable,
         .maxReuseIdleTime = std::min(idleLimit, std::max(addressAge - IdlePrecision, IdlePrecision)),
         .needsNewConnection = addressAge < IdlePrecision * 2,
+        .needsExclusiveConnection = target.needsExclusiveConnection(isRepeatable, now),
         .echoedHeader = options_.headers.requestId,
         .deadlineHeader = options_.headers.deadline,
         .deadline = exchange.deadline,
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -72,6 +72,8 @@
         std::function<void(const Decision&, Timestamp)> onDecided;
         /// A target answered something.
         std::function<void(bool isNewConnection, Timestamp)> onTargetAnswered;
+        /// A target or, with an empty id, a peer sent bytes that no request waited for.
+        std::function<void(const model::TargetIncarnation&, Timestamp)> onSurplusBytes;
     };
     explicit RequestRunner(Options options);
 
--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -62,6 +62,7 @@
     LimitedDispatches, ///< Requests sent to targets whose answers name a limit.
     SlowStartDispatches, ///< Requests sent to targets in their slow start.
     UnconfirmedDispatches, ///< Requests sent to targets while the registry's information was not current.
+    SurplusResponses, ///< Times that a target sent bytes that no request waited for.
     UnacknowledgedCloses, ///< Connections to targets that were closed with unacknowledged bytes of a request.
     Count
 };
--- a/src/model/internal/counters.cpp
+++ b/src/model/internal/counters.cpp
@@ -59,6 +59,8 @@
     {.name = "saltvane_slow_start_dispatches_total", .help = "Requests sent to targets in their slow start."},
     {.name = "saltvane_unconfirmed_dispatches_total",
         .help = "Requests sent to targets while the registry's information was not current."},
+    {.name = "saltvane_surplus_responses_total",
+        .help = "Times that a target sent bytes on a kept connection on which no request waited for them."},
     {.name = "saltvane_unacknowledged_closes_total",
         .help = "Connections to targets that were closed with unacknowledged bytes of a request."},
 }};
