Planned stop: a gateway takes only requests that can end in time

Cause: whether a stopping gateway takes a request was decided by the time since the stop was requested alone: for 1.5 look-up TTLs, at most until 0.5 s before stop_time_limit_s. With a TTL of 3 s and more it took requests that its end cut off. Ruled out: closed connections or the stop itself as the cause, since targets ran on and nothing was lost at TTLs of 1 and 2 s.

What a request needs decides now: 1.5 times the slowest recent response of its route, at least the objective, at most its deadline. It is checked on arrival, when it is dispatched (bodies and credits may come later) and right before its first byte. What doesn't fit is refused as 'stopping' with Retry-After; the rest is taken as before.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -343,7 +343,7 @@
         return;
     stopRequestedAt_ = now;
     log(host::LogSeverity::Info, "event=stopping in_flight=" + std::to_string(runner_.inFlight()));
-    runner_.startLeaving();
+    runner_.startLeaving(now + settings_.limits.stopTimeLimit - StopReserve);
     updateState();
 }
 
--- a/src/gateway/internal/requestcompletion.cpp
+++ b/src/gateway/internal/requestcompletion.cpp
@@ -87,13 +87,13 @@
         .bytes = std::move(text)};
     if (isNotRun)
         response.headers.push_back({.name = std::string(requests::RetryAfterHeader),
-            .value = secondsText(isLeaving_ ? StoppingRetryAfter : retryAfter)});
+            .value = secondsText(stopAt_ ? StoppingRetryAfter : retryAfter)});
     respond(std::move(response), isConnectionClosed);
 }
 
 void RequestRunner::respond(requests::HttpRespond response, bool isConnectionClosed)
 {
-    if (isLeaving_ || isConnectionClosed)
+    if (stopAt_ || isConnectionClosed)
         response.headers.push_back({.name = "Connection", .value = "close"});
     pendingResponses_.insert(response.handle);
     actions_.emplace_back(std::move(response));
--- a/src/gateway/internal/requestcredits.cpp
+++ b/src/gateway/internal/requestcredits.cpp
@@ -93,7 +93,8 @@
     if (result.reason == model::Reason::None) {
         const model::RoutedService* service = routes_->plan().findService(exchange.service);
         const bool isUsable = target != nullptr && service != nullptr && !options_.isRegistryLate(now)
-            && options_.reachability.isReachable() && options_.targets.isUsable(*target, *service, now);
+            && canCompleteBeforeStop(exchange, now) && options_.reachability.isReachable()
+            && options_.targets.isUsable(*target, *service, now);
         if (isUsable)
             return send(exchange,
                 {.target = target,
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -138,6 +138,9 @@
         return refuseOnArrival(
             request, route, {.reason = model::Reason::LinkLimitReached, .retryAfter = DefaultRetryAfter}, now);
     std::unique_ptr<Exchange> newExchange = makeExchange(request, *route, std::move(origin), now);
+    if (!canCompleteBeforeStop(*newExchange, now))
+        return refuseOnArrival(
+            request, route, {.reason = model::Reason::Stopping, .retryAfter = StoppingRetryAfter}, now);
     newExchange->isInLinkBudget = isLarge;
     if (isLarge)
         options_.link.recordStart();
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -165,6 +165,8 @@
 {
     if (options_.isRegistryLate(now))
         return refuse(exchange, model::Reason::StaleState, NotReadyRetryAfter, now);
+    if (!canCompleteBeforeStop(exchange, now))
+        return refuse(exchange, model::Reason::Stopping, StoppingRetryAfter, now);
     if (const std::optional<Duration> wait = options_.quarantine.retryDelay(exchange.digest, now))
         return refuse(exchange, model::Reason::RequestQuarantined, *wait, now);
     if (!options_.reachability.isReachable())
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -89,8 +89,9 @@
     /// Whether a newer plan may be in force. Callers treat "no such route" as final, so a request whose route may exist
     /// in the newer plan only is asked to come back instead.
     void setPlanUncertain(bool isUncertain) { isPlanUncertain_ = isUncertain; }
-    /// From now on every response asks the caller to close its connection.
-    void startLeaving() { isLeaving_ = true; }
+    /// From now on every response asks the caller to close its connection, and requests that need longer than until
+    /// `stopAt` are refused.
+    void startLeaving(Timestamp stopAt) { stopAt_ = stopAt; }
     /// From now on new requests are refused, so that those in progress can complete before the process stops.
     void startRefusing() { isRefusing_ = true; }
 
@@ -160,6 +161,10 @@
     void startComparison(Exchange& exchange, const GatewayTarget& target, Timestamp now);
     /// Counts the answer for the rollout of its service. `time`: its processing time; no value: it failed.
     void recordAnswer(Exchange& exchange, std::optional<Duration> time);
+    /// Whether a request that is dispatched now can be expected to complete before this gateway stops.
+    [[nodiscard]] bool canCompleteBeforeStop(const Exchange& exchange, Timestamp now) const;
+    /// Until its response is complete, or its deadline.
+    [[nodiscard]] Duration timeNeeded(const Exchange& exchange, Timestamp now) const;
     /// Why a request that was dispatched must not be sent any more, or None.
     [[nodiscard]] model::Reason reasonToWithhold(const Exchange& exchange, Timestamp now) const;
     /// The request was withheld: no byte of it was sent to the selected target.
@@ -248,7 +253,7 @@
     std::unordered_set<requests::HttpHandle> pendingResponses_;
     uint64_t lastDispatch_ = 0;
     bool isPlanUncertain_ = false;
-    bool isLeaving_ = false;
+    std::optional<Timestamp> stopAt_; ///< When requests in flight are ended; set once the gateway is asked to stop.
     bool isRefusing_ = false;
     bool mustLeaveTargets_ = false; ///< An event showed that no target is reachable.
     std::vector<requests::Action> actions_;
--- a/src/gateway/internal/requestwithholding.cpp
+++ b/src/gateway/internal/requestwithholding.cpp
@@ -26,6 +26,8 @@
         return model::Reason::DeadlineExceeded;
     if (options_.isRegistryLate(now))
         return model::Reason::StaleState;
+    if (!canCompleteBeforeStop(exchange, now))
+        return model::Reason::Stopping;
     if (!exchange.wasBlamed && options_.quarantine.isBlamed(exchange.digest))
         return model::Reason::RequestQuarantined;
     if (exchange.isAtPeer)
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -44,6 +44,7 @@
     settings.leaveLimit = options.leaveLimit;
     settings.planLimit = options.planLimit;
     settings.rolloutShare = options.rolloutShare;
+    settings.lookUpTtl = options.lookUpTtl;
     if (options.isFirstSeedDown)
         settings.seeds.insert(settings.seeds.begin(), {.ip = "10.0.0.8", .port = 7000});
     gateway_ = makeGateway({.settings = settings, .incarnation = {1}});
@@ -173,6 +174,14 @@
 }
 
 requests::HttpHandle GatewayFixture::request(const CallerRequest& caller)
+{
+    const requests::HttpHandle handle = sendRequestHead(caller);
+    if (!caller.body.empty())
+        sendRequestBody(handle, caller.body);
+    return handle;
+}
+
+requests::HttpHandle GatewayFixture::sendRequestHead(const CallerRequest& caller)
 {
     const requests::HttpHandle handle {++lastHandle_};
     std::vector<model::Header> headers {{.name = "Host", .value = caller.host},
@@ -184,12 +193,14 @@
         .path = caller.path,
         .headers = std::move(headers),
         .bodyLength = caller.body.size()}));
-    if (!caller.body.empty())
-        this->handle(
-            requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = caller.body, .isLast = true}));
     return handle;
 }
 
+void GatewayFixture::sendRequestBody(requests::HttpHandle handle, const std::string& body)
+{
+    this->handle(requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = body, .isLast = true}));
+}
+
 void GatewayFixture::abort(requests::HttpHandle handle)
 {
     this->handle(requests::HttpEvent(requests::HttpRequestAborted {.handle = handle}));
@@ -226,6 +237,11 @@
         requests::TargetResponseBody {.dispatch = start.dispatch, .bytes = std::string(bytes, 'x')}));
 }
 
+void GatewayFixture::endResponse(const requests::TargetStart& start)
+{
+    handle(requests::TargetEvent(requests::TargetResponseDone {.dispatch = start.dispatch}));
+}
+
 void GatewayFixture::readResponse(requests::HttpHandle caller, size_t bytes)
 {
     handle(requests::HttpEvent(requests::HttpResponseProgress {.handle = caller, .bytes = bytes}));
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -27,6 +27,7 @@
         Duration leaveLimit = 2500ms;
         Duration planLimit = 2500ms;
         double rolloutShare = 0.05;
+        Duration lookUpTtl = 2s;
         bool isFirstSeedDown = false; ///< Adds a seed before `Registry` that sends nothing.
     };
     GatewayFixture();
@@ -54,6 +55,9 @@
         std::vector<model::Header> extraHeaders;
     };
     requests::HttpHandle request(const CallerRequest& caller);
+    /// The same without its body, which sendRequestBody() sends.
+    requests::HttpHandle sendRequestHead(const CallerRequest& caller);
+    void sendRequestBody(requests::HttpHandle handle, const std::string& body);
     void abort(requests::HttpHandle handle);
     /// The caller has received the whole response.
     void deliverResponse(requests::HttpHandle handle);
@@ -67,6 +71,7 @@
     /// The first parts of a response whose length is not stated.
     void sendHead(const requests::TargetStart& start, const std::string& id);
     void sendBody(const requests::TargetStart& start, size_t bytes);
+    void endResponse(const requests::TargetStart& start);
     /// The caller has read some bytes of its response.
     void readResponse(requests::HttpHandle handle, size_t bytes);
     void fail(const requests::TargetStart& start, bool mayHaveReachedTarget);
