Forwarding: errors of peers count only if they name the request

What callers would see: a 503 "not run" for a request at most once that a peer runs, or such a request sent to a second peer while the first one runs it.

Cause: a response with the reason header was taken for the peer's own error before its id was looked at, and gateways left the id out of their errors. So an error that answered an earlier request on the kept connection, or that named none, counted for whichever forwarded request waited there.

Gateways' errors now carry the request's id. To all callers, not to gateways only: a gateway that has no plan yet or is stopping refuses before it reads who sent the request, and callers that keep connections can check the id as well. The id is required in responses of peers, errors included; what comes without it, or with another one, counts as a peer that was lost: its connection is closed, the peer rests, the request may have run. Gateways of the version before send no id: their errors count where the connection was opened for the request, since nothing else was ever sent on it.

Ruled out: the id as a condition for successes only (the status of an error decides "not run"); a new connection for each forwarded request (a price for all, to cover an upgrade).

Evidence: on the code before, ErrorsOfPeersCountOnlyIfTheyNameTheRequest fails (a second peer gets the request at most once, its caller no answer) and OwnErrorsNameTheRequest fails (no id in errors 404, 502, 503). ErrorsOfOldPeersCountOnNewConnections and ResponsesThatALostPeerBeganAreNotWhole held before.

Conclusion: fixed for gateways. The HTTP server's own refusals (431, 413, 503 beyond the limit of connections) still carry no id and close their connection.

--- a/src/gateway/internal/requestcompletion.cpp
+++ b/src/gateway/internal/requestcompletion.cpp
@@ -34,7 +34,7 @@
     options_.counters.add(model::Counter::RequestsUnknown);
     options_.counters.addUnknown(reason);
     const int status = model::httpStatus(model::Outcome::Unknown, reason);
-    respondWithError(exchange.handle, status, reason, Duration::zero());
+    respondWithError(exchange, status, reason, Duration::zero());
     finish(
         exchange, {.exchange = exchange, .outcome = model::Outcome::Unknown, .reason = reason, .status = status}, now);
 }
@@ -43,7 +43,7 @@
 {
     if (exchange.mayHaveRun) // No target accepted the retry; the first attempt may have been run.
         return fail(exchange, exchange.lastReason, now);
-    respondWithError(exchange.handle, 0, reason, retryAfter, true);
+    respondWithError(exchange, 0, reason, retryAfter, true);
     finish(exchange,
         {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = reason, .status = notRunStatus(reason)},
         now);
@@ -64,12 +64,11 @@
         {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = refusal.reason, .status = status}, now);
     // While the body is still arriving, closing could reset the connection before the caller reads the response.
     const bool isWhole = request.bodyLength == 0;
-    respondWithError(
-        request.handle, refusal.status, refusal.reason, refusal.retryAfter, refusal.status == 0 && isWhole);
+    respondWithError(exchange, refusal.status, refusal.reason, refusal.retryAfter, refusal.status == 0 && isWhole);
 }
 
 void RequestRunner::respondWithError(
-    requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter, bool isConnectionClosed)
+    const Exchange& exchange, int status, model::Reason reason, Duration retryAfter, bool isConnectionClosed)
 {
     const bool isNotRun = status == 0;
     if (isNotRun) {
@@ -79,12 +78,15 @@
     }
     std::string text = std::string(model::toString(reason)) + "\n";
     const uint64_t length = text.size();
-    requests::HttpRespond response {.handle = handle,
+    requests::HttpRespond response {.handle = exchange.handle,
         .status = status,
         .headers = {{.name = "Content-Type", .value = "text/plain; charset=utf-8"},
             {.name = std::string(requests::ReasonHeader), .value = std::string(model::toString(reason))}},
         .bodyLength = length,
         .bytes = std::move(text)};
+    // Senders keep connections for many requests: by the id they can tell that the response belongs to this one.
+    if (!exchange.id.isEmpty())
+        response.headers.push_back({.name = options_.headers.requestId, .value = exchange.id.value()});
     if (isNotRun)
         response.headers.push_back({.name = std::string(requests::RetryAfterHeader),
             .value = secondsText(isLeaving_ ? StoppingRetryAfter : retryAfter)});
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -135,19 +135,20 @@
 
 void RequestRunner::onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
 {
-    if (Peer* peer = options_.peers.find(exchange.peer))
-        peer->answeredAt = now;
     const std::string_view reasonText = requests::firstFieldValue(head.headers, requests::ReasonHeader);
-    if (!reasonText.empty())
-        return onPeerError(head, model::reasonFrom(reasonText).value_or(model::Reason::PeerLost), exchange, now);
+    const bool isError = !reasonText.empty();
     const std::string_view id = requests::firstFieldValue(head.headers, options_.headers.requestId);
-    if (id != exchange.id.value()) {
-        actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
-        exchange.recordPossibleRun();
+    // Gateways of the version before leave the id out of their errors. On a connection that carried no earlier request
+    // there is no other request that such an error could belong to.
+    const bool isUnnamedError = isError && id.empty() && head.isNewConnection;
+    if (id != exchange.id.value() && !isUnnamedError) {
         exchange.lastFailure = "answer of another request";
-        releaseTarget(exchange);
-        return fail(exchange, model::Reason::PeerLost, now);
+        return onPeerLost(exchange, now);
     }
+    if (Peer* peer = options_.peers.find(exchange.peer))
+        peer->answeredAt = now;
+    if (isError)
+        return onPeerError(head, model::reasonFrom(reasonText).value_or(model::Reason::PeerLost), exchange, now);
     exchange.timeToHead = now - exchange.sentAt;
     options_.latencies.add(exchange.route.kind, Stage::Target, exchange.timeToHead);
     checks_.erase({exchange.nextCheckAt, exchange.handle});
@@ -174,21 +175,28 @@
 
 void RequestRunner::onPeerFailed(requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
 {
+    exchange.lastFailure = std::move(failed.message);
+    if (!exchange.isResponseStarted && failed.mayHaveReachedTarget)
+        return onPeerLost(exchange, now);
     if (Peer* peer = options_.peers.find(exchange.peer))
         peer->unavailableUntil = now + PeerSet::FailureBackoff;
-    exchange.lastFailure = std::move(failed.message);
     if (exchange.isResponseStarted) {
         abort(exchange);
         options_.counters.add(model::Counter::BrokenBodies);
         return finish(exchange, {.exchange = exchange, .reason = model::Reason::PeerLost}, now);
     }
+    releaseTarget(exchange);
+    forward(exchange, now);
+}
+
+void RequestRunner::onPeerLost(Exchange& exchange, Timestamp now)
+{
+    if (Peer* peer = options_.peers.find(exchange.peer))
+        peer->unavailableUntil = now + PeerSet::FailureBackoff;
     exchange.response = {};
-    if (!failed.mayHaveReachedTarget) {
-        releaseTarget(exchange);
-        return forward(exchange, now);
-    }
     if (tryForwardAgain(exchange, model::Reason::PeerLost, now))
         return;
+    actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
     exchange.recordPossibleRun();
     releaseTarget(exchange);
     fail(exchange, model::Reason::PeerLost, now);
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -161,7 +161,7 @@
     exchange->body += body.bytes;
     exchange->hasher->addBody(body.bytes);
     if (exchange->body.size() > routes_->plan().limits.bodyBytes) {
-        respondWithError(body.handle, StatusTooLarge, model::Reason::BodyTooLarge, Duration::zero());
+        respondWithError(*exchange, StatusTooLarge, model::Reason::BodyTooLarge, Duration::zero());
         return erase(*exchange);
     }
     if (!body.isLast) {
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -182,6 +182,8 @@
     /// The peer responded with an error of its own.
     void onPeerError(const requests::TargetResponseHead& head, model::Reason reason, Exchange& exchange, Timestamp now);
     void onPeerFailed(requests::TargetFailed& failed, Exchange& exchange, Timestamp now);
+    /// No response of the peer will arrive, and it may have run the request.
+    void onPeerLost(Exchange& exchange, Timestamp now);
     void checkPeerStalled(Exchange& exchange, Timestamp now);
     /// The present dispatch may have been run: abandons it and forwards the request to another peer, if it may run
     /// again and a retry is left.
@@ -228,7 +230,7 @@
         const EarlyRefusal& refusal, Timestamp now);
     /// Callers send a refused request again on a new connection. Closing the old one keeps a gateway's connections and
     /// memory at what its callers use.
-    void respondWithError(requests::HttpHandle handle, int status, model::Reason reason, Duration retryAfter,
+    void respondWithError(const Exchange& exchange, int status, model::Reason reason, Duration retryAfter,
         bool isConnectionClosed = false);
     void respond(requests::HttpRespond response, bool isConnectionClosed = false);
     void abort(const Exchange& exchange);
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -76,15 +76,35 @@
         EXPECT_EQ(starts.size(), 1U);
         return starts.empty() ? requests::TargetStart {} : starts.front();
     }
-    /// The peer refuses the request itself.
-    void answerAsPeer(const requests::TargetStart& start, int status, const std::string& reason)
+    /// The peer refuses a request itself: the one that it was sent, unless `id` names another one.
+    void answerAsPeer(const requests::TargetStart& start, int status, const std::string& reason,
+        const std::optional<std::string>& id = std::nullopt)
     {
         answer(start,
             {.status = status,
-                .id = "",
+                .id = id.value_or(header(start.headers, "Saltvane-Request-Id")),
                 .extraHeaders
                 = {{.name = "Saltvane-Reason", .value = reason}, {.name = "Retry-After", .value = "1.5"}}});
     }
+    /// Peers rest after a failure. Drops what the requests of isolate() cause meanwhile.
+    void awaitPeers()
+    {
+        advance(2s);
+        (void)takeStarts();
+        (void)takeCancels();
+        while (takeResponse()) { }
+    }
+    /// A peer of the version before, which leaves out the id, refuses the first request on a connection.
+    void refuseAsOldPeerOnNewConnection(const requests::TargetStart& start)
+    {
+        gateway_->handle(requests::TargetEvent(requests::TargetResponseHead {.dispatch = start.dispatch,
+                             .status = 503,
+                             .headers = {{.name = "Saltvane-Reason", .value = "no-room"}},
+                             .bodyLength = 0,
+                             .isNewConnection = true}),
+            now_);
+        advance(20ms);
+    }
     /// The request as another gateway would receive it.
     static CallerRequest receivedAt(const requests::TargetStart& start)
     {
@@ -262,6 +282,73 @@
     EXPECT_EQ(response->status, 502);
 }
 
+// Guards against callers that are told that a request was not run while it runs: an error that answers an earlier
+// request on the connection to the peer, or names none, counted for the request that waits there.
+TEST_F(ForwardingTest, ErrorsOfPeersCountOnlyIfTheyNameTheRequest)
+{
+    isolate();
+    earnRetries();
+    for (const std::string_view id : {"", "earlier"}) {
+        awaitPeers();
+        request({.method = "POST", .path = "/write/1", .id = "once", .body = "pay"});
+        answerAsPeer(onlyStart(), 503, "no-target", std::string(id));
+        EXPECT_TRUE(takeStarts().empty()) << id;
+        EXPECT_EQ(takeCancels(), 1U) << id;
+        const auto response = takeResponse();
+        ASSERT_TRUE(response) << id;
+        EXPECT_EQ(response->status, 502) << id;
+        EXPECT_EQ(header(response->headers, "Saltvane-Reason"), "peer-lost") << id;
+    }
+    awaitPeers();
+    request({.id = "again"});
+    const requests::TargetStart first = onlyStart();
+    answerAsPeer(first, 503, "no-room", "earlier");
+    const requests::TargetStart second = onlyStart();
+    EXPECT_NE(second.address, first.address);
+    answer(second, {.id = "again"});
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+}
+
+// Guards against errors of gateways that another gateway can't assign to the request that it forwarded.
+TEST_F(ForwardingTest, OwnErrorsNameTheRequest)
+{
+    const auto expectNamed = [&](const std::string& id, int status) {
+        const auto response = takeResponse();
+        ASSERT_TRUE(response) << id;
+        EXPECT_EQ(response->status, status) << id;
+        EXPECT_EQ(header(response->headers, "Saltvane-Request-Id"), id);
+    };
+    request({.path = "/none/1", .id = "no-route"});
+    expectNamed("no-route", 404);
+    request({.method = "POST", .path = "/write/1", .id = "broken", .body = "pay"});
+    fail(onlyStart(), true);
+    expectNamed("broken", 502);
+    isolate();
+    request({.id = "isolated"});
+    request(receivedAt(onlyStart()));
+    expectNamed("isolated", 503);
+    requestStop();
+    advance(6s);
+    while (takeResponse()) { }
+    request({.id = "stopping"});
+    expectNamed("stopping", 503);
+}
+
+// Guards against callers that are told "unknown" where a peer of the version before refused their request, while
+// gateways are upgraded one after the other.
+TEST_F(ForwardingTest, ErrorsOfOldPeersCountOnNewConnections)
+{
+    isolate();
+    request({.method = "POST", .path = "/write/1", .id = "once", .body = "pay"});
+    refuseAsOldPeerOnNewConnection(onlyStart());
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_EQ(header(response->headers, "Saltvane-Reason"), "no-room");
+}
+
 // Guards against requests that run twice, or are reported as not run, when the peer that carries them is lost.
 TEST_F(ForwardingTest, OnlyRepeatableRequestsOutliveALostPeer)
 {
@@ -286,6 +373,40 @@
     EXPECT_EQ(attemptsOf(second), "1;");
 }
 
+// Guards against callers that take a response for whole though the peer that carries it was lost within it.
+TEST_F(ForwardingTest, ResponsesThatALostPeerBeganAreNotWhole)
+{
+    constexpr size_t BufferedBytes = 100;
+    constexpr size_t StreamedBytes = 20000;
+    isolate();
+    request({.method = "POST", .path = "/write/1", .id = "once", .body = "pay"});
+    const requests::TargetStart buffered = onlyStart();
+    sendHead(buffered, "once");
+    sendBody(buffered, BufferedBytes);
+    fail(buffered, true);
+    auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+
+    awaitPeers();
+    const requests::HttpHandle handle = request({.method = "POST", .path = "/write/1", .id = "twice", .body = "pay"});
+    const requests::TargetStart streamed = onlyStart();
+    sendHead(streamed, "twice");
+    sendBody(streamed, StreamedBytes);
+    response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_FALSE(response->isLast);
+    gateway_->handle(
+        requests::TargetEvent(requests::TargetFailed {.dispatch = streamed.dispatch, .message = "closed"}), now_);
+    bool isAborted = false;
+    for (const host::Action& action : gateway_->drainActions()) {
+        const auto* const request = std::get_if<requests::Action>(&action);
+        const auto* const abort = request == nullptr ? nullptr : std::get_if<requests::HttpAbort>(request);
+        isAborted = isAborted || (abort != nullptr && abort->handle == handle);
+    }
+    EXPECT_TRUE(isAborted);
+}
+
 // Guards against peers that go on with requests whose callers have left.
 TEST_F(ForwardingTest, TheCallersCloseCancelsTheDispatchToThePeer)
 {
