HTTP server: a response that ends with its head waits until it is known to be complete

What callers would see: a whole answer to HEAD, or a 204, 304 or empty 200, although its source broke off.

Cause: the server passed on the head of a streamed response as soon as it was there. Where the head is the whole response, an abort came after its end and could not be seen any more.

Ruled out by the other tests of the file, which held before: actions for an ended exchange, bodies of refused requests read as the next request, requests after an aborted or last response on the same connection, and requests cut at any byte.

Conclusion: the server no longer relies on its callers for this.

--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -95,10 +95,9 @@
     bodyTotal_ += bytes.size();
     if (response_->bodyLength && bodyTotal_ > *response_->bodyLength)
         return false;
-    if (hasNoBody())
-        return true;
-    unsentBody_.append(bytes);
     isBodyComplete_ = isBodyComplete_ || isLast;
+    if (!hasNoBody())
+        unsentBody_.append(bytes);
     return true;
 }
 
--- a/src/net/internal/httpexchange.h
+++ b/src/net/internal/httpexchange.h
@@ -49,6 +49,9 @@
     /// Stores the response until the handler can queue it. False: the exchange already has a response.
     [[nodiscard]] bool setResponse(requests::HttpRespond response);
     [[nodiscard]] bool hasResponse() const { return response_.has_value(); }
+    /// Whether the response can be queued. One that ends with its head waits until it is known to be complete: the
+    /// caller could not see that it was aborted.
+    [[nodiscard]] bool isResponseReady() const { return hasResponse() && (isBodyComplete_ || !endsWithHead()); }
     [[nodiscard]] bool isResponseQueued() const { return isResponseQueued_; }
     /// Passes the response to libmicrohttpd. False: it was rejected and the connection must be closed.
     [[nodiscard]] bool queueResponse();
@@ -72,6 +75,7 @@
     [[nodiscard]] MHD_Response* makeResponse();
     [[nodiscard]] std::optional<uint64_t> declaredLength() const;
     [[nodiscard]] bool hasNoBody() const;
+    [[nodiscard]] bool endsWithHead() const { return hasNoBody() || response_->bodyLength == 0; }
     void addHeaders(MHD_Response* response) const;
     [[nodiscard]] ssize_t readBody(char* buffer, size_t capacity);
     static ssize_t readBodyCallback(void* exchange, uint64_t position, char* buffer, size_t capacity);
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -184,7 +184,7 @@
         return;
     if (!exchange->hasResponse() || !exchange->addResponseBody(action.bytes, action.isLast))
         return abort(*exchange);
-    if (exchange->isResponseQueued())
+    if (exchange->isResponseReady())
         resume(*exchange);
 }
 
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -108,7 +108,7 @@
     emitStarted(exchange);
     // A caller that waits for "100 Continue" is refused before it sends its body. Any other caller sends the body
     // anyway: it is read to its end, because closing early would reset the connection and could lose the response.
-    const bool isRefusedEarly = exchange.framing.expectsContinue && exchange.hasResponse();
+    const bool isRefusedEarly = exchange.framing.expectsContinue && exchange.isResponseReady();
     if (isRefusedEarly && !exchange.isAborted())
         return exchange.queueResponse() ? MHD_YES : MHD_NO;
     return MHD_YES;
@@ -214,7 +214,7 @@
     }
     if (exchange.isAborted())
         return MHD_NO;
-    if (exchange.hasResponse()) {
+    if (exchange.isResponseReady()) {
         const bool isQueued = exchange.queueResponse();
         if (!isQueued)
             reportAborted(exchange);
