Registry hosts keep consecutive failures of a request on the disk before the verdict

Cause: the soft state held verdicts only. Where all hosts lose their power after a request's second failure, both are forgotten, and it takes three more for a verdict; the rate of failures that a restarted gateway measures can ask for a fourth.

Change: requests with two or more failures in a row and no verdict, the latest 256, are in the soft state as well, written within 300 ms (verdicts: 100 ms as before). Recalled failures merge as reported ones do. A file of an earlier version is read as before, and an earlier version reads the new one. Single failures are still forgotten: when many targets fail at once there are thousands of them.

Ruled out: a verdict that is lost within the time of its write; no verdict had been reached when the hosts were killed. What remains: a failure that no registry host had written within 300 ms, and single ones. A host that was down for long recalls failures as if they were recent, as it does verdicts.

--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -65,7 +65,7 @@
 /// State that a host restores at its next start. Losing it is safe: no guarantee depends on it.
 struct SoftState {
     model::TargetReport targets; ///< Targets that reported to this host.
-    model::SuspectReport suspects; ///< Requests that are blamed for failures of targets.
+    model::SuspectReport suspects; ///< Requests that are, or may soon be, blamed for failures of targets.
 };
 /// Writes the soft state to the data folder.
 struct SoftStateWrite {
--- a/src/membership/internal/suspecttable.cpp
+++ b/src/membership/internal/suspecttable.cpp
@@ -348,6 +348,17 @@
     return updates;
 }
 
+std::vector<model::SuspectRequest> SuspectTable::unconfirmed(size_t limit, Timestamp now) const
+{
+    std::vector<model::SuspectRequest> updates;
+    for (auto entry = repeatedFailures_.rbegin(); entry != repeatedFailures_.rend() && updates.size() < limit;
+         ++entry) {
+        if (!entry->isBlamed && consecutiveFailures(*entry) > 1)
+            updates.push_back(updateFor(*entry, now));
+    }
+    return updates;
+}
+
 size_t SuspectTable::blamedCount() const
 {
     return static_cast<size_t>(
--- a/src/membership/suspecttable.h
+++ b/src/membership/suspecttable.h
@@ -70,6 +70,8 @@
     [[nodiscard]] std::optional<model::SuspectRequest> updateFor(
         const model::RequestDigest& digest, Timestamp now) const;
     [[nodiscard]] std::vector<model::SuspectRequest> blamed(Timestamp now) const;
+    /// Requests with consecutive failures that are not blamed yet: at most `limit`, the latest ones first.
+    [[nodiscard]] std::vector<model::SuspectRequest> unconfirmed(size_t limit, Timestamp now) const;
     [[nodiscard]] size_t size() const { return entries_.size(); }
     [[nodiscard]] size_t blamedCount() const;
     /// Returns the requests cleared since the last call because other requests were blamed for their failures. The
--- a/src/registry/internal/registrycore.cpp
+++ b/src/registry/internal/registrycore.cpp
@@ -91,7 +91,7 @@
     , rollouts_(rollout::makeRolloutController())
     , recalledOrdersPosition_(options.softState.targets.orders)
     , recalled_(options.softState.targets.targets)
-    , recalledVerdicts_(options.softState.suspects.requests)
+    , recalledSuspects_(options.softState.suspects.requests)
 {
 }
 
@@ -114,7 +114,7 @@
     logLeaderChange(now);
     logGroupChange();
     distribute(now);
-    recallVerdicts(now);
+    recallSuspects(now);
     reportTargets(now);
     writeSoftState(now);
     reportLoads(now);
@@ -239,7 +239,7 @@
     loadSyncedGateways_.erase(up.host);
     roster_->onLinkUp(up.host, up.incarnation);
     replica_->onLinkUp(up.host, up.incarnation);
-    recallVerdicts(now);
+    recallSuspects(now);
     sendVerdicts(up.host, now);
     sendLimits(up.host, now);
 }
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -124,8 +124,10 @@
     /// Once the log is proven current: lets recalled targets be reported, except where an order contradicts them.
     void releaseRecalled(Timestamp now);
     void recallTargets(Timestamp now);
-    void recallVerdicts(Timestamp now);
+    void recallSuspects(Timestamp now);
     [[nodiscard]] LogPosition settledOrdersPosition(Timestamp now) const;
+    /// Time between writes of the soft state.
+    [[nodiscard]] Duration softStateInterval() const;
     void writeSoftState(Timestamp now);
     void reportLoads(Timestamp now);
     /// Forwards new information about requests under which targets fail.
@@ -208,12 +210,14 @@
     host::RoutedLinks links_;
     LogPosition recalledOrdersPosition_; ///< Of the settled orders when the soft state was written.
     std::vector<model::TargetRecord> recalled_; ///< Soft state of the previous run, until it is applied.
-    std::vector<model::SuspectRequest> recalledVerdicts_; ///< Likewise.
+    std::vector<model::SuspectRequest> recalledSuspects_; ///< Likewise.
     bool isRecallReleased_ = false;
-    /// Versions of targets, orders, settled orders and verdicts that writeSoftState() last considered.
-    std::tuple<uint64_t, LogPosition, LogPosition, uint64_t> softStateVersion_;
+    /// Versions of targets, orders, settled orders, verdicts and unconfirmed suspects that writeSoftState() last
+    /// considered.
+    std::tuple<uint64_t, LogPosition, LogPosition, uint64_t, uint64_t> softStateVersion_;
     uint64_t writtenSoftStateHash_ = 0; ///< 0: nothing written in this run.
     uint64_t writtenVerdictChanges_ = 0; ///< Verdicts of which writeSoftState() has considered the changes.
+    uint64_t writtenUnconfirmedChanges_ = 0; ///< Likewise of unconfirmed suspects.
     Timestamp softStateCheckedAt_ {};
     std::vector<host::Action> actions_;
     std::optional<Timestamp> stopAt_;
--- a/src/registry/internal/softstate.cpp
+++ b/src/registry/internal/softstate.cpp
@@ -23,6 +23,8 @@
 constexpr Duration SoftStateInterval = 1s;
 /// The same for verdicts, which are rare: where all hosts forget one, its request crashes further targets.
 constexpr Duration VerdictInterval = 100ms;
+/// The same for failures that may lead to a verdict. There are more of these than verdicts when many targets fail.
+constexpr Duration UnconfirmedInterval = 300ms;
 
 /// Covers what matters after a restart; excludes the time of the last report, which changes all the time.
 uint64_t contentHash(const model::TargetReport& state)
@@ -50,14 +52,18 @@
 }
 
 /// Needs no proof of the log: orders don't affect verdicts.
-void RegistryCore::recallVerdicts(Timestamp now)
+void RegistryCore::recallSuspects(Timestamp now)
 {
-    if (recalledVerdicts_.empty())
+    if (recalledSuspects_.empty())
         return;
-    const std::vector<model::SuspectRequest> verdicts = std::exchange(recalledVerdicts_, {});
-    suspects_.record(verdicts, now);
+    const std::vector<model::SuspectRequest> recalled = std::exchange(recalledSuspects_, {});
+    suspects_.record(recalled, now);
     writtenVerdictChanges_ = suspects_.verdictChanges(); // They are on the disk.
-    log(host::LogSeverity::Info, "event=verdicts_recalled count=" + std::to_string(verdicts.size()));
+    writtenUnconfirmedChanges_ = suspects_.unconfirmedChanges();
+    const size_t verdicts = suspects_.blamedCount();
+    log(host::LogSeverity::Info,
+        "event=verdicts_recalled count=" + std::to_string(verdicts)
+            + " unconfirmed=" + std::to_string(recalled.size() - std::min(verdicts, recalled.size())));
 }
 
 void RegistryCore::releaseRecalled(Timestamp now)
@@ -80,27 +86,36 @@
     return settled;
 }
 
+Duration RegistryCore::softStateInterval() const
+{
+    if (suspects_.verdictChanges() != writtenVerdictChanges_)
+        return VerdictInterval;
+    return suspects_.unconfirmedChanges() != writtenUnconfirmedChanges_ ? UnconfirmedInterval : SoftStateInterval;
+}
+
 void RegistryCore::writeSoftState(Timestamp now)
 {
     const bool isFirstTick = softStateCheckedAt_ == Timestamp {};
-    const bool hasNewVerdict = suspects_.verdictChanges() != writtenVerdictChanges_;
-    if (now - softStateCheckedAt_ < (hasNewVerdict ? VerdictInterval : SoftStateInterval))
+    if (now - softStateCheckedAt_ < softStateInterval())
         return;
     softStateCheckedAt_ = now;
     if (isFirstTick) // The disk is busy while the host starts.
         return;
     writtenVerdictChanges_ = suspects_.verdictChanges();
-    // Iterates over all targets only if a target, an order or a verdict changed.
+    writtenUnconfirmedChanges_ = suspects_.unconfirmedChanges();
+    // Iterates over all targets only if a target, an order or a suspect changed.
     const LogPosition settledOrders = settledOrdersPosition(now);
-    const std::tuple version(targets_.changes(), appliedOrdersPosition_, settledOrders, suspects_.verdictChanges());
+    const std::tuple version(targets_.changes(), appliedOrdersPosition_, settledOrders, suspects_.verdictChanges(),
+        suspects_.unconfirmedChanges());
     if (std::exchange(softStateVersion_, version) == version)
         return;
     host::SoftState state;
     state.targets.orders = settledOrders;
     state.targets.targets = targets_.recallable(evacuated_, now);
+    state.suspects.requests = suspects_.unconfirmed(now);
     for (const model::SuspectReport& report : suspects_.verdicts(now))
         state.suspects.requests.insert(state.suspects.requests.end(), report.requests.begin(), report.requests.end());
-    const uint64_t hash = contentHash(state.targets) + suspects_.verdictChanges();
+    const uint64_t hash = contentHash(state.targets) + suspects_.verdictChanges() + suspects_.unconfirmedChanges();
     if (hash == writtenSoftStateHash_)
         return;
     writtenSoftStateHash_ = hash;
--- a/src/registry/internal/suspectrelay.cpp
+++ b/src/registry/internal/suspectrelay.cpp
@@ -14,6 +14,8 @@
 /// A request takes at most 200 bytes; a report must fit in a frame.
 constexpr size_t MaxRequestsPerReport = 256;
 constexpr size_t MinFailuresToForward = 2;
+/// On the disk. When a third of all targets fail at once, many requests have two failures by coincidence.
+constexpr size_t MaxUnconfirmedKept = 256;
 
 } // namespace
 
@@ -33,8 +35,10 @@
         if (isRepeated)
             forwarded_.insert(reportedRequest.digest);
         // Receivers of its failures must also learn that they are void.
-        if (isRepeated || forwarded_.contains(reportedRequest.digest))
+        if (isRepeated || forwarded_.contains(reportedRequest.digest)) {
             outbox_.add(reportedRequest.digest, table_);
+            ++unconfirmedChanges_;
+        }
     }
     for (const model::RequestDigest& digest : table_.drainCleared())
         outbox_.add(digest, table_);
@@ -59,6 +63,11 @@
     return updates;
 }
 
+std::vector<model::SuspectRequest> SuspectRelay::unconfirmed(Timestamp now) const
+{
+    return table_.unconfirmed(MaxUnconfirmedKept, now);
+}
+
 std::vector<model::SuspectReport> SuspectRelay::verdicts(Timestamp now) const
 {
     std::vector<model::SuspectReport> reports;
--- a/src/registry/internal/suspectrelay.h
+++ b/src/registry/internal/suspectrelay.h
@@ -33,9 +33,13 @@
     [[nodiscard]] Updates drainUpdates(Timestamp now);
     /// All verdicts, for a newly connected host, in reports that fit in a frame.
     [[nodiscard]] std::vector<model::SuspectReport> verdicts(Timestamp now) const;
+    /// Requests with consecutive failures that are not blamed yet, to be kept on the disk: the latest ones.
+    [[nodiscard]] std::vector<model::SuspectRequest> unconfirmed(Timestamp now) const;
     [[nodiscard]] size_t blamedCount() const { return table_.blamedCount(); }
     /// Increases with each verdict that is reached or voided.
     [[nodiscard]] uint64_t verdictChanges() const { return table_.verdictChanges(); }
+    /// Increases with each consecutive failure of a request, and when its failures become void.
+    [[nodiscard]] uint64_t unconfirmedChanges() const { return unconfirmedChanges_; }
 
 private:
     static constexpr double ForwardedPerSecond
@@ -45,6 +49,7 @@
     membership::SuspectTable table_;
     membership::SuspectOutbox outbox_;
     std::unordered_set<model::RequestDigest> forwarded_;
+    uint64_t unconfirmedChanges_ = 0;
 };
 
 } // namespace saltvane::registry
--- a/src/registry/tests/suspectrelaytests.cpp
+++ b/src/registry/tests/suspectrelaytests.cpp
@@ -62,6 +62,43 @@
     EXPECT_TRUE(relay.drainUpdates(Now).unconfirmed.requests.empty());
 }
 
+// Guards against failures that are not written to the disk, or written without end when targets fail under many
+// requests.
+TEST(SuspectRelayTest, ConsecutiveFailuresAreKeptUntilTheVerdictOrAnAnswer)
+{
+    SuspectRelay relay;
+    record(relay, failureReport(1, 9));
+    EXPECT_TRUE(relay.unconfirmed(Now).empty());
+    EXPECT_EQ(relay.unconfirmedChanges(), 0U);
+    record(relay, failureReport(2, 6));
+    ASSERT_EQ(relay.unconfirmed(Now).size(), 1U);
+    EXPECT_EQ(relay.unconfirmed(Now)[0].ends.size(), 2U);
+    EXPECT_EQ(relay.unconfirmedChanges(), 1U);
+    record(relay, failureReport(2, 6));
+    EXPECT_EQ(relay.unconfirmedChanges(), 1U);
+    record(relay, {.digest = Digest, .epoch = 1});
+    EXPECT_TRUE(relay.unconfirmed(Now).empty());
+    EXPECT_EQ(relay.unconfirmedChanges(), 2U);
+}
+
+TEST(SuspectRelayTest, LatestOfManySuspectsAreKept)
+{
+    constexpr uint64_t Suspects = 300;
+    constexpr size_t MaxKept = 256;
+    SuspectRelay relay;
+    for (uint64_t number = 1; number <= Suspects; ++number) {
+        for (const int tenthsAgo : {9, 6}) {
+            model::SuspectRequest suspect = failureReport(number * 10 + tenthsAgo, tenthsAgo);
+            suspect.digest = {.high = 1, .low = number};
+            record(relay, suspect);
+        }
+    }
+    const std::vector<model::SuspectRequest> kept = relay.unconfirmed(Now);
+    ASSERT_EQ(kept.size(), MaxKept);
+    EXPECT_EQ(kept.front().digest.low, Suspects);
+    EXPECT_EQ(kept.back().digest.low, Suspects - MaxKept + 1);
+}
+
 TEST(SuspectRelayTest, VoidedFailuresAreForwardedToTheSameReceivers)
 {
     SuspectRelay relay;
--- a/testing/fleet/fatalrequesttests.cpp
+++ b/testing/fleet/fatalrequesttests.cpp
@@ -38,6 +38,17 @@
     return static_cast<double>(fleet.tally().served) / static_cast<double>(fleet.tally().requested);
 }
 
+/// All hosts lose their power at once, and start again.
+void loseAllPower(TrafficFleet& fleet)
+{
+    for (size_t registry = 0; registry < FleetOptions().registries; ++registry)
+        fleet.fleet().killRegistry(registry);
+    for (size_t gateway = 0; gateway < fleet.fleet().gateways(); ++gateway)
+        fleet.restartGateway(gateway);
+    for (size_t registry = 0; registry < FleetOptions().registries; ++registry)
+        fleet.fleet().startRegistry(registry);
+}
+
 } // namespace
 
 TEST(FatalRequestTest, IsNotSentOnOnceItCrashedThreeTargets)
@@ -185,12 +196,7 @@
     fleet.addFatalCaller(Fatal);
     fleet.run(4s);
     const size_t found = fleet.runsOf(Fatal);
-    for (size_t registry = 0; registry < 6; ++registry)
-        fleet.fleet().killRegistry(registry);
-    for (size_t gateway = 0; gateway < fleet.fleet().gateways(); ++gateway)
-        fleet.restartGateway(gateway);
-    for (size_t registry = 0; registry < 6; ++registry)
-        fleet.fleet().startRegistry(registry);
+    loseAllPower(fleet);
     fleet.run(10s);
     EXPECT_EQ(fleet.runsOf(Fatal), found);
 }
@@ -207,17 +213,32 @@
         ASSERT_GE(fleet.runsOf(Fatal), 3U);
         fleet.run(500ms);
         const size_t found = fleet.runsOf(Fatal);
-        for (size_t registry = 0; registry < 6; ++registry)
-            fleet.fleet().killRegistry(registry);
-        for (size_t gateway = 0; gateway < fleet.fleet().gateways(); ++gateway)
-            fleet.restartGateway(gateway);
-        for (size_t registry = 0; registry < 6; ++registry)
-            fleet.fleet().startRegistry(registry);
+        loseAllPower(fleet);
         fleet.run(10s);
         EXPECT_EQ(fleet.runsOf(Fatal), found) << "seed " << seed;
     }
 }
 
+// Guards against failures that all hosts forget because they lose their power before there are enough of them for a
+// verdict: each time, the request crashes two further targets.
+TEST(FatalRequestTest, FailuresBeforeTheVerdictStayKnownWhenAllHostsLoseTheirPower)
+{
+    constexpr size_t PowerFailures = 2;
+    for (unsigned int seed = 30; seed < 36; ++seed) {
+        TrafficFleet fleet(seed);
+        for (size_t failure = 0; failure < PowerFailures; ++failure) {
+            (void)fleet.sendRequest(failure, {.path = Fatal}); // It is run twice, and fails two targets.
+            fleet.run(1500ms);
+            loseAllPower(fleet);
+            fleet.run(10s);
+        }
+        EXPECT_GE(fleet.runsOf(Fatal), 3U) << "seed " << seed;
+        fleet.addFatalCaller(Fatal);
+        fleet.run(10s);
+        EXPECT_LE(fleet.runsOf(Fatal), 4U) << "seed " << seed;
+    }
+}
+
 /// Waves of crashes that no request caused, each of a third of the targets at short intervals.
 TEST(CrashWaveTest, RefusesNobody)
 {
