Test of surplus responses: health checks are refused as well, wrong requests are counted once

The case of health checks answered each with 200; targets also refuse them, without an id and twice.

--- a/testing/system/responseledger.py
+++ b/testing/system/responseledger.py
@@ -53,7 +53,8 @@
         self.copies: dict[str, Response] = {}  # Second responses that differ, by digest.
         self.unasked_bytes: list[bytes] = []  # Received by callers while no request was waiting.
         self.invalid: list[str] = []  # Requests of callers that received bytes which are no response.
-        self.connections = 0  # That targets accepted, without those of health checks.
+        # That targets accepted, by what they carried: health checks (True), requests (False).
+        self.connections: collections.Counter[frozenset[bool]] = collections.Counter()
         self.faults = 0
         self.health_checks = 0
 
--- a/testing/system/surplusresponses.py
+++ b/testing/system/surplusresponses.py
@@ -175,7 +175,6 @@
             if outcome.status != 200:
                 await asyncio.sleep(0.1)
         self.ledger.runs.clear()
-        self.ledger.connections = 0
 
     async def run(self, seconds: float):
         servers = [await target.serve() for target in self.targets]
@@ -199,11 +198,14 @@
     requests = len(ledger.outcomes)
     once = [outcome for outcome in ledger.outcomes.values() if outcome.is_once]
     failed = collections.Counter(outcome.status for outcome in once if not ledger.is_answered(outcome))
+    requested = sum(count for carried, count in ledger.connections.items() if False in carried)
     wrong = {kind: len(what) for kind, what in ledger.wrong().items()}
-    return (f"{case.name}: {requests} requests, {ledger.faults} faults, {sum(wrong.values())} wrong {wrong or ''}; answered "
+    wrong_requests = len(set(itertools.chain.from_iterable(ledger.wrong().values())))
+    return (f"{case.name}: {requests} requests, {ledger.faults} faults, {wrong_requests} wrong {wrong or ''}; answered "
             f"{answered(('POST',))} of at most once, {answered(('GET', 'HEAD'))} of repeatable; at most once failed "
             f"{failed.total()} of {len(once)}, by status {dict(sorted(failed.items()))}; "
-            f"{ledger.connections / max(1, requests):.3f} new connections a request; {ledger.health_checks} health checks")
+            f"{requested / max(1, requests):.3f} new connections a request, {ledger.connections[frozenset((True, False))]} of them "
+            f"also for health checks; {ledger.health_checks} health checks")
 
 
 def run_case(binaries: pathlib.Path, case: Case, seconds: float, seed: int, keep: pathlib.Path | None) -> tuple[str, list[str]]:
--- a/testing/system/surplustargets.py
+++ b/testing/system/surplustargets.py
@@ -70,20 +70,19 @@
         # A second response is not written within another response.
         turn = asyncio.Lock()
         surplus: set[asyncio.Task] = set()
-        is_first = True
-        self.ledger.connections += 1
+        carried = set()  # Whether health checks, whether requests.
         try:
             with contextlib.suppress(OSError):
                 while request := await read_message(reader):
                     is_health_check = request.start[1].startswith("/health")
-                    self.ledger.connections -= is_first and is_health_check
-                    is_first = False
+                    carried.add(is_health_check)
                     response = self._health() if is_health_check else await self._run(request)
                     if not await self._send(writer, turn, response, request.start[0]):
                         break
                     if self._is_sent_twice(response, is_health_check):
                         surplus.add(asyncio.create_task(self._send_surplus(writer, turn, response, request.start[0])))
         finally:
+            self.ledger.connections[frozenset(carried)] += 1
             for task in surplus:
                 task.cancel()
             writer.close()
@@ -130,8 +129,9 @@
 
     def _health(self) -> Response:
         self.ledger.health_checks += 1
-        headers = {"Saltvane-Target": self.name, "Content-Length": "2"}
-        return Response("", 200, b"ok", "", headers)
+        if self.is_faulty and self.rng.random() < self.case.refused_rate:
+            return Response("", 503, b"full", "", {NOT_RUN: "1", "Content-Length": "4"})
+        return Response("", 200, b"ok", "", {"Saltvane-Target": self.name, "Content-Length": "2"})
 
     async def _send(self, writer: asyncio.StreamWriter, turn: asyncio.Lock, response: Response, method: str) -> bool:
         """Sends a response; returns whether the connection goes on."""
