Soak: targets that send second responses, cut ones, and refusals without an id

For 3 to 9 s, some targets do one thing wrong with one response in six (`surplus_responses`): a second response up to 0.6 s later on the same connection, whole, cut in its head or body, or with another status and body, half of them without an id; or a response cut at any byte, and a close. Meanwhile they answer health checks twice, leave the id out of half of their refusals, and fail three requests in ten.

Two checks more in all runs: a response with a target's digest has the status and the body that this target gave to this request first, and no success comes without a digest; no bytes arrive at a caller that waits for nothing. promisestests.py feeds each a wrong history. The checks of limits, rest and leaving words count a target's word as received only where the response isn't cut and no second one was sent on its connection before: a gateway need not have read it otherwise. That changes nothing where no target sends surplus bytes.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers of the soak test: they look up gateways, reuse connections until these close, and record every outcome."""
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 import json
@@ -12,6 +13,7 @@
 
 DEADLINE_S = 3.0
 PAUSE_S = (0.01, 0.06)
+BLOCK = 4096
 SELDOM_FRACTION = 0.15  # Of the requests: sent on routes that only some plans contain.
 
 
@@ -40,10 +42,11 @@
         self.hosts: list[str] = []
         self.looked_up_at = 0.0
         self.connection: tuple[str, asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.unrequested: list[tuple[str, bytes]] = []  # Gateway and bytes that it sent while no request was waiting.
 
     async def run(self):
         for number in itertools.count(1):
-            await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+            await self._pause(self.rng.uniform(*PAUSE_S))
             await self._look_up()
             if self.hosts:
                 await self._send_request(f"{self.name}-{number}", self._choose_path())
@@ -58,6 +61,18 @@
             if self.connection and self.connection[0] not in self.hosts:
                 self._close()
 
+    async def _pause(self, seconds: float):
+        """Waits, and records what arrives meanwhile."""
+        end = time.monotonic() + seconds
+        if self.connection is not None:
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(seconds):
+                    received = await self.connection[1].read(BLOCK)
+                    if received:
+                        self.unrequested.append((self.connection[0], received))
+                        self._close()
+        await asyncio.sleep(max(0, end - time.monotonic()))
+
     def _close(self):
         if self.connection is not None:
             self.connection[2].transport.abort()
@@ -85,7 +100,7 @@
         if response is None or response.headers.get("connection", "").lower() == "close":
             self._close()
         if response is not None and "retry-after" in response.headers:
-            await asyncio.sleep(float(response.headers["retry-after"]))
+            await self._pause(float(response.headers["retry-after"]))
 
     async def _exchange(self, outcome: Outcome) -> Message | None:
         outcome.gateway, reader, writer = self.connection
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -307,6 +307,17 @@
     gateway.is_paused = False
 
 
+async def surplus_responses(world: World):
+    """Some targets send second responses, late, whole or cut, with or without an id, on connections that go on. They answer
+    health checks twice as well, cut first responses and close, leave the id out of refusals, and fail some requests."""
+    chosen = world.rng.sample(world.targets, world.rng.randint(1, len(world.targets)))
+    for target in chosen:
+        target.sends_surplus = target.server is not None
+    await asyncio.sleep(draw_pause(world, 3, 9))
+    for target in chosen:
+        target.sends_surplus = False
+
+
 async def isolate_gateways(world: World):
     """Partitions some gateways, though not all of them, from all targets."""
     gateways = world.deployment.gateways
@@ -404,6 +415,7 @@
 FIRST_SEED_OF_ISOLATIONS = 10_000_000_000_000
 FIRST_SEED_OF_SLOW_STARTS = 100_000_000_000_000
 FIRST_SEED_OF_LEAVE_CALLS = 1_000_000_000_000_000
+FIRST_SEED_OF_SURPLUS_RESPONSES = 10_000_000_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
 WITH_LEAVES = [*WITH_SILENT_LINKS, (leave_beside_ends, 2)]
@@ -412,14 +424,16 @@
 WITH_BURSTS = [*WITH_BACKOFFS, (stop_behind_burst, 3)]
 WITH_ISOLATIONS = [*WITH_BURSTS, (isolate_gateways, 3)]
 WITH_SLOW_STARTS = [*WITH_ISOLATIONS, (reopen_with_late_reports, 6)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_LEAVE_CALLS: [*WITH_SLOW_STARTS, (leave_by_call, 5)],
+WITH_LEAVE_CALLS = [*WITH_SLOW_STARTS, (leave_by_call, 5)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_SURPLUS_RESPONSES: [*WITH_LEAVE_CALLS, (surplus_responses, 5)],
+                    FIRST_SEED_OF_LEAVE_CALLS: WITH_LEAVE_CALLS,
                     FIRST_SEED_OF_SLOW_STARTS: WITH_SLOW_STARTS,
                     FIRST_SEED_OF_ISOLATIONS: WITH_ISOLATIONS,
                     FIRST_SEED_OF_BURSTS: WITH_BURSTS,
                     FIRST_SEED_OF_BACKOFFS: WITH_BACKOFFS,
                     FIRST_SEED_OF_LIMITS: WITH_LIMITS, FIRST_SEED_OF_LEAVES: WITH_LEAVES,
                     FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_LEAVE_CALLS]}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_SURPLUS_RESPONSES]}
 
 
 def draw(rng: random.Random, seed: int) -> Fault:
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -4,7 +4,8 @@
 from callers import Outcome
 from faults import AbandonedBurst, Isolation
 from plans import SLOW_START_PER_S, STEADY_PATHS, service_of
-from targets import response_body
+from surplus import DIGEST
+from targets import Given, response_body
 from troubles import Span
 
 MAX_STALE_READ_S = 2.5  # A read sent later than this after an acknowledgement returns that plan or a newer one.
@@ -75,6 +76,33 @@
     return findings
 
 
+def findings_of_responses(outcomes: list[Outcome], responses: dict[str, list[Given]]) -> list[str]:
+    """What a caller gets with a digest is a response of a target to this request, with its status and its whole body.
+    `responses`: by request id, without second responses. Responses without a digest are the gateways' own."""
+    requests_by_digest = {given.digest: request for request, all_given in responses.items() for given in all_given}
+    findings = []
+    for outcome in outcomes:
+        digest = outcome.headers.get(DIGEST.lower())
+        if digest is None:
+            if 200 <= outcome.status < 300:
+                findings.append(f"{outcome.request}: {outcome.status} that no target sent")
+            continue
+        given = next((given for given in responses.get(outcome.request, []) if given.digest == digest), None)
+        if given is None:
+            owner = requests_by_digest.get(digest, "no request")
+            findings.append(f"{outcome.request}: {outcome.status} with the digest of the response to {owner}")
+        elif given.status != outcome.status:
+            findings.append(f"{outcome.request}: {outcome.status}, and the target answered {given.status}")
+        elif given.body != outcome.body:
+            findings.append(f"{outcome.request}: {outcome.status} with a body other than the target's: {outcome.body[:60]!r}")
+    return findings
+
+
+def findings_of_unrequested(unrequested: list[tuple[str, bytes]]) -> list[str]:
+    """`unrequested`: gateway, and bytes that it sent on a connection on which no request was waiting."""
+    return [f"{gateway} sent bytes while no request was waiting: {received[:60]!r}" for gateway, received in unrequested]
+
+
 def findings_of_plans(outcomes: list[Outcome], services: dict[str, set[str]], sent: list[tuple[float, int]],
                       acknowledged: list[tuple[float, int]], spans: dict[str, list[Span]]) -> list[str]:
     """Each run, and each refusal because no route matches, must agree with a plan that is new enough.
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -9,8 +9,9 @@
 from promises import MAX_RUN_AFTER_LEAVE_S, MAX_STALE_RUN_S, MIN_SERVED, SLOW_START_ALLOWED, findings_of_fatal_requests, \
     findings_of_leaves, findings_of_slow_starts, \
     findings_of_leaving_responses, findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, \
-    findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts, findings_of_isolations
-from targets import response_body
+    findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts, findings_of_isolations, findings_of_responses, \
+    findings_of_unrequested
+from targets import Given, response_body
 
 
 def served(request: str, **changes) -> Outcome:
@@ -58,6 +59,45 @@
         self.assertIn(f"fewer than {MIN_SERVED} requests were served", findings_of_outcomes([], collections.Counter()))
 
 
+class ResponsesTest(unittest.TestCase):
+    """A target answered request "a" with a success and "b" with a failure."""
+    RESPONSES = {"a": [Given(200, "da", response_body("a"))], "b": [Given(500, "db", b"failed b")]}
+
+    def check(self, request: str, status: int, digest: str | None, body: bytes) -> list[str]:
+        headers = {"saltvane-request-id": request} | ({"response-digest": digest} if digest else {})
+        return findings_of_responses([served(request, status=status, headers=headers, body=body)], self.RESPONSES)
+
+    def test_responses_of_targets_are_no_finding(self):
+        self.assertEqual(self.check("a", 200, "da", response_body("a")), [])
+        self.assertEqual(self.check("b", 500, "db", b"failed b"), [])
+
+    def test_responses_of_gateways_are_no_finding(self):
+        self.assertEqual(self.check("a", 502, None, b""), [])
+        self.assertEqual(self.check("a", 0, None, b""), [])
+
+    def test_a_success_for_a_failure_is_a_finding(self):
+        self.assertIn("200, and the target answered 500", self.check("b", 200, "db", b"failed b")[0])
+
+    def test_a_failure_for_a_success_is_a_finding(self):
+        self.assertIn("500, and the target answered 200", self.check("a", 500, "da", response_body("a"))[0])
+
+    def test_a_response_to_another_request_is_a_finding(self):
+        self.assertIn("the response to b", self.check("a", 500, "db", b"failed b")[0])
+
+    def test_a_second_response_is_a_finding(self):
+        self.assertIn("the response to no request", self.check("a", 500, "dc", b"second response")[0])
+
+    def test_a_success_without_a_digest_is_a_finding(self):
+        self.assertIn("that no target sent", self.check("a", 200, None, b"second response")[0])
+
+    def test_a_body_that_is_cut_is_a_finding(self):
+        self.assertIn("a body other than the target's", self.check("a", 200, "da", response_body("a")[:-1])[0])
+
+    def test_bytes_without_a_request_are_a_finding(self):
+        self.assertEqual(findings_of_unrequested([]), [])
+        self.assertIn("g sent bytes", findings_of_unrequested([("g", b"HTTP/1.1 200 OK")])[0])
+
+
 class PlansTest(unittest.TestCase):
     """A plan that moves one route and drops another, acknowledged at 100 s."""
     BEFORE = VERSIONS_PER_MOVE - 1  # Route 0 moves with the next version.
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -47,6 +47,7 @@
         self.deployment = Deployment(options.binaries.resolve(), folder, options.registries, options.gateways)
         self.runs = Runs()
         self.outcomes: list[Outcome] = []
+        self.callers: list[Caller] = []
         self.findings: list[str] = []
         registries = [host.front_address for host in self.deployment.registries]
         has_slow_starts = (seed >= faults.FIRST_SEED_OF_SLOW_STARTS
@@ -55,7 +56,8 @@
         zones = [host.zone for host in self.deployment.gateways[:len(REGIONS)] for _ in range(TARGETS_PER_ZONE)]
         network = self.deployment.network
         self.targets = [Target(f"{network}.{101 + i}:{18080}", f"{network}.{141 + i}:{18080}", SERVICES[i % len(SERVICES)],
-                               zone, registries, self.runs, random.Random(f"{seed}-target-{i}"))
+                               zone, registries, self.runs, random.Random(f"{seed}-target-{i}"),
+                               random.Random(f"{seed}-surplus-{i}"))
                         for i, zone in enumerate(zones)]
         self.world = faults.World(self.deployment, self.targets, self.operator, self.rng, self.findings)
         self.troubles = TroubleMonitor(self.deployment, self.world)
@@ -84,6 +86,7 @@
             stays = self.seed >= faults.FIRST_SEED_OF_ISOLATIONS and number >= CALLER_COUNT // 2
             caller = Caller(number, host.zone, host.region, directory_addresses, random.Random(f"{number}"), self.outcomes,
                             follows_look_ups=not stays)
+            self.callers.append(caller)
             self.tasks.append(asyncio.create_task(caller.run()))
         self.fatal_tasks = [asyncio.create_task(caller.run()) for caller in self.fatal_callers]
         self.tasks.append(asyncio.create_task(self.troubles.monitor()))
@@ -94,6 +97,8 @@
         await self._check_recovery()
         await self._check_orders()
         self.findings += promises.findings_of_outcomes(self.outcomes, self.runs.count)
+        self.findings += promises.findings_of_responses(self.outcomes, self.runs.responses)
+        self.findings += promises.findings_of_unrequested([item for caller in self.callers for item in caller.unrequested])
         self.findings += promises.findings_of_plans(
             self.outcomes, self.runs.services, self.operator.sent, self.operator.acknowledged,
             {gateway: self.troubles.spans_of(gateway) for gateway in self.troubles.spans})
@@ -245,7 +250,7 @@
     seed_lines = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     listed_seeds = [int(line.split()[0]) for line in seed_lines if line and not line.startswith("#")]
     seeds = (options.seed or []) + listed_seeds or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_LEAVE_CALLS, 10**16) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_SURPLUS_RESPONSES, 10**17) for _ in range(options.runs)]
     failed_seeds = [seed for seed in seeds if asyncio.run(run_seed(seed, options))]
     print(f"soak: {len(seeds) - len(failed_seeds)} passed, {len(failed_seeds)} failed"
           + (f": {failed_seeds}" if failed_seeds else ""))
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -2,22 +2,33 @@
 import asyncio
 import collections
 import contextlib
+import hashlib
 import itertools
 import json
 import random
 import time
+import typing
 
 from forwarder import Forwarder
-from messages import call, encode, read_message, split
+from messages import call, read_message, split
+from surplus import DIGEST, REQUEST_ID, FaultyConnection, Reply
 
 HEARTBEAT_S = 1.0
 SLOTS = 3
 QUEUE_CAPACITY = 3
 FATAL_MARKER = "fatal"  # In a path: the request crashes each target that runs it.
 RESTART_DELAY_S = (1.5, 3.5)  # Before a target restarts after such a crash.
+FAILED_RATE = 0.3  # Responses with status 500, of the requests that a target runs while it sends surplus responses.
 incarnation_ids = itertools.count(1)
 
 
+class Given(typing.NamedTuple):
+    """The response of a target to a request."""
+    status: int
+    digest: str
+    body: bytes
+
+
 class Runs:
     """What targets ran and announced, over all of their incarnations."""
 
@@ -37,6 +48,7 @@
         # Request id, incarnation, seconds since its leave was acknowledged.
         self.after_leave: list[tuple[str, str, float]] = []
         self.slow_starts: list[tuple[float, float, str]] = []  # Start, end, incarnation.
+        self.responses: dict[str, list[Given]] = collections.defaultdict(list)  # By request id; first responses of runs only.
 
     def record(self, request: str, target: "Target"):
         self.count[request] += 1
@@ -50,13 +62,14 @@
     """A target behind a forwarder with a fixed address; every incarnation has its own id."""
 
     def __init__(self, address: str, backend_address: str, service: str, zone: str, registries: list[str], runs: Runs,
-                 rng: random.Random):
+                 rng: random.Random, surplus_rng: random.Random):
         self.forwarder = Forwarder(address, backend_address)
         self.service = service
         self.zone = zone
         self.registries = registries
         self.runs = runs
         self.rng = rng
+        self.surplus_rng = surplus_rng  # Its own, so that recorded seeds keep drawing the same sequence.
         self.id = ""
         self.started_ms: int | None = None  # States its start in heartbeats, so that it may start again under its id.
         self.is_reporting = False
@@ -68,6 +81,7 @@
         self.limit: float | None = None  # Requests per second, over all gateways.
         self.backoff_s: float | None = None  # If set, every request is refused with this many seconds in Retry-After.
         self.announces_leaving = False  # In every response, while it still reports as ready.
+        self.sends_surplus = False  # Sends second responses, cut ones and failures.
         self.leave_acknowledged_at: float | None = None  # When a registry host acknowledged the leaving heartbeat.
         self.slow_until = 0.0  # End of its slow start: requests take twice as long.
         self.report_delay_s = 0.0  # Heartbeats that it sends until reports_delayed_until arrive this much later.
@@ -84,6 +98,7 @@
         self.limit = None
         self.backoff_s = None
         self.announces_leaving = False
+        self.sends_surplus = False
         self.leave_acknowledged_at = None
         self.slow_until = 0.0
         self.reports_delayed_until = 0.0
@@ -173,27 +188,35 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         self._track(asyncio.current_task())
+        connection = FaultyConnection(writer, self.surplus_rng)
         try:
             with contextlib.suppress(OSError, asyncio.CancelledError):  # A crash cancels this task.
                 while request := await read_message(reader):
-                    writer.write(await self._respond(request))
+                    kind = connection.draw() if self.sends_surplus else None
+                    # What it says of itself need not reach a gateway that loses the response.
+                    is_received = kind != "cut and closed" and not connection.has_surplus
+                    if not connection.send(await self._respond(request, is_received), kind):
+                        break
         finally:
+            connection.end()
             writer.transport.abort()
 
-    async def _respond(self, request) -> bytes:
+    async def _respond(self, request, is_received: bool) -> Reply:
         request_id = request.headers.get("saltvane-request-id", "")
-        headers = {"Saltvane-Request-Id": request_id, "Saltvane-Load": f"{self.running},0,{SLOTS}"}
+        headers = {REQUEST_ID: request_id, "Saltvane-Load": f"{self.running},0,{SLOTS}"}
         if request.headers.get("saltvane-expect-target") != self.id:
-            return encode("HTTP/1.1 421 Misdirected", headers)
+            return Reply("HTTP/1.1 421 Misdirected", headers)
         self.runs.arrivals.append((time.monotonic(), self.id, self.forwarder.listen, request_id))
         if self.announces_leaving:
             headers["Saltvane-Leaving"] = "1"
-            self.runs.leaving_responses.append((time.monotonic(), self.id, request_id))
+            if is_received:
+                self.runs.leaving_responses.append((time.monotonic(), self.id, request_id))
         if self.backoff_s is not None:
-            self.runs.backoffs.append((time.monotonic(), self.id, request_id, self.backoff_s))
-            return encode("HTTP/1.1 503 Resting", {**headers, "Saltvane-Not-Run": "1", "Retry-After": str(self.backoff_s)})
+            if is_received:
+                self.runs.backoffs.append((time.monotonic(), self.id, request_id, self.backoff_s))
+            return self._refuse("Resting", {**headers, "Retry-After": str(self.backoff_s)})
         if self.running >= SLOTS + QUEUE_CAPACITY:
-            return encode("HTTP/1.1 503 Full", {**headers, "Saltvane-Not-Run": "1"})
+            return self._refuse("Full", headers)
         if FATAL_MARKER in request.start[1]:
             self.runs.fatal.append((time.monotonic(), request.start[1], request_id))
             await asyncio.sleep(self.rng.uniform(0.005, 0.08))
@@ -208,8 +231,22 @@
             self.running -= 1
         if self.limit is not None:
             headers["Saltvane-Limit"] = str(self.limit)
-            self.runs.limit_responses.append((time.monotonic(), self.id, request_id))
-        return encode("HTTP/1.1 200 OK", headers, response_body(request_id))
+            if is_received:
+                self.runs.limit_responses.append((time.monotonic(), self.id, request_id))
+        return self._reply(request_id, headers)
+
+    def _refuse(self, reason: str, headers: dict[str, str]) -> Reply:
+        reply = Reply(f"HTTP/1.1 503 {reason}", {**headers, "Saltvane-Not-Run": "1"})
+        return reply.without_id() if self.sends_surplus and self.surplus_rng.random() < 0.5 else reply
+
+    def _reply(self, request_id: str, headers: dict[str, str]) -> Reply:
+        """The response to a request that was run, with a digest by which the target recognizes it as its own."""
+        has_failed = self.sends_surplus and self.surplus_rng.random() < FAILED_RATE
+        status, reason = (500, "Internal Server Error") if has_failed else (200, "OK")
+        body = f"failed {request_id}".encode() if has_failed else response_body(request_id)
+        digest = hashlib.sha256(f"{self.id} {request_id} {status} ".encode() + body).hexdigest()[:24]
+        self.runs.responses[request_id].append(Given(status, digest, body))
+        return Reply(f"HTTP/1.1 {status} {reason}", {**headers, DIGEST: digest}, body)
 
 
 def response_body(request_id: str) -> bytes:
