--- a/src/net/internal/targetconnections.cpp
+++ b/src/net/internal/targetconnections.cpp
@@ -5,8 +5,8 @@
  */
 #include "net/internal/targetconnections.h"
 
-#include <cerrno>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -41,12 +41,10 @@
     const auto found = connections_.find(key);
     if (found == connections_.end())
         return Input::None;
-    char byte = 0;
-    const ssize_t count = ::recv(found->second.fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0)
-        return Input::Bytes;
-    const bool isQuiet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-    return isQuiet ? Input::None : Input::End;
+    pollfd socket {.fd = found->second.fd, .events = POLLIN | POLLRDHUP, .revents = 0};
+    if (::poll(&socket, 1, 0) <= 0)
+        return Input::None;
+    return socket.revents == POLLIN ? Input::Bytes : Input::End;
 }
 
 uint32_t TargetConnections::recordRequest(const Key& key)
--- a/src/net/internal/targetconnections.h
+++ b/src/net/internal/targetconnections.h
@@ -31,7 +31,7 @@
     enum class Input {
         None,
         Bytes,
-        End ///< The target has closed the connection.
+        End ///< The target has closed the connection, perhaps after some bytes.
     };
 
     explicit TargetConnections(model::Counters* counters)
