Tests of readers that take a part for the whole: cut responses, frames and records

What callers would see if one of these failed: a 200 with an empty or short body, an answer of an earlier attempt, or hosts that act on half a message.

--- a/src/net/tests/linkprotocoltests.cpp
+++ b/src/net/tests/linkprotocoltests.cpp
@@ -96,6 +96,40 @@
     EXPECT_EQ(a.claims(), (std::vector<uint64_t> {0, 1, 2}));
 }
 
+// Guards against messages that arrive in part and count: the rest of a record, sent on the next link of the same host,
+// must neither complete it nor be read as another one.
+TEST_F(LinkProtocolTest, RecordsCutByAReconnectDoNotCount)
+{
+    constexpr int SomeTurns = 5;
+    Host a(runner, "a");
+    RawPeer pattern(a, "pattern");
+    ASSERT_TRUE(pattern.join(runner, a));
+    std::string record;
+    pattern.sealer().seal(claimFrame(0), record);
+    for (size_t cut = 1; cut < record.size(); ++cut) {
+        a.log.events.clear();
+        RawPeer first(a);
+        ASSERT_TRUE(first.join(runner, a));
+        RecordSeal sealer = first.sealer();
+        std::string whole;
+        std::string broken;
+        sealer.seal(claimFrame(1), whole);
+        sealer.seal(claimFrame(2), broken);
+        first.socket.send(whole + broken.substr(0, cut));
+        ASSERT_TRUE(runner.runUntil([&] { return a.claims().size() == 1; })) << cut;
+        first.socket.close();
+        ASSERT_TRUE(runner.runUntil([&] { return a.downs() == 1; })) << cut;
+
+        RawPeer second(a);
+        ASSERT_TRUE(second.join(runner, a));
+        second.socket.send(broken.substr(cut));
+        runner.runTurns(SomeTurns);
+        EXPECT_EQ(a.claims(), std::vector<uint64_t> {1}) << cut;
+        second.socket.close();
+        ASSERT_TRUE(runner.runUntil([&] { return a.downs() == 2; })) << cut;
+    }
+}
+
 TEST_F(LinkProtocolTest, AuthenticatedInvalidFrameClosesTheLink)
 {
     Host a(runner, "a");
--- a/src/requests/tests/forwardtests.cpp
+++ b/src/requests/tests/forwardtests.cpp
@@ -136,6 +136,62 @@
     EXPECT_EQ(bodies_[handle], "ok");
 }
 
+// Guards against frames of an earlier attempt that count for the next one of the same request.
+TEST_F(ForwardTest, FramesOfAnEarlierAttemptDoNotCount)
+{
+    const HttpHandle handle = call({});
+    head(5);
+    completeForward(forward(), Outcome::Unknown, Reason::TargetFailed);
+    ASSERT_EQ(sent<model::ForwardRequest>().size(), 2U);
+    head(5, 500);
+    body(0, "early", true);
+    completeForward(forward(), Outcome::Answered, Reason::None);
+    deliver(RemoteOwner, model::ForwardEnd {.correlation = forward().correlation, .outcome = Outcome::Answered});
+    EXPECT_FALSE(hasResponse(handle));
+    sendResponse(forward(1), "later", RemoteOwner);
+    EXPECT_EQ(response(handle).status, 200);
+    EXPECT_EQ(bodies_[handle], "later");
+}
+
+// Guards against callers that take a response for whole though its owner stopped within it: after any of its frames,
+// with the link lost or the end reported.
+TEST_F(ForwardTest, ResponsesCutAfterAnyFrameAreNotWhole)
+{
+    struct Kind {
+        std::string method;
+        int status;
+        std::optional<uint64_t> length;
+        std::vector<std::string> parts;
+    };
+    const std::vector<Kind> kinds {{"GET", 200, 10, {"12345", "67890"}},
+        {"GET", 200, LongLength, {std::string(LongLength / 2, 'x'), std::string(LongLength / 2, 'x')}},
+        {"GET", 200, std::nullopt, {"12345", "67890"}}, {"GET", 200, std::nullopt, {""}}, {"GET", 200, 0, {}},
+        {"HEAD", 200, 10, {}}, {"HEAD", 200, std::nullopt, {}}, {"GET", 204, 0, {}}, {"GET", 304, std::nullopt, {}}};
+    for (const Kind& kind : kinds) {
+        for (size_t frames = 0; frames <= kind.parts.size() + 1; ++frames) {
+            outgoing_.clear();
+            finished_.clear();
+            aborted_.clear();
+            budget_.remaining = 0;
+            const HttpHandle handle = call({.method = kind.method});
+            if (frames > 0)
+                head(kind.length, kind.status);
+            uint64_t offset = 0;
+            for (size_t part = 0; part + 1 < frames; ++part) {
+                body(offset, kind.parts[part], part + 1 == kind.parts.size());
+                offset += kind.parts[part].size();
+            }
+            entry_->onHostLost(LocalOwner, now_);
+            collect();
+            const std::string what = kind.method + " " + std::to_string(kind.status) + ", " + std::to_string(frames);
+            ASSERT_TRUE(hasResponse(handle)) << what;
+            const bool isWholeError = response(handle).isLast && response(handle).status == 502;
+            const bool isAborted = finished_.empty() && aborted_ == std::vector<HttpHandle> {handle};
+            EXPECT_TRUE(isWholeError || isAborted) << what;
+        }
+    }
+}
+
 TEST_F(ForwardTest, BrokenSmallResponseIsUnknownNotCut)
 {
     const HttpHandle handle = post(ownKey());
