Fleet: targets that send second responses, with and without an id, and refusals without an id

The fleet's targets answered each request once, with its id. Now a part of their responses may be followed by a second one that arrives in the place of the response to the gateway's next request there, while the target runs it; a part of these, and of the refusals, carries no id, and a part of the runs fails. Checked for every request: a response of a target names this request and has the target's status, at most one run, 503 only where nothing ran.

--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -20,7 +20,9 @@
 /// Fraction of repeatable requests that are sent on a connection from before.
 constexpr double ReuseFraction = 0.5;
 constexpr std::string_view AtMostOncePath = "/once/";
+constexpr std::string_view RequestIdHeader = "Saltvane-Request-Id";
 constexpr int StatusOk = 200;
+constexpr int StatusFailed = 500;
 constexpr int StatusMisdirected = 421;
 constexpr int StatusUnavailable = 503;
 
@@ -162,6 +164,8 @@
         observer(arrival);
     if (isMisdirected)
         return respond(target, run, StatusMisdirected, false);
+    if (!run.isProbe && !start.needsNewConnection)
+        sendSurplus(target, run);
     if (target.signals.backoff)
         return respond(target, run, StatusUnavailable, true);
     if (run.isProbe)
@@ -240,17 +244,50 @@
         .isProbe = run.isProbe};
 }
 
-void CrashingTargets::respond(const Target& target, const Run& run, int status, bool isNotRun)
+void CrashingTargets::keepSurplus(Target& target, const Run& run, requests::TargetResponseHead head)
+{
+    // Without a rate nothing is drawn, so that the other tests keep drawing the same sequence.
+    if (surplus_.rate == 0 || !draw(surplus_.rate))
+        return;
+    if (draw(surplus_.withoutId))
+        std::erase_if(head.headers, [](const model::Header& header) { return header.name == RequestIdHeader; });
+    target.surplus[run.gateway] = {.lostAt = now() + SurplusTime, .head = std::move(head)};
+}
+
+void CrashingTargets::sendSurplus(Target& target, const Run& run)
+{
+    const auto found = target.surplus.find(run.gateway);
+    if (found == target.surplus.end())
+        return;
+    SurplusResponse surplus = std::move(found->second);
+    target.surplus.erase(found);
+    if (now() >= surplus.lostAt)
+        return;
+    ++surplusSent_;
+    surplus.head.dispatch = run.dispatch;
+    const Duration delay = Duration(
+        std::uniform_int_distribution<int64_t>(Duration(10ms).count(), options_.maxProcessingTime.count())(random_));
+    sendEvent(run.gateway, std::move(surplus.head), delay);
+    sendEvent(run.gateway, requests::TargetResponseDone {.dispatch = run.dispatch}, delay);
+}
+
+void CrashingTargets::respond(Target& target, const Run& run, int status, bool isNotRun)
 {
     requests::TargetResponseHead head {.dispatch = run.dispatch,
         .status = status,
-        .headers = {{.name = "Saltvane-Request-Id", .value = run.id},
+        .headers = {{.name = std::string(RequestIdHeader), .value = run.id},
             {.name = "Saltvane-Load",
                 .value = std::to_string(std::min<size_t>(target.runs.size(), options_.slots)) + ",0,"
                     + std::to_string(options_.slots)}},
         .bodyLength = 0};
     if (isNotRun)
         head.headers.push_back({.name = "Saltvane-Not-Run", .value = "1"});
+    else if (!run.isProbe && status != StatusMisdirected)
+        head.headers.push_back({.name = std::string(DigestHeader), .value = digestOf(run.id, status)});
+    if (!run.isProbe)
+        keepSurplus(target, run, head);
+    if (isNotRun && surplus_.withoutId > 0 && draw(surplus_.withoutId))
+        std::erase_if(head.headers, [](const model::Header& header) { return header.name == RequestIdHeader; });
     if (target.signals.backoff && status == StatusUnavailable)
         head.headers.push_back({.name = "Retry-After", .value = std::to_string(toSeconds(*target.signals.backoff))});
     if (target.signals.isLeaving)
@@ -292,7 +329,7 @@
         const Partition partition = partitionOf(run.gateway);
         const bool isLost = partition == Partition::Hang || partition == Partition::Reset;
         if (isComplete(run) && !isLost)
-            respond(target, run, StatusOk, false);
+            respond(target, run, surplus_.failed > 0 && draw(surplus_.failed) ? StatusFailed : StatusOk, false);
     }
     std::erase_if(target.runs, isComplete);
 }
@@ -316,6 +353,7 @@
                     .dispatch = run.dispatch, .message = "connection closed", .isRefused = wasReused(random_)});
     }
     target.runs.clear();
+    target.surplus.clear();
 }
 
 void CrashingTargets::step()
--- a/testing/fleet/crashingtargets.h
+++ b/testing/fleet/crashingtargets.h
@@ -83,6 +83,23 @@
     void setSignals(size_t target, const Signals& signals);
     [[nodiscard]] const Signals& signalsOf(size_t target) const { return targets_.at(target).signals; }
 
+    /// Second responses of targets. Each arrives in the place of the response to the gateway's next request, if that is
+    /// sent within SurplusTime, while the target runs this request.
+    struct Surplus {
+        double rate = 0; ///< Fraction of the responses that are followed by a second one.
+        double withoutId = 0; ///< Fraction of second responses, and of refusals, that carry no request id.
+        double failed = 0; ///< Fraction of the runs that end with status 500.
+    };
+    void setSurplus(const Surplus& surplus) { surplus_ = surplus; }
+    [[nodiscard]] size_t surplusSent() const { return surplusSent_; }
+    static constexpr Duration SurplusTime = 600ms;
+    /// Header of the response to a run: names the request and the status.
+    static constexpr std::string_view DigestHeader = "Response-Digest";
+    [[nodiscard]] static std::string digestOf(const std::string& request, int status)
+    {
+        return request + " " + std::to_string(status);
+    }
+
     /// A request that reaches a target, or its response as it reaches the gateway.
     struct Exchange {
         size_t target = 0;
@@ -114,6 +131,10 @@
         bool hasStarted = false;
         std::string path;
     };
+    struct SurplusResponse {
+        Timestamp lostAt; ///< The connection is closed if no request is sent on it until then.
+        requests::TargetResponseHead head;
+    };
     struct Target {
         model::Address address;
         std::string zone;
@@ -128,6 +149,7 @@
         Duration reportDelay {};
         Timestamp reportsDelayedUntil {};
         std::vector<Run> runs;
+        std::map<size_t, SurplusResponse> surplus; ///< By gateway.
     };
     struct LateReport {
         Timestamp at;
@@ -153,7 +175,11 @@
     void report(Target& target);
     void deliverLateReports();
     void sendEvent(size_t gateway, requests::TargetEvent event, Duration delay = 10ms);
-    void respond(const Target& target, const Run& run, int status, bool isNotRun);
+    void respond(Target& target, const Run& run, int status, bool isNotRun);
+    /// Sends the second response of an earlier request, if there is one, in the place of the response to this request.
+    void sendSurplus(Target& target, const Run& run);
+    void keepSurplus(Target& target, const Run& run, requests::TargetResponseHead head);
+    [[nodiscard]] bool draw(double probability) { return std::bernoulli_distribution(probability)(random_); }
     [[nodiscard]] Exchange exchangeOf(const Target& target, const Run& run) const;
     [[nodiscard]] Timestamp now() const { return fleet_.registries().now(); }
 
@@ -168,6 +194,8 @@
     std::map<std::string, size_t> atMostOnceRuns_; ///< By request id.
     uint64_t incarnations_ = 0;
     bool isHarmless_ = false;
+    Surplus surplus_;
+    size_t surplusSent_ = 0;
 };
 
 } // namespace saltvane::fleet::test
--- a/testing/fleet/trafficfleet.cpp
+++ b/testing/fleet/trafficfleet.cpp
@@ -173,12 +173,18 @@
         return;
     Outcome& outcome = found->second.outcome;
     outcome.status = response->status;
+    std::string digest;
     for (const model::Header& header : response->headers) {
         if (header.name == "Retry-After")
             outcome.retryAfter = std::stod(header.value);
         else if (header.name == "Saltvane-Reason")
             outcome.reason = header.value;
+        else if (header.name == CrashingTargets::DigestHeader)
+            digest = header.value;
     }
+    const bool isOfTarget = outcome.status == StatusOk || !digest.empty();
+    if (isOfTarget && digest != CrashingTargets::digestOf(requestIdOf(response->handle.value), outcome.status))
+        ++misattributed_;
     onOutcome(response->handle.value);
 }
 
--- a/testing/fleet/trafficfleet.h
+++ b/testing/fleet/trafficfleet.h
@@ -70,6 +70,10 @@
     /// Attempts on routes that allow one run which were refused as not run although a target ran them.
     [[nodiscard]] size_t untrueRefusals() const;
 
+    /// Responses of targets that callers got for another request, or with a status other than the target's, and
+    /// successes that no target sent.
+    [[nodiscard]] size_t misattributedResponses() const { return misattributed_; }
+
     /// Number of runs of this request that started later than ConvergenceTime after the start of its third run.
     [[nodiscard]] size_t runsAfterThird(const std::string& path) const;
     [[nodiscard]] size_t runsOf(const std::string& path) const;
@@ -119,6 +123,7 @@
     std::map<size_t, FirstAttempts> firstAttempts_; ///< By gateway.
     uint64_t talliedFrom_ = 0; ///< Number of the last attempt before the tally was cleared.
     std::set<std::string> refusedAtMostOnce_; ///< Request ids.
+    size_t misattributed_ = 0;
     uint64_t lastNumber_ = 0;
     uint64_t harmlessSent_ = 0;
     double harmlessPending_ = 0;
