Planned stop: downloads need the time to their last byte

Cause: the learnt times end with the head of a response, and a download begins at once. A stopping gateway took downloads whose head came in time, and cut them in their body.

The time until the caller has the whole response is learnt for each route, bounded as the processing times are, and the longer of both decides. It also covers requests that went by way of a peer, whose heads are not learnt.

--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -78,6 +78,10 @@
     {
         processingTimes_.recordSent(service, selection.processingTime);
     }
+    void recordDelivery(const ServiceName& service, const model::RouteName& route, Duration duration)
+    {
+        processingTimes_.recordDelivery(service, route, duration);
+    }
     /// Processing times learnt from the targets' responses.
     [[nodiscard]] const ProcessingTimes& processingTimes() const { return processingTimes_; }
 
--- a/src/gateway/internal/processingtimes.cpp
+++ b/src/gateway/internal/processingtimes.cpp
@@ -104,4 +104,19 @@
     update(services_.try_emplace(service, InitialTimes).first->second, sample);
 }
 
+void ProcessingTimes::recordDelivery(const ServiceName& service, const model::RouteName& route, Duration duration)
+{
+    const auto known = deliveries_.find({service, route});
+    if (known != deliveries_.end())
+        known->second = std::max(duration, fromSeconds(toSeconds(known->second) * SlowestDecay));
+    else if (deliveries_.size() < MaxRoutes)
+        deliveries_.emplace(std::pair(service, route), duration);
+}
+
+Duration ProcessingTimes::slowestDelivery(const ServiceName& service, const model::RouteName& route) const
+{
+    const auto found = deliveries_.find({service, route});
+    return found == deliveries_.end() ? Duration::zero() : found->second;
+}
+
 } // namespace saltvane::gateway
--- a/src/gateway/internal/processingtimes.h
+++ b/src/gateway/internal/processingtimes.h
@@ -28,7 +28,7 @@
         Duration first {}; ///< Time at an object's first choice, when idle.
         Duration secondExcess {}; ///< Additional time at the second choice, which has the object warm less often.
         Duration otherExcess {}; ///< Additional time at any other target.
-        Duration slowest {}; ///< The longest recent response.
+        Duration slowest {}; ///< The longest recent time to the head of a response.
         [[nodiscard]] Duration of(Choice choice) const;
     };
     /// Initializes the times of an unknown service from the objective of the first route that is requested.
@@ -49,12 +49,18 @@
     };
     void record(const ServiceName& service, const model::RouteName& route, const Sample& sample);
 
+    /// Records the time from sending a request until its caller had the whole response.
+    void recordDelivery(const ServiceName& service, const model::RouteName& route, Duration duration);
+    /// The longest recent one of these times; zero if none is known.
+    [[nodiscard]] Duration slowestDelivery(const ServiceName& service, const model::RouteName& route) const;
+
 private:
     static void update(Times& times, const Sample& sample);
 
     std::map<ServiceName, Times> services_;
     std::map<ServiceName, Duration> sent_;
     std::map<std::pair<ServiceName, model::RouteName>, Times> routes_;
+    std::map<std::pair<ServiceName, model::RouteName>, Duration> deliveries_; ///< The slowest of each route.
 };
 
 } // namespace saltvane::gateway
--- a/src/gateway/internal/requestcompletion.cpp
+++ b/src/gateway/internal/requestcompletion.cpp
@@ -95,7 +95,7 @@
 {
     if (stopAt_ || isConnectionClosed)
         response.headers.push_back({.name = "Connection", .value = "close"});
-    pendingResponses_.insert(response.handle);
+    pendingResponses_.try_emplace(response.handle);
     actions_.emplace_back(std::move(response));
 }
 
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -93,10 +93,17 @@
     exchange.phase = Exchange::Phase::Streaming;
     exchange.isResponseStarted = true;
     exchange.response.isLast = false;
-    respond(std::move(exchange.response));
+    sendResponse(exchange);
     exchange.response = {};
 }
 
+void RequestRunner::sendResponse(Exchange& exchange)
+{
+    pendingResponses_[exchange.handle]
+        = PendingResponse {.service = exchange.service, .route = exchange.route.name, .sentAt = exchange.sentAt};
+    respond(std::move(exchange.response));
+}
+
 void RequestRunner::onRefusedByTarget(Exchange& exchange, int status, Timestamp now)
 {
     actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
@@ -136,7 +143,7 @@
     } else {
         exchange.response.bodyLength = exchange.response.bytes.size();
         exchange.response.isLast = true;
-        respond(std::move(exchange.response));
+        sendResponse(exchange);
     }
     options_.counters.add(model::Counter::RequestsAnswered);
     options_.latencies.add(exchange.route.kind, Stage::Total, now - exchange.startedAt);
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -103,9 +103,13 @@
     actions_.emplace_back(requests::TargetResponseWindow {.dispatch = exchange->dispatch, .bytes = progress.bytes});
 }
 
-void RequestRunner::accept(const requests::HttpResponseDone& done, Timestamp /*now*/)
+void RequestRunner::accept(const requests::HttpResponseDone& done, Timestamp now)
 {
-    pendingResponses_.erase(done.handle);
+    const auto pending = pendingResponses_.extract(done.handle);
+    if (pending.empty() || !pending.mapped())
+        return;
+    const PendingResponse& response = *pending.mapped();
+    options_.placement.recordDelivery(response.service, response.route, now - response.sentAt);
 }
 
 std::variant<TargetSelection, PlacementRefusal> RequestRunner::choose(
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -26,7 +26,6 @@
 #include <set>
 #include <span>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace saltvane::gateway {
@@ -220,6 +219,8 @@
     void onRefusedByTarget(Exchange& exchange, int status, Timestamp now);
     void startResponse(Exchange& exchange, const requests::TargetResponseHead& head);
     void startStreaming(Exchange& exchange);
+    /// Sends the target's response, or what was received of it, to the caller.
+    void sendResponse(Exchange& exchange);
 
     void refuse(Exchange& exchange, model::Reason reason, Duration retryAfter, Timestamp now);
     void fail(Exchange& exchange, model::Reason reason, Timestamp now);
@@ -250,7 +251,14 @@
     std::unordered_map<requests::DispatchId, Exchange*> dispatches_;
     std::set<std::pair<Timestamp, requests::HttpHandle>> deadlines_;
     std::set<std::pair<Timestamp, requests::HttpHandle>> checks_; ///< By Exchange::nextCheckAt.
-    std::unordered_set<requests::HttpHandle> pendingResponses_;
+    /// A target's response that the caller does not have completely.
+    struct PendingResponse {
+        ServiceName service;
+        model::RouteName route;
+        Timestamp sentAt; ///< When the request was dispatched.
+    };
+    /// Without a value: a response of this gateway's own.
+    std::unordered_map<requests::HttpHandle, std::optional<PendingResponse>> pendingResponses_;
     uint64_t lastDispatch_ = 0;
     bool isPlanUncertain_ = false;
     std::optional<Timestamp> stopAt_; ///< When requests in flight are ended; set once the gateway is asked to stop.
--- a/src/gateway/internal/requeststop.cpp
+++ b/src/gateway/internal/requeststop.cpp
@@ -25,9 +25,11 @@
 
 Duration RequestRunner::timeNeeded(const Exchange& exchange, Timestamp now) const
 {
-    const ProcessingTimes::Times times
-        = options_.placement.processingTimes().ofRoute(exchange.service, exchange.route.name);
-    const Duration expected = fromSeconds(toSeconds(times.slowest) * StopMarginFactor);
+    const ProcessingTimes& times = options_.placement.processingTimes();
+    const model::RouteName& route = exchange.route.name;
+    const Duration slowest
+        = std::max(times.ofRoute(exchange.service, route).slowest, times.slowestDelivery(exchange.service, route));
+    const Duration expected = fromSeconds(toSeconds(slowest) * StopMarginFactor);
     return std::min(std::max(expected, exchange.route.objective), exchange.deadline - now);
 }
 
--- a/src/gateway/tests/plannedstoptests.cpp
+++ b/src/gateway/tests/plannedstoptests.cpp
@@ -27,7 +27,7 @@
         : GatewayFixture(FixtureOptions {.lookUpTtl = 5s})
     {
         installPlan(1, LongRoutes);
-        reportTargets({target("t-1"), target("t-2"), target("t-3", "files")});
+        reportTargets({target("t-1"), target("t-2", "quotes", "north-b"), target("t-3", "files")});
     }
     static CallerRequest to(const std::string& path) { return {.path = path, .deadlineMs = "20000"}; }
     requests::TargetStart onlyStart()
@@ -80,7 +80,7 @@
         };
         deliver(model::PeerReport {.peers = {peer("10.0.0.2"), peer("10.0.0.3")}});
         for (int i = 0; i < 3 && !gateway_->status(now_).areTargetsUnreachable; ++i) {
-            request({.path = i == 2 ? "/file/1" : "/read/1"});
+            request({.path = i == 2 ? "/file/1" : "/read/1", .object = std::to_string(i)});
             for (int attempts = 0; attempts < 3; ++attempts) {
                 for (const requests::TargetStart& start : takeStarts()) {
                     if (isToPeer(start))
@@ -164,4 +164,22 @@
     expectRefusal();
 }
 
+// Guards against downloads that are judged by the time to their first byte.
+TEST_F(PlannedStopTest, DownloadNeedsTheTimeToItsLastByte)
+{
+    const requests::HttpHandle handle = request(to("/tape/1"));
+    const requests::TargetStart start = onlyStart();
+    sendFirstByte(start);
+    sendHead(start, "try-1");
+    sendBody(start, 100'000);
+    (void)takeResponse();
+    advance(2s);
+    endResponse(start);
+    deliverResponse(handle);
+    requestStop();
+    advance(3500ms);
+    request(to("/tape/2"));
+    expectRefusal();
+}
+
 } // namespace saltvane::gateway::test
