Planned stop: second attempts and peers need the time as well

Cause: a request that stalls at its target is sent to another one without a new dispatch, and a gateway that reaches no target forwards to the next peer without one; neither compared what the request needs with what is left.

A stalled request stays at its target, which may still answer; one that no peer can answer in time is refused.

Before red: StalledRequestStaysAtItsTargetIfThereIsNoTimeForAnother (cancelled and sent to another target 1.5 s before the end), RequestIsForwardedOnlyIfThePeerCanAnswerInTime (forwarded again). A peer that stops refuses as 'stopping' already, and the request goes to another one.

--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -59,6 +59,8 @@
 
 void RequestRunner::forward(Exchange& exchange, Timestamp now)
 {
+    if (!canCompleteBeforeStop(exchange, now))
+        return refuse(exchange, model::Reason::Stopping, StoppingRetryAfter, now);
     if (!tryForward(exchange, now))
         refuse(exchange, model::Reason::NoTarget, UnreachableRetryAfter, now);
 }
@@ -66,7 +68,8 @@
 Peer* RequestRunner::choosePeer(const Exchange& exchange, uint32_t possibleRuns, Timestamp now)
 {
     const uint32_t maxRuns = exchange.route.kind == model::RouteKind::AtMostOnce ? 1 : exchange.maxAttempts;
-    if (exchange.isForwarded || possibleRuns >= maxRuns || exchange.attemptedPeers.size() >= MaxPeersPerRequest)
+    if (exchange.isForwarded || possibleRuns >= maxRuns || exchange.attemptedPeers.size() >= MaxPeersPerRequest
+        || !canCompleteBeforeStop(exchange, now))
         return nullptr;
     PeerSet::Query query {.routeRegions = exchange.route.permittedRegions, .attempted = exchange.attemptedPeers};
     if (exchange.account)
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -325,7 +325,7 @@
 bool RequestRunner::mayRetryElsewhere(const Exchange& exchange, Timestamp now)
 {
     const bool mayRetry = exchange.route.kind != model::RouteKind::AtMostOnce || !exchange.mayHaveRun;
-    if (!mayRetry || exchange.attemptedTargets.size() >= exchange.maxAttempts)
+    if (!mayRetry || exchange.attemptedTargets.size() >= exchange.maxAttempts || !canCompleteBeforeStop(exchange, now))
         return false;
     if (exchange.targetsLost >= Quarantine::MaxLostTargetsForRetry || !options_.quarantine.mayRetry(exchange.digest))
         return false;
--- a/src/gateway/tests/plannedstoptests.cpp
+++ b/src/gateway/tests/plannedstoptests.cpp
@@ -164,6 +164,52 @@
     expectRefusal();
 }
 
+// Guards against second attempts that start too late, where the first one was not run.
+TEST_F(PlannedStopTest, RequestThatATargetRefusesTooLateIsRefused)
+{
+    serve(to("/search/1"), 1500ms);
+    requestStop();
+    advance(2s);
+    const requests::TargetStart start = send(to("/search/2"));
+    advance(1500ms);
+    answer(start, {.status = 503, .extraHeaders = {{.name = "Saltvane-Not-Run", .value = "1"}}});
+    EXPECT_TRUE(takeStarts().empty());
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+}
+
+// Guards against second attempts that start too late, where the first one may have been run.
+TEST_F(PlannedStopTest, RequestThatLosesItsTargetTooLateIsNotSentToAnother)
+{
+    serve(to("/search/1"), 1500ms);
+    requestStop();
+    advance(2s);
+    const requests::TargetStart start = send(to("/search/2"));
+    advance(1500ms);
+    fail(start, true);
+    EXPECT_TRUE(takeStarts().empty());
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+}
+
+// Guards against a request that leaves a slow target for another one, whose response would come too late.
+TEST_F(PlannedStopTest, StalledRequestStaysAtItsTargetIfThereIsNoTimeForAnother)
+{
+    serve(to("/search/1"), 1500ms);
+    requestStop();
+    advance(2s);
+    const requests::TargetStart start = send(to("/search/2"));
+    advance(2500ms);
+    EXPECT_TRUE(takeStarts().empty());
+    EXPECT_EQ(takeCancels(), 0U);
+    answer(start, {});
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+}
+
 // Guards against downloads that are judged by the time to their first byte.
 TEST_F(PlannedStopTest, DownloadNeedsTheTimeToItsLastByte)
 {
@@ -182,4 +228,29 @@
     expectRefusal();
 }
 
+// Guards against a gateway that reaches no target and forwards what its peers can't answer before its own end.
+TEST_F(PlannedStopTest, RequestIsForwardedOnlyIfThePeerCanAnswerInTime)
+{
+    isolate();
+    const requests::HttpHandle handle = request(to("/order/1"));
+    const requests::TargetStart start = onlyStart();
+    ASSERT_TRUE(isToPeer(start));
+    sendFirstByte(start);
+    advance(2s);
+    answer(start, {});
+    (void)takeResponse();
+    deliverResponse(handle);
+    requestStop();
+    advance(1s);
+    request(to("/order/2"));
+    const requests::TargetStart second = onlyStart();
+    ASSERT_TRUE(isToPeer(second));
+    sendFirstByte(second);
+    advance(3s);
+    answer(second, {.status = 503, .id = "", .extraHeaders = {{.name = "Saltvane-Reason", .value = "not-ready"}}});
+    expectRefusal(); // By the other peer it would come too late.
+    request(to("/order/3"));
+    expectRefusal();
+}
+
 } // namespace saltvane::gateway::test
