Gateways: other targets are preferred while responses of one are overlong

Cause: nothing was known against a target while its responses were passed on. It was judged when a response missed the gateway's deadline, or when its caller left within 250 ms of it: late where deadlines are long, and never where callers leave earlier.

A streamed response is overlong once it has lasted longer than its route's objective, 500 ms and twice the longest recent body of the route, and either its caller waits for the target or has read more than twice the largest recent body. A target with one is used only if no other can respond in time; if such a response is given up, for 0.25 s, doubled up to 4 s, and then with one request at a time until one of its responses is complete. A long response need not be a fault, so this neither cuts responses, nor ejects the target, nor refuses a request.

The tests of before pass unchanged.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -97,6 +97,7 @@
     bool isResponseLengthKnown = false; ///< The head of the response states the length of its body.
     uint64_t bytesReadByCaller = 0; ///< Of a streamed response.
     Timestamp callerReadAt {}; ///< When the caller last read some of it.
+    bool isResponseOverlong = false; ///< The streamed response is counted as overlong at its target.
     bool isResponseBroken = false; ///< The present target's response was counted as broken.
     bool isResponseStarted = false; ///< The head was sent to the caller.
     bool mayHaveRun = false; ///< A byte may have reached a target that did not report that it did not run the request.
--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -21,6 +21,9 @@
 /// A full target counts as loaded by its slots and a queue of twice as many requests.
 constexpr uint32_t FullLoadFactor = 3;
 
+/// How long a target is left out, or avoided, after this many repetitions.
+Duration backoffAfter(uint32_t repetitions) { return FirstEjection * (1 << std::min(repetitions, MaxDoublings)); }
+
 } // namespace
 
 double GatewayTarget::load(Timestamp now) const
@@ -69,10 +72,14 @@
 void GatewayTarget::onResponseCompleted()
 {
     brokenResponses = 0;
+    unfinishedResponses = 0;
+    avoidedUntil = {};
     if (failures < FailuresToEject)
         ejectedUntil = {};
 }
 
+void GatewayTarget::onResponseUnfinished(Timestamp now) { avoidedUntil = now + backoffAfter(unfinishedResponses++); }
+
 void GatewayTarget::onResponseBroken(Timestamp now)
 {
     if (areFailuresVoid())
@@ -94,8 +101,7 @@
 {
     if (consecutiveFailures < FailuresToEject)
         return;
-    const uint32_t doublings = std::min(consecutiveFailures - FailuresToEject, MaxDoublings);
-    ejectedUntil = now + FirstEjection * (1 << doublings);
+    ejectedUntil = now + backoffAfter(consecutiveFailures - FailuresToEject);
 }
 
 void GatewayTarget::updateLoad(std::string_view text, Timestamp now)
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -64,6 +64,9 @@
     uint32_t failures = 0; ///< Consecutive failures.
     uint32_t brokenResponses = 0; ///< Consecutive responses that broke off or did not end in time.
     Timestamp ejectedUntil;
+    uint32_t overlongResponses = 0; ///< Present responses that are far longer than the route's usual ones.
+    uint32_t unfinishedResponses = 0; ///< Overlong responses that were given up since one was complete.
+    Timestamp avoidedUntil;
     Timestamp failedAt; ///< Time of the last failure.
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
     SendPace slowStartPace; ///< During its slow start, if this gateway is the one that may use it.
@@ -90,6 +93,13 @@
     }
     /// Its failures ejected it for now.
     [[nodiscard]] bool isEjected(Timestamp now) const { return now < ejectedUntil && !areFailuresVoid(); }
+    /// Other targets are preferred: overlong responses are open, or were given up recently. Afterwards a single request
+    /// shall find out whether its responses end. It stays in use if no other target can respond in time, since a long
+    /// response need not be a fault.
+    [[nodiscard]] bool isAvoided(Timestamp now) const
+    {
+        return overlongResponses > 0 || now < avoidedUntil || (unfinishedResponses > 0 && inFlight > 0);
+    }
     [[nodiscard]] bool areFailuresVoid() const { return reachableSince != nullptr && failedAt < *reachableSince; }
     /// Its zone was reopened recently and the target was not listed since: the gateway that may use it is unknown.
     [[nodiscard]] bool isAwaitingReport(Timestamp now) const;
@@ -110,6 +120,8 @@
     void onResponseCompleted();
     /// A response broke off after its head, or did not end in time.
     void onResponseBroken(Timestamp now);
+    /// An overlong response was given up, by its caller or at its deadline.
+    void onResponseUnfinished(Timestamp now);
     /// The target lost the connection or did not answer in time. `isCertain`: it can't be reached at all.
     void onFailure(Timestamp now, bool isCertain);
     /// Ejects it for longer with each consecutive failure.
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -141,15 +141,17 @@
     const ProcessingTimes::Times expectedTimes = processingTimes_.ofRoute(query.service.name, query.route.name);
     const size_t choices = std::min(candidates.size(), ComparedTargets);
     const auto middle = candidates.begin() + static_cast<ptrdiff_t>(choices);
-    std::ranges::partial_sort(candidates, middle, std::ranges::greater {}, &Candidate::rank);
+    std::ranges::partial_sort(candidates, middle, std::ranges::greater {},
+        [](const Candidate& candidate) { return std::pair(!candidate.isAvoided, candidate.rank); });
     // All gateways and objects fill the remaining targets in the same order, so that cold work evicts the warm objects
     // of few targets only.
-    std::ranges::sort(middle, candidates.end(), {}, [](const Candidate& candidate) { return candidate.target->hash; });
+    std::ranges::sort(middle, candidates.end(), {},
+        [](const Candidate& candidate) { return std::pair(candidate.isAvoided, candidate.target->hash); });
     TargetSelection selection;
     double leastCost = 0;
     for (size_t i = 0; i < candidates.size(); ++i) {
-        // Among the remaining targets the first suitable one is used.
-        if (i >= choices && selection.target != nullptr)
+        // Among the remaining targets the first suitable one is used, and an avoided one only if no other is suitable.
+        if ((i >= choices || candidates[i].isAvoided) && selection.target != nullptr)
             break;
         GatewayTarget& target = *candidates[i].target;
         const Choice choice = i == 0 ? Choice::First : (i == 1 ? Choice::Second : Choice::Other);
@@ -213,7 +215,7 @@
         const Timestamp unavailableUntil = target->backpressure.unavailableUntil();
         groups.ejected += target->isEjected(now) ? 1 : 0;
         if (targets_.isUsable(*target, query.service, now))
-            group.push_back({.target = target, .rank = score * weight});
+            group.push_back({.target = target, .rank = score * weight, .isAvoided = target->isAvoided(now)});
         else if (now < unavailableUntil && target->isAvailable(now))
             groups.availableAt = std::min(groups.availableAt.value_or(unavailableUntil), unavailableUntil);
         else if (target->isOpen(now) && targets_.limitOf(*target, now) == SendLimit::Unconfirmed)
@@ -280,6 +282,11 @@
     const auto usable = static_cast<uint32_t>(found.size());
     if (usable == 0)
         return refusalWithoutTargets(found, known, now);
+    const auto hasPreferred = [](const Candidates& candidates) {
+        return std::ranges::any_of(candidates, [](const Candidate& candidate) { return !candidate.isAvoided; });
+    };
+    if (!hasPreferred(found.zone) && hasPreferred(found.region))
+        std::swap(found.zone, found.region);
     crossRegionBalance_ = std::min(crossRegionBalance_ + CrossRegionPerRequest, MaxCrossRegionBalance);
     Candidates& remote = found.remote;
     const bool hasLocal = !found.zone.empty() || !found.region.empty();
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -85,6 +85,7 @@
     struct Candidate {
         GatewayTarget* target = nullptr;
         double rank = 0; ///< Score for this object; the highest is its first choice.
+        bool isAvoided = false; ///< Other targets are preferred.
     };
     using Candidates = std::vector<Candidate>;
     /// Candidates by proximity. Small requests do not distinguish by it: their candidates are all in `region`.
--- a/src/gateway/internal/requestlosses.cpp
+++ b/src/gateway/internal/requestlosses.cpp
@@ -18,6 +18,8 @@
 constexpr Duration LastResponsesTimeout = 500ms;
 /// A caller that has read nothing for this long holds up the response itself.
 constexpr Duration CallerStallTimeout = 250ms;
+/// A response is overlong from this multiple of the largest recent response of its route.
+constexpr uint32_t OverlongFactor = 2;
 
 } // namespace
 
@@ -56,6 +58,41 @@
         target->onResponseBroken(now);
 }
 
+Timestamp RequestRunner::overlongAt(const Exchange& exchange) const
+{
+    const Duration usual = bodyExtents_.largest(exchange.route.name).value_or(BodyExtents::Extent {}).duration;
+    const Duration limit = std::max({usual * OverlongFactor, exchange.route.objective, MinBodyTime});
+    return exchange.sentAt + exchange.timeToHead + limit;
+}
+
+bool RequestRunner::isOverlong(const Exchange& exchange) const
+{
+    const bool isCallerBehind = exchange.bytesReadByCaller < exchange.responseBytes;
+    if (!isCallerBehind)
+        return true;
+    // A caller that reads slowly prolongs the response, but doesn't make it larger.
+    const std::optional<BodyExtents::Extent> largest = bodyExtents_.largest(exchange.route.name);
+    return !exchange.isResponseLengthKnown && largest && exchange.bytesReadByCaller / OverlongFactor > largest->bytes;
+}
+
+void RequestRunner::checkStreamed(Exchange& exchange, Timestamp now)
+{
+    GatewayTarget* target = options_.targets.find(exchange.target);
+    if (target == nullptr)
+        return;
+    if (!isOverlong(exchange))
+        return scheduleCheck(exchange, now + MinBodyTime);
+    exchange.isResponseOverlong = true;
+    ++target->overlongResponses;
+}
+
+void RequestRunner::recordUnfinishedResponse(const Exchange& exchange, Timestamp now)
+{
+    GatewayTarget* target = options_.targets.find(exchange.target);
+    if (target != nullptr && exchange.isResponseOverlong)
+        target->onResponseUnfinished(now);
+}
+
 void RequestRunner::onTargetLost(const requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
 {
     if (failed.mayHaveReachedTarget) {
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -90,6 +90,8 @@
 void RequestRunner::startStreaming(Exchange& exchange)
 {
     checks_.erase({exchange.nextCheckAt, exchange.handle});
+    if (!exchange.isAtPeer)
+        scheduleCheck(exchange, overlongAt(exchange));
     exchange.phase = Exchange::Phase::Streaming;
     exchange.isResponseStarted = true;
     exchange.response.isLast = false;
@@ -127,6 +129,8 @@
 {
     if (GatewayTarget* target = exchange.isAtPeer ? nullptr : options_.targets.find(exchange.target))
         target->onResponseCompleted();
+    bodyExtents_.record(exchange.route.name,
+        {.bytes = exchange.responseBytes, .duration = now - exchange.sentAt - exchange.timeToHead});
     releaseTarget(exchange);
     options_.quarantine.onAnswered(exchange.digest, now);
     const int status = exchange.response.status;
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -86,6 +86,7 @@
         const bool hasWaitedUntilDeadline = exchange->deadline - now <= MaxReadDelay;
         if (hasWaitedUntilDeadline && isResponseOverdue(*exchange, now))
             recordBrokenResponse(*exchange, now);
+        recordUnfinishedResponse(*exchange, now);
         onRunAbandoned(*exchange, now);
         actions_.emplace_back(requests::TargetCancel {.dispatch = exchange->dispatch});
     }
@@ -216,6 +217,7 @@
     exchange.sentAt = now;
     exchange.firstByteAt.reset();
     exchange.isResponseBroken = false;
+    exchange.isResponseOverlong = false;
     exchange.usesTargetCredit = exchange.limit.has_value();
     exchange.wasBlamed = options_.quarantine.isBlamed(exchange.digest);
     dispatches_.emplace(exchange.dispatch, &exchange);
@@ -267,8 +269,11 @@
         return;
     }
     GatewayTarget* target = options_.targets.find(exchange.target);
-    if (target != nullptr)
-        TargetSet::recordReleased(*target);
+    if (target == nullptr)
+        return;
+    if (std::exchange(exchange.isResponseOverlong, false))
+        --target->overlongResponses;
+    TargetSet::recordReleased(*target);
 }
 
 void RequestRunner::scheduleStallCheck(Exchange& exchange, Timestamp at)
@@ -302,7 +307,9 @@
 
 void RequestRunner::checkResponse(Exchange& exchange, Timestamp now)
 {
-    if (now < exchange.stalledAt)
+    if (exchange.phase == Exchange::Phase::Streaming)
+        checkStreamed(exchange, now);
+    else if (now < exchange.stalledAt)
         onSlowResponse(exchange, now);
     else
         checkStalled(exchange, now);
@@ -400,6 +407,7 @@
         if (exchange->dispatch.value != 0) {
             if (isResponseOverdue(*exchange, now))
                 recordBrokenResponse(*exchange, now);
+            recordUnfinishedResponse(*exchange, now);
             recordAnswer(*exchange, now - exchange->sentAt);
             exchange->recordPossibleRun();
             onRunAbandoned(*exchange, now);
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "gateway/internal/backpressuremonitor.h"
+#include "gateway/internal/bodyextents.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/internal/forwardedheader.h"
 #include "gateway/internal/limitcredits.h"
@@ -212,6 +213,14 @@
     /// Whether the target is to blame for a response that began and has not ended by the deadline.
     [[nodiscard]] static bool isResponseOverdue(const Exchange& exchange, Timestamp now);
     void recordBrokenResponse(Exchange& exchange, Timestamp now);
+    /// When a streamed response has taken far longer than the route's usual ones.
+    [[nodiscard]] Timestamp overlongAt(const Exchange& exchange) const;
+    /// Whether a streamed response that takes long does so because of its target.
+    [[nodiscard]] bool isOverlong(const Exchange& exchange) const;
+    /// A streamed response takes long.
+    void checkStreamed(Exchange& exchange, Timestamp now);
+    /// A response was given up before its end.
+    void recordUnfinishedResponse(const Exchange& exchange, Timestamp now);
     void onRefusedByTarget(Exchange& exchange, int status, Timestamp now);
     void startResponse(Exchange& exchange, const requests::TargetResponseHead& head);
     void startStreaming(Exchange& exchange);
@@ -246,6 +255,7 @@
     std::set<std::pair<Timestamp, requests::HttpHandle>> deadlines_;
     std::set<std::pair<Timestamp, requests::HttpHandle>> checks_; ///< By Exchange::nextCheckAt.
     std::unordered_set<requests::HttpHandle> pendingResponses_;
+    BodyExtents bodyExtents_;
     uint64_t lastDispatch_ = 0;
     bool isPlanUncertain_ = false;
     bool isLeaving_ = false;
--- a/src/gateway/tests/endlessresponsetests.cpp
+++ b/src/gateway/tests/endlessresponsetests.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 /// Targets whose responses begin well and don't end.
 namespace saltvane::gateway::test {
@@ -40,6 +41,34 @@
         }
         return sentToBad;
     }
+    /// Sends requests until the bad target has one: with more, its load would keep further ones from it.
+    void sendOneToBad(const std::function<void(const requests::TargetStart&)>& misbehave)
+    {
+        while (sendRequests(1, misbehave) == 0) { }
+    }
+    /// The callers read what was sent to them so far.
+    void readResponses(size_t bytes)
+    {
+        for (uint64_t handle = 1; handle <= lastId_; ++handle)
+            readResponse({handle}, bytes);
+    }
+    /// The good target sends this many bytes within the time, to one caller.
+    void streamFromGood(size_t bytes, Duration duration)
+    {
+        for (bool isStreamed = false; !isStreamed;) {
+            const std::string id = "try-" + std::to_string(++lastId_);
+            const requests::HttpHandle handle = request({.id = id, .object = id});
+            const requests::TargetStart start = takeStarts().at(0);
+            sendHead(start, id);
+            isStreamed = start.target == TargetId("good");
+            if (isStreamed) {
+                sendBody(start, bytes);
+                readResponse(handle, bytes);
+                advance(duration);
+            }
+            finishBody(start);
+        }
+    }
     size_t lastId_ = 0;
 };
 
@@ -121,4 +150,80 @@
     EXPECT_GE(sendRequests(20, stream), 2U);
 }
 
+// Guards against callers without an answer until the first deadlines: nothing is known against a target while its
+// responses are passed on, so that it goes on getting its share of requests.
+TEST_F(EndlessResponseTest, TargetWithOverlongResponsesGetsNoMoreRequestsBeforeItsDeadlines)
+{
+    const auto streamWithoutEnd = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes); };
+    sendOneToBad(streamWithoutEnd);
+    readResponses(LargeBodyBytes);
+    advance(700ms);
+    EXPECT_EQ(sendRequests(20, streamWithoutEnd), 0U);
+}
+
+// The same where callers are always behind what the target sends, as at full speed.
+TEST_F(EndlessResponseTest, TargetWhoseBodiesOutgrowTheUsualOnesGetsNoMoreRequestsBeforeItsDeadlines)
+{
+    const auto streamWithoutEnd = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes * 2); };
+    sendOneToBad(streamWithoutEnd);
+    readResponses(LargeBodyBytes);
+    advance(700ms);
+    EXPECT_EQ(sendRequests(20, streamWithoutEnd), 0U);
+}
+
+// Guards against a target that gets its share of requests again each time that the callers of its endless responses
+// have left: after its backoff it gets one.
+TEST_F(EndlessResponseTest, TargetWhoseOverlongResponsesWereGivenUpGetsOneRequestAtATime)
+{
+    const auto streamWithoutEnd = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes); };
+    ASSERT_GE(sendRequests(20, streamWithoutEnd), 2U);
+    readResponses(LargeBodyBytes);
+    advance(700ms);
+    for (uint64_t handle = 1; handle <= lastId_; ++handle)
+        abort({handle});
+    EXPECT_EQ(sendRequests(20, streamWithoutEnd), 0U);
+    advance(4100ms);
+    EXPECT_EQ(sendRequests(40, streamWithoutEnd), 1U);
+}
+
+// Responses that take as long as others of the route before keep requests from no target.
+TEST_F(EndlessResponseTest, ResponsesOfUsualLengthDoNotDivertRequests)
+{
+    streamFromGood(LargeBodyBytes, 600ms);
+    const auto stream = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes); };
+    sendOneToBad(stream);
+    readResponses(LargeBodyBytes);
+    advance(700ms);
+    EXPECT_GE(sendRequests(20, stream), 2U);
+}
+
+// A long response need not be a fault: requests that no other target can take are not refused because of it.
+TEST_F(EndlessResponseTest, OnlyTargetWithOverlongResponsesIsUsed)
+{
+    const auto stream = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes); };
+    sendOneToBad(stream);
+    readResponses(LargeBodyBytes);
+    advance(700ms);
+    model::TargetRecord leaving = target("good");
+    leaving.isLeaving = true;
+    reportTargets({target("bad"), leaving});
+    EXPECT_EQ(sendRequests(2, stream), 2U);
+}
+
+// A target whose long response ends gets its requests again at once.
+TEST_F(EndlessResponseTest, TargetWhoseOverlongResponsesEndGetsRequestsAgain)
+{
+    std::vector<requests::TargetStart> open;
+    const auto stream = [&](const requests::TargetStart& start) {
+        sendBody(start, LargeBodyBytes);
+        open.push_back(start);
+    };
+    ASSERT_GE(sendRequests(20, stream), 2U);
+    readResponses(LargeBodyBytes);
+    advance(700ms);
+    for (const requests::TargetStart& start : open)
+        finishBody(start);
+    EXPECT_GE(sendRequests(20, stream), 2U);
+}
+
 } // namespace saltvane::gateway::test
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -226,6 +226,11 @@
         requests::TargetResponseBody {.dispatch = start.dispatch, .bytes = std::string(bytes, 'x')}));
 }
 
+void GatewayFixture::finishBody(const requests::TargetStart& start)
+{
+    handle(requests::TargetEvent(requests::TargetResponseDone {.dispatch = start.dispatch}));
+}
+
 void GatewayFixture::readResponse(requests::HttpHandle caller, size_t bytes)
 {
     handle(requests::HttpEvent(requests::HttpResponseProgress {.handle = caller, .bytes = bytes}));
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -67,6 +67,7 @@
     /// The first parts of a response whose length is not stated.
     void sendHead(const requests::TargetStart& start, const std::string& id);
     void sendBody(const requests::TargetStart& start, size_t bytes);
+    void finishBody(const requests::TargetStart& start);
     /// The caller has read some bytes of its response.
     void readResponse(requests::HttpHandle handle, size_t bytes);
     void fail(const requests::TargetStart& start, bool mayHaveReachedTarget);
--- a/testing/system/endlessresponses.py
+++ b/testing/system/endlessresponses.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import itertools
 import json
 import pathlib
@@ -22,6 +23,7 @@
 ENDLESS_TARGETS = 3
 OTHER_TARGETS = 2  # Of the service without endless responses.
 DEADLINE_S = 2.5
+ROUTE_TIMEOUT_S = 4
 CALL_INTERVAL_S = 0.025
 OTHER_CALL_INTERVAL_S = 0.1
 HEARTBEAT_S = 1.0
@@ -36,20 +38,35 @@
 MAX_MEMORY_MB = 256  # The gateway's memory limit, the default of its settings.
 
 CHUNKED = "HTTP/1.1 200 OK\r\nSaltvane-Request-Id: {request}\r\nTransfer-Encoding: chunked\r\n\r\n"
-# By name: the head, what is repeated, and the pause in between; none: by the option --pause-ms.
+
+
+@dataclasses.dataclass(frozen=True)
+class EndlessResponse:
+    """Targets send the head and then the same bytes again and again."""
+    head: str
+    repeated: bytes
+    pause_s: float | None = None  # Between two writes; none: by the option --pause-ms.
+    stated_deadline_s: float = DEADLINE_S  # Of the callers, who leave after DEADLINE_S in any case.
+
+
+FAST_CHUNK = f"{BLOCK:x}\r\n".encode() + b"x" * BLOCK + b"\r\n"
 RESPONSES = {
-    "head": ("HTTP/1.1 200 OK\r\nSaltvane-Request-Id: {request}\r\n", b"X-Filler: " + b"x" * 1000 + b"\r\n", None),
-    "fast body": (CHUNKED, f"{BLOCK:x}\r\n".encode() + b"x" * BLOCK + b"\r\n", None),
-    "slow body": (CHUNKED, b"a\r\n0123456789\r\n", SLOW_PAUSE_S),
-    "chunk size": (CHUNKED, b"0" * BLOCK, None),
-    "trailers": (CHUNKED + "0\r\n", b"X-Filler: " + b"x" * 1000 + b"\r\n", None),
+    "head": EndlessResponse("HTTP/1.1 200 OK\r\nSaltvane-Request-Id: {request}\r\n", b"X-Filler: " + b"x" * 1000 + b"\r\n"),
+    "fast body": EndlessResponse(CHUNKED, FAST_CHUNK),
+    "body at full speed": EndlessResponse(CHUNKED, FAST_CHUNK, pause_s=0),
+    # Callers leave long before the gateway's deadline, so that no response is known to have missed it.
+    "body at full speed to callers that leave early": EndlessResponse(CHUNKED, FAST_CHUNK, pause_s=0,
+                                                                      stated_deadline_s=ROUTE_TIMEOUT_S),
+    "slow body": EndlessResponse(CHUNKED, b"a\r\n0123456789\r\n", pause_s=SLOW_PAUSE_S),
+    "chunk size": EndlessResponse(CHUNKED, b"0" * BLOCK),
+    "trailers": EndlessResponse(CHUNKED + "0\r\n", b"X-Filler: " + b"x" * 1000 + b"\r\n"),
 }
 
 
 def plan() -> bytes:
     def route(prefix: str, service: str) -> dict:
-        return {"name": service, "host": "prices.example", "path_prefix": prefix, "kind": "repeatable", "timeout_ms": 4000,
-                "objective_ms": 500, "rank": 0, "service": service, "attempts": 2, "affinity": False}
+        return {"name": service, "host": "prices.example", "path_prefix": prefix, "kind": "repeatable",
+                "timeout_ms": ROUTE_TIMEOUT_S * 1000, "objective_ms": 500, "rank": 0, "service": service, "attempts": 2, "affinity": False}
 
     services = [{"name": name, "probe_path": "/health", "connections": 1000, "slow_start_s": 0, "slow_start_per_s": 100}
                 for name in ("quotes", "orders")]
@@ -83,16 +100,17 @@
         writer.transport.abort()
 
     async def _send_without_end(self, writer: asyncio.StreamWriter, request_id: str):
-        head, repeated, pause_s = RESPONSES[self.response]
+        response = RESPONSES[self.response]
+        pause_s = self.pause_s if response.pause_s is None else response.pause_s
         self.streams += 1
-        writer.write(head.format(request=request_id).encode())
+        writer.write(response.head.format(request=request_id).encode())
         sent = 0
         while True:
-            writer.write(repeated)
-            sent += len(repeated)
+            writer.write(response.repeated)
+            sent += len(response.repeated)
             self.most_bytes = max(self.most_bytes, sent)
             await writer.drain()
-            await asyncio.sleep(self.pause_s if pause_s is None else pause_s)
+            await asyncio.sleep(pause_s)
 
     async def report(self, control: str):
         for sequence in itertools.count(1):
@@ -111,6 +129,7 @@
                                pause_s)
                         for number in range(TARGETS + OTHER_TARGETS)]
         self.requests = 0
+        self.stated_deadline_s = DEADLINE_S
         for name, ip, settings in (("registry", f"{network}.1", REGISTRY), ("gateway", f"{network}.2", GATEWAY)):
             text = (SETTINGS + settings).format(role=name, ip=ip, seed=f"{network}.1", key="l" * 40)
             (system.folder / f"{name}.yaml").write_text(text)
@@ -119,7 +138,7 @@
         """Whether one request gets the complete response of a target before its deadline."""
         self.requests += 1
         headers = {"Host": "prices.example", "Saltvane-Request-Id": f"try-{self.requests}",
-                   "Saltvane-Deadline-Ms": str(round(DEADLINE_S * 1000)), "Connection": "close"}
+                   "Saltvane-Deadline-Ms": str(round(self.stated_deadline_s * 1000)), "Connection": "close"}
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(DEADLINE_S):
                 reader, writer = await asyncio.open_connection(*split(self.front))
@@ -177,6 +196,7 @@
     endless = deployment.targets[:ENDLESS_TARGETS]
     for target in endless:
         target.response = response
+    deployment.stated_deadline_s = RESPONSES[response].stated_deadline_s
     answers = collections.Counter()
     await asyncio.gather(send_requests(deployment, "quotes", CALL_INTERVAL_S, seconds, answers),
                          send_requests(deployment, "orders", OTHER_CALL_INTERVAL_S, seconds, answers))
