Planned stop: requests that the stop ends are answered

Cause: at its end a stopping gateway reported the end of its stop in the same tick in which it began to refuse, and the process closed all connections: requests that targets still ran, requests of which no target had got a byte, and responses that were complete and not yet written. Their callers got nothing.

Half a second before stop_time_limit_s each request whose response has not begun is answered: 502 stop-time-limit where a byte of it may have reached a target, 503 stopping with Retry-After where none has. The process then waits at most 0.3 s until responses, and downloads in their last bytes, are with their callers. stop_time_limit_s bounds the stop as before.

Before red: RequestsInFlightAtTheEndAreAnswered, ResponseThatIsReadyAtTheEndIsDelivered, DownloadThatEndsShortlyAfterTheEndIsDelivered.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -50,6 +50,8 @@
 constexpr double UsedRolloutShare = 0.8;
 /// Reserved before the stop time limit for responses that are still being sent.
 constexpr Duration StopReserve = 500ms;
+/// The part of it for which the process still waits for them. The rest is for the end of the process.
+constexpr Duration MaxResponseWait = 300ms;
 
 model::HostRecord recordOf(const settings::RoutedHostSettings& settings, Incarnation incarnation)
 {
@@ -505,13 +507,15 @@
     const Duration waited = now - *stopRequestedAt_;
     if (waited >= stay)
         runner_.startRefusing();
+    if (waited >= limit)
+        requestsCut_ += runner_.endRequests(now);
     if (runner_.inFlight() > 0 || runner_.pendingResponses() > 0)
         lastBusyAt_ = now;
     const bool isBusy = now - lastBusyAt_ < ResponseFlushDelay;
-    if (waited < stay || (isBusy && waited < limit))
+    if (waited < stay || (isBusy && waited < limit + MaxResponseWait))
         return;
     isStopReported_ = true;
-    actions_.emplace_back(host::StopFinished {.requestsCut = static_cast<uint32_t>(runner_.inFlight())});
+    actions_.emplace_back(host::StopFinished {.requestsCut = static_cast<uint32_t>(requestsCut_ + runner_.inFlight())});
 }
 
 void GatewayCore::collectActions(Timestamp now)
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -137,6 +137,7 @@
     size_t rolloutReports_ = 0; ///< Number of reports so far.
     size_t peerRequests_ = 0; ///< Number of requests for peers so far.
     std::optional<Timestamp> stopRequestedAt_;
+    size_t requestsCut_ = 0; ///< Requests that were ended by the stop.
     Timestamp lastBusyAt_ {}; ///< When a request or a response was last in progress.
     bool isStopReported_ = false;
 };
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -93,6 +93,8 @@
     void startLeaving(Timestamp stopAt) { stopAt_ = stopAt; }
     /// From now on new requests are refused, so that those in progress can complete before the process stops.
     void startRefusing() { isRefusing_ = true; }
+    /// Answers the callers of all requests whose response has not begun. Returns the number of these requests.
+    size_t endRequests(Timestamp now);
 
     /// Handles incarnations of targets that have stopped, because another one took their id or their address.
     void onTargetsReplaced(std::span<const model::TargetIncarnation> targetIncarnations, Timestamp now);
@@ -164,6 +166,8 @@
     [[nodiscard]] bool canCompleteBeforeStop(const Exchange& exchange, Timestamp now) const;
     /// Until its response is complete, or its deadline.
     [[nodiscard]] Duration timeNeeded(const Exchange& exchange, Timestamp now) const;
+    /// Abandons the request and tells its caller whether it may have been run.
+    void endRequest(Exchange& exchange, Timestamp now);
     /// Why a request that was dispatched must not be sent any more, or None.
     [[nodiscard]] model::Reason reasonToWithhold(const Exchange& exchange, Timestamp now) const;
     /// The request was withheld: no byte of it was sent to the selected target.
--- a/src/gateway/internal/requeststop.cpp
+++ b/src/gateway/internal/requeststop.cpp
@@ -33,4 +33,29 @@
     return std::min(std::max(expected, exchange.route.objective), exchange.deadline - now);
 }
 
+size_t RequestRunner::endRequests(Timestamp now)
+{
+    std::vector<requests::HttpHandle> handles;
+    for (const auto& [handle, exchange] : exchanges_) {
+        if (!exchange->isResponseStarted)
+            handles.push_back(handle);
+    }
+    std::ranges::sort(handles); // The order of exchanges_ is arbitrary.
+    for (const requests::HttpHandle handle : handles)
+        endRequest(*find(handle), now);
+    return handles.size();
+}
+
+void RequestRunner::endRequest(Exchange& exchange, Timestamp now)
+{
+    if (exchange.dispatch.value != 0) {
+        actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
+        if (exchange.firstByteAt)
+            exchange.recordPossibleRun();
+        else
+            releaseUnsent(exchange, now);
+    }
+    fail(exchange, exchange.mayHaveRun ? model::Reason::StopTimeLimit : model::Reason::Stopping, now);
+}
+
 } // namespace saltvane::gateway
--- a/src/gateway/tests/plannedstoptests.cpp
+++ b/src/gateway/tests/plannedstoptests.cpp
@@ -253,4 +253,83 @@
     expectRefusal();
 }
 
+// Guards against callers that get nothing although it is known what became of their request: it may have been run, or
+// no byte of it was sent to a target.
+TEST_F(PlannedStopTest, RequestsInFlightAtTheEndAreAnswered)
+{
+    const requests::HttpHandle atTarget = request(to("/order/1"));
+    sendFirstByte(onlyStart());
+    const requests::HttpHandle connecting = request(to("/order/2"));
+    (void)onlyStart();
+    CallerRequest withBody = to("/order/3");
+    withBody.body = "2 contracts";
+    const requests::HttpHandle receiving = sendRequestHead(withBody);
+    requestStop();
+    advance(StopEnd - 20ms);
+    EXPECT_FALSE(takeResponse());
+    (void)takeCancels();
+    advance(20ms);
+    EXPECT_EQ(takeCancels(), 2U);
+    for (const auto& [handle, status, reason] : {std::tuple(atTarget, 502, "stop-time-limit"),
+             std::tuple(connecting, 503, "stopping"), std::tuple(receiving, 503, "stopping")}) {
+        const auto response = takeResponse();
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->handle, handle);
+        EXPECT_EQ(response->status, status);
+        EXPECT_EQ(header(response->headers, "Saltvane-Reason"), reason);
+        deliverResponse(handle);
+    }
+    EXPECT_TRUE(takeStarts().empty());
+    EXPECT_FALSE(takeStopFinished());
+    advance(120ms);
+    EXPECT_TRUE(takeStopFinished());
+}
+
+// Guards against a process that ends between the last response and its delivery.
+TEST_F(PlannedStopTest, ResponseThatIsReadyAtTheEndIsDelivered)
+{
+    const requests::HttpHandle handle = request(to("/order/1"));
+    const requests::TargetStart start = onlyStart();
+    sendFirstByte(start);
+    requestStop();
+    advance(StopEnd - 20ms);
+    answer(start, {});
+    EXPECT_TRUE(takeResponse());
+    advance(40ms);
+    EXPECT_FALSE(takeStopFinished());
+    deliverResponse(handle);
+    advance(120ms);
+    EXPECT_TRUE(takeStopFinished());
+}
+
+// Guards against downloads that are cut off within their last bytes.
+TEST_F(PlannedStopTest, DownloadThatEndsShortlyAfterTheEndIsDelivered)
+{
+    const requests::HttpHandle handle = request(to("/tape/1"));
+    const requests::TargetStart start = onlyStart();
+    sendFirstByte(start);
+    sendHead(start, "try-1");
+    sendBody(start, 100'000);
+    EXPECT_TRUE(takeResponse());
+    requestStop();
+    advance(StopEnd + 100ms);
+    EXPECT_FALSE(takeStopFinished());
+    endResponse(start);
+    deliverResponse(handle);
+    advance(120ms);
+    EXPECT_TRUE(takeStopFinished());
+}
+
+// Guards against a caller that doesn't read its response and holds up the end.
+TEST_F(PlannedStopTest, EndDoesNotWaitForCallersThatDoNotRead)
+{
+    request(to("/order/1"));
+    const requests::TargetStart start = onlyStart();
+    sendFirstByte(start);
+    answer(start, {});
+    requestStop();
+    advance(6s);
+    EXPECT_TRUE(takeStopFinished());
+}
+
 } // namespace saltvane::gateway::test
--- a/testing/system/plannedstop.py
+++ b/testing/system/plannedstop.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """System test of a planned stop: one of two gateways is stopped while callers may still keep its address and send requests.
-Guards against requests that it takes too late, passes on to a target and leaves without the target's response."""
+Guards against requests that it takes too late, passes on to a target and leaves without the target's response, and against
+callers that get nothing where their request took longer than the stop."""
 import argparse
 import asyncio
 import collections
@@ -27,6 +28,11 @@
 BLOCKS = 10
 BLOCK = 20_000
 RETRY_S = 0.05
+# Requests at most once that are sent right before the stop and take longer than it.
+LONG_REQUESTS = 6
+LONG_PATH = "/orders/long-"
+LONG_WORK_S = 9.0
+LONG_SENT_BEFORE_S = 0.5
 # Requests that are sent this long after the stop was requested have time left.
 EARLY_S = 1.0
 # By path: method, kind of the route, service.
@@ -65,7 +71,8 @@
                     writer.write(encode("HTTP/1.1 200 OK", {"Saltvane-Request-Id": request_id}))
                     continue
                 self.runs.add(request_id)
-                await self._respond(writer, request_id, self.rng.uniform(0, self.work_s))
+                work_s = LONG_WORK_S if request.start[1].startswith(LONG_PATH) else self.rng.uniform(0, self.work_s)
+                await self._respond(writer, request_id, work_s)
         except OSError:
             pass  # The gateway closed the connection.
         finally:
@@ -109,6 +116,7 @@
     def __init__(self, number: int, fronts: list[str]):
         self.number = number
         self.path = list(ROUTES)[number % len(ROUTES)]
+        self.method = ROUTES[self.path][0]
         self.fronts = fronts  # The one that is stopped comes first.
         self.attempts: list[Attempt] = []
         self.unserved = 0
@@ -123,18 +131,17 @@
 
     async def _request(self) -> bool:
         """False if no gateway served the request. Connections that closed without a response are judged by what ran."""
-        attempt = await self._send(self.fronts[0])
+        attempt = await self.send(self.fronts[0])
         if attempt is not None:
             self.attempts.append(attempt)
             if attempt.status != 503:
                 return attempt.status in (0, 200)
             await asyncio.sleep(float(attempt.response.headers["retry-after"]))
-        attempt = await self._send(self.fronts[1])
+        attempt = await self.send(self.fronts[1])
         return attempt is not None and attempt.status == 200
 
-    async def _send(self, front: str) -> Attempt | None:
+    async def send(self, front: str) -> Attempt | None:
         """None: the gateway accepts no connection."""
-        method = ROUTES[self.path][0]
         self.sent += 1
         attempt = Attempt(f"try-{self.number}-{self.sent}", self.path, time.monotonic())
         headers = {"Host": "prices.example", "Saltvane-Request-Id": attempt.request_id,
@@ -151,7 +158,7 @@
                 return None
         is_kept = False
         try:
-            writer.write(encode(f"{method} {self.path}{self.sent} HTTP/1.1", headers, b"x" if method == "POST" else b""))
+            writer.write(encode(f"{self.method} {self.path}{self.sent} HTTP/1.1", headers, b"x" if self.method == "POST" else b""))
             async with asyncio.timeout(DEADLINE_S + 1):
                 attempt.response = await read_message(reader)
             is_kept = attempt.response is not None and attempt.response.headers.get("connection") != "close"
@@ -203,6 +210,23 @@
                     await asyncio.sleep(0.1)
 
 
+def send_long_requests(deployment: "Deployment") -> list[asyncio.Task]:
+    tasks = []
+    for number in range(LONG_REQUESTS):
+        caller = Caller(CALLERS + number, deployment.fronts)
+        caller.path, caller.method = LONG_PATH, "POST"
+        tasks.append(asyncio.create_task(caller.send(deployment.fronts[0])))
+    return tasks
+
+
+def judge_long_requests(attempts: list[Attempt]) -> list[str]:
+    reasons = [attempt.response.headers.get("saltvane-reason", "") if attempt.response else "" for attempt in attempts]
+    outcomes = collections.Counter((attempt.status, reason) for attempt, reason in zip(attempts, reasons, strict=True))
+    print(f"requests that took longer than the stop, by status and reason: {dict(outcomes)}", flush=True)
+    return [f"a request that took longer than the stop got {outcome}" for outcome in outcomes
+            if outcome != (502, "stop-time-limit")]
+
+
 def judge(callers: list[Caller], targets: list[Target], stopped_at: float, exit_code: int) -> list[str]:
     runs = set().union(*(target.runs for target in targets))
     attempts = [attempt for caller in callers for attempt in caller.attempts]
@@ -220,7 +244,7 @@
         findings.append("no request was served though there was time")
     if unserved > 0:
         findings.append(f"{unserved} requests were served by no gateway")
-    if exit_code != 0:
+    if exit_code != 1:  # The long requests were cut.
         findings.append(f"the gateway ended with exit code {exit_code}")
     return findings
 
@@ -234,10 +258,13 @@
     callers = [Caller(number, deployment.fronts) for number in range(CALLERS)]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     await asyncio.sleep(options.seconds)
+    long_requests = send_long_requests(deployment)
+    await asyncio.sleep(LONG_SENT_BEFORE_S)
     stopped_at = time.monotonic()
     exit_code = await asyncio.to_thread(system.stop, "stopping")
     await asyncio.sleep(RETRY_S)
     findings = judge(callers, deployment.targets, stopped_at, exit_code)
+    findings += judge_long_requests(await asyncio.gather(*long_requests))
     for task in (*tasks, *reports):
         task.cancel()
     for server in servers:
