Forwarding: requests without an id go to peers on new connections

What callers would see: a caller that sends no id gets the response to another request, by way of a peer.

Cause: the empty id of such a request equals that of any response without one, so that its place on the kept connection decided. Such requests now open a connection, and a response without an id counts there only.

Ruled out: refusing requests without an id (callers are served today).

Evidence: on the code before, RequestsWithoutAnIdAreForwardedOnNewConnections fails: no new connection is asked for, and a response on a kept one is passed on as a 200. 259 tests of the module pass.

Conclusion: fixed for peers; the same question at targets belongs to the reader of their responses.

--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -124,6 +124,8 @@
         .bodyLength = exchange.body.size(),
         .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce,
         .maxReuseIdleTime = MaxPeerIdle,
+        // Without an id, the response is known by its connection only.
+        .needsNewConnection = exchange.id.isEmpty(),
         .echoedHeader = options_.headers.requestId,
         .deadlineHeader = options_.headers.deadline,
         .deadline = exchange.deadline,
@@ -138,10 +140,12 @@
     const std::string_view reasonText = requests::firstFieldValue(head.headers, requests::ReasonHeader);
     const bool isError = !reasonText.empty();
     const std::string_view id = requests::firstFieldValue(head.headers, options_.headers.requestId);
+    const bool isNamed = !exchange.id.isEmpty() && id == exchange.id.value();
     // Gateways of the version before leave the id out of their errors. On a connection that carried no earlier request
     // there is no other request that such an error could belong to.
-    const bool isUnnamedError = isError && id.empty() && head.isNewConnection;
-    if (id != exchange.id.value() && !isUnnamedError) {
+    const bool mayBeUnnamed = isError || exchange.id.isEmpty();
+    const bool isOnlyRequest = mayBeUnnamed && id.empty() && head.isNewConnection;
+    if (!isNamed && !isOnlyRequest) {
         exchange.lastFailure = "answer of another request";
         return onPeerLost(exchange, now);
     }
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -94,15 +94,17 @@
         (void)takeCancels();
         while (takeResponse()) { }
     }
-    /// A peer of the version before, which leaves out the id, refuses the first request on a connection.
-    void refuseAsOldPeerOnNewConnection(const requests::TargetStart& start)
+    /// A response without an id to the first request on a connection.
+    void respondUnnamedOnNewConnection(
+        const requests::TargetStart& start, int status, std::vector<model::Header> headers = {})
     {
         gateway_->handle(requests::TargetEvent(requests::TargetResponseHead {.dispatch = start.dispatch,
-                             .status = 503,
-                             .headers = {{.name = "Saltvane-Reason", .value = "no-room"}},
+                             .status = status,
+                             .headers = std::move(headers),
                              .bodyLength = 0,
                              .isNewConnection = true}),
             now_);
+        gateway_->handle(requests::TargetEvent(requests::TargetResponseDone {.dispatch = start.dispatch}), now_);
         advance(20ms);
     }
     /// The request as another gateway would receive it.
@@ -342,13 +344,37 @@
 {
     isolate();
     request({.method = "POST", .path = "/write/1", .id = "once", .body = "pay"});
-    refuseAsOldPeerOnNewConnection(onlyStart());
+    respondUnnamedOnNewConnection(onlyStart(), 503, {{.name = "Saltvane-Reason", .value = "no-room"}});
     const auto response = takeResponse();
     ASSERT_TRUE(response);
     EXPECT_EQ(response->status, 503);
     EXPECT_EQ(header(response->headers, "Saltvane-Reason"), "no-room");
 }
 
+// Guards against callers that send no id and get the response to another request: their empty id equals that of any
+// response without one.
+TEST_F(ForwardingTest, RequestsWithoutAnIdAreForwardedOnNewConnections)
+{
+    isolate();
+    const CallerRequest unnamed {.method = "POST", .path = "/write/1", .id = "", .body = "pay"};
+    request(unnamed);
+    const requests::TargetStart first = onlyStart();
+    EXPECT_TRUE(first.needsNewConnection);
+    respondUnnamedOnNewConnection(first, 200);
+    auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+
+    request(unnamed);
+    answer(onlyStart(), {.id = ""}); // On a kept connection.
+    response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+
+    request({.id = "named"});
+    EXPECT_FALSE(onlyStart().needsNewConnection);
+}
+
 // Guards against requests that run twice, or are reported as not run, when the peer that carries them is lost.
 TEST_F(ForwardingTest, OnlyRepeatableRequestsOutliveALostPeer)
 {
