--- a/src/registry/tests/ordertests.cpp
+++ b/src/registry/tests/ordertests.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace saltvane::registry::test {
 
 namespace {
@@ -55,6 +57,44 @@
     EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(4, "quotes") + " ", "4")), 400);
 }
 
+// Guards against reports and orders that count though their caller closed its connection within them: also if what
+// arrived reads like a whole one.
+TEST(OrderTest, CutCallsDoNotCount)
+{
+    const std::string gateway = "10.0.1.1:7000";
+    const std::string rollout = R"({"service":"quotes","to_version":"2","duration_s":60})";
+    RegistryCluster cluster(3);
+    ASSERT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(1), "0")), 200);
+    const size_t leader = *cluster.leader();
+    cluster.gatewayHeartbeat(leader, gateway, "north-a", "north");
+    const auto cut = [&](const std::string& method, const std::string& path, const std::string& text) {
+        for (const size_t bytes : {size_t {0}, text.size() / 2, text.size()})
+            cluster.cutCall(leader, method, path, text.substr(0, bytes), text.size() + 1, "1");
+    };
+    cut("POST", "/v1/targets/t-1/heartbeat", heartbeatText(1));
+    cut("POST", "/v1/targets/t-0/leave", "{}");
+    cut("PUT", "/v1/evacuations/north-a", "{}");
+    cut("POST", "/v1/rollouts", rollout);
+    cut("PUT", "/v1/plan", planText(2));
+    ASSERT_EQ(statusOf(cluster.call(leader, "POST", "/v1/targets/t-0/heartbeat", heartbeatText(1))), 200);
+    cluster.run(1s);
+    std::set<TargetId> targets;
+    for (const model::Message& message : cluster.drainSentTo(gateway)) {
+        const auto* report = std::get_if<model::TargetReport>(&message);
+        if (report == nullptr)
+            continue;
+        EXPECT_TRUE(report->retired.empty() && report->evacuatedZones.empty() && report->rollouts.empty());
+        for (const model::TargetRecord& record : report->targets)
+            targets.insert(record.target);
+    }
+    EXPECT_EQ(targets, std::set<TargetId> {TargetId("t-0")});
+    EXPECT_EQ(cluster.order("GET", "/v1/plan")->body, planText(1));
+    // Whole ones count.
+    EXPECT_EQ(statusOf(cluster.order("POST", "/v1/targets/t-0/leave", "{}")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/evacuations/north-a", "{}")), 200);
+    EXPECT_EQ(statusOf(cluster.order("PUT", "/v1/plan", planText(2), "1")), 200);
+}
+
 TEST(OrderTest, FollowerRedirectsToTheLeader)
 {
     RegistryCluster cluster(6);
--- a/src/registry/tests/registrycluster.cpp
+++ b/src/registry/tests/registrycluster.cpp
@@ -358,6 +358,20 @@
     });
 }
 
+void RegistryCluster::cutCall(size_t number, const std::string& method, const std::string& path,
+    const std::string& part, uint64_t bodyLength, const std::string& planBase)
+{
+    const requests::HttpHandle handle {++lastHandle_};
+    this->handle(number,
+        requests::HttpEvent(requests::HttpRequestStarted {.handle = handle,
+            .method = method,
+            .path = path,
+            .headers = {{.name = "Saltvane-Plan-Base", .value = planBase}},
+            .bodyLength = bodyLength}));
+    this->handle(number, requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = part}));
+    this->handle(number, requests::HttpEvent(requests::HttpRequestAborted {.handle = handle}));
+}
+
 void RegistryCluster::post(size_t number, const std::string& path, const std::string& body)
 {
     if (hosts_.at(number).suspendedSince)
--- a/src/registry/tests/registrycluster.h
+++ b/src/registry/tests/registrycluster.h
@@ -69,6 +69,9 @@
     /// Sends only the first part of a call's body. False: the call was refused at once with a Retry-After header.
     [[nodiscard]] bool beginCall(size_t number, const std::string& method, const std::string& path,
         const std::string& part, uint64_t bodyLength);
+    /// Sends this part of a call's body; then the caller closes its connection.
+    void cutCall(size_t number, const std::string& method, const std::string& path, const std::string& part,
+        uint64_t bodyLength, const std::string& planBase = {});
     /// POSTs without waiting for an answer.
     void post(size_t number, const std::string& path, const std::string& body);
     /// POSTs; takeAnswer() returns the answer once there is one.
