Target client: what the review of surplus responses found

- A head that mentions a status line is rejected only on a connection that has carried other responses: a legal header such as an upstream's status failed on new connections too, and a caller's id that reads like one made targets look faulty.
Requests whose id is no token, or that have none, get a connection of their own; the latter failed on kept connections.
- Only bytes that no request waited for count as surplus: a response without a length, a response without an id on a new connection, and bytes before the target's close do not.
- Equal copies of the id are accepted.
Surplus found before a request was withheld is not forgotten.

Tests of the surplus flag and of exclusive connections in the target client, which nothing held.

--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -41,7 +41,8 @@
         actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
         exchange.recordPossibleRun();
         exchange.lastFailure = "answer of another request";
-        options_.onSurplusBytes(exchange.target, now);
+        if (!head.isNewConnection)
+            options_.onSurplusBytes(exchange.target, now);
         return retryElsewhere(exchange, model::Reason::TargetFailed, now);
     }
     const std::string_view load = requests::firstFieldValue(head.headers, options_.headers.load);
@@ -163,11 +164,11 @@
 
 void RequestRunner::accept(requests::TargetFailed& failed, Exchange& exchange, Timestamp now)
 {
+    if (failed.hasSurplus)
+        options_.onSurplusBytes(exchange.target, now);
     if (failed.withheldFor != model::Reason::None)
         return onWithheld(exchange, failed.withheldFor, now);
     exchange.connection = failed.connection;
-    if (failed.hasSurplus)
-        options_.onSurplusBytes(exchange.target, now);
     if (exchange.isAtPeer)
         return onPeerFailed(failed, exchange, now);
     if (GatewayTarget* target = options_.targets.find(exchange.target)) {
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -65,9 +65,9 @@
         int status = 200;
         std::string id = "try-1";
         std::string body = "answer";
+        std::vector<model::Header> extraHeaders;
         bool isNewConnection = false;
         bool hasSurplus = false; ///< Bytes that no request waited for came before.
-        std::vector<model::Header> extraHeaders;
     };
     void answer(const requests::TargetStart& start, const TargetResponse& from);
     /// The first parts of a response whose length is not stated.
--- a/src/gateway/tests/surplusresponsetests.cpp
+++ b/src/gateway/tests/surplusresponsetests.cpp
@@ -65,6 +65,15 @@
     EXPECT_FALSE(isSentOnItsOwnConnection("GET"));
 }
 
+// Guards against periods that never end at targets whose responses lack the id.
+TEST_F(SurplusBytesTest, ResponseWithoutIdOnANewConnectionIsNoSurplus)
+{
+    request({.method = "POST", .path = "/write/1"});
+    answer(takeStarts().at(0), {.status = 500, .id = "", .isNewConnection = true});
+    EXPECT_EQ(takeResponse()->status, 502);
+    EXPECT_FALSE(isSentOnItsOwnConnection("GET"));
+}
+
 // Guards against connections of requests that were sent before the period, which report one after the other.
 TEST_F(SurplusBytesTest, SeveralConnectionsBeginOnePeriod)
 {
--- a/src/net/internal/responsehead.h
+++ b/src/net/internal/responsehead.h
@@ -29,10 +29,14 @@
     {
     }
 
+    /// Whether the connection has carried earlier responses, so that the first bytes may be the rest of one.
+    void setFollowsOthers(bool followsOthers) { followsOthers_ = followsOthers; }
     /// Adds one line as received, with its line ending.
     [[nodiscard]] State addLine(std::string_view line);
     [[nodiscard]] State state() const { return state_; }
     [[nodiscard]] const std::string& error() const { return error_; }
+    /// Bad, since it does not begin as a response does or contains the beginning of another one.
+    [[nodiscard]] bool isOutOfStep() const { return isOutOfStep_; }
     [[nodiscard]] int status() const { return status_; }
     [[nodiscard]] std::vector<model::Header>& headers() { return headers_; }
     /// Bytes of the body that follows; 0 for a response without body (HEAD, 204, 304). No value: chunked.
@@ -40,12 +44,15 @@
 
 private:
     [[nodiscard]] State fail(std::string error);
+    [[nodiscard]] State failOutOfStep(std::string_view error, std::string_view line);
     [[nodiscard]] State startHead(std::string_view statusLine);
     [[nodiscard]] State addField(std::string_view line);
     [[nodiscard]] State finish();
     [[nodiscard]] bool hasNoBody() const;
 
     bool isResponseToHead_;
+    bool followsOthers_ = false;
+    bool isOutOfStep_ = false;
     State state_ = State::Reading;
     std::string error_;
     int status_ = 0;
--- a/src/net/internal/targetconnections.cpp
+++ b/src/net/internal/targetconnections.cpp
@@ -42,9 +42,10 @@
     if (found == connections_.end())
         return Input::None;
     pollfd socket {.fd = found->second.fd, .events = POLLIN | POLLRDHUP, .revents = 0};
-    if (::poll(&socket, 1, 0) <= 0)
+    const int ready = ::poll(&socket, 1, 0);
+    if (ready == 0)
         return Input::None;
-    return socket.revents == POLLIN ? Input::Bytes : Input::End;
+    return ready > 0 && socket.revents == POLLIN ? Input::Bytes : Input::End;
 }
 
 uint32_t TargetConnections::recordRequest(const Key& key)
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -134,7 +134,7 @@
 {
     const requests::TargetStart& request = options_.start;
     const bool isReusable = request.isRepeatable || request.maxReuseIdleTime > Duration::zero();
-    return request.needsExclusiveConnection || request.echoedHeader.empty() || !isReusable;
+    return request.needsExclusiveConnection || !isNamed() || !isReusable;
 }
 
 void TargetExchange::setMaxReuseIdleTime()
@@ -254,6 +254,7 @@
     connection_ = {.localPort = localPort};
     if (newSocket_)
         options_.connections.add(connectionKey(), *newSocket_);
+    head_.setFollowsOthers(!newSocket_);
     // libcurl takes a connection with unread bytes for a usable one and would read them as the response.
     const TargetConnections::Input input = options_.connections.pendingInput(connectionKey());
     hasSurplus_ = hasSurplus_ || input == TargetConnections::Input::Bytes;
@@ -269,6 +270,7 @@
 {
     mustReconnect_ = false;
     failure_.clear();
+    connection_ = {};
     curl_easy_setopt(transfer_, CURLOPT_FRESH_CONNECT, 1L);
     isInTransfer_ = options_.curl.add(transfer_);
     if (!isInTransfer_)
@@ -291,7 +293,7 @@
         // The failed transfer makes libcurl close the connection. If it stayed open, every later request on it would
         // receive the response of the previous one.
         failure_ = isComplete ? "answer of another request" : head_.error();
-        hasSurplus_ = hasSurplus_ || !newSocket_;
+        hasSurplus_ = hasSurplus_ || (!newSocket_ && (isComplete || head_.isOutOfStep()));
         return false;
     }
     if (isComplete) {
@@ -316,18 +318,27 @@
     return false;
 }
 
+std::string_view TargetExchange::requestId() const
+{
+    const requests::TargetStart& request = options_.start;
+    const auto sent = std::ranges::find_if(request.headers,
+        [&](const model::Header& header) { return equalsIgnoringCase(header.name, request.echoedHeader); });
+    return sent == request.headers.end() ? std::string_view() : std::string_view(sent->value);
+}
+
 bool TargetExchange::isOwnResponse()
 {
-    const std::string& name = options_.start.echoedHeader;
-    if (name.empty())
-        return true; // Its connection has carried no other request.
-    const auto isEcho = [&](const model::Header& header) { return equalsIgnoringCase(header.name, name); };
-    const auto sent = std::ranges::find_if(options_.start.headers, isEcho);
-    const auto echoed = std::ranges::find_if(head_.headers(), isEcho);
-    if (echoed == head_.headers().end())
-        return newSocket_.has_value();
-    const bool isSingle = std::ranges::none_of(std::next(echoed), head_.headers().end(), isEcho);
-    return isSingle && sent != options_.start.headers.end() && echoed->value == sent->value;
+    if (newSocket_ && !isNamed())
+        return true; // The connection carries no other request.
+    bool isEchoed = false;
+    for (const model::Header& header : head_.headers()) {
+        if (!equalsIgnoringCase(header.name, options_.start.echoedHeader))
+            continue;
+        if (header.value != requestId())
+            return false;
+        isEchoed = true;
+    }
+    return isEchoed || newSocket_;
 }
 
 size_t TargetExchange::onBody(char* data, size_t size, size_t count, void* exchange)
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "net/internal/curlloop.h"
+#include "net/internal/requestframing.h"
 #include "net/internal/responsehead.h"
 #include "net/internal/targetconnections.h"
 #include "requests/exchangetypes.h"
@@ -76,6 +77,11 @@
     void updateDeadlineLine();
     [[nodiscard]] bool handleHeadLine(std::string_view line);
     [[nodiscard]] bool handleTrailerLine(std::string_view line);
+    /// The request's id, which its target echoes; empty if it has none.
+    [[nodiscard]] std::string_view requestId() const;
+    /// Whether the response can be told from those to other requests by its id. Callers choose the id: one that is no
+    /// token could read like a part of a head.
+    [[nodiscard]] bool isNamed() const { return isToken(requestId()); }
     /// Whether the complete head is that of the response to this request. A response without an id is only on a
     /// connection that has carried no other request.
     [[nodiscard]] bool isOwnResponse();
--- a/src/net/tests/surplusresponsetests.cpp
+++ b/src/net/tests/surplusresponsetests.cpp
@@ -88,6 +88,102 @@
     }
 }
 
+// Guards against the same at other cuts and in heads that were never seen: what follows on a kept connection and is not
+// one head of a response fails, and what only mentions a status does not.
+TEST_F(SurplusResponseTest, HeadsOfTwoResponsesFailOnAKeptConnection)
+{
+    const std::string rest = "X-Id: 2\r\nContent-Length: 0\r\n\r\n";
+    const std::vector<std::string> heads {
+        "HTTP/1.1 200 FinHTTP/1.1 500 Internal\r\n" + rest,
+        "HTTP/1.1 200 OK\r\nX-Load: 1,HTTP/1.0 500\r\n" + rest,
+        "HTTP/1.1 200 OK\r\nX: 1\r\n folded HTTP/1.1 500 Internal\r\n" + rest,
+        "HTTP/1.1 200 OK\rHTTP/1.1 500 Internal\r\n" + rest,
+        "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + rest,
+    };
+    for (const std::string& head : heads) {
+        reset();
+        answerFirst();
+        client->execute(named(2));
+        ASSERT_TRUE(acceptRequest(target));
+        target.send(head);
+        ASSERT_TRUE(waitForCompletion());
+        ASSERT_EQ(log.target<TargetFailed>().size(), 1U) << head;
+        EXPECT_TRUE(log.target<TargetFailed>().front().hasSurplus) << head;
+    }
+}
+
+// Guards against targets that are taken for faulty because of a head that is only bad, or of bytes before their close.
+TEST_F(SurplusResponseTest, OnlyBytesThatNoRequestWaitedForAreReportedAsSurplus)
+{
+    answerFirst();
+    client->execute(named(2));
+    ASSERT_TRUE(acceptRequest(target));
+    target.send("HTTP/1.1 200 OK\r\nX-Id: 2\r\n\r\n"); // Without a length.
+    ASSERT_TRUE(waitForCompletion());
+    ASSERT_EQ(log.target<TargetFailed>().size(), 1U);
+    EXPECT_FALSE(log.target<TargetFailed>().front().hasSurplus);
+
+    reset();
+    answerFirst();
+    target.send("HTTP/1.1 408 Timeout\r\nContent-Length: 0\r\n\r\n");
+    target.close();
+    client->execute(named(2));
+    RawSocket next;
+    ASSERT_TRUE(acceptRequest(next));
+    next.send(Late);
+    ASSERT_TRUE(waitForCompletion());
+    ASSERT_EQ(log.target<TargetResponseHead>().size(), 1U);
+    EXPECT_FALSE(log.target<TargetResponseHead>().front().hasSurplus);
+}
+
+TEST_F(SurplusResponseTest, UnreadBytesAreReportedWithTheNextResponse)
+{
+    answerFirst();
+    target.send(Early);
+    client->execute(named(2));
+    RawSocket next;
+    ASSERT_TRUE(acceptRequest(next));
+    next.send(Late);
+    ASSERT_TRUE(waitForCompletion());
+    ASSERT_EQ(log.target<TargetResponseHead>().size(), 1U);
+    EXPECT_TRUE(log.target<TargetResponseHead>().front().hasSurplus);
+}
+
+TEST_F(SurplusResponseTest, ExclusiveConnectionCarriesNoOtherRequest)
+{
+    answerFirst();
+    TargetStart start = named(2);
+    start.needsExclusiveConnection = true;
+    client->execute(start);
+    RawSocket next;
+    ASSERT_TRUE(acceptRequest(next));
+    next.send(Late);
+    ASSERT_TRUE(waitForCompletion());
+    EXPECT_EQ(log.target<TargetResponseDone>().size(), 1U);
+    EXPECT_TRUE(runner.runUntil([&] { return next.isPeerDisconnected(); }));
+}
+
+// Guards against requests without an id, or with one that reads like a part of a head, that fail on kept connections:
+// callers choose their ids.
+TEST_F(SurplusResponseTest, RequestsThatNoResponseCanNameGetConnectionsOfTheirOwn)
+{
+    for (const std::string_view id : {"", "x HTTP/1.1 200"}) {
+        reset();
+        answerFirst();
+        TargetStart start = request(2);
+        start.echoedHeader = "X-Id";
+        if (!id.empty())
+            start.headers.push_back({"X-Id", std::string(id)});
+        client->execute(start);
+        RawSocket next;
+        ASSERT_TRUE(acceptRequest(next)) << id;
+        next.send(id.empty() ? std::string(Response)
+                             : "HTTP/1.1 200 OK\r\nX-Id: " + std::string(id) + "\r\nContent-Length: 0\r\n\r\n");
+        ASSERT_TRUE(waitForCompletion());
+        EXPECT_EQ(log.target<TargetResponseDone>().size(), 1U) << id;
+    }
+}
+
 // Guards against requests that are lost because their target had closed the kept connection before they were sent.
 TEST_F(SurplusResponseTest, ConnectionThatItsTargetClosedIsNotUsed)
 {
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -162,8 +162,8 @@
     /// Uses a connection that carries no other request, neither before nor after this one.
     bool needsExclusiveConnection = false;
     /// Request header that the target echoes in its response. Another value, or none on a connection that has carried
-    /// another request, means that the response belongs to another request; the connection is then closed. Empty: the
-    /// response does not name its request, which therefore gets an exclusive connection.
+    /// another request, means that the response belongs to another request; the connection is then closed. Empty, or
+    /// without a value in the request: the response does not name its request, which gets an exclusive connection.
     std::string echoedHeader {};
     /// Name of the header that tells the target the time left; empty: none. Its value is replaced by the time until
     /// `deadline` when the first byte is sent.
