--- a/src/gateway/tests/endlessresponsetests.cpp
+++ b/src/gateway/tests/endlessresponsetests.cpp
@@ -35,7 +35,7 @@
                     continue;
                 }
                 ++sentToBad;
-                sendHead(start, id);
+                sendHead(start, id, bodyLength_);
                 misbehave(start);
             }
         }
@@ -70,6 +70,7 @@
         }
     }
     size_t lastId_ = 0;
+    std::optional<uint64_t> bodyLength_; ///< Of the bad target's responses.
 };
 
 constexpr Duration RouteTimeout = 1500ms;
@@ -171,6 +172,28 @@
     EXPECT_EQ(sendRequests(20, streamWithoutEnd), 0U);
 }
 
+// The same for a body of known length that trickles: its length excuses only the time in which the caller reads.
+TEST_F(EndlessResponseTest, TargetWhoseBodiesOfKnownLengthTrickleGetsNoMoreRequestsBeforeItsDeadlines)
+{
+    bodyLength_ = LargeBodyBytes * 2;
+    const auto trickle = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes); };
+    sendOneToBad(trickle);
+    readResponses(LargeBodyBytes);
+    advance(700ms);
+    EXPECT_EQ(sendRequests(20, trickle), 0U);
+}
+
+// Callers that read a large response of known length slowly say nothing about its target.
+TEST_F(EndlessResponseTest, SlowCallersOfKnownLengthDoNotDivertRequests)
+{
+    bodyLength_ = LargeBodyBytes * 2;
+    const auto stream = [&](const requests::TargetStart& start) { sendBody(start, LargeBodyBytes); };
+    sendOneToBad(stream);
+    readResponses(LargeBodyBytes / 2);
+    advance(700ms);
+    EXPECT_GE(sendRequests(20, stream), 2U);
+}
+
 // Guards against a target that gets its share of requests again each time that the callers of its endless responses
 // have left: after its backoff it gets one.
 TEST_F(EndlessResponseTest, TargetWhoseOverlongResponsesWereGivenUpGetsOneRequestAtATime)
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -212,12 +212,13 @@
     handle(requests::TargetEvent(requests::TargetResponseDone {.dispatch = start.dispatch}));
 }
 
-void GatewayFixture::sendHead(const requests::TargetStart& start, const std::string& id)
+void GatewayFixture::sendHead(
+    const requests::TargetStart& start, const std::string& id, std::optional<uint64_t> bodyLength)
 {
     handle(requests::TargetEvent(requests::TargetResponseHead {.dispatch = start.dispatch,
         .status = 200,
         .headers = {{.name = "Saltvane-Request-Id", .value = id}},
-        .bodyLength = std::nullopt}));
+        .bodyLength = bodyLength}));
 }
 
 void GatewayFixture::sendBody(const requests::TargetStart& start, size_t bytes)
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -64,8 +64,8 @@
         std::vector<model::Header> extraHeaders;
     };
     void answer(const requests::TargetStart& start, const TargetResponse& from);
-    /// The first parts of a response whose length is not stated.
-    void sendHead(const requests::TargetStart& start, const std::string& id);
+    /// The first parts of a response.
+    void sendHead(const requests::TargetStart& start, const std::string& id, std::optional<uint64_t> bodyLength = {});
     void sendBody(const requests::TargetStart& start, size_t bytes);
     void finishBody(const requests::TargetStart& start);
     /// The caller has read some bytes of its response.
