--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -70,8 +70,8 @@
         bool hasSurplus = false; ///< Bytes that no request waited for came before.
     };
     void answer(const requests::TargetStart& start, const TargetResponse& from);
-    /// The first parts of a response whose length is not stated.
-    void sendHead(const requests::TargetStart& start, const std::string& id);
+    /// The first parts of a response.
+    void sendHead(const requests::TargetStart& start, const std::string& id, std::optional<uint64_t> bodyLength = {});
     void sendBody(const requests::TargetStart& start, size_t bytes);
     void endResponse(const requests::TargetStart& start);
     /// The caller has read some bytes of its response.
