Gateways use a target again once the one that displaced it turns out to have stopped

Operators and callers: in a soak a gateway that had restarted refused all requests of one service during an evacuation, `known=1 usable=0`, while its two neighbours served them.

Target t-16 runs at 127.152.173.104 (files) from before 06.49; two gateways use it to the end of the run. The third sends requests to t-10, which had that address before, gets 421 at 07.757, and never uses t-16, though the registry host's soft state lists it. From 17.5 on the other targets of files have left or are in the evacuated zone; 17.56 to 39.53 all its requests are refused.

Cause: a registry host that has not heard of a new target goes on listing the stopped one that had its address, until it misses its reports. A gateway that starts hears both in any order, since neither states its start; the stopped one's record, coming last, displaces the living target. That is not taken back for 20 s, and after that no registry host repeats its record for 10 minutes: hashes of unchanged targets say nothing to a gateway that doesn't know them. The order of the two records at that gateway is not in its log: it is inferred from the request to t-10, the address, and the order's being the only way in the code to both.

Change: a gateway keeps the record of a target that was displaced, and takes it back if within 20 s another target answers at the address of the one that displaced it. No messages, no work per tick; a record of some 300 bytes for each target that took over an address.

Weighed: comparing the ages of the two records. A record that a link held up looks newer than it is, and a target that is refused for that would be missing for as long.

What remains: a gateway that sends no request to the stopped target within 20 s keeps it until its registry host drops it.

--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <boost/intrusive/list.hpp>
 
+#include <memory>
 #include <string_view>
 
 namespace saltvane::gateway {
@@ -39,6 +40,9 @@
     TargetVersionGroup* group = nullptr; ///< The targets of its service and version.
     uint64_t hash = 0; ///< Hash of the target's id, for ranking.
     uint64_t incarnationHash = 0; ///< Hash of the incarnation: warm objects and load belong to one incarnation.
+    /// The target that it took its address over from, as last reported. That one may be the newer of the two: registry
+    /// hosts list targets that stopped until they miss their reports.
+    std::unique_ptr<model::TargetRecord> displaced;
     Timestamp addressSince {Duration::min() / 2}; ///< When this incarnation took its address over from another one.
     Timestamp lastReportAt; ///< When the target last reported to the registry, as far as known.
     Timestamp lastListedAt; ///< When a registry host's report last listed the target.
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -102,7 +102,7 @@
     actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
     exchange.hasCredit = true; // Credits are used by runs only.
     if (status == StatusMisdirected) {
-        options_.targets.markStopped(exchange.target);
+        options_.targets.markStopped(exchange.target, now);
         options_.quarantine.onTargetStopped(exchange.target, now);
     } else if (GatewayTarget* target = options_.targets.find(exchange.target)) {
         target->onRefusal(now);
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -153,7 +153,7 @@
     if (displaced_.contains({.target = record.target, .incarnation = record.incarnation}, now) || !mayAdd(record))
         return;
     const bool isAddressUsed = atAddress(record.address) != nullptr;
-    displaceOtherAt(record, now);
+    std::unique_ptr<model::TargetRecord> displaced = displaceOtherAt(record, now);
     if (known != nullptr) {
         replaced_.push_back(known->targetIncarnation());
         remove(*known);
@@ -161,6 +161,7 @@
     GatewayTarget& target = add(record, now);
     if (isAddressUsed)
         target.addressSince = now;
+    target.displaced = std::move(displaced);
     update(target, record, now);
 }
 
@@ -263,7 +264,7 @@
         || record.service != target.record.service || record.version != target.record.version
         || record.slots != target.record.slots;
     if (isMoved) {
-        displaceOtherAt(record, now);
+        (void)displaceOtherAt(record, now);
         removeFromIndexes(target);
     }
     if (record.slowStartLeft > Duration::zero() && target.record.slowStartLeft == Duration::zero())
@@ -305,14 +306,16 @@
     slowStarts_.push_back(notice);
 }
 
-void TargetSet::displaceOtherAt(const model::TargetRecord& record, Timestamp now)
+std::unique_ptr<model::TargetRecord> TargetSet::displaceOtherAt(const model::TargetRecord& record, Timestamp now)
 {
     GatewayTarget* other = atAddress(record.address);
     if (other == nullptr || other->id() == record.target)
-        return;
+        return nullptr;
     displaced_.record(other->targetIncarnation(), now);
     replaced_.push_back(other->targetIncarnation());
+    auto otherRecord = std::make_unique<model::TargetRecord>(other->record);
     remove(*other);
+    return otherRecord;
 }
 
 GatewayTarget* TargetSet::atAddress(const model::Address& address) const
@@ -388,10 +391,29 @@
     return nullptr;
 }
 
-void TargetSet::markStopped(const model::TargetIncarnation& targetIncarnation)
+void TargetSet::markStopped(const model::TargetIncarnation& targetIncarnation, Timestamp now)
 {
-    if (GatewayTarget* known = find(targetIncarnation))
-        markLeaving(*known);
+    GatewayTarget* known = find(targetIncarnation);
+    if (known == nullptr)
+        return;
+    markLeaving(*known);
+    if (known->displaced && now - known->addressSince <= membership::DisplacedTargets::RetentionTime)
+        restoreDisplaced(*known, now);
+}
+
+void TargetSet::restoreDisplaced(GatewayTarget& target, Timestamp now)
+{
+    model::TargetRecord record = *std::exchange(target.displaced, nullptr);
+    if (record.isLeaving || findById(record.target) != nullptr)
+        return;
+    record.age += now - target.addressSince;
+    displaced_.forget(record.target);
+    displaced_.record(target.targetIncarnation(), now);
+    replaced_.push_back(target.targetIncarnation());
+    remove(target);
+    GatewayTarget& restored = add(record, now);
+    restored.addressSince = now;
+    update(restored, record, now);
 }
 
 void TargetSet::markLeaving(GatewayTarget& target)
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -84,8 +84,9 @@
     void onReachableAgain(Timestamp now) { reachableSince_ = now; }
     /// A target to send a probe to, each time another one; null if none of the next few may get one.
     [[nodiscard]] GatewayTarget* nextToProbe(Timestamp now);
-    /// Another target answered at its address: the target with this id has stopped.
-    void markStopped(const model::TargetIncarnation& targetIncarnation);
+    /// Another target answered at its address: the target with this id has stopped. A target that it displaced there
+    /// recently is used again.
+    void markStopped(const model::TargetIncarnation& targetIncarnation, Timestamp now);
     /// Removes targets that are unresponsive or have not been listed by the registry for a long time, as long as the
     /// registry itself is reachable; recounts the capacity of some targets.
     void tick(Timestamp now);
@@ -152,7 +153,10 @@
     GatewayTarget& add(const model::TargetRecord& record, Timestamp now);
     void remove(GatewayTarget& target);
     void update(GatewayTarget& target, const model::TargetRecord& record, Timestamp now);
-    void displaceOtherAt(const model::TargetRecord& record, Timestamp now);
+    /// Returns the record of the target that was known at this address; null if there was none.
+    std::unique_ptr<model::TargetRecord> displaceOtherAt(const model::TargetRecord& record, Timestamp now);
+    /// Adds the displaced target again, in place of the one that took its address over.
+    void restoreDisplaced(GatewayTarget& target, Timestamp now);
     [[nodiscard]] GatewayTarget* findById(const TargetId& target) const;
     [[nodiscard]] GatewayTarget* atAddress(const model::Address& address) const;
     [[nodiscard]] Proximity proximityOf(const GatewayTarget& target) const;
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -363,6 +363,56 @@
     EXPECT_EQ(starts[0].target, TargetId("new"));
 }
 
+// Guards against a gateway that doesn't use a target until the registry repeats its record, after 10 minutes: a
+// registry host that has not heard of the target lists the one that had its address before, which stopped.
+TEST_F(TargetTest, TargetIsUsedAgainOnceTheOneThatDisplacedItTurnsOutToHaveStopped)
+{
+    installPlan(1);
+    const model::TargetRecord living = target("new");
+    model::TargetRecord stopped = target("old");
+    stopped.address = living.address;
+    stopped.age = 2s;
+    reportTargets({living});
+    reportTargets({stopped});
+    request({});
+    std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    answer(starts[0], {.status = 421, .id = ""}); // Another target has the address.
+    (void)takeResponse();
+    (void)takeStarts();
+    request({});
+    starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target, TargetId("new"));
+    reportTargets({stopped}); // Again, by another registry host.
+    request({});
+    starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target, TargetId("new"));
+}
+
+// Guards against a target that is brought back although it stopped long ago.
+TEST_F(TargetTest, DisplacedTargetIsNotUsedAgainLater)
+{
+    installPlan(1);
+    const model::TargetRecord before = target("old");
+    model::TargetRecord now = target("new");
+    now.address = before.address;
+    reportTargets({before});
+    reportTargets({now});
+    advance(25s);
+    ++now.sequence;
+    reportTargets({now});
+    request({});
+    const std::vector<requests::TargetStart> starts = takeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    answer(starts[0], {.status = 421, .id = ""});
+    (void)takeResponse();
+    EXPECT_TRUE(takeStarts().empty());
+    request({});
+    EXPECT_TRUE(takeStarts().empty());
+}
+
 /// Guards against a gateway that drops targets whose records the registry doesn't repeat.
 TEST_F(TargetTest, TargetsListedAsUnchangedAreKept)
 {
--- a/src/membership/displacedtargets.h
+++ b/src/membership/displacedtargets.h
@@ -17,15 +17,17 @@
 /// the old target back.
 class DisplacedTargets {
 public:
+    /// Longer than a network delays a message that it still delivers. Entries expire, since a host that started between
+    /// the two messages may have displaced the newer target by mistake.
+    static constexpr Duration RetentionTime = 20s;
+
     void record(const model::TargetIncarnation& instance, Timestamp now);
+    /// The target turned out to be the newer one.
+    void forget(const TargetId& target) { entries_.erase(target); }
     /// True if this incarnation, or a later one of the same target, was displaced recently.
     [[nodiscard]] bool contains(const model::TargetIncarnation& instance, Timestamp now) const;
 
 private:
-    /// Longer than a network delays a message that it still delivers. Entries expire, since a host that started between
-    /// the two messages may have displaced the newer target by mistake.
-    static constexpr Duration RetentionTime = 20s;
-
     struct Entry {
         Incarnation incarnation;
         Timestamp displacedAt;
