--- a/src/requests/tests/forwardtests.cpp
+++ b/src/requests/tests/forwardtests.cpp
@@ -169,25 +169,34 @@
         {"HEAD", 200, 10, {}}, {"HEAD", 200, std::nullopt, {}}, {"GET", 204, 0, {}}, {"GET", 304, std::nullopt, {}}};
     for (const Kind& kind : kinds) {
         for (size_t frames = 0; frames <= kind.parts.size() + 1; ++frames) {
-            outgoing_.clear();
-            finished_.clear();
-            aborted_.clear();
-            budget_.remaining = 0;
-            const HttpHandle handle = call({.method = kind.method});
-            if (frames > 0)
-                head(kind.length, kind.status);
-            uint64_t offset = 0;
-            for (size_t part = 0; part + 1 < frames; ++part) {
-                body(offset, kind.parts[part], part + 1 == kind.parts.size());
-                offset += kind.parts[part].size();
+            for (const bool isEndReported : {false, true}) {
+                const bool isWhole = frames == kind.parts.size() + 1;
+                if (isWhole && isEndReported)
+                    continue;
+                outgoing_.clear();
+                finished_.clear();
+                aborted_.clear();
+                budget_.remaining = 0;
+                const HttpHandle handle = call({.method = kind.method});
+                if (frames > 0)
+                    head(kind.length, kind.status);
+                uint64_t offset = 0;
+                for (size_t part = 0; part + 1 < frames; ++part) {
+                    body(offset, kind.parts[part], part + 1 == kind.parts.size());
+                    offset += kind.parts[part].size();
+                }
+                if (isEndReported)
+                    completeForward(forward(), Outcome::Answered, Reason::None);
+                else
+                    entry_->onHostLost(LocalOwner, now_);
+                collect();
+                const std::string what
+                    = kind.method + " " + std::to_string(kind.status) + ", " + std::to_string(frames) + " frames";
+                ASSERT_TRUE(hasResponse(handle)) << what;
+                const bool isWholeError = response(handle).isLast && response(handle).status == 502;
+                const bool isAborted = finished_.empty() && aborted_ == std::vector<HttpHandle> {handle};
+                EXPECT_TRUE(isWholeError || isAborted) << what;
             }
-            entry_->onHostLost(LocalOwner, now_);
-            collect();
-            const std::string what = kind.method + " " + std::to_string(kind.status) + ", " + std::to_string(frames);
-            ASSERT_TRUE(hasResponse(handle)) << what;
-            const bool isWholeError = response(handle).isLast && response(handle).status == 502;
-            const bool isAborted = finished_.empty() && aborted_ == std::vector<HttpHandle> {handle};
-            EXPECT_TRUE(isWholeError || isAborted) << what;
         }
     }
 }
