--- a/src/net/tests/disconnectedcallertests.cpp
+++ b/src/net/tests/disconnectedcallertests.cpp
@@ -17,7 +17,7 @@
 
 constexpr const char* Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr const char* Post = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
-constexpr const char* Response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* Response = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok";
 constexpr int TurnsToSend = 100; ///< Loop iterations in which a request would be sent.
 
 /// Calls a function in each iteration of an event loop after the loop has polled for events and before it handles
@@ -76,8 +76,10 @@
                 .address = listener.address(),
                 .method = started->method,
                 .path = started->path,
+                .headers = {{"X-Id", "1"}},
                 .bodyLength = started->bodyLength,
                 .isRepeatable = true,
+                .echoedHeader = "X-Id",
                 .caller = started->handle});
         else if (const auto* body = std::get_if<HttpRequestBody>(&http))
             client->execute(
--- a/src/net/tests/targetclienttests.cpp
+++ b/src/net/tests/targetclienttests.cpp
@@ -13,11 +13,12 @@
 
 TEST_F(TargetClientTest, SendsTheRequestUnchanged)
 {
-    client->execute(request(1));
+    client->execute(namedRequest(1));
     EXPECT_TRUE(log.events.empty());
     RawSocket target;
     ASSERT_TRUE(acceptRequest(target));
-    EXPECT_EQ(target.received, "GET /p?q=%20 HTTP/1.1\r\nHost: service\r\nX-A: 1\r\nX-A: 2\r\nX-Empty:\r\n\r\n");
+    EXPECT_EQ(
+        target.received, "GET /p?q=%20 HTTP/1.1\r\nHost: service\r\nX-A: 1\r\nX-A: 2\r\nX-Empty:\r\nX-Id: 1\r\n\r\n");
     target.send("HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 201 Made\r\nSet-Cookie: a\r\nSet-Cookie: b\r\n"
                 "Content-Length: 2\r\nContent-Encoding: gzip\r\n\r\nok");
     ASSERT_TRUE(waitForCompletion());
