Gateways probe a target once several of its responses are late

The first response that is later than all recent ones is noticed 0.34 to 0.47 s after the start of the slow start, when 24 to 31 requests have been sent; the probe takes 10 ms, and 20 to 50 ms later all gateways know. Ruled out: probes that wait or are not sent, news that takes long, gateways that send later than that.

Cause: the gateway waited until one response was later than the slowest of 8 to 16, however many others were late as well.

Change: also a probe once two requests at the target, and a quarter of those in flight there, have waited longer than three quarters of its last 8 responses took; once in 8 responses at most, whatever their distribution. Constant work for each request and response, 40 bytes more for each target. It depends on one gateway's requests at one target: fewer gateways see more of them, and with hundreds it finds hardly any, as before.

Not tried: sending a target no more than it bears while its probe is out, which moves objects off warm targets for each probe in calm.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -66,7 +66,9 @@
     uint32_t timesWithheld = 0; ///< Dispatches that were withheld before their first byte.
     Duration expectedDuration {}; ///< From sentAt to the head of the response, as estimated then.
     Timestamp stalledAt; ///< Without a response by then, the target may be unresponsive.
-    Timestamp nextCheckAt; ///< stalledAt, or earlier: once the response takes longer than the target's recent ones.
+    Timestamp slowAt; ///< The response takes longer than all recent ones of the target; at most stalledAt.
+    Timestamp nextCheckAt; ///< stalledAt, slowAt, or earlier: once it takes longer than most recent ones.
+    bool isLate = false; ///< Counted in the target's late requests.
     double loadAtSend = 0;
     VersionRole versionRole = VersionRole::Serving; ///< Of the target's software version.
     bool isCompared = false; ///< Its answer counts for the rollout of the service.
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -50,6 +50,7 @@
     Timestamp slowUntil; ///< End of the slow start that the target reported to the registry, or stated in a response.
     Timestamp statedSlowUntil; ///< Of a slow start stated in a response. Reports to the registry may be older than it.
     ResponseTimeWindow responseTimes;
+    uint32_t lateRequests = 0; ///< Requests of this gateway in flight for longer than most recent ones took.
     /// It became known after a leave without an incarnation, and counts as leaving until the registry knows which
     /// leaves.
     bool isLeaveUnresolved = false;
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -72,6 +72,7 @@
 
 void RequestRunner::startResponse(Exchange& exchange, const requests::TargetResponseHead& head)
 {
+    clearLate(exchange);
     exchange.phase = Exchange::Phase::ReceivingResponse;
     exchange.isResponseLengthKnown = head.bodyLength.has_value();
     exchange.response = {.handle = exchange.handle,
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -29,6 +29,10 @@
 /// Slow responses are probed for a slow start where a target gets this fraction of what it bears in one. The rate is
 /// estimated from the target's momentary load, which varies.
 constexpr double ProbedRateFraction = 0.5;
+/// A target is also probed once so many of its requests in flight are late. Usually a quarter of all requests become
+/// late, most of them shortly before their responses.
+constexpr uint32_t MinLateRequests = 2;
+constexpr double LateFraction = 0.25;
 /// Spreads consecutive numbers over all hashes (the golden ratio).
 constexpr uint64_t HashMultiplier = 0x9e3779b97f4a7c15;
 
@@ -227,8 +231,7 @@
     const double stallTimeout = std::max(slowest * StallFactor, toSeconds(exchange.route.objective));
     exchange.expectedDuration = expectedDuration;
     exchange.stalledAt = now + fromSeconds(stallTimeout);
-    scheduleCheck(
-        exchange, std::min(exchange.stalledAt, slowResponseAt(exchange, target, service).value_or(exchange.stalledAt)));
+    scheduleChecks(exchange, target, service);
 
     const Duration idleLimit = exchange.route.kind == model::RouteKind::AtMostOnce ? MaxIdleForAtMostOnce : MaxIdle;
     const Duration addressAge = now - target.addressSince;
@@ -260,6 +263,7 @@
         return;
     dispatches_.erase(exchange.dispatch);
     checks_.erase({exchange.nextCheckAt, exchange.handle});
+    clearLate(exchange);
     exchange.dispatch = {};
     if (exchange.isAtPeer) {
         if (Peer* peer = options_.peers.find(exchange.peer); peer != nullptr && peer->inFlight > 0)
@@ -285,19 +289,27 @@
         checks_.emplace(at, exchange.handle);
 }
 
-std::optional<Timestamp> RequestRunner::slowResponseAt(
+bool RequestRunner::isProbedForSlowStart(
     const Exchange& exchange, const GatewayTarget& target, const model::RoutedService& service) const
 {
-    const std::optional<double> slowest = target.responseTimes.slowest();
-    if (!slowest || exchange.sendLimit != SendLimit::None || service.slowStartPerSecond <= 0)
-        return std::nullopt;
     const double expected = toSeconds(exchange.expectedDuration);
-    if (expected <= 0)
-        return std::nullopt;
+    if (exchange.sendLimit != SendLimit::None || service.slowStartPerSecond <= 0 || expected <= 0)
+        return false;
     const double requestsPerSecond = target.load(exchange.sentAt) / expected; // Little's law.
-    if (requestsPerSecond < ProbedRateFraction * options_.targets.bearableRequests(service))
-        return std::nullopt;
-    return exchange.sentAt + fromSeconds(expected * *slowest);
+    return requestsPerSecond >= ProbedRateFraction * options_.targets.bearableRequests(service);
+}
+
+void RequestRunner::scheduleChecks(Exchange& exchange, const GatewayTarget& target, const model::RoutedService& service)
+{
+    exchange.slowAt = exchange.stalledAt;
+    const std::optional<double> slowest = target.responseTimes.slowest();
+    if (!slowest || !isProbedForSlowStart(exchange, target, service))
+        return scheduleCheck(exchange, exchange.stalledAt);
+    const auto responseTime
+        = [&](double multiple) { return fromSeconds(toSeconds(exchange.expectedDuration) * multiple); };
+    exchange.slowAt = std::min(exchange.stalledAt, exchange.sentAt + responseTime(*slowest));
+    const Timestamp lateAt = exchange.sentAt + responseTime(target.responseTimes.upperQuartile());
+    scheduleCheck(exchange, std::min(exchange.slowAt, lateAt));
 }
 
 void RequestRunner::checkResponse(Exchange& exchange, Timestamp now)
@@ -310,12 +322,31 @@
 
 void RequestRunner::onSlowResponse(Exchange& exchange, Timestamp now)
 {
-    scheduleStallCheck(exchange, exchange.stalledAt);
+    const bool isSlow = now >= exchange.slowAt;
+    scheduleCheck(exchange, isSlow ? exchange.stalledAt : exchange.slowAt);
+    GatewayTarget* target = options_.targets.find(exchange.target);
     // It may have entered a slow start since its last report; its answer to a probe tells.
-    if (const GatewayTarget* target = options_.targets.find(exchange.target))
+    if (target != nullptr && (isSlow || recordLate(exchange, *target)))
         options_.quarantine.probe(*target, now);
 }
 
+bool RequestRunner::recordLate(Exchange& exchange, GatewayTarget& target)
+{
+    exchange.isLate = true;
+    ++target.lateRequests;
+    return target.lateRequests >= MinLateRequests && target.lateRequests >= LateFraction * target.inFlight
+        && target.responseTimes.tryCheckLateness();
+}
+
+void RequestRunner::clearLate(Exchange& exchange)
+{
+    if (!std::exchange(exchange.isLate, false))
+        return;
+    GatewayTarget* target = options_.targets.find(exchange.target);
+    if (target != nullptr && target->lateRequests > 0)
+        --target->lateRequests;
+}
+
 bool RequestRunner::mayRetryElsewhere(const Exchange& exchange, Timestamp now)
 {
     const bool mayRetry = exchange.route.kind != model::RouteKind::AtMostOnce || !exchange.mayHaveRun;
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -203,12 +203,18 @@
     void scheduleCheck(Exchange& exchange, Timestamp at);
     /// The response has not arrived by the time of its next check.
     void checkResponse(Exchange& exchange, Timestamp now);
-    /// When the response to a request that is sent now has taken longer than the target's recent ones. None if the
-    /// target gets so few requests that it would bear them in a slow start as well.
-    [[nodiscard]] std::optional<Timestamp> slowResponseAt(
+    /// Schedules the checks of a request that was just sent.
+    void scheduleChecks(Exchange& exchange, const GatewayTarget& target, const model::RoutedService& service);
+    /// Whether the target may be probed for a slow start: it gets more requests than it would bear in one.
+    [[nodiscard]] bool isProbedForSlowStart(
         const Exchange& exchange, const GatewayTarget& target, const model::RoutedService& service) const;
-    /// The target's response takes longer than its recent ones.
+    /// The target's response takes longer than most or all of its recent ones.
     void onSlowResponse(Exchange& exchange, Timestamp now);
+    /// The target's response takes longer than most of its recent ones. Returns whether so many do that the target may
+    /// be in a slow start.
+    [[nodiscard]] static bool recordLate(Exchange& exchange, GatewayTarget& target);
+    /// The response began, or is awaited no longer.
+    void clearLate(Exchange& exchange);
     /// Whether the target is to blame for a response that began and has not ended by the deadline.
     [[nodiscard]] static bool isResponseOverdue(const Exchange& exchange, Timestamp now);
     void recordBrokenResponse(Exchange& exchange, Timestamp now);
--- a/src/gateway/tests/responsetimewindowtests.cpp
+++ b/src/gateway/tests/responsetimewindowtests.cpp
@@ -33,6 +33,31 @@
     EXPECT_EQ(window.slowest(), 1);
 }
 
+TEST(ResponseTimeWindowTest, UpperQuartileIsOfTheLatestFullWindow)
+{
+    ResponseTimeWindow window;
+    for (const double multiple : {8, 1, 7, 2, 6, 3, 5, 4}) {
+        EXPECT_EQ(window.upperQuartile(), 0);
+        window.record(multiple);
+    }
+    EXPECT_EQ(window.upperQuartile(), 6);
+    for (uint32_t response = 0; response < ResponseTimeWindow::MinResponses; ++response)
+        window.record(1);
+    EXPECT_EQ(window.upperQuartile(), 1);
+}
+
+TEST(ResponseTimeWindowTest, LatenessIsCheckedOncePerWindow)
+{
+    ResponseTimeWindow window;
+    EXPECT_FALSE(window.tryCheckLateness());
+    for (uint32_t round = 0; round < 2; ++round) {
+        for (uint32_t response = 0; response < ResponseTimeWindow::MinResponses; ++response)
+            window.record(1);
+        EXPECT_TRUE(window.tryCheckLateness());
+        EXPECT_FALSE(window.tryCheckLateness());
+    }
+}
+
 // Guards against probes by the thousand where response times vary widely.
 TEST(ResponseTimeWindowTest, FewResponsesAreSlowerThanTheWindowByChance)
 {
--- a/src/gateway/tests/statedslowstarttests.cpp
+++ b/src/gateway/tests/statedslowstarttests.cpp
@@ -109,6 +109,24 @@
     EXPECT_TRUE(takeProbes().empty());
 }
 
+// Guards against targets that are flooded until a response takes longer than all before, although several take longer
+// than most.
+TEST_F(StatedSlowStartTest, TargetIsProbedOnceSeveralResponsesTakeLongerThanMost)
+{
+    for (uint32_t response = 0; response < ResponseTimeWindow::MinResponses; ++response)
+        EXPECT_TRUE(serveWithin(response % 4 == 0 ? 150ms : 60ms));
+    EXPECT_TRUE(serveWithin(90ms));
+    EXPECT_TRUE(takeProbes().empty());
+    request({});
+    request({});
+    ASSERT_EQ(takeStarts().size(), 2U);
+    advance(90ms);
+    const std::vector<requests::TargetStart> probes = takeProbes();
+    ASSERT_EQ(probes.size(), 1U);
+    answer(probes[0], {.id = "", .extraHeaders = {{"Saltvane-Slow-Start-Left-Ms", "3000"}}});
+    EXPECT_EQ(takeStatedSlowStarts().size(), 1U);
+}
+
 TEST_F(StatedSlowStartTest, UnreadableSlowStartIsLoggedAndIgnored)
 {
     serveAsUsual();
