Soak: a target that starts again under its id has no limit any more, also in the check's records

Cause: Target.start() took the limit back without an entry in the records from which the check works out what is allowed, by id. Under a new id that says nothing, under the same id the start before goes on binding.

The check is as strict as before: a target whose responses name a limit is held to it from each start on.

--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -1,6 +1,8 @@
 #!/usr/bin/env python3
 """Shows that each check of the soak test can fail."""
+import asyncio
 import collections
+import random
 import unittest
 
 from callers import Outcome
@@ -10,7 +12,7 @@
     findings_of_leaves, findings_of_slow_starts, \
     findings_of_leaving_responses, findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, \
     findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts, findings_of_isolations
-from targets import response_body
+from targets import Runs, Target, response_body
 
 
 def served(request: str, **changes) -> Outcome:
@@ -179,6 +181,21 @@
     def test_a_lowered_limit_holds(self):
         self.assertIn("12 requests", self.check(12, limits=((100.0, "t", 20.0), (105.0, "t", 1.0)))[0])
 
+    def test_a_target_that_starts_again_under_its_id_has_no_limit(self):
+        runs = Runs()
+        asyncio.run(self.restart_target_with_limit(runs))
+        (_, limited_id, _), *later = runs.limits
+        self.assertEqual([(target_id, limit) for _, target_id, limit in later], [(limited_id, None)])
+
+    @staticmethod
+    async def restart_target_with_limit(runs: Runs):
+        target = Target("127.0.0.1:1", "127.0.0.1:0", SERVICES[0], "north-a", ["127.0.0.1:1"], runs, random.Random(1))
+        await target.start(states_start=True)
+        target.announce_limit(2.0)
+        target.crash()
+        await target.start(states_start=True, keeps_id=True)
+        target.crash()
+
     def test_requests_after_the_end_of_the_limit_do_not_count(self):
         self.assertEqual(self.check(50, limits=((100.0, "t", 2.0), (109.0, "t", None))), [])
 
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -75,13 +75,14 @@
         self.restart_task: asyncio.Task | None = None
 
     async def start(self, states_start: bool = False, keeps_id: bool = False, first_registry: str | None = None):
+        if self.limit is not None:
+            self.announce_limit(None)  # Its responses name none any more, also those under the same id.
         if not keeps_id:
             self.id = f"t-{next(incarnation_ids)}"
         self.started_ms = round(time.time() * 1000) if states_start else None
         self.is_reporting = True
         self.first_registry = first_registry
         self.state = "ready"
-        self.limit = None
         self.backoff_s = None
         self.announces_leaving = False
         self.leave_acknowledged_at = None
