Gateways: a target that is listed again keeps no count of overlong responses of before

Found by reading: a target may be removed while a response of it is open, and listed again with a count of zero; the end of that response would lower it below zero, and other targets would be preferred from then on. Guarded as the count of requests in flight is; no test reaches it, because a displaced target is listed again only after the deadlines.

--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -66,7 +66,7 @@
     Timestamp ejectedUntil;
     uint32_t overlongResponses = 0; ///< Present responses that are far longer than the route's usual ones.
     uint32_t unfinishedResponses = 0; ///< Overlong responses that were given up since one was complete.
-    Timestamp avoidedUntil;
+    Timestamp avoidedUntil; ///< Backoff after an overlong response was given up.
     Timestamp failedAt; ///< Time of the last failure.
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
     SendPace slowStartPace; ///< During its slow start, if this gateway is the one that may use it.
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -285,6 +285,7 @@
     const auto hasPreferred = [](const Candidates& candidates) {
         return std::ranges::any_of(candidates, [](const Candidate& candidate) { return !candidate.isAvoided; });
     };
+    // The zone's targets come first, unless all of them are avoided.
     if (!hasPreferred(found.zone) && hasPreferred(found.region))
         std::swap(found.zone, found.region);
     crossRegionBalance_ = std::min(crossRegionBalance_ + CrossRegionPerRequest, MaxCrossRegionBalance);
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -271,7 +271,8 @@
     GatewayTarget* target = options_.targets.find(exchange.target);
     if (target == nullptr)
         return;
-    if (std::exchange(exchange.isResponseOverlong, false))
+    // It may have been removed and listed again since.
+    if (std::exchange(exchange.isResponseOverlong, false) && target->overlongResponses > 0)
         --target->overlongResponses;
     TargetSet::recordReleased(*target);
 }
