--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -13,9 +13,7 @@
     findings_of_leaving_responses, findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, \
     findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts, findings_of_isolations, findings_of_responses, \
     findings_of_unrequested
-from targets import Given, response_body
-    findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts, findings_of_isolations
-from targets import Runs, Target, response_body
+from targets import Given, Runs, Target, response_body
 
 
 def served(request: str, **changes) -> Outcome:
@@ -231,7 +229,7 @@
 
     @staticmethod
     async def restart_target_with_limit(runs: Runs):
-        target = Target("127.0.0.1:1", "127.0.0.1:0", SERVICES[0], "north-a", ["127.0.0.1:1"], runs, random.Random(1))
+        target = Target("127.0.0.1:1", "127.0.0.1:0", SERVICES[0], "north-a", ["127.0.0.1:1"], runs, random.Random(1), random.Random(2))
         await target.start(states_start=True)
         target.announce_limit(2.0)
         target.crash()
