--- a/src/gateway/tests/decisiontests.cpp
+++ b/src/gateway/tests/decisiontests.cpp
@@ -121,7 +121,7 @@
     old.age = 8s;
     reportTargets({old});
     request({.id = "lost"});
-    answer(takeStarts().at(0), {.status = 421, .id = ""}); // Another target has the address by now.
+    answer(takeStarts().at(0), {.status = 421, .id = "lost"}); // Another target has the address by now.
     const std::string line = lineOf("lost");
     EXPECT_TRUE(has(line, "target_age_ms=8000")) << line;
     EXPECT_TRUE(has(line, "target=t-1"));
--- a/src/gateway/tests/plannedstoptests.cpp
+++ b/src/gateway/tests/plannedstoptests.cpp
@@ -247,7 +247,7 @@
     ASSERT_TRUE(isToPeer(second));
     sendFirstByte(second);
     advance(3s);
-    answer(second, {.status = 503, .id = "", .extraHeaders = {{.name = "Saltvane-Reason", .value = "not-ready"}}});
+    answer(second, {.status = 503, .extraHeaders = {{.name = "Saltvane-Reason", .value = "not-ready"}}});
     expectRefusal(); // By the other peer it would come too late.
     request(to("/order/3"));
     expectRefusal();
--- a/src/gateway/tests/targettests.cpp
+++ b/src/gateway/tests/targettests.cpp
@@ -377,7 +377,7 @@
     request({});
     std::vector<requests::TargetStart> starts = takeStarts();
     ASSERT_EQ(starts.size(), 1U);
-    answer(starts[0], {.status = 421, .id = ""}); // Another target has the address.
+    answer(starts[0], {.status = 421}); // Another target has the address.
     (void)takeResponse();
     (void)takeStarts();
     request({});
@@ -406,7 +406,7 @@
     request({});
     const std::vector<requests::TargetStart> starts = takeStarts();
     ASSERT_EQ(starts.size(), 1U);
-    answer(starts[0], {.status = 421, .id = ""});
+    answer(starts[0], {.status = 421});
     (void)takeResponse();
     EXPECT_TRUE(takeStarts().empty());
     request({});
