Endless responses: a test of a target that is listed again while a response of it is open

A route with a timeout over the 20 s for which a displaced target is left out reaches it. Without the guard the target gets no request of 20, with it one after its backoff.

--- a/src/gateway/tests/endlessresponsetests.cpp
+++ b/src/gateway/tests/endlessresponsetests.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <optional>
+#include <utility>
 #include <vector>
 
 /// Targets whose responses begin well and don't end.
@@ -249,4 +250,37 @@
     EXPECT_GE(sendRequests(20, stream), 2U);
 }
 
+// Guards against a count of overlong responses below zero, with which others would be preferred to the target for good:
+// it is removed while one is open, and listed again.
+TEST_F(EndlessResponseTest, TargetThatIsListedAgainGetsRequestsAfterItsBackoff)
+{
+    installPlan(2,
+        R"(,{"name":"export","host":"prices.example","path_prefix":"/export/","kind":"repeatable","timeout_ms":60000,
+         "objective_ms":400,"rank":1,"service":"quotes","attempts":2,"affinity":true})");
+    const model::TargetRecord good = target("good");
+    const model::TargetRecord bad = target("bad");
+    reportTargets({bad});
+    const requests::HttpHandle handle = request({.path = "/export/1", .deadlineMs = "60000"});
+    const requests::TargetStart start = takeStarts().at(0);
+    sendHead(start, "try-1");
+    sendBody(start, LargeBodyBytes);
+    readResponse(handle, LargeBodyBytes);
+    advance(700ms);
+    model::TargetRecord successor = target("other");
+    const model::Address own = std::exchange(successor.address, bad.address);
+    reportTargets({successor});
+    for (int second = 0; second < 25; ++second) {
+        advance(1s);
+        reportTargets({good, successor});
+    }
+    successor.address = own;
+    successor.isLeaving = true;
+    successor.sequence += 1;
+    reportTargets({good, successor, bad});
+    abort(handle);
+    advance(300ms); // The backoff after one such response.
+    lastId_ = 1;
+    EXPECT_EQ(sendRequests(20, [&](const requests::TargetStart& other) { sendBody(other, LargeBodyBytes); }), 1U);
+}
+
 } // namespace saltvane::gateway::test
