Test of surplus responses: cases of 40 targets, and second responses that wait for the next request

So half of the second responses are sent as soon as the next request waits on the connection (0.6 s at most), the test prints how many came in the place of a response, and three cases have 40 targets; these fail if none did.

Conclusion: the test is no longer passed by avoiding the fault alone.

--- a/testing/system/responseledger.py
+++ b/testing/system/responseledger.py
@@ -56,6 +56,7 @@
         # That targets accepted, by what they carried: health checks (True), requests (False).
         self.connections: collections.Counter[frozenset[bool]] = collections.Counter()
         self.faults = 0
+        self.faults_at_requests = 0  # Second responses that targets sent while a request was waiting on the connection.
         self.health_checks = 0
 
     def wrong(self) -> dict[str, list[str]]:
--- a/testing/system/surplusresponses.py
+++ b/testing/system/surplusresponses.py
@@ -28,17 +28,23 @@
 MAX_RETRY_AFTER_S = 0.2
 SERVED_IN_A_ROW = 20
 START_TIMEOUT_S = 30
+# A gateway that keeps no connection to a target that once sent surplus bytes receives few of them from a few targets.
+MANY_TARGETS = 40
 BLOCK = 8 * 1024
 
 CASES = [
     Case("whole copies"),
     Case("cut in the head", copy="head"),
     Case("cut in the head, 2 targets", copy="head", targets=2, callers=6),
+    Case("cut in the head, 40 targets", copy="head", targets=MANY_TARGETS),
     Case("cut in the body", copy="body"),
     Case("other status and body", differs=True),
+    Case("other status and body, 40 targets", differs=True, targets=MANY_TARGETS),
     Case("refusals without id", refused_rate=0.3, only_refusals=True, copy_without_id=True, refusal_without_id=True),
     Case("refusals without id, 2 targets", refused_rate=0.3, only_refusals=True, copy_without_id=True,
          refusal_without_id=True, targets=2, callers=6),
+    Case("copies of refusals without id, 40 targets", refused_rate=0.3, only_refusals=True, copy_without_id=True,
+         targets=MANY_TARGETS),
     Case("copies without id", copy_without_id=True),
     Case("copies without id, 2 targets", copy_without_id=True, targets=2, callers=6),
     Case("health checks", copy=None, health_checks=True),
@@ -201,7 +207,7 @@
     requested = sum(count for carried, count in ledger.connections.items() if False in carried)
     wrong = {kind: len(what) for kind, what in ledger.wrong().items()}
     wrong_requests = len(set(itertools.chain.from_iterable(ledger.wrong().values())))
-    return (f"{case.name}: {requests} requests, {ledger.faults} faults, {wrong_requests} wrong {wrong or ''}; answered "
+    return (f"{case.name}: {requests} requests, {ledger.faults} faults ({ledger.faults_at_requests} in the place of a response), {wrong_requests} wrong {wrong or ''}; answered "
             f"{answered(('POST',))} of at most once, {answered(('GET', 'HEAD'))} of repeatable; at most once failed "
             f"{failed.total()} of {len(once)}, by status {dict(sorted(failed.items()))}; "
             f"{requested / max(1, requests):.3f} new connections a request, {ledger.connections[frozenset((True, False))]} of them "
@@ -222,6 +228,8 @@
             system.end()
         findings = [f"{case.name}: {len(what)} times {kind}, such as {', '.join(what[:3])}"
                     for kind, what in deployment.ledger.wrong().items()]
+        if case.targets == MANY_TARGETS and deployment.ledger.faults_at_requests == 0:
+            findings.append(f"{case.name}: no second response was sent in the place of another response")
         if keep and findings:
             logs = keep / case.name.replace(" ", "-")
             logs.mkdir(parents=True, exist_ok=True)
--- a/testing/system/surplustargets.py
+++ b/testing/system/surplustargets.py
@@ -71,16 +71,20 @@
         turn = asyncio.Lock()
         surplus: set[asyncio.Task] = set()
         carried = set()  # Whether health checks, whether requests.
+        waiting = asyncio.Event()  # While a request on this connection has no response.
         try:
             with contextlib.suppress(OSError):
                 while request := await read_message(reader):
                     is_health_check = request.start[1].startswith("/health")
                     carried.add(is_health_check)
+                    waiting.set()
                     response = self._health() if is_health_check else await self._run(request)
                     if not await self._send(writer, turn, response, request.start[0]):
                         break
+                    waiting.clear()
                     if self._is_sent_twice(response, is_health_check):
-                        surplus.add(asyncio.create_task(self._send_surplus(writer, turn, response, request.start[0])))
+                        data = self._draw_surplus(response, request.start[0])
+                        surplus.add(asyncio.create_task(self._send_surplus(writer, turn, waiting, data)))
         finally:
             self.ledger.connections[frozenset(carried)] += 1
             for task in surplus:
@@ -160,11 +164,17 @@
             return False
         return self.rng.random() < (FAULT_RATE / self.case.refused_rate if self.case.only_refusals else FAULT_RATE)
 
-    async def _send_surplus(self, writer: asyncio.StreamWriter, turn: asyncio.Lock, response: Response, method: str):
-        await asyncio.sleep(self.rng.uniform(*SURPLUS_DELAY_S))
-        data = self._draw_surplus(response, method)
+    async def _send_surplus(self, writer: asyncio.StreamWriter, turn: asyncio.Lock, waiting: asyncio.Event, data: bytes):
+        """Sends the bytes after a time, or half of the time as soon as the next request waits on the connection."""
+        delay_s = self.rng.uniform(*SURPLUS_DELAY_S)
+        if self.rng.random() < 0.5:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(waiting.wait(), SURPLUS_DELAY_S[1])
+        else:
+            await asyncio.sleep(delay_s)
         async with turn:
             self.ledger.faults += 1
+            self.ledger.faults_at_requests += waiting.is_set()
             writer.write(data)
 
     def _draw_surplus(self, response: Response, method: str) -> bytes:
