--- a/testing/system/twohosts.py
+++ b/testing/system/twohosts.py
@@ -1,8 +1,11 @@
 #!/usr/bin/env python3
 """System test with two hosts and targets over loopback: requests, idempotency keys, the drain of a zone, planned stops."""
 import pathlib
+import signal
 import sys
 import tempfile
+import threading
+import time
 
 from processes import System, call, free_network, wait_until
 
@@ -165,6 +168,27 @@
     wait_until("the drain of north-a", is_drained)
 
 
+def check_second_stop_request(system: System, south: str):
+    """A second SIGTERM ends the requests in flight. Guards against a process that ends before it has sent the answers."""
+    read = {"Saltvane-Service": "prices", "Saltvane-Deadline-Ms": "15000"}
+    targets, host = system.processes["targets"], system.processes.pop("south-1")
+    targets.send_signal(signal.SIGSTOP)
+    responses = []
+    caller = threading.Thread(target=lambda: responses.append(call(south, "/nav/9", headers=read)))
+    caller.start()
+    for _ in range(2):
+        time.sleep(0.5)
+        assert host.poll() is None, f"ended with {host.returncode}"
+        host.send_signal(signal.SIGTERM)
+    exit_code = host.wait(timeout=10)
+    caller.join()
+    targets.send_signal(signal.SIGCONT)
+    reason = responses[0].headers.get("Saltvane-Reason")
+    assert (exit_code, responses[0].status, reason) == (1, 502, "stop-time-limit"), (exit_code, responses[0].status, reason)
+    system.start_host("south-1")
+    wait_until("south-1 to answer", lambda: call(south, "/nav/8", headers=read).status == 200)
+
+
 def main() -> int:
     binaries = pathlib.Path(sys.argv[1]).resolve()
     with tempfile.TemporaryDirectory() as folder:
@@ -178,6 +202,7 @@
             check_keys(north, south, network, token)
             check_refusals(north)
             check_drain(system, servers, network)
+            check_second_stop_request(system, south)
             assert system.stop("south-1") == 0, "a planned stop must end with 0"
             assert system.stop("north-1") == 0, "a planned stop must end with 0"
             print("1 passed, 0 failed")
