--- a/src/gateway/internal/tokenbucket.h
+++ b/src/base/tokenbucket.h
@@ -9,7 +9,7 @@
 
 #include <algorithm>
 
-namespace saltvane::gateway {
+namespace saltvane {
 
 /// Token bucket that limits the rate of an action such as writing a log line or sending a report.
 class TokenBucket {
@@ -40,4 +40,4 @@
     Timestamp filledAt_ {};
 };
 
-} // namespace saltvane::gateway
+} // namespace saltvane
--- a/src/gateway/internal/backpressuremonitor.h
+++ b/src/gateway/internal/backpressuremonitor.h
@@ -5,8 +5,8 @@
  */
 #pragma once
 
+#include "base/tokenbucket.h"
 #include "gateway/internal/targetset.h"
-#include "gateway/internal/tokenbucket.h"
 #include "host/hosttypes.h"
 #include "model/limitmessages.h"
 #include "settings/routedhostsettings.h"
--- a/src/gateway/internal/decisionlog.h
+++ b/src/gateway/internal/decisionlog.h
@@ -5,8 +5,8 @@
  */
 #pragma once
 
+#include "base/tokenbucket.h"
 #include "gateway/internal/requestrunner.h"
-#include "gateway/internal/tokenbucket.h"
 #include "host/hosttypes.h"
 
 #include <string>
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -302,6 +302,8 @@
             .add("own", notice.isOwn ? "yes" : "no")
             .add("sent", notice.recentSends)
             .addMilliseconds("since_report_ms", notice.sinceReport);
+        if (notice.sinceRefusal)
+            line.addMilliseconds("since_refusal_ms", *notice.sinceRefusal);
         if (notice.sinceReopening)
             line.addMilliseconds("since_reopening_ms", *notice.sinceReopening);
         line.addMilliseconds("word_age_ms", replica_->provenAnswerAge(now));
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -15,6 +15,7 @@
 #include <boost/intrusive/list.hpp>
 
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace saltvane::gateway {
@@ -73,6 +74,7 @@
     uint32_t unfinishedResponses = 0; ///< Overlong responses that were given up since one was complete.
     Timestamp avoidedUntil; ///< Backoff after an overlong response was given up.
     Timestamp failedAt; ///< Time of the last failure.
+    std::optional<Timestamp> refusedAt; ///< When the target last refused a connection: no process listened there.
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
     /// Its connections carry one request each until then, since it sent bytes that no request waited for.
     Timestamp singleUseUntil;
--- a/src/gateway/internal/quarantine.h
+++ b/src/gateway/internal/quarantine.h
@@ -5,12 +5,12 @@
  */
 #pragma once
 
+#include "base/tokenbucket.h"
 #include "gateway/internal/lostruntracker.h"
 #include "gateway/internal/recentanswers.h"
 #include "gateway/internal/targetlossrate.h"
 #include "gateway/internal/targetprober.h"
 #include "gateway/internal/targetset.h"
-#include "gateway/internal/tokenbucket.h"
 #include "host/hosttypes.h"
 #include "membership/suspectoutbox.h"
 #include "membership/suspecttable.h"
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -174,6 +174,8 @@
         return onPeerFailed(failed, exchange, now);
     if (GatewayTarget* target = options_.targets.find(exchange.target)) {
         target->onFailure(now, !failed.mayHaveReachedTarget);
+        if (failed.isRefused)
+            target->refusedAt = now;
         if (exchange.phase != Exchange::Phase::AwaitingHead)
             recordBrokenResponse(exchange, now);
         recordTargetFailure(*target,
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -301,6 +301,8 @@
         .isOwn = record.slowStartHost == location_.self,
         .recentSends = target.sends.recent(now),
         .sinceReport = now - target.lastReportAt};
+    if (target.refusedAt)
+        notice.sinceRefusal = now - *target.refusedAt;
     if (target.zone->reopenedByReport > 0)
         notice.sinceReopening = now - target.zone->reopenedAt;
     slowStarts_.push_back(notice);
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -45,6 +45,7 @@
     bool isOwn = false; ///< This gateway may use the target during the slow start.
     uint32_t recentSends = 0; ///< Requests of this gateway within a recent second.
     Duration sinceReport {}; ///< Time since the report before, which named no slow start.
+    std::optional<Duration> sinceRefusal; ///< Time since it last refused this gateway a connection.
     std::optional<Duration> sinceReopening; ///< Time since the end of its zone's evacuation; none: never evacuated.
 };
 
--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -3,6 +3,7 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
+#include "base/logtext.h"
 #include "registry/internal/lookups.h"
 #include "registry/internal/registrycore.h"
 #include "registry/internal/targetreports.h"
@@ -56,14 +57,31 @@
     const bool isAlreadyRetired = retired_.contains(targetIncarnation);
     const bool mustRetire = heartbeat.value().isLeaving && !isAlreadyRetired;
     heartbeat.value().isLeaving = heartbeat.value().isLeaving || isAlreadyRetired;
-    if (!targets_.applyReport(std::move(heartbeat.value()), now))
+    if (!targets_.applyReport(heartbeat.value(), now)) {
         counters_->add(model::Counter::StaleMessages);
+        logStaleReport(heartbeat.value(), now);
+    }
     leaveResolver_.recordReport(targetIncarnation);
     if (mustRetire)
         return retire(handle, membership::RetiredTargets::entryFor(targetIncarnation), now);
     answer(jsonAnswer(handle, StatusOk, "{}"));
 }
 
+void RegistryCore::logStaleReport(const model::TargetRecord& report, Timestamp now)
+{
+    const model::TargetRecord* known = targets_.find(report.target);
+    if (known == nullptr || !staleReportLines_.trySpend(now))
+        return;
+    LogText line("target_report_stale");
+    line.add("target", report.target.value())
+        .add("started_ms", report.incarnation.value)
+        .add("known_started_ms", known->incarnation.value)
+        .add("sequence", report.sequence)
+        .add("known_sequence", known->sequence)
+        .addMilliseconds("slow_start_left_ms", report.slowStartLeft);
+    log(host::LogSeverity::Info, line.text());
+}
+
 void RegistryCore::run(requests::HttpHandle handle, const TargetLeaveCall& call, OpenCall& openCall, Timestamp now)
 {
     const Result<Incarnation, Findings> leavingIncarnation = readTargetLeave(call.target, openCall.body);
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "base/tokenbucket.h"
 #include "control/ibundlereplica.h"
 #include "host/routedlinks.h"
 #include "membership/ihostroster.h"
@@ -85,6 +86,7 @@
 
     /// Submits a completely parsed plan to the log.
     void submitPreparedPlan(Timestamp now);
+    void logStaleReport(const model::TargetRecord& report, Timestamp now);
     void refuseReport(requests::HttpHandle handle, const OpenCall& openCall, const Findings& findings, Timestamp now);
     /// Whether the target's service is in the plan in force; otherwise the target doesn't belong to this deployment.
     [[nodiscard]] bool isServiceInPlan(const model::TargetRecord& record);
@@ -184,6 +186,7 @@
     std::set<ServiceName> services_; ///< Services of the plan at servicesPosition_.
     LogPosition servicesPosition_;
     RefusedReports refusedReports_;
+    TokenBucket staleReportLines_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
     LogPosition appliedOrdersPosition_;
     std::set<HostId> syncedGateways_; ///< Gateways that were sent all targets on their present link.
     std::vector<HostId> numberedGateways_; ///< As last told to gateways.
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -207,6 +207,12 @@
     return found == entries_.end() ? std::nullopt : std::optional(found->second.record.incarnation);
 }
 
+const model::TargetRecord* TargetTable::find(const TargetId& target) const
+{
+    const auto found = entries_.find(target);
+    return found == entries_.end() ? nullptr : &found->second.record;
+}
+
 bool TargetTable::isKnown(const TargetId& target, const ServiceName& service) const
 {
     const auto found = entries_.find(target);
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -46,6 +46,8 @@
     void retire(const model::TargetIncarnation& targetIncarnation);
     /// The known incarnation of a target; 0 where the target doesn't report it, no value where it is unknown.
     [[nodiscard]] std::optional<Incarnation> incarnationOf(const TargetId& target) const;
+    /// The known record of the target; null where it is unknown.
+    [[nodiscard]] const model::TargetRecord* find(const TargetId& target) const;
     [[nodiscard]] bool isKnown(const TargetId& target, const ServiceName& service) const;
     /// Adds targets read from the disk. They are not sent before `releaseRecalled`.
     void recall(std::span<const model::TargetRecord> records, Timestamp now);
