Targets that start again without stating it: their reports count from the first one on

Cause: a report whose count is not above the last one was dropped as a late one. A target that states no start and starts again under its id counts from the beginning, so that all it reports was dropped until it had sent as many reports as before: its slow start, slots, address. Gateways compared the counts once more, so that a host which knew only the former start replaced the record of the new one, or removed the target when the former start timed out there.

Now a report with an unexpected count is deferred: the slow start that it names counts at once, everything else once a second report follows it. Neither order of reports of two starts ends a slow start that one of them named, since each may be a late one. Gateways order records of such targets by the time of the report, not by its count, and a record of another host ends no slow start. Targets that state their start are compared as before.

Ruled out: a shorter memory of the count (a late report is then taken for a restart for as long); a start that the registry host infers and states (two hosts would infer different ones, and a later one breaks off the requests under way).

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -230,7 +230,7 @@
     installPlan(now);
     updatePlanCertainty(now);
     if (const auto* report = std::get_if<model::TargetReport>(&delivery.message))
-        onTargetReport(*report, now);
+        onTargetReport(*report, delivery.from, now);
     else if (const auto* loads = std::get_if<model::TargetLoads>(&delivery.message))
         targets_.applyLoads(*loads, now);
     else if (const auto* suspects = std::get_if<model::SuspectReport>(&delivery.message))
@@ -275,14 +275,14 @@
     runner_.onCreditResults(now);
 }
 
-void GatewayCore::onTargetReport(const model::TargetReport& report, Timestamp now)
+void GatewayCore::onTargetReport(const model::TargetReport& report, const HostId& from, Timestamp now)
 {
     if (report.gateways > 0)
         retries_.setGateways(report.gateways);
     if (report.registryVoters > 0)
         registryVoters_ = report.registryVoters;
     const size_t before = targets_.size();
-    targets_.applyReport(report, now);
+    targets_.applyReport(report, from, now);
     runner_.onTargetsReplaced(targets_.drainReplaced(), now);
     logSlowStarts(now);
     // Updates the split immediately: a request before the next tick would be sent to a target that does not keep the
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -51,7 +51,7 @@
     void checkOrders(const HostId& from, const LogPosition& reportedOrders);
     /// Asks the host whose report was missed for its full report, with the next pull.
     void requestFullReport(model::OutgoingMessage& outgoing, Timestamp now);
-    void onTargetReport(const model::TargetReport& report, Timestamp now);
+    void onTargetReport(const model::TargetReport& report, const HostId& from, Timestamp now);
     void logSlowStarts(Timestamp now);
     void updateSplit(Timestamp now);
     void answerReadiness(const requests::HttpEvent& event);
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -45,6 +45,7 @@
     /// hosts list targets that stopped until they miss their reports.
     std::unique_ptr<model::TargetRecord> displaced;
     Timestamp addressSince {Duration::min() / 2}; ///< When this incarnation took its address over from another one.
+    HostId reportedBy; ///< The registry host that sent the record.
     Timestamp lastReportAt; ///< When the target last reported to the registry, as far as known.
     Timestamp lastListedAt; ///< When a registry host's report last listed the target.
     uint64_t lastListedInReport = 0; ///< Number of that report.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -40,9 +40,10 @@
 
 TargetSet::~TargetSet() = default;
 
-void TargetSet::applyReport(const model::TargetReport& report, Timestamp now)
+void TargetSet::applyReport(const model::TargetReport& report, const HostId& from, Timestamp now)
 {
     reportedAt_ = now;
+    reportedBy_ = from;
     ++reports_;
     reportedOrders_ = report.orders;
     if (report.gateways > 0)
@@ -144,7 +145,7 @@
     GatewayTarget* known = findById(record.target);
     const bool isKnownStart = known != nullptr && known->record.incarnation == record.incarnation;
     if (isKnownStart) {
-        if (record.sequence >= known->record.sequence)
+        if (!isOutdated(record, *known, now))
             update(*known, record, now);
         return;
     }
@@ -165,6 +166,17 @@
     update(target, record, now);
 }
 
+bool TargetSet::isOutdated(const model::TargetRecord& record, const GatewayTarget& known, Timestamp now) const
+{
+    const bool isLower = record.sequence < known.record.sequence;
+    const bool isIncarnationStated = record.incarnation.value != 0;
+    if (isIncarnationStated || record.isRecalled)
+        return isLower;
+    // The target may have started again and count from the beginning, which each registry host learns by itself: the
+    // one that received the last report knows more.
+    return now - record.age < known.lastReportAt && (isLower || reportedBy_ != known.reportedBy);
+}
+
 bool TargetSet::mayAdd(const model::TargetRecord& record) const
 {
     const GatewayTarget* other = atAddress(record.address);
@@ -285,6 +297,10 @@
     // A registry host that has not applied the reopening lists the target by a report from before it.
     if (reportedOrders_ >= target.zone->reopenedPosition)
         target.lastListedInReport = reports_;
+    // Another registry host may have received a late report, of before the slow start.
+    if (record.incarnation.value == 0 && reportedBy_ != target.reportedBy)
+        target.statedSlowUntil = std::max(target.statedSlowUntil, target.slowUntil);
+    target.reportedBy = reportedBy_;
     target.slowUntil = std::max(target.lastReportAt + record.slowStartLeft, target.statedSlowUntil);
     markListed(target, now);
     target.isUnresponsive = record.age >= model::TargetHeartbeatTimeout;
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -71,7 +71,8 @@
     TargetSet(const TargetSet&) = delete;
     TargetSet& operator=(const TargetSet&) = delete;
 
-    void applyReport(const model::TargetReport& report, Timestamp now);
+    /// `from`: the registry host that sent the report.
+    void applyReport(const model::TargetReport& report, const HostId& from, Timestamp now);
     void applyLoads(const model::TargetLoads& loads, Timestamp now);
     /// Loads of this gateway's own requests, to be reported to the registry.
     [[nodiscard]] model::TargetLoads collectOwnLoads();
@@ -146,6 +147,8 @@
     void applyRetired(std::span<const model::TargetIncarnation> entries, Timestamp now);
     void updateRetirement(GatewayTarget& target, Timestamp now);
     void applyRecord(const model::TargetRecord& record, Timestamp now);
+    /// Whether more recent information about the incarnation is known.
+    [[nodiscard]] bool isOutdated(const model::TargetRecord& record, const GatewayTarget& known, Timestamp now) const;
     void addSlowStartNotice(GatewayTarget& target, const model::TargetRecord& record, Timestamp now);
     void applyUnchanged(std::span<const uint64_t> incarnationHashes, Timestamp now);
     void markListed(GatewayTarget& target, Timestamp now);
@@ -182,6 +185,7 @@
     LogPosition orders_; ///< Of the newest zones and rollouts.
     LogPosition completeOrders_; ///< No report of earlier orders is missing.
     LogPosition reportedOrders_; ///< Of the report being applied.
+    HostId reportedBy_; ///< The registry host that sent it.
     RolloutTable rollouts_;
     std::map<ZoneName, TargetZone> zones_;
     membership::RetiredTargets retired_;
--- a/src/gateway/tests/regionsplittests.cpp
+++ b/src/gateway/tests/regionsplittests.cpp
@@ -35,7 +35,7 @@
                 .address = {.ip = "10.0.1.1", .port = static_cast<uint16_t>(9000 + i)},
                 .zone = ZoneName(i % 2 == 0 ? "north-a" : "south-a"),
                 .slots = 3});
-        targets_.applyReport(report, Now);
+        targets_.applyReport(report, HostId("10.0.0.9:7000"), Now);
     }
     double weightFor(const std::vector<Duration>& objectives)
     {
@@ -64,7 +64,7 @@
     EXPECT_EQ(targets_.capacityOf(Quotes).regions, 2U);
     model::TargetReport closed {.orders = {.term = {1}, .index = {2}}, .evacuatedZones = {ZoneName("south-a")}};
     closed.retired.push_back({.target = TargetId("t-0")});
-    targets_.applyReport(closed, Now);
+    targets_.applyReport(closed, HostId("10.0.0.9:7000"), Now);
     for (int tick = 0; tick < 10; ++tick)
         targets_.tick(Now);
     EXPECT_EQ(targets_.capacityOf(Quotes).allSlots, 21);
--- /dev/null
+++ b/src/gateway/tests/restartedtargettests.cpp
@@ -0,0 +1,101 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "gatewayfixture.h"
+
+/// Targets that start again under their id without stating their incarnation. Two registry hosts know different starts.
+namespace saltvane::gateway::test {
+
+namespace {
+
+const HostId OtherRegistry("10.0.0.8:7000");
+
+class RestartedTargetTest : public GatewayFixture {
+protected:
+    RestartedTargetTest()
+    {
+        installPlan(1);
+        former_ = target("t-1");
+        former_.sequence = 500;
+        reportTargets({former_});
+        restarted_ = former_;
+        restarted_.sequence = 1;
+        restarted_.slowStartLeft = 3s;
+        advance(2s);
+    }
+    void reportOfOther(const model::TargetRecord& record)
+    {
+        deliver({.from = OtherRegistry,
+            .message = model::TargetReport {.targets = {record}, .gateways = 1, .gatewayNumber = 1}});
+    }
+    using GatewayFixture::deliver;
+    void deliver(model::Delivery delivery)
+    {
+        gateway_->handle(std::move(delivery), now_);
+        advance({});
+    }
+    bool isUsed()
+    {
+        request({});
+        const std::vector<requests::TargetStart> starts = takeStarts();
+        for (const requests::TargetStart& start : starts)
+            answer(start, {});
+        (void)takeResponse();
+        return !starts.empty();
+    }
+    model::TargetRecord former_;
+    model::TargetRecord restarted_;
+};
+
+} // namespace
+
+// Guards against floods of a restarted target whose records have a lower sequence than those of its former start.
+TEST_F(RestartedTargetTest, RecordOfTheNewStartIsAppliedWhichHostEverSendsIt)
+{
+    EXPECT_TRUE(isUsed());
+    reportOfOther(restarted_);
+    EXPECT_FALSE(isUsed());
+    advance(3100ms);
+    EXPECT_TRUE(isUsed());
+    restarted_.slowStartLeft = 3s;
+    reportTargets({restarted_});
+    EXPECT_FALSE(isUsed());
+}
+
+// Guards against a registry host that repeats what it knows of the former start.
+TEST_F(RestartedTargetTest, RecordOfTheFormerStartDoesNotReplaceThatOfTheNewOne)
+{
+    restarted_.slowStartLeft = {};
+    restarted_.isLeaving = true;
+    reportOfOther(restarted_);
+    former_.age = 2s;
+    reportTargets({former_});
+    EXPECT_FALSE(isUsed());
+}
+
+// Guards against a restarted target that is removed because its former start has become unresponsive.
+TEST_F(RestartedTargetTest, TargetIsUsedAfterItsFormerStartTimedOutAtAnotherHost)
+{
+    restarted_.slowStartLeft = {};
+    reportOfOther(restarted_);
+    former_.age = model::TargetHeartbeatTimeout;
+    reportTargets({former_});
+    EXPECT_TRUE(isUsed());
+}
+
+// Guards against floods after a late report of the former start reached another registry host than those of the new
+// one.
+TEST_F(RestartedTargetTest, LateRecordOfAnotherHostDoesNotEndTheSlowStart)
+{
+    reportOfOther(restarted_);
+    advance(500ms);
+    ++former_.sequence;
+    reportTargets({former_});
+    EXPECT_FALSE(isUsed());
+    advance(2600ms);
+    EXPECT_TRUE(isUsed());
+}
+
+} // namespace saltvane::gateway::test
--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -24,6 +24,21 @@
 /// Share of a host's memory for bodies of calls, orders and plans being sent: 16 MB of 256.
 constexpr uint64_t CallMemoryDivisor = 16;
 
+std::string_view eventOf(ReportOutcome outcome)
+{
+    switch (outcome) {
+    case ReportOutcome::Applied:
+        return "target_report_applied";
+    case ReportOutcome::Restarted:
+        return "target_restarted";
+    case ReportOutcome::Deferred:
+        return "target_report_deferred";
+    case ReportOutcome::Stale:
+        return "target_report_stale";
+    }
+    return "target_report_stale";
+}
+
 } // namespace
 
 void RegistryCore::run(requests::HttpHandle handle, const LookUpCall& call, OpenCall& /*openCall*/, Timestamp now)
@@ -57,27 +72,29 @@
     const bool isAlreadyRetired = retired_.contains(targetIncarnation);
     const bool mustRetire = heartbeat.value().isLeaving && !isAlreadyRetired;
     heartbeat.value().isLeaving = heartbeat.value().isLeaving || isAlreadyRetired;
-    if (!targets_.applyReport(heartbeat.value(), now)) {
-        counters_->add(model::Counter::StaleMessages);
-        logStaleReport(heartbeat.value(), now);
-    }
+    const model::TargetRecord* known = targets_.find(call.target);
+    const uint64_t knownSequence = known == nullptr ? 0 : known->sequence;
+    const ReportOutcome outcome = targets_.applyReport(heartbeat.value(), now);
+    if (outcome != ReportOutcome::Applied)
+        onUnexpectedReport(heartbeat.value(), outcome, knownSequence, now);
     leaveResolver_.recordReport(targetIncarnation);
     if (mustRetire)
         return retire(handle, membership::RetiredTargets::entryFor(targetIncarnation), now);
     answer(jsonAnswer(handle, StatusOk, "{}"));
 }
 
-void RegistryCore::logStaleReport(const model::TargetRecord& report, Timestamp now)
+void RegistryCore::onUnexpectedReport(
+    const model::TargetRecord& report, ReportOutcome outcome, uint64_t knownSequence, Timestamp now)
 {
-    const model::TargetRecord* known = targets_.find(report.target);
-    if (known == nullptr || !staleReportLines_.trySpend(now))
+    if (outcome == ReportOutcome::Stale)
+        counters_->add(model::Counter::StaleMessages);
+    if (!unexpectedReportLines_.trySpend(now))
         return;
-    LogText line("target_report_stale");
+    LogText line(eventOf(outcome));
     line.add("target", report.target.value())
         .add("started_ms", report.incarnation.value)
-        .add("known_started_ms", known->incarnation.value)
         .add("sequence", report.sequence)
-        .add("known_sequence", known->sequence)
+        .add("known_sequence", knownSequence)
         .addMilliseconds("slow_start_left_ms", report.slowStartLeft);
     log(host::LogSeverity::Info, line.text());
 }
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -86,7 +86,9 @@
 
     /// Submits a completely parsed plan to the log.
     void submitPreparedPlan(Timestamp now);
-    void logStaleReport(const model::TargetRecord& report, Timestamp now);
+    /// A report that was not simply applied. `knownSequence`: of the report before it; 0: none.
+    void onUnexpectedReport(
+        const model::TargetRecord& report, ReportOutcome outcome, uint64_t knownSequence, Timestamp now);
     void refuseReport(requests::HttpHandle handle, const OpenCall& openCall, const Findings& findings, Timestamp now);
     /// Whether the target's service is in the plan in force; otherwise the target doesn't belong to this deployment.
     [[nodiscard]] bool isServiceInPlan(const model::TargetRecord& record);
@@ -186,7 +188,7 @@
     std::set<ServiceName> services_; ///< Services of the plan at servicesPosition_.
     LogPosition servicesPosition_;
     RefusedReports refusedReports_;
-    TokenBucket staleReportLines_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
+    TokenBucket unexpectedReportLines_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
     LogPosition appliedOrdersPosition_;
     std::set<HostId> syncedGateways_; ///< Gateways that were sent all targets on their present link.
     std::vector<HostId> numberedGateways_; ///< As last told to gateways.
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -19,6 +19,9 @@
 /// Repeats records that a gateway may have missed. Open links lose nothing, and a new link starts with all targets, so
 /// this can be rare: sending all targets to all gateways is most of the control traffic.
 constexpr Duration ResendInterval = 10min;
+/// Reports of a target that reach other registry hosts, or none, between two that reach this one. Of a target that has
+/// started again, a larger step is more likely a late report of before.
+constexpr uint64_t MaxSequenceStep = 8;
 /// What a target bears in its slow start is stated as requests in any second.
 constexpr Duration SlowStartWindow = 1s;
 
@@ -39,29 +42,72 @@
 {
 }
 
-bool TargetTable::applyReport(model::TargetRecord record, Timestamp now)
+ReportOutcome TargetTable::applyReport(model::TargetRecord record, Timestamp now)
 {
     const auto found = entries_.find(record.target);
     if (found == entries_.end() || found->second.record.incarnation < record.incarnation)
         return addIncarnation(std::move(record), now);
     Entry& entry = found->second;
-    if (record.incarnation < entry.record.incarnation || record.sequence <= entry.record.sequence)
-        return false;
+    if (record.incarnation < entry.record.incarnation)
+        return ReportOutcome::Stale;
+    if (!isExpected(entry, record))
+        return applyUnexpected(entry, std::move(record), now);
     updateEntry(entry, std::move(record), now);
-    return true;
+    return ReportOutcome::Applied;
 }
 
-bool TargetTable::addIncarnation(model::TargetRecord record, Timestamp now)
+bool TargetTable::isExpected(const Entry& entry, const model::TargetRecord& record)
 {
-    if (displaced_.contains(targetIncarnationOf(record), now) || isAddressOfNewerIncarnation(record))
+    const uint64_t last = entry.record.sequence;
+    if (record.sequence <= last)
         return false;
+    return record.sequence > entry.formerSequence || record.sequence - last <= MaxSequenceStep;
+}
+
+bool TargetTable::continuesDeferred(const Entry& entry, uint64_t sequence, Timestamp now)
+{
+    return entry.deferredSequence && now - entry.deferredAt < model::TargetHeartbeatTimeout
+        && sequence > *entry.deferredSequence && sequence - *entry.deferredSequence <= MaxSequenceStep;
+}
+
+ReportOutcome TargetTable::applyUnexpected(Entry& entry, model::TargetRecord record, Timestamp now)
+{
+    if (record.incarnation.value != 0)
+        return ReportOutcome::Stale;
+    if (record.slowStartLeft > Duration::zero() && now >= slowUntil(entry))
+        onSlowStart(entry, now);
+    // The former start may have sent one of both reports: neither ends a slow start that the other one named.
+    entry.statedSlowUntil = std::max(slowUntil(entry), now + record.slowStartLeft);
+    if (continuesDeferred(entry, record.sequence, now)) {
+        entry.formerSequence = std::max(entry.formerSequence, entry.record.sequence);
+        entry.deferredSequence.reset();
+        updateEntry(entry, std::move(record), now);
+        queueUpdate(entry);
+        return ReportOutcome::Restarted;
+    }
+    entry.deferredSequence = record.sequence;
+    entry.deferredAt = now;
+    if (record.slowStartLeft > Duration::zero()) {
+        ++changes_;
+        // Gateways use what the host states that received the last report.
+        entry.record.slowStartLeft = Duration::zero();
+        markReceived(entry, now);
+        queueUpdate(entry);
+    }
+    return ReportOutcome::Deferred;
+}
+
+ReportOutcome TargetTable::addIncarnation(model::TargetRecord record, Timestamp now)
+{
+    if (displaced_.contains(targetIncarnationOf(record), now) || isAddressOfNewerIncarnation(record))
+        return ReportOutcome::Stale;
     displaceOthersAt(record, now);
     if (const auto former = entries_.find(record.target); former != entries_.end())
         erase(former->second);
     Entry& entry = add(std::move(record), now);
     entry.reportedAt = now;
     queueUpdate(entry);
-    return true;
+    return ReportOutcome::Applied;
 }
 
 void TargetTable::updateEntry(Entry& entry, model::TargetRecord record, Timestamp now)
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -28,15 +28,25 @@
     auto operator<=>(const HostLocation&) const = default;
 };
 
+/// What a target's report changed.
+enum class ReportOutcome {
+    Applied,
+    /// Applied, and it shows that a target which states no incarnation has started again.
+    Restarted,
+    /// Of a target that states no incarnation, with an unexpected sequence: it is late, or the target has started
+    /// again. Only the slow start that it names counts until a second report follows it.
+    Deferred,
+    /// Older than the last report, or of an incarnation that a newer one replaced.
+    Stale
+};
+
 /// The targets that report to this host, and the updates of them to send to gateways. A report or a call of
 /// drainUpdates() costs in proportion to the targets that changed, not to all known ones.
 class TargetTable {
 public:
     explicit TargetTable(std::map<ZoneName, RegionName> zones);
 
-    /// Applies a target's report; false where it is older than the last one, or of an incarnation that a newer one
-    /// replaced.
-    bool applyReport(model::TargetRecord record, Timestamp now);
+    [[nodiscard]] ReportOutcome applyReport(model::TargetRecord record, Timestamp now);
     /// This incarnation announced in its answers that it leaves: overrides what it reports.
     void markLeaving(const model::TargetIncarnation& targetIncarnation);
     /// The target told a gateway that it is in a slow start, for which `slowStartLeft` of the gateway's record is left.
@@ -87,6 +97,10 @@
         Timestamp statedSlowUntil; ///< End of the slow start that it stated to a gateway. Its reports may be older.
         /// No gateway is named for its slow start before: until it became known, all of them used the target.
         Timestamp namesGatewayFrom;
+        /// The last report whose sequence does not continue that of the record, of a target that states no incarnation.
+        std::optional<uint64_t> deferredSequence;
+        Timestamp deferredAt;
+        uint64_t formerSequence = 0; ///< Highest one of its earlier starts, as far as they are known.
         HostId slowStartHost; ///< The gateway that was named for it when its record was last sent.
         Hook updateHook;
         Hook receivedHook;
@@ -96,7 +110,12 @@
     using EntryList = boost::intrusive::list<Entry, boost::intrusive::member_hook<Entry, Hook, Member>,
         boost::intrusive::constant_time_size<false>>;
 
-    [[nodiscard]] bool addIncarnation(model::TargetRecord record, Timestamp now);
+    [[nodiscard]] ReportOutcome addIncarnation(model::TargetRecord record, Timestamp now);
+    [[nodiscard]] ReportOutcome applyUnexpected(Entry& entry, model::TargetRecord record, Timestamp now);
+    /// Whether the report follows the last one.
+    [[nodiscard]] static bool isExpected(const Entry& entry, const model::TargetRecord& record);
+    /// Whether the report follows the deferred one.
+    [[nodiscard]] static bool continuesDeferred(const Entry& entry, uint64_t sequence, Timestamp now);
     void updateEntry(Entry& entry, model::TargetRecord record, Timestamp now);
     Entry& add(model::TargetRecord record, Timestamp now);
     void erase(Entry& entry);
--- a/src/registry/tests/incarnationtests.cpp
+++ b/src/registry/tests/incarnationtests.cpp
@@ -384,14 +384,14 @@
     TargetTable table({});
     Timestamp now {100s};
     // The earlier one reported to another host before: this host never knew it.
-    EXPECT_TRUE(table.applyReport(recordOf("later", 2000, 1, 9000), now));
-    EXPECT_FALSE(table.applyReport(recordOf("earlier", 1000, 70, 9000), now));
+    EXPECT_EQ(table.applyReport(recordOf("later", 2000, 1, 9000), now), ReportOutcome::Applied);
+    EXPECT_EQ(table.applyReport(recordOf("earlier", 1000, 70, 9000), now), ReportOutcome::Stale);
     ASSERT_EQ(table.all(now).size(), 1U);
     EXPECT_EQ(table.all(now).front().target, TargetId("later"));
     // Once the later one is unresponsive, its address is free.
     now += model::TargetHeartbeatTimeout;
     (void)table.drainUpdates({}, now);
-    EXPECT_TRUE(table.applyReport(recordOf("earlier", 1000, 71, 9000), now));
+    EXPECT_EQ(table.applyReport(recordOf("earlier", 1000, 71, 9000), now), ReportOutcome::Applied);
 }
 
 // When the clock steps back between two starts, the second has the lower incarnation: it is accepted only once the
@@ -400,12 +400,12 @@
 {
     TargetTable table({});
     Timestamp now {100s};
-    EXPECT_TRUE(table.applyReport(recordOf("t-1", 2000, 9, 9000), now));
+    EXPECT_EQ(table.applyReport(recordOf("t-1", 2000, 9, 9000), now), ReportOutcome::Applied);
     now += 1s;
-    EXPECT_FALSE(table.applyReport(recordOf("t-1", 1000, 1, 9000), now));
+    EXPECT_EQ(table.applyReport(recordOf("t-1", 1000, 1, 9000), now), ReportOutcome::Stale);
     now += model::TargetHeartbeatTimeout;
     (void)table.drainUpdates({}, now);
-    EXPECT_TRUE(table.applyReport(recordOf("t-1", 1000, 9, 9000), now));
+    EXPECT_EQ(table.applyReport(recordOf("t-1", 1000, 9, 9000), now), ReportOutcome::Applied);
 }
 
 } // namespace saltvane::registry::test
--- a/src/registry/tests/targetlistingtests.cpp
+++ b/src/registry/tests/targetlistingtests.cpp
@@ -36,7 +36,7 @@
         size_t records = 0;
         for (const Timestamp end = now_ + duration; now_ < end; now_ += 1s) {
             for (size_t number = 0; number < reporting && now_ >= nextReportsAt_; ++number)
-                EXPECT_TRUE(table_.applyReport(recordOf(number), now_));
+                EXPECT_EQ(table_.applyReport(recordOf(number), now_), ReportOutcome::Applied);
             nextReportsAt_ = std::max(nextReportsAt_, now_ >= nextReportsAt_ ? now_ + 3s : nextReportsAt_);
             records += table_.drainUpdates({}, now_).size();
             for (const uint64_t hash : table_.drainUnchanged())
--- a/testing/benchmarks/targetbenchmark.cpp
+++ b/testing/benchmarks/targetbenchmark.cpp
@@ -26,6 +26,7 @@
         .sequence = sequence};
 }
 
+const HostId Registry("r");
 const std::map<ZoneName, RegionName> Zones {
     {ZoneName("n-a"), RegionName("n")}, {ZoneName("n-b"), RegionName("n")}, {ZoneName("s-a"), RegionName("s")}};
 
@@ -36,7 +37,7 @@
         model::TargetReport report;
         for (uint32_t i = 0; i < targets; ++i)
             report.targets.push_back(recordOf(i, 1));
-        set.applyReport(report, Now);
+        set.applyReport(report, Registry, Now);
     }
     gateway::TargetSet set {{.self = HostId("g"), .zone = ZoneName("n-a"), .region = RegionName("n")}, Zones};
     gateway::RegionSplit split {0.15};
@@ -65,7 +66,7 @@
     Gateway gateway(static_cast<uint32_t>(state.range(0)));
     uint64_t sequence = 1;
     for (auto _ : state)
-        gateway.set.applyReport({.targets = {recordOf(7, ++sequence)}}, Now);
+        gateway.set.applyReport({.targets = {recordOf(7, ++sequence)}}, Registry, Now);
 }
 
 void tickGateway(benchmark::State& state)
