Targets that refuse connections are used as in a slow start until they report

Callers saw: as before, targets that start again get more than they bear in their first moments, before their first report arrives.

Cause: the registry learns of a restart by the first report of the new start, up to 1.5 s after it and later where reports are late.

Now a refused connection is a fact that is shared: the gateway treats the target as in a slow start, and tells the registry, which tells all gateways that a start is expected. A report that names a slow start ends that; one that names none may have been sent before the stop, and counts only after the length of a slow start.

Ruled out: an unused target until it reports (a gateway behind a partition that refuses connections would take targets from all others); silence as a sign of a stop (reports may be seconds late).

--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -66,6 +66,7 @@
 void GatewayTarget::onAnswered(Timestamp now)
 {
     answeredAt = now;
+    isRefusalReported = false;
     failures = 0;
     if (brokenResponses < FailuresToEject)
         ejectedUntil = {};
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -76,6 +76,7 @@
     Timestamp avoidedUntil; ///< Backoff after an overlong response was given up.
     Timestamp failedAt; ///< Time of the last failure.
     std::optional<Timestamp> refusedAt; ///< When the target last refused a connection: no process listened there.
+    bool isRefusalReported = false; ///< The registry was told of it. Until the target answers, it is told only once.
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
     /// Its connections carry one request each until then, since it sent bytes that no request waited for.
     Timestamp singleUseUntil;
@@ -90,7 +91,16 @@
     }
     /// Requests that the target runs or queues, as far as known.
     [[nodiscard]] double load(Timestamp now) const;
-    [[nodiscard]] bool isSlowStarting(Timestamp now) const { return now < slowUntil || isRecentlyReopened(now); }
+    [[nodiscard]] bool isSlowStarting(Timestamp now) const
+    {
+        return now < slowUntil || record.isStartExpected || isRecentlyReopened(now);
+    }
+    /// Refused this gateway a connection so recently that a start since then would still be slow.
+    [[nodiscard]] bool hasRefusedRecently(Timestamp now) const
+    {
+        const bool isOfNetwork = refusedAt && reachableSince != nullptr && *refusedAt < *reachableSince;
+        return refusedAt && now - *refusedAt < *serviceSlowStart && !isOfNetwork;
+    }
     /// Whether the target may be in a slow start that began before its zone was reopened. Its reports don't show that
     /// it isn't: one from before the slow start may arrive after the reopening.
     [[nodiscard]] bool isRecentlyReopened(Timestamp now) const
--- a/src/gateway/internal/quarantine.cpp
+++ b/src/gateway/internal/quarantine.cpp
@@ -161,8 +161,11 @@
         return;
     if (result->status == TargetProber::Status::Alive)
         return onTargetAlive(result->target);
-    if (GatewayTarget* target = options_.targets.find(result->target))
+    if (GatewayTarget* target = options_.targets.find(result->target)) {
         target->onFailure(now, true);
+        if (result->isRefused)
+            options_.targets.onRefused(*target, now);
+    }
     onTargetStopped(result->target, now);
 }
 
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -175,7 +175,7 @@
     if (GatewayTarget* target = options_.targets.find(exchange.target)) {
         target->onFailure(now, !failed.mayHaveReachedTarget);
         if (failed.isRefused)
-            target->refusedAt = now;
+            options_.targets.onRefused(*target, now);
         if (exchange.phase != Exchange::Phase::AwaitingHead)
             recordBrokenResponse(exchange, now);
         recordTargetFailure(*target,
--- a/src/gateway/internal/targetprober.cpp
+++ b/src/gateway/internal/targetprober.cpp
@@ -56,7 +56,7 @@
         // A lost connection says nothing: targets close connections beyond their limit this way.
         if (!failed->isRefused)
             return std::nullopt;
-        return ProbeResult {.target = probe.target, .status = Status::Stopped};
+        return ProbeResult {.target = probe.target, .status = Status::Stopped, .isRefused = true};
     }
     const auto* head = std::get_if<requests::TargetResponseHead>(&event);
     if (head == nullptr)
--- a/src/gateway/internal/targetprober.h
+++ b/src/gateway/internal/targetprober.h
@@ -34,6 +34,7 @@
     struct ProbeResult {
         model::TargetIncarnation target;
         Status status = Status::Alive;
+        bool isRefused = false; ///< Stopped, and nothing listens at its address.
     };
     /// Whether an event belongs to a probe and not to a request.
     [[nodiscard]] static bool isProbe(requests::DispatchId dispatch);
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -441,9 +441,20 @@
     removeFromRanking(target);
 }
 
+void TargetSet::onRefused(GatewayTarget& target, Timestamp now)
+{
+    target.refusedAt = now;
+    target.record.slowStartHost = {}; // Named again once the target reports.
+    const bool hasSlowStart = *target.serviceSlowStart > Duration::zero();
+    if (!hasSlowStart || target.record.isLeaving || std::exchange(target.isRefusalReported, true))
+        return;
+    refused_.push_back(target.record);
+    refused_.back().isStartExpected = true;
+}
+
 void TargetSet::startSlowStart(GatewayTarget& target, Duration left, Timestamp now)
 {
-    target.statedSlowUntil = now + left;
+    target.statedSlowUntil = std::max(target.statedSlowUntil, now + left);
     target.slowUntil = std::max(target.slowUntil, target.statedSlowUntil);
     target.record.slowStartHost = {};
     updateCapacity(target, now);
@@ -603,7 +614,8 @@
 {
     if (!isConfirmed_)
         return SendLimit::Unconfirmed;
-    return target.isSlowStarting(now) ? SendLimit::SlowStart : SendLimit::None;
+    const bool maySlowStart = target.isSlowStarting(now) || target.hasRefusedRecently(now);
+    return maySlowStart ? SendLimit::SlowStart : SendLimit::None;
 }
 
 bool TargetSet::isUsable(const GatewayTarget& target, const model::RoutedService& service, Timestamp now) const
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -82,6 +82,11 @@
     /// The target stated in a response that it is in a slow start. It is not used until the registry names the gateway
     /// that may use it.
     void startSlowStart(GatewayTarget& target, Duration left, Timestamp now);
+    /// The target refused a connection: it has stopped, and is in its slow start once it runs again. Reports don't show
+    /// that at once, and other gateways may not have noticed that it stopped.
+    void onRefused(GatewayTarget& target, Timestamp now);
+    /// Records of targets that refused a connection since the last call, for the registry.
+    [[nodiscard]] std::vector<model::TargetRecord> drainRefused() { return std::exchange(refused_, {}); }
     /// Targets are reachable again after none was: their failures until now say nothing about them.
     void onReachableAgain(Timestamp now) { reachableSince_ = now; }
     /// A target to send a probe to, each time another one; null if none of the next few may get one.
@@ -197,6 +202,7 @@
     std::map<ServiceName, Service> services_;
     std::vector<model::TargetIncarnation> replaced_;
     std::vector<SlowStartNotice> slowStarts_;
+    std::vector<model::TargetRecord> refused_;
     /// Back-pressure of incarnations that were removed; it applies again if the registry lists them again.
     std::map<model::TargetIncarnation, TargetBackpressure> formerBackpressure_;
     uint64_t reports_ = 0;
--- a/src/gateway/tests/restartedtargettests.cpp
+++ b/src/gateway/tests/restartedtargettests.cpp
@@ -98,4 +98,50 @@
     EXPECT_TRUE(isUsed());
 }
 
+// Guards against floods of a target that starts again before it reports, by the gateway that it refused a connection.
+TEST_F(RestartedTargetTest, TargetThatRefusedAConnectionIsNotUsedForTheLengthOfASlowStart)
+{
+    request({});
+    refuse(takeStarts().at(0));
+    (void)takeResponse();
+    const std::vector<model::TargetRecord> stated = takeStatedSlowStarts();
+    ASSERT_EQ(stated.size(), 1U);
+    EXPECT_EQ(stated[0].target, former_.target);
+    EXPECT_TRUE(stated[0].isStartExpected);
+    advance(2900ms); // Ejections are shorter.
+    EXPECT_FALSE(isUsed());
+    advance(200ms);
+    EXPECT_TRUE(isUsed());
+}
+
+// Guards against floods of a target that starts again before it reports, by gateways that did not notice that it
+// stopped.
+TEST_F(RestartedTargetTest, TargetOfWhichAStartIsExpectedIsNotUsedUntilItReports)
+{
+    former_.isStartExpected = true;
+    reportTargets({former_});
+    EXPECT_FALSE(isUsed());
+    advance(4s);
+    EXPECT_FALSE(isUsed());
+    former_.isStartExpected = false;
+    reportTargets({former_});
+    EXPECT_TRUE(isUsed());
+}
+
+// Guards against a report to the registry for each refused connection of a stopped target.
+TEST_F(RestartedTargetTest, RefusalIsReportedOnceUntilTheTargetAnswers)
+{
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        request({});
+        refuse(takeStarts().at(0));
+        (void)takeResponse();
+        advance(4s);
+    }
+    EXPECT_EQ(takeStatedSlowStarts().size(), 1U);
+    EXPECT_TRUE(isUsed());
+    request({});
+    refuse(takeStarts().at(0));
+    EXPECT_EQ(takeStatedSlowStarts().size(), 1U);
+}
+
 } // namespace saltvane::gateway::test
--- a/src/model/targetmessages.h
+++ b/src/model/targetmessages.h
@@ -42,6 +42,9 @@
     uint64_t sequence = 0; ///< Of the target's reports; a higher sequence replaces a lower one.
     Duration age {}; ///< Time since the report arrived. TargetHeartbeatTimeout or more: the target is unresponsive.
     HostId slowStartHost; ///< The only gateway that may use the target during its slow start; empty: unknown.
+    /// The target refused a gateway a connection and may start again at any moment: it is used as in a slow start until
+    /// it reports. From a gateway: it was refused a connection.
+    bool isStartExpected = false;
     /// Restored from disk after a restart of the control host: true until the target reports again or becomes
     /// unresponsive. A report of another target at the same address always takes precedence.
     bool isRecalled = false;
--- a/src/registry/internal/registrycalls.cpp
+++ b/src/registry/internal/registrycalls.cpp
@@ -88,7 +88,7 @@
 {
     if (outcome == ReportOutcome::Stale)
         counters_->add(model::Counter::StaleMessages);
-    if (!unexpectedReportLines_.trySpend(now))
+    if (!targetEventLines_.trySpend(now))
         return;
     LogText line(eventOf(outcome));
     line.add("target", report.target.value())
--- a/src/registry/internal/registrycore.h
+++ b/src/registry/internal/registrycore.h
@@ -138,6 +138,8 @@
     void reportSuspects(Timestamp now);
     /// Targets that announced to a gateway that they leave.
     void accept(const model::TargetReport& report, const HostId& from, Timestamp now);
+    /// The target refused the sender a connection. False where nothing changes.
+    bool expectStart(const model::TargetRecord& record, const HostId& from, Timestamp now);
     void accept(const model::BackpressureReport& report, const HostId& from, Timestamp now);
     void accept(const model::BundlePull& pull, const HostId& from, Timestamp now);
     void accept(const model::RolloutReport& report, Timestamp now);
@@ -188,7 +190,7 @@
     std::set<ServiceName> services_; ///< Services of the plan at servicesPosition_.
     LogPosition servicesPosition_;
     RefusedReports refusedReports_;
-    TokenBucket unexpectedReportLines_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
+    TokenBucket targetEventLines_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
     LogPosition appliedOrdersPosition_;
     std::set<HostId> syncedGateways_; ///< Gateways that were sent all targets on their present link.
     std::vector<HostId> numberedGateways_; ///< As last told to gateways.
--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -3,6 +3,7 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
+#include "base/logtext.h"
 #include "registry/internal/lookups.h"
 #include "registry/internal/registrycore.h"
 
@@ -275,11 +276,30 @@
         targets_.markLeaving(targetIncarnation);
         leaveResolver_.recordKnown(targetIncarnation, now);
     }
+    model::TargetReport relayed {.retired = report.retired};
     for (const model::TargetRecord& record : report.targets) {
-        if (targets_.startSlowStart(record, now))
+        const bool isNew
+            = record.isStartExpected ? expectStart(record, from, now) : targets_.startSlowStart(record, now);
+        if (isNew)
             nextReportAt_ = now; // Until then the gateways use the target at its full rate.
+        // All gateways that a stopped target refuses report it.
+        if (isNew || !record.isStartExpected)
+            relayed.targets.push_back(record);
     }
-    relayFromGateway(report, from, now);
+    if (!relayed.retired.empty() || !relayed.targets.empty())
+        relayFromGateway(relayed, from, now);
+}
+
+bool RegistryCore::expectStart(const model::TargetRecord& record, const HostId& from, Timestamp now)
+{
+    if (!targets_.expectStart({.target = record.target, .incarnation = record.incarnation}, now))
+        return false;
+    if (targetEventLines_.trySpend(now)) {
+        LogText line("target_start_expected");
+        line.add("target", record.target.value()).add("told_by", from.value());
+        log(host::LogSeverity::Info, line.text());
+    }
+    return true;
 }
 
 /// A gateway reports to the registry hosts nearest to it; these forward the report to the others, which don't.
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -74,7 +74,7 @@
 {
     if (record.incarnation.value != 0)
         return ReportOutcome::Stale;
-    if (record.slowStartLeft > Duration::zero() && now >= slowUntil(entry))
+    if (record.slowStartLeft > Duration::zero() && now >= slowUntil(entry) && !entry.startExpectedSince)
         onSlowStart(entry, now);
     // The former start may have sent one of both reports: neither ends a slow start that the other one named.
     entry.statedSlowUntil = std::max(slowUntil(entry), now + record.slowStartLeft);
@@ -89,6 +89,7 @@
     entry.deferredAt = now;
     if (record.slowStartLeft > Duration::zero()) {
         ++changes_;
+        entry.startExpectedSince.reset();
         // Gateways use what the host states that received the last report.
         entry.record.slowStartLeft = Duration::zero();
         markReceived(entry, now);
@@ -116,7 +117,7 @@
     // The target reported to another registry host in between, from which gateways may have newer information.
     const bool hasMissedReports = record.sequence > entry.record.sequence + 1;
     const bool isSlow = record.slowStartLeft > Duration::zero() || entry.record.slowStartLeft > Duration::zero()
-        || now < entry.statedSlowUntil;
+        || now < entry.statedSlowUntil || entry.startExpectedSince;
     const bool hasMoved = record.address != entry.record.address;
     const bool isChanged = entry.record.isRecalled || record.isLeaving != entry.record.isLeaving
         || record.slots != entry.record.slots || record.version != entry.record.version || hasMoved;
@@ -125,8 +126,10 @@
     const bool needsUpdate = mayBeSlow || isChanged || hasMissedReports;
     if (isSlow || isChanged || isAwaited)
         ++changes_;
-    if (record.slowStartLeft > Duration::zero() && now >= slowUntil(entry))
+    if (record.slowStartLeft > Duration::zero() && now >= slowUntil(entry) && !entry.startExpectedSince)
         onSlowStart(entry, now);
+    if (entry.startExpectedSince && endsExpectation(entry, record.slowStartLeft, now))
+        entry.startExpectedSince.reset();
     if (hasMoved) {
         displaceOthersAt(record, now);
         byAddress_.erase(entry.record.address);
@@ -241,6 +244,27 @@
     return true;
 }
 
+bool TargetTable::expectStart(const model::TargetIncarnation& targetIncarnation, Timestamp now)
+{
+    const auto found = entries_.find(targetIncarnation.target);
+    if (found == entries_.end() || found->second.record.incarnation != targetIncarnation.incarnation
+        || found->second.record.isLeaving || found->second.startExpectedSince)
+        return false;
+    Entry& entry = found->second;
+    ++changes_;
+    if (now >= slowUntil(entry))
+        onSlowStart(entry, now);
+    entry.startExpectedSince = now;
+    queueUpdate(entry);
+    return true;
+}
+
+bool TargetTable::endsExpectation(const Entry& entry, Duration slowStartLeft, Timestamp now) const
+{
+    // A report without a slow start may have been sent before the target stopped.
+    return slowStartLeft > Duration::zero() || now - *entry.startExpectedSince >= longestSlowStart_;
+}
+
 void TargetTable::onSlowStart(Entry& entry, Timestamp now) const
 {
     if (!recentReopeningAge(entry.record.zone, now))
@@ -296,7 +320,8 @@
     std::vector<model::TargetRecord> records;
     for (const auto& [target, entry] : entries_) {
         const ZoneName& zone = entry.record.zone;
-        if (entry.record.isLeaving || recentReopeningAge(zone, now) || evacuatedZones.contains(zone))
+        if (entry.record.isLeaving || entry.startExpectedSince || recentReopeningAge(zone, now)
+            || evacuatedZones.contains(zone))
             continue;
         model::TargetRecord& record = records.emplace_back(entry.record);
         record.slowStartLeft = std::max(record.slowStartLeft, entry.statedSlowUntil - now);
@@ -350,7 +375,7 @@
 
 bool TargetTable::mayBeInSlowStart(const Entry& entry, Timestamp now) const
 {
-    return now < slowUntil(entry) || recentReopeningAge(entry.record.zone, now);
+    return now < slowUntil(entry) || entry.startExpectedSince || recentReopeningAge(entry.record.zone, now);
 }
 
 model::TargetRecord TargetTable::outgoingRecordOf(const Entry& entry, Timestamp now) const
@@ -358,6 +383,7 @@
     model::TargetRecord outgoing = entry.record;
     outgoing.age = now - entry.receivedAt;
     outgoing.slowStartLeft = std::max(outgoing.slowStartLeft, entry.statedSlowUntil - entry.receivedAt);
+    outgoing.isStartExpected = entry.startExpectedSince.has_value();
     // A gateway that connects now may not know that the zone was closed: no gateway may use the target.
     if (isAwaitingReport(entry, now))
         outgoing.slowStartLeft
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -52,6 +52,9 @@
     /// The target told a gateway that it is in a slow start, for which `slowStartLeft` of the gateway's record is left.
     /// False where its incarnation is not known, or known to be in one.
     bool startSlowStart(const model::TargetRecord& record, Timestamp now);
+    /// The target refused a gateway a connection: nothing listens at its address. It has stopped, and may start again
+    /// at any moment. False where its incarnation is not known, or this was known.
+    bool expectStart(const model::TargetIncarnation& targetIncarnation, Timestamp now);
     /// The log retired this incarnation and all earlier ones of the target: the same for these.
     void retire(const model::TargetIncarnation& targetIncarnation);
     /// The known incarnation of a target; 0 where the target doesn't report it, no value where it is unknown.
@@ -63,8 +66,8 @@
     void recall(std::span<const model::TargetRecord> records, Timestamp now);
     /// From now on recalled targets are sent, except retired ones, which are removed.
     void releaseRecalled(const membership::RetiredTargets& retired);
-    /// The records to recall after a restart. Excludes targets that leave, and targets of evacuated and of recently
-    /// reopened zones, since they may be in a slow start.
+    /// The records to recall after a restart. Excludes targets that leave, and targets that may be in a slow start
+    /// which no report names: of evacuated and of recently reopened zones, and those that may start again.
     [[nodiscard]] std::vector<model::TargetRecord> recallable(
         const std::set<ZoneName>& evacuatedZones, Timestamp now) const;
     /// Increases whenever `recallable` may have changed; reports without changes don't increase it.
@@ -95,6 +98,7 @@
         Timestamp listedAt; ///< When its record was last sent, or when it was last listed as unchanged.
         Timestamp reportedAt; ///< Of its last report; a recalled target has none.
         Timestamp statedSlowUntil; ///< End of the slow start that it stated to a gateway. Its reports may be older.
+        std::optional<Timestamp> startExpectedSince; ///< Until a report shows that it runs.
         /// No gateway is named for its slow start before: until it became known, all of them used the target.
         Timestamp namesGatewayFrom;
         /// The last report whose sequence does not continue that of the record, of a target that states no incarnation.
@@ -130,6 +134,8 @@
     void onSlowStart(Entry& entry, Timestamp now) const;
     /// End of the slow start that is known from the target.
     [[nodiscard]] static Timestamp slowUntil(const Entry& entry);
+    /// Whether a report with this time left of a slow start shows that the target runs, and in which state.
+    [[nodiscard]] bool endsExpectation(const Entry& entry, Duration slowStartLeft, Timestamp now) const;
     [[nodiscard]] bool mayBeInSlowStart(const Entry& entry, Timestamp now) const;
     [[nodiscard]] HostId slowStartHostOf(
         const model::TargetRecord& record, std::span<const HostLocation> gateways) const;
--- a/src/registry/tests/restartedtargettests.cpp
+++ b/src/registry/tests/restartedtargettests.cpp
@@ -159,6 +159,57 @@
     EXPECT_EQ(report(recordOf(12)), ReportOutcome::Applied);
 }
 
+// Guards against floods of a target that has stopped and starts again before it reports: gateways that did not notice
+// are told that a start is expected.
+TEST_F(RestartedTargetTest, StoppedTargetIsListedAsInASlowStartUntilItReports)
+{
+    const std::vector<HostLocation> gateways {{.host = HostId("g-1"), .zone = Zone, .region = RegionName("north")}};
+    (void)table_.drainUpdates(gateways, now_);
+    EXPECT_TRUE(table_.expectStart({.target = TargetId("t-1")}, now_));
+    EXPECT_FALSE(table_.expectStart({.target = TargetId("t-1")}, now_)) << "it is known";
+    std::vector<model::TargetRecord> sent = table_.drainUpdates(gateways, now_);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_TRUE(sent[0].isStartExpected);
+    EXPECT_TRUE(sent[0].slowStartHost.isEmpty());
+    EXPECT_TRUE(table_.recallable({}, now_).empty());
+    now_ += 2s;
+    (void)report(recordOf(1, SlowStart));
+    sent = table_.drainUpdates(gateways, now_);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_FALSE(sent[0].isStartExpected);
+    EXPECT_EQ(sent[0].slowStartLeft - sent[0].age, SlowStart);
+    EXPECT_EQ(sent[0].slowStartHost, HostId("g-1"));
+}
+
+// Guards against floods after a late report of a stopped target, which names no slow start.
+TEST_F(RestartedTargetTest, LateReportDoesNotEndTheExpectationOfAStart)
+{
+    (void)table_.expectStart({.target = TargetId("t-1")}, now_);
+    (void)report(recordOf(LastOfFormer + 1));
+    EXPECT_TRUE(known().isStartExpected);
+    (void)report(recordOf(LastOfFormer - 1));
+    EXPECT_TRUE(known().isStartExpected);
+}
+
+// Guards against a target that stays limited although it never stopped: a gateway was refused for another reason.
+TEST_F(RestartedTargetTest, ReportsEndTheExpectationOfAStartAfterTheLengthOfASlowStart)
+{
+    (void)table_.expectStart({.target = TargetId("t-1")}, now_);
+    now_ += SlowStart;
+    (void)report(recordOf(LastOfFormer + 1));
+    EXPECT_FALSE(known().isStartExpected);
+    EXPECT_TRUE(sentSlowStartLeft());
+}
+
+// Guards against an expectation for a target that left, or for another incarnation.
+TEST_F(RestartedTargetTest, NoStartIsExpectedOfTargetsThatLeftOrAreUnknown)
+{
+    EXPECT_FALSE(table_.expectStart({.target = TargetId("t-1"), .incarnation = {5}}, now_));
+    EXPECT_FALSE(table_.expectStart({.target = TargetId("t-2")}, now_));
+    table_.retire({.target = TargetId("t-1")});
+    EXPECT_FALSE(table_.expectStart({.target = TargetId("t-1")}, now_));
+}
+
 // A target that states its incarnation is told apart by it: a lower sequence is always late.
 TEST_F(RestartedTargetTest, ReportsWithAnIncarnationAreNotDeferred)
 {
--- a/src/wire/internal/targetmessagecodec.cpp
+++ b/src/wire/internal/targetmessagecodec.cpp
@@ -21,7 +21,7 @@
     const auto version = encodeName(builder, record.version);
     return fbs::CreateTargetRecord(builder, target, service, address, zone, record.slots, record.isLeaving,
         encodeDuration(record.slowStartLeft), record.sequence, encodeDuration(record.age), host, record.isRecalled,
-        record.incarnation.value, version);
+        record.incarnation.value, version, record.isStartExpected);
 }
 
 model::TargetRecord decodeRecord(FieldReader& reader, const fbs::TargetRecord& record)
@@ -39,6 +39,7 @@
         .sequence = record.sequence(),
         .age = reader.duration(record.age(), "TargetRecord.age"),
         .slowStartHost = reader.name<HostId>(record.slow_start_host(), "TargetRecord.slowStartHost"),
+        .isStartExpected = record.is_start_expected(),
         .isRecalled = record.is_recalled(),
     };
     reader.require(!decoded.target.isEmpty(), "TargetRecord.target");
