The fleet's targets start again under their id, with or without a stated start

Targets may now keep their id without a stated start, count their reports anew, report to a registry host other than the one before, come back after a time set for each crash, call /leave, and be cut off. Delayed reports of a former start still arrive (overtakenReports), and a delay ends with the start that it was set for.

Ruled out: that existing tests draw other sequences.

--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -14,7 +14,9 @@
 namespace {
 
 constexpr std::array<const char*, 3> Zones {"north-a", "south-a", "west-a"};
+constexpr size_t Registries = FleetOptions().registries;
 constexpr Duration ReportInterval = 1s;
+constexpr Duration LeaveCallInterval = 1s;
 /// Timeout of a connection attempt that gets no reply.
 constexpr Duration ConnectTimeout = 500ms;
 /// Fraction of repeatable requests that are sent on a connection from before.
@@ -45,6 +47,7 @@
     for (size_t number = 0; number < targets_.size(); ++number) {
         targets_[number].address = {.ip = "10.9.0.1", .port = ++port};
         targets_[number].zone = Zones.at(number % Zones.size());
+        targets_[number].registry = number % Registries;
         start(targets_[number]);
     }
 }
@@ -57,6 +60,11 @@
         target.id = "t-" + std::to_string(target.address.port) + "-" + std::to_string(target.incarnation);
     target.isUp = true;
     target.sequence = 0;
+    target.isRetiring = false;
+    target.reportsDelayedUntil = {};
+    // Without the option nothing is drawn, so that the other tests keep drawing the same sequence.
+    if (options_.reportsToAnyRegistry)
+        target.registry = registryOtherThan(target.registry);
     target.nextReportAt = now();
     if (target.incarnation > targets_.size())
         target.slowUntil = now() + options_.slowStart;
@@ -67,18 +75,61 @@
     target.nextReportAt = now() + ReportInterval;
     const auto slowStartLeft = std::chrono::duration_cast<std::chrono::milliseconds>(target.slowUntil - now());
     nlohmann::json body {{"service", "quotes"}, {"address", toString(target.address)}, {"zone", target.zone},
-        {"version", "v1"}, {"slots", options_.slots}, {"state", "ready"},
+        {"version", "v1"}, {"slots", options_.slots}, {"state", target.isRetiring ? "leaving" : "ready"},
         {"slow_start_left_ms", std::max<int64_t>(slowStartLeft.count(), 0)}, {"sequence", ++target.sequence}};
-    if (options_.keepsId)
+    if (statesStart())
         body["started_ms"] = target.incarnation;
+    if (isCutOff(target))
+        return;
     const std::string path = "/v1/targets/" + target.id + "/heartbeat";
     if (now() < target.reportsDelayedUntil) {
-        lateReports_.push_back({.at = now() + target.reportDelay, .path = path, .body = body.dump()});
+        lateReports_.push_back({.at = now() + target.reportDelay,
+            .target = static_cast<size_t>(&target - targets_.data()),
+            .incarnation = target.incarnation,
+            .path = path,
+            .body = body.dump()});
         return;
     }
+    const std::optional<size_t> registry = registryFor(target);
+    if (!registry)
+        return;
+    fleet_.registries().post(*registry, path, body.dump());
+    target.hasReported = true;
+}
+
+std::optional<size_t> CrashingTargets::registryFor(Target& target)
+{
+    if (!options_.reportsToAnyRegistry)
+        return fleet_.registries().leader();
+    if (!fleet_.registries().isRunning(target.registry))
+        target.registry = registryOtherThan(target.registry);
+    return fleet_.registries().isRunning(target.registry) ? std::optional(target.registry) : std::nullopt;
+}
+
+size_t CrashingTargets::registryOtherThan(size_t registry)
+{
+    return (registry + std::uniform_int_distribution<size_t>(1, Registries - 1)(random_)) % Registries;
+}
+
+void CrashingTargets::leave(size_t target)
+{
+    targets_.at(target).isRetiring = true;
+    targets_[target].isLeaveAcknowledged = false;
+    targets_[target].nextLeaveCallAt = now();
+}
+
+void CrashingTargets::callLeave(Target& target)
+{
+    if (target.leaveCall) {
+        const auto answer = fleet_.registries().takeAnswer(*target.leaveCall);
+        target.isLeaveAcknowledged = target.isLeaveAcknowledged || (answer && answer->status == StatusOk);
+    }
     const std::optional<size_t> leader = fleet_.registries().leader();
-    if (leader)
-        fleet_.registries().post(*leader, path, body.dump());
+    if (target.isLeaveAcknowledged || now() < target.nextLeaveCallAt || isCutOff(target) || !leader)
+        return;
+    target.nextLeaveCallAt = now() + LeaveCallInterval;
+    const std::string body = statesStart() ? nlohmann::json {{"started_ms", target.incarnation}}.dump() : std::string();
+    target.leaveCall = fleet_.registries().beginPost(*leader, "/v1/targets/" + target.id + "/leave", body);
 }
 
 void CrashingTargets::delayReports(size_t target, Duration delay, Duration duration)
@@ -92,10 +143,12 @@
     std::erase_if(lateReports_, [this](const LateReport& late) {
         if (now() < late.at)
             return false;
-        const size_t registry = std::uniform_int_distribution<size_t>(0, FleetOptions().registries - 1)(random_);
+        const size_t registry = std::uniform_int_distribution<size_t>(0, Registries - 1)(random_);
         if (!fleet_.registries().isRunning(registry))
             return false;
         fleet_.registries().post(registry, late.path, late.body);
+        const Target& target = targets_.at(late.target);
+        overtakenReports_ += target.incarnation > late.incarnation && target.hasReported ? 1 : 0;
         return true;
     });
 }
@@ -143,12 +196,14 @@
                 .message = "withheld",
                 .withheldFor = reason});
     const auto found = std::ranges::find(targets_, start.address, &Target::address);
-    if (found == targets_.end() || !found->isUp) {
+    const bool isTargetCutOff = found != targets_.end() && isCutOff(*found);
+    if (found == targets_.end() || !found->isUp || isTargetCutOff) {
+        const bool isSilent = options_.isUnresponsive || isTargetCutOff;
         const requests::TargetFailed refused {.dispatch = start.dispatch,
             .mayHaveReachedTarget = false,
             .message = "no connection",
-            .isRefused = !options_.isUnresponsive};
-        return sendEvent(gateway, refused, options_.isUnresponsive ? ConnectTimeout : 10ms);
+            .isRefused = !isSilent};
+        return sendEvent(gateway, refused, isSilent ? ConnectTimeout : 10ms);
     }
     Target& target = *found;
     Run run {.gateway = gateway,
@@ -324,30 +379,34 @@
 {
     const auto isComplete = [&](const Run& run) { return run.hasStarted && run.completesAt <= now(); };
     if (std::ranges::any_of(target.runs, [&](const Run& run) { return isComplete(run) && run.isFatal; }))
-        return crash(target);
+        return crash(target, options_.restartDelay);
     for (const Run& run : target.runs) {
         const Partition partition = partitionOf(run.gateway);
-        const bool isLost = partition == Partition::Hang || partition == Partition::Reset;
+        const bool isLost = partition == Partition::Hang || partition == Partition::Reset || isCutOff(target);
         if (isComplete(run) && !isLost)
             respond(target, run, surplus_.failed > 0 && draw(surplus_.failed) ? StatusFailed : StatusOk, false);
     }
     std::erase_if(target.runs, isComplete);
 }
 
-void CrashingTargets::crash(size_t target)
+void CrashingTargets::crash(size_t target, Duration restartDelay)
 {
     if (targets_.at(target).isUp)
-        crash(targets_[target]);
+        crash(targets_[target], restartDelay);
 }
 
-void CrashingTargets::crash(Target& target)
+void CrashingTargets::cutOff(size_t target, Duration duration) { targets_.at(target).cutOffUntil = now() + duration; }
+
+void CrashingTargets::crash(Target& target, Duration restartDelay)
 {
     target.isUp = false;
-    target.restartsAt = now() + options_.restartDelay;
+    target.hasReported = false;
+    target.leaveCall.reset();
+    target.restartsAt = now() + restartDelay;
     // For a request on a reused connection, the gateway connects again at once, and that connection is refused.
     std::bernoulli_distribution wasReused(0.5);
     for (const Run& run : target.runs) {
-        if (!options_.isUnresponsive)
+        if (!options_.isUnresponsive && !isCutOff(target))
             sendEvent(run.gateway,
                 requests::TargetFailed {
                     .dispatch = run.dispatch, .message = "connection closed", .isRefused = wasReused(random_)});
@@ -367,6 +426,8 @@
         startRuns(target);
         if (target.isUp && now() >= target.nextReportAt)
             report(target);
+        if (target.isUp && target.isRetiring)
+            callLeave(target);
     }
     deliverLateReports();
     std::vector<PendingEvent> dueEvents;
--- a/testing/fleet/crashingtargets.h
+++ b/testing/fleet/crashingtargets.h
@@ -19,7 +19,8 @@
 namespace saltvane::fleet::test {
 
 /// The targets of a fleet. Each runs requests on a few slots. A request whose path contains FatalMark crashes the
-/// target that runs it, with all other requests that run there. A target restarts after some seconds, with a new id.
+/// target that runs it, with all other requests that run there. A target restarts after some seconds: with a new id, or
+/// under its id, whether or not its reports state the start.
 class CrashingTargets {
 public:
     struct Options {
@@ -31,8 +32,10 @@
         Duration maxProcessingTime = 250ms;
         /// Connections to a crashed target are neither closed nor refused; they time out.
         bool isUnresponsive = false;
-        /// Targets retain their id across restarts and report their start time.
-        bool keepsId = false;
+        bool keepsId = false; ///< Targets retain their id across restarts.
+        bool statesStart = true; ///< Targets that retain their id state their start in reports and calls.
+        /// Each start reports to a registry host other than the one before it; false: all report to the leader.
+        bool reportsToAnyRegistry = false;
         /// Requests per second that a target handles during its slow start, as stated in the plan; 0: none is slow.
         double slowStartPerSecond = 0;
         Duration slowStart {}; ///< After a restart.
@@ -51,12 +54,22 @@
     [[nodiscard]] size_t size() const { return targets_.size(); }
     [[nodiscard]] bool isUp(size_t target) const { return targets_.at(target).isUp; }
     /// Crashes a target for a reason other than a request.
-    void crash(size_t target);
+    void crash(size_t target) { crash(target, options_.restartDelay); }
+    /// It starts again after `restartDelay`. No effect while it is down.
+    void crash(size_t target, Duration restartDelay);
+    /// Nothing passes between the target and other hosts: its reports and responses are lost, and attempts to connect
+    /// time out.
+    void cutOff(size_t target, Duration duration);
+    /// The target calls /leave, again each second until that is acknowledged. It goes on working until it crashes.
+    void leave(size_t target);
     /// The target is in a slow start from now on, without a restart: work takes twice as long.
     void beginSlowStart(size_t target, Duration duration) { targets_.at(target).slowUntil = now() + duration; }
     [[nodiscard]] bool isSlowStarting(size_t target) const { return now() < targets_.at(target).slowUntil; }
-    /// Reports that the target sends within `duration` arrive `delay` later, each at a random registry host.
+    /// Reports that the target sends within `duration`, until it crashes, arrive `delay` later, each at a random
+    /// registry host.
     void delayReports(size_t target, Duration delay, Duration duration);
+    /// Number of reports that arrived after a report of a later start of their target.
+    [[nodiscard]] size_t overtakenReports() const { return overtakenReports_; }
     [[nodiscard]] const std::string& zoneOf(size_t target) const { return targets_.at(target).zone; }
     /// While set, no request crashes a target.
     void setHarmless(bool isHarmless) { isHarmless_ = isHarmless; }
@@ -141,11 +154,18 @@
         std::string id;
         uint64_t incarnation = 0;
         uint64_t sequence = 0;
+        bool hasReported = false; ///< A report of this start arrived without delay.
         Signals signals;
         bool isUp = false;
         Timestamp restartsAt; ///< Valid while the target is down.
         Timestamp slowUntil {}; ///< End of its slow start.
         Timestamp nextReportAt;
+        size_t registry = 0; ///< The host to which it reports, if not to the leader.
+        Timestamp cutOffUntil {};
+        bool isRetiring = false; ///< It called /leave.
+        Timestamp nextLeaveCallAt; ///< Valid until a call is acknowledged.
+        std::optional<requests::HttpHandle> leaveCall;
+        bool isLeaveAcknowledged = false;
         Duration reportDelay {};
         Timestamp reportsDelayedUntil {};
         std::vector<Run> runs;
@@ -153,6 +173,8 @@
     };
     struct LateReport {
         Timestamp at;
+        size_t target = 0;
+        uint64_t incarnation = 0;
         std::string path;
         std::string body;
     };
@@ -171,8 +193,14 @@
     void startRuns(Target& target);
     void completeRuns(Target& target);
     void start(Target& target);
-    void crash(Target& target);
+    void crash(Target& target, Duration restartDelay);
     void report(Target& target);
+    void callLeave(Target& target);
+    [[nodiscard]] bool statesStart() const { return options_.keepsId && options_.statesStart; }
+    [[nodiscard]] bool isCutOff(const Target& target) const { return now() < target.cutOffUntil; }
+    /// The registry host to which the target reports now; none if it is down.
+    [[nodiscard]] std::optional<size_t> registryFor(Target& target);
+    [[nodiscard]] size_t registryOtherThan(size_t registry);
     void deliverLateReports();
     void sendEvent(size_t gateway, requests::TargetEvent event, Duration delay = 10ms);
     void respond(Target& target, const Run& run, int status, bool isNotRun);
@@ -196,6 +224,7 @@
     bool isHarmless_ = false;
     Surplus surplus_;
     size_t surplusSent_ = 0;
+    size_t overtakenReports_ = 0;
 };
 
 } // namespace saltvane::fleet::test
