Tests of restarts without a stated start, and drawn ones, known red

Cause of the failures: a target that starts again under its id without a stated start counts its reports anew, so that the registry host drops them as late ones and gateways go on sending at the full rate (hypothesis A of docs/incidents/unannounced-restarts.md).

By reading: the former host lists the former start a last time as silent, with a higher count than that of the new start, and gateways believe it (IsUsedOnceItsFormerStartIsForgotten).

--- a/testing/fleet/restarttests.cpp
+++ b/testing/fleet/restarttests.cpp
@@ -9,7 +9,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
+#include <cstdlib>
 #include <iostream>
+#include <numeric>
+#include <random>
 #include <vector>
 
 namespace saltvane::fleet::test {
@@ -124,6 +128,141 @@
                                                           : ", reports to the leader");
 }
 
+/// What the targets of a randomized test do.
+struct DrawnTargets {
+    bool statesStart = false;
+    bool areCutOff = false; ///< Some are cut off while they start again.
+};
+
+/// Randomized test: targets crash and start again, once or several times in a row, some beside a call of /leave, some
+/// with late reports of their former start, during cuts, restarts and suspensions of hosts.
+class RandomRestarts {
+public:
+    RandomRestarts(unsigned int seed, const DrawnTargets& targets)
+        : targets_(targets)
+        , random_(seed)
+        , fleet_(makeFleet(seed, std::array<size_t, 3> {2, 9, 30}.at(seed % 3), 360,
+              {.statesStart = targets.statesStart, .reportsToAnyRegistry = !isOneIn(3)}))
+        , ledger_(fleet_.fleet(), fleet_.targets(), {.perSecond = SlowStartPerSecond})
+    {
+    }
+
+    void run()
+    {
+        constexpr int RoundsPerSeed = 5;
+        const size_t leaving = randomIndex(Targets);
+        const int leaveRound = static_cast<int>(randomIndex(RoundsPerSeed));
+        for (int round = 0; round < RoundsPerSeed; ++round) {
+            fleet_.run(randomMilliseconds(1000, 4000));
+            disturbHosts();
+            delayReports();
+            if (round == leaveRound)
+                fleet_.targets().leave(leaving);
+            fleet_.run(randomMilliseconds(0, 1500));
+            if (round == leaveRound)
+                fleet_.targets().crash(leaving, randomMilliseconds(300, 3000));
+            crashShare();
+            fleet_.run(randomMilliseconds(500, 4000));
+            crashShare();
+            fleet_.run(randomMilliseconds(500, 4000));
+            restoreRegistries();
+        }
+        fleet_.run(8s + SlowStart);
+    }
+    [[nodiscard]] const SlowStartLedger& ledger() const { return ledger_; }
+    [[nodiscard]] size_t overtakenReports() { return fleet_.targets().overtakenReports(); }
+    [[nodiscard]] size_t maxRunsOfAtMostOnce() { return fleet_.targets().maxRunsOfAtMostOnce(); }
+
+private:
+    std::chrono::milliseconds randomMilliseconds(int64_t min, int64_t max)
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int64_t>(min, max)(random_));
+    }
+    size_t randomIndex(size_t count) { return std::uniform_int_distribution<size_t>(0, count - 1)(random_); }
+    bool isOneIn(size_t count) { return randomIndex(count) == 0; }
+
+    /// Crashes a share of the targets, which start again after short or long times.
+    void crashShare()
+    {
+        std::vector<size_t> targets(Targets);
+        std::iota(targets.begin(), targets.end(), size_t {0});
+        std::ranges::shuffle(targets, random_);
+        targets.resize(1 + randomIndex(isOneIn(4) ? Targets : Targets / 2));
+        const bool areCutOff = targets_.areCutOff && isOneIn(2);
+        for (const size_t target : targets) {
+            fleet_.targets().crash(target, isOneIn(2) ? randomMilliseconds(300, 1500) : randomMilliseconds(300, 8000));
+            if (areCutOff)
+                fleet_.targets().cutOff(target, randomMilliseconds(500, 9000));
+        }
+    }
+    /// Delays the reports of some targets, so that some arrive after their next start has reported.
+    void delayReports()
+    {
+        for (size_t target = 0; target < Targets; ++target) {
+            if (isOneIn(2))
+                fleet_.targets().delayReports(target, randomMilliseconds(300, 6000), randomMilliseconds(200, 3000));
+        }
+    }
+    void disturbHosts()
+    {
+        constexpr std::array Events {&RandomRestarts::cutOffGateways, &RandomRestarts::restartGateway,
+            &RandomRestarts::suspendGateway, &RandomRestarts::isolateRegistry, &RandomRestarts::killRegistry};
+        if (isOneIn(2))
+            (this->*Events.at(randomIndex(Events.size())))();
+    }
+    void restoreRegistries()
+    {
+        fleet_.fleet().registries().heal();
+        for (size_t registry = 0; registry < FleetOptions().registries; ++registry) {
+            if (!fleet_.fleet().registries().isRunning(registry))
+                fleet_.fleet().startRegistry(registry);
+        }
+    }
+    void cutOffGateways()
+    {
+        const size_t count = randomIndex(fleet_.fleet().gateways() + 1);
+        for (size_t gateway = 0; gateway < count; ++gateway)
+            fleet_.fleet().cutOffGateway(gateway, randomMilliseconds(1000, 8000));
+    }
+    void restartGateway() { fleet_.restartGateway(randomIndex(fleet_.fleet().gateways())); }
+    void suspendGateway()
+    {
+        fleet_.fleet().suspendGateway(randomIndex(fleet_.fleet().gateways()), randomMilliseconds(200, 4000));
+    }
+    void isolateRegistry() { fleet_.fleet().registries().isolate(randomIndex(FleetOptions().registries)); }
+    void killRegistry() { fleet_.fleet().killRegistry(randomIndex(FleetOptions().registries)); }
+
+    DrawnTargets targets_;
+    std::mt19937 random_;
+    TrafficFleet fleet_;
+    SlowStartLedger ledger_;
+};
+
+int seedCount()
+{
+    constexpr int DefaultSeeds = 8;
+    const char* const requested = std::getenv("SALTVANE_SEEDS");
+    return requested == nullptr ? DefaultSeeds : std::atoi(requested);
+}
+
+void playDrawnRestarts(const DrawnTargets& targets)
+{
+    double most = 0;
+    int flooded = 0;
+    size_t overtakenReports = 0;
+    for (int seed = 1; seed <= seedCount(); ++seed) {
+        RandomRestarts randomized(static_cast<unsigned int>(seed), targets);
+        randomized.run();
+        most = std::max(most, randomized.ledger().maxBoundFraction());
+        flooded += randomized.ledger().maxBoundFraction() > 1 ? 1 : 0;
+        overtakenReports += randomized.overtakenReports();
+        EXPECT_LE(randomized.ledger().maxBoundFraction(), 1) << randomized.ledger().worstSecond() << ", seed " << seed;
+        EXPECT_LE(randomized.maxRunsOfAtMostOnce(), 1U) << "seed " << seed;
+    }
+    std::cout << "seeds over the bound: " << flooded << " of " << seedCount() << ", most of the bound: " << most
+              << ", overtaken reports: " << overtakenReports << "\n";
+}
+
 /// Fractions of the first attempts at the gateways that are not partitioned, in successive periods.
 std::vector<double> servedAtOthers(const std::vector<size_t>& partitioned, const RestartingTargets& targets)
 {
@@ -154,6 +293,18 @@
 
 } // namespace
 
+// Guards against floods of targets that were down for so short a time that most gateways did not notice.
+TEST(RestartedTargetTest, IsNotFloodedAfterAShortCrash)
+{
+    expectNoFlood({.targets = {.statesStart = false}, .downtime = ShortCrash});
+}
+
+// Guards against floods of targets that all gateways found to be down.
+TEST(RestartedTargetTest, IsNotFloodedAfterALongCrash)
+{
+    expectNoFlood({.targets = {.statesStart = false}, .downtime = LongCrash});
+}
+
 // Guards against records of the former registry host that outlive the former start.
 TEST(RestartedTargetTest, IsNotFloodedWhereItReportsToAnotherRegistryHost)
 {
@@ -161,6 +312,31 @@
         expectNoFlood({.targets = {.statesStart = false, .reportsToAnyRegistry = true}, .downtime = downtime});
 }
 
+// Guards against counts of reports that gateways know from a former start.
+TEST(RestartedTargetTest, IsNotFloodedAfterASecondRestart)
+{
+    for (const bool reportsToAnyRegistry : {false, true})
+        expectNoFlood({.targets = {.statesStart = false, .reportsToAnyRegistry = reportsToAnyRegistry},
+            .downtime = ShortCrash,
+            .restarts = 2});
+}
+
+// Guards against a late report of the former start that ends the slow start of the later one.
+TEST(RestartedTargetTest, IsNotFloodedAfterALateReportOfItsFormerStart)
+{
+    for (const bool reportsToAnyRegistry : {false, true})
+        expectNoFlood({.targets = {.statesStart = false, .reportsToAnyRegistry = reportsToAnyRegistry},
+            .downtime = ShortCrash,
+            .areReportsLate = true});
+}
+
+// Guards against targets that are taken for silent since their reports count from the beginning.
+TEST(RestartedTargetTest, IsUsedOnceItsFormerStartIsForgotten)
+{
+    for (const bool reportsToAnyRegistry : {false, true})
+        expectUsed({.statesStart = false, .reportsToAnyRegistry = reportsToAnyRegistry});
+}
+
 // Guards against floods of targets that were down for so short a time that most gateways did not notice, where they
 // state their start.
 TEST(RestartedTargetOfStatedStartTest, IsNotFloodedAfterAShortCrash)
@@ -207,6 +383,22 @@
         expectUsed({.statesStart = true, .reportsToAnyRegistry = reportsToAnyRegistry});
 }
 
+// Guards against floods of restarted targets in any trouble of targets, gateways and registry hosts. SALTVANE_SEEDS
+// sets the number of seeds.
+TEST(DrawnRestartTest, TargetsAreNotFlooded) { playDrawnRestarts({}); }
+
+// Guards against floods of targets whose first report after a restart is lost, because they are cut off.
+TEST(DrawnRestartTest, TargetsThatAreCutOffAreNotFlooded) { playDrawnRestarts({.areCutOff = true}); }
+
+// Guards against floods of restarted targets that state their start, in the same trouble.
+TEST(DrawnRestartOfStatedStartTest, TargetsAreNotFlooded) { playDrawnRestarts({.statesStart = true}); }
+
+// Guards against floods of targets whose first report, which states their start, is lost, because they are cut off.
+TEST(DrawnRestartOfStatedStartTest, TargetsThatAreCutOffAreNotFlooded)
+{
+    playDrawnRestarts({.statesStart = true, .areCutOff = true});
+}
+
 // Guards against gateways that take targets for restarted ones because another gateway's connections are refused.
 TEST(RefusedGatewayTest, CallersOfOtherGatewaysAreServedAsBefore)
 {
