Registry hosts: late reports and refusals where the target was not known before

Cause: what a host has never heard of counted as "no former start".

Ruled out: a bound on late reports by time alone (a target that has just started has no old count to compare with).

--- a/src/registry/internal/registryreports.cpp
+++ b/src/registry/internal/registryreports.cpp
@@ -292,7 +292,7 @@
 
 bool RegistryCore::expectStart(const model::TargetRecord& record, const HostId& from, Timestamp now)
 {
-    if (!targets_.expectStart({.target = record.target, .incarnation = record.incarnation}, now))
+    if (!targets_.expectStart(record, now))
         return false;
     if (targetEventLines_.trySpend(now)) {
         LogText line("target_start_expected");
--- a/src/registry/internal/targettable.cpp
+++ b/src/registry/internal/targettable.cpp
@@ -19,9 +19,12 @@
 /// Repeats records that a gateway may have missed. Open links lose nothing, and a new link starts with all targets, so
 /// this can be rare: sending all targets to all gateways is most of the control traffic.
 constexpr Duration ResendInterval = 10min;
-/// Reports of a target that reach other registry hosts, or none, between two that reach this one. Of a target that has
-/// started again, a larger step is more likely a late report of before.
+/// Of the reports of a target that states no incarnation. Others may reach other registry hosts in between; with a
+/// larger step, one of both reports may be of an earlier start.
 constexpr uint64_t MaxSequenceStep = 8;
+/// A slow start that is known already may be stated again with this difference.
+constexpr Duration SlowStartPrecision = 200ms;
+constexpr size_t MaxUnknownRefusals = 4096;
 /// What a target bears in its slow start is stated as requests in any second.
 constexpr Duration SlowStartWindow = 1s;
 
@@ -61,35 +64,37 @@
     const uint64_t last = entry.record.sequence;
     if (record.sequence <= last)
         return false;
-    return record.sequence > entry.formerSequence || record.sequence - last <= MaxSequenceStep;
+    return record.incarnation.value != 0 || entry.record.isRecalled || record.sequence - last <= MaxSequenceStep;
 }
 
 bool TargetTable::continuesDeferred(const Entry& entry, uint64_t sequence, Timestamp now)
 {
-    return entry.deferredSequence && now - entry.deferredAt < model::TargetHeartbeatTimeout
-        && sequence > *entry.deferredSequence && sequence - *entry.deferredSequence <= MaxSequenceStep;
+    if (!entry.deferredSequence || now - entry.deferredAt >= model::TargetHeartbeatTimeout)
+        return false;
+    const uint64_t deferred = *entry.deferredSequence;
+    const bool areBothLater = deferred > entry.record.sequence;
+    return sequence > deferred && (areBothLater || sequence - deferred <= MaxSequenceStep);
 }
 
 ReportOutcome TargetTable::applyUnexpected(Entry& entry, model::TargetRecord record, Timestamp now)
 {
     if (record.incarnation.value != 0)
         return ReportOutcome::Stale;
-    if (record.slowStartLeft > Duration::zero() && now >= slowUntil(entry) && !entry.startExpectedSince)
+    const bool isSlow = record.slowStartLeft > Duration::zero();
+    if (isSlow && now >= slowUntil(entry) && !entry.startExpectedSince)
         onSlowStart(entry, now);
-    // The former start may have sent one of both reports: neither ends a slow start that the other one named.
     entry.statedSlowUntil = std::max(slowUntil(entry), now + record.slowStartLeft);
+    if (isSlow)
+        entry.startExpectedSince.reset();
     if (continuesDeferred(entry, record.sequence, now)) {
-        entry.formerSequence = std::max(entry.formerSequence, entry.record.sequence);
-        entry.deferredSequence.reset();
         updateEntry(entry, std::move(record), now);
         queueUpdate(entry);
         return ReportOutcome::Restarted;
     }
     entry.deferredSequence = record.sequence;
     entry.deferredAt = now;
-    if (record.slowStartLeft > Duration::zero()) {
+    if (isSlow) {
         ++changes_;
-        entry.startExpectedSince.reset();
         // Gateways use what the host states that received the last report.
         entry.record.slowStartLeft = Duration::zero();
         markReceived(entry, now);
@@ -105,8 +110,10 @@
     displaceOthersAt(record, now);
     if (const auto former = entries_.find(record.target); former != entries_.end())
         erase(former->second);
+    const std::optional<Timestamp> refusedAt = takeUnknownRefusal(record, now);
     Entry& entry = add(std::move(record), now);
     entry.reportedAt = now;
+    entry.startExpectedSince = refusedAt;
     queueUpdate(entry);
     return ReportOutcome::Applied;
 }
@@ -128,8 +135,13 @@
         ++changes_;
     if (record.slowStartLeft > Duration::zero() && now >= slowUntil(entry) && !entry.startExpectedSince)
         onSlowStart(entry, now);
-    if (entry.startExpectedSince && endsExpectation(entry, record.slowStartLeft, now))
+    // It may have been sent before the target stopped.
+    if (entry.startExpectedSince && now - *entry.startExpectedSince >= longestSlowStart_)
         entry.startExpectedSince.reset();
+    // It may be of an earlier start than the one that named a slow start.
+    if (record.incarnation.value == 0)
+        entry.statedSlowUntil = std::max(entry.statedSlowUntil, slowUntil(entry));
+    entry.deferredSequence.reset();
     if (hasMoved) {
         displaceOthersAt(record, now);
         byAddress_.erase(entry.record.address);
@@ -234,35 +246,55 @@
 bool TargetTable::startSlowStart(const model::TargetRecord& record, Timestamp now)
 {
     const auto found = entries_.find(record.target);
-    if (found == entries_.end() || found->second.record.incarnation != record.incarnation
-        || slowUntil(found->second) > now)
+    if (found == entries_.end() || found->second.record.incarnation != record.incarnation)
+        return false;
+    Entry& entry = found->second;
+    const Timestamp slowStartEnd = now + record.slowStartLeft;
+    if (slowStartEnd <= slowUntil(entry) + SlowStartPrecision)
         return false;
     ++changes_;
-    onSlowStart(found->second, now);
-    found->second.statedSlowUntil = now + record.slowStartLeft;
-    queueUpdate(found->second);
+    if (now >= slowUntil(entry))
+        onSlowStart(entry, now);
+    entry.statedSlowUntil = slowStartEnd;
+    queueUpdate(entry);
     return true;
 }
 
-bool TargetTable::expectStart(const model::TargetIncarnation& targetIncarnation, Timestamp now)
+bool TargetTable::expectStart(const model::TargetRecord& record, Timestamp now)
 {
-    const auto found = entries_.find(targetIncarnation.target);
-    if (found == entries_.end() || found->second.record.incarnation != targetIncarnation.incarnation
-        || found->second.record.isLeaving || found->second.startExpectedSince)
-        return false;
+    const auto found = entries_.find(record.target);
+    if (found == entries_.end())
+        return recordUnknownRefusal(targetIncarnationOf(record), now);
     Entry& entry = found->second;
+    if (entry.record.incarnation != record.incarnation || entry.record.isLeaving
+        || entry.record.address != record.address)
+        return false;
+    const bool isKnown = std::exchange(entry.startExpectedSince, now).has_value();
+    if (isKnown)
+        return false;
     ++changes_;
     if (now >= slowUntil(entry))
         onSlowStart(entry, now);
-    entry.startExpectedSince = now;
     queueUpdate(entry);
     return true;
 }
 
-bool TargetTable::endsExpectation(const Entry& entry, Duration slowStartLeft, Timestamp now) const
+bool TargetTable::recordUnknownRefusal(const model::TargetIncarnation& targetIncarnation, Timestamp now)
+{
+    if (unknownRefusals_.size() >= MaxUnknownRefusals)
+        std::erase_if(
+            unknownRefusals_, [&](const auto& item) { return now - item.second >= model::TargetHeartbeatTimeout; });
+    if (unknownRefusals_.size() >= MaxUnknownRefusals)
+        return false;
+    const auto [known, isNew] = unknownRefusals_.try_emplace(targetIncarnation, now);
+    return now - std::exchange(known->second, now) >= longestSlowStart_ || isNew;
+}
+
+std::optional<Timestamp> TargetTable::takeUnknownRefusal(const model::TargetRecord& record, Timestamp now)
 {
-    // A report without a slow start may have been sent before the target stopped.
-    return slowStartLeft > Duration::zero() || now - *entry.startExpectedSince >= longestSlowStart_;
+    const auto refusal = unknownRefusals_.extract(targetIncarnationOf(record));
+    const bool isRecent = !refusal.empty() && now - refusal.mapped() < model::TargetHeartbeatTimeout;
+    return isRecent && record.slowStartLeft == Duration::zero() ? std::optional(refusal.mapped()) : std::nullopt;
 }
 
 void TargetTable::onSlowStart(Entry& entry, Timestamp now) const
--- a/src/registry/internal/targettable.h
+++ b/src/registry/internal/targettable.h
@@ -50,11 +50,11 @@
     /// This incarnation announced in its answers that it leaves: overrides what it reports.
     void markLeaving(const model::TargetIncarnation& targetIncarnation);
     /// The target told a gateway that it is in a slow start, for which `slowStartLeft` of the gateway's record is left.
-    /// False where its incarnation is not known, or known to be in one.
+    /// False where its incarnation is not known, or known to be in one that ends no earlier.
     bool startSlowStart(const model::TargetRecord& record, Timestamp now);
     /// The target refused a gateway a connection: nothing listens at its address. It has stopped, and may start again
-    /// at any moment. False where its incarnation is not known, or this was known.
-    bool expectStart(const model::TargetIncarnation& targetIncarnation, Timestamp now);
+    /// at any moment. `record`: as the gateway knows it. False if this was known, or the target left or has moved.
+    bool expectStart(const model::TargetRecord& record, Timestamp now);
     /// The log retired this incarnation and all earlier ones of the target: the same for these.
     void retire(const model::TargetIncarnation& targetIncarnation);
     /// The known incarnation of a target; 0 where the target doesn't report it, no value where it is unknown.
@@ -104,7 +104,6 @@
         /// The last report whose sequence does not continue that of the record, of a target that states no incarnation.
         std::optional<uint64_t> deferredSequence;
         Timestamp deferredAt;
-        uint64_t formerSequence = 0; ///< Highest one of its earlier starts, as far as they are known.
         HostId slowStartHost; ///< The gateway that was named for it when its record was last sent.
         Hook updateHook;
         Hook receivedHook;
@@ -134,8 +133,10 @@
     void onSlowStart(Entry& entry, Timestamp now) const;
     /// End of the slow start that is known from the target.
     [[nodiscard]] static Timestamp slowUntil(const Entry& entry);
-    /// Whether a report with this time left of a slow start shows that the target runs, and in which state.
-    [[nodiscard]] bool endsExpectation(const Entry& entry, Duration slowStartLeft, Timestamp now) const;
+    /// Whether the refusal of a target that this host does not know is new. It counts once the target reports here.
+    [[nodiscard]] bool recordUnknownRefusal(const model::TargetIncarnation& targetIncarnation, Timestamp now);
+    /// The target has not reported here before. Whether it refused a connection shortly before.
+    [[nodiscard]] std::optional<Timestamp> takeUnknownRefusal(const model::TargetRecord& record, Timestamp now);
     [[nodiscard]] bool mayBeInSlowStart(const Entry& entry, Timestamp now) const;
     [[nodiscard]] HostId slowStartHostOf(
         const model::TargetRecord& record, std::span<const HostLocation> gateways) const;
@@ -153,6 +154,7 @@
     std::map<model::Address, Entry*> byAddress_;
     std::map<ZoneName, Timestamp> reopenedAt_;
     Duration longestSlowStart_ {};
+    std::map<model::TargetIncarnation, Timestamp> unknownRefusals_; ///< When they were last told.
     membership::DisplacedTargets displaced_;
     bool isRecallReleased_ = false;
     uint64_t changes_ = 0;
