Gateways: slow starts and expected starts are kept apart from records, refusals are confirmed by a new connection

Cause: one record carried both what applies (slots, address) and what limits; dropping it as outdated dropped the slow start that it named, and a record of a host that expects no start ended the expectation. A refused connection was told to the registry although it may be the network's.

Now the slow start that any record names counts, and only a report received after the expectation, or the host that stated it, ends that. A refusal is told once a new connection to any target was answered since; while it is not, the gateway limits the target for itself. It is told again after a second if the target refuses again and no expectation has arrived. An answer to a probe that names a later end of the slow start than the known one counts.

--- a/src/gateway/internal/backpressuremonitor.cpp
+++ b/src/gateway/internal/backpressuremonitor.cpp
@@ -17,6 +17,8 @@
 constexpr Duration RepeatInterval = 30s;
 /// Longer than a notice takes to a registry host and the target's record takes back.
 constexpr Duration LeavingRepeatInterval = 1s;
+/// A slow start that is known already may be stated again with this difference.
+constexpr Duration SlowStartPrecision = 200ms;
 
 } // namespace
 
@@ -83,12 +85,13 @@
 void BackpressureMonitor::updateSlowStart(GatewayTarget& target, const Response& response, Timestamp now)
 {
     const std::string_view text = requests::firstFieldValue(response.headers, headers_.slowStartLeftMs);
-    if (text.empty() || target.isSlowStarting(now))
+    if (text.empty())
         return;
     const std::optional<Duration> left = readSlowStartLeft(text);
     if (!left)
         return log(target, {.event = "target_slow_start_unreadable", .key = "left_ms", .value = text}, now);
-    if (*left <= Duration::zero())
+    // The target may have started again since the slow start that is known.
+    if (*left <= Duration::zero() || now + *left <= target.slowUntil + SlowStartPrecision)
         return;
     log(target, {.event = "target_slow_start", .key = "left_ms", .value = text}, now);
     targets_.startSlowStart(target, *left, now);
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -490,10 +490,8 @@
 void GatewayCore::sendBackpressure(Timestamp now)
 {
     model::TargetReport stated {.retired = backpressure_.drainLeaving(), .targets = backpressure_.drainSlowStarts()};
-    // While no target is reachable, refusals are the network's.
-    const std::vector<model::TargetRecord> refused = targets_.drainRefused();
-    if (reachability_.isReachable())
-        stated.targets.insert(stated.targets.end(), refused.begin(), refused.end());
+    const std::vector<model::TargetRecord> refused = targets_.drainRefused(reachability_.connectedAt(), now);
+    stated.targets.insert(stated.targets.end(), refused.begin(), refused.end());
     if (!stated.retired.empty() || !stated.targets.empty())
         sendToRegionRegistries(stated);
     if (const model::TargetReport repeated {.retired = backpressure_.drainUnconfirmedLeaving(now)};
--- a/src/gateway/internal/gatewaytarget.cpp
+++ b/src/gateway/internal/gatewaytarget.cpp
@@ -66,7 +66,7 @@
 void GatewayTarget::onAnswered(Timestamp now)
 {
     answeredAt = now;
-    isRefusalReported = false;
+    refusalReportedAt.reset();
     failures = 0;
     if (brokenResponses < FailuresToEject)
         ejectedUntil = {};
--- a/src/gateway/internal/gatewaytarget.h
+++ b/src/gateway/internal/gatewaytarget.h
@@ -50,6 +50,9 @@
     Timestamp lastListedAt; ///< When a registry host's report last listed the target.
     uint64_t lastListedInReport = 0; ///< Number of that report.
     Timestamp slowUntil; ///< End of the slow start that the target reported to the registry, or stated in a response.
+    /// When a registry host first stated that a start is expected, until a report shows that the target runs.
+    std::optional<Timestamp> startExpectedSince;
+    HostId startExpectedBy; ///< That registry host.
     Timestamp statedSlowUntil; ///< Of a slow start stated in a response. Reports to the registry may be older than it.
     ResponseTimeWindow responseTimes;
     uint32_t lateRequests = 0; ///< Requests of this gateway in flight for longer than most recent ones took.
@@ -76,7 +79,8 @@
     Timestamp avoidedUntil; ///< Backoff after an overlong response was given up.
     Timestamp failedAt; ///< Time of the last failure.
     std::optional<Timestamp> refusedAt; ///< When the target last refused a connection: no process listened there.
-    bool isRefusalReported = false; ///< The registry was told of it. Until the target answers, it is told only once.
+    /// When the registry was last told of a refusal; none since the target last answered.
+    std::optional<Timestamp> refusalReportedAt;
     const Timestamp* reachableSince = nullptr; ///< Failures before this were the network's, not the target's.
     /// Its connections carry one request each until then, since it sent bytes that no request waited for.
     Timestamp singleUseUntil;
@@ -93,7 +97,12 @@
     [[nodiscard]] double load(Timestamp now) const;
     [[nodiscard]] bool isSlowStarting(Timestamp now) const
     {
-        return now < slowUntil || record.isStartExpected || isRecentlyReopened(now);
+        return now < slowUntil || isStartExpected(now) || isRecentlyReopened(now);
+    }
+    /// Whether the target has stopped and may start again. The registry removes it if it does not report in time.
+    [[nodiscard]] bool isStartExpected(Timestamp now) const
+    {
+        return startExpectedSince && now - *startExpectedSince < model::TargetHeartbeatTimeout + *serviceSlowStart;
     }
     /// Refused this gateway a connection so recently that a start since then would still be slow.
     [[nodiscard]] bool hasRefusedRecently(Timestamp now) const
--- a/src/gateway/internal/targetreachability.h
+++ b/src/gateway/internal/targetreachability.h
@@ -35,6 +35,7 @@
     /// Since when no target is reachable, if so.
     [[nodiscard]] std::optional<Timestamp> unreachableSince() const { return unreachableSince_; }
     [[nodiscard]] size_t failedTargets() const { return failures_.size(); }
+    [[nodiscard]] Timestamp connectedAt() const { return connectedAt_; }
     /// Since the last answer on a new connection.
     [[nodiscard]] Duration timeSinceConnection(Timestamp now) const { return now - connectedAt_; }
 
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -25,6 +25,8 @@
 constexpr size_t MaxProbeCandidates = 8;
 /// Longer than an acknowledged order takes to reach a gateway.
 constexpr Duration NewVersionDelay = 3s;
+/// Longer than a refusal takes to the registry and the expectation of a start back.
+constexpr Duration RefusalRepeatInterval = 1s;
 
 } // namespace
 
@@ -145,7 +147,11 @@
     GatewayTarget* known = findById(record.target);
     const bool isKnownStart = known != nullptr && known->record.incarnation == record.incarnation;
     if (isKnownStart) {
-        if (!isOutdated(record, *known, now))
+        const bool isOutdated = this->isOutdated(record, *known, now);
+        // The host that received the last report knows as well whether a start is expected.
+        if (!isOutdated || !record.isStartExpected)
+            updateSlowStart(*known, record, now);
+        if (!isOutdated)
             update(*known, record, now);
         return;
     }
@@ -160,12 +166,37 @@
         remove(*known);
     }
     GatewayTarget& target = add(record, now);
+    updateSlowStart(target, record, now);
     if (isAddressUsed)
         target.addressSince = now;
     target.displaced = std::move(displaced);
     update(target, record, now);
 }
 
+void TargetSet::updateSlowStart(GatewayTarget& target, const model::TargetRecord& record, Timestamp now)
+{
+    const Timestamp receivedAt = now - record.age;
+    // Each record may be of another start, or of a late report: none ends a slow start that another one named.
+    if (record.incarnation.value == 0) {
+        target.statedSlowUntil
+            = std::max({target.statedSlowUntil, target.slowUntil, receivedAt + record.slowStartLeft});
+        target.slowUntil = target.statedSlowUntil;
+    }
+    if (record.isStartExpected) {
+        if (!target.isStartExpected(now)) {
+            target.startExpectedSince = now;
+            target.startExpectedBy = reportedBy_;
+        }
+        return;
+    }
+    if (!target.startExpectedSince)
+        return;
+    const bool isReportedSlow = record.slowStartLeft > Duration::zero() && receivedAt > *target.startExpectedSince;
+    const bool isReportedLater = receivedAt >= *target.startExpectedSince + *target.serviceSlowStart;
+    if (isReportedSlow || isReportedLater || reportedBy_ == target.startExpectedBy)
+        target.startExpectedSince.reset();
+}
+
 bool TargetSet::isOutdated(const model::TargetRecord& record, const GatewayTarget& known, Timestamp now) const
 {
     const bool isLower = record.sequence < known.record.sequence;
@@ -297,9 +328,6 @@
     // A registry host that has not applied the reopening lists the target by a report from before it.
     if (reportedOrders_ >= target.zone->reopenedPosition)
         target.lastListedInReport = reports_;
-    // Another registry host may have received a late report, of before the slow start.
-    if (record.incarnation.value == 0 && reportedBy_ != target.reportedBy)
-        target.statedSlowUntil = std::max(target.statedSlowUntil, target.slowUntil);
     target.reportedBy = reportedBy_;
     target.slowUntil = std::max(target.lastReportAt + record.slowStartLeft, target.statedSlowUntil);
     markListed(target, now);
@@ -446,10 +474,29 @@
     target.refusedAt = now;
     target.record.slowStartHost = {}; // Named again once the target reports.
     const bool hasSlowStart = *target.serviceSlowStart > Duration::zero();
-    if (!hasSlowStart || target.record.isLeaving || std::exchange(target.isRefusalReported, true))
+    const bool isReported = target.refusalReportedAt && now - *target.refusalReportedAt < RefusalRepeatInterval;
+    if (!hasSlowStart || target.record.isLeaving || target.isStartExpected(now) || isReported)
         return;
-    refused_.push_back(target.record);
-    refused_.back().isStartExpected = true;
+    target.refusalReportedAt = now;
+    refused_.push_back({.target = target.targetIncarnation(), .at = now});
+}
+
+std::vector<model::TargetRecord> TargetSet::drainRefused(Timestamp connectedAt, Timestamp now)
+{
+    std::vector<model::TargetRecord> records;
+    std::erase_if(refused_, [&](const Refusal& refusal) {
+        const GatewayTarget* target = find(refusal.target);
+        const bool isObsolete
+            = target == nullptr || target->answeredAt >= refusal.at || !target->hasRefusedRecently(now);
+        if (!isObsolete && connectedAt <= refusal.at)
+            return false;
+        if (!isObsolete) {
+            records.push_back(target->record);
+            records.back().isStartExpected = true;
+        }
+        return true;
+    });
+    return records;
 }
 
 void TargetSet::startSlowStart(GatewayTarget& target, Duration left, Timestamp now)
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -85,8 +85,9 @@
     /// The target refused a connection: it has stopped, and is in its slow start once it runs again. Reports don't show
     /// that at once, and other gateways may not have noticed that it stopped.
     void onRefused(GatewayTarget& target, Timestamp now);
-    /// Records of targets that refused a connection since the last call, for the registry.
-    [[nodiscard]] std::vector<model::TargetRecord> drainRefused() { return std::exchange(refused_, {}); }
+    /// Records of targets that refused a connection, for the registry. `connectedAt`: when a new connection to any
+    /// target was last answered. Before one was since the refusal, the network may be the cause.
+    [[nodiscard]] std::vector<model::TargetRecord> drainRefused(Timestamp connectedAt, Timestamp now);
     /// Targets are reachable again after none was: their failures until now say nothing about them.
     void onReachableAgain(Timestamp now) { reachableSince_ = now; }
     /// A target to send a probe to, each time another one; null if none of the next few may get one.
@@ -152,6 +153,9 @@
     void applyRetired(std::span<const model::TargetIncarnation> entries, Timestamp now);
     void updateRetirement(GatewayTarget& target, Timestamp now);
     void applyRecord(const model::TargetRecord& record, Timestamp now);
+    /// Applies what the record says of a slow start. It counts even if the record is outdated otherwise, apart from the
+    /// expectation of a start.
+    void updateSlowStart(GatewayTarget& target, const model::TargetRecord& record, Timestamp now);
     /// Whether more recent information about the incarnation is known.
     [[nodiscard]] bool isOutdated(const model::TargetRecord& record, const GatewayTarget& known, Timestamp now) const;
     void addSlowStartNotice(GatewayTarget& target, const model::TargetRecord& record, Timestamp now);
@@ -202,7 +206,11 @@
     std::map<ServiceName, Service> services_;
     std::vector<model::TargetIncarnation> replaced_;
     std::vector<SlowStartNotice> slowStarts_;
-    std::vector<model::TargetRecord> refused_;
+    struct Refusal {
+        model::TargetIncarnation target;
+        Timestamp at;
+    };
+    std::vector<Refusal> refused_; ///< That the registry has not been told of; within the length of a slow start.
     /// Back-pressure of incarnations that were removed; it applies again if the registry lists them again.
     std::map<model::TargetIncarnation, TargetBackpressure> formerBackpressure_;
     uint64_t reports_ = 0;
--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -211,6 +211,7 @@
         .id = std::string(headerOf(start, "Saltvane-Request-Id")),
         .isFatal = !isHarmless_ && start.path.find(FatalMark) != std::string::npos,
         .isProbe = start.path == "/health",
+        .isOnNewConnection = start.needsNewConnection || !start.isRepeatable,
         .path = std::string(headerOf(start, "Saltvane-Client-Account")) + start.path};
     const bool isMisdirected = headerOf(start, "Saltvane-Expect-Target") != target.id;
     Exchange arrival = exchangeOf(target, run);
@@ -334,7 +335,8 @@
             {.name = "Saltvane-Load",
                 .value = std::to_string(std::min<size_t>(target.runs.size(), options_.slots)) + ",0,"
                     + std::to_string(options_.slots)}},
-        .bodyLength = 0};
+        .bodyLength = 0,
+        .isNewConnection = run.isOnNewConnection};
     if (isNotRun)
         head.headers.push_back({.name = "Saltvane-Not-Run", .value = "1"});
     else if (!run.isProbe && status != StatusMisdirected)
--- a/testing/fleet/crashingtargets.h
+++ b/testing/fleet/crashingtargets.h
@@ -140,6 +140,7 @@
         std::string id; ///< Request id of the caller's attempt.
         bool isFatal = false;
         bool isProbe = false;
+        bool isOnNewConnection = false;
         Timestamp completesAt; ///< Valid once the run has started.
         bool hasStarted = false;
         std::string path;
