Soak: targets that start again under their id without stating their start

Cause: the soak's targets that keep their id always stated their start, so that reports that count from one again under the same id were never played.

`restart_without_start`: targets of a service crash (connections are reset; half of the time the address refuses new ones, otherwise it accepts and resets them), and start again under their id after 0.3 to 8 s, up to three times in a row, without `started_ms`, in a slow start, with reports that count from one. Beside them late reports of the start before, another target that leaves, restarts of one or two hosts; faults overlap. Their answers to health checks state the slow start, as ROUTES.md says.

The check is the one that is there, findings_of_slow_starts; its finding now tells how many of the requests are health checks. What targets record goes by incarnation, which now differs for each start under one id ("t-4/2"): otherwise rest, leaving words and limits of the start before would be held against the next one, and two starts would share a bound. For targets with a new id nothing changes. A run's line tells how long the soak itself stood still.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -12,7 +12,7 @@
 from forwarder import TO_CLIENT, TO_DESTINATION, Partition
 from messages import encode, split
 from operator_calls import Operator
-from plans import SLOW_START_S, STEADY_PATHS
+from plans import SERVICES, SLOW_START_S, STEADY_PATHS
 from targets import Target
 
 STOP_TIMEOUT_S = 7.5  # stop_time_limit_s plus a margin for a busy machine.
@@ -22,6 +22,7 @@
 BURST_CLOSE_DELAY_S = 0.1
 LATE_REPORT_FRACTION = 0.7  # Of the targets of a zone that is reopened.
 MAX_LEAVE_CALLS = 4  # Targets that leave together.
+MAX_RESTARTS = 3  # Of a target in a row.
 burst_numbers = itertools.count(1)
 
 
@@ -399,6 +400,60 @@
             await target.start(states_start=True, keeps_id=world.rng.random() < 0.5)
 
 
+async def restart_without_start(world: World):
+    """Targets of a service crash and start again under their ids, in a slow start and without stating their start, some of them
+    several times. Late reports of before arrive meanwhile, a target of another id leaves, and hosts restart."""
+    rng = world.rng
+    service = rng.choice(SERVICES)
+    candidates = [target for target in world.targets if target.service == service and target.can_restart_without_start()]
+    chosen = rng.sample(candidates, rng.randint(1, len(candidates))) if candidates else []
+    series = [restart_in_series(target, rng, rng.uniform(0, 1.5)) for target in chosen]
+    others = [target for target in world.targets if target not in chosen and target.can_restart_without_start()]
+    if others and rng.random() < 0.4:
+        series.append(leave_for_a_while(rng.choice(others), rng.uniform(0, 3), rng.uniform(6, 9)))
+    if rng.random() < 0.4:
+        series.append(restart_hosts(world, rng.sample(world.deployment.hosts, rng.randint(1, 2)), rng.uniform(0, 6)))
+    await asyncio.gather(*series)
+
+
+async def restart_in_series(target: Target, rng: random.Random, begin_s: float):
+    # Drawn before the first wait: later draws would depend on the order in which series go on.
+    restarts = [(draw_down_time(rng), rng.uniform(0.1, 5), rng.random() < 0.5) for _ in range(rng.randint(1, MAX_RESTARTS))]
+    delays = [rng.uniform(0.5, down_s + 3) if rng.random() < LATE_REPORT_FRACTION else None for down_s, _, _ in restarts]
+    await asyncio.sleep(begin_s)
+    for (down_s, up_s, is_refusing), delay_s in zip(restarts, delays):
+        if delay_s is not None:
+            target.delay_reports(delay_s, up_s)
+        await asyncio.sleep(up_s)
+        if not target.can_restart_without_start():
+            return
+        await target.restart_without_start(down_s, SLOW_START_S, is_refusing)
+
+
+def draw_down_time(rng: random.Random) -> float:
+    return rng.uniform(0.3, 8) if rng.random() < 0.5 else rng.uniform(0.3, 2)
+
+
+async def leave_for_a_while(target: Target, begin_s: float, leaving_s: float):
+    await asyncio.sleep(begin_s)
+    if not target.can_restart_without_start():
+        return
+    target.state = "leaving"
+    await asyncio.sleep(leaving_s)
+    target.crash()
+    await target.start()
+
+
+async def restart_hosts(world: World, hosts: list[Host], begin_s: float):
+    await asyncio.sleep(begin_s)
+    killed = [host for host in hosts if world.deployment.is_running(host) and not host.is_paused]
+    for host in killed:
+        world.deployment.kill(host)
+    await asyncio.sleep(draw_pause(world, 0.1, 1))
+    for host in killed:
+        world.deployment.launch(host)
+
+
 FAULTS: list[tuple[Fault, float]] = [
     (kill, 3), (kill_all_registries, 0.7), (wipe, 1), (stop, 2), (pause, 2), (reload, 1), (hold, 3), (delay, 1), (reset, 2),
     (silence, 2), (crash_target, 2), (leave_target, 1), (empty_zone, 1)]
@@ -416,6 +471,7 @@
 FIRST_SEED_OF_SLOW_STARTS = 100_000_000_000_000
 FIRST_SEED_OF_LEAVE_CALLS = 1_000_000_000_000_000
 FIRST_SEED_OF_SURPLUS_RESPONSES = 10_000_000_000_000_000
+FIRST_SEED_OF_RESTARTS_WITHOUT_START = 100_000_000_000_000_000
 ALL_FAULTS = [*FAULTS, (kill_everything, 1.5)]
 WITH_SILENT_LINKS = [*ALL_FAULTS, (silence_many, 2)]
 WITH_LEAVES = [*WITH_SILENT_LINKS, (leave_beside_ends, 2)]
@@ -425,7 +481,9 @@
 WITH_ISOLATIONS = [*WITH_BURSTS, (isolate_gateways, 3)]
 WITH_SLOW_STARTS = [*WITH_ISOLATIONS, (reopen_with_late_reports, 6)]
 WITH_LEAVE_CALLS = [*WITH_SLOW_STARTS, (leave_by_call, 5)]
-FAULTS_FROM_SEED = {FIRST_SEED_OF_SURPLUS_RESPONSES: [*WITH_LEAVE_CALLS, (surplus_responses, 5)],
+WITH_SURPLUS_RESPONSES = [*WITH_LEAVE_CALLS, (surplus_responses, 5)]
+FAULTS_FROM_SEED = {FIRST_SEED_OF_RESTARTS_WITHOUT_START: [*WITH_SURPLUS_RESPONSES, (restart_without_start, 5)],
+                    FIRST_SEED_OF_SURPLUS_RESPONSES: WITH_SURPLUS_RESPONSES,
                     FIRST_SEED_OF_LEAVE_CALLS: WITH_LEAVE_CALLS,
                     FIRST_SEED_OF_SLOW_STARTS: WITH_SLOW_STARTS,
                     FIRST_SEED_OF_ISOLATIONS: WITH_ISOLATIONS,
@@ -433,7 +491,7 @@
                     FIRST_SEED_OF_BACKOFFS: WITH_BACKOFFS,
                     FIRST_SEED_OF_LIMITS: WITH_LIMITS, FIRST_SEED_OF_LEAVES: WITH_LEAVES,
                     FIRST_SEED_OF_SILENT_LINKS: WITH_SILENT_LINKS, FIRST_SEED_OF_ALL_FAULTS: ALL_FAULTS, 0: FAULTS}
-BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_SURPLUS_RESPONSES]}
+BY_NAME = {fault.__name__: fault for fault, _ in FAULTS_FROM_SEED[FIRST_SEED_OF_RESTARTS_WITHOUT_START]}
 
 
 def draw(rng: random.Random, seed: int) -> Fault:
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -227,14 +227,17 @@
 
 def findings_of_slow_starts(slow_starts: list[tuple[float, float, str]], arrivals: list[tuple[float, str, str, str]],
                             held_spans: dict[str, list[Span]]) -> list[str]:
-    """`slow_starts`: start, end and target of each. Gateways in trouble count as well."""
+    """`slow_starts`: start, end and target of each. Gateways in trouble count as well, and so do health checks."""
     findings = []
     for start, end, incarnation in slow_starts:
-        arrived = sorted(at for at, target, address, _ in arrivals if target == incarnation and start <= at < end
+        arrived = sorted((at, request) for at, target, address, request in arrivals
+                         if target == incarnation and start <= at < end
                          and not any(begin <= at < until + 1 for begin, until in held_spans.get(address, [])))
-        most = max((sum(at - 1 < other <= at for other in arrived) for at in arrived), default=0)
-        if most > SLOW_START_ALLOWED:
-            findings.append(f"{incarnation} got {most} requests in a second of its slow start, {SLOW_START_ALLOWED:.0f} allowed")
+        seconds = [[request for other, request in arrived if at - 1 < other <= at] for at, _ in arrived]
+        most = max(seconds, key=len, default=[])
+        if len(most) > SLOW_START_ALLOWED:
+            findings.append(f"{incarnation} got {len(most)} requests in a second of its slow start, {SLOW_START_ALLOWED:.0f} "
+                            f"allowed; {most.count('')} of them are health checks")
     return findings
 
 
--- a/testing/soak/promisestests.py
+++ b/testing/soak/promisestests.py
@@ -2,18 +2,20 @@
 """Shows that each check of the soak test can fail."""
 import asyncio
 import collections
+import json
 import random
 import unittest
 
 from callers import Outcome
 from faults import AbandonedBurst, Isolation
+from messages import Message, encode, read_message
 from plans import SERVICES, STEADY_PATHS, SELDOM_PATHS, VERSIONS_PER_MOVE, routes_of, service_of
 from promises import MAX_RUN_AFTER_LEAVE_S, MAX_STALE_RUN_S, MIN_SERVED, SLOW_START_ALLOWED, findings_of_fatal_requests, \
     findings_of_leaves, findings_of_slow_starts, \
     findings_of_leaving_responses, findings_of_limits, findings_of_orders, findings_of_outcomes, findings_of_plans, \
     findings_of_reads, findings_of_backoffs, findings_of_abandoned_bursts, findings_of_isolations, findings_of_responses, \
     findings_of_unrequested
-from targets import Given, Runs, Target, response_body
+from targets import HEALTH_PATH, Given, Runs, Target, response_body
 
 
 def served(request: str, **changes) -> Outcome:
@@ -281,6 +283,10 @@
     def test_burst_is_a_finding(self):
         self.assertEqual(len(self.check([101.5] * (int(SLOW_START_ALLOWED) + 1))), 1)
 
+    def test_health_checks_count(self):
+        arrived = [(101.5, "t", "address", "" if number < 4 else f"r{number}") for number in range(int(SLOW_START_ALLOWED) + 1)]
+        self.assertIn("4 of them are health checks", findings_of_slow_starts([(100.0, 103.0, "t")], arrived, {})[0])
+
     def test_burst_outside_the_slow_start_is_no_finding(self):
         self.assertEqual(self.check([99.9] * 50 + [103.1] * 50), [])
 
@@ -288,6 +294,69 @@
         self.assertEqual(self.check([101.5] * 50, {"address": [(100.0, 101.0)]}), [])
 
 
+class RestartWithoutStartTest(unittest.IsolatedAsyncioTestCase):
+    """A target in a slow start crashes and starts again under its id; a report of before arrives late."""
+
+    async def asyncSetUp(self):
+        self.reports: list[dict] = []
+        self.registry = await asyncio.start_server(self.serve_registry, "127.0.0.1", 0)
+        address = f"127.0.0.1:{self.registry.sockets[0].getsockname()[1]}"
+        self.runs = Runs()
+        self.target = Target("127.0.0.1:1", "127.0.0.1:0", SERVICES[0], "north-a", [address], self.runs, random.Random(1),
+                             random.Random(2))
+        await self.target.start()
+        self.first_incarnation = self.target.incarnation
+        self.target.begin_slow_start(0.1)
+        self.target.delay_reports(0.3, 5)
+        await asyncio.sleep(0.02)
+        await self.ask("r1")
+        await self.target.restart_without_start(0.1, 3.0, is_refusing=False)
+        await self.ask("r2")
+
+    async def asyncTearDown(self):
+        self.target.crash()
+        self.registry.close()
+
+    async def serve_registry(self, reader, writer):
+        self.reports.append(json.loads((await read_message(reader)).body))
+        writer.write(encode("HTTP/1.1 200 OK", {}))
+        writer.close()
+        await writer.wait_closed()
+
+    async def ask(self, request: str, path: str = "/read/0/1"):
+        headers = {"saltvane-request-id": request, "saltvane-expect-target": self.target.id}
+        return await self.target._respond(Message(["GET", path, "HTTP/1.1"], headers, b""), True)
+
+    async def test_reports_state_no_start_and_count_from_one(self):
+        await asyncio.sleep(0.5)
+        self.assertEqual([report["sequence"] for report in self.reports], [1, 1])
+        self.assertFalse(any("started_ms" in report for report in self.reports))
+
+    async def test_a_report_of_before_arrives_after_one_of_the_slow_start(self):
+        await asyncio.sleep(0.5)
+        self.assertEqual([report["slow_start_left_ms"] > 1000 for report in self.reports], [True, False])
+
+    async def test_each_start_is_recorded_by_itself(self):
+        later = f"{self.first_incarnation}/2"
+        self.assertEqual([incarnation for _, _, incarnation in self.runs.slow_starts], [self.first_incarnation, later])
+        self.assertEqual([(incarnation, request) for _, incarnation, _, request in self.runs.arrivals],
+                         [(self.first_incarnation, "r1"), (later, "r2")])
+
+    async def test_answers_to_health_checks_state_the_slow_start(self):
+        self.assertIn("Saltvane-Slow-Start-Left-Ms", (await self.ask("", HEALTH_PATH)).headers)
+        self.assertNotIn("Saltvane-Slow-Start-Left-Ms", (await self.ask("r3")).headers)
+
+    async def test_another_fault_may_start_it_first(self):
+        restart = asyncio.create_task(self.target.restart_without_start(0.1, 3.0, is_refusing=False))
+        await asyncio.sleep(0.02)
+        self.assertFalse(self.target.can_restart_without_start())
+        await self.target.start()
+        started = self.target.incarnation
+        await restart
+        self.assertEqual(self.target.incarnation, started)
+        self.assertTrue(self.target.can_restart_without_start())
+
+
 class LeavingResponsesTest(unittest.TestCase):
     """A target announces its leave to gateway g at 100 s."""
 
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -50,8 +50,8 @@
         self.callers: list[Caller] = []
         self.findings: list[str] = []
         registries = [host.front_address for host in self.deployment.registries]
-        has_slow_starts = (seed >= faults.FIRST_SEED_OF_SLOW_STARTS
-                           or self.only == faults.reopen_with_late_reports.__name__)
+        has_slow_starts = (seed >= faults.FIRST_SEED_OF_SLOW_STARTS or self.only in (
+            faults.reopen_with_late_reports.__name__, faults.restart_without_start.__name__))
         self.operator = Operator(registries, random.Random(seed + 1), options.routes, has_slow_starts)
         zones = [host.zone for host in self.deployment.gateways[:len(REGIONS)] for _ in range(TARGETS_PER_ZONE)]
         network = self.deployment.network
@@ -189,7 +189,7 @@
             self.findings.append(f"the leave of {leaving_target.id} was not acknowledged")
         since = time.monotonic()
         await asyncio.sleep(2)
-        self.findings += promises.findings_of_orders(self.runs.executions, since, zone, leaving_target.id)
+        self.findings += promises.findings_of_orders(self.runs.executions, since, zone, leaving_target.incarnation)
         if not await self._served_within(ORDER_TIMEOUT_S):
             self.findings.append("requests were not served during an evacuation")
 
@@ -223,7 +223,8 @@
     statuses = {status: sum(outcome.status == status for outcome in run.outcomes)
                 for status in sorted({outcome.status for outcome in run.outcomes})}
     print(f"seed {seed}: {len(run.outcomes)} requests, by status {statuses}, plan {run.operator.version}, "
-          f"{len(run.fatal_callers)} fatal callers, {len(run.runs.fatal)} ends, {len(run.findings)} findings", flush=True)
+          f"{len(run.fatal_callers)} fatal callers, {len(run.runs.fatal)} ends, "
+          f"soak stood still {run.troubles.longest_gap_s:.1f} s at the longest, {len(run.findings)} findings", flush=True)
     for finding in run.findings[:10]:
         print(f"  {finding}", flush=True)
     if run.findings and options.keep:
@@ -250,7 +251,7 @@
     seed_lines = options.seeds_of.read_text().splitlines() if options.seeds_of else []
     listed_seeds = [int(line.split()[0]) for line in seed_lines if line and not line.startswith("#")]
     seeds = (options.seed or []) + listed_seeds or [
-        random.SystemRandom().randrange(faults.FIRST_SEED_OF_SURPLUS_RESPONSES, 10**17) for _ in range(options.runs)]
+        random.SystemRandom().randrange(faults.FIRST_SEED_OF_RESTARTS_WITHOUT_START, 10**18) for _ in range(options.runs)]
     failed_seeds = [seed for seed in seeds if asyncio.run(run_seed(seed, options))]
     print(f"soak: {len(seeds) - len(failed_seeds)} passed, {len(failed_seeds)} failed"
           + (f": {failed_seeds}" if failed_seeds else ""))
--- a/testing/soak/targets.py
+++ b/testing/soak/targets.py
@@ -15,6 +15,7 @@
 
 HEARTBEAT_S = 1.0
 SLOTS = 3
+HEALTH_PATH = "/health"
 QUEUE_CAPACITY = 3
 FATAL_MARKER = "fatal"  # In a path: the request crashes each target that runs it.
 RESTART_DELAY_S = (1.5, 3.5)  # Before a target restarts after such a crash.
@@ -52,14 +53,14 @@
 
     def record(self, request: str, target: "Target"):
         self.count[request] += 1
-        self.executions.append((time.monotonic(), target.id, target.zone))
+        self.executions.append((time.monotonic(), target.incarnation, target.zone))
         self.services[request].add(target.service)
         if target.leave_acknowledged_at is not None:
-            self.after_leave.append((request, target.id, time.monotonic() - target.leave_acknowledged_at))
+            self.after_leave.append((request, target.incarnation, time.monotonic() - target.leave_acknowledged_at))
 
 
 class Target:
-    """A target behind a forwarder with a fixed address; every incarnation has its own id."""
+    """A target behind a forwarder with a fixed address; every incarnation has its own id, unless a fault keeps it."""
 
     def __init__(self, address: str, backend_address: str, service: str, zone: str, registries: list[str], runs: Runs,
                  rng: random.Random, surplus_rng: random.Random):
@@ -71,11 +72,14 @@
         self.rng = rng
         self.surplus_rng = surplus_rng  # Its own, so that recorded seeds keep drawing the same sequence.
         self.id = ""
+        self.incarnation = ""  # In what is recorded; differs for each start, also under the same id.
+        self.starts_of_id = 0
         self.started_ms: int | None = None  # States its start in heartbeats, so that it may start again under its id.
         self.is_reporting = False
         self.first_registry: str | None = None  # That it reports to after its start; none: a random one.
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task] = set()
+        self.late_reports: set[asyncio.Task] = set()  # Those of the tasks that deliver a heartbeat late.
         self.running = 0
         self.state = "ready"
         self.limit: float | None = None  # Requests per second, over all gateways.
@@ -84,6 +88,7 @@
         self.sends_surplus = False  # Sends second responses, cut ones and failures.
         self.leave_acknowledged_at: float | None = None  # When a registry host acknowledged the leaving heartbeat.
         self.slow_until = 0.0  # End of its slow start: requests take twice as long.
+        self.states_slow_start = False  # In its answers to health checks, too.
         self.report_delay_s = 0.0  # Heartbeats that it sends until reports_delayed_until arrive this much later.
         self.reports_delayed_until = 0.0
         self.restart_task: asyncio.Task | None = None
@@ -93,6 +98,9 @@
             self.announce_limit(None)  # Its responses name none any more, also those under the same id.
         if not keeps_id:
             self.id = f"t-{next(incarnation_ids)}"
+            self.starts_of_id = 0
+        self.starts_of_id += 1
+        self.incarnation = self.id if self.starts_of_id == 1 else f"{self.id}/{self.starts_of_id}"
         self.started_ms = round(time.time() * 1000) if states_start else None
         self.is_reporting = True
         self.first_registry = first_registry
@@ -102,6 +110,7 @@
         self.sends_surplus = False
         self.leave_acknowledged_at = None
         self.slow_until = 0.0
+        self.states_slow_start = False
         self.reports_delayed_until = 0.0
         self.running = 0
         self.server = await asyncio.start_server(self._serve, *split(self.forwarder.destination))
@@ -109,23 +118,46 @@
 
     def announce_limit(self, limit: float | None):
         self.limit = limit
-        self.runs.limits.append((time.monotonic(), self.id, limit))
+        self.runs.limits.append((time.monotonic(), self.incarnation, limit))
 
     def begin_slow_start(self, duration_s: float):
         self.slow_until = time.monotonic() + duration_s
-        self.runs.slow_starts.append((time.monotonic(), self.slow_until, self.id))
+        self.runs.slow_starts.append((time.monotonic(), self.slow_until, self.incarnation))
 
     def delay_reports(self, delay_s: float, duration_s: float):
         self.report_delay_s = delay_s
         self.reports_delayed_until = time.monotonic() + duration_s
 
-    def crash(self):
+    def crash(self, loses_late_reports: bool = True):
         """Stops the server and aborts all running requests at once."""
         if self.server is not None:
             self.server.close()
         self.server = None
         for task in list(self.tasks):
-            task.cancel()
+            if loses_late_reports or task not in self.late_reports:
+                task.cancel()
+
+    def can_restart_without_start(self) -> bool:
+        """Whether it runs, and nobody has been told its start or that it leaves."""
+        return (self.server is not None and self.state == "ready" and not self.announces_leaving
+                and self.started_ms is None)
+
+    async def restart_without_start(self, down_s: float, slow_start_s: float, is_refusing: bool):
+        """Crashes and starts again under its id, without a start and in a slow start. Its reports are counted from one again;
+        late ones of before are still delivered.
+
+        `is_refusing`: meanwhile its address refuses connections; otherwise it accepts and resets them."""
+        self.crash(loses_late_reports=False)
+        if is_refusing:
+            await self.forwarder.stop()
+        await asyncio.sleep(down_s)
+        if is_refusing:
+            await self.forwarder.start()
+        if self.server is not None:
+            return  # Another fault has started it.
+        await self.start(keeps_id=True)
+        self.states_slow_start = True
+        self.begin_slow_start(slow_start_s)
 
     async def _crash_and_restart(self):
         """Crashes; nothing listens at the address until the restart."""
@@ -152,7 +184,10 @@
                                "state": self.state, "slow_start_left_ms": self._slow_start_left_ms(),
                                "sequence": sequence, **start}).encode()
             if time.monotonic() < self.reports_delayed_until:
-                self._track(asyncio.create_task(self._send_late(body)))
+                late = asyncio.create_task(self._send_late(body))
+                self._track(late)
+                self.late_reports.add(late)
+                late.add_done_callback(self.late_reports.discard)
                 await asyncio.sleep(HEARTBEAT_S)
                 continue
             response = await call(registry, "POST", f"/v1/targets/{self.id}/heartbeat", body, timeout_s=1)
@@ -207,14 +242,16 @@
         headers = {REQUEST_ID: request_id, "Saltvane-Load": f"{self.running},0,{SLOTS}"}
         if request.headers.get("saltvane-expect-target") != self.id:
             return Reply("HTTP/1.1 421 Misdirected", headers)
-        self.runs.arrivals.append((time.monotonic(), self.id, self.forwarder.listen, request_id))
+        self.runs.arrivals.append((time.monotonic(), self.incarnation, self.forwarder.listen, request_id))
+        if self.states_slow_start and request.start[1] == HEALTH_PATH and self._slow_start_left_ms() > 0:
+            headers["Saltvane-Slow-Start-Left-Ms"] = str(self._slow_start_left_ms())
         if self.announces_leaving:
             headers["Saltvane-Leaving"] = "1"
             if is_received:
-                self.runs.leaving_responses.append((time.monotonic(), self.id, request_id))
+                self.runs.leaving_responses.append((time.monotonic(), self.incarnation, request_id))
         if self.backoff_s is not None:
             if is_received:
-                self.runs.backoffs.append((time.monotonic(), self.id, request_id, self.backoff_s))
+                self.runs.backoffs.append((time.monotonic(), self.incarnation, request_id, self.backoff_s))
             return self._refuse("Resting", {**headers, "Retry-After": str(self.backoff_s)})
         if self.running >= SLOTS + QUEUE_CAPACITY:
             return self._refuse("Full", headers)
@@ -233,7 +270,7 @@
         if self.limit is not None:
             headers["Saltvane-Limit"] = str(self.limit)
             if is_received:
-                self.runs.limit_responses.append((time.monotonic(), self.id, request_id))
+                self.runs.limit_responses.append((time.monotonic(), self.incarnation, request_id))
         return self._reply(request_id, headers)
 
     def _refuse(self, reason: str, headers: dict[str, str]) -> Reply:
--- a/testing/soak/troubles.py
+++ b/testing/soak/troubles.py
@@ -18,10 +18,14 @@
         self.world = world
         self.spans: dict[str, list[Span]] = {host.front_address: [] for host in deployment.gateways}
         self.held_spans: dict[str, list[Span]] = {target.forwarder.listen: [] for target in world.targets}
+        self.longest_gap_s = 0.0  # Between two polls, which are due every POLL_INTERVAL_S.
 
     async def monitor(self):
+        last = time.monotonic()
         while True:
             now = time.monotonic()
+            self.longest_gap_s = max(self.longest_gap_s, now - last)
+            last = now
             reachable = sum(self._is_reachable(host) for host in self.deployment.registries) - self.world.is_wiping
             has_quorum = reachable > len(self.deployment.registries) // 2
             for host in self.deployment.gateways:
