--- a/testing/system/processes.py
+++ b/testing/system/processes.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -69,14 +70,16 @@
         self.folder = folder
         self.processes: dict[str, subprocess.Popen] = {}
 
-    def start(self, name: str, *arguments) -> subprocess.Popen:
+    def start(self, name: str, *arguments, descriptors: int | None = None) -> subprocess.Popen:
+        """`descriptors`: how many the process may have open; none: as many as this process."""
         log = open(self.folder / f"{name}.log", "ab")
-        process = subprocess.Popen([str(a) for a in arguments], stdout=log, stderr=log, cwd=self.folder)
+        limit = None if descriptors is None else lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+        process = subprocess.Popen([str(a) for a in arguments], stdout=log, stderr=log, cwd=self.folder, preexec_fn=limit)
         self.processes[name] = process
         return process
 
-    def start_host(self, name: str) -> subprocess.Popen:
-        return self.start(name, self.binaries / "saltvaned", self.folder / f"{name}.yaml")
+    def start_host(self, name: str, descriptors: int | None = None) -> subprocess.Popen:
+        return self.start(name, self.binaries / "saltvaned", self.folder / f"{name}.yaml", descriptors=descriptors)
 
     def command(self, *arguments, servers: str, expected_exit_code: int = 0) -> str:
         environment = dict(os.environ, SALTVANE_SERVERS=servers)
