Tests of slow requests that close their route for all other callers

What callers saw: after a few requests that took 8 s, and whose callers left in the middle of their next ones, ordinary requests of the same route were refused (503, no-room) for at least 3 s, with two targets of 100 slots each and nothing in flight.

What a caller teaches the gateway about a route, and how it is unlearnt: each response moves the route's and the service's processing time by 5 % of the difference (ProcessingTimes::update), whatever it was asked: 6 of 8 s raise it from 0.19 s to 2.3 s. Callers that leave teach nothing: their requests have no response, and their place at the target is free at once. A request is refused if the expected time exceeds 2.1 objectives (1.05 s here), or with a free slot at its first choice 0.9 of the time left, though nothing waits at the targets. Only responses lower it again, and a refused request has none. Placement::selectForTrial is the way out: one request each 2 s without a response of the route, not for at_most_once. A route that is not known yet begins with the time of its service.

Ruled out: requests in flight that were not released, ejected or suspected targets (usable=2 in each refusal), room at targets (100 slots).

--- a/src/gateway/tests/placementtests.cpp
+++ b/src/gateway/tests/placementtests.cpp
@@ -49,6 +49,60 @@
     }
 };
 
+/// Few callers whose requests take 8 s on a route that others use for requests of 10 ms. "order": may run once;
+/// "search": may be repeated.
+class SlowCallersTest : public PlacementTest {
+protected:
+    SlowCallersTest()
+    {
+        const auto route = [](const std::string& name, const std::string& kind) {
+            return R"(,{"name":")" + name + R"(","host":"prices.example","path_prefix":"/)" + name + R"(/","kind":")"
+                + kind
+                + R"(","timeout_ms":10000,"objective_ms":500,"rank":0,"service":"quotes","attempts":2,"affinity":true})";
+        };
+        installPlan(1, route("order", "at_most_once") + route("search", "repeatable"));
+        reportTargets({manySlots("t-1"), manySlots("t-2")});
+        advance(300ms);
+    }
+
+    static model::TargetRecord manySlots(const std::string& id)
+    {
+        model::TargetRecord record = target(id);
+        record.slots = 100;
+        return record;
+    }
+
+    /// Requests at the same time whose responses take 8 s each.
+    void sendSlowRequests(const std::string& path, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            request({.path = path, .object = std::to_string(i), .deadlineMs = "10000"});
+        const std::vector<requests::TargetStart> starts = takeStarts();
+        ASSERT_EQ(starts.size(), static_cast<size_t>(count));
+        advance(8s);
+        for (const requests::TargetStart& start : starts)
+            answer(start, {});
+        while (takeResponse()) { }
+    }
+
+    /// Requests that are sent to a target, of `count` in intervals of 100 ms that take 10 ms each.
+    size_t sendQuickRequests(const std::string& path, int count)
+    {
+        size_t sent = 0;
+        for (int i = 0; i < count; ++i) {
+            request({.path = path, .object = std::to_string(1000 + i), .deadlineMs = "2000"});
+            for (const requests::TargetStart& start : takeStarts()) {
+                ++sent;
+                advance(10ms);
+                answer(start, {});
+            }
+            while (takeResponse()) { }
+            advance(100ms);
+        }
+        return sent;
+    }
+};
+
 } // namespace
 
 TEST_F(PlacementTest, SmallRequestsStayInRegionWithEnoughSlots)
@@ -132,6 +186,42 @@
     EXPECT_GE(sent, 20U);
 }
 
+// Guards against a route whose requests are all refused for good, with all slots free: the responses to six slow
+// requests raised its expected time above what is accepted, times are learnt from responses only, and a request that
+// may run once is never sent as a trial.
+TEST_F(SlowCallersTest, RouteOfRequestsThatRunOnceIsUsedAgain)
+{
+    sendSlowRequests("/order/1", 6);
+    EXPECT_GE(sendQuickRequests("/order/1", 600), 1U);
+}
+
+// Guards against the same for a route that had no requests yet, which takes the times of its service.
+TEST_F(SlowCallersTest, RouteWithoutRequestsSoFarIsUsed)
+{
+    sendSlowRequests("/order/1", 6);
+    EXPECT_GE(sendQuickRequests("/write/1", 600), 1U);
+}
+
+// Guards against callers that close a route for others by leaving: a request without a response says nothing about the
+// route's times.
+TEST_F(SlowCallersTest, RequestsThatCallersLeaveDoNotCloseTheRoute)
+{
+    std::vector<requests::HttpHandle> callers;
+    for (int i = 0; i < 6; ++i)
+        callers.push_back(request({.path = "/order/1", .object = std::to_string(i), .deadlineMs = "10000"}));
+    ASSERT_EQ(takeStarts().size(), 6U);
+    advance(4s);
+    for (const requests::HttpHandle caller : callers)
+        abort(caller);
+    EXPECT_EQ(sendQuickRequests("/order/1", 600), 600U);
+}
+
+TEST_F(SlowCallersTest, RouteOfRepeatableRequestsIsUsedAgain)
+{
+    sendSlowRequests("/search/1", 6);
+    EXPECT_GE(sendQuickRequests("/search/1", 600), 1U);
+}
+
 TEST_F(PlacementTest, LossOfTargetMovesOnlyItsObjects)
 {
     installPlan(1);
--- a/testing/system/crowd.py
+++ b/testing/system/crowd.py
@@ -83,7 +83,7 @@
                     left -= len(block)
                 if left > 0:
                     break
-                if path.startswith("/slow/"):
+                if "slow" in path:
                     await asyncio.sleep(SLOW_S)
                 answer = LARGE_ANSWER if path.startswith("/large/") else str(length).encode()
                 writer.write(encode("HTTP/1.1 200 OK", {"Saltvane-Request-Id": request_id}, answer))
@@ -211,7 +211,7 @@
 async def play(deployment: Deployment, name: str) -> list[str]:
     """Plays a crowd beside an ordinary caller."""
     findings = []
-    ordinary = Client(run_ordinary_caller, deployment.addresses["front"])
+    ordinary = Client(run_ordinary_caller, deployment.addresses["front"], CROWDS[name].ordinary_timeout_s)
     crowd = Client(run_crowd, name, deployment.addresses)
     try:
         if await crowd.receive(time.monotonic() + CROWD_TIMEOUT_S) is None:
--- a/testing/system/crowdclients.py
+++ b/testing/system/crowdclients.py
@@ -188,6 +188,17 @@
         await asyncio.sleep(BYTE_PAUSE_S)
 
 
+async def request_slowly_and_leave(caller: Caller):
+    """Gets one response, leaves in the middle of the next request, and does nothing more."""
+    async with caller.connection() as connection:
+        await connection.send_head(method="GET")
+        await connection.response()
+        await connection.send_head(method="GET")
+        await asyncio.sleep(BYTE_PAUSE_S)
+    caller.is_in_place.set()
+    await asyncio.Event().wait()
+
+
 async def send_chunks_without_end(caller: Caller):
     async with caller.connection() as connection:
         await connection.send_head("Transfer-Encoding: chunked")
@@ -291,12 +302,14 @@
     address: str = "front"
     reads: bool = True  # Whether callers read responses.
     is_endless: bool = False  # Whether callers go on sending for as long as they can.
+    ordinary_timeout_s: float = REQUEST_TIMEOUT_S  # Of the ordinary callers beside it.
 
 
 MANY = 24  # Bodies of the longest legal length are three times the memory of the host.
 MORE_THAN_DESCRIPTORS = 320
 SENDERS_WITHOUT_END = 24
 RESETTERS = 48
+SLOW_CALLERS = 48
 
 CROWDS = {
     "bodies-that-stop-short": Crowd(MANY, stop_short),
@@ -304,6 +317,8 @@
     "bodies-that-stop-short-in-rounds": Crowd(MANY, stop_short_in_rounds),
     "bodies-to-no-target": Crowd(MANY, send_whole_body, path="/empty/1"),
     "bodies-to-slow-targets": Crowd(MANY, leave_in_the_middle, path="/slow/1"),
+    "slow-requests-on-a-shared-route": Crowd(SLOW_CALLERS, request_slowly_and_leave, path="/quotes/slow",
+                                             ordinary_timeout_s=2),
     "chunks-without-end": Crowd(SENDERS_WITHOUT_END, send_chunks_without_end, is_endless=True),
     "length-far-over-the-limit": Crowd(SENDERS_WITHOUT_END, send_far_over_limit, is_endless=True),
     **{f"bodies-without-end-{address}": Crowd(SENDERS_WITHOUT_END, send_either_without_end, path=path, address=address,
@@ -360,19 +375,19 @@
     return None
 
 
-def run_ordinary_caller(address: str, control: multiprocessing.connection.Connection):
+def run_ordinary_caller(address: str, timeout_s: float, control: multiprocessing.connection.Connection):
     """Sends one request after the other, and says when it sent each and what it got, until the other side says so."""
-    asyncio.run(_run_ordinary_caller(address, control))
+    asyncio.run(_run_ordinary_caller(address, timeout_s, control))
 
 
-async def _run_ordinary_caller(address: str, control: multiprocessing.connection.Connection):
+async def _run_ordinary_caller(address: str, timeout_s: float, control: multiprocessing.connection.Connection):
     statuses = collections.Counter()
     number = 0
     while not control.poll():
         number += 1
         sent_at = time.monotonic()
         request_id = f"ordinary-{number}"
-        response = await send_request(address, "/quotes/1", request_id, b"x", REQUEST_TIMEOUT_S)
+        response = await send_request(address, "/quotes/1", request_id, b"x", timeout_s)
         statuses["none" if response is None else str(response[0])] += 1
         control.send((sent_at, request_id, response))
         await asyncio.sleep(CALL_INTERVAL_S)
