HTTP server: each connection has a share of a turn

Cause: HttpServer::run called libmicrohttpd up to 8 times in an iteration of the event loop, whatever these calls read, and each resumed connection could start another run in the same iteration. Chunks of one byte cost a call each, so that one read of 16 KiB is thousands of calls. Bodies that are discarded counted nowhere.

A part of a body that the window still allows after the core has enlarged it is now passed on at once instead of with the next bytes.

Ruled out: ending only the runs after a number of bytes; with many connections a single run reads from each of them.

--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -31,6 +31,8 @@
     std::string remoteIp;
     Phase phase = Phase::BeforeFirst;
     Timestamp phaseSince;
+    uint64_t turn = 0; ///< Iteration of the event loop to which turnCost belongs.
+    uint64_t turnCost = 0;
     bool isOverLimit = false; ///< Exceeds Limits::connections, so its request is refused.
     bool isClientDisconnected = false;
     HttpExchange* exchange = nullptr; ///< Null between requests.
--- a/src/net/internal/httpexchange.h
+++ b/src/net/internal/httpexchange.h
@@ -20,6 +20,9 @@
 
 namespace saltvane::net {
 
+/// Hook of the exchanges that wait for the next turn of the event loop.
+using PausedHook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
 /// One request of a caller and its response. Uses libmicrohttpd's connection, but not the core's events.
 class HttpExchange
     : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
@@ -69,6 +72,7 @@
     bool isEnded = false; ///< The core was notified of its termination, or terminated it.
     uint64_t bodyReceived = 0;
     uint64_t bodyWindow = requests::InitialBodyWindow;
+    PausedHook pausedHook; ///< Linked while suspended for the next turn of the event loop.
     std::function<void()> onProgress; ///< Called while libmicrohttpd reads the body.
 
 private:
@@ -95,5 +99,8 @@
 };
 
 using HttpExchanges = boost::intrusive::list<HttpExchange, boost::intrusive::constant_time_size<false>>;
+using PausedExchanges = boost::intrusive::list<HttpExchange,
+    boost::intrusive::member_hook<HttpExchange, PausedHook, &HttpExchange::pausedHook>,
+    boost::intrusive::constant_time_size<false>>;
 
 } // namespace saltvane::net
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -22,7 +22,6 @@
 
 constexpr unsigned int RefusalConnections = 64; ///< Beyond the limit; accepted to send a 503 response.
 constexpr size_t ExtraPoolBytes = 8 * 1024; ///< Per connection, for parsed headers and the write buffer.
-constexpr int MaxRunsPerTurn = 8;
 constexpr Duration MaxLimitCheckInterval = 1s;
 constexpr Duration MinLimitCheckInterval = 10ms;
 
@@ -163,6 +162,7 @@
 {
     if (!exchange.isSuspended())
         return;
+    exchange.pausedHook.unlink();
     exchange.resume();
     runTask_.schedule();
 }
@@ -201,7 +201,8 @@
     if (exchange == nullptr)
         return;
     exchange->bodyWindow += action.bytes;
-    if (!exchange->isLastBodySent)
+    const bool isPaused = exchange->pausedHook.is_linked();
+    if (!exchange->isLastBodySent && !isPaused)
         resume(*exchange);
 }
 
@@ -232,31 +233,6 @@
     resume(*exchange);
 }
 
-void HttpServer::run()
-{
-    for (int i = 0; i < MaxRunsPerTurn; ++i) {
-        MHD_run(daemon_);
-        emitProgress();
-        MHD_UNSIGNED_LONG_LONG timeout = 0;
-        if (MHD_get_timeout(daemon_, &timeout) != MHD_YES)
-            return daemonTimer_.stop();
-        if (timeout != 0)
-            return daemonTimer_.startOnce(std::chrono::milliseconds(timeout));
-    }
-    daemonTimer_.startOnce(Duration::zero());
-}
-
-void HttpServer::emitProgress()
-{
-    while (!progressing_.empty()) {
-        HttpExchange& exchange = progressing_.front();
-        progressing_.pop_front();
-        const uint64_t bytes = exchange.drainProgress();
-        if (!exchange.isEnded)
-            options_.sink(requests::HttpResponseProgress {.handle = exchange.handle(), .bytes = bytes});
-    }
-}
-
 bool HttpServer::isOverdue(const HttpConnection& connection) const
 {
     const Duration waited = monotonicNow() - connection.phaseSince;
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -59,6 +59,9 @@
     [[nodiscard]] MHD_Result handleAccess(HttpExchange& exchange, const char* data, size_t* size);
     [[nodiscard]] MHD_Result handleHead(HttpExchange& exchange);
     [[nodiscard]] MHD_Result handleBody(HttpExchange& exchange, const char* data, size_t* size);
+    /// Passes on as much of a body as the window allows. Returns the number of bytes.
+    [[nodiscard]] size_t passBody(HttpExchange& exchange, std::string_view bytes);
+    [[nodiscard]] MHD_Result discardBody(HttpExchange& exchange, size_t* size);
     [[nodiscard]] MHD_Result handleEnd(HttpExchange& exchange);
     void readHead(HttpExchange& exchange, const char* method, const char* version) const;
     [[nodiscard]] Result<RequestFraming, EdgeRefusal> readHeadFraming(HttpExchange& exchange) const;
@@ -76,8 +79,16 @@
 
     [[nodiscard]] HttpExchange* find(requests::HttpHandle handle) const;
     void resume(HttpExchange& exchange);
+
+    // Turns of the event loop (httpserverturns.cpp).
     void run();
     void emitProgress();
+    void startTurn();
+    void recordCost(HttpConnection& connection, uint64_t bytes);
+    void pauseIfShareIsUsed(HttpExchange& exchange);
+    void resumePaused();
+    [[nodiscard]] bool isTurnUsed() const;
+
     void enforceTimeLimits();
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
 
@@ -86,6 +97,9 @@
     std::unordered_map<requests::HttpHandle, std::unique_ptr<HttpExchange>> exchanges_;
     HttpExchanges progressing_; ///< Exchanges with progress that is not reported yet.
     HttpConnections connections_;
+    PausedExchanges paused_; ///< In the order in which they used up their share of a turn.
+    uint64_t turn_ = 0; ///< Iteration of the event loop to which turnCost_ belongs.
+    uint64_t turnCost_ = 0;
     uint64_t lastHandle_;
     MHD_Daemon* daemon_ = nullptr;
     bool isStopping_ = false;
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -90,6 +90,8 @@
         return MHD_NO;
     if (!exchange.isHeadSeen)
         return handleHead(exchange);
+    if (*size > 0 && exchange.isSuspended())
+        return MHD_YES; // The next chunk of the same read.
     if (*size > 0)
         return handleBody(exchange, data, size);
     return handleEnd(exchange);
@@ -178,28 +180,49 @@
 
 MHD_Result HttpServer::handleBody(HttpExchange& exchange, const char* data, size_t* size)
 {
-    exchange.bodyReceived += *size;
-    if (exchange.bodyReceived > options_.limits.requestBodyBytes) {
+    if (exchange.hasResponse() || exchange.isEnded)
+        return discardBody(exchange, size);
+    if (exchange.bodyReceived + *size > options_.limits.requestBodyBytes) {
         options_.counters->add(model::Counter::BadHttpRequests);
         reportAborted(exchange);
         return MHD_NO;
     }
-    if (exchange.hasResponse() || exchange.isEnded) {
-        *size = 0; // The rest of the body is discarded.
+    const size_t passed = passBody(exchange, {data, *size});
+    recordCost(exchange.connection(), passed);
+    *size -= passed;
+    if (*size > 0 && (exchange.hasResponse() || exchange.isEnded))
+        return discardBody(exchange, size);
+    if (*size == 0) {
+        pauseIfShareIsUsed(exchange);
         return MHD_YES;
     }
-    const size_t accepted = std::min<uint64_t>(*size, exchange.bodyWindow);
-    exchange.bodyReceived -= *size - accepted;
-    exchange.bodyWindow -= accepted;
-    *size -= accepted;
-    if (accepted > 0) {
+    exchange.suspend(); // Until the core opens the window.
+    return MHD_YES;
+}
+
+size_t HttpServer::passBody(HttpExchange& exchange, std::string_view bytes)
+{
+    size_t passed = 0;
+    while (passed < bytes.size() && exchange.bodyWindow > 0 && !exchange.hasResponse() && !exchange.isEnded) {
+        const std::string_view part = bytes.substr(passed, exchange.bodyWindow);
+        passed += part.size();
+        exchange.bodyReceived += part.size();
+        exchange.bodyWindow -= part.size();
         exchange.isLastBodySent = exchange.framing.bodyLength == exchange.bodyReceived;
         options_.sink(requests::HttpRequestBody {
-            .handle = exchange.handle(), .bytes = std::string(data, accepted), .isLast = exchange.isLastBodySent});
+            .handle = exchange.handle(), .bytes = std::string(part), .isLast = exchange.isLastBodySent});
     }
-    const bool mustWait = *size > 0 && exchange.bodyWindow == 0;
-    if (mustWait && !exchange.hasResponse() && !exchange.isEnded)
-        exchange.suspend();
+    return passed;
+}
+
+MHD_Result HttpServer::discardBody(HttpExchange& exchange, size_t* size)
+{
+    exchange.bodyReceived += *size;
+    recordCost(exchange.connection(), *size);
+    *size = 0;
+    if (exchange.isAborted() || exchange.bodyReceived > options_.limits.requestBodyBytes)
+        return MHD_NO;
+    pauseIfShareIsUsed(exchange);
     return MHD_YES;
 }
 
--- a/src/net/tests/httpserverfixture.h
+++ b/src/net/tests/httpserverfixture.h
@@ -24,6 +24,7 @@
 
     void makeServer(settings::Limits limits)
     {
+        server.reset();
         server = std::move(makeHttpServer({.loop = runner.loop(),
                                               .address = {.ip = "127.0.0.1", .port = 0},
                                               .limits = limits,
