HTTP server: the body of a refused request is read for a bounded time

Callers with a body without end held a connection and the processor at full speed: the rest of a refused request's body was read and dropped up to request_body_bytes (4 GiB by default) or for ever if it stopped, and the refusal waited for the body's end. A caller that had sent a body over the limit saw a reset instead of its 413.

Cause: libmicrohttpd accepts a response only before or after a body. The response was therefore sent at the body's end, and a body over the limit closed the connection with unread bytes.

Change: after the response is known, 64 MiB and 30 s of a body are read, so that a caller inside the limits that sends its whole body first still reads the answer on a connection that stays open. Beyond that the complete response is written to the socket during the body, the sending side is closed, and 4 MiB or 2 s more are discarded before the connection is closed. A body over the limit gets its 413 in this way at once. A response that is not complete by then is aborted, as it can't be told to end. It applies to responses of the core and of the server itself (metrics).

Ruled out: closing at once (the unread bytes reset the connection, and the response is lost); refusing by libmicrohttpd within the body (it rejects the response).

--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -46,10 +46,23 @@
     /// The address that the server listens on; its port differs from the options' if that is 0.
     [[nodiscard]] virtual model::Address boundAddress() const = 0;
 };
+/// Bounds on what a connection takes up whose caller sends its body on after the response. The time limits of a
+/// request's head are in settings::Limits.
+struct CallerPaceLimits {
+    /// Body bytes that are read and discarded after the response, so that a caller that sends its whole body before it
+    /// reads still gets the response: the largest body that a route plan allows by default.
+    uint64_t discardedBytes = 64ull * 1024 * 1024;
+    Duration discardTime = 30s;
+    /// After that the response is sent although the body has not ended, and bytes are discarded for this long before
+    /// the connection is closed: bytes in flight would reset it, and the caller could lose the response.
+    Duration lingerTime = 2s;
+};
+
 struct HttpServerOptions {
     struct ev_loop* loop = nullptr;
     model::Address address;
     settings::Limits limits;
+    CallerPaceLimits paceLimits {};
     EventSink sink;
     model::Counters* counters = nullptr;
     uint8_t listener = 0; ///< Part of each exchange's handle (requests::listenerOf).
@@ -59,6 +72,10 @@
     std::function<std::string()> metricsText;
 };
 [[nodiscard]] Result<std::unique_ptr<IHttpServer>, IoError> makeHttpServer(HttpServerOptions options);
+/// Connections that a server with this Limits::connections accepts, with those that it accepts to refuse them.
+[[nodiscard]] uint32_t acceptedConnections(uint32_t limit);
+/// Memory that a connection may use for a request head of at most `headerBytes` and for its buffers.
+[[nodiscard]] uint64_t connectionPoolBytes(uint64_t headerBytes);
 
 /// HTTP client for targets (libcurl multi driven by the event loop). Never retries a request on its own.
 class ITargetClient {
--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -35,6 +35,7 @@
     uint64_t turnCost = 0;
     bool isOverLimit = false; ///< Exceeds Limits::connections, so its request is refused.
     bool isClientDisconnected = false;
+    bool isClosing = false; ///< The server has shut it down; libmicrohttpd removes it soon.
     HttpExchange* exchange = nullptr; ///< Null between requests.
 };
 
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -137,6 +137,25 @@
     return queued == MHD_YES;
 }
 
+bool HttpExchange::sendResponseDuringBody()
+{
+    if (isResponseQueued_ || !hasResponse() || !isBodyComplete_)
+        return false;
+    isResponseQueued_ = true;
+    const std::string_view body = hasNoBody() ? std::string_view() : std::string_view(completeBody_);
+    std::string text = "HTTP/1.1 " + std::to_string(response_->status) + " "
+        + MHD_get_reason_phrase_for(static_cast<unsigned int>(response_->status)) + "\r\nConnection: close\r\n";
+    for (const model::Header& header : response_->headers) {
+        if (!isFramingHeader(header.name) && !equalsIgnoringCase(header.name, "Connection"))
+            text += header.name + ": " + header.value + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(declaredLength().value_or(body.size())) + "\r\n\r\n";
+    text += body;
+    const ssize_t sent = ::send(connection_.fd, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    ::shutdown(connection_.fd, SHUT_WR);
+    return sent == static_cast<ssize_t>(text.size());
+}
+
 ssize_t HttpExchange::readBodyCallback(void* exchange, uint64_t /*position*/, char* buffer, size_t capacity)
 {
     auto& self = *static_cast<HttpExchange*>(exchange);
--- a/src/net/internal/httpexchange.h
+++ b/src/net/internal/httpexchange.h
@@ -58,6 +58,10 @@
     [[nodiscard]] bool isResponseQueued() const { return isResponseQueued_; }
     /// Passes the response to libmicrohttpd. False: it was rejected and the connection must be closed.
     [[nodiscard]] bool queueResponse();
+    /// Writes the response to the socket while libmicrohttpd still reads the request's body, during which it accepts
+    /// none, and ends the sending direction. False: a part of the response was sent already, is missing, or didn't fit
+    /// into the socket's buffer.
+    [[nodiscard]] bool sendResponseDuringBody();
     /// Appends to a streamed body. False: the body exceeds its declared length.
     [[nodiscard]] bool addResponseBody(std::string_view bytes, bool isLast);
     /// Body bytes of a streamed response that were sent since the last call.
@@ -72,6 +76,10 @@
     bool isEnded = false; ///< The core was notified of its termination, or terminated it.
     uint64_t bodyReceived = 0;
     uint64_t bodyWindow = requests::InitialBodyWindow;
+    bool isBodyRead = false; ///< The request was received to its end.
+    std::optional<Timestamp> discardingSince; ///< The response is known, and the rest of the body is discarded.
+    uint64_t discardedBytes = 0;
+    std::optional<Timestamp> lingeringSince; ///< The response was sent during the body.
     PausedHook pausedHook; ///< Linked while suspended for the next turn of the event loop.
     std::function<void()> onProgress; ///< Called while libmicrohttpd reads the body.
 
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -20,7 +20,10 @@
 
 namespace {
 
-constexpr unsigned int RefusalConnections = 64; ///< Beyond the limit; accepted to send a 503 response.
+/// Connections beyond the limit that are accepted to send a 503 response, as a part of the limit.
+constexpr uint32_t RefusalDivisor = 8;
+constexpr uint32_t MinRefusalConnections = 2;
+constexpr uint32_t MaxRefusalConnections = 64;
 constexpr size_t ExtraPoolBytes = 8 * 1024; ///< Per connection, for parsed headers and the write buffer.
 constexpr Duration MaxLimitCheckInterval = 1s;
 constexpr Duration MinLimitCheckInterval = 10ms;
@@ -60,15 +63,23 @@
 
 } // namespace
 
+uint32_t acceptedConnections(uint32_t limit)
+{
+    return limit + std::clamp(limit / RefusalDivisor, MinRefusalConnections, MaxRefusalConnections);
+}
+
+uint64_t connectionPoolBytes(uint64_t headerBytes) { return headerBytes + ExtraPoolBytes; }
+
 HttpServer::HttpServer(HttpServerOptions options)
     : options_(std::move(options))
     , maxHeaderBytes_(options_.limits.requestHeaderBytes)
+    , acceptedConnections_(acceptedConnections(options_.limits.connections))
     , lastHandle_(requests::firstHandleOf(options_.listener).value)
     , disconnectMonitor_(options_.loop, [this](HttpConnection& connection) { onClientDisconnected(connection); })
     , runTask_(options_.loop, TaskOrder::AfterIo, [this] { run(); })
     , pollWatcher_(options_.loop, [this](int) { runTask_.schedule(); })
     , daemonTimer_(options_.loop, [this] { runTask_.schedule(); })
-    , limitTimer_(options_.loop, [this] { enforceTimeLimits(); })
+    , limitTimer_(options_.loop, [this] { enforceLimits(); })
 {
 }
 
@@ -95,11 +106,11 @@
         ::setsockopt(listening.value().get(), SOL_SOCKET, SO_SNDBUF, &options_.sendBufferBytes,
             sizeof(options_.sendBufferBytes));
     const auto& limits = options_.limits;
-    const size_t pool = limits.requestHeaderBytes + ExtraPoolBytes;
+    const size_t pool = connectionPoolBytes(limits.requestHeaderBytes);
     const unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     daemon_ = MHD_start_daemon(flags, 0, nullptr, nullptr, &HttpServer::onAccess, this, //
         MHD_OPTION_LISTEN_SOCKET, listening.value().get(), //
-        MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned int>(limits.connections + RefusalConnections), //
+        MHD_OPTION_CONNECTION_LIMIT, acceptedConnections_, //
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, pool, //
         MHD_OPTION_CONNECTION_TIMEOUT, daemonTimeoutSecondsOf(limits), //
         MHD_OPTION_STRICT_FOR_CLIENT, 1, //
@@ -174,6 +185,8 @@
         return;
     if (!exchange->setResponse(std::move(action)))
         return abort(*exchange);
+    if (!exchange->isBodyRead)
+        exchange->discardingSince = monotonicNow();
     resume(*exchange);
 }
 
@@ -233,32 +246,6 @@
     resume(*exchange);
 }
 
-bool HttpServer::isOverdue(const HttpConnection& connection) const
-{
-    const Duration waited = monotonicNow() - connection.phaseSince;
-    const Duration headerTimeout = options_.limits.headerTimeout;
-    switch (connection.phase) {
-    case HttpConnection::Phase::BeforeFirst:
-    case HttpConnection::Phase::InHead:
-        return waited > headerTimeout;
-    case HttpConnection::Phase::BetweenRequests:
-        return waited > options_.limits.idleTimeout + headerTimeout;
-    case HttpConnection::Phase::InExchange:
-        return false;
-    }
-    return false;
-}
-
-void HttpServer::enforceTimeLimits()
-{
-    for (HttpConnection& connection : connections_) {
-        if (!isOverdue(connection))
-            continue;
-        ::shutdown(connection.fd, SHUT_RDWR);
-        connection.phase = HttpConnection::Phase::InExchange; // It is being closed.
-    }
-}
-
 void HttpServer::onConnection(
     void* server, MHD_Connection* connection, void** context, MHD_ConnectionNotificationCode code)
 {
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -62,6 +62,7 @@
     /// Passes on as much of a body as the window allows. Returns the number of bytes.
     [[nodiscard]] size_t passBody(HttpExchange& exchange, std::string_view bytes);
     [[nodiscard]] MHD_Result discardBody(HttpExchange& exchange, size_t* size);
+    [[nodiscard]] MHD_Result refuseOversizedBody(HttpExchange& exchange, size_t* size);
     [[nodiscard]] MHD_Result handleEnd(HttpExchange& exchange);
     void readHead(HttpExchange& exchange, const char* method, const char* version) const;
     [[nodiscard]] Result<RequestFraming, EdgeRefusal> readHeadFraming(HttpExchange& exchange) const;
@@ -89,11 +90,16 @@
     void resumePaused();
     [[nodiscard]] bool isTurnUsed() const;
 
-    void enforceTimeLimits();
+    // Limits of time and of connections (httpserverlimits.cpp).
+    void enforceLimits();
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
+    void enforceExchangeLimits(HttpExchange& exchange);
+    void linger(HttpExchange& exchange);
+    void close(HttpConnection& connection);
 
     HttpServerOptions options_;
     uint64_t maxHeaderBytes_;
+    unsigned int acceptedConnections_; ///< Maximum number, with those that are accepted to be refused.
     std::unordered_map<requests::HttpHandle, std::unique_ptr<HttpExchange>> exchanges_;
     HttpExchanges progressing_; ///< Exchanges with progress that is not reported yet.
     HttpConnections connections_;
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr size_t TypicalHeaderCount = 16; ///< Reserved for each request.
+/// Discarded after a response that was sent during the body.
+constexpr uint64_t MaxLingerBytes = 4 * 1024 * 1024;
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr const char* MetricsType = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -145,7 +147,15 @@
             {.name = "Saltvane-Reason", .value = std::string(toString(refusal.reason))}},
         .bodyLength = text.size(),
         .bytes = text});
-    return isNew && exchange.queueResponse() ? MHD_YES : MHD_NO;
+    if (!isNew)
+        return MHD_NO;
+    // A caller that sends its body anyway would lose a response that libmicrohttpd sends before it closes.
+    const bool isBodyComing
+        = refusal.reason == model::Reason::BodyTooLarge && (exchange.isStarted || !exchange.framing.expectsContinue);
+    if (!isBodyComing)
+        return exchange.queueResponse() ? MHD_YES : MHD_NO;
+    linger(exchange);
+    return MHD_YES;
 }
 
 bool HttpServer::respondAtEdge(HttpExchange& exchange) const
@@ -155,6 +165,7 @@
     std::string text = options_.metricsText();
     const uint64_t length = text.size();
     exchange.isEnded = true;
+    exchange.discardingSince = monotonicNow();
     return exchange.setResponse({.handle = exchange.handle(),
         .headers = {{.name = "Content-Type", .value = MetricsType}},
         .bodyLength = length,
@@ -182,11 +193,8 @@
 {
     if (exchange.hasResponse() || exchange.isEnded)
         return discardBody(exchange, size);
-    if (exchange.bodyReceived + *size > options_.limits.requestBodyBytes) {
-        options_.counters->add(model::Counter::BadHttpRequests);
-        reportAborted(exchange);
-        return MHD_NO;
-    }
+    if (exchange.bodyReceived + *size > options_.limits.requestBodyBytes)
+        return refuseOversizedBody(exchange, size);
     const size_t passed = passBody(exchange, {data, *size});
     recordCost(exchange.connection(), passed);
     *size -= passed;
@@ -217,17 +225,32 @@
 
 MHD_Result HttpServer::discardBody(HttpExchange& exchange, size_t* size)
 {
-    exchange.bodyReceived += *size;
+    exchange.discardedBytes += *size;
     recordCost(exchange.connection(), *size);
     *size = 0;
-    if (exchange.isAborted() || exchange.bodyReceived > options_.limits.requestBodyBytes)
+    if (exchange.lingeringSince && exchange.discardedBytes > MaxLingerBytes)
+        return MHD_NO;
+    if (!exchange.lingeringSince && exchange.discardedBytes > options_.paceLimits.discardedBytes)
+        linger(exchange);
+    if (exchange.isAborted())
         return MHD_NO;
     pauseIfShareIsUsed(exchange);
     return MHD_YES;
 }
 
+MHD_Result HttpServer::refuseOversizedBody(HttpExchange& exchange, size_t* size)
+{
+    reportAborted(exchange);
+    if (refuse(exchange, {.status = 413, .reason = model::Reason::BodyTooLarge, .message = "body too large"}) == MHD_NO)
+        return MHD_NO;
+    return discardBody(exchange, size);
+}
+
 MHD_Result HttpServer::handleEnd(HttpExchange& exchange)
 {
+    exchange.isBodyRead = true;
+    if (exchange.lingeringSince)
+        return MHD_NO; // The response has been sent.
     if (!exchange.isStarted && !exchange.isEnded)
         emitStarted(exchange);
     const bool hasBody = exchange.framing.bodyLength != 0;
--- a/src/net/tests/callerpacetests.cpp
+++ b/src/net/tests/callerpacetests.cpp
@@ -11,10 +11,36 @@
 namespace {
 
 constexpr std::string_view ChunkedPost = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr size_t KernelBufferBytes = 16 * 1024 * 1024; ///< More than a pair of loopback sockets buffers.
+
+std::string chunk(size_t bytes)
+{
+    char size[32];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes);
+    return size + std::string(bytes, 'x') + "\r\n";
+}
 
 /// Callers that do not end their bodies or do not read.
 class CallerPaceTest : public HttpServerTest {
 protected:
+    /// Sends chunks until the server closes the connection. Returns the number of bytes that were sent.
+    size_t pourUntilClosed(RawSocket& client)
+    {
+        const std::string part = chunk(64 * 1024);
+        size_t queued = 0;
+        EXPECT_TRUE(runner.runUntil([&] {
+            if (client.unsent() < part.size()) {
+                client.send(part);
+                queued += part.size();
+            }
+            return client.isPeerDisconnected() && client.unsent() > 0;
+        }));
+        return queued - client.unsent();
+    }
+    [[nodiscard]] bool areAllClosed()
+    {
+        return runner.runUntil([&] { return server->openConnections() == 0; });
+    }
     /// Grants the core's window for all that arrives.
     void takeBodies()
     {
@@ -30,6 +56,69 @@
     uint64_t bodyBytes = 0;
 };
 
+// Guards against a refused body without end, which was read for as long as it lasted and never got its response.
+TEST_F(CallerPaceTest, RefusedBodyWithoutEndIsClosedAfterItsResponse)
+{
+    constexpr uint64_t DiscardedBytes = 1024 * 1024;
+    makeServer({}, {.discardedBytes = DiscardedBytes, .lingerTime = 200ms});
+    respondAtOnce({.status = 429, .bodyLength = 2, .bytes = "no"});
+    auto client = connect();
+    client.send(ChunkedPost);
+    EXPECT_LT(pourUntilClosed(client), DiscardedBytes + KernelBufferBytes);
+    EXPECT_TRUE(client.hasReceived("HTTP/1.1 429"));
+    EXPECT_TRUE(client.hasReceived("\r\n\r\nno"));
+    EXPECT_TRUE(areAllClosed());
+    EXPECT_EQ(log.http<HttpResponseDone>().size(), 1u);
+    EXPECT_TRUE(log.http<HttpRequestAborted>().empty());
+}
+
+// Guards against the same at an address whose response is made by the server itself.
+TEST_F(CallerPaceTest, BodyWithoutEndOfAMetricsRequestIsClosedAfterItsResponse)
+{
+    makeServer({}, {.discardedBytes = 1024 * 1024, .lingerTime = 200ms});
+    auto client = connect();
+    client.send("GET /metrics HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    (void)pourUntilClosed(client);
+    EXPECT_TRUE(client.hasReceived("\r\n\r\nup 1\n"));
+    EXPECT_TRUE(areAllClosed());
+}
+
+// Guards against a refused body that stops and holds its connection: only its bytes were limited, not its time.
+TEST_F(CallerPaceTest, RefusedBodyThatStopsIsClosedAfterItsResponse)
+{
+    makeServer({.headerTimeout = 200ms}, {.discardTime = 100ms, .lingerTime = 100ms});
+    respondAtOnce({.status = 429, .bodyLength = 2, .bytes = "no"});
+    auto client = connect();
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nabc");
+    EXPECT_TRUE(runner.runUntil([&] { return client.isPeerDisconnected(); }));
+    EXPECT_TRUE(client.hasReceived("\r\n\r\nno"));
+    EXPECT_TRUE(areAllClosed());
+}
+
+// Guards against a refusal that the caller loses: closing with unread bytes of its body resets the connection.
+TEST_F(CallerPaceTest, CallerThatSendsItsWholeBodyFirstReadsTheRefusal)
+{
+    makeServer({.requestBodyBytes = 1000});
+    for (const bool isChunked : {false, true}) {
+        constexpr size_t BodyBytes = 512 * 1024;
+        auto client = connect();
+        client.isReading = false;
+        const std::string body(BodyBytes, 'x');
+        client.send(isChunked
+                ? std::string(ChunkedPost) + chunk(BodyBytes) + "0\r\n\r\n"
+                : "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" + body);
+        ASSERT_TRUE(runner.runUntil([&] {
+            client.pump();
+            return client.unsent() == 0;
+        }));
+        client.isReading = true;
+        ASSERT_TRUE(runner.runUntil([&] { return client.isPeerDisconnected(); }));
+        EXPECT_TRUE(client.hasReceived("HTTP/1.1 413")) << isChunked;
+        EXPECT_TRUE(client.hasReceived("body-too-large")) << isChunked;
+    }
+    EXPECT_TRUE(areAllClosed());
+}
+
 // Guards against callers that fill the event loop: what one turn reads of their bodies has to be bounded, so that
 // links, timers and other servers have their turn.
 TEST_F(CallerPaceTest, BodiesTakeABoundedPartOfATurn)
--- a/src/net/tests/httpserverfixture.h
+++ b/src/net/tests/httpserverfixture.h
@@ -22,12 +22,13 @@
 protected:
     void SetUp() override { makeServer({}); }
 
-    void makeServer(settings::Limits limits)
+    void makeServer(settings::Limits limits, CallerPaceLimits paceLimits = {})
     {
         server.reset();
         server = std::move(makeHttpServer({.loop = runner.loop(),
                                               .address = {.ip = "127.0.0.1", .port = 0},
                                               .limits = limits,
+                                              .paceLimits = paceLimits,
                                               .sink =
                                                   [this](host::Event event) {
                                                       log.events.push_back(event);
