HTTP server: bodies without progress and responses that nobody reads end

Cause: once the head was read no time limit of the server applied (isOverdue was false for InExchange). The timeout of libmicrohttpd (idle and header timeout together) ends only connections without any byte, counts those at which a slow link drains a large socket buffer, and closes without an answer.

Change: a body without a byte for the idle timeout, or below 512 bytes a second in the mean of 60 s, ends: the core gets HttpRequestAborted, the caller 408, and the connection is closed. The outcome is not-run where the core starts no request before its body is complete (option isBodyTakenWhole) or has no byte of it, else unknown. Time in which the server does not read a body, because the core withholds the window or its turn is used up, does not count. A response of which the caller's host acknowledges no byte for 60 s ends too; what counts is TCP's acknowledgement, so that a slow link behind a full socket buffer makes progress.

Ruled out: a limit on the whole body's time, which a large body on a slow link would meet; answering by libmicrohttpd, which takes no response within a body.

--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -46,8 +46,8 @@
     /// The address that the server listens on; its port differs from the options' if that is 0.
     [[nodiscard]] virtual model::Address boundAddress() const = 0;
 };
-/// Bounds on what a connection takes up whose caller sends its body on after the response. The time limits of a
-/// request's head are in settings::Limits.
+/// Bounds on what a caller's connection takes up while it sends its body too slowly, sends on after its response, or
+/// does not read. The time limits of a request's head are in settings::Limits.
 struct CallerPaceLimits {
     /// Body bytes that are read and discarded after the response, so that a caller that sends its whole body before it
     /// reads still gets the response: the largest body that a route plan allows by default.
@@ -56,6 +56,11 @@
     /// After that the response is sent although the body has not ended, and bytes are discarded for this long before
     /// the connection is closed: bytes in flight would reset it, and the caller could lose the response.
     Duration lingerTime = 2s;
+    /// Mean rate that a request body must reach over bodyRateWindow; a body without any progress for
+    /// Limits::idleTimeout ends too. Time in which the core withholds the window does not count.
+    uint64_t minBodyBytesPerSecond = 512;
+    Duration bodyRateWindow = 60s;
+    Duration responseStallTime = 60s; ///< Without a byte of the response acknowledged by the caller's host.
 };
 
 struct HttpServerOptions {
@@ -63,6 +68,8 @@
     model::Address address;
     settings::Limits limits;
     CallerPaceLimits paceLimits {};
+    /// The core starts no request before its body is complete, so that one whose body ends early was not run.
+    bool isBodyTakenWhole = false;
     EventSink sink;
     model::Counters* counters = nullptr;
     uint8_t listener = 0; ///< Part of each exchange's handle (requests::listenerOf).
--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -31,6 +31,8 @@
     std::string remoteIp;
     Phase phase = Phase::BeforeFirst;
     Timestamp phaseSince;
+    Timestamp lastProgress; ///< When bytes last arrived, or were last acknowledged while a response is sent.
+    uint64_t acknowledgedBytes = 0; ///< By the caller's host, as of lastProgress.
     uint64_t turn = 0; ///< Iteration of the event loop to which turnCost belongs.
     uint64_t turnCost = 0;
     bool isOverLimit = false; ///< Exceeds Limits::connections, so its request is refused.
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -5,6 +5,8 @@
  */
 #include "net/internal/httpexchange.h"
 
+#include "base/monotonicclock.h"
+
 #include <algorithm>
 #include <cstring>
 #include <sys/socket.h>
@@ -40,6 +42,7 @@
 void HttpExchange::suspend()
 {
     isSuspended_ = true;
+    suspendedAt_ = monotonicNow();
     MHD_suspend_connection(connection_.connection);
 }
 
@@ -48,6 +51,7 @@
     if (!isSuspended_)
         return;
     isSuspended_ = false;
+    rateSince += monotonicNow() - suspendedAt_; // The caller isn't read meanwhile.
     MHD_resume_connection(connection_.connection);
 }
 
--- a/src/net/internal/httpexchange.h
+++ b/src/net/internal/httpexchange.h
@@ -80,6 +80,8 @@
     std::optional<Timestamp> discardingSince; ///< The response is known, and the rest of the body is discarded.
     uint64_t discardedBytes = 0;
     std::optional<Timestamp> lingeringSince; ///< The response was sent during the body.
+    Timestamp rateSince; ///< Start of the period in which rateBytes of the body arrived.
+    uint64_t rateBytes = 0;
     PausedHook pausedHook; ///< Linked while suspended for the next turn of the event loop.
     std::function<void()> onProgress; ///< Called while libmicrohttpd reads the body.
 
@@ -98,6 +100,7 @@
     std::optional<requests::HttpRespond> response_;
     bool isResponseQueued_ = false;
     bool isSuspended_ = false;
+    Timestamp suspendedAt_;
     bool isAborted_ = false;
     bool isBodyComplete_ = false; ///< The last part of the response body was added.
     std::string completeBody_; ///< Of a response that was complete from the beginning.
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -55,12 +54,6 @@
     return SocketAddress::from(info->client_addr, length).address().ip;
 }
 
-/// Idle timeout of libmicrohttpd: a fallback, longer than the limits that this class enforces.
-unsigned int daemonTimeoutSecondsOf(const settings::Limits& limits)
-{
-    return static_cast<unsigned int>(std::ceil(toSeconds(limits.idleTimeout + limits.headerTimeout)));
-}
-
 } // namespace
 
 uint32_t acceptedConnections(uint32_t limit)
@@ -112,7 +105,7 @@
         MHD_OPTION_LISTEN_SOCKET, listening.value().get(), //
         MHD_OPTION_CONNECTION_LIMIT, acceptedConnections_, //
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, pool, //
-        MHD_OPTION_CONNECTION_TIMEOUT, daemonTimeoutSecondsOf(limits), //
+        MHD_OPTION_CONNECTION_TIMEOUT, 0u, // This class enforces the limits.
         MHD_OPTION_STRICT_FOR_CLIENT, 1, //
         MHD_OPTION_URI_LOG_CALLBACK, &HttpServer::onUri, this, //
         MHD_OPTION_NOTIFY_COMPLETED, &HttpServer::onCompleted, this, //
@@ -128,8 +121,8 @@
 
 void HttpServer::startLimitTimer()
 {
-    limitTimer_.startRepeating(
-        std::clamp(options_.limits.headerTimeout / 4, MinLimitCheckInterval, MaxLimitCheckInterval));
+    const Duration shortest = std::min(options_.limits.headerTimeout, options_.limits.idleTimeout) / 4;
+    limitTimer_.startRepeating(std::clamp(shortest, MinLimitCheckInterval, MaxLimitCheckInterval));
 }
 
 void HttpServer::setCallerLimits(const model::CallerLimits& limits)
@@ -138,16 +131,9 @@
     options_.limits.requestHeaderBytes = std::min(limits.headerBytes, maxHeaderBytes_);
     options_.limits.headerTimeout = limits.headerTimeout;
     options_.limits.idleTimeout = limits.idleTimeout;
-    for (HttpConnection& connection : connections_)
-        setDaemonTimeout(connection.connection);
     startLimitTimer();
 }
 
-void HttpServer::setDaemonTimeout(MHD_Connection* connection) const
-{
-    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, daemonTimeoutSecondsOf(options_.limits));
-}
-
 bool HttpServer::isCallerConnected(requests::HttpHandle handle) const
 {
     HttpExchange* exchange = find(handle);
@@ -175,6 +161,7 @@
         return;
     exchange.pausedHook.unlink();
     exchange.resume();
+    exchange.connection().lastProgress = monotonicNow();
     runTask_.schedule();
 }
 
@@ -264,10 +251,10 @@
     created->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     created->remoteIp = remoteIpOf(connection);
     created->phaseSince = monotonicNow();
-    setDaemonTimeout(connection);
     created->isOverLimit = connections_.size() >= options_.limits.connections;
     disconnectMonitor_.add(*created);
     connections_.push_back(*created);
+    recordProgress(*created);
     *context = created.release();
 }
 
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -45,7 +45,6 @@
 
 private:
     void startLimitTimer();
-    void setDaemonTimeout(MHD_Connection* connection) const;
 
     // Callbacks of libmicrohttpd.
     static void* onUri(void* server, const char* uri, MHD_Connection* connection);
@@ -94,8 +93,12 @@
     void enforceLimits();
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
     void enforceExchangeLimits(HttpExchange& exchange);
+    [[nodiscard]] bool isBodyTooSlow(HttpExchange& exchange) const;
+    [[nodiscard]] bool isReaderStalled(HttpConnection& connection) const;
+    void endBody(HttpExchange& exchange);
     void linger(HttpExchange& exchange);
     void close(HttpConnection& connection);
+    void recordProgress(HttpConnection& connection);
 
     HttpServerOptions options_;
     uint64_t maxHeaderBytes_;
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -7,11 +7,25 @@
 
 #include "base/monotonicclock.h"
 
-#include <sys/socket.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 
 /// Limits of HttpServer on the time that connections take, and on their number.
 namespace saltvane::net {
 
+namespace {
+
+constexpr int StatusTimeout = 408;
+
+uint64_t acknowledgedBytes(int fd)
+{
+    tcp_info info {};
+    socklen_t length = sizeof(info);
+    return ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 ? info.tcpi_bytes_acked : 0;
+}
+
+} // namespace
+
 void HttpServer::enforceLimits()
 {
     for (auto next = connections_.begin(); next != connections_.end();) {
@@ -53,12 +67,64 @@
     if (exchange.lingeringSince) {
         if (now - *exchange.lingeringSince > limits.lingerTime)
             close(connection);
-    } else if (exchange.discardingSince && !exchange.isBodyRead && !exchange.isResponseQueued()) {
+    } else if (exchange.isResponseQueued()) {
+        if (isReaderStalled(connection))
+            close(connection);
+    } else if (exchange.isBodyRead) {
+        return;
+    } else if (exchange.discardingSince) {
         if (now - *exchange.discardingSince > limits.discardTime)
             linger(exchange);
+    } else if (isBodyTooSlow(exchange)) {
+        endBody(exchange);
     }
 }
 
+bool HttpServer::isBodyTooSlow(HttpExchange& exchange) const
+{
+    const Timestamp now = monotonicNow();
+    if (now - exchange.connection().lastProgress > options_.limits.idleTimeout)
+        return true;
+    const Duration elapsed = now - exchange.rateSince;
+    if (elapsed < options_.paceLimits.bodyRateWindow)
+        return false;
+    const double bytesPerSecond = static_cast<double>(exchange.rateBytes) / toSeconds(elapsed);
+    exchange.rateSince = now;
+    exchange.rateBytes = 0;
+    return bytesPerSecond < static_cast<double>(options_.paceLimits.minBodyBytesPerSecond);
+}
+
+bool HttpServer::isReaderStalled(HttpConnection& connection) const
+{
+    const Timestamp now = monotonicNow();
+    if (const uint64_t bytes = acknowledgedBytes(connection.fd); bytes != connection.acknowledgedBytes) {
+        connection.acknowledgedBytes = bytes;
+        connection.lastProgress = now;
+    }
+    return now - connection.lastProgress > options_.paceLimits.responseStallTime;
+}
+
+void HttpServer::endBody(HttpExchange& exchange)
+{
+    // A core that starts requests before their body is complete may have run a part of this one.
+    const bool isNotRun = options_.isBodyTakenWhole || exchange.bodyReceived == 0;
+    reportAborted(exchange);
+    exchange.isEnded = true;
+    constexpr std::string_view Text = "request body too slow\n";
+    const model::Outcome outcome = isNotRun ? model::Outcome::NotRun : model::Outcome::Unknown;
+    const bool isNew = exchange.setResponse({.handle = exchange.handle(),
+        .status = StatusTimeout,
+        .headers = {{.name = "Content-Type", .value = "text/plain; charset=utf-8"},
+            {.name = "Saltvane-Outcome", .value = std::string(toString(outcome))},
+            {.name = "Saltvane-Reason", .value = std::string(toString(model::Reason::DeadlineExceeded))}},
+        .bodyLength = Text.size(),
+        .bytes = std::string(Text)});
+    if (isNew)
+        linger(exchange);
+    else
+        close(exchange.connection());
+}
+
 void HttpServer::linger(HttpExchange& exchange)
 {
     exchange.lingeringSince = monotonicNow();
@@ -81,4 +147,6 @@
     ::shutdown(connection.fd, SHUT_RDWR);
 }
 
+void HttpServer::recordProgress(HttpConnection& connection) { connection.lastProgress = monotonicNow(); }
+
 } // namespace saltvane::net
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -58,6 +58,7 @@
     if (owner->phase == HttpConnection::Phase::BetweenRequests)
         owner->phaseSince = monotonicNow();
     owner->phase = HttpConnection::Phase::InHead;
+    self.recordProgress(*owner);
     return self.exchanges_.emplace(handle, std::move(exchange)).first->second.get();
 }
 
@@ -109,6 +110,8 @@
     const bool hasBody = exchange.framing.bodyLength != 0;
     if (!hasBody)
         return MHD_YES; // libmicrohttpd closes the connection of a POST whose response is queued here.
+    exchange.rateSince = monotonicNow();
+    recordProgress(exchange.connection());
     emitStarted(exchange);
     // A caller that waits for "100 Continue" is refused before it sends its body. Any other caller sends the body
     // anyway: it is read to its end, because closing early would reset the connection and could lose the response.
@@ -191,6 +194,7 @@
 
 MHD_Result HttpServer::handleBody(HttpExchange& exchange, const char* data, size_t* size)
 {
+    recordProgress(exchange.connection());
     if (exchange.hasResponse() || exchange.isEnded)
         return discardBody(exchange, size);
     if (exchange.bodyReceived + *size > options_.limits.requestBodyBytes)
@@ -216,6 +220,7 @@
         passed += part.size();
         exchange.bodyReceived += part.size();
         exchange.bodyWindow -= part.size();
+        exchange.rateBytes += part.size();
         exchange.isLastBodySent = exchange.framing.bodyLength == exchange.bodyReceived;
         options_.sink(requests::HttpRequestBody {
             .handle = exchange.handle(), .bytes = std::string(part), .isLast = exchange.isLastBodySent});
@@ -285,6 +290,7 @@
     connection.exchange = nullptr;
     connection.phase = HttpConnection::Phase::BetweenRequests;
     connection.phaseSince = monotonicNow();
+    recordProgress(connection);
     if (!exchange.isHeadSeen && !isStopping_)
         options_.counters->add(model::Counter::BadHttpRequests);
     // Keeps the exchange alive until the function returns.
--- a/src/net/tests/callerpacetests.cpp
+++ b/src/net/tests/callerpacetests.cpp
@@ -53,6 +53,12 @@
             }
         };
     }
+    void waitFor(Duration time)
+    {
+        const auto end = std::chrono::steady_clock::now() + time;
+        (void)runner.runUntil([&] { return std::chrono::steady_clock::now() > end; });
+    }
+
     uint64_t bodyBytes = 0;
 };
 
@@ -119,6 +125,71 @@
     EXPECT_TRUE(areAllClosed());
 }
 
+// Guards against bodies that never end: no time limit applied once the head was read, or a byte now and then met it.
+TEST_F(CallerPaceTest, BodyThatStopsIsAbortedAndAnswered)
+{
+    makeServer({.idleTimeout = 200ms, .headerTimeout = 200ms}, {.lingerTime = 100ms});
+    auto client = connect();
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    ASSERT_TRUE(runner.runUntil([&] { return client.isPeerDisconnected(); }));
+    EXPECT_TRUE(client.hasReceived("HTTP/1.1 408"));
+    EXPECT_TRUE(client.hasReceived("Saltvane-Outcome: not-run"));
+    EXPECT_EQ(log.http<HttpRequestAborted>().size(), 1u);
+    EXPECT_TRUE(areAllClosed());
+    EXPECT_EQ(log.http<HttpRequestAborted>().size(), 1u);
+}
+
+// Guards against the same with a byte now and then, which no limit on pauses ends.
+TEST_F(CallerPaceTest, BodyThatTricklesIsAbortedAndAnswered)
+{
+    makeServer(
+        {.headerTimeout = 100ms}, {.lingerTime = 100ms, .minBodyBytesPerSecond = 1'000'000, .bodyRateWindow = 300ms});
+    auto client = connect();
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+    ASSERT_TRUE(runner.runUntil([&] {
+        if (client.unsent() == 0)
+            client.send("x");
+        return client.isPeerDisconnected();
+    }));
+    EXPECT_TRUE(client.hasReceived("HTTP/1.1 408"));
+    EXPECT_EQ(log.http<HttpRequestAborted>().size(), 1u);
+    EXPECT_TRUE(areAllClosed());
+}
+
+// Guards against callers that are cut off because the core takes its time with their body.
+TEST_F(CallerPaceTest, TimeInWhichTheCoreWithholdsTheWindowDoesNotCount)
+{
+    makeServer(
+        {.idleTimeout = 300ms, .headerTimeout = 200ms}, {.minBodyBytesPerSecond = 200'000, .bodyRateWindow = 400ms});
+    const std::string body(InitialBodyWindow + 1000, 'x');
+    auto client = connect();
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    ASSERT_TRUE(runner.runUntil([&] {
+        client.pump();
+        return bodyReceived().size() == InitialBodyWindow;
+    }));
+    waitFor(1s);
+    EXPECT_TRUE(log.http<HttpRequestAborted>().empty());
+    server->execute(HttpRequestWindow {.handle = handleOf(0), .bytes = body.size()});
+    ASSERT_TRUE(runner.runUntil([&] { return bodyReceived().size() == body.size(); }));
+    waitFor(1s); // The core works.
+    server->execute(HttpRespond {.handle = handleOf(0), .bodyLength = 2, .bytes = "ok"});
+    EXPECT_TRUE(runner.runUntil([&] { return client.hasReceived("\r\n\r\nok"); }));
+}
+
+// Guards against a caller that reads nothing of a large response and holds it for ever.
+TEST_F(CallerPaceTest, CallerThatDoesNotReadIsDisconnected)
+{
+    makeServer({.headerTimeout = 100ms}, {.responseStallTime = 300ms});
+    respondAtOnce({.bodyLength = 64 * 1024 * 1024, .bytes = std::string(64 * 1024 * 1024, 'y')});
+    auto client = connect();
+    client.isReading = false;
+    client.send(PlainGet);
+    ASSERT_TRUE(waitStarted(1));
+    EXPECT_TRUE(areAllClosed());
+    EXPECT_EQ(log.http<HttpRequestAborted>().size(), 1u);
+}
+
 // Guards against callers that fill the event loop: what one turn reads of their bodies has to be bounded, so that
 // links, timers and other servers have their turn.
 TEST_F(CallerPaceTest, BodiesTakeABoundedPartOfATurn)
--- a/src/net/tests/httpserverfixture.h
+++ b/src/net/tests/httpserverfixture.h
@@ -29,6 +29,7 @@
                                               .address = {.ip = "127.0.0.1", .port = 0},
                                               .limits = limits,
                                               .paceLimits = paceLimits,
+                                              .isBodyTakenWhole = true,
                                               .sink =
                                                   [this](host::Event event) {
                                                       log.events.push_back(event);
