HTTP server: connections that stand still make room for new ones

Cause: at the limit each new connection was refused, whatever the others did. A crowd that also filled the connections kept for refusals kept new ones in the listen queue: libmicrohttpd polls its listening socket again only in the run after a connection was closed, and nothing asked for that run.

Change: connections on which the server waits for the caller (between requests, before the end of the head, within a body) are in an intrusive list in order of last progress. A connection whose request was received whole, or whose core may have started it, is not in the list. One with bytes that the server has not read yet is passed over (8 at most for each new connection). The work for a new connection doesn't grow with their number.

BodiesThatMayHaveRunDoNotMakeRoom was written with the change.

--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -16,6 +16,9 @@
 
 class HttpExchange;
 
+/// Hook of the connections that may be closed for new ones.
+using ClosableHook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
 /// One connection of a caller.
 struct HttpConnection : boost::intrusive::list_base_hook<> {
     /// Selects the connection's time limit.
@@ -39,8 +42,13 @@
     bool isClientDisconnected = false;
     bool isClosing = false; ///< The server has shut it down; libmicrohttpd removes it soon.
     HttpExchange* exchange = nullptr; ///< Null between requests.
+    ClosableHook closableHook;
 };
 
 using HttpConnections = boost::intrusive::list<HttpConnection>;
+/// In order of last progress.
+using ClosableConnections = boost::intrusive::list<HttpConnection,
+    boost::intrusive::member_hook<HttpConnection, ClosableHook, &HttpConnection::closableHook>,
+    boost::intrusive::constant_time_size<false>>;
 
 } // namespace saltvane::net
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -121,7 +121,8 @@
 
 void HttpServer::startLimitTimer()
 {
-    const Duration shortest = std::min(options_.limits.headerTimeout, options_.limits.idleTimeout) / 4;
+    const Duration shortest = std::min(
+        {options_.limits.headerTimeout / 4, options_.limits.idleTimeout / 4, options_.paceLimits.minStandstill});
     limitTimer_.startRepeating(std::clamp(shortest, MinLimitCheckInterval, MaxLimitCheckInterval));
 }
 
@@ -162,6 +163,9 @@
     exchange.pausedHook.unlink();
     exchange.resume();
     exchange.connection().lastProgress = monotonicNow();
+    const bool isCallerAwaited = !exchange.isBodyRead && !exchange.isLastBodySent;
+    if (isCallerAwaited)
+        recordProgress(exchange.connection());
     runTask_.schedule();
 }
 
@@ -251,7 +255,7 @@
     created->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     created->remoteIp = remoteIpOf(connection);
     created->phaseSince = monotonicNow();
-    created->isOverLimit = connections_.size() >= options_.limits.connections;
+    created->isOverLimit = isFull() && !makeRoom();
     disconnectMonitor_.add(*created);
     connections_.push_back(*created);
     recordProgress(*created);
@@ -261,7 +265,11 @@
 void HttpServer::connectionClosed(HttpConnection& connection)
 {
     const std::unique_ptr<HttpConnection> owned(&connection);
+    // At its limit libmicrohttpd polls its listening socket only from the run after a connection was closed.
+    if (connections_.size() >= acceptedConnections_)
+        runTask_.schedule();
     connections_.erase(connections_.iterator_to(connection));
+    closingCount_ -= connection.isClosing ? 1 : 0;
     const bool hadNoRequest = connection.phase == HttpConnection::Phase::BeforeFirst;
     if (hadNoRequest && !isStopping_ && hasReceivedBytes(connection.fd))
         options_.counters->add(model::Counter::BadHttpRequests);
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -99,6 +99,8 @@
     void linger(HttpExchange& exchange);
     void close(HttpConnection& connection);
     void recordProgress(HttpConnection& connection);
+    [[nodiscard]] bool isFull() const;
+    [[nodiscard]] bool makeRoom();
 
     HttpServerOptions options_;
     uint64_t maxHeaderBytes_;
@@ -106,6 +108,8 @@
     std::unordered_map<requests::HttpHandle, std::unique_ptr<HttpExchange>> exchanges_;
     HttpExchanges progressing_; ///< Exchanges with progress that is not reported yet.
     HttpConnections connections_;
+    ClosableConnections closable_; ///< Connections on which the server waits for the caller.
+    size_t closingCount_ = 0; ///< Of connections_.
     PausedExchanges paused_; ///< In the order in which they used up their share of a turn.
     uint64_t turn_ = 0; ///< Iteration of the event loop to which turnCost_ belongs.
     uint64_t turnCost_ = 0;
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -9,6 +9,7 @@
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 
 /// Limits of HttpServer on the time that connections take, and on their number.
 namespace saltvane::net {
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr int StatusTimeout = 408;
+constexpr int MaxUnreadConnections = 8; ///< Passed over for each connection that is closed for a new one.
 
 uint64_t acknowledgedBytes(int fd)
 {
@@ -24,6 +26,12 @@
     return ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 ? info.tcpi_bytes_acked : 0;
 }
 
+bool hasUnreadBytes(int fd)
+{
+    int bytes = 0;
+    return ::ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace
 
 void HttpServer::enforceLimits()
@@ -37,6 +45,7 @@
         else if (isOverdue(connection))
             close(connection);
     }
+    while (connections_.size() - closingCount_ > options_.limits.connections && makeRoom()) { }
 }
 
 bool HttpServer::isOverdue(const HttpConnection& connection) const
@@ -143,10 +152,39 @@
 {
     if (connection.isClosing)
         return;
+    connection.closableHook.unlink();
     connection.isClosing = true;
+    ++closingCount_;
     ::shutdown(connection.fd, SHUT_RDWR);
 }
 
-void HttpServer::recordProgress(HttpConnection& connection) { connection.lastProgress = monotonicNow(); }
+void HttpServer::recordProgress(HttpConnection& connection)
+{
+    connection.lastProgress = monotonicNow();
+    connection.closableHook.unlink();
+    const HttpExchange* exchange = connection.exchange;
+    const bool mayHaveRun = exchange != nullptr && !options_.isBodyTakenWhole && exchange->bodyReceived > 0;
+    if (!connection.isClosing && !mayHaveRun)
+        closable_.push_back(connection);
+}
+
+bool HttpServer::isFull() const { return connections_.size() - closingCount_ >= options_.limits.connections; }
+
+bool HttpServer::makeRoom()
+{
+    for (int i = 0; i < MaxUnreadConnections && !closable_.empty() && hasUnreadBytes(closable_.front().fd); ++i)
+        recordProgress(closable_.front()); // It is the server that is behind.
+    if (closable_.empty())
+        return false;
+    HttpConnection& connection = closable_.front();
+    if (monotonicNow() - connection.lastProgress < options_.paceLimits.minStandstill)
+        return false;
+    HttpExchange* exchange = connection.exchange;
+    const bool isInBody = connection.phase == HttpConnection::Phase::InExchange && exchange != nullptr;
+    if (isInBody && !exchange->hasResponse())
+        endBody(*exchange);
+    close(connection);
+    return true;
+}
 
 } // namespace saltvane::net
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -85,6 +85,7 @@
     head.headers.reserve(TypicalHeaderCount);
     MHD_get_connection_values(exchange.connection().connection, MHD_HEADER_KIND, &collectHeader, &head.headers);
     exchange.connection().phase = HttpConnection::Phase::InExchange;
+    exchange.connection().closableHook.unlink();
 }
 
 MHD_Result HttpServer::handleAccess(HttpExchange& exchange, const char* data, size_t* size)
@@ -209,6 +210,7 @@
         return MHD_YES;
     }
     exchange.suspend(); // Until the core opens the window.
+    exchange.connection().closableHook.unlink();
     return MHD_YES;
 }
 
@@ -222,6 +224,8 @@
         exchange.bodyWindow -= part.size();
         exchange.rateBytes += part.size();
         exchange.isLastBodySent = exchange.framing.bodyLength == exchange.bodyReceived;
+        if (exchange.isLastBodySent || !options_.isBodyTakenWhole)
+            exchange.connection().closableHook.unlink(); // The request may run from now on.
         options_.sink(requests::HttpRequestBody {
             .handle = exchange.handle(), .bytes = std::string(part), .isLast = exchange.isLastBodySent});
     }
@@ -254,6 +258,7 @@
 MHD_Result HttpServer::handleEnd(HttpExchange& exchange)
 {
     exchange.isBodyRead = true;
+    exchange.connection().closableHook.unlink(); // The request may run from now on.
     if (exchange.lingeringSince)
         return MHD_NO; // The response has been sent.
     if (!exchange.isStarted && !exchange.isEnded)
--- a/src/net/tests/callerpacetests.cpp
+++ b/src/net/tests/callerpacetests.cpp
@@ -238,5 +238,68 @@
     EXPECT_LT(most, MaxTurnChunks);
 }
 
+// Guards against half-sent requests that take all connections, so that ordinary callers are refused.
+TEST_F(CallerPaceTest, ConnectionsThatStandStillMakeRoom)
+{
+    makeServer({.connections = 3}, {.minStandstill = 100ms});
+    auto working = connect();
+    working.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"); // Passed on; the longest of all.
+    ASSERT_TRUE(waitStarted(1));
+    auto body = connect();
+    body.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    ASSERT_TRUE(waitStarted(2));
+    auto head = connect();
+    head.send("GET / HTTP/1.1\r\n");
+    ASSERT_TRUE(runner.runUntil([&] { return server->openConnections() == 3; }));
+    waitFor(200ms);
+
+    auto first = connect();
+    first.send(PlainGet);
+    ASSERT_TRUE(waitStarted(3));
+    EXPECT_TRUE(runner.runUntil([&] { return body.isPeerDisconnected(); }));
+    EXPECT_TRUE(body.hasReceived("HTTP/1.1 408"));
+    EXPECT_EQ(log.http<HttpRequestAborted>().size(), 1u);
+    EXPECT_FALSE(head.isPeerDisconnected());
+    auto second = connect();
+    second.send(PlainGet);
+    ASSERT_TRUE(waitStarted(4));
+    EXPECT_TRUE(runner.runUntil([&] { return head.isPeerDisconnected(); }));
+
+    auto refused = connect(); // All others have a request at work.
+    EXPECT_TRUE(exchange(refused, PlainGet, "too-many-connections"));
+    server->execute(HttpRespond {.handle = handleOf(0), .bodyLength = 2, .bytes = "ok"});
+    EXPECT_TRUE(runner.runUntil([&] { return working.hasReceived("\r\n\r\nok"); }));
+}
+
+// Guards against requests that are cut off while a target works: a core that passes bodies on may have started one.
+TEST_F(CallerPaceTest, BodiesThatMayHaveRunDoNotMakeRoom)
+{
+    isBodyTakenWhole = false;
+    makeServer({.connections = 1, .idleTimeout = 1s}, {.lingerTime = 100ms, .minStandstill = 100ms});
+    auto client = connect();
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    ASSERT_TRUE(runner.runUntil([&] { return bodyReceived() == "abc"; }));
+    waitFor(200ms);
+    auto refused = connect();
+    EXPECT_TRUE(exchange(refused, PlainGet, "too-many-connections"));
+    ASSERT_TRUE(runner.runUntil([&] { return client.isPeerDisconnected(); }));
+    EXPECT_TRUE(client.hasReceived("HTTP/1.1 408"));
+    EXPECT_TRUE(client.hasReceived("Saltvane-Outcome: unknown"));
+}
+
+// Guards against a crowd that also takes the connections kept for refusals: none was accepted then, and none closed.
+TEST_F(CallerPaceTest, CrowdOfSilentConnectionsMakesRoomForACaller)
+{
+    makeServer({.connections = 16, .headerTimeout = 30s}, {.minStandstill = 100ms});
+    respondAtOnce({.bodyLength = 2, .bytes = "ok"});
+    std::deque<RawSocket> crowd;
+    for (int i = 0; i < 100; ++i)
+        crowd.push_back(connect());
+    ASSERT_TRUE(runner.runUntil([&] { return server->openConnections() >= 16; }));
+    waitFor(200ms);
+    auto caller = connect();
+    EXPECT_TRUE(exchange(caller, PlainGet, "\r\n\r\nok"));
+}
+
 } // namespace
 } // namespace saltvane::net::tests
