--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -16,6 +16,9 @@
 
 class HttpExchange;
 
+/// Hook of the connections that may be closed for new ones.
+using ClosableHook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
 /// One connection of a caller.
 struct HttpConnection : boost::intrusive::list_base_hook<> {
     /// Selects the connection's time limit.
@@ -31,11 +34,21 @@
     std::string remoteIp;
     Phase phase = Phase::BeforeFirst;
     Timestamp phaseSince;
+    Timestamp lastProgress; ///< When bytes last arrived, or were last acknowledged while a response is sent.
+    uint64_t acknowledgedBytes = 0; ///< By the caller's host, as of lastProgress.
+    uint64_t turn = 0; ///< Iteration of the event loop to which turnCost belongs.
+    uint64_t turnCost = 0;
     bool isOverLimit = false; ///< Exceeds Limits::connections, so its request is refused.
     bool isClientDisconnected = false;
+    bool isClosing = false; ///< The server has shut it down; libmicrohttpd removes it soon.
     HttpExchange* exchange = nullptr; ///< Null between requests.
+    ClosableHook closableHook;
 };
 
 using HttpConnections = boost::intrusive::list<HttpConnection>;
+/// In order of last progress.
+using ClosableConnections = boost::intrusive::list<HttpConnection,
+    boost::intrusive::member_hook<HttpConnection, ClosableHook, &HttpConnection::closableHook>,
+    boost::intrusive::constant_time_size<false>>;
 
 } // namespace saltvane::net
--- a/src/net/internal/httpexchange.h
+++ b/src/net/internal/httpexchange.h
@@ -20,6 +20,9 @@
 
 namespace saltvane::net {
 
+/// Hook of the exchanges that wait for the next turn of the event loop.
+using PausedHook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
 /// One request of a caller and its response. Uses libmicrohttpd's connection, but not the core's events.
 class HttpExchange
     : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
@@ -55,6 +58,10 @@
     [[nodiscard]] bool isResponseQueued() const { return isResponseQueued_; }
     /// Passes the response to libmicrohttpd. False: it was rejected and the connection must be closed.
     [[nodiscard]] bool queueResponse();
+    /// Writes the response to the socket while libmicrohttpd still reads the request's body, during which it accepts
+    /// none, and ends the sending direction. False: a part of the response was sent already, is missing, or didn't fit
+    /// into the socket's buffer.
+    [[nodiscard]] bool sendResponseDuringBody();
     /// Appends to a streamed body. False: the body exceeds its declared length.
     [[nodiscard]] bool addResponseBody(std::string_view bytes, bool isLast);
     /// Body bytes of a streamed response that were sent since the last call.
@@ -69,6 +76,13 @@
     bool isEnded = false; ///< The core was notified of its termination, or terminated it.
     uint64_t bodyReceived = 0;
     uint64_t bodyWindow = requests::InitialBodyWindow;
+    bool isBodyRead = false; ///< The request was received to its end.
+    std::optional<Timestamp> discardingSince; ///< The response is known, and the rest of the body is discarded.
+    uint64_t discardedBytes = 0;
+    std::optional<Timestamp> lingeringSince; ///< The response was sent during the body.
+    Timestamp rateSince; ///< Start of the period in which rateBytes of the body arrived.
+    uint64_t rateBytes = 0;
+    PausedHook pausedHook; ///< Linked while suspended for the next turn of the event loop.
     std::function<void()> onProgress; ///< Called while libmicrohttpd reads the body.
 
 private:
@@ -86,6 +100,7 @@
     std::optional<requests::HttpRespond> response_;
     bool isResponseQueued_ = false;
     bool isSuspended_ = false;
+    Timestamp suspendedAt_;
     bool isAborted_ = false;
     bool isBodyComplete_ = false; ///< The last part of the response body was added.
     std::string completeBody_; ///< Of a response that was complete from the beginning.
@@ -95,5 +110,8 @@
 };
 
 using HttpExchanges = boost::intrusive::list<HttpExchange, boost::intrusive::constant_time_size<false>>;
+using PausedExchanges = boost::intrusive::list<HttpExchange,
+    boost::intrusive::member_hook<HttpExchange, PausedHook, &HttpExchange::pausedHook>,
+    boost::intrusive::constant_time_size<false>>;
 
 } // namespace saltvane::net
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -20,9 +19,11 @@
 
 namespace {
 
-constexpr unsigned int RefusalConnections = 64; ///< Beyond the limit; accepted to send a 503 response.
+/// Connections beyond the limit that are accepted to send a 503 response, as a part of the limit.
+constexpr uint32_t RefusalDivisor = 8;
+constexpr uint32_t MinRefusalConnections = 2;
+constexpr uint32_t MaxRefusalConnections = 64;
 constexpr size_t ExtraPoolBytes = 8 * 1024; ///< Per connection, for parsed headers and the write buffer.
-constexpr int MaxRunsPerTurn = 8;
 constexpr Duration MaxLimitCheckInterval = 1s;
 constexpr Duration MinLimitCheckInterval = 10ms;
 
@@ -53,23 +54,25 @@
     return SocketAddress::from(info->client_addr, length).address().ip;
 }
 
-/// Idle timeout of libmicrohttpd: a fallback, longer than the limits that this class enforces.
-unsigned int daemonTimeoutSecondsOf(const settings::Limits& limits)
+} // namespace
+
+uint32_t acceptedConnections(uint32_t limit)
 {
-    return static_cast<unsigned int>(std::ceil(toSeconds(limits.idleTimeout + limits.headerTimeout)));
+    return limit + std::clamp(limit / RefusalDivisor, MinRefusalConnections, MaxRefusalConnections);
 }
 
-} // namespace
+uint64_t connectionPoolBytes(uint64_t headerBytes) { return headerBytes + ExtraPoolBytes; }
 
 HttpServer::HttpServer(HttpServerOptions options)
     : options_(std::move(options))
     , maxHeaderBytes_(options_.limits.requestHeaderBytes)
+    , acceptedConnections_(acceptedConnections(options_.limits.connections))
     , lastHandle_(requests::firstHandleOf(options_.listener).value)
     , disconnectMonitor_(options_.loop, [this](HttpConnection& connection) { onClientDisconnected(connection); })
     , runTask_(options_.loop, TaskOrder::AfterIo, [this] { run(); })
     , pollWatcher_(options_.loop, [this](int) { runTask_.schedule(); })
     , daemonTimer_(options_.loop, [this] { runTask_.schedule(); })
-    , limitTimer_(options_.loop, [this] { enforceTimeLimits(); })
+    , limitTimer_(options_.loop, [this] { enforceLimits(); })
 {
 }
 
@@ -96,13 +99,13 @@
         ::setsockopt(listening.value().get(), SOL_SOCKET, SO_SNDBUF, &options_.sendBufferBytes,
             sizeof(options_.sendBufferBytes));
     const auto& limits = options_.limits;
-    const size_t pool = limits.requestHeaderBytes + ExtraPoolBytes;
+    const size_t pool = connectionPoolBytes(limits.requestHeaderBytes);
     const unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     daemon_ = MHD_start_daemon(flags, 0, nullptr, nullptr, &HttpServer::onAccess, this, //
         MHD_OPTION_LISTEN_SOCKET, listening.value().get(), //
-        MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned int>(limits.connections + RefusalConnections), //
+        MHD_OPTION_CONNECTION_LIMIT, acceptedConnections_, //
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, pool, //
-        MHD_OPTION_CONNECTION_TIMEOUT, daemonTimeoutSecondsOf(limits), //
+        MHD_OPTION_CONNECTION_TIMEOUT, 0u, // This class enforces the limits.
         MHD_OPTION_STRICT_FOR_CLIENT, 1, //
         MHD_OPTION_URI_LOG_CALLBACK, &HttpServer::onUri, this, //
         MHD_OPTION_NOTIFY_COMPLETED, &HttpServer::onCompleted, this, //
@@ -118,8 +121,9 @@
 
 void HttpServer::startLimitTimer()
 {
-    limitTimer_.startRepeating(
-        std::clamp(options_.limits.headerTimeout / 4, MinLimitCheckInterval, MaxLimitCheckInterval));
+    const Duration shortest = std::min(
+        {options_.limits.headerTimeout / 4, options_.limits.idleTimeout / 4, options_.paceLimits.minStandstill});
+    limitTimer_.startRepeating(std::clamp(shortest, MinLimitCheckInterval, MaxLimitCheckInterval));
 }
 
 void HttpServer::setCallerLimits(const model::CallerLimits& limits)
@@ -128,16 +132,9 @@
     options_.limits.requestHeaderBytes = std::min(limits.headerBytes, maxHeaderBytes_);
     options_.limits.headerTimeout = limits.headerTimeout;
     options_.limits.idleTimeout = limits.idleTimeout;
-    for (HttpConnection& connection : connections_)
-        setDaemonTimeout(connection.connection);
     startLimitTimer();
 }
 
-void HttpServer::setDaemonTimeout(MHD_Connection* connection) const
-{
-    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, daemonTimeoutSecondsOf(options_.limits));
-}
-
 bool HttpServer::isCallerConnected(requests::HttpHandle handle) const
 {
     HttpExchange* exchange = find(handle);
@@ -163,7 +160,12 @@
 {
     if (!exchange.isSuspended())
         return;
+    exchange.pausedHook.unlink();
     exchange.resume();
+    exchange.connection().lastProgress = monotonicNow();
+    const bool isCallerAwaited = !exchange.isBodyRead && !exchange.isLastBodySent;
+    if (isCallerAwaited)
+        recordProgress(exchange.connection());
     runTask_.schedule();
 }
 
@@ -174,6 +176,8 @@
         return;
     if (!exchange->setResponse(std::move(action)))
         return abort(*exchange);
+    if (!exchange->isBodyRead)
+        exchange->discardingSince = monotonicNow();
     resume(*exchange);
 }
 
@@ -201,7 +205,8 @@
     if (exchange == nullptr)
         return;
     exchange->bodyWindow += action.bytes;
-    if (!exchange->isLastBodySent)
+    const bool isPaused = exchange->pausedHook.is_linked();
+    if (!exchange->isLastBodySent && !isPaused)
         resume(*exchange);
 }
 
@@ -232,57 +237,6 @@
     resume(*exchange);
 }
 
-void HttpServer::run()
-{
-    for (int i = 0; i < MaxRunsPerTurn; ++i) {
-        MHD_run(daemon_);
-        emitProgress();
-        MHD_UNSIGNED_LONG_LONG timeout = 0;
-        if (MHD_get_timeout(daemon_, &timeout) != MHD_YES)
-            return daemonTimer_.stop();
-        if (timeout != 0)
-            return daemonTimer_.startOnce(std::chrono::milliseconds(timeout));
-    }
-    daemonTimer_.startOnce(Duration::zero());
-}
-
-void HttpServer::emitProgress()
-{
-    while (!progressing_.empty()) {
-        HttpExchange& exchange = progressing_.front();
-        progressing_.pop_front();
-        const uint64_t bytes = exchange.drainProgress();
-        if (!exchange.isEnded)
-            options_.sink(requests::HttpResponseProgress {.handle = exchange.handle(), .bytes = bytes});
-    }
-}
-
-bool HttpServer::isOverdue(const HttpConnection& connection) const
-{
-    const Duration waited = monotonicNow() - connection.phaseSince;
-    const Duration headerTimeout = options_.limits.headerTimeout;
-    switch (connection.phase) {
-    case HttpConnection::Phase::BeforeFirst:
-    case HttpConnection::Phase::InHead:
-        return waited > headerTimeout;
-    case HttpConnection::Phase::BetweenRequests:
-        return waited > options_.limits.idleTimeout + headerTimeout;
-    case HttpConnection::Phase::InExchange:
-        return false;
-    }
-    return false;
-}
-
-void HttpServer::enforceTimeLimits()
-{
-    for (HttpConnection& connection : connections_) {
-        if (!isOverdue(connection))
-            continue;
-        ::shutdown(connection.fd, SHUT_RDWR);
-        connection.phase = HttpConnection::Phase::InExchange; // It is being closed.
-    }
-}
-
 void HttpServer::onConnection(
     void* server, MHD_Connection* connection, void** context, MHD_ConnectionNotificationCode code)
 {
@@ -301,17 +255,21 @@
     created->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     created->remoteIp = remoteIpOf(connection);
     created->phaseSince = monotonicNow();
-    setDaemonTimeout(connection);
-    created->isOverLimit = connections_.size() >= options_.limits.connections;
+    created->isOverLimit = isFull() && !makeRoom();
     disconnectMonitor_.add(*created);
     connections_.push_back(*created);
+    recordProgress(*created);
     *context = created.release();
 }
 
 void HttpServer::connectionClosed(HttpConnection& connection)
 {
     const std::unique_ptr<HttpConnection> owned(&connection);
+    // At its limit libmicrohttpd polls its listening socket only from the run after a connection was closed.
+    if (connections_.size() >= acceptedConnections_)
+        runTask_.schedule();
     connections_.erase(connections_.iterator_to(connection));
+    closingCount_ -= connection.isClosing ? 1 : 0;
     const bool hadNoRequest = connection.phase == HttpConnection::Phase::BeforeFirst;
     if (hadNoRequest && !isStopping_ && hasReceivedBytes(connection.fd))
         options_.counters->add(model::Counter::BadHttpRequests);
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -45,7 +45,6 @@
 
 private:
     void startLimitTimer();
-    void setDaemonTimeout(MHD_Connection* connection) const;
 
     // Callbacks of libmicrohttpd.
     static void* onUri(void* server, const char* uri, MHD_Connection* connection);
@@ -59,6 +58,10 @@
     [[nodiscard]] MHD_Result handleAccess(HttpExchange& exchange, const char* data, size_t* size);
     [[nodiscard]] MHD_Result handleHead(HttpExchange& exchange);
     [[nodiscard]] MHD_Result handleBody(HttpExchange& exchange, const char* data, size_t* size);
+    /// Passes on as much of a body as the window allows. Returns the number of bytes.
+    [[nodiscard]] size_t passBody(HttpExchange& exchange, std::string_view bytes);
+    [[nodiscard]] MHD_Result discardBody(HttpExchange& exchange, size_t* size);
+    [[nodiscard]] MHD_Result refuseOversizedBody(HttpExchange& exchange, size_t* size);
     [[nodiscard]] MHD_Result handleEnd(HttpExchange& exchange);
     void readHead(HttpExchange& exchange, const char* method, const char* version) const;
     [[nodiscard]] Result<RequestFraming, EdgeRefusal> readHeadFraming(HttpExchange& exchange) const;
@@ -76,16 +79,40 @@
 
     [[nodiscard]] HttpExchange* find(requests::HttpHandle handle) const;
     void resume(HttpExchange& exchange);
+
+    // Turns of the event loop (httpserverturns.cpp).
     void run();
     void emitProgress();
-    void enforceTimeLimits();
+    void startTurn();
+    void recordCost(HttpConnection& connection, uint64_t bytes);
+    void pauseIfShareIsUsed(HttpExchange& exchange);
+    void resumePaused();
+    [[nodiscard]] bool isTurnUsed() const;
+
+    // Limits of time and of connections (httpserverlimits.cpp).
+    void enforceLimits();
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
+    void enforceExchangeLimits(HttpExchange& exchange);
+    [[nodiscard]] bool isBodyTooSlow(HttpExchange& exchange) const;
+    [[nodiscard]] bool isReaderStalled(HttpConnection& connection) const;
+    void endBody(HttpExchange& exchange);
+    void linger(HttpExchange& exchange);
+    void close(HttpConnection& connection);
+    void recordProgress(HttpConnection& connection);
+    [[nodiscard]] bool isFull() const;
+    [[nodiscard]] bool makeRoom();
 
     HttpServerOptions options_;
     uint64_t maxHeaderBytes_;
+    unsigned int acceptedConnections_; ///< Maximum number, with those that are accepted to be refused.
     std::unordered_map<requests::HttpHandle, std::unique_ptr<HttpExchange>> exchanges_;
     HttpExchanges progressing_; ///< Exchanges with progress that is not reported yet.
     HttpConnections connections_;
+    ClosableConnections closable_; ///< Connections on which the server waits for the caller.
+    size_t closingCount_ = 0; ///< Of connections_.
+    PausedExchanges paused_; ///< In the order in which they used up their share of a turn.
+    uint64_t turn_ = 0; ///< Iteration of the event loop to which turnCost_ belongs.
+    uint64_t turnCost_ = 0;
     uint64_t lastHandle_;
     MHD_Daemon* daemon_ = nullptr;
     bool isStopping_ = false;
--- /dev/null
+++ b/src/net/internal/httpserverlimits.cpp
@@ -0,0 +1,190 @@
+/*
+ * SPDX-License-Identifier: Apache-2.0
+ * saltvane: global traffic steering
+ * Copyright (c) 2026 the saltvane authors
+ */
+#include "net/internal/httpserver.h"
+
+#include "base/monotonicclock.h"
+
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/ioctl.h>
+
+/// Limits of HttpServer on the time that connections take, and on their number.
+namespace saltvane::net {
+
+namespace {
+
+constexpr int StatusTimeout = 408;
+constexpr int MaxUnreadConnections = 8; ///< Passed over for each connection that is closed for a new one.
+
+uint64_t acknowledgedBytes(int fd)
+{
+    tcp_info info {};
+    socklen_t length = sizeof(info);
+    return ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 ? info.tcpi_bytes_acked : 0;
+}
+
+bool hasUnreadBytes(int fd)
+{
+    int bytes = 0;
+    return ::ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
+} // namespace
+
+void HttpServer::enforceLimits()
+{
+    for (auto next = connections_.begin(); next != connections_.end();) {
+        HttpConnection& connection = *next++;
+        if (connection.isClosing)
+            continue;
+        if (connection.phase == HttpConnection::Phase::InExchange && connection.exchange != nullptr)
+            enforceExchangeLimits(*connection.exchange);
+        else if (isOverdue(connection))
+            close(connection);
+    }
+    while (connections_.size() - closingCount_ > options_.limits.connections && makeRoom()) { }
+}
+
+bool HttpServer::isOverdue(const HttpConnection& connection) const
+{
+    const Duration waited = monotonicNow() - connection.phaseSince;
+    const Duration headerTimeout = options_.limits.headerTimeout;
+    switch (connection.phase) {
+    case HttpConnection::Phase::BeforeFirst:
+    case HttpConnection::Phase::InHead:
+        return waited > headerTimeout;
+    case HttpConnection::Phase::BetweenRequests:
+        return waited > options_.limits.idleTimeout + headerTimeout;
+    case HttpConnection::Phase::InExchange:
+        return false;
+    }
+    return false;
+}
+
+void HttpServer::enforceExchangeLimits(HttpExchange& exchange)
+{
+    HttpConnection& connection = exchange.connection();
+    if (exchange.isAborted())
+        return close(connection); // libmicrohttpd would notice it with the next bytes.
+    if (exchange.isSuspended())
+        return; // It waits for the core or for its turn, not for the caller.
+    const Timestamp now = monotonicNow();
+    const CallerPaceLimits& limits = options_.paceLimits;
+    if (exchange.lingeringSince) {
+        if (now - *exchange.lingeringSince > limits.lingerTime)
+            close(connection);
+    } else if (exchange.isResponseQueued()) {
+        if (isReaderStalled(connection))
+            close(connection);
+    } else if (exchange.isBodyRead) {
+        return;
+    } else if (exchange.discardingSince) {
+        if (now - *exchange.discardingSince > limits.discardTime)
+            linger(exchange);
+    } else if (isBodyTooSlow(exchange)) {
+        endBody(exchange);
+    }
+}
+
+bool HttpServer::isBodyTooSlow(HttpExchange& exchange) const
+{
+    const Timestamp now = monotonicNow();
+    if (now - exchange.connection().lastProgress > options_.limits.idleTimeout)
+        return true;
+    const Duration elapsed = now - exchange.rateSince;
+    if (elapsed < options_.paceLimits.bodyRateWindow)
+        return false;
+    const double bytesPerSecond = static_cast<double>(exchange.rateBytes) / toSeconds(elapsed);
+    exchange.rateSince = now;
+    exchange.rateBytes = 0;
+    return bytesPerSecond < static_cast<double>(options_.paceLimits.minBodyBytesPerSecond);
+}
+
+bool HttpServer::isReaderStalled(HttpConnection& connection) const
+{
+    const Timestamp now = monotonicNow();
+    if (const uint64_t bytes = acknowledgedBytes(connection.fd); bytes != connection.acknowledgedBytes) {
+        connection.acknowledgedBytes = bytes;
+        connection.lastProgress = now;
+    }
+    return now - connection.lastProgress > options_.paceLimits.responseStallTime;
+}
+
+void HttpServer::endBody(HttpExchange& exchange)
+{
+    // A core that starts requests before their body is complete may have run a part of this one.
+    const bool isNotRun = options_.isBodyTakenWhole || exchange.bodyReceived == 0;
+    reportAborted(exchange);
+    exchange.isEnded = true;
+    constexpr std::string_view Text = "request body too slow\n";
+    const model::Outcome outcome = isNotRun ? model::Outcome::NotRun : model::Outcome::Unknown;
+    const bool isNew = exchange.setResponse({.handle = exchange.handle(),
+        .status = StatusTimeout,
+        .headers = {{.name = "Content-Type", .value = "text/plain; charset=utf-8"},
+            {.name = "Saltvane-Outcome", .value = std::string(toString(outcome))},
+            {.name = "Saltvane-Reason", .value = std::string(toString(model::Reason::DeadlineExceeded))}},
+        .bodyLength = Text.size(),
+        .bytes = std::string(Text)});
+    if (isNew)
+        linger(exchange);
+    else
+        close(exchange.connection());
+}
+
+void HttpServer::linger(HttpExchange& exchange)
+{
+    exchange.lingeringSince = monotonicNow();
+    exchange.discardedBytes = 0;
+    if (!exchange.sendResponseDuringBody()) {
+        reportAborted(exchange);
+        exchange.abort();
+        return close(exchange.connection());
+    }
+    if (exchange.isStarted && !exchange.isEnded)
+        options_.sink(requests::HttpResponseDone {.handle = exchange.handle()});
+    exchange.isEnded = true;
+}
+
+void HttpServer::close(HttpConnection& connection)
+{
+    if (connection.isClosing)
+        return;
+    connection.closableHook.unlink();
+    connection.isClosing = true;
+    ++closingCount_;
+    ::shutdown(connection.fd, SHUT_RDWR);
+}
+
+void HttpServer::recordProgress(HttpConnection& connection)
+{
+    connection.lastProgress = monotonicNow();
+    connection.closableHook.unlink();
+    const HttpExchange* exchange = connection.exchange;
+    const bool mayHaveRun = exchange != nullptr && !options_.isBodyTakenWhole && exchange->bodyReceived > 0;
+    if (!connection.isClosing && !mayHaveRun)
+        closable_.push_back(connection);
+}
+
+bool HttpServer::isFull() const { return connections_.size() - closingCount_ >= options_.limits.connections; }
+
+bool HttpServer::makeRoom()
+{
+    for (int i = 0; i < MaxUnreadConnections && !closable_.empty() && hasUnreadBytes(closable_.front().fd); ++i)
+        recordProgress(closable_.front()); // It is the server that is behind.
+    if (closable_.empty())
+        return false;
+    HttpConnection& connection = closable_.front();
+    if (monotonicNow() - connection.lastProgress < options_.paceLimits.minStandstill)
+        return false;
+    HttpExchange* exchange = connection.exchange;
+    const bool isInBody = connection.phase == HttpConnection::Phase::InExchange && exchange != nullptr;
+    if (isInBody && !exchange->hasResponse())
+        endBody(*exchange);
+    close(connection);
+    return true;
+}
+
+} // namespace saltvane::net
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr size_t TypicalHeaderCount = 16; ///< Reserved for each request.
+/// Discarded after a response that was sent during the body.
+constexpr uint64_t MaxLingerBytes = 4 * 1024 * 1024;
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr const char* MetricsType = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -56,6 +58,7 @@
     if (owner->phase == HttpConnection::Phase::BetweenRequests)
         owner->phaseSince = monotonicNow();
     owner->phase = HttpConnection::Phase::InHead;
+    self.recordProgress(*owner);
     return self.exchanges_.emplace(handle, std::move(exchange)).first->second.get();
 }
 
@@ -82,6 +85,7 @@
     head.headers.reserve(TypicalHeaderCount);
     MHD_get_connection_values(exchange.connection().connection, MHD_HEADER_KIND, &collectHeader, &head.headers);
     exchange.connection().phase = HttpConnection::Phase::InExchange;
+    exchange.connection().closableHook.unlink();
 }
 
 MHD_Result HttpServer::handleAccess(HttpExchange& exchange, const char* data, size_t* size)
@@ -90,6 +94,8 @@
         return MHD_NO;
     if (!exchange.isHeadSeen)
         return handleHead(exchange);
+    if (*size > 0 && exchange.isSuspended())
+        return MHD_YES; // The next chunk of the same read.
     if (*size > 0)
         return handleBody(exchange, data, size);
     return handleEnd(exchange);
@@ -105,6 +111,8 @@
     const bool hasBody = exchange.framing.bodyLength != 0;
     if (!hasBody)
         return MHD_YES; // libmicrohttpd closes the connection of a POST whose response is queued here.
+    exchange.rateSince = monotonicNow();
+    recordProgress(exchange.connection());
     emitStarted(exchange);
     // A caller that waits for "100 Continue" is refused before it sends its body. Any other caller sends the body
     // anyway: it is read to its end, because closing early would reset the connection and could lose the response.
@@ -143,7 +151,15 @@
             {.name = "Saltvane-Reason", .value = std::string(toString(refusal.reason))}},
         .bodyLength = text.size(),
         .bytes = text});
-    return isNew && exchange.queueResponse() ? MHD_YES : MHD_NO;
+    if (!isNew)
+        return MHD_NO;
+    // A caller that sends its body anyway would lose a response that libmicrohttpd sends before it closes.
+    const bool isBodyComing
+        = refusal.reason == model::Reason::BodyTooLarge && (exchange.isStarted || !exchange.framing.expectsContinue);
+    if (!isBodyComing)
+        return exchange.queueResponse() ? MHD_YES : MHD_NO;
+    linger(exchange);
+    return MHD_YES;
 }
 
 bool HttpServer::respondAtEdge(HttpExchange& exchange) const
@@ -153,6 +169,7 @@
     std::string text = options_.metricsText();
     const uint64_t length = text.size();
     exchange.isEnded = true;
+    exchange.discardingSince = monotonicNow();
     return exchange.setResponse({.handle = exchange.handle(),
         .headers = {{.name = "Content-Type", .value = MetricsType}},
         .bodyLength = length,
@@ -178,33 +195,72 @@
 
 MHD_Result HttpServer::handleBody(HttpExchange& exchange, const char* data, size_t* size)
 {
-    exchange.bodyReceived += *size;
-    if (exchange.bodyReceived > options_.limits.requestBodyBytes) {
-        options_.counters->add(model::Counter::BadHttpRequests);
-        reportAborted(exchange);
-        return MHD_NO;
-    }
-    if (exchange.hasResponse() || exchange.isEnded) {
-        *size = 0; // The rest of the body is discarded.
+    recordProgress(exchange.connection());
+    if (exchange.hasResponse() || exchange.isEnded)
+        return discardBody(exchange, size);
+    if (exchange.bodyReceived + *size > options_.limits.requestBodyBytes)
+        return refuseOversizedBody(exchange, size);
+    const size_t passed = passBody(exchange, {data, *size});
+    recordCost(exchange.connection(), passed);
+    *size -= passed;
+    if (*size > 0 && (exchange.hasResponse() || exchange.isEnded))
+        return discardBody(exchange, size);
+    if (*size == 0) {
+        pauseIfShareIsUsed(exchange);
         return MHD_YES;
     }
-    const size_t accepted = std::min<uint64_t>(*size, exchange.bodyWindow);
-    exchange.bodyReceived -= *size - accepted;
-    exchange.bodyWindow -= accepted;
-    *size -= accepted;
-    if (accepted > 0) {
+    exchange.suspend(); // Until the core opens the window.
+    exchange.connection().closableHook.unlink();
+    return MHD_YES;
+}
+
+size_t HttpServer::passBody(HttpExchange& exchange, std::string_view bytes)
+{
+    size_t passed = 0;
+    while (passed < bytes.size() && exchange.bodyWindow > 0 && !exchange.hasResponse() && !exchange.isEnded) {
+        const std::string_view part = bytes.substr(passed, exchange.bodyWindow);
+        passed += part.size();
+        exchange.bodyReceived += part.size();
+        exchange.bodyWindow -= part.size();
+        exchange.rateBytes += part.size();
         exchange.isLastBodySent = exchange.framing.bodyLength == exchange.bodyReceived;
+        if (exchange.isLastBodySent || !options_.isBodyTakenWhole)
+            exchange.connection().closableHook.unlink(); // The request may run from now on.
         options_.sink(requests::HttpRequestBody {
-            .handle = exchange.handle(), .bytes = std::string(data, accepted), .isLast = exchange.isLastBodySent});
+            .handle = exchange.handle(), .bytes = std::string(part), .isLast = exchange.isLastBodySent});
     }
-    const bool mustWait = *size > 0 && exchange.bodyWindow == 0;
-    if (mustWait && !exchange.hasResponse() && !exchange.isEnded)
-        exchange.suspend();
+    return passed;
+}
+
+MHD_Result HttpServer::discardBody(HttpExchange& exchange, size_t* size)
+{
+    exchange.discardedBytes += *size;
+    recordCost(exchange.connection(), *size);
+    *size = 0;
+    if (exchange.lingeringSince && exchange.discardedBytes > MaxLingerBytes)
+        return MHD_NO;
+    if (!exchange.lingeringSince && exchange.discardedBytes > options_.paceLimits.discardedBytes)
+        linger(exchange);
+    if (exchange.isAborted())
+        return MHD_NO;
+    pauseIfShareIsUsed(exchange);
     return MHD_YES;
 }
 
+MHD_Result HttpServer::refuseOversizedBody(HttpExchange& exchange, size_t* size)
+{
+    reportAborted(exchange);
+    if (refuse(exchange, {.status = 413, .reason = model::Reason::BodyTooLarge, .message = "body too large"}) == MHD_NO)
+        return MHD_NO;
+    return discardBody(exchange, size);
+}
+
 MHD_Result HttpServer::handleEnd(HttpExchange& exchange)
 {
+    exchange.isBodyRead = true;
+    exchange.connection().closableHook.unlink(); // The request may run from now on.
+    if (exchange.lingeringSince)
+        return MHD_NO; // The response has been sent.
     if (!exchange.isStarted && !exchange.isEnded)
         emitStarted(exchange);
     const bool hasBody = exchange.framing.bodyLength != 0;
@@ -239,6 +295,7 @@
     connection.exchange = nullptr;
     connection.phase = HttpConnection::Phase::BetweenRequests;
     connection.phaseSince = monotonicNow();
+    recordProgress(connection);
     if (!exchange.isHeadSeen && !isStopping_)
         options_.counters->add(model::Counter::BadHttpRequests);
     // Keeps the exchange alive until the function returns.
--- a/src/net/tests/httpserverfixture.h
+++ b/src/net/tests/httpserverfixture.h
@@ -22,11 +22,14 @@
 protected:
     void SetUp() override { makeServer({}); }
 
-    void makeServer(settings::Limits limits)
+    void makeServer(settings::Limits limits, CallerPaceLimits paceLimits = {})
     {
+        server.reset();
         server = std::move(makeHttpServer({.loop = runner.loop(),
                                               .address = {.ip = "127.0.0.1", .port = 0},
                                               .limits = limits,
+                                              .paceLimits = paceLimits,
+                                              .isBodyTakenWhole = isBodyTakenWhole,
                                               .sink =
                                                   [this](host::Event event) {
                                                       log.events.push_back(event);
@@ -71,6 +74,7 @@
             && client.hasReceived(expected);
     }
 
+    bool isBodyTakenWhole = true; ///< Of servers made from now on.
     LoopRunner runner;
     EventLog log;
     model::Counters counters;
