Bodies of requests are shared by their dispatches, not copied

Cause: the body is a string. Each dispatch copies it (TargetRequestBody::bytes), the target client appends the copy to another string, which doubles while it grows, and a retry or a peer gets a copy once more. The client held all bytes until the request's end, also those that were sent.

Change: TargetRequestBody carries SharedBytes: blocks with an intrusive count of holders. The target client sends from the blocks and releases each one as soon as it is sent. Blocks count their memory in a BlockMemory, so that what is held is known whoever holds it.

--- a/src/host/tests/fakes/faketarget.cpp
+++ b/src/host/tests/fakes/faketarget.cpp
@@ -88,7 +88,7 @@
         Run* run = find(key);
         if (run == nullptr)
             return;
-        run->body += body.bytes;
+        run->body += body.bytes.text();
         if (!body.bytes.empty())
             send(key, requests::TargetRequestProgress {key.dispatch, body.bytes.size()});
         if (body.isLast)
--- a/src/net/internal/targetclient.cpp
+++ b/src/net/internal/targetclient.cpp
@@ -83,7 +83,7 @@
 void TargetClient::execute(requests::TargetRequestBody action)
 {
     if (TargetExchange* exchange = find(action.dispatch))
-        exchange->addRequestBody(action.bytes, action.isLast);
+        exchange->addRequestBody(std::move(action.bytes), action.isLast);
 }
 
 void TargetClient::execute(const requests::TargetResponseWindow& action)
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -380,13 +380,11 @@
     applyPauses();
 }
 
-void TargetExchange::addRequestBody(std::string_view bytes, bool isLast)
+void TargetExchange::addRequestBody(SharedBytes bytes, bool isLast)
 {
-    if (requestOffset_ == requestBody_.size()) {
-        requestBody_.clear();
-        requestOffset_ = 0;
-    }
-    requestBody_.append(bytes);
+    requestBytes_ += bytes.size();
+    if (!bytes.empty())
+        requestBody_.push_back(std::move(bytes));
     isRequestComplete_ = isRequestComplete_ || isLast;
     resumeSending();
 }
@@ -416,26 +414,46 @@
 size_t TargetExchange::readBody(char* buffer, size_t capacity)
 {
     const auto& length = options_.start.bodyLength;
-    const size_t available = requestBody_.size() - requestOffset_;
-    const bool isTooLong = length && requestSent_ + available > *length;
-    const bool isTooShort = length && available == 0 && isRequestComplete_ && requestSent_ < *length;
+    const bool isTooLong = length && requestSent_ + requestBytes_ > *length;
+    const bool isTooShort = length && requestBytes_ == 0 && isRequestComplete_ && requestSent_ < *length;
     if (isTooLong || isTooShort) {
         failure_ = "request body does not match its declared length";
         return CURL_READFUNC_ABORT;
     }
-    if (available == 0 && !isRequestComplete_) {
+    if (requestBytes_ == 0 && !isRequestComplete_) {
         isSendPaused_ = true;
         return CURL_READFUNC_PAUSE;
     }
-    const size_t count = std::min(capacity, available);
-    std::memcpy(buffer, requestBody_.data() + requestOffset_, count);
-    requestOffset_ += count;
+    const size_t count = takeRequestBody(buffer, capacity);
+    requestBytes_ -= count;
     requestSent_ += count;
     if (count > 0)
         options_.emit(requests::TargetRequestProgress {.dispatch = options_.start.dispatch, .bytes = count});
     return count;
 }
 
+size_t TargetExchange::takeRequestBody(char* buffer, size_t capacity)
+{
+    size_t taken = 0;
+    while (taken < capacity && !requestBody_.empty()) {
+        SharedBytes& part = requestBody_.front();
+        const std::string_view unsent = part.block(requestBlock_).substr(requestOffset_);
+        const size_t count = std::min(capacity - taken, unsent.size());
+        std::memcpy(buffer + taken, unsent.data(), count);
+        taken += count;
+        requestOffset_ += count;
+        if (count < unsent.size())
+            break;
+        part.releaseBlock(requestBlock_++);
+        requestOffset_ = 0;
+        if (requestBlock_ < part.blockCount())
+            continue;
+        requestBody_.pop_front();
+        requestBlock_ = 0;
+    }
+    return taken;
+}
+
 void TargetExchange::end(CURLcode code)
 {
     isInTransfer_ = false;
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "base/sharedbytes.h"
 #include "net/internal/curlloop.h"
 #include "net/internal/requestframing.h"
 #include "net/internal/responsehead.h"
@@ -12,6 +13,7 @@
 #include "requests/exchangetypes.h"
 
 #include <curl/curl.h>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -41,7 +43,7 @@
 
     /// False: the request is invalid and nothing was sent.
     [[nodiscard]] bool start();
-    void addRequestBody(std::string_view bytes, bool isLast);
+    void addRequestBody(SharedBytes bytes, bool isLast);
     void widenWindow(uint64_t bytes);
     /// To be called for a response that arrives before the request is complete: libcurl stops sending the body of a
     /// refused request, but would wait forever if sending is paused.
@@ -87,6 +89,8 @@
     [[nodiscard]] bool isOwnResponse();
     [[nodiscard]] size_t receiveBody(std::string_view bytes);
     [[nodiscard]] size_t readBody(char* buffer, size_t capacity);
+    /// Returns the number of bytes of the request body that were copied into the buffer.
+    [[nodiscard]] size_t takeRequestBody(char* buffer, size_t capacity);
     void emitBody(std::string_view bytes);
     void emitDone();
     void fail(std::string message, bool isRefused = false);
@@ -109,8 +113,10 @@
     std::string failure_; ///< Set by a callback; more specific than libcurl's code.
 
     // Request body.
-    std::string requestBody_; ///< Part of the request body that is buffered.
-    size_t requestOffset_ = 0; ///< Bytes of requestBody_ that were passed to libcurl.
+    std::deque<SharedBytes> requestBody_; ///< Parts of the request body that were not passed to libcurl yet.
+    uint64_t requestBytes_ = 0; ///< Bytes of requestBody_.
+    size_t requestBlock_ = 0; ///< Index of the present block of the first part.
+    size_t requestOffset_ = 0; ///< Bytes of that block that were passed to libcurl.
     uint64_t requestSent_ = 0; ///< Bytes passed to libcurl so far.
     bool isRequestComplete_ = false;
     bool isSendPaused_ = false;
--- a/src/net/tests/targetclienttests.cpp
+++ b/src/net/tests/targetclienttests.cpp
@@ -125,6 +125,30 @@
     }
 }
 
+// Guards against bytes that are lost where blocks of a shared body end, and against blocks that are held after they
+// were sent.
+TEST_F(TargetClientTest, SendsASharedBodyAndReleasesItsBlocks)
+{
+    const BlockMemoryRef memory(new BlockMemory);
+    const std::string text = std::string(300'000, 'x') + "end";
+    SharedBytes bytes;
+    for (const size_t capacity : {1U, 100'000U, 300'000U})
+        bytes.addBlock(capacity, memory);
+    bytes.append(text);
+    TargetStart start = request(1, false);
+    start.method = "POST";
+    start.bodyLength = text.size();
+    client->execute(start);
+    client->execute(TargetRequestBody {.dispatch = start.dispatch, .bytes = std::move(bytes), .isLast = true});
+    RawSocket target;
+    ASSERT_TRUE(acceptRequest(target));
+    ASSERT_TRUE(runner.runUntil([&] { return target.hasReceived(text); }));
+    EXPECT_EQ(memory->bytes, 0u);
+    target.send(Response);
+    ASSERT_TRUE(waitForCompletion());
+    EXPECT_EQ(log.target<TargetResponseDone>().size(), 1u);
+}
+
 TEST_F(TargetClientTest, RequestBodyOfWrongLengthFails)
 {
     for (const std::string_view bytes : {"ab", "abcd"}) {
--- a/src/requests/exchangetypes.h
+++ b/src/requests/exchangetypes.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/sharedbytes.h"
 #include "base/timetypes.h"
 #include "model/message.h"
 #include "model/requestmessages.h"
@@ -174,7 +175,7 @@
 };
 struct TargetRequestBody {
     DispatchId dispatch;
-    std::string bytes;
+    SharedBytes bytes; ///< Other dispatches of the request may share them.
     bool isLast = false;
 };
 struct TargetResponseWindow {
--- a/testing/fleet/peernetwork.cpp
+++ b/testing/fleet/peernetwork.cpp
@@ -81,7 +81,8 @@
     if (!handle)
         return false;
     deliver(exchanges_.at(*handle).to,
-        requests::HttpEvent(requests::HttpRequestBody {.handle = *handle, .bytes = body.bytes, .isLast = body.isLast}));
+        requests::HttpEvent(
+            requests::HttpRequestBody {.handle = *handle, .bytes = body.bytes.text(), .isLast = body.isLast}));
     return true;
 }
 
