The bodies of all requests are bounded by a budget of memory

What callers saw: 12 callers with legal bodies of 60 MB that stop a byte short, with a length or in chunks, brought a gateway of 256 MB to 736 MB; chunks without end to 766 MB.

Cause: RequestRunner appended to Exchange::body and opened the window again by the same number of bytes. The plan's limit of 64 MiB bounds each request; nothing bounds all of them together, nor the time for which a body may stand still or trickle below the request's deadline.

Change: - BodyBudget: half of memory_mb for all bodies, an eighth of it reserved for bodies of up to 64 KiB. The body that has stood still longest gives way (503, no-memory) to one that needs memory, from 250 ms on; at once if all wait for each other. Lists are intrusive and ordered by progress, so no event costs more with more requests. - A body of which less than 256 bytes/s arrive over the idle timeout is refused (408, body-timeout). - The body is released once the response is streamed. Gauge saltvane_body_bytes, reasons in saltvane_refusals_total, body_bytes in event=request; bodies that turn out too large get a log line too.

Ruled out: a lower InitialBodyWindow. It is shared with the links of entry hosts, and the first bytes are within the budget in any case: those that find no memory are refused.

Not bounded here: callers that each send a little all the time can hold the budget until their deadlines; small requests go through as long as the reserve is not filled in the same way.

--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -62,6 +62,7 @@
         .add("limit", exchange.limit ? shortestDecimal(*exchange.limit) : "")
         .add("known", exchange.targetsKnown)
         .add("usable", exchange.targetsUsable)
+        .add("body_bytes", exchange.body.received)
         .add("outcome", model::toString(decision.outcome))
         .add("reason", model::toString(decision.reason))
         .add("status", decision.status)
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "gateway/internal/placement.h"
+#include "gateway/internal/receivedbody.h"
 #include "gateway/internal/requesthasher.h"
 #include "gateway/internal/routetable.h"
 #include "requests/exchangetypes.h"
@@ -33,7 +34,7 @@
     std::string method;
     std::string path;
     std::vector<model::Header> headers; ///< End-to-end headers, without the deadline.
-    std::string body;
+    ReceivedBody body; ///< Shared with its dispatches; released when the response begins to be streamed.
     std::optional<RequestHasher> hasher; ///< Until the body is complete.
     model::RequestDigest digest; ///< Set once the body is complete; the same for all attempts of one request.
     std::optional<uint64_t> object; ///< Hash of the object that the request is about.
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -88,6 +88,7 @@
     , peers_({.zone = settings_.zone, .region = settings_.region})
     , backpressure_(settings_.headers, targets_)
     , link_(settings_.linkMegabitsPerSecond)
+    , bodyBudget_(settings_.limits.memoryBytes)
     , runner_({.headers = settings_.headers,
           .digestKey = deriveDigestKey(settings_.linkKey),
           .targets = targets_,
@@ -102,6 +103,7 @@
           .counters = counters_,
           .latencies = latencies_,
           .link = link_,
+          .bodyBudget = bodyBudget_,
           .credits = credits_,
           .isRegistryLate
           = [this](Timestamp now) { return registry_.freshness(*replica_, now) == RegistryFreshness::Late; },
@@ -582,6 +584,7 @@
         .dispatchesInFlight = static_cast<uint32_t>(runner_.inFlight()),
         .targetsKnown = static_cast<uint32_t>(targets_.size()),
         .areTargetsUnreachable = !reachability_.isReachable(),
+        .bodyBytes = bodyBudget_.held(),
     };
 }
 
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -112,6 +112,7 @@
     BackpressureMonitor backpressure_;
     RequestLatencies latencies_;
     LinkBudget link_;
+    BodyBudget bodyBudget_;
     LimitCredits credits_;
     DecisionLog decisions_;
     TokenBucket slowStartLineBudget_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
--- a/src/gateway/internal/requestcompletion.cpp
+++ b/src/gateway/internal/requestcompletion.cpp
@@ -127,6 +127,7 @@
 void RequestRunner::erase(Exchange& exchange)
 {
     releaseTarget(exchange);
+    bodies_.end(exchange.body);
     deadlines_.erase({exchange.deadline, exchange.handle});
     if (exchange.isInLinkBudget)
         options_.link.recordCompletion(exchange.responseBytes);
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -29,7 +29,7 @@
 {
     static constexpr std::array Reasons {model::Reason::NotReady, model::Reason::Stopping, model::Reason::StaleState,
         model::Reason::NoTarget, model::Reason::ConnectFailed, model::Reason::UnknownService, model::Reason::UnknownKey,
-        model::Reason::TooManyConnections, model::Reason::LinkLimitReached};
+        model::Reason::TooManyConnections, model::Reason::LinkLimitReached, model::Reason::NoMemory};
     return std::ranges::find(Reasons, reason) != Reasons.end();
 }
 
@@ -124,7 +124,7 @@
         .method = exchange.method,
         .path = exchange.path,
         .headers = std::move(headers),
-        .bodyLength = exchange.body.size(),
+        .bodyLength = exchange.body.bytes.size(),
         .isRepeatable = exchange.route.kind != model::RouteKind::AtMostOnce,
         .maxReuseIdleTime = MaxPeerIdle,
         // Without an id, the response is known by its connection only.
@@ -133,9 +133,9 @@
         .deadlineHeader = options_.headers.deadline,
         .deadline = exchange.deadline,
         .caller = exchange.handle});
-    if (!exchange.body.empty())
+    if (!exchange.body.bytes.empty())
         actions_.emplace_back(
-            requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body, .isLast = true});
+            requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body.bytes, .isLast = true});
 }
 
 void RequestRunner::onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -3,6 +3,7 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
+#include "base/unitinterval.h"
 #include "gateway/internal/requestrunner.h"
 #include "requests/headerfilter.h"
 
@@ -63,6 +64,8 @@
     const settings::HeaderNames& names = options_.headers;
     auto exchange = std::make_unique<Exchange>();
     exchange->handle = request.handle;
+    exchange->body.handle = request.handle;
+    exchange->body.length = request.bodyLength;
     exchange->id = RequestId(requests::firstFieldValue(request.headers, names.requestId));
     exchange->method = request.method;
     exchange->path = request.path;
@@ -131,7 +134,7 @@
     if (needsKey && !origin.account)
         return refuseOnArrival(
             request, route, {.status = StatusUnauthorized, .reason = model::Reason::UnknownKey}, now);
-    if (request.bodyLength.value_or(0) > routes_->plan().limits.bodyBytes)
+    if (request.bodyLength.value_or(0) > bodies_.maxBodyBytes())
         return refuseOnArrival(request, route, {.status = StatusTooLarge, .reason = model::Reason::BodyTooLarge}, now);
     const bool isLarge = route->route.kind == model::RouteKind::LargeRead;
     if (isLarge && !options_.link.canCarry(route->route))
@@ -153,7 +156,8 @@
     exchanges_.emplace(request.handle, std::move(newExchange));
     deadlines_.emplace(exchange.deadline, exchange.handle);
     if (request.bodyLength == 0)
-        start(exchange, now);
+        return start(exchange, now);
+    bodies_.start(exchange.body, now);
 }
 
 void RequestRunner::accept(const requests::HttpRequestBody& body, Timestamp now)
@@ -161,23 +165,54 @@
     Exchange* exchange = find(body.handle);
     if (exchange == nullptr || exchange->phase != Exchange::Phase::ReceivingBody)
         return;
-    exchange->body += body.bytes;
-    exchange->hasher->addBody(body.bytes);
-    if (exchange->body.size() > routes_->plan().limits.bodyBytes) {
-        respondWithError(*exchange, StatusTooLarge, model::Reason::BodyTooLarge, Duration::zero());
-        return erase(*exchange);
+    const model::Reason reason = bodies_.receive(exchange->body, body.bytes, now);
+    if (reason != model::Reason::None) {
+        refuseBody(*exchange, reason, now);
+    } else {
+        exchange->hasher->addBody(body.bytes);
+        if (body.isLast)
+            start(*exchange, now);
     }
-    if (!body.isLast) {
-        actions_.emplace_back(requests::HttpRequestWindow {.handle = body.handle, .bytes = body.bytes.size()});
-        return;
+    applyBodyResults(now);
+}
+
+void RequestRunner::applyBodyResults(Timestamp now)
+{
+    for (requests::HttpRequestWindow& window : bodies_.drainWindows()) {
+        if (find(window.handle) != nullptr)
+            actions_.emplace_back(window);
+    }
+    for (const BodyReceiver::Refused& refused : bodies_.drainRefused()) {
+        if (Exchange* exchange = find(refused.handle))
+            refuseBody(*exchange, refused.reason, now);
+    }
+}
+
+void RequestRunner::refuseBody(Exchange& exchange, model::Reason reason, Timestamp now)
+{
+    if (reason == model::Reason::NoMemory) {
+        const uint64_t hash = XXH64(&exchange.handle.value, sizeof(exchange.handle.value), 0);
+        const Duration spread = fromSeconds(toSeconds(NoMemoryRetrySpread) * toUnitInterval(hash));
+        return refuse(exchange, reason, NoMemoryRetryAfter + spread, now);
     }
-    start(*exchange, now);
+    options_.counters.addRefusal(reason);
+    const int status = model::httpStatus(model::Outcome::NotRun, reason);
+    respondWithError(exchange, status, reason, Duration::zero(), reason == model::Reason::BodyTimeout);
+    finish(
+        exchange, {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = reason, .status = status}, now);
+}
+
+void RequestRunner::install(std::shared_ptr<const RouteTable> routes)
+{
+    routes_ = std::move(routes);
+    bodies_.setLimits(routes_->plan().limits);
 }
 
 void RequestRunner::start(Exchange& exchange, Timestamp now)
 {
     exchange.digest = exchange.hasher->finish();
     exchange.hasher.reset();
+    bodies_.end(exchange.body);
     dispatch(exchange, now);
 }
 
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -104,6 +104,7 @@
     exchange.response.isLast = false;
     sendResponse(exchange);
     exchange.response = {};
+    exchange.body.bytes = {}; // No other target gets the request any more.
 }
 
 void RequestRunner::sendResponse(Exchange& exchange)
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -45,6 +45,7 @@
 
 RequestRunner::RequestRunner(Options options)
     : options_(std::move(options))
+    , bodies_(options_.bodyBudget)
 {
 }
 
@@ -253,7 +254,7 @@
         .method = exchange.method,
         .path = exchange.path,
         .headers = std::move(headers),
-        .bodyLength = exchange.body.size(),
+        .bodyLength = exchange.body.bytes.size(),
         .isRepeatable = isRepeatable,
         .maxReuseIdleTime = std::min(idleLimit, std::max(addressAge - IdlePrecision, IdlePrecision)),
         .needsNewConnection = addressAge < IdlePrecision * 2,
@@ -262,9 +263,9 @@
         .deadlineHeader = options_.headers.deadline,
         .deadline = exchange.deadline,
         .caller = exchange.handle});
-    if (!exchange.body.empty())
+    if (!exchange.body.bytes.empty())
         actions_.emplace_back(
-            requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body, .isLast = true});
+            requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body.bytes, .isLast = true});
 }
 
 void RequestRunner::releaseTarget(Exchange& exchange)
@@ -439,6 +440,8 @@
             checkResponse(*exchange, now);
     }
     leaveUnreachableTargets(now);
+    bodies_.tick(now);
+    applyBodyResults(now);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
         Exchange* exchange = find(deadlines_.begin()->second);
         deadlines_.erase(deadlines_.begin());
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -7,6 +7,7 @@
 
 #include "gateway/internal/backpressuremonitor.h"
 #include "gateway/internal/bodyextents.h"
+#include "gateway/internal/bodyreceiver.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/internal/forwardedheader.h"
 #include "gateway/internal/limitcredits.h"
@@ -64,6 +65,7 @@
         model::Counters& counters;
         RequestLatencies& latencies;
         LinkBudget& link;
+        BodyBudget& bodyBudget;
         LimitCredits& credits;
         /// Whether the state of targets and the plan is too old to send requests by.
         std::function<bool(Timestamp)> isRegistryLate;
@@ -83,11 +85,15 @@
     /// Retry delay while the gateway has no plan or its registry information is late. A start takes 0.2 to 0.6 s: a
     /// caller that comes back sooner is refused again, and gives up.
     static constexpr Duration NotReadyRetryAfter = 400ms;
+    /// Retry delay, and the range over which it is spread, while no memory for bodies is free: bodies that stand still
+    /// give way within this time.
+    static constexpr Duration NoMemoryRetryAfter = 300ms;
+    static constexpr Duration NoMemoryRetrySpread = 400ms;
     /// Retry delay while no target is reachable: probes show within this time that they are again.
     static constexpr Duration UnreachableRetryAfter = 400ms;
     static constexpr Duration StoppingRetryAfter = 50ms; ///< Other gateways serve the caller meanwhile.
 
-    void install(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
+    void install(std::shared_ptr<const RouteTable> routes);
     /// Whether a newer plan may be in force. Callers treat "no such route" as final, so a request whose route may exist
     /// in the newer plan only is asked to come back instead.
     void setPlanUncertain(bool isUncertain) { isPlanUncertain_ = isUncertain; }
@@ -149,6 +155,10 @@
     /// Returns false if the request has to wait for a credit of the limit that this target stated.
     [[nodiscard]] bool tryAcquireTargetCredit(Exchange& exchange, const TargetSelection& selection, Timestamp now);
     void onTargetCreditResult(Exchange& exchange, const LimitCredits::CreditResult& result, Timestamp now);
+    /// Opens windows of bodies, and refuses the requests whose bodies were given up.
+    void applyBodyResults(Timestamp now);
+    /// The body can't be received.
+    void refuseBody(Exchange& exchange, model::Reason reason, Timestamp now);
     /// The request was received completely.
     void start(Exchange& exchange, Timestamp now);
     /// Selects a target and sends the request; refuses it if no target is available.
@@ -269,6 +279,7 @@
     [[nodiscard]] Exchange* find(requests::DispatchId dispatch) const;
 
     Options options_;
+    BodyReceiver bodies_;
     std::shared_ptr<const RouteTable> routes_;
     Exchanges exchanges_;
     std::unordered_map<requests::DispatchId, Exchange*> dispatches_;
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -45,6 +45,7 @@
     settings.planLimit = options.planLimit;
     settings.rolloutShare = options.rolloutShare;
     settings.lookUpTtl = options.lookUpTtl;
+    settings.limits.memoryBytes = options.memoryBytes;
     if (options.isFirstSeedDown)
         settings.seeds.insert(settings.seeds.begin(), {.ip = "10.0.0.8", .port = 7000});
     gateway_ = makeGateway({.settings = settings, .incarnation = {1}});
@@ -74,6 +75,10 @@
             (start->path == "/health" ? probes_ : starts_).push_back(std::move(*start));
         else if (auto* response = std::get_if<requests::HttpRespond>(request))
             responses_.push_back(std::move(*response));
+        else if (const auto* window = std::get_if<requests::HttpRequestWindow>(request))
+            windows_[window->handle] += window->bytes;
+        else if (auto* body = std::get_if<requests::TargetRequestBody>(request))
+            requestBodies_.push_back(std::move(*body));
         else if (std::holds_alternative<requests::TargetCancel>(*request))
             ++cancels_;
     }
@@ -188,17 +193,23 @@
         {.name = "Saltvane-Request-Id", .value = caller.id}, {.name = "Saltvane-Object", .value = caller.object},
         {.name = "Saltvane-Deadline-Ms", .value = caller.deadlineMs}, {.name = "Connection", .value = "keep-alive"}};
     headers.insert(headers.end(), caller.extraHeaders.begin(), caller.extraHeaders.end());
+    const uint64_t length = caller.bodyLength.value_or(caller.body.size());
     this->handle(requests::HttpEvent(requests::HttpRequestStarted {.handle = handle,
         .method = caller.method,
         .path = caller.path,
         .headers = std::move(headers),
-        .bodyLength = caller.body.size()}));
+        .bodyLength = caller.isChunked ? std::nullopt : std::optional(length)}));
     return handle;
 }
 
 void GatewayFixture::sendRequestBody(requests::HttpHandle handle, const std::string& body)
 {
-    this->handle(requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = body, .isLast = true}));
+    sendRequestBodyPart(handle, body, true);
+}
+
+void GatewayFixture::sendRequestBodyPart(requests::HttpHandle handle, const std::string& bytes, bool isLast)
+{
+    this->handle(requests::HttpEvent(requests::HttpRequestBody {.handle = handle, .bytes = bytes, .isLast = isLast}));
 }
 
 void GatewayFixture::abort(requests::HttpHandle handle)
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -9,6 +9,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -28,6 +29,7 @@
         Duration planLimit = 2500ms;
         double rolloutShare = 0.05;
         Duration lookUpTtl = 2s;
+        uint64_t memoryBytes = 256ull * 1024 * 1024;
         bool isFirstSeedDown = false; ///< Adds a seed before `Registry` that sends nothing.
     };
     GatewayFixture();
@@ -51,6 +53,8 @@
         std::string object = "7";
         std::string deadlineMs = "2000";
         std::string body;
+        std::optional<uint64_t> bodyLength; ///< As stated in the head, if it isn't that of `body`.
+        bool isChunked = false;
         std::string host = "prices.example";
         std::vector<model::Header> extraHeaders;
     };
@@ -58,6 +62,7 @@
     /// The same without its body, which sendRequestBody() sends.
     requests::HttpHandle sendRequestHead(const CallerRequest& caller);
     void sendRequestBody(requests::HttpHandle handle, const std::string& body);
+    void sendRequestBodyPart(requests::HttpHandle handle, const std::string& bytes, bool isLast = false);
     void abort(requests::HttpHandle handle);
     /// The caller has received the whole response.
     void deliverResponse(requests::HttpHandle handle);
@@ -97,6 +102,13 @@
     /// Probes that were sent to targets since the last call.
     [[nodiscard]] std::vector<requests::TargetStart> takeProbes();
     [[nodiscard]] std::optional<requests::HttpRespond> takeResponse();
+    /// Bytes by which the window of the request's body was widened since the last call.
+    [[nodiscard]] uint64_t takeWindow(requests::HttpHandle handle) { return std::exchange(windows_[handle], 0); }
+    /// Bodies that were sent to targets since the last call.
+    [[nodiscard]] std::vector<requests::TargetRequestBody> takeRequestBodies()
+    {
+        return std::exchange(requestBodies_, {});
+    }
     [[nodiscard]] size_t takeCancels();
     [[nodiscard]] bool takeStopFinished();
     /// Suspect requests in the latest report to the registry.
@@ -149,6 +161,8 @@
     std::vector<requests::TargetStart> starts_;
     std::vector<requests::TargetStart> probes_;
     std::vector<requests::HttpRespond> responses_;
+    std::map<requests::HttpHandle, uint64_t> windows_;
+    std::vector<requests::TargetRequestBody> requestBodies_;
     size_t cancels_ = 0;
     bool isStopFinished_ = false;
     std::vector<model::SuspectRequest> reportedSuspects_;
--- a/src/host/hosttypes.h
+++ b/src/host/hosttypes.h
@@ -110,6 +110,7 @@
     bool areTargetsUnreachable = false; ///< Of a gateway: all targets fail on its side of the network.
     uint32_t gatewaysKnown = 0; ///< Of a registry host.
     std::map<ServiceName, model::RolloutPhase> rollouts; ///< Latest rollout of each service; empty without proof.
+    uint64_t bodyBytes = 0; ///< Of a gateway: bytes held for bodies of requests.
     uint64_t callBytes = 0; ///< Of a registry host: bytes of bodies, orders and responses of calls in progress.
 };
 
--- a/src/model/internal/reasons.cpp
+++ b/src/model/internal/reasons.cpp
@@ -60,6 +60,8 @@
     {.text = "rate-limited", .notRunStatus = 429},
     {.text = "limit-unknown"},
     {.text = "back-pressure"},
+    {.text = "no-memory"},
+    {.text = "body-timeout", .notRunStatus = 408},
 }};
 
 constexpr bool allReasonsHaveText()
--- a/src/model/reasons.h
+++ b/src/model/reasons.h
@@ -58,6 +58,8 @@
     RateLimited, ///< The limit of the client account is exhausted.
     LimitUnknown, ///< No registry host reports how much of the client account's limit is left.
     BackPressure, ///< The targets that could run the request report that they accept no more for now.
+    NoMemory, ///< The memory for bodies of requests is used up.
+    BodyTimeout, ///< The request's body arrived too slowly.
     Count
 };
 
--- a/src/saltvaned/internal/metricstext.cpp
+++ b/src/saltvaned/internal/metricstext.cpp
@@ -156,6 +156,8 @@
         static_cast<double>(input.linkMemoryBytes)));
     families.push_back(makeGauge(
         "saltvane_call_bytes", "Bodies of calls under way at a registry host", static_cast<double>(status.callBytes)));
+    families.push_back(
+        makeGauge("saltvane_body_bytes", "Memory held for bodies of requests", static_cast<double>(status.bodyBytes)));
     families.push_back(
         makeGauge("saltvane_resident_bytes", "Memory of this process", static_cast<double>(input.residentBytes)));
     families.push_back(makeGauge("saltvane_stood_still_seconds",
