Requests that can't find a target are refused before their bodies

Cause: a request was judged only once its body was complete, though nothing in the body changes the result.

Change: a request with a body is refused on its head, with the same reason and Retry-After, if no target of its service is known in a region that its route and account permit, and targets are reachable (else it may be forwarded). Targets are counted by region as they enter and leave the rankings, so that the check doesn't grow with them. As for all refusals on arrival, the connection is not closed while the body may still arrive.

Not done: refusing on the head for an account's used-up limit. A gateway doesn't know that locally: credits are asked for, and no refusal is remembered.

--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -85,6 +85,19 @@
     return object && warmObjects_.isWarm(*object, target.incarnationHash, now);
 }
 
+bool Placement::isPermitted(const RegionName& region, const model::Route& route, const model::ClientAccount* account)
+{
+    return isRegionPermitted(route.permittedRegions, region)
+        && (account == nullptr || isRegionPermitted(account->permittedRegions, region));
+}
+
+bool Placement::hasTargets(
+    const ServiceName& service, const model::Route& route, const model::ClientAccount* account) const
+{
+    return std::ranges::any_of(
+        targets_.regionsOf(service), [&](const RegionName& region) { return isPermitted(region, route, account); });
+}
+
 Duration Placement::estimate(const GatewayTarget& target, Duration processingTime, Timestamp now) const
 {
     const double slots = std::max(target.record.slots, 1U);
@@ -113,10 +126,7 @@
 
 bool Placement::isPermitted(const GatewayTarget& target, const PlacementQuery& query) const
 {
-    const RegionName& region = target.zone->region;
-    if (!isRegionPermitted(query.route.permittedRegions, region))
-        return false;
-    if (query.account != nullptr && !isRegionPermitted(query.account->permittedRegions, region))
+    if (!isPermitted(target.zone->region, query.route, query.account))
         return false;
     return std::ranges::find(query.attemptedTargets, target.id()) == query.attemptedTargets.end();
 }
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -58,6 +58,9 @@
     Placement(TargetSet& targets, const RegionSplit& split, uint64_t seed);
 
     [[nodiscard]] std::variant<TargetSelection, PlacementRefusal> choose(const PlacementQuery& query, Timestamp now);
+    /// Whether any target is known that the route and the account permit.
+    [[nodiscard]] bool hasTargets(
+        const ServiceName& service, const model::Route& route, const model::ClientAccount* account) const;
     /// Measurements from the head of a response, about the target and its service.
     struct Response {
         const model::RouteName& route;
@@ -121,6 +124,8 @@
     [[nodiscard]] TargetSelection selectBest(Candidates& candidates, const PlacementQuery& query, Timestamp now) const;
     [[nodiscard]] bool canRespondInTime(const GatewayTarget& target, Duration estimate, bool isLikelyWarm,
         const PlacementQuery& query, Timestamp now) const;
+    [[nodiscard]] static bool isPermitted(
+        const RegionName& region, const model::Route& route, const model::ClientAccount* account);
     [[nodiscard]] bool isPermitted(const GatewayTarget& target, const PlacementQuery& query) const;
     /// Selects a target although no response can be expected in time, so that learnt processing times can be corrected.
     /// No target if no trial is due or no target has a free slot.
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -105,6 +105,13 @@
     return exchange;
 }
 
+bool RequestRunner::mayFindTarget(const Exchange& exchange) const
+{
+    const model::ClientAccount* account = exchange.account ? &exchange.account->account : nullptr;
+    return !options_.reachability.isReachable()
+        || options_.placement.hasTargets(exchange.service, exchange.route, account);
+}
+
 void RequestRunner::accept(const requests::HttpRequestStarted& request, Timestamp now)
 {
     options_.counters.add(model::Counter::Requests);
@@ -144,6 +151,9 @@
     if (!canCompleteBeforeStop(*newExchange, now))
         return refuseOnArrival(
             request, route, {.reason = model::Reason::Stopping, .retryAfter = StoppingRetryAfter}, now);
+    if (request.bodyLength != 0 && !mayFindTarget(*newExchange))
+        return refuseOnArrival(
+            request, route, {.reason = model::Reason::NoTarget, .retryAfter = UnreachableRetryAfter}, now);
     newExchange->isInLinkBudget = isLarge;
     if (isLarge)
         options_.link.recordStart();
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -159,6 +159,8 @@
     void applyBodyResults(Timestamp now);
     /// The body can't be received.
     void refuseBody(Exchange& exchange, model::Reason reason, Timestamp now);
+    /// Whether the request may be dispatched or forwarded once its body is complete.
+    [[nodiscard]] bool mayFindTarget(const Exchange& exchange) const;
     /// The request was received completely.
     void start(Exchange& exchange, Timestamp now);
     /// Selects a target and sends the request; refuses it if no target is available.
--- a/src/gateway/internal/targetset.cpp
+++ b/src/gateway/internal/targetset.cpp
@@ -212,12 +212,14 @@
 {
     target.group = &groupOf(target.record, now);
     target.group->ranking.add(target, proximityOf(target));
+    ++services_[target.record.service].rankedByRegion[target.zone->region];
     target.group->slots += target.record.slots;
 }
 
 void TargetSet::removeFromRanking(GatewayTarget& target)
 {
     target.group->ranking.remove(target, proximityOf(target));
+    --services_[target.record.service].rankedByRegion[target.zone->region];
     target.group->slots -= target.record.slots;
     target.group = nullptr;
 }
@@ -554,6 +556,19 @@
     return count;
 }
 
+std::vector<RegionName> TargetSet::regionsOf(const ServiceName& service) const
+{
+    std::vector<RegionName> regions;
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return regions;
+    for (const auto& [region, count] : found->second.rankedByRegion) {
+        if (count > 0)
+            regions.push_back(region);
+    }
+    return regions;
+}
+
 ServiceCapacity TargetSet::capacityOf(const ServiceName& service) const
 {
     ServiceCapacity all;
--- a/src/gateway/internal/targetset.h
+++ b/src/gateway/internal/targetset.h
@@ -110,6 +110,8 @@
     void addTargetState(model::RolloutReport& report) const;
     [[nodiscard]] ServiceCapacity capacityOf(const ServiceName& service) const;
     [[nodiscard]] size_t countOf(const ServiceName& service) const;
+    /// Regions in which targets of the service are known that did not leave.
+    [[nodiscard]] std::vector<RegionName> regionsOf(const ServiceName& service) const;
     /// Applies the lengths of slow starts that the plan states.
     void install(const model::RoutePlan& plan);
     /// Whether the registry's information is current (RegistryWatch::isConfirmed()).
@@ -139,6 +141,7 @@
             size_t targets = 0;
         };
         std::map<RegionName, Capacity> capacityByRegion;
+        std::map<RegionName, size_t> rankedByRegion; ///< Targets in the rankings of `versions`.
     };
 
     void applyOrders(const model::TargetReport& report, Timestamp now);
