Connections of callers are derived from descriptors and memory

With limits.connections at its default (4,096 and 64 at each address) and 4,096 descriptors, a full house of callers left none for links, targets and files; the pools of 4,096 connections may hold 98 MB, whatever memory_mb says.

Change: at start the daemon divides half of the descriptors (RLIMIT_NOFILE) and a quarter of memory_mb among its addresses, the operators' addresses apart, and connections that are accepted to be refused included; limits.connections stays the upper bound. Bodies of more than 1 MiB are not read at the addresses that take none (readiness, directory, metrics).

Ruled out: a bound for all addresses together, at which a crowd at one would close the others; a share by the number of hosts, which a host doesn't know at its start. A registry host of 2,000 gateways has 2,048 descriptors for their links at 4,096.

Figures: 4,096 descriptors and 256 MB: 1,856 callers at a gateway (4,096 before), 1,258 and 597 at a registry host; 64 MB: 534 and 803, 385.

--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -48,14 +48,25 @@
         uint64_t memoryBytes = 0; ///< Memory limit of the host.
     };
 
+    /// One of the addresses that HTTP is served on.
+    struct HttpAddress {
+        model::Address address;
+        settings::Limits limits;
+        net::CallerPaceLimits paceLimits {};
+        bool isBodyTakenWhole = false;
+        bool isMetricsServed = false;
+        int sendBufferBytes = 0;
+    };
+
     Result<Success, IoError> openAdapters(const settings::HostSettings& settings);
     Result<Success, IoError> openAdapters(const settings::RoutedHostSettings& settings);
+    [[nodiscard]] static HttpAddress withoutLargeBodies(HttpAddress http);
+    Result<Success, IoError> openHttpServers(const settings::RoutedHostSettings& settings);
     Result<Success, IoError> openDataFolder(const std::string& path);
     Result<Success, IoError> openLinks(const LinkIdentity& identity);
     Result<Success, IoError> openTargetClient(Duration connectTimeout, int receiveBufferBytes);
     /// Adds a server to httpServers_; its index there is its listener number.
-    Result<Success, IoError> openHttpServer(
-        const model::Address& address, const settings::Limits& limits, bool isMetricsServed, int sendBufferBytes);
+    Result<Success, IoError> openHttpServer(const HttpAddress& http);
     [[nodiscard]] std::unique_ptr<host::IHostCore> makeRoutedCore(
         const settings::RoutedHostSettings& settings, Incarnation incarnation) const;
     /// Returns why a request must not be sent to its target any more, or None.
--- a/src/saltvaned/internal/daemonadapters.cpp
+++ b/src/saltvaned/internal/daemonadapters.cpp
@@ -7,9 +7,11 @@
 #include "gateway/igateway.h"
 #include "registry/iregistry.h"
 #include "saltvaned/internal/clocks.h"
+#include "saltvaned/internal/connectionshares.h"
 #include "saltvaned/internal/daemon.h"
 #include "saltvaned/internal/metricstext.h"
 
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <sodium.h>
@@ -62,6 +64,14 @@
 /// The buffers of all links together may use the host's memory limit divided by this.
 constexpr uint64_t LinkMemoryDivisor = 4;
 
+/// Largest body at the addresses that read none.
+constexpr uint64_t SmallBodyBytes = 1024 * 1024;
+
+// Shares of the connections. Targets report on the control address, often on kept connections; look-ups are short.
+constexpr uint32_t FrontWeight = 1;
+constexpr uint32_t ControlWeight = 2;
+constexpr uint32_t DirectoryWeight = 1;
+
 uint64_t randomSeed()
 {
     uint64_t seed = 0;
@@ -95,7 +105,14 @@
         return linked;
     if (auto opened = openTargetClient(DefaultConnectTimeout, 0); !opened)
         return opened;
-    return openHttpServer(settings.entryAddress, settings.limits, true, 0);
+    settings::Limits limits = settings.limits;
+    limits.connections = callerConnections({.descriptors = descriptorLimit(),
+                                               .memoryBytes = limits.memoryBytes,
+                                               .headerBytes = limits.requestHeaderBytes,
+                                               .limit = limits.connections,
+                                               .callerWeights = FrontWeight},
+        FrontWeight);
+    return openHttpServer({.address = settings.entryAddress, .limits = limits, .isMetricsServed = true});
 }
 
 Result<Success, IoError> Daemon::openAdapters(const settings::RoutedHostSettings& settings)
@@ -119,17 +136,49 @@
     const int bufferBytes = socketBufferBytes(settings.linkMegabitsPerSecond);
     if (auto opened = openTargetClient(GatewayConnectTimeout, bufferBytes); settings.isGateway && !opened)
         return opened;
+    return openHttpServers(settings);
+}
+
+Daemon::HttpAddress Daemon::withoutLargeBodies(HttpAddress http)
+{
+    http.limits.requestBodyBytes = std::min(http.limits.requestBodyBytes, SmallBodyBytes);
+    http.paceLimits.discardedBytes = SmallBodyBytes;
+    return http;
+}
+
+Result<Success, IoError> Daemon::openHttpServers(const settings::RoutedHostSettings& settings)
+{
+    const bool hasMetrics = settings.metricsAddress.port != 0;
+    const uint32_t operatorAddresses = (settings.isGateway ? 1 : 0) + (hasMetrics ? 1 : 0);
+    const ConnectionResources resources {.descriptors = descriptorLimit(),
+        .memoryBytes = settings.limits.memoryBytes,
+        .headerBytes = settings.limits.requestHeaderBytes,
+        .limit = settings.limits.connections,
+        .callerWeights = settings.isGateway ? FrontWeight : ControlWeight + DirectoryWeight,
+        .operatorAddresses = operatorAddresses};
+    const int bufferBytes = socketBufferBytes(settings.linkMegabitsPerSecond);
+    const auto describe = [&](const model::Address& address, uint32_t connections) {
+        HttpAddress http {
+            .address = address, .limits = settings.limits, .isBodyTakenWhole = true, .sendBufferBytes = bufferBytes};
+        http.limits.connections = connections;
+        return http;
+    };
     // In the order of gateway::Listener and registry::Listener.
-    const std::array<model::Address, 2> addresses = settings.isGateway
-        ? std::array {settings.frontAddress, settings.readinessAddress}
-        : std::array {settings.controlAddress, settings.directoryAddress};
-    for (const model::Address& address : addresses) {
-        if (auto opened = openHttpServer(address, settings.limits, false, bufferBytes); !opened)
+    const std::array<HttpAddress, 2> addresses = settings.isGateway
+        ? std::array {describe(settings.frontAddress, callerConnections(resources, FrontWeight)),
+            withoutLargeBodies(describe(settings.readinessAddress, operatorConnections(resources)))}
+        : std::array {describe(settings.controlAddress, callerConnections(resources, ControlWeight)),
+            withoutLargeBodies(describe(settings.directoryAddress, callerConnections(resources, DirectoryWeight)))};
+    for (const HttpAddress& address : addresses) {
+        if (auto opened = openHttpServer(address); !opened)
             return opened;
     }
-    if (settings.metricsAddress.port == 0)
+    if (!hasMetrics)
         return Success {};
-    return openHttpServer(settings.metricsAddress, settings.limits, true, 0);
+    HttpAddress metrics = withoutLargeBodies(describe(settings.metricsAddress, operatorConnections(resources)));
+    metrics.isMetricsServed = true;
+    metrics.sendBufferBytes = 0;
+    return openHttpServer(metrics);
 }
 
 std::unique_ptr<host::IHostCore> Daemon::makeRoutedCore(
@@ -186,17 +235,18 @@
     return Success {};
 }
 
-Result<Success, IoError> Daemon::openHttpServer(
-    const model::Address& address, const settings::Limits& limits, bool isMetricsServed, int sendBufferBytes)
+Result<Success, IoError> Daemon::openHttpServer(const HttpAddress& http)
 {
     Result<std::unique_ptr<net::IHttpServer>, IoError> httpServer = net::makeHttpServer({.loop = loop_,
-        .address = address,
-        .limits = limits,
+        .address = http.address,
+        .limits = http.limits,
+        .paceLimits = http.paceLimits,
+        .isBodyTakenWhole = http.isBodyTakenWhole,
         .sink = [this](host::Event event) { deliver(std::move(event)); },
         .counters = &adapterCounters_,
         .listener = static_cast<uint8_t>(httpServers_.size()),
-        .sendBufferBytes = sendBufferBytes,
-        .isMetricsServed = isMetricsServed,
+        .sendBufferBytes = http.sendBufferBytes,
+        .isMetricsServed = http.isMetricsServed,
         .metricsText =
             [this] {
                 const net::LinkBacklog backlog = linkHub_ ? linkHub_->backlog() : net::LinkBacklog {};
