HTTP server: bodies that trickle keep no connection that others need

Cause: a connection makes room for a new one when it has stood still for a second, and each byte of a body counted as progress. Now fewer bytes than the least rate of bodies (512) count as none, so that such a connection keeps its place among those that may be closed. A body that reaches the rate, and any body while there is room, is served as before.

--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -61,7 +61,8 @@
     uint64_t minBodyBytesPerSecond = 512;
     Duration bodyRateWindow = 60s;
     Duration responseStallTime = 60s; ///< Without a byte of the response acknowledged by the caller's host.
-    /// A connection that made no progress for this long may be closed for a new one at Limits::connections.
+    /// A connection that made no progress for this long may be closed for a new one at Limits::connections. Fewer body
+    /// bytes than minBodyBytesPerSecond count as none.
     Duration minStandstill = 1s;
 };
 
--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -35,6 +35,7 @@
     Phase phase = Phase::BeforeFirst;
     Timestamp phaseSince;
     Timestamp lastProgress; ///< When bytes last arrived, or were last acknowledged while a response is sent.
+    Timestamp closableSince; ///< Of the progress by which it has its place in closableHook's list.
     uint64_t acknowledgedBytes = 0; ///< By the caller's host, as of lastProgress.
     uint64_t turn = 0; ///< Iteration of the event loop to which turnCost belongs.
     uint64_t turnCost = 0;
--- a/src/net/internal/httpexchange.h
+++ b/src/net/internal/httpexchange.h
@@ -82,6 +82,8 @@
     std::optional<Timestamp> lingeringSince; ///< The response was sent during the body.
     Timestamp rateSince; ///< Start of the period in which rateBytes of the body arrived.
     uint64_t rateBytes = 0;
+    uint64_t progressBytes
+        = 0; ///< Bytes of the body since the connection's place in the list of closable ones changed.
     PausedHook pausedHook; ///< Linked while suspended for the next turn of the event loop.
     std::function<void()> onProgress; ///< Called while libmicrohttpd reads the body.
 
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -98,6 +98,7 @@
     void endBody(HttpExchange& exchange);
     void linger(HttpExchange& exchange);
     void close(HttpConnection& connection);
+    void recordBodyProgress(HttpExchange& exchange, size_t bytes);
     void recordProgress(HttpConnection& connection);
     [[nodiscard]] bool isFull() const;
     [[nodiscard]] bool makeRoom();
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -158,9 +158,21 @@
     ::shutdown(connection.fd, SHUT_RDWR);
 }
 
+void HttpServer::recordBodyProgress(HttpExchange& exchange, size_t bytes)
+{
+    HttpConnection& connection = exchange.connection();
+    connection.lastProgress = monotonicNow();
+    exchange.progressBytes += bytes;
+    if (options_.isBodyTakenWhole && exchange.progressBytes < options_.paceLimits.minBodyBytesPerSecond)
+        return; // A body that trickles keeps its place among the connections that may be closed.
+    exchange.progressBytes = 0;
+    recordProgress(connection);
+}
+
 void HttpServer::recordProgress(HttpConnection& connection)
 {
     connection.lastProgress = monotonicNow();
+    connection.closableSince = connection.lastProgress;
     connection.closableHook.unlink();
     const HttpExchange* exchange = connection.exchange;
     const bool mayHaveRun = exchange != nullptr && !options_.isBodyTakenWhole && exchange->bodyReceived > 0;
@@ -177,7 +189,7 @@
     if (closable_.empty())
         return false;
     HttpConnection& connection = closable_.front();
-    if (monotonicNow() - connection.lastProgress < options_.paceLimits.minStandstill)
+    if (monotonicNow() - connection.closableSince < options_.paceLimits.minStandstill)
         return false;
     HttpExchange* exchange = connection.exchange;
     const bool isInBody = connection.phase == HttpConnection::Phase::InExchange && exchange != nullptr;
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -195,7 +195,7 @@
 
 MHD_Result HttpServer::handleBody(HttpExchange& exchange, const char* data, size_t* size)
 {
-    recordProgress(exchange.connection());
+    recordBodyProgress(exchange, *size);
     if (exchange.hasResponse() || exchange.isEnded)
         return discardBody(exchange, size);
     if (exchange.bodyReceived + *size > options_.limits.requestBodyBytes)
--- a/src/net/tests/callerpacetests.cpp
+++ b/src/net/tests/callerpacetests.cpp
@@ -287,6 +287,21 @@
     EXPECT_TRUE(client.hasReceived("Saltvane-Outcome: unknown"));
 }
 
+// Guards against callers that keep all connections with a byte of their body now and then.
+TEST_F(CallerPaceTest, BodiesThatTrickleMakeRoom)
+{
+    makeServer({.connections = 1}, {.minStandstill = 100ms});
+    respondAtOnce({.bodyLength = 2, .bytes = "ok"});
+    auto trickle = connect();
+    trickle.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
+    for (int byte = 0; byte < 10; ++byte) {
+        trickle.send("a");
+        waitFor(20ms);
+    }
+    auto caller = connect();
+    EXPECT_TRUE(exchange(caller, PlainGet, "\r\n\r\nok"));
+}
+
 // Guards against a crowd that also takes the connections kept for refusals: none was accepted then, and none closed.
 TEST_F(CallerPaceTest, CrowdOfSilentConnectionsMakesRoomForACaller)
 {
