Fleet: second responses don't pass for responses on new connections

Cause: since the fake of targets says which responses came on new connections, and a second response, which waits on a connection from before, kept the mark of the one that it copies. A gateway rightly takes a refusal without an id on a new connection for the request's own. The fake is mended; no check changes.

--- a/testing/fleet/crashingtargets.cpp
+++ b/testing/fleet/crashingtargets.cpp
@@ -321,6 +321,7 @@
         return;
     ++surplusSent_;
     surplus.head.dispatch = run.dispatch;
+    surplus.head.isNewConnection = false; // It waited on a connection from before.
     const Duration delay = Duration(
         std::uniform_int_distribution<int64_t>(Duration(10ms).count(), options_.maxProcessingTime.count())(random_));
     sendEvent(run.gateway, std::move(surplus.head), delay);
