HTTP server: counts and logs connections that it closes as idle, and those with unread bytes

Whether a caller's connection ended because it was closed as idle could not be told from logs or metrics: no exchange exists yet, so no decision line names the request. Counters saltvane_idle_closes_total and saltvane_unread_closes_total, log line connection_closed_unread.

--- a/src/model/internal/counters.cpp
+++ b/src/model/internal/counters.cpp
@@ -61,6 +61,9 @@
         .help = "Requests sent to targets while the registry's information was not current."},
     {.name = "saltvane_surplus_responses_total",
         .help = "Times that a target sent bytes on a kept connection on which no request waited for them."},
+    {.name = "saltvane_idle_closes_total", .help = "Callers' connections closed after the idle time limit."},
+    {.name = "saltvane_unread_closes_total",
+        .help = "The part of saltvane_idle_closes_total with bytes of the caller that were not read."},
     {.name = "saltvane_unacknowledged_closes_total",
         .help = "Connections to targets that were closed with unacknowledged bytes of a request."},
 }};
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -92,6 +92,8 @@
     // Limits of time and of connections (httpserverlimits.cpp).
     void enforceLimits();
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
+    void closeOverdue(HttpConnection& connection);
+    void recordIdleClose(const HttpConnection& connection) const;
     void enforceExchangeLimits(HttpExchange& exchange);
     [[nodiscard]] bool isBodyTooSlow(HttpExchange& exchange) const;
     [[nodiscard]] bool isReaderStalled(HttpConnection& connection) const;
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -5,6 +5,7 @@
  */
 #include "net/internal/httpserver.h"
 
+#include "base/log.h"
 #include "base/monotonicclock.h"
 
 #include <linux/tcp.h>
@@ -26,10 +27,10 @@
     return ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 ? info.tcpi_bytes_acked : 0;
 }
 
-bool hasUnreadBytes(int fd)
+int unreadBytes(int fd)
 {
     int bytes = 0;
-    return ::ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+    return ::ioctl(fd, FIONREAD, &bytes) == 0 ? bytes : 0;
 }
 
 } // namespace
@@ -43,7 +44,7 @@
         if (connection.phase == HttpConnection::Phase::InExchange && connection.exchange != nullptr)
             enforceExchangeLimits(*connection.exchange);
         else if (isOverdue(connection))
-            close(connection);
+            closeOverdue(connection);
     }
     while (connections_.size() - closingCount_ > options_.limits.connections && makeRoom()) { }
 }
@@ -64,6 +65,25 @@
     return false;
 }
 
+void HttpServer::closeOverdue(HttpConnection& connection)
+{
+    if (connection.phase == HttpConnection::Phase::BetweenRequests)
+        recordIdleClose(connection);
+    close(connection);
+}
+
+void HttpServer::recordIdleClose(const HttpConnection& connection) const
+{
+    options_.counters->add(model::Counter::IdleCloses);
+    const int unread = unreadBytes(connection.fd);
+    if (unread == 0)
+        return;
+    options_.counters->add(model::Counter::UnreadCloses);
+    const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - connection.phaseSince);
+    LOG_TAGGED(WARNING, "net") << "event=connection_closed_unread remote=" << connection.remoteIp
+                               << " unread_bytes=" << unread << " idle_ms=" << idle.count();
+}
+
 void HttpServer::enforceExchangeLimits(HttpExchange& exchange)
 {
     HttpConnection& connection = exchange.connection();
@@ -184,7 +204,7 @@
 
 bool HttpServer::makeRoom()
 {
-    for (int i = 0; i < MaxUnreadConnections && !closable_.empty() && hasUnreadBytes(closable_.front().fd); ++i)
+    for (int i = 0; i < MaxUnreadConnections && !closable_.empty() && unreadBytes(closable_.front().fd) > 0; ++i)
         recordProgress(closable_.front()); // It is the server that is behind.
     if (closable_.empty())
         return false;
