HTTP server: connections with unread bytes are not closed as idle or as late

Callers: a request got neither a response nor a refusal, its connection was closed.

Cause: the event loop runs due timers before it reads sockets. After a turn that took long, such as one with a new plan, the check of the time limits closed connections on which a request had been waiting for the server all that time.

Bytes that wait in the socket show that it is the server that is behind: such a connection stays open until the next check, by when they are read. A head that is still incomplete then is closed as before. The counter of such cases and its log line take the place of the ones of unread closes, which can't happen any more.

--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -64,7 +64,7 @@
     UnconfirmedDispatches, ///< Requests sent to targets while the registry's information was not current.
     SurplusResponses, ///< Times that a target sent bytes that no request waited for.
     IdleCloses, ///< Callers' connections that were closed for the time without a request on them.
-    UnreadCloses, ///< The part of IdleCloses that had unread bytes of the caller.
+    OverdueUnread, ///< Times that a connection beyond a time limit was kept because of unread bytes of the caller.
     UnacknowledgedCloses, ///< Connections to targets that were closed with unacknowledged bytes of a request.
     Count
 };
--- a/src/model/internal/counters.cpp
+++ b/src/model/internal/counters.cpp
@@ -62,8 +62,8 @@
     {.name = "saltvane_surplus_responses_total",
         .help = "Times that a target sent bytes on a kept connection on which no request waited for them."},
     {.name = "saltvane_idle_closes_total", .help = "Callers' connections closed after the idle time limit."},
-    {.name = "saltvane_unread_closes_total",
-        .help = "The part of saltvane_idle_closes_total with bytes of the caller that were not read."},
+    {.name = "saltvane_overdue_unread_total",
+        .help = "Times that a caller's connection was kept beyond a time limit because it had unread bytes."},
     {.name = "saltvane_unacknowledged_closes_total",
         .help = "Connections to targets that were closed with unacknowledged bytes of a request."},
 }};
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -93,7 +93,7 @@
     void enforceLimits();
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
     void closeOverdue(HttpConnection& connection);
-    void recordIdleClose(const HttpConnection& connection) const;
+    void recordOverdueUnread(const HttpConnection& connection, int bytes) const;
     void enforceExchangeLimits(HttpExchange& exchange);
     [[nodiscard]] bool isBodyTooSlow(HttpExchange& exchange) const;
     [[nodiscard]] bool isReaderStalled(HttpConnection& connection) const;
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -67,21 +67,19 @@
 
 void HttpServer::closeOverdue(HttpConnection& connection)
 {
+    if (const int unread = unreadBytes(connection.fd); unread > 0) // It is the server that is behind.
+        return recordOverdueUnread(connection, unread);
     if (connection.phase == HttpConnection::Phase::BetweenRequests)
-        recordIdleClose(connection);
+        options_.counters->add(model::Counter::IdleCloses);
     close(connection);
 }
 
-void HttpServer::recordIdleClose(const HttpConnection& connection) const
+void HttpServer::recordOverdueUnread(const HttpConnection& connection, int bytes) const
 {
-    options_.counters->add(model::Counter::IdleCloses);
-    const int unread = unreadBytes(connection.fd);
-    if (unread == 0)
-        return;
-    options_.counters->add(model::Counter::UnreadCloses);
-    const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - connection.phaseSince);
-    LOG_TAGGED(WARNING, "net") << "event=connection_closed_unread remote=" << connection.remoteIp
-                               << " unread_bytes=" << unread << " idle_ms=" << idle.count();
+    options_.counters->add(model::Counter::OverdueUnread);
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - connection.phaseSince);
+    LOG_TAGGED(WARNING, "net") << "event=connection_overdue_unread remote=" << connection.remoteIp
+                               << " unread_bytes=" << bytes << " waited_ms=" << waited.count();
 }
 
 void HttpServer::enforceExchangeLimits(HttpExchange& exchange)
