HTTP server: requests on connections that it has closed are not run

Callers: a request ran, and its response could not be sent: the connection had been shut down before the request was read. Requests at most once end as unknown that way.

Cause: shutdown() leaves what has arrived in the socket, and libmicrohttpd reads it before the end of the stream.

The head of such a request ends the connection before the core hears of it, so it has not run.

--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -104,6 +104,8 @@
 MHD_Result HttpServer::handleHead(HttpExchange& exchange)
 {
     exchange.isHeadSeen = true;
+    if (exchange.connection().isClosing)
+        return MHD_NO; // The caller could not get the response.
     const auto framing = readHeadFraming(exchange);
     if (!framing)
         return refuse(exchange, framing.error());
