HTTP server: connections with unread requests do not make room for new ones

Callers: at the limit of connections a new caller's connection closed one on which a request had arrived while the loop was blocked.

Cause: of the connections that stand still eight with unread bytes are passed over, so that a crowd of them can't block new callers; the ninth was closed whether or not it had a request waiting.

Evidence: ConnectionsWithUnreadRequestsDoNotMakeRoom failed before (one of 12 without a response) and passes now (20 repetitions); CallerPaceTest passes.

Between requests and within a head unread bytes are gone by the next turn, so refusing the new caller with a true 503 is better than an end without a response. Bodies are closed as before.

--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -211,6 +211,8 @@
         return false;
     HttpExchange* exchange = connection.exchange;
     const bool isInBody = connection.phase == HttpConnection::Phase::InExchange && exchange != nullptr;
+    if (!isInBody && unreadBytes(connection.fd) > 0)
+        return false; // A whole request may be among them.
     if (isInBody && !exchange->hasResponse())
         endBody(*exchange);
     close(connection);
--- a/src/net/tests/idleconnectiontests.cpp
+++ b/src/net/tests/idleconnectiontests.cpp
@@ -79,6 +79,26 @@
     EXPECT_EQ(startedRequests() - Connections, answered);
 }
 
+// Guards against requests that get no response because their connection makes room for a new one while the loop is
+// blocked.
+TEST_F(IdleConnectionTest, ConnectionsWithUnreadRequestsDoNotMakeRoom)
+{
+    constexpr size_t Connections = 12; // More than the server passes over for one new connection.
+    makeServer({.connections = Connections}, {.minStandstill = 50ms});
+    respondAtOnce({.status = 200, .bodyLength = 0});
+    std::deque<RawSocket> clients;
+    for (size_t i = 0; i < Connections; ++i)
+        clients.push_back(connectAndExchange());
+    for (RawSocket& client : clients)
+        client.send(PlainGet);
+    RawSocket added = connect();
+    added.send(PlainGet);
+    std::this_thread::sleep_for(LoopBlockedTime);
+    EXPECT_TRUE(runner.runUntil([&] { return added.hasReceived("\r\n\r\n"); }));
+    for (RawSocket& client : clients)
+        EXPECT_TRUE(client.hasReceived("200 OK"));
+}
+
 // Guards against connections that are closed while callers may still use them, because nobody told the callers for how
 // long.
 TEST_F(IdleConnectionTest, ResponsesNameTheTimeForWhichTheConnectionIsKept)
