HTTP server: plan changes do not postpone the checks of time limits

Cause: each installed plan started the timer of the checks anew. While plans change more often than every 0.75 s, as in a storm of changes, no connection was ever found idle, late or stalled.

Evidence: FrequentPlanChangesDoNotPostponeLimitChecks failed before (not closed in 10 s) and passes now.

The timer is started anew only if its period changes.

--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -123,7 +123,9 @@
 {
     const Duration shortest = std::min(
         {options_.limits.headerTimeout / 4, options_.limits.idleTimeout / 4, options_.paceLimits.minStandstill});
-    limitTimer_.startRepeating(std::clamp(shortest, MinLimitCheckInterval, MaxLimitCheckInterval));
+    const Duration interval = std::clamp(shortest, MinLimitCheckInterval, MaxLimitCheckInterval);
+    if (std::exchange(limitCheckInterval_, interval) != interval)
+        limitTimer_.startRepeating(interval);
 }
 
 void HttpServer::setCallerLimits(const model::CallerLimits& limits)
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -44,6 +44,7 @@
     [[nodiscard]] model::Address boundAddress() const override { return boundAddress_; }
 
 private:
+    /// Does not restart a timer that has the right period already: plans may change more often than that.
     void startLimitTimer();
 
     // Callbacks of libmicrohttpd.
@@ -125,6 +126,7 @@
     IoWatcher pollWatcher_;
     TimerWatcher daemonTimer_;
     TimerWatcher limitTimer_;
+    Duration limitCheckInterval_ = Duration::zero(); ///< Period of limitTimer_.
 };
 
 } // namespace saltvane::net
