HTTP server: responses name the time for which their connection is kept

Callers: a request that was sent on a connection which rested for long ended without a response: the gateway had closed the connection as idle at the same moment. Repeatable requests cost a second try; what runs at most once is unknown to callers that can't tell whether the request was read.

Cause: the idle limit of the plan was known to the gateway only.

Evidence: ResponsesNameTheTimeForWhichTheConnectionIsKept failed before.

Responses on kept connections have Keep-Alive: timeout=N, the limit in whole seconds; the connection stays open for the header time limit beyond it, so that what a caller sends in time arrives. Nothing is named for less than a second.

--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -6,6 +6,7 @@
 #include "net/internal/httpexchange.h"
 
 #include "base/monotonicclock.h"
+#include "requests/headerfilter.h"
 
 #include <algorithm>
 #include <cstring>
@@ -126,6 +127,8 @@
         if (!isFramingHeader(header.name))
             addHeader(response, header);
     }
+    if (keptTime > 0s && !requests::endsConnection(response_->headers))
+        MHD_add_response_header(response, "Keep-Alive", ("timeout=" + std::to_string(keptTime.count())).c_str());
 }
 
 bool HttpExchange::queueResponse()
--- a/src/net/internal/httpexchange.h
+++ b/src/net/internal/httpexchange.h
@@ -77,6 +77,9 @@
     uint64_t bodyReceived = 0;
     uint64_t bodyWindow = requests::InitialBodyWindow;
     bool isBodyRead = false; ///< The request was received to its end.
+    /// Named to the caller as the time for which the connection is kept after the response. Zero: the connection ends
+    /// with the response, or is kept for less than a second.
+    std::chrono::seconds keptTime {};
     std::optional<Timestamp> discardingSince; ///< The response is known, and the rest of the body is discarded.
     uint64_t discardedBytes = 0;
     std::optional<Timestamp> lingeringSince; ///< The response was sent during the body.
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -6,6 +6,7 @@
 #include "net/internal/httpserver.h"
 
 #include "base/monotonicclock.h"
+#include "requests/headerfilter.h"
 
 #include <algorithm>
 #include <cstring>
@@ -84,6 +85,10 @@
     head.isHttp11 = std::strcmp(version, MHD_HTTP_VERSION_1_0) != 0;
     head.headers.reserve(TypicalHeaderCount);
     MHD_get_connection_values(exchange.connection().connection, MHD_HEADER_KIND, &collectHeader, &head.headers);
+    // Idle connections are closed only headerTimeout after this time, by when a request that the caller sent within it
+    // has arrived.
+    if (head.isHttp11 && !requests::endsConnection(head.headers))
+        exchange.keptTime = std::chrono::floor<std::chrono::seconds>(options_.limits.idleTimeout);
     exchange.connection().phase = HttpConnection::Phase::InExchange;
     exchange.connection().closableHook.unlink();
 }
--- a/src/requests/headerfilter.h
+++ b/src/requests/headerfilter.h
@@ -29,6 +29,9 @@
 /// The first value of a header field; empty if the field is absent.
 [[nodiscard]] std::string_view firstFieldValue(std::span<const model::Header> headers, std::string_view name);
 
+/// Whether the connection ends with this message (RFC 9112, 9.6).
+[[nodiscard]] bool endsConnection(std::span<const model::Header> headers);
+
 /// The end-to-end headers (RFC 9110, 7.6.1), without the framing of the body.
 [[nodiscard]] std::vector<model::Header> endToEndHeaders(std::span<const model::Header> headers);
 
--- a/src/requests/internal/headerfilter.cpp
+++ b/src/requests/internal/headerfilter.cpp
@@ -74,6 +74,12 @@
     return {};
 }
 
+bool endsConnection(std::span<const model::Header> headers)
+{
+    const std::vector<std::string_view> options = connectionOptions(headers);
+    return isNamed(options, "close");
+}
+
 std::vector<model::Header> endToEndHeaders(std::span<const model::Header> headers)
 {
     const std::vector<std::string_view> options = connectionOptions(headers);
