HTTP server: refusals before a body name no time for their connection

libmicrohttpd closes the connection of a request whose response is queued before its body. Such responses had Connection: close and Keep-Alive; RefusalsBeforeTheBodyNameNoTime failed before.

--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -124,9 +124,10 @@
     // A caller that waits for "100 Continue" is refused before it sends its body. Any other caller sends the body
     // anyway: it is read to its end, because closing early would reset the connection and could lose the response.
     const bool isRefusedEarly = exchange.framing.expectsContinue && exchange.isResponseReady();
-    if (isRefusedEarly && !exchange.isAborted())
-        return exchange.queueResponse() ? MHD_YES : MHD_NO;
-    return MHD_YES;
+    if (!isRefusedEarly || exchange.isAborted())
+        return MHD_YES;
+    exchange.keptTime = {}; // libmicrohttpd closes the connection.
+    return exchange.queueResponse() ? MHD_YES : MHD_NO;
 }
 
 Result<RequestFraming, EdgeRefusal> HttpServer::readHeadFraming(HttpExchange& exchange) const
--- a/src/net/tests/idleconnectiontests.cpp
+++ b/src/net/tests/idleconnectiontests.cpp
@@ -127,6 +127,18 @@
     EXPECT_FALSE(refused.hasReceived("Keep-Alive:")) << refused.received;
 }
 
+// Guards against the same for requests that are refused before their body, which ends the connection.
+TEST_F(IdleConnectionTest, RefusalsBeforeTheBodyNameNoTime)
+{
+    makeServer({.idleTimeout = 15s});
+    respondAtOnce({.status = 503, .bodyLength = 0});
+    RawSocket client = connect();
+    ASSERT_TRUE(exchange(
+        client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n", "\r\n\r\n"));
+    EXPECT_TRUE(client.hasReceived("Connection: close")) << client.received;
+    EXPECT_FALSE(client.hasReceived("Keep-Alive:")) << client.received;
+}
+
 // Guards against "timeout=0", which a limit of less than a second would be rounded to.
 TEST_F(IdleConnectionTest, TimesBelowOneSecondAreNotNamed)
 {
