--- a/src/net/tests/idleconnectiontests.cpp
+++ b/src/net/tests/idleconnectiontests.cpp
@@ -15,6 +15,8 @@
 constexpr Duration HeaderTimeout = 40ms;
 /// Longer than a connection may be idle, with the interval of the checks.
 constexpr Duration LoopBlockedTime = 300ms;
+/// More than the server passes over for one new connection.
+constexpr size_t MaxConnections = 12;
 
 /// Callers that send a request on a kept connection around the time at which the server closes it.
 class IdleConnectionTest : public HttpServerTest {
@@ -28,6 +30,18 @@
         client.received.clear();
         return client;
     }
+    /// As many connections as the server takes, each with a request that it has not read.
+    [[nodiscard]] std::deque<RawSocket> connectAllWithUnreadRequests()
+    {
+        makeServer({.connections = MaxConnections}, {.minStandstill = 50ms});
+        respondAtOnce({.status = 200, .bodyLength = 0});
+        std::deque<RawSocket> clients;
+        for (size_t i = 0; i < MaxConnections; ++i)
+            clients.push_back(connectAndExchange());
+        for (RawSocket& client : clients)
+            client.send(PlainGet);
+        return clients;
+    }
 };
 
 // Guards against requests that wait in the socket while the loop is blocked, such as by a new plan, and are lost
@@ -62,35 +76,21 @@
 // response.
 TEST_F(IdleConnectionTest, RequestsOnClosedConnectionsDoNotRun)
 {
-    constexpr size_t Connections = 12; // More than the server passes over for one new connection.
-    makeServer({.connections = Connections}, {.minStandstill = 50ms});
-    respondAtOnce({.status = 200, .bodyLength = 0});
-    std::deque<RawSocket> clients;
-    for (size_t i = 0; i < Connections; ++i)
-        clients.push_back(connectAndExchange());
-    for (RawSocket& client : clients)
-        client.send(PlainGet);
+    std::deque<RawSocket> clients = connectAllWithUnreadRequests();
     RawSocket added = connect();
     std::this_thread::sleep_for(LoopBlockedTime);
     runner.runTurns(50);
     size_t answered = 0;
     for (RawSocket& client : clients)
         answered += client.hasReceived("200 OK") ? 1 : 0;
-    EXPECT_EQ(startedRequests() - Connections, answered);
+    EXPECT_EQ(startedRequests() - MaxConnections, answered);
 }
 
 // Guards against requests that get no response because their connection makes room for a new one while the loop is
 // blocked.
 TEST_F(IdleConnectionTest, ConnectionsWithUnreadRequestsDoNotMakeRoom)
 {
-    constexpr size_t Connections = 12; // More than the server passes over for one new connection.
-    makeServer({.connections = Connections}, {.minStandstill = 50ms});
-    respondAtOnce({.status = 200, .bodyLength = 0});
-    std::deque<RawSocket> clients;
-    for (size_t i = 0; i < Connections; ++i)
-        clients.push_back(connectAndExchange());
-    for (RawSocket& client : clients)
-        client.send(PlainGet);
+    std::deque<RawSocket> clients = connectAllWithUnreadRequests();
     RawSocket added = connect();
     added.send(PlainGet);
     std::this_thread::sleep_for(LoopBlockedTime);
