--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -93,7 +93,7 @@
     // Limits of time and of connections (httpserverlimits.cpp).
     void enforceLimits();
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
-    void closeOverdue(HttpConnection& connection);
+    void closeUnlessUnread(HttpConnection& connection);
     void recordOverdueUnread(const HttpConnection& connection, int bytes) const;
     void enforceExchangeLimits(HttpExchange& exchange);
     [[nodiscard]] bool isBodyTooSlow(HttpExchange& exchange) const;
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -44,7 +44,7 @@
         if (connection.phase == HttpConnection::Phase::InExchange && connection.exchange != nullptr)
             enforceExchangeLimits(*connection.exchange);
         else if (isOverdue(connection))
-            closeOverdue(connection);
+            closeUnlessUnread(connection);
     }
     while (connections_.size() - closingCount_ > options_.limits.connections && makeRoom()) { }
 }
@@ -65,7 +65,7 @@
     return false;
 }
 
-void HttpServer::closeOverdue(HttpConnection& connection)
+void HttpServer::closeUnlessUnread(HttpConnection& connection)
 {
     if (const int unread = unreadBytes(connection.fd); unread > 0) // It is the server that is behind.
         return recordOverdueUnread(connection, unread);
