Gateways: learnt processing times do not close a route for good

Cause: times are learnt from responses, and a route whose requests are all refused gets none. A trial request each 2 s corrects that for repeatable requests; requests that may run once were left out, since their callers could not repeat one that is late. And one quick response moved the learnt time by a twentieth only.

Change: a request that may run once may be the trial if it has the route's objective left. A response to a trial that comes before the learnt time replaces it. Each late trial of such requests doubles the interval, up to 32 s, so that few callers are left without knowing whether their request ran: 2,000 gateways send 63 a second of a route at the least rate.

Weighed: letting learnt times expire sends all waiting requests at once when targets are slow in fact.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -47,6 +47,7 @@
         Choice choice = Choice::Other;
         bool isLikelyWarm = false;
         Duration processingTime {};
+        bool isForCorrection = false;
     };
     AwaitedTarget awaited;
     size_t targetCreditsRefused = 0; ///< Targets whose limit had no credit left for this request.
@@ -75,6 +76,7 @@
     bool isCompared = false; ///< Its answer counts for the rollout of the service.
     Choice choice = Choice::Other; ///< Rank of the target among the object's targets.
     bool isLikelyWarm = false; ///< The target recently answered for the object, as far as this gateway knows.
+    bool isForCorrection = false; ///< Sent although no response was expected in time.
     Duration timeToHead {}; ///< From the last send to the head of the response.
     std::vector<TargetId> attemptedTargets;
     uint32_t maxAttempts = 0; ///< Targets that may be tried, here and by way of peers.
--- a/src/gateway/internal/placement.cpp
+++ b/src/gateway/internal/placement.cpp
@@ -38,6 +38,9 @@
 /// nothing else would correct them, and idle targets that answer in 200 ms would get no requests of the route. At one
 /// request per gateway in two seconds, a late response is acceptable.
 constexpr Duration TrialInterval = 2s;
+/// The interval doubles up to this with each trial whose response was late, if the route's requests may run once: their
+/// callers don't learn whether they ran.
+constexpr Duration MaxTrialInterval = 32s;
 constexpr size_t MaxTrialRoutes = 1024;
 
 constexpr Duration MinRetryAfter = 100ms;
@@ -108,14 +111,21 @@
 
 void Placement::recordResponse(GatewayTarget& target, const Response& response, Timestamp now)
 {
-    if (const auto seen = lastActivityAt_.find(response.route); seen != lastActivityAt_.end())
-        seen->second = now;
+    const ServiceName& service = target.record.service;
+    const bool isCorrection
+        = response.isForCorrection && response.duration < processingTimes_.ofRoute(service, response.route).first;
+    if (const auto seen = activity_.find(response.route); seen != activity_.end()) {
+        seen->second.at = now;
+        if (isCorrection || !response.isForCorrection)
+            seen->second.trialInterval = TrialInterval;
+    }
     target.onAnswered(now);
     if (response.object)
         warmObjects_.recordResponse(*response.object, target.incarnationHash, now);
     if (response.isOfTrial)
         return;
-    const ServiceName& service = target.record.service;
+    if (isCorrection)
+        processingTimes_.correct(service, response.route, response.duration);
     const double slots = std::max(target.record.slots, 1U);
     const double waiting = std::max(0.0, response.loadAtSend + 1 - slots) / slots;
     processingTimes_.record(
@@ -184,23 +194,35 @@
 TargetSelection Placement::selectForTrial(
     std::span<const Candidate> candidates, const PlacementQuery& query, Timestamp now)
 {
-    // The caller could not repeat the request, and would not learn whether it was run.
-    if (query.isRetry || query.route.kind == model::RouteKind::AtMostOnce)
+    if (query.isRetry)
         return {};
     const auto free = std::ranges::find_if(candidates,
         [&](const Candidate& candidate) { return candidate.target->load(now) + 1 <= candidate.target->record.slots; });
     if (free == candidates.end())
         return {};
-    const auto [seen, isNew] = lastActivityAt_.try_emplace(query.route.name, Timestamp {});
-    if (now - seen->second < TrialInterval)
+    if (!tryBeginTrial(query, now))
         return {};
-    seen->second = now;
-    if (lastActivityAt_.size() > MaxTrialRoutes)
-        lastActivityAt_.erase(
-            std::ranges::min_element(lastActivityAt_, {}, [](const auto& item) { return item.second; }));
     return {.target = free->target,
         .choice = Choice::First,
-        .processingTime = processingTimes_.ofService(query.service.name).first};
+        .processingTime = processingTimes_.ofService(query.service.name).first,
+        .isForCorrection = true};
+}
+
+bool Placement::tryBeginTrial(const PlacementQuery& query, Timestamp now)
+{
+    const bool mayRunOnce = query.route.kind == model::RouteKind::AtMostOnce;
+    if (mayRunOnce && query.remaining < query.route.objective)
+        return false;
+    RouteActivity& activity
+        = activity_.try_emplace(query.route.name, RouteActivity {.trialInterval = TrialInterval}).first->second;
+    if (now - activity.at < activity.trialInterval)
+        return false;
+    activity.at = now;
+    if (mayRunOnce)
+        activity.trialInterval = std::min(activity.trialInterval * 2, MaxTrialInterval);
+    if (activity_.size() > MaxTrialRoutes)
+        activity_.erase(std::ranges::min_element(activity_, {}, [](const auto& item) { return item.second.at; }));
+    return true;
 }
 
 bool Placement::trySpendCrossRegion(Timestamp /*now*/)
--- a/src/gateway/internal/placement.h
+++ b/src/gateway/internal/placement.h
@@ -39,6 +39,7 @@
     Choice choice = Choice::Other;
     bool isLikelyWarm = false;
     Duration processingTime {}; ///< Expected processing time at the target.
+    bool isForCorrection = false; ///< No response is expected in time; one shows that the learnt times are outdated.
 };
 
 struct PlacementRefusal {
@@ -70,6 +71,7 @@
         double loadAtSend = 0; ///< The target's load before this request.
         Choice choice = Choice::Other;
         bool isOfTrial = false; ///< Of a version on trial: says nothing about the service's processing times.
+        bool isForCorrection = false; ///< The request was selected by selectForTrial().
     };
     void recordResponse(GatewayTarget& target, const Response& response, Timestamp now);
     /// Estimated time to the head of the response of a request that is sent now.
@@ -108,6 +110,12 @@
         [[nodiscard]] size_t size() const { return zone.size() + region.size() + remote.size(); }
     };
 
+    /// When targets last answered requests of a route or got a trial request of it.
+    struct RouteActivity {
+        Timestamp at;
+        Duration trialInterval {}; ///< From then until the next trial.
+    };
+
     [[nodiscard]] Groups groupsFor(const PlacementQuery& query, uint64_t object, Timestamp now);
     /// The targets on which all gateways place the requests of a trial: as large a part of the new version's targets as
     /// its share of the requests, so that they are as busy as those of the other versions.
@@ -131,6 +139,8 @@
     /// No target if no trial is due or no target has a free slot.
     [[nodiscard]] TargetSelection selectForTrial(
         std::span<const Candidate> candidates, const PlacementQuery& query, Timestamp now);
+    /// Whether the request is late enough after others of its route, and has enough time left, to be a trial.
+    [[nodiscard]] bool tryBeginTrial(const PlacementQuery& query, Timestamp now);
     [[nodiscard]] bool trySpendCrossRegion(Timestamp now);
     /// The refusal when no target may be sent new requests.
     [[nodiscard]] PlacementRefusal refusalWithoutTargets(const Groups& groups, uint32_t known, Timestamp now);
@@ -140,8 +150,7 @@
     boost::random::mt19937_64 random_;
     ProcessingTimes processingTimes_;
     WarmObjects warmObjects_;
-    /// When a route's targets last answered or got a trial request.
-    std::map<model::RouteName, Timestamp> lastActivityAt_;
+    std::map<model::RouteName, RouteActivity> activity_; ///< Of routes that got a trial request.
     /// Requests that may still be sent to another region than the one assigned to their object.
     double crossRegionBalance_ = 0;
 };
--- a/src/gateway/internal/processingtimes.cpp
+++ b/src/gateway/internal/processingtimes.cpp
@@ -95,13 +95,26 @@
 }
 
 void ProcessingTimes::record(const ServiceName& service, const model::RouteName& route, const Sample& sample)
+{
+    if (Times* times = findOrAdd(service, route); times != nullptr)
+        update(*times, sample);
+    update(services_.try_emplace(service, InitialTimes).first->second, sample);
+}
+
+void ProcessingTimes::correct(const ServiceName& service, const model::RouteName& route, Duration first)
+{
+    if (Times* times = findOrAdd(service, route); times != nullptr)
+        times->first = first;
+}
+
+ProcessingTimes::Times* ProcessingTimes::findOrAdd(const ServiceName& service, const model::RouteName& route)
 {
     const auto known = routes_.find({service, route});
     if (known != routes_.end())
-        update(known->second, sample);
-    else if (routes_.size() < MaxRoutes)
-        update(routes_.emplace(std::pair(service, route), ofService(service)).first->second, sample);
-    update(services_.try_emplace(service, InitialTimes).first->second, sample);
+        return &known->second;
+    if (routes_.size() >= MaxRoutes)
+        return nullptr;
+    return &routes_.emplace(std::pair(service, route), ofService(service)).first->second;
 }
 
 void ProcessingTimes::recordDelivery(const ServiceName& service, const model::RouteName& route, Duration duration)
--- a/src/gateway/internal/processingtimes.h
+++ b/src/gateway/internal/processingtimes.h
@@ -48,6 +48,8 @@
         bool hasQueued = false; ///< Waited for a slot, so the duration says nothing about the processing time.
     };
     void record(const ServiceName& service, const model::RouteName& route, const Sample& sample);
+    /// Replaces the learnt time of the route at an object's first choice: a response came much earlier.
+    void correct(const ServiceName& service, const model::RouteName& route, Duration first);
 
     /// Records the time from sending a request until its caller had the whole response.
     void recordDelivery(const ServiceName& service, const model::RouteName& route, Duration duration);
@@ -58,6 +60,8 @@
     [[nodiscard]] Deliveries deliveriesOf(const ServiceName& service, const model::RouteName& route) const;
 
 private:
+    /// Times of the route; null if it is unknown and no further routes are kept.
+    [[nodiscard]] Times* findOrAdd(const ServiceName& service, const model::RouteName& route);
     static void update(Times& times, const Sample& sample);
 
     std::map<ServiceName, Times> services_;
--- a/src/gateway/internal/requestcredits.cpp
+++ b/src/gateway/internal/requestcredits.cpp
@@ -56,7 +56,8 @@
     exchange.awaited = {.targetIncarnation = targetIncarnation,
         .choice = selection.choice,
         .isLikelyWarm = selection.isLikelyWarm,
-        .processingTime = selection.processingTime};
+        .processingTime = selection.processingTime,
+        .isForCorrection = selection.isForCorrection};
     options_.credits.request({.handle = exchange.handle,
                                  .limit = model::limitIdOf(targetIncarnation),
                                  .targetLimit = model::BackpressureNotice {.target = targetIncarnation,
@@ -100,7 +101,8 @@
                 {.target = target,
                     .choice = awaited.choice,
                     .isLikelyWarm = awaited.isLikelyWarm,
-                    .processingTime = awaited.processingTime},
+                    .processingTime = awaited.processingTime,
+                    .isForCorrection = awaited.isForCorrection},
                 now);
         options_.credits.returnCredit(model::limitIdOf(awaited.targetIncarnation), now);
         return dispatch(exchange, now);
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -69,8 +69,9 @@
                 .expectedDuration = exchange.expectedDuration,
                 .loadAtSend = exchange.loadAtSend,
                 .choice = exchange.choice,
-                .isOfTrial = exchange.versionRole == VersionRole::Trial
-                    && options_.targets.rollouts().isInTrial(exchange.service)},
+                .isOfTrial
+                = exchange.versionRole == VersionRole::Trial && options_.targets.rollouts().isInTrial(exchange.service),
+                .isForCorrection = exchange.isForCorrection},
             now);
     scheduleStallCheck(exchange, now + std::max(exchange.route.objective, MinBodyTime));
     startResponse(exchange, head);
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -236,6 +236,7 @@
     options_.placement.recordSent(service.name, selection);
     exchange.choice = selection.choice;
     exchange.isLikelyWarm = selection.isLikelyWarm;
+    exchange.isForCorrection = selection.isForCorrection;
     const double slowest = toSeconds(options_.placement.processingTimes().ofService(service.name).slowest);
     const double stallTimeout = std::max(slowest * StallFactor, toSeconds(exchange.route.objective));
     exchange.expectedDuration = expectedDuration;
--- a/src/gateway/tests/placementtests.cpp
+++ b/src/gateway/tests/placementtests.cpp
@@ -202,6 +202,29 @@
     EXPECT_GE(sendQuickRequests("/write/1", 600), 1U);
 }
 
+// Guards against a route that stays closed for most callers after a trial has shown that its targets are quick.
+TEST_F(SlowCallersTest, OneQuickResponseOpensTheRoute)
+{
+    sendSlowRequests("/order/1", 6);
+    EXPECT_GE(sendQuickRequests("/order/1", 600), 570U);
+}
+
+// Guards against callers that don't learn whether their requests ran, again and again, on a route whose responses do
+// come late.
+TEST_F(SlowCallersTest, LateRouteOfRequestsThatRunOnceIsTriedSeldom)
+{
+    sendSlowRequests("/order/1", 6);
+    size_t sent = 0;
+    for (int i = 0; i < 600; ++i) {
+        request({.path = "/order/1", .object = std::to_string(1000 + i), .deadlineMs = "2000"});
+        sent += takeStarts().size();
+        while (takeResponse()) { }
+        advance(100ms);
+    }
+    EXPECT_GE(sent, 2U);
+    EXPECT_LE(sent, 5U);
+}
+
 // Guards against callers that close a route for others by leaving: a request without a response says nothing about the
 // route's times.
 TEST_F(SlowCallersTest, RequestsThatCallersLeaveDoNotCloseTheRoute)
