HTTP server: a crowd of new connections does not refuse callers

Callers saw: 503 too-many-connections behind a crowd of silent connections (CallerPaceTest.CrowdOfSilentConnectionsMakesRoomForACaller, known red: now and then on a busy machine).

Cause: a silent connection makes room for a new one once it has stood still for a second. If all of them are newer than that when a caller's connection is accepted, it counted as over the limit for good, and its request was refused, also if room had been made until the request came.

Change: whether a request over the limit is refused is decided when its head is read. It is served if there is room by then, or if some connection waits for its caller, so that room will come; its response then ends the connection. Half of the connections that are accepted over the limit stay for refusals at once. The limit on accepted connections is as before.

Ruled out: closing silent connections earlier; a caller that has just connected is silent, too.

--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -29,6 +29,8 @@
         BetweenRequests
     };
 
+    [[nodiscard]] bool isInExchange() const { return phase == Phase::InExchange && exchange != nullptr; }
+
     MHD_Connection* connection = nullptr;
     int fd = -1;
     std::string remoteIp;
@@ -39,7 +41,8 @@
     uint64_t acknowledgedBytes = 0; ///< By the caller's host, as of lastProgress.
     uint64_t turn = 0; ///< Iteration of the event loop to which turnCost belongs.
     uint64_t turnCost = 0;
-    bool isOverLimit = false; ///< Exceeds Limits::connections, so its request is refused.
+    bool isOverLimit = false; ///< Exceeds Limits::connections, so its request may be refused.
+    bool isServedOverLimit = false; ///< Exceeds it and has a request that is not refused.
     bool isClientDisconnected = false;
     bool isClosing = false; ///< The server has shut it down; libmicrohttpd removes it soon.
     HttpExchange* exchange = nullptr; ///< Null between requests.
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -127,7 +127,11 @@
         if (!isFramingHeader(header.name))
             addHeader(response, header);
     }
-    if (keptTime > 0s && !requests::endsConnection(response_->headers))
+    if (requests::endsConnection(response_->headers))
+        return;
+    if (connection_.isServedOverLimit)
+        MHD_add_response_header(response, "Connection", "close");
+    else if (keptTime > 0s)
         MHD_add_response_header(response, "Keep-Alive", ("timeout=" + std::to_string(keptTime.count())).c_str());
 }
 
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -257,7 +257,7 @@
     created->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     created->remoteIp = remoteIpOf(connection);
     created->phaseSince = monotonicNow();
-    created->isOverLimit = isFull() && !makeRoom();
+    created->isOverLimit = countedConnections() >= options_.limits.connections && !makeRoom();
     disconnectMonitor_.add(*created);
     connections_.push_back(*created);
     recordProgress(*created);
@@ -272,6 +272,7 @@
         runTask_.schedule();
     connections_.erase(connections_.iterator_to(connection));
     closingCount_ -= connection.isClosing ? 1 : 0;
+    servedOverLimit_ -= connection.isServedOverLimit ? 1 : 0;
     const bool hadNoRequest = connection.phase == HttpConnection::Phase::BeforeFirst;
     if (hadNoRequest && !isStopping_ && hasReceivedBytes(connection.fd))
         options_.counters->add(model::Counter::BadHttpRequests);
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -41,12 +41,12 @@
         HttpConnection& connection = *next++;
         if (connection.isClosing)
             continue;
-        if (connection.phase == HttpConnection::Phase::InExchange && connection.exchange != nullptr)
+        if (connection.isInExchange())
             enforceExchangeLimits(*connection.exchange);
         else if (isOverdue(connection))
             closeUnlessUnread(connection);
     }
-    while (connections_.size() - closingCount_ > options_.limits.connections && makeRoom()) { }
+    while (countedConnections() > options_.limits.connections && makeRoom()) { }
 }
 
 bool HttpServer::isOverdue(const HttpConnection& connection) const
@@ -198,24 +198,43 @@
         closable_.push_back(connection);
 }
 
-bool HttpServer::isFull() const { return connections_.size() - closingCount_ >= options_.limits.connections; }
+size_t HttpServer::countedConnections() const { return connections_.size() - closingCount_; }
 
-bool HttpServer::makeRoom()
+HttpConnection* HttpServer::findClosable()
 {
     for (int i = 0; i < MaxUnreadConnections && !closable_.empty() && unreadBytes(closable_.front().fd) > 0; ++i)
         recordProgress(closable_.front()); // It is the server that is behind.
     if (closable_.empty())
-        return false;
+        return nullptr;
     HttpConnection& connection = closable_.front();
-    if (monotonicNow() - connection.closableSince < options_.paceLimits.minStandstill)
+    if (!connection.isInExchange() && unreadBytes(connection.fd) > 0)
+        return nullptr; // A whole request may be among them.
+    return &connection;
+}
+
+bool HttpServer::makeRoom()
+{
+    HttpConnection* connection = findClosable();
+    if (connection == nullptr || monotonicNow() - connection->closableSince < options_.paceLimits.minStandstill)
         return false;
-    HttpExchange* exchange = connection.exchange;
-    const bool isInBody = connection.phase == HttpConnection::Phase::InExchange && exchange != nullptr;
-    if (!isInBody && unreadBytes(connection.fd) > 0)
-        return false; // A whole request may be among them.
-    if (isInBody && !exchange->hasResponse())
-        endBody(*exchange);
-    close(connection);
+    if (connection->isInExchange() && !connection->exchange->hasResponse())
+        endBody(*connection->exchange);
+    close(*connection);
+    return true;
+}
+
+bool HttpServer::admitOverLimit(HttpConnection& connection)
+{
+    const bool isAtLimit = countedConnections() <= options_.limits.connections;
+    if (isAtLimit || makeRoom()) {
+        connection.isOverLimit = false;
+        return true;
+    }
+    const uint32_t refusalConnections = acceptedConnections_ - options_.limits.connections;
+    if (servedOverLimit_ >= refusalConnections / 2 || findClosable() == nullptr)
+        return false;
+    connection.isServedOverLimit = true;
+    ++servedOverLimit_;
     return true;
 }
 
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -111,6 +111,9 @@
     exchange.isHeadSeen = true;
     if (exchange.connection().isClosing)
         return MHD_NO; // The caller could not get the response.
+    if (exchange.connection().isOverLimit && !admitOverLimit(exchange.connection()))
+        return refuse(
+            exchange, {.status = 503, .reason = model::Reason::TooManyConnections, .message = "too many connections"});
     const auto framing = readHeadFraming(exchange);
     if (!framing)
         return refuse(exchange, framing.error());
@@ -132,9 +135,6 @@
 
 Result<RequestFraming, EdgeRefusal> HttpServer::readHeadFraming(HttpExchange& exchange) const
 {
-    if (exchange.connection().isOverLimit)
-        return EdgeRefusal {
-            .status = 503, .reason = model::Reason::TooManyConnections, .message = "too many connections"};
     const auto framing = readFraming(exchange.head());
     if (!framing)
         return framing;
--- a/src/net/tests/callerpacetests.cpp
+++ b/src/net/tests/callerpacetests.cpp
@@ -316,5 +316,39 @@
     EXPECT_TRUE(exchange(caller, PlainGet, "\r\n\r\nok"));
 }
 
+// Guards against callers that are refused because the connections of a crowd are all too new to be closed.
+TEST_F(CallerPaceTest, RequestOverTheLimitIsServedWhileOtherConnectionsAreSilent)
+{
+    makeServer({.connections = 16, .headerTimeout = 30s}, {.minStandstill = 10s});
+    respondAtOnce({.bodyLength = 2, .bytes = "ok"});
+    std::deque<RawSocket> crowd;
+    for (int i = 0; i < 16; ++i)
+        crowd.push_back(connect());
+    ASSERT_TRUE(runner.runUntil([&] { return server->openConnections() == 16; }));
+    for (int i = 0; i < 4; ++i) {
+        auto caller = connect();
+        EXPECT_TRUE(exchange(caller, PlainGet, "\r\n\r\nok")) << caller.received;
+        EXPECT_TRUE(runner.runUntil([&] { return caller.isPeerDisconnected(); }));
+        EXPECT_TRUE(runner.runUntil([&] { return server->openConnections() == 16; }));
+    }
+}
+
+// Guards against requests over the limit that take all connections kept for refusals, so that others are not refused at
+// once.
+TEST_F(CallerPaceTest, RequestsOverTheLimitLeaveConnectionsForRefusals)
+{
+    makeServer({.connections = 16, .headerTimeout = 30s}, {.minStandstill = 10s});
+    std::deque<RawSocket> crowd;
+    for (int i = 0; i < 16; ++i)
+        crowd.push_back(connect());
+    ASSERT_TRUE(runner.runUntil([&] { return server->openConnections() == 16; }));
+    auto served = connect();
+    served.send(PlainGet);
+    ASSERT_TRUE(runner.runUntil([&] { return log.http<HttpRequestStarted>().size() == 1; }));
+    auto refused = connect();
+    EXPECT_TRUE(exchange(refused, PlainGet, "too-many-connections"));
+    EXPECT_EQ(log.http<HttpRequestStarted>().size(), 1u);
+}
+
 } // namespace
 } // namespace saltvane::net::tests
