HTTP server: refusals over the limit of connections say when to come back

Callers saw: 503 too-many-connections without Retry-After, although time mends it (docs/REQUESTS.md promises one on such refusals). Found while reading how callers behind a crowd are refused.

Change: Retry-After: 1, the whole second after which a connection that stands still has made room.

--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -19,6 +19,7 @@
 constexpr size_t TypicalHeaderCount = 16; ///< Reserved for each request.
 /// Discarded after a response that was sent during the body.
 constexpr uint64_t MaxLingerBytes = 4 * 1024 * 1024;
+constexpr std::chrono::seconds OverLimitRetryAfter {1}; ///< By then a connection that stands still has made room.
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr const char* MetricsType = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -151,12 +152,15 @@
         options_.counters->add(model::Counter::BadHttpRequests);
     exchange.isEnded = true; // The core is not notified of this request.
     const std::string text = refusal.message + "\n";
+    std::vector<model::Header> headers {{.name = "Connection", .value = "close"},
+        {.name = "Content-Type", .value = "text/plain; charset=utf-8"},
+        {.name = "Saltvane-Outcome", .value = std::string(toString(model::Outcome::NotRun))},
+        {.name = "Saltvane-Reason", .value = std::string(toString(refusal.reason))}};
+    if (refusal.reason == model::Reason::TooManyConnections)
+        headers.push_back({.name = "Retry-After", .value = std::to_string(OverLimitRetryAfter.count())});
     const bool isNew = exchange.setResponse({.handle = exchange.handle(),
         .status = refusal.status,
-        .headers
-        = {{.name = "Connection", .value = "close"}, {.name = "Content-Type", .value = "text/plain; charset=utf-8"},
-            {.name = "Saltvane-Outcome", .value = std::string(toString(model::Outcome::NotRun))},
-            {.name = "Saltvane-Reason", .value = std::string(toString(refusal.reason))}},
+        .headers = std::move(headers),
         .bodyLength = text.size(),
         .bytes = text});
     if (!isNew)
--- a/src/net/tests/callerpacetests.cpp
+++ b/src/net/tests/callerpacetests.cpp
@@ -267,6 +267,7 @@
 
     auto refused = connect(); // All others have a request at work.
     EXPECT_TRUE(exchange(refused, PlainGet, "too-many-connections"));
+    EXPECT_TRUE(refused.hasReceived("\r\nRetry-After: 1\r\n"));
     server->execute(HttpRespond {.handle = handleOf(0), .bodyLength = 2, .bytes = "ok"});
     EXPECT_TRUE(runner.runUntil([&] { return working.hasReceived("\r\n\r\nok"); }));
 }
