HTTP server: a plan that lowers the idle limit keeps connections for the time that was named

Callers may see: beside a change of the plan, a whole request on a kept connection gets neither a response nor a refusal. Responses name the time for which their connection is kept; a plan with a lower idle limit closed such connections at once, while callers went on using them by the longer time.

Change: a connection between requests is closed after the larger of the present limit and the time that its last response named.

Evidence: ConnectionIsKeptForTheNamedTimeIfAPlanLowersTheLimit fails on the code before (closed after 1.1 s of 2 s) and passes. 168 net tests pass.

--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -36,6 +36,7 @@
     std::string remoteIp;
     Phase phase = Phase::BeforeFirst;
     Timestamp phaseSince;
+    std::chrono::seconds keptTime {}; ///< As the last response named it; plans may have changed since.
     Timestamp lastProgress; ///< When bytes last arrived, or were last acknowledged while a response is sent.
     Timestamp closableSince; ///< Of the progress by which it has its place in closableHook's list.
     uint64_t acknowledgedBytes = 0; ///< By the caller's host, as of lastProgress.
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/monotonicclock.h"
 
+#include <algorithm>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/ioctl.h>
@@ -58,7 +59,7 @@
     case HttpConnection::Phase::InHead:
         return waited > headerTimeout;
     case HttpConnection::Phase::BetweenRequests:
-        return waited > options_.limits.idleTimeout + headerTimeout;
+        return waited > std::max<Duration>(options_.limits.idleTimeout, connection.keptTime) + headerTimeout;
     case HttpConnection::Phase::InExchange:
         return false;
     }
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -307,6 +307,7 @@
     connection.exchange = nullptr;
     connection.phase = HttpConnection::Phase::BetweenRequests;
     connection.phaseSince = monotonicNow();
+    connection.keptTime = exchange.keptTime;
     recordProgress(connection);
     if (!exchange.isHeadSeen && !isStopping_)
         options_.counters->add(model::Counter::BadHttpRequests);
--- a/src/net/tests/idleconnectiontests.cpp
+++ b/src/net/tests/idleconnectiontests.cpp
@@ -149,6 +149,23 @@
     EXPECT_FALSE(client.hasReceived("Keep-Alive:")) << client.received;
 }
 
+// Guards against requests that get no response because a new plan lowers the idle limit: the caller was told the longer
+// time, and uses its connection until then.
+TEST_F(IdleConnectionTest, ConnectionIsKeptForTheNamedTimeIfAPlanLowersTheLimit)
+{
+    makeServer({.idleTimeout = 2s, .headerTimeout = 100ms});
+    respondAtOnce({.status = 200, .bodyLength = 0});
+    RawSocket kept = connect();
+    ASSERT_TRUE(exchange(kept, PlainGet, "Keep-Alive: timeout=2\r\n"));
+    server->setCallerLimits({.headerTimeout = 100ms, .idleTimeout = 1s});
+    const auto end = std::chrono::steady_clock::now() + 1600ms;
+    (void)runner.runUntil([&] { return kept.isPeerDisconnected() || std::chrono::steady_clock::now() > end; });
+    EXPECT_FALSE(kept.isPeerDisconnected());
+    kept.received.clear();
+    EXPECT_TRUE(exchange(kept, PlainGet, "Keep-Alive: timeout=1\r\n")) << kept.received;
+    EXPECT_TRUE(runner.runUntil([&] { return kept.isPeerDisconnected(); }));
+}
+
 // Guards against checks of the time limits that never run because plans change more often than they are due.
 TEST_F(IdleConnectionTest, FrequentPlanChangesDoNotPostponeLimitChecks)
 {
