--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -105,12 +105,12 @@
     void recordProgress(HttpConnection& connection);
     /// Connections that count for Limits::connections.
     [[nodiscard]] size_t countedConnections() const;
-    /// The connection that is the next to be closed for a new one; null if none is.
-    [[nodiscard]] HttpConnection* findClosable();
-    /// Closes it if it has stood still for long enough.
+    /// The next connection to be closed for a new one; null if none may be. Moves connections with unread bytes back.
+    [[nodiscard]] HttpConnection* nextClosable();
+    /// Closes nextClosable() if it has stood still for long enough.
     [[nodiscard]] bool makeRoom();
-    /// Whether a request on a connection over the limit is served. It need not wait until another connection has stood
-    /// still for long enough. Some connections over the limit are left for refusals.
+    /// Whether a request on a connection over the limit is served: room was made for it, or will be once nextClosable()
+    /// has stood still for long enough. Half of the connections over the limit are left for refusals.
     [[nodiscard]] bool admitOverLimit(HttpConnection& connection);
 
     HttpServerOptions options_;
@@ -121,7 +121,7 @@
     HttpConnections connections_;
     ClosableConnections closable_; ///< Connections on which the server waits for the caller.
     size_t closingCount_ = 0; ///< Of connections_.
-    uint32_t servedOverLimit_ = 0; ///< Of connections_.
+    uint32_t servedOverLimit_ = 0; ///< Connections over the limit whose request was not refused.
     PausedExchanges paused_; ///< In the order in which they used up their share of a turn.
     uint64_t turn_ = 0; ///< Iteration of the event loop to which turnCost_ belongs.
     uint64_t turnCost_ = 0;
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -201,7 +201,7 @@
 
 size_t HttpServer::countedConnections() const { return connections_.size() - closingCount_; }
 
-HttpConnection* HttpServer::findClosable()
+HttpConnection* HttpServer::nextClosable()
 {
     for (int i = 0; i < MaxUnreadConnections && !closable_.empty() && unreadBytes(closable_.front().fd) > 0; ++i)
         recordProgress(closable_.front()); // It is the server that is behind.
@@ -215,7 +215,7 @@
 
 bool HttpServer::makeRoom()
 {
-    HttpConnection* connection = findClosable();
+    HttpConnection* connection = nextClosable();
     if (connection == nullptr || monotonicNow() - connection->closableSince < options_.paceLimits.minStandstill)
         return false;
     if (connection->isInExchange() && !connection->exchange->hasResponse())
@@ -232,7 +232,7 @@
         return true;
     }
     const uint32_t refusalConnections = acceptedConnections_ - options_.limits.connections;
-    if (servedOverLimit_ >= refusalConnections / 2 || findClosable() == nullptr)
+    if (servedOverLimit_ >= refusalConnections / 2 || nextClosable() == nullptr)
         return false;
     connection.isServedOverLimit = true;
     ++servedOverLimit_;
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -19,7 +19,7 @@
 constexpr size_t TypicalHeaderCount = 16; ///< Reserved for each request.
 /// Discarded after a response that was sent during the body.
 constexpr uint64_t MaxLingerBytes = 4 * 1024 * 1024;
-constexpr std::chrono::seconds OverLimitRetryAfter {1}; ///< By then a connection that stands still has made room.
+constexpr std::chrono::seconds OverLimitRetryAfter {1}; ///< Connections that stand still make room within it.
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr const char* MetricsType = "text/plain; version=0.0.4; charset=utf-8";
 
