Observability: reasons for which callers' connections are closed

A request that ends without a response leaves no decision line if its connection is closed before the core knows it. Each close by the host now counts by its reason (saltvane_connection_closes_total, which takes the place of saltvane_idle_closes_total), and a line connection_closed tells what was lost with it: bytes unread, whether a request was passed on, whether its response was known. No change of logic.

--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "model/closereason.h"
 #include "model/reasons.h"
 
 #include <array>
@@ -63,7 +64,6 @@
     SlowStartDispatches, ///< Requests sent to targets in their slow start.
     UnconfirmedDispatches, ///< Requests sent to targets while the registry's information was not current.
     SurplusResponses, ///< Times that a target sent bytes that no request waited for.
-    IdleCloses, ///< Callers' connections that were closed for the time without a request on them.
     OverdueUnread, ///< Times that a connection beyond a time limit was kept because of unread bytes of the caller.
     UnacknowledgedCloses, ///< Connections to targets that were closed with unacknowledged bytes of a request.
     Count
@@ -76,15 +76,18 @@
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> retries {};
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> unknowns {};
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> withheld {};
+    std::array<uint64_t, static_cast<size_t>(CloseReason::Count)> closes {}; ///< Of callers' connections.
 
     void add(Counter counter, uint64_t count = 1) { values[static_cast<size_t>(counter)] += count; }
     void addRefusal(Reason reason) { ++refusals[static_cast<size_t>(reason)]; }
     void addRetry(Reason reason) { ++retries[static_cast<size_t>(reason)]; }
     void addUnknown(Reason reason) { ++unknowns[static_cast<size_t>(reason)]; }
     void addWithheld(Reason reason) { ++withheld[static_cast<size_t>(reason)]; }
+    void addClose(CloseReason reason) { ++closes[static_cast<size_t>(reason)]; }
     [[nodiscard]] uint64_t value(Counter counter) const { return values[static_cast<size_t>(counter)]; }
     [[nodiscard]] uint64_t refusal(Reason reason) const { return refusals[static_cast<size_t>(reason)]; }
     [[nodiscard]] uint64_t withheldFor(Reason reason) const { return withheld[static_cast<size_t>(reason)]; }
+    [[nodiscard]] uint64_t closesFor(CloseReason reason) const { return closes[static_cast<size_t>(reason)]; }
 };
 
 struct CounterInfo {
--- a/src/model/internal/counters.cpp
+++ b/src/model/internal/counters.cpp
@@ -61,7 +61,6 @@
         .help = "Requests sent to targets while the registry's information was not current."},
     {.name = "saltvane_surplus_responses_total",
         .help = "Times that a target sent bytes on a kept connection on which no request waited for them."},
-    {.name = "saltvane_idle_closes_total", .help = "Callers' connections closed after the idle time limit."},
     {.name = "saltvane_overdue_unread_total",
         .help = "Times that a caller's connection was kept beyond a time limit because it had unread bytes."},
     {.name = "saltvane_unacknowledged_closes_total",
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -81,6 +81,10 @@
     isStopping_ = true;
     if (daemon_ == nullptr)
         return;
+    for (const HttpConnection& connection : connections_) {
+        if (!connection.isClosing)
+            recordClose(connection, model::CloseReason::Stopping);
+    }
     for (auto& [handle, exchange] : exchanges_) {
         exchange->abort();
         exchange->resume();
@@ -214,6 +218,7 @@
 
 void HttpServer::abort(HttpExchange& exchange)
 {
+    recordClose(exchange.connection(), model::CloseReason::Aborted);
     exchange.isEnded = true;
     exchange.abort();
     resume(exchange);
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -100,7 +100,11 @@
     [[nodiscard]] bool isReaderStalled(HttpConnection& connection) const;
     void endBody(HttpExchange& exchange);
     void linger(HttpExchange& exchange);
-    void close(HttpConnection& connection);
+    void close(HttpConnection& connection, model::CloseReason reason);
+    /// Ends the connection in both directions without a response.
+    void shutDown(HttpConnection& connection);
+    /// Logs closes by which a caller may have lost a request or its response.
+    void recordClose(const HttpConnection& connection, model::CloseReason reason) const;
     void recordBodyProgress(HttpExchange& exchange, size_t bytes);
     void recordProgress(HttpConnection& connection);
     /// Connections that count for Limits::connections.
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -70,9 +70,8 @@
 {
     if (const int unread = unreadBytes(connection.fd); unread > 0) // It is the server that is behind.
         return recordOverdueUnread(connection, unread);
-    if (connection.phase == HttpConnection::Phase::BetweenRequests)
-        options_.counters->add(model::Counter::IdleCloses);
-    close(connection);
+    const bool isIdle = connection.phase == HttpConnection::Phase::BetweenRequests;
+    close(connection, isIdle ? model::CloseReason::Idle : model::CloseReason::HeadTimeout);
 }
 
 void HttpServer::recordOverdueUnread(const HttpConnection& connection, int bytes) const
@@ -83,27 +82,44 @@
                                << " unread_bytes=" << bytes << " waited_ms=" << waited.count();
 }
 
+void HttpServer::recordClose(const HttpConnection& connection, model::CloseReason reason) const
+{
+    options_.counters->addClose(reason);
+    const int unread = unreadBytes(connection.fd);
+    const HttpExchange* exchange = connection.exchange;
+    if (exchange == nullptr && unread == 0)
+        return;
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - connection.phaseSince);
+    LOG_TAGGED(WARNING, "net") << "event=connection_closed reason=" << toString(reason)
+                               << " remote=" << connection.remoteIp << " unread_bytes=" << unread
+                               << " in_exchange=" << (connection.isInExchange() ? "yes" : "no")
+                               << " passed_on=" << (exchange != nullptr && exchange->isStarted ? "yes" : "no")
+                               << " response=" << (exchange != nullptr && exchange->hasResponse() ? "yes" : "no")
+                               << " waited_ms=" << waited.count();
+}
+
 void HttpServer::enforceExchangeLimits(HttpExchange& exchange)
 {
     HttpConnection& connection = exchange.connection();
     if (exchange.isAborted())
-        return close(connection); // libmicrohttpd would notice it with the next bytes.
+        return shutDown(connection); // libmicrohttpd would notice it with the next bytes.
     if (exchange.isSuspended())
         return; // It waits for the core or for its turn, not for the caller.
     const Timestamp now = monotonicNow();
     const CallerPaceLimits& limits = options_.paceLimits;
     if (exchange.lingeringSince) {
         if (now - *exchange.lingeringSince > limits.lingerTime)
-            close(connection);
+            shutDown(connection);
     } else if (exchange.isResponseQueued()) {
         if (isReaderStalled(connection))
-            close(connection);
+            close(connection, model::CloseReason::StalledReader);
     } else if (exchange.isBodyRead) {
         return;
     } else if (exchange.discardingSince) {
         if (now - *exchange.discardingSince > limits.discardTime)
             linger(exchange);
     } else if (isBodyTooSlow(exchange)) {
+        recordClose(connection, model::CloseReason::BodyTimeout);
         endBody(exchange);
     }
 }
@@ -150,7 +166,7 @@
     if (isNew)
         linger(exchange);
     else
-        close(exchange.connection());
+        shutDown(exchange.connection());
 }
 
 void HttpServer::linger(HttpExchange& exchange)
@@ -160,14 +176,22 @@
     if (!exchange.sendResponseDuringBody()) {
         reportAborted(exchange);
         exchange.abort();
-        return close(exchange.connection());
+        return shutDown(exchange.connection());
     }
     if (exchange.isStarted && !exchange.isEnded)
         options_.sink(requests::HttpResponseDone {.handle = exchange.handle()});
     exchange.isEnded = true;
 }
 
-void HttpServer::close(HttpConnection& connection)
+void HttpServer::close(HttpConnection& connection, model::CloseReason reason)
+{
+    if (connection.isClosing)
+        return;
+    recordClose(connection, reason);
+    shutDown(connection);
+}
+
+void HttpServer::shutDown(HttpConnection& connection)
 {
     if (connection.isClosing)
         return;
@@ -220,7 +244,7 @@
         return false;
     if (connection->isInExchange() && !connection->exchange->hasResponse())
         endBody(*connection->exchange);
-    close(*connection);
+    close(*connection, model::CloseReason::Room);
     return true;
 }
 
--- a/src/saltvaned/internal/metricstext.cpp
+++ b/src/saltvaned/internal/metricstext.cpp
@@ -61,6 +61,17 @@
     return family;
 }
 
+prometheus::MetricFamily makeCloses(const model::Counters& adapters)
+{
+    prometheus::MetricFamily family = makeFamily("saltvane_connection_closes_total",
+        "Callers' connections that the host closed, by reason", prometheus::MetricType::Counter);
+    for (size_t index = 0; index < adapters.closes.size(); ++index) {
+        const std::string reason(model::toString(static_cast<model::CloseReason>(index)));
+        addCounter(family, {{"reason", reason}}, adapters.closes.at(index));
+    }
+    return family;
+}
+
 void addCounters(
     std::vector<prometheus::MetricFamily>& families, const model::Counters& core, const model::Counters& adapters)
 {
@@ -79,6 +90,7 @@
         "saltvane_unknowns_total", "Requests with an unknown outcome, by reason", core.unknowns, adapters.unknowns));
     families.push_back(makeReasonFamily("saltvane_withheld_total",
         "Dispatches withheld before their first byte, by reason", core.withheld, adapters.withheld));
+    families.push_back(makeCloses(adapters));
 }
 
 void addZoneGauges(std::vector<prometheus::MetricFamily>& families, const host::HostStatus& status)
