HTTP server: callers of connections that it closes are told that their request is not run

Callers saw: a whole request on a connection that the host closed at that moment got neither a response nor a refusal, only a reset. That holds for idle connections, for heads that a new plan's lower limit made late, and for connections that made room for others; a response that was known while the body was still read was lost in the latter case. Cause: each close shut the socket both ways at once, whatever was on its way. Now all such closes take one way: the response that is known, or 408 with outcome not-run (RFC 9110, 15.5.9), then the end of the sending direction; what still arrives is read and discarded for lingerTime, since unread bytes would reset the connection. At the limit of connections the oldest lingering one ends at once, so that crowds are accepted as before. Withdrawn: keeping the former time limit of heads that have begun; NewLimitsApplyAtOnceAndToOpenConnections asks for the opposite, and the refusal tells the caller what happened.

--- a/src/model/counters.h
+++ b/src/model/counters.h
@@ -65,6 +65,7 @@
     UnconfirmedDispatches, ///< Requests sent to targets while the registry's information was not current.
     SurplusResponses, ///< Times that a target sent bytes that no request waited for.
     OverdueUnread, ///< Times that a connection beyond a time limit was kept because of unread bytes of the caller.
+    RequestsAfterClose, ///< Requests that arrived on a connection that the host had closed.
     UnacknowledgedCloses, ///< Connections to targets that were closed with unacknowledged bytes of a request.
     Count
 };
--- a/src/model/internal/counters.cpp
+++ b/src/model/internal/counters.cpp
@@ -63,6 +63,8 @@
         .help = "Times that a target sent bytes on a kept connection on which no request waited for them."},
     {.name = "saltvane_overdue_unread_total",
         .help = "Times that a caller's connection was kept beyond a time limit because it had unread bytes."},
+    {.name = "saltvane_requests_after_close_total",
+        .help = "Requests that arrived on a connection that the host had closed; they were refused with the close."},
     {.name = "saltvane_unacknowledged_closes_total",
         .help = "Connections to targets that were closed with unacknowledged bytes of a request."},
 }};
--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -45,9 +45,10 @@
     bool isOverLimit = false; ///< Exceeds Limits::connections, so its request may be refused.
     bool isServedOverLimit = false; ///< Exceeds it and has a request that is not refused.
     bool isClientDisconnected = false;
-    bool isClosing = false; ///< The server has shut it down; libmicrohttpd removes it soon.
+    bool isClosing = false; ///< The server has ended it; requests that still arrive are not run.
+    Timestamp closingSince;
     HttpExchange* exchange = nullptr; ///< Null between requests.
-    ClosableHook closableHook;
+    ClosableHook closableHook; ///< Of HttpServer's list of closable connections, or of its list of lingering ones.
 };
 
 using HttpConnections = boost::intrusive::list<HttpConnection>;
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -267,6 +267,7 @@
     connections_.push_back(*created);
     recordProgress(*created);
     *context = created.release();
+    endLingeringIfFull();
 }
 
 void HttpServer::connectionClosed(HttpConnection& connection)
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -100,9 +100,20 @@
     [[nodiscard]] bool isReaderStalled(HttpConnection& connection) const;
     void endBody(HttpExchange& exchange);
     void linger(HttpExchange& exchange);
+    /// The way in which connections are closed on which a caller may wait for a response, or may be about to send a
+    /// request. Responds first, then reads and discards what still arrives for a limited time: unread bytes would reset
+    /// the connection, and the caller could lose the response.
     void close(HttpConnection& connection, model::CloseReason reason);
-    /// Ends the connection in both directions without a response.
+    /// Sends the response that is known, or that the request was not run. False: none can be sent.
+    [[nodiscard]] bool respondBeforeClose(HttpConnection& connection, model::CloseReason reason);
+    /// Ends the connection in both directions at once, without a response.
     void shutDown(HttpConnection& connection);
+    void markClosing(HttpConnection& connection);
+    void enforceLingerTime(HttpConnection& connection);
+    /// Keeps a place for the next connection: libmicrohttpd accepts none while it has acceptedConnections_.
+    void endLingeringIfFull();
+    /// Discards a request that arrived after its connection was closed.
+    [[nodiscard]] MHD_Result discardLateRequest(HttpExchange& exchange);
     /// Logs closes by which a caller may have lost a request or its response.
     void recordClose(const HttpConnection& connection, model::CloseReason reason) const;
     void recordBodyProgress(HttpExchange& exchange, size_t bytes);
@@ -124,6 +135,7 @@
     HttpExchanges progressing_; ///< Exchanges with progress that is not reported yet.
     HttpConnections connections_;
     ClosableConnections closable_; ///< Connections on which the server waits for the caller.
+    ClosableConnections lingering_; ///< Closed ones whose callers may still send, in the order of their closes.
     size_t closingCount_ = 0; ///< Of connections_.
     uint32_t servedOverLimit_ = 0; ///< Connections over the limit whose request was not refused.
     PausedExchanges paused_; ///< In the order in which they used up their share of a turn.
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -34,6 +34,35 @@
     return ::ioctl(fd, FIONREAD, &bytes) == 0 ? bytes : 0;
 }
 
+std::string_view refusalReason(model::CloseReason reason)
+{
+    switch (reason) {
+    case model::CloseReason::Room:
+        return toString(model::Reason::TooManyConnections);
+    case model::CloseReason::Stopping:
+        return toString(model::Reason::Stopping);
+    default:
+        return toString(model::Reason::DeadlineExceeded);
+    }
+}
+
+/// Tells a caller whose request may be on its way that it is not run (RFC 9110, 15.5.9), and ends the sending
+/// direction. False: the response did not fit into the socket's buffer.
+bool sendRefusal(int fd, model::CloseReason reason)
+{
+    constexpr std::string_view Body = "connection closed\n";
+    std::string text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n";
+    text += "Content-Type: text/plain; charset=utf-8\r\nSaltvane-Outcome: ";
+    text += toString(model::Outcome::NotRun);
+    text += "\r\nSaltvane-Reason: ";
+    text += refusalReason(reason);
+    text += "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n";
+    text += Body;
+    const ssize_t sent = ::send(fd, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    ::shutdown(fd, SHUT_WR);
+    return sent == static_cast<ssize_t>(text.size());
+}
+
 } // namespace
 
 void HttpServer::enforceLimits()
@@ -41,8 +70,8 @@
     for (auto next = connections_.begin(); next != connections_.end();) {
         HttpConnection& connection = *next++;
         if (connection.isClosing)
-            continue;
-        if (connection.isInExchange())
+            enforceLingerTime(connection);
+        else if (connection.isInExchange())
             enforceExchangeLimits(*connection.exchange);
         else if (isOverdue(connection))
             closeUnlessUnread(connection);
@@ -188,17 +217,60 @@
     if (connection.isClosing)
         return;
     recordClose(connection, reason);
-    shutDown(connection);
+    if (!respondBeforeClose(connection, reason))
+        return shutDown(connection);
+    markClosing(connection);
+    lingering_.push_back(connection);
+    endLingeringIfFull();
+}
+
+bool HttpServer::respondBeforeClose(HttpConnection& connection, model::CloseReason reason)
+{
+    if (!connection.isInExchange())
+        return sendRefusal(connection.fd, reason);
+    HttpExchange& exchange = *connection.exchange;
+    if (exchange.isResponseQueued())
+        return exchange.lingeringSince.has_value();
+    if (exchange.hasResponse())
+        linger(exchange);
+    else
+        endBody(exchange);
+    return !connection.isClosing;
 }
 
 void HttpServer::shutDown(HttpConnection& connection)
 {
-    if (connection.isClosing)
-        return;
+    markClosing(connection);
+    ::shutdown(connection.fd, SHUT_RDWR);
+}
+
+void HttpServer::markClosing(HttpConnection& connection)
+{
     connection.closableHook.unlink();
-    connection.isClosing = true;
+    if (std::exchange(connection.isClosing, true))
+        return;
+    connection.closingSince = monotonicNow();
     ++closingCount_;
-    ::shutdown(connection.fd, SHUT_RDWR);
+}
+
+void HttpServer::enforceLingerTime(HttpConnection& connection)
+{
+    if (monotonicNow() - connection.closingSince > options_.paceLimits.lingerTime)
+        shutDown(connection);
+}
+
+void HttpServer::endLingeringIfFull()
+{
+    if (connections_.size() >= acceptedConnections_ && !lingering_.empty())
+        shutDown(lingering_.front());
+}
+
+MHD_Result HttpServer::discardLateRequest(HttpExchange& exchange)
+{
+    options_.counters->add(model::Counter::RequestsAfterClose);
+    exchange.isEnded = true; // The core is not notified of this request.
+    exchange.lingeringSince = exchange.connection().closingSince;
+    return MHD_YES;
 }
 
 void HttpServer::recordBodyProgress(HttpExchange& exchange, size_t bytes)
@@ -242,8 +314,6 @@
     HttpConnection* connection = nextClosable();
     if (connection == nullptr || monotonicNow() - connection->closableSince < options_.paceLimits.minStandstill)
         return false;
-    if (connection->isInExchange() && !connection->exchange->hasResponse())
-        endBody(*connection->exchange);
     close(*connection, model::CloseReason::Room);
     return true;
 }
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -111,7 +111,7 @@
 {
     exchange.isHeadSeen = true;
     if (exchange.connection().isClosing)
-        return MHD_NO; // The caller could not get the response.
+        return discardLateRequest(exchange);
     if (exchange.connection().isOverLimit && !admitOverLimit(exchange.connection()))
         return refuse(
             exchange, {.status = 503, .reason = model::Reason::TooManyConnections, .message = "too many connections"});
