Planned stop: requests that have arrived when the process ends are answered

Cause: the tick that ends the process is due before sockets are read, and the end drops what waits there and connections that wait to be accepted. It is the class of idle connections: a time limit is decided by what has been read, while what has arrived says otherwise. A turn that takes long, such as that of a new plan, lets more of them wait. Now the HTTP servers end their service first (IHttpServer::startShutdown): they accept what waits and then no more, requests that have arrived reach the core, which refuses them, and connections without a request are closed with 408. The process ends when all connections have, or after 0.1 s counted in ticks, before each of which sockets are read.

--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -42,6 +42,11 @@
     [[nodiscard]] virtual bool isCallerConnected(requests::HttpHandle handle) const = 0;
     /// Accepts no new connections; open ones continue.
     virtual void stopAccepting() = 0;
+    /// Ends the service without losing requests that have arrived: accepts the connections that wait and then no more,
+    /// answers what callers have sent, and closes the connections on which no request has arrived.
+    virtual void startShutdown() = 0;
+    /// After startShutdown(): whether all connections have ended.
+    [[nodiscard]] virtual bool isShutDown() const = 0;
     [[nodiscard]] virtual size_t openConnections() const = 0;
     /// The address that the server listens on; its port differs from the options' if that is 0.
     [[nodiscard]] virtual model::Address boundAddress() const = 0;
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -125,8 +125,9 @@
 
 void HttpServer::startLimitTimer()
 {
-    const Duration shortest = std::min(
-        {options_.limits.headerTimeout / 4, options_.limits.idleTimeout / 4, options_.paceLimits.minStandstill});
+    const Duration shortest = isShuttingDown_ ? Duration::zero()
+                                              : std::min({options_.limits.headerTimeout / 4,
+                                                  options_.limits.idleTimeout / 4, options_.paceLimits.minStandstill});
     const Duration interval = std::clamp(shortest, MinLimitCheckInterval, MaxLimitCheckInterval);
     if (std::exchange(limitCheckInterval_, interval) != interval)
         limitTimer_.startRepeating(interval);
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -40,6 +40,8 @@
     void setCallerLimits(const model::CallerLimits& limits) override;
     [[nodiscard]] bool isCallerConnected(requests::HttpHandle handle) const override;
     void stopAccepting() override;
+    void startShutdown() override;
+    [[nodiscard]] bool isShutDown() const override { return isShuttingDown_ && connections_.empty(); }
     [[nodiscard]] size_t openConnections() const override { return connections_.size(); }
     [[nodiscard]] model::Address boundAddress() const override { return boundAddress_; }
 
@@ -90,6 +92,10 @@
     void resumePaused();
     [[nodiscard]] bool isTurnUsed() const;
 
+    // Shutdown (httpservershutdown.cpp).
+    void acceptWaiting();
+    void closeIdle();
+
     // Limits of time and of connections (httpserverlimits.cpp).
     void enforceLimits();
     [[nodiscard]] bool isOverdue(const HttpConnection& connection) const;
@@ -143,7 +149,8 @@
     uint64_t turnCost_ = 0;
     uint64_t lastHandle_;
     MHD_Daemon* daemon_ = nullptr;
-    bool isStopping_ = false;
+    bool isShuttingDown_ = false;
+    bool isStopping_ = false; ///< The object is being destroyed.
     model::Address boundAddress_;
     DisconnectMonitor disconnectMonitor_;
     LoopTask runTask_;
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -7,11 +7,11 @@
 
 #include "base/log.h"
 #include "base/monotonicclock.h"
+#include "net/internal/socketstate.h"
 
 #include <algorithm>
 #include <linux/tcp.h>
 #include <netinet/in.h>
-#include <sys/ioctl.h>
 
 /// Limits of HttpServer on the time that connections take, and on their number.
 namespace saltvane::net {
@@ -28,12 +28,6 @@
     return ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 ? info.tcpi_bytes_acked : 0;
 }
 
-int unreadBytes(int fd)
-{
-    int bytes = 0;
-    return ::ioctl(fd, FIONREAD, &bytes) == 0 ? bytes : 0;
-}
-
 std::string_view refusalReason(model::CloseReason reason)
 {
     switch (reason) {
@@ -77,6 +71,8 @@
             closeUnlessUnread(connection);
     }
     while (countedConnections() > options_.limits.connections && makeRoom()) { }
+    if (isShuttingDown_)
+        closeIdle();
 }
 
 bool HttpServer::isOverdue(const HttpConnection& connection) const
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -10,6 +10,7 @@
 #include "saltvaned/internal/clocks.h"
 #include "saltvaned/internal/commandline.h"
 
+#include <algorithm>
 #include <csignal>
 #include <sys/stat.h>
 #include <utility>
@@ -21,6 +22,9 @@
 /// Interval of the checks whether the settings file has changed: no signal is needed for a reload.
 constexpr Duration SettingsCheckInterval = 2s;
 
+/// The part of the reserve before the stop time limit for requests that arrive when all others have ended.
+constexpr Duration MaxShutdownTime = 100ms;
+
 /// Modification time of a file in nanoseconds since the Unix epoch; 0 if it can't be read.
 int64_t modificationTimeNs(const std::string& path)
 {
@@ -161,6 +165,8 @@
     daemon->executeActions();
     daemon->drainEvents();
     daemon->logWriter_.tick(now);
+    if (daemon->isFinished_)
+        daemon->continueShutdown();
 }
 
 void Daemon::onSignal(struct ev_loop* /*loop*/, ev_signal* watcher, int /*events*/)
@@ -280,10 +286,17 @@
         return;
     isFinished_ = true;
     exitCode_ = finished.requestsCut == 0 ? ExitOk : ExitFailure;
+    shutdownTicksLeft_ = std::max<int64_t>(MaxShutdownTime / core_->tickInterval(), 1);
     LOG_TAGGED(INFO, "saltvaned") << "event=stopped requests_cut=" << finished.requestsCut;
+}
+
+void Daemon::continueShutdown()
+{
     for (const auto& server : httpServers_)
-        server->stopAccepting();
-    ev_break(loop_, EVBREAK_ALL);
+        server->startShutdown();
+    const bool isShutDown = std::ranges::all_of(httpServers_, [](const auto& server) { return server->isShutDown(); });
+    if (isShutDown || --shutdownTicksLeft_ < 0)
+        ev_break(loop_, EVBREAK_ALL);
 }
 
 } // namespace saltvane::saltvaned
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -78,6 +78,8 @@
     void reloadSettings();
     void watchSettings(const std::string& path);
     void executeActions();
+    /// Ends the HTTP service, then the event loop.
+    void continueShutdown();
 
     void execute(requests::Action action);
     void execute(const control::StorageWrite& write);
@@ -112,6 +114,9 @@
     std::deque<host::Event> events_;
     bool isDraining_ = false;
     bool isFinished_ = false;
+    /// Counted in ticks, before each of which sockets are read: requests that arrived while the process did not run are
+    /// still answered.
+    int64_t shutdownTicksLeft_ = 0;
     int exitCode_ = 0;
 };
 
--- a/testing/system/plannedstop.py
+++ b/testing/system/plannedstop.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """System test of a planned stop: one of two gateways is stopped while callers may still keep its address and send requests.
-Guards against requests that it takes too late, passes on to a target and leaves without the target's response, and against
-callers that get nothing where their request took longer than the stop."""
+Guards against requests that it takes too late, passes on to a target and leaves without the target's response, against
+callers that get nothing where their request took longer than the stop, and against requests that arrive right before the
+process ends and are not read."""
 import argparse
 import asyncio
 import collections
@@ -28,6 +29,8 @@
 BLOCKS = 10
 BLOCK = 20_000
 RETRY_S = 0.05
+# Callers that come back at once after each refusal, until the gateway accepts no connection any more.
+EAGER_CALLERS = 20
 # Requests at most once that are sent right before the stop and take longer than it.
 LONG_REQUESTS = 6
 LONG_PATH = "/orders/long-"
@@ -129,6 +132,10 @@
                 self.unserved += 1
                 await asyncio.sleep(RETRY_S)
 
+    async def run_eagerly(self):
+        while (attempt := await self.send(self.fronts[0])) is not None:
+            self.attempts.append(attempt)
+
     async def _request(self) -> bool:
         """False if no gateway served the request. Connections that closed without a response are judged by what ran."""
         attempt = await self.send(self.fronts[0])
@@ -233,13 +240,17 @@
     late = [attempt for attempt in attempts if attempt.sent_at >= stopped_at]
     lost = [attempt for attempt in attempts if attempt.request_id in runs and attempt.status != 200]
     early = [attempt for attempt in late if attempt.sent_at < stopped_at + EARLY_S]
+    unanswered = [attempt for attempt in attempts if attempt.response is None and attempt.request_id not in runs]
     counts = collections.Counter(attempt.status for attempt in late)
     by_path = collections.Counter(attempt.path for attempt in lost)
     unserved = sum(caller.unserved for caller in callers)
     print(f"{len(attempts)} requests, {len(late)} after the stop was requested, by status {dict(sorted(counts.items()))}; "
-          f"lost {len(lost)} {dict(by_path)}; not served by any gateway {unserved}; exit code {exit_code}", flush=True)
+          f"lost {len(lost)} {dict(by_path)}; without a response {len(unanswered)}; not served by any gateway {unserved}; "
+          f"exit code {exit_code}", flush=True)
     findings = [f"{attempt.path} sent {attempt.sent_at - stopped_at:.2f} s after the stop was requested: "
                 f"its target ran it, the caller got {attempt.status}" for attempt in lost]
+    findings += [f"{attempt.path} sent {attempt.sent_at - stopped_at:.2f} s after the stop was requested: not run, but its "
+                 "caller got neither a response nor a refusal" for attempt in unanswered]
     if not any(attempt.status == 200 for attempt in early):
         findings.append("no request was served though there was time")
     if unserved > 0:
@@ -261,9 +272,12 @@
     long_requests = send_long_requests(deployment)
     await asyncio.sleep(LONG_SENT_BEFORE_S)
     stopped_at = time.monotonic()
+    eager = [Caller(CALLERS + LONG_REQUESTS + number, deployment.fronts) for number in range(EAGER_CALLERS)]
+    eager_tasks = [asyncio.create_task(caller.run_eagerly()) for caller in eager]
     exit_code = await asyncio.to_thread(system.stop, "stopping")
+    await asyncio.gather(*eager_tasks)
     await asyncio.sleep(RETRY_S)
-    findings = judge(callers, deployment.targets, stopped_at, exit_code)
+    findings = judge(callers + eager, deployment.targets, stopped_at, exit_code)
     findings += judge_long_requests(await asyncio.gather(*long_requests))
     for task in (*tasks, *reports):
         task.cancel()
