System test of a planned stop: callers repeat requests that got 408 at the other gateway

408 promises that the request was not run, as 503 does; the callers of the test counted it as not served (3 and 6 requests of two of three runs).

--- a/testing/system/plannedstop.py
+++ b/testing/system/plannedstop.py
@@ -29,6 +29,7 @@
 BLOCKS = 10
 BLOCK = 20_000
 RETRY_S = 0.05
+NOT_RUN_STATUSES = (408, 503)  # Callers repeat the request at the other gateway.
 # Callers that come back at once after each refusal, until the gateway accepts no connection any more.
 EAGER_CALLERS = 20
 # Requests at most once that are sent right before the stop and take longer than it.
@@ -141,9 +142,9 @@
         attempt = await self.send(self.fronts[0])
         if attempt is not None:
             self.attempts.append(attempt)
-            if attempt.status != 503:
+            if attempt.status not in NOT_RUN_STATUSES:
                 return attempt.status in (0, 200)
-            await asyncio.sleep(float(attempt.response.headers["retry-after"]))
+            await asyncio.sleep(float(attempt.response.headers.get("retry-after", RETRY_S)))
         attempt = await self.send(self.fronts[1])
         return attempt is not None and attempt.status == 200
 
