Connections to targets: the time that a target names in Keep-Alive is read

Callers saw 502 "unknown" for requests at most once that did not run: a gateway sent them on a kept connection that its target closed at that moment. Targets name the time in `Keep-Alive: timeout=N`, and the gateway did not read it; it knows only its own fixed idle times. A limit that only one side knew.

TargetConnections records with each response until when its connection may be used: the named time less 0.5 s, for the way of the response and of the request. After that the exchange opens a new connection before a byte is sent, as it does for a connection that its target has closed. One margin for all requests. 0 ends the use of the connection; a malformed time counts for nothing.

Red on the code of: - RequestsAroundTheNamedTimeAreServed: of seven requests, sent 0.2 to 1.02 s after a response that named 1 s, 4 ended with "may have reached the target" (those of 0.75 to 0.985 s); four runs of four with these moments or similar ones. - ConnectionIsLeftBeforeTheNamedTime, NamedTimeIsReadFromEachFormOfTheField, LastResponseCounts. MalformedTimesCountForNothing is green before and after.

After: saltvane_net_tests 185 of 185, saltvane_gateway_tests 333 of 333.

--- a/src/net/internal/responsehead.cpp
+++ b/src/net/internal/responsehead.cpp
@@ -25,6 +25,7 @@
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 constexpr std::string_view Whitespace = " \t";
+constexpr std::chrono::seconds MaxKeptTime = std::chrono::hours(24); ///< A longer one counts as this.
 
 std::string_view trimmed(std::string_view text)
 {
@@ -134,6 +135,22 @@
 
 bool ResponseHead::hasNoBody() const { return isResponseToHead_ || status_ == NoContent || status_ == NotModified; }
 
+void ResponseHead::readKeptTime(std::string_view keepAlive)
+{
+    while (!keepAlive.empty()) {
+        const size_t end = std::min(keepAlive.find(','), keepAlive.size());
+        const std::string_view parameter = keepAlive.substr(0, end);
+        keepAlive.remove_prefix(std::min(end + 1, keepAlive.size()));
+        const size_t equals = parameter.find('=');
+        if (equals == std::string_view::npos || !equalsIgnoringCase(trimmed(parameter.substr(0, equals)), "timeout"))
+            continue;
+        if (const auto seconds = parseLength(trimmed(parameter.substr(equals + 1)))) {
+            const std::chrono::seconds time(std::min<uint64_t>(*seconds, MaxKeptTime.count()));
+            keptTime_ = std::min(time, keptTime_.value_or(time));
+        }
+    }
+}
+
 ResponseHead::State ResponseHead::finish()
 {
     if (status_ < FirstFinalStatus) {
@@ -149,6 +166,8 @@
                 return fail("Transfer-Encoding other than chunked");
             isChunked = true;
         }
+        if (equalsIgnoringCase(header.name, "Keep-Alive"))
+            readKeptTime(header.value);
         if (!equalsIgnoringCase(header.name, "Content-Length"))
             continue;
         if (length && *length != header.value)
--- a/src/net/internal/responsehead.h
+++ b/src/net/internal/responsehead.h
@@ -7,6 +7,7 @@
 
 #include "model/requestmessages.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,6 +42,10 @@
     [[nodiscard]] std::vector<model::Header>& headers() { return headers_; }
     /// Bytes of the body that follows; 0 for a response without body (HEAD, 204, 304). No value: chunked.
     [[nodiscard]] std::optional<uint64_t> bodyLength() const { return bodyLength_; }
+    /// For how long the target keeps the connection after this response, as the complete head names it
+    /// (`Keep-Alive: timeout=5`); the shortest if it names several. 0: not at all. No value: it names none; a malformed
+    /// time counts for nothing.
+    [[nodiscard]] std::optional<std::chrono::seconds> keptTime() const { return keptTime_; }
 
 private:
     [[nodiscard]] State fail(std::string error);
@@ -49,6 +54,7 @@
     [[nodiscard]] State addField(std::string_view line);
     [[nodiscard]] State finish();
     [[nodiscard]] bool hasNoBody() const;
+    void readKeptTime(std::string_view keepAlive);
 
     bool isResponseToHead_;
     bool followsOthers_ = false;
@@ -59,6 +65,7 @@
     size_t size_ = 0;
     std::vector<model::Header> headers_;
     std::optional<uint64_t> bodyLength_;
+    std::optional<std::chrono::seconds> keptTime_;
 };
 
 } // namespace saltvane::net
--- a/src/net/internal/targetconnections.cpp
+++ b/src/net/internal/targetconnections.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+/// A connection is left this long before its target closes it. Covers the way of a response from the target, whose time
+/// starts earlier than the one here, the way of the request to it, and delays of both hosts.
+constexpr Duration CloseMargin = 500ms;
+
 /// Bytes that were written to the socket and that the peer has not acknowledged.
 int unacknowledgedBytes(int fd)
 {
@@ -48,6 +52,22 @@
     return ready > 0 && socket.revents == POLLIN ? Input::Bytes : Input::End;
 }
 
+void TargetConnections::recordResponse(const Key& key, std::optional<Duration> keptTime, Timestamp now)
+{
+    const auto found = connections_.find(key);
+    if (found == connections_.end())
+        return;
+    found->second.usableUntil.reset();
+    if (keptTime)
+        found->second.usableUntil = now + *keptTime - CloseMargin;
+}
+
+bool TargetConnections::isExpiring(const Key& key, Timestamp now) const
+{
+    const auto found = connections_.find(key);
+    return found != connections_.end() && found->second.usableUntil && now >= *found->second.usableUntil;
+}
+
 uint32_t TargetConnections::recordRequest(const Key& key)
 {
     const auto found = connections_.find(key);
--- a/src/net/internal/targetconnections.h
+++ b/src/net/internal/targetconnections.h
@@ -5,12 +5,14 @@
  */
 #pragma once
 
+#include "base/timetypes.h"
 #include "model/counters.h"
 #include "model/hostmessages.h"
 
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace saltvane::net {
@@ -45,6 +47,11 @@
     [[nodiscard]] Input pendingInput(const Key& key) const;
     /// Closes the socket. Bytes that its peer has not acknowledged are dropped.
     int close(int fd);
+    /// The last response on the connection is complete, or its head is. `keptTime`: for how long the target keeps the
+    /// connection after it, if it named a time.
+    void recordResponse(const Key& key, std::optional<Duration> keptTime, Timestamp now);
+    /// Whether a request that is sent now may meet the close of the connection that its last response announced.
+    [[nodiscard]] bool isExpiring(const Key& key, Timestamp now) const;
     /// Counts a request that is about to be sent. Returns how many the connection had carried before.
     uint32_t recordRequest(const Key& key);
 
@@ -52,6 +59,7 @@
     struct Connection {
         int fd = -1;
         uint32_t requests = 0;
+        std::optional<Timestamp> usableUntil; ///< No value: the last response named no time.
     };
 
     model::Counters* counters_;
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -258,7 +258,8 @@
     // libcurl takes a connection with unread bytes for a usable one and would read them as the response.
     const TargetConnections::Input input = options_.connections.pendingInput(connectionKey());
     hasSurplus_ = hasSurplus_ || input == TargetConnections::Input::Bytes;
-    if (input == TargetConnections::Input::None)
+    const bool isExpiring = options_.connections.isExpiring(connectionKey(), monotonicNow());
+    if (input == TargetConnections::Input::None && !isExpiring)
         return true;
     mustReconnect_ = !newSocket_;
     failure_ = input == TargetConnections::Input::Bytes ? "bytes arrived before the request was sent"
@@ -297,6 +298,8 @@
         return false;
     }
     if (isComplete) {
+        // libcurl may choose the connection for another transfer before it reports the end of this one.
+        recordResponse();
         options_.emit(requests::TargetResponseHead {.dispatch = options_.start.dispatch,
             .status = head_.status(),
             .headers = std::move(head_.headers()),
@@ -308,6 +311,11 @@
     return true;
 }
 
+void TargetExchange::recordResponse()
+{
+    options_.connections.recordResponse(connectionKey(), head_.keptTime(), monotonicNow());
+}
+
 /// Trailers are not forwarded, but libcurl stores them until the transfer ends.
 bool TargetExchange::handleTrailerLine(std::string_view line)
 {
@@ -463,6 +471,7 @@
         return fail(failure_.empty() ? curl_easy_strerror(code) : failure_, isConnectionRefused(code));
     if (head_.state() != ResponseHead::State::Complete)
         return fail("incomplete response head");
+    recordResponse();
     isResponseComplete_ = true;
     if (buffered_.empty())
         emitDone();
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -78,6 +78,8 @@
     /// Updates the header that tells the target the time left.
     void updateDeadlineLine();
     [[nodiscard]] bool handleHeadLine(std::string_view line);
+    /// Tells the connections for how long this one may be used after the response.
+    void recordResponse();
     [[nodiscard]] bool handleTrailerLine(std::string_view line);
     /// The request's id, which its target echoes; empty if it has none.
     [[nodiscard]] std::string_view requestId() const;
--- a/src/net/tests/targetconnectiontests.cpp
+++ b/src/net/tests/targetconnectiontests.cpp
@@ -3,8 +3,12 @@
  * saltvane: global traffic steering
  * Copyright (c) 2026 the saltvane authors
  */
+#include "base/monotonicclock.h"
 #include "net/tests/targetclientfixture.h"
 
+#include <array>
+#include <utility>
+
 /// Connections of TargetClient: which ones are reused, and how failed or refused ones are reported.
 namespace saltvane::net::tests {
 namespace {
@@ -205,5 +209,177 @@
     EXPECT_FALSE(failure->isRefused);
 }
 
+/// A target that keeps idle connections for 1 s, as its responses say. It closes its first connection at that moment
+/// without reading what arrived there within the last 300 ms, as if that were still on its way.
+class ClosingTarget {
+public:
+    static constexpr Duration KeptTime = 1s;
+    static constexpr Duration Way = 300ms;
+
+    [[nodiscard]] const model::Address& address() const { return listener_.address(); }
+    void serve(Timestamp now)
+    {
+        if (isServed_ && now >= servedAt_ + KeptTime)
+            first_.close();
+        if (!isServed_ || now < servedAt_ + KeptTime - Way)
+            serve(first_, now);
+        if (isServed_)
+            serve(second_, now);
+    }
+
+    [[nodiscard]] static std::string namedResponse(std::string_view fields)
+    {
+        return "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + std::string(fields) + "Content-Length: 2\r\n\r\nok";
+    }
+
+private:
+    void serve(RawSocket& connection, Timestamp now)
+    {
+        if (!connection.isOpen())
+            (void)listener_.accept(connection);
+        if (!connection.isOpen() || !connection.hasReceived("\r\n\r\n"))
+            return;
+        connection.received.clear();
+        connection.send(namedResponse("Keep-Alive: timeout=1\r\n"));
+        if (!std::exchange(isServed_, true))
+            servedAt_ = now;
+    }
+
+    RawListener listener_;
+    RawSocket first_;
+    RawSocket second_;
+    bool isServed_ = false;
+    Timestamp servedAt_; ///< The first request.
+};
+
+class KeptTimeTest : public TargetClientTest {
+protected:
+    [[nodiscard]] TargetStart atMostOnce(uint64_t dispatch) const
+    {
+        TargetStart start = namedRequest(dispatch, false);
+        start.maxReuseIdleTime = 2s;
+        return start;
+    }
+    /// Sends a request, which `target` answers with these header lines.
+    void answer(uint64_t dispatch, RawSocket& target, std::string_view fields)
+    {
+        target.received.clear();
+        client->execute(atMostOnce(dispatch));
+        ASSERT_TRUE(acceptRequest(target)) << fields;
+        target.send(ClosingTarget::namedResponse(fields));
+        ASSERT_TRUE(waitForCompletion(dispatch)) << fields;
+    }
+    void rest(Duration time)
+    {
+        const Timestamp end = monotonicNow() + time;
+        ASSERT_TRUE(runner.runUntil([&] { return monotonicNow() >= end; }));
+    }
+    /// Whether the request after a response with these header lines, and a rest, comes on the same connection.
+    [[nodiscard]] bool isReusedAfter(std::string_view fields, Duration restTime)
+    {
+        SetUp();
+        log.events.clear();
+        RawSocket target;
+        RawSocket next;
+        answer(1, target, fields);
+        rest(restTime);
+        target.received.clear();
+        client->execute(atMostOnce(2));
+        const bool hasArrived = runner.runUntil([&] {
+            if (!next.isOpen())
+                (void)listener.accept(next);
+            return target.hasReceived("\r\n\r\n") || (next.isOpen() && next.hasReceived("\r\n\r\n"));
+        });
+        EXPECT_TRUE(hasArrived) << fields;
+        EXPECT_EQ(next.isOpen(), target.isPeerDisconnected()) << fields << ": a connection that is not used is closed";
+        (next.isOpen() ? next : target).send(NamedResponse);
+        EXPECT_TRUE(waitForCompletion(2)) << fields;
+        EXPECT_EQ(log.target<TargetFailed>().size(), 0U) << fields;
+        return !next.isOpen();
+    }
+};
+
+// Guards against requests at most once that end as unknown though they did not run: they were sent on a connection that
+// its target closed at that moment, as its last response had announced.
+TEST_F(KeptTimeTest, RequestsAroundTheNamedTimeAreServed)
+{
+    constexpr std::array SentAfter {200ms, 750ms, 850ms, 950ms, 985ms, 1000ms, 1020ms};
+    std::array<ClosingTarget, SentAfter.size()> targets;
+    std::array<bool, SentAfter.size()> isSent {};
+    for (size_t i = 0; i < targets.size(); ++i) {
+        TargetStart first = atMostOnce(i + 1);
+        first.address = targets[i].address();
+        client->execute(first);
+    }
+    ASSERT_TRUE(runner.runUntil([&] {
+        for (ClosingTarget& target : targets)
+            target.serve(monotonicNow());
+        return log.target<TargetResponseDone>().size() == targets.size();
+    }));
+    const Timestamp answeredAt = monotonicNow();
+    ASSERT_TRUE(runner.runUntil([&] {
+        const Timestamp now = monotonicNow();
+        for (size_t i = 0; i < targets.size(); ++i) {
+            targets[i].serve(now);
+            if (now < answeredAt + SentAfter[i] || std::exchange(isSent[i], true))
+                continue;
+            TargetStart second = atMostOnce(targets.size() + i + 1);
+            second.address = targets[i].address();
+            client->execute(second);
+        }
+        return log.target<TargetResponseDone>().size() + log.target<TargetFailed>().size() == 2 * targets.size();
+    }));
+    for (const TargetFailed& failed : log.target<TargetFailed>())
+        ADD_FAILURE() << failed.message << ", dispatch " << failed.dispatch.value
+                      << ", may have reached the target: " << failed.mayHaveReachedTarget;
+}
+
+// Guards against connections that are used until their target closes them, and ones that are left for no reason.
+TEST_F(KeptTimeTest, ConnectionIsLeftBeforeTheNamedTime)
+{
+    constexpr Duration Rest = 700ms;
+    EXPECT_FALSE(isReusedAfter("Keep-Alive: timeout=1\r\n", Rest));
+    EXPECT_TRUE(isReusedAfter("Keep-Alive: timeout=2\r\n", Rest));
+    EXPECT_TRUE(isReusedAfter("Keep-Alive: timeout=18446744073709551615\r\n", Rest));
+    EXPECT_TRUE(isReusedAfter("", Rest));
+}
+
+// Guards against named times that are missed: the field and its parameters come in any letter case, beside others, more
+// than once. With 0, the target keeps no connection.
+TEST_F(KeptTimeTest, NamedTimeIsReadFromEachFormOfTheField)
+{
+    for (const std::string_view fields : {"Keep-Alive: timeout=0\r\n", "keep-alive: max=100, TimeOut=0\r\n",
+             "KEEP-ALIVE:timeout = 0 ,max=100\r\n", "Keep-Alive: max=100\r\nKeep-Alive: timeout=0\r\n",
+             "Keep-Alive: timeout=30, timeout=0\r\n", "Keep-Alive: timeout=0\r\nKeep-Alive: timeout=30\r\n",
+             "Connection: keep-alive\r\nKeep-Alive: timeout=00\r\n"})
+        EXPECT_FALSE(isReusedAfter(fields, 0ms)) << fields;
+}
+
+// Guards against connections that are never used again because of a value that names no time.
+TEST_F(KeptTimeTest, MalformedTimesCountForNothing)
+{
+    for (const std::string_view value : {"", "timeout", "timeout=", "timeout=x", "timeout=-1", "timeout=0.5",
+             "timeout=\"0\"", "timeout=0s", "timeout=99999999999999999999", "timeouts=0", "max=0", "0", "=0", ",;="})
+        EXPECT_TRUE(isReusedAfter("Keep-Alive: " + std::string(value) + "\r\n", 0ms)) << value;
+    EXPECT_TRUE(isReusedAfter("X-Keep-Alive: timeout=0\r\n", 0ms));
+}
+
+// Guards against connections that are judged by an earlier response, or by the time since that one.
+TEST_F(KeptTimeTest, LastResponseCounts)
+{
+    RawSocket target;
+    answer(1, target, "Keep-Alive: timeout=1\r\n");
+    rest(260ms);
+    answer(2, target, "Keep-Alive: timeout=1\r\n");
+    rest(260ms);
+    answer(3, target, "Keep-Alive: timeout=30\r\n");
+    rest(700ms);
+    answer(4, target, "Keep-Alive: timeout=0\r\n");
+    EXPECT_EQ(listener.accepted, 1);
+    RawSocket next;
+    answer(5, next, "");
+    EXPECT_EQ(listener.accepted, 2);
+}
+
 } // namespace
 } // namespace saltvane::net::tests
