Connections to targets: a 408 that ends an idle connection is no surplus response

Targets were taken for senders of surplus responses, and got a connection for each request then, because they say with a 408 that they close an idle connection. saltvane's own HTTP servers do so since, to peers too; there it counted in saltvane_surplus_responses_total.

Cause: bytes that wait with the end of the stream count as the end, but the 408 alone, before that end has arrived, counted as bytes of no request; so did a 408 that a request met on its way. A 408 without a request says that the target closes the connection (RFC 9110, section 15.5.9); it is no evidence of a second response. TargetConnections peeks at the status line and reports the end. The connection is left and the request sent on a new one, as before. On the way: a 408 without the id of a request, on a kept connection, is not reported as surplus; the request stays "may have reached the target", since a target may also respond so to a request that it has read. With an id it stays surplus.

Limit: a second copy of a 408 that named a request passes for the end where it waits before the next request; its connection is left all the same.

Red on the code of: IdleTimeoutsAreNoSurplusAndTheRequestIsServed (the case without the end of the stream; the one with it is green), IdleTimeoutThatMeetsTheRequestIsNoSurplus. OtherResponsesWithoutARequestAreSurplus is green before and after.

--- a/src/net/internal/targetconnections.cpp
+++ b/src/net/internal/targetconnections.cpp
@@ -5,8 +5,10 @@
  */
 #include "net/internal/targetconnections.h"
 
+#include <array>
 #include <linux/sockios.h>
 #include <poll.h>
+#include <string_view>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -26,6 +28,21 @@
     return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
 }
 
+/// Whether the bytes that wait begin with the status line of a 408: with it, a target closes a connection on which it
+/// has waited for a request (RFC 9110, section 15.5.9). The end of the stream may arrive later.
+bool isIdleTimeoutPending(int fd)
+{
+    constexpr std::string_view Version = "HTTP/1.";
+    constexpr std::string_view Status = " 408";
+    constexpr size_t StatusOffset = 8; // After "HTTP/1.1".
+    std::array<char, StatusOffset + Status.size() + 1> bytes {}; // With the character that ends the status.
+    if (::recv(fd, bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT) != static_cast<ssize_t>(bytes.size()))
+        return false;
+    const std::string_view text(bytes.data(), bytes.size());
+    return text.starts_with(Version) && text.substr(StatusOffset).starts_with(Status)
+        && (text.back() == ' ' || text.back() == '\r');
+}
+
 } // namespace
 
 void setResetOnClose(int fd)
@@ -49,7 +66,9 @@
     const int ready = ::poll(&socket, 1, 0);
     if (ready == 0)
         return Input::None;
-    return ready > 0 && socket.revents == POLLIN ? Input::Bytes : Input::End;
+    if (ready < 0 || socket.revents != POLLIN)
+        return Input::End;
+    return isIdleTimeoutPending(found->second.fd) ? Input::End : Input::Bytes;
 }
 
 void TargetConnections::recordResponse(const Key& key, std::optional<Duration> keptTime, Timestamp now)
--- a/src/net/internal/targetconnections.h
+++ b/src/net/internal/targetconnections.h
@@ -33,7 +33,7 @@
     enum class Input {
         None,
         Bytes,
-        End ///< The target has closed the connection, perhaps after some bytes.
+        End ///< The target has closed the connection, perhaps after some bytes, or its 408 says that it does.
     };
 
     explicit TargetConnections(model::Counters* counters)
--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -23,6 +23,7 @@
 constexpr long ReceiveBufferBytes = 16 * 1024;
 constexpr long SendBufferBytes = 16 * 1024;
 constexpr size_t MaxTrailerBytes = 16 * 1024;
+constexpr int StatusTimeout = 408;
 
 /// Request headers that are not forwarded: this class sets them from the request's framing, or omits them.
 constexpr std::array<std::string_view, 4> ReservedHeaders {
@@ -294,7 +295,8 @@
         // The failed transfer makes libcurl close the connection. If it stayed open, every later request on it would
         // receive the response of the previous one.
         failure_ = isComplete ? "answer of another request" : head_.error();
-        hasSurplus_ = hasSurplus_ || (!newSocket_ && (isComplete || head_.isOutOfStep()));
+        const bool isSurplus = isComplete ? !isIdleTimeout() : head_.isOutOfStep();
+        hasSurplus_ = hasSurplus_ || (!newSocket_ && isSurplus);
         return false;
     }
     if (isComplete) {
@@ -349,6 +351,11 @@
     return isEchoed || newSocket_;
 }
 
+bool TargetExchange::isIdleTimeout()
+{
+    return head_.status() == StatusTimeout && !hasHeader(head_.headers(), options_.start.echoedHeader);
+}
+
 size_t TargetExchange::onBody(char* data, size_t size, size_t count, void* exchange)
 {
     return static_cast<TargetExchange*>(exchange)->receiveBody({data, size * count});
--- a/src/net/internal/targetexchange.h
+++ b/src/net/internal/targetexchange.h
@@ -89,6 +89,9 @@
     /// Whether the complete head is that of the response to this request. A response without an id is only on a
     /// connection that has carried no other request.
     [[nodiscard]] bool isOwnResponse();
+    /// Whether the complete head is that of a 408 without an id: the target has closed a kept connection while the
+    /// request was on its way. Whether it has read the request is not known.
+    [[nodiscard]] bool isIdleTimeout();
     [[nodiscard]] size_t receiveBody(std::string_view bytes);
     [[nodiscard]] size_t readBody(char* buffer, size_t capacity);
     /// Returns the number of bytes of the request body that were copied into the buffer.
--- a/src/net/tests/targetconnectiontests.cpp
+++ b/src/net/tests/targetconnectiontests.cpp
@@ -381,5 +381,75 @@
     EXPECT_EQ(listener.accepted, 2);
 }
 
+/// Sent by targets that close an idle connection, since they wait there for a request.
+constexpr std::string_view IdleTimeout
+    = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+// Guards against targets that are taken for senders of surplus responses, and get a connection for each request then,
+// since they say why they close an idle connection: with the end of the stream, or some time before it.
+TEST_F(KeptTimeTest, IdleTimeoutsAreNoSurplusAndTheRequestIsServed)
+{
+    for (const bool isClosed : {true, false}) {
+        SetUp();
+        log.events.clear();
+        RawSocket target;
+        answer(1, target, "");
+        target.received.clear();
+        target.send(IdleTimeout);
+        if (isClosed)
+            target.close();
+        RawSocket next;
+        answer(2, next, "");
+        EXPECT_EQ(log.target<TargetFailed>().size(), 0U);
+        ASSERT_EQ(log.target<TargetResponseHead>().size(), 2U);
+        EXPECT_FALSE(log.target<TargetResponseHead>().back().hasSurplus) << "closed: " << isClosed;
+        EXPECT_FALSE(!isClosed && target.hasReceived("GET"));
+    }
+}
+
+// Guards against the same where the request was on its way. It may have run: nothing tells whether the target read it.
+TEST_F(KeptTimeTest, IdleTimeoutThatMeetsTheRequestIsNoSurplus)
+{
+    RawSocket target;
+    answer(1, target, "");
+    target.received.clear();
+    client->execute(atMostOnce(2));
+    ASSERT_TRUE(acceptRequest(target));
+    target.send(IdleTimeout);
+    ASSERT_TRUE(waitForCompletion(2));
+    ASSERT_EQ(log.target<TargetFailed>().size(), 1U);
+    EXPECT_TRUE(log.target<TargetFailed>().front().mayHaveReachedTarget);
+    EXPECT_FALSE(log.target<TargetFailed>().front().hasSurplus);
+}
+
+// Guards against second responses that pass for idle timeouts: other statuses, parts of a status line, and 408 where it
+// names a request.
+TEST_F(KeptTimeTest, OtherResponsesWithoutARequestAreSurplus)
+{
+    for (const std::string_view bytes :
+        {"HTTP/1.1 40", "HTTP/1.1 4080 X\r\n", "HTTP/1.1 503 Full\r\n", "408", "\r\n"}) {
+        SetUp();
+        log.events.clear();
+        RawSocket target;
+        answer(1, target, "");
+        target.send(bytes);
+        RawSocket next;
+        answer(2, next, "");
+        ASSERT_EQ(log.target<TargetResponseHead>().size(), 2U) << bytes;
+        EXPECT_TRUE(log.target<TargetResponseHead>().back().hasSurplus) << bytes;
+    }
+    SetUp();
+    log.events.clear();
+    RawSocket target;
+    answer(1, target, "");
+    target.received.clear();
+    client->execute(atMostOnce(2));
+    ASSERT_TRUE(acceptRequest(target));
+    target.send("HTTP/1.1 408 Request Timeout\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(waitForCompletion(2));
+    ASSERT_EQ(log.target<TargetFailed>().size(), 1U);
+    EXPECT_TRUE(log.target<TargetFailed>().front().hasSurplus);
+}
+
 } // namespace
 } // namespace saltvane::net::tests
