--- a/src/net/internal/targetexchange.cpp
+++ b/src/net/internal/targetexchange.cpp
@@ -23,6 +23,7 @@
 constexpr long ReceiveBufferBytes = 16 * 1024;
 constexpr long SendBufferBytes = 16 * 1024;
 constexpr size_t MaxTrailerBytes = 16 * 1024;
+constexpr int StatusTimeout = 408;
 
 /// Request headers that are not forwarded: this class sets them from the request's framing, or omits them.
 constexpr std::array<std::string_view, 4> ReservedHeaders {
@@ -258,7 +259,8 @@
     // libcurl takes a connection with unread bytes for a usable one and would read them as the response.
     const TargetConnections::Input input = options_.connections.pendingInput(connectionKey());
     hasSurplus_ = hasSurplus_ || input == TargetConnections::Input::Bytes;
-    if (input == TargetConnections::Input::None)
+    const bool isExpiring = options_.connections.isExpiring(connectionKey(), monotonicNow());
+    if (input == TargetConnections::Input::None && !isExpiring)
         return true;
     mustReconnect_ = !newSocket_;
     failure_ = input == TargetConnections::Input::Bytes ? "bytes arrived before the request was sent"
@@ -293,10 +295,13 @@
         // The failed transfer makes libcurl close the connection. If it stayed open, every later request on it would
         // receive the response of the previous one.
         failure_ = isComplete ? "answer of another request" : head_.error();
-        hasSurplus_ = hasSurplus_ || (!newSocket_ && (isComplete || head_.isOutOfStep()));
+        const bool isSurplus = isComplete ? !isIdleTimeout() : head_.isOutOfStep();
+        hasSurplus_ = hasSurplus_ || (!newSocket_ && isSurplus);
         return false;
     }
     if (isComplete) {
+        // libcurl may choose the connection for another transfer before it reports the end of this one.
+        recordResponse();
         options_.emit(requests::TargetResponseHead {.dispatch = options_.start.dispatch,
             .status = head_.status(),
             .headers = std::move(head_.headers()),
@@ -308,6 +313,11 @@
     return true;
 }
 
+void TargetExchange::recordResponse()
+{
+    options_.connections.recordResponse(connectionKey(), head_.keptTime(), monotonicNow());
+}
+
 /// Trailers are not forwarded, but libcurl stores them until the transfer ends.
 bool TargetExchange::handleTrailerLine(std::string_view line)
 {
@@ -341,6 +351,11 @@
     return isEchoed || newSocket_;
 }
 
+bool TargetExchange::isIdleTimeout()
+{
+    return head_.status() == StatusTimeout && !hasHeader(head_.headers(), options_.start.echoedHeader);
+}
+
 size_t TargetExchange::onBody(char* data, size_t size, size_t count, void* exchange)
 {
     return static_cast<TargetExchange*>(exchange)->receiveBody({data, size * count});
@@ -463,6 +478,7 @@
         return fail(failure_.empty() ? curl_easy_strerror(code) : failure_, isConnectionRefused(code));
     if (head_.state() != ResponseHead::State::Complete)
         return fail("incomplete response head");
+    recordResponse();
     isResponseComplete_ = true;
     if (buffered_.empty())
         emitDone();
