Planned stop: connections that wait to be accepted and incomplete requests get an answer at the end of the process

Callers saw (review, a gateway suspended now and then during its stop): 140 of 200 and 34 of 60 callers that come back at once got no byte; callers in the middle of their body or head got the end of the stream without one. Causes: accepting stopped when the number of connections had not grown, which is so too when as many ended in the same run of libmicrohttpd; at the limit of connections nothing was accepted; only connections between requests were closed with a word; and the end of the server reset connections whose refusal had just been sent. Now it accepts until nothing waits, in a bounded number of runs, and makes places for it; all connections that wait for their caller are refused; connections whose response has been sent are not reset. Lingering connections have a list hook of their own, so that bytes of their callers don't take them off it; a 408 that belongs to no request has no body, since the request may be a HEAD; the end of the process is bounded by time and by ticks. AcceptsNoNewConnections now also holds that nothing is received; the test of a planned stop is strict again about Retry-After of 503, and holds that each 408 says not-run.

--- a/src/net/internal/httpconnection.h
+++ b/src/net/internal/httpconnection.h
@@ -16,7 +16,7 @@
 
 class HttpExchange;
 
-/// Hook of the connections that may be closed for new ones.
+/// Hook of the connections that may be closed for new ones, and of those that are closed and still read.
 using ClosableHook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
 /// One connection of a caller.
@@ -48,7 +48,8 @@
     bool isClosing = false; ///< The server has ended it; requests that still arrive are not run.
     Timestamp closingSince;
     HttpExchange* exchange = nullptr; ///< Null between requests.
-    ClosableHook closableHook; ///< Of HttpServer's list of closable connections, or of its list of lingering ones.
+    ClosableHook closableHook;
+    ClosableHook lingerHook;
 };
 
 using HttpConnections = boost::intrusive::list<HttpConnection>;
@@ -56,5 +57,9 @@
 using ClosableConnections = boost::intrusive::list<HttpConnection,
     boost::intrusive::member_hook<HttpConnection, ClosableHook, &HttpConnection::closableHook>,
     boost::intrusive::constant_time_size<false>>;
+/// In order of their closes.
+using LingeringConnections = boost::intrusive::list<HttpConnection,
+    boost::intrusive::member_hook<HttpConnection, ClosableHook, &HttpConnection::lingerHook>,
+    boost::intrusive::constant_time_size<false>>;
 
 } // namespace saltvane::net
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -86,7 +86,8 @@
             recordClose(connection, model::CloseReason::Stopping);
     }
     for (auto& [handle, exchange] : exchanges_) {
-        exchange->abort();
+        if (!exchange->lingeringSince) // A reset would destroy the response that was sent.
+            exchange->abort();
         exchange->resume();
     }
     MHD_run(daemon_);
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -94,7 +94,9 @@
 
     // Shutdown (httpservershutdown.cpp).
     void acceptWaiting();
-    void closeIdle();
+    /// Closes the connections of which the server awaits a request or the rest of one.
+    void closeAwaiting();
+    [[nodiscard]] bool isAwaitingCaller(const HttpConnection& connection) const;
 
     // Limits of time and of connections (httpserverlimits.cpp).
     void enforceLimits();
@@ -141,7 +143,7 @@
     HttpExchanges progressing_; ///< Exchanges with progress that is not reported yet.
     HttpConnections connections_;
     ClosableConnections closable_; ///< Connections on which the server waits for the caller.
-    ClosableConnections lingering_; ///< Closed ones whose callers may still send, in the order of their closes.
+    LingeringConnections lingering_; ///< Closed ones whose callers may still send, in the order of their closes.
     size_t closingCount_ = 0; ///< Of connections_.
     uint32_t servedOverLimit_ = 0; ///< Connections over the limit whose request was not refused.
     PausedExchanges paused_; ///< In the order in which they used up their share of a turn.
--- a/src/net/internal/httpserverlimits.cpp
+++ b/src/net/internal/httpserverlimits.cpp
@@ -44,14 +44,12 @@
 /// direction. False: the response did not fit into the socket's buffer.
 bool sendRefusal(int fd, model::CloseReason reason)
 {
-    constexpr std::string_view Body = "connection closed\n";
     std::string text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n";
-    text += "Content-Type: text/plain; charset=utf-8\r\nSaltvane-Outcome: ";
+    text += "Saltvane-Outcome: ";
     text += toString(model::Outcome::NotRun);
     text += "\r\nSaltvane-Reason: ";
     text += refusalReason(reason);
-    text += "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n";
-    text += Body;
+    text += "\r\nContent-Length: 0\r\n\r\n"; // The request may be a HEAD.
     const ssize_t sent = ::send(fd, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     ::shutdown(fd, SHUT_WR);
     return sent == static_cast<ssize_t>(text.size());
@@ -72,7 +70,7 @@
     }
     while (countedConnections() > options_.limits.connections && makeRoom()) { }
     if (isShuttingDown_)
-        closeIdle();
+        closeAwaiting();
 }
 
 bool HttpServer::isOverdue(const HttpConnection& connection) const
@@ -112,7 +110,7 @@
     options_.counters->addClose(reason);
     const int unread = unreadBytes(connection.fd);
     const HttpExchange* exchange = connection.exchange;
-    if (exchange == nullptr && unread == 0)
+    if (!connection.isInExchange() && unread == 0)
         return;
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - connection.phaseSince);
     LOG_TAGGED(WARNING, "net") << "event=connection_closed reason=" << toString(reason)
@@ -226,7 +224,7 @@
         return sendRefusal(connection.fd, reason);
     HttpExchange& exchange = *connection.exchange;
     if (exchange.isResponseQueued())
-        return exchange.lingeringSince.has_value();
+        return false;
     if (exchange.hasResponse())
         linger(exchange);
     else
@@ -237,6 +235,7 @@
 void HttpServer::shutDown(HttpConnection& connection)
 {
     markClosing(connection);
+    connection.lingerHook.unlink();
     ::shutdown(connection.fd, SHUT_RDWR);
 }
 
--- a/src/net/internal/httpserverrequests.cpp
+++ b/src/net/internal/httpserverrequests.cpp
@@ -284,8 +284,10 @@
         return MHD_NO;
     if (exchange.isResponseReady()) {
         const bool isQueued = exchange.queueResponse();
-        if (!isQueued)
+        if (!isQueued) {
+            recordClose(exchange.connection(), model::CloseReason::Aborted);
             reportAborted(exchange);
+        }
         return isQueued ? MHD_YES : MHD_NO;
     }
     exchange.suspend();
--- a/src/net/internal/httpservershutdown.cpp
+++ b/src/net/internal/httpservershutdown.cpp
@@ -10,6 +10,13 @@
 /// End of HttpServer's service, in which no request that has arrived is lost.
 namespace saltvane::net {
 
+namespace {
+
+/// Each run accepts several connections. Bounds the time for which callers that come back at once are accepted.
+constexpr int MaxAcceptRuns = 256;
+
+} // namespace
+
 void HttpServer::startShutdown()
 {
     if (std::exchange(isShuttingDown_, true))
@@ -22,23 +29,30 @@
 void HttpServer::acceptWaiting()
 {
     const int listening = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
-    for (size_t before = 0; isReadable(listening) && connections_.size() < acceptedConnections_;) {
-        before = connections_.size();
+    for (int run = 0; run < MaxAcceptRuns && isReadable(listening); ++run) {
+        if (connections_.size() >= acceptedConnections_)
+            closeAwaiting();
         MHD_run(daemon_);
-        if (connections_.size() <= before)
-            return;
     }
 }
 
-void HttpServer::closeIdle()
+void HttpServer::closeAwaiting()
 {
     for (auto next = connections_.begin(); next != connections_.end();) {
         HttpConnection& connection = *next++;
-        const bool isAwaitingRequest = connection.phase == HttpConnection::Phase::BeforeFirst
-            || connection.phase == HttpConnection::Phase::BetweenRequests;
-        if (isAwaitingRequest && !connection.isClosing && unreadBytes(connection.fd) == 0)
+        if (!connection.isClosing && isAwaitingCaller(connection) && unreadBytes(connection.fd) == 0)
             close(connection, model::CloseReason::Stopping);
     }
 }
 
+bool HttpServer::isAwaitingCaller(const HttpConnection& connection) const
+{
+    if (!connection.isInExchange())
+        return true;
+    const HttpExchange& exchange = *connection.exchange;
+    if (exchange.isBodyRead || exchange.isLastBodySent || exchange.isSuspended() || exchange.isResponseQueued())
+        return false;
+    return options_.isBodyTakenWhole || exchange.bodyReceived == 0 || exchange.hasResponse();
+}
+
 } // namespace saltvane::net
--- a/src/net/tests/connectionclosetests.cpp
+++ b/src/net/tests/connectionclosetests.cpp
@@ -141,5 +141,26 @@
     EXPECT_TRUE(exchange(caller, PlainGet, "\r\n\r\nok"));
 }
 
+// Guards against the same if the callers go on sending.
+TEST_F(ConnectionCloseTest, ClosedConnectionsWhoseCallersSendMakeRoom)
+{
+    makeServer({.connections = 2, .headerTimeout = 30s}, {.lingerTime = 60s, .minStandstill = 20ms});
+    std::vector<RawSocket> crowd;
+    for (int i = 0; i < 12; ++i) {
+        crowd.push_back(connect());
+        crowd.back().send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
+    }
+    RawSocket caller = connect();
+    caller.send(PlainGet);
+    EXPECT_TRUE(runner.runUntil([&] {
+        for (RawSocket& client : crowd) {
+            if (!client.received.empty() && !client.isPeerDisconnected())
+                client.send("x");
+            client.pump();
+        }
+        return caller.hasReceived("HTTP/1.1");
+    }));
+}
+
 } // namespace
 } // namespace saltvane::net::tests
--- a/src/net/tests/servershutdowntests.cpp
+++ b/src/net/tests/servershutdowntests.cpp
@@ -14,7 +14,7 @@
     void SetUp() override
     {
         HttpServerTest::SetUp();
-        respondAtOnce({.status = 503, .bodyLength = 0});
+        respondAtOnce({.status = 503, .headers = {{.name = "Connection", .value = "close"}}, .bodyLength = 0});
     }
     [[nodiscard]] bool waitShutDown()
     {
@@ -25,6 +25,7 @@
 // Guards against requests that wait in the socket of a kept connection when the process ends, and are reset unread.
 TEST_F(ServerShutdownTest, RequestThatWaitsUnreadIsAnswered)
 {
+    respondAtOnce({.status = 503, .bodyLength = 0});
     RawSocket client = connect();
     ASSERT_TRUE(exchange(client, PlainGet, "HTTP/1.1 503"));
     client.received.clear();
@@ -38,7 +39,7 @@
 TEST_F(ServerShutdownTest, RequestOnAConnectionThatIsNotAcceptedYetIsAnswered)
 {
     std::vector<RawSocket> clients;
-    for (int i = 0; i < 30; ++i) {
+    for (int i = 0; i < 100; ++i) {
         clients.push_back(connect());
         clients.back().send(PlainGet);
     }
@@ -53,6 +54,7 @@
 // refusal.
 TEST_F(ServerShutdownTest, RequestsOnIdleConnectionsAreRefused)
 {
+    respondAtOnce({.status = 503, .bodyLength = 0});
     RawSocket client = connect();
     ASSERT_TRUE(exchange(client, PlainGet, "HTTP/1.1 503"));
     client.received.clear();
@@ -94,8 +96,67 @@
     server->startShutdown();
     RawSocket late = connect();
     EXPECT_TRUE(runner.runUntil([&] { return late.isPeerDisconnected(); }));
+    EXPECT_EQ(late.received, "");
+    EXPECT_EQ(server->openConnections(), 0u);
     EXPECT_TRUE(waitShutDown());
 }
 
+// Guards against requests that wait to be accepted while idle connections hold all places.
+TEST_F(ServerShutdownTest, IdleConnectionsMakePlaceForThoseThatAreNotAcceptedYet)
+{
+    makeServer({.connections = 4}, {.minStandstill = 60s});
+    respondAtOnce({.status = 503, .headers = {{.name = "Connection", .value = "close"}}, .bodyLength = 0});
+    std::vector<RawSocket> idle;
+    for (int i = 0; i < 6; ++i)
+        idle.push_back(connect());
+    ASSERT_TRUE(runner.runUntil([&] { return server->openConnections() == 6; }));
+    std::vector<RawSocket> clients;
+    for (int i = 0; i < 20; ++i) {
+        clients.push_back(connect());
+        clients.back().send(PlainGet);
+    }
+    server->startShutdown();
+    for (RawSocket& client : clients) {
+        EXPECT_TRUE(runner.runUntil([&] { return client.hasReceived("\r\n\r\n") || client.isPeerDisconnected(); }));
+        EXPECT_TRUE(client.hasReceived("HTTP/1.1 503")) << client.received;
+    }
+}
+
+// Guards against callers in the middle of their request that get neither a response nor a refusal.
+TEST_F(ServerShutdownTest, IncompleteRequestsAreRefused)
+{
+    onEvent = {};
+    for (const std::string_view part :
+        {"GET / HTT", "GET / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc"}) {
+        makeServer({});
+        RawSocket client = connect();
+        client.send(part);
+        runner.runTurns(10);
+        server->startShutdown();
+        EXPECT_TRUE(runner.runUntil([&] { return client.isPeerDisconnected(); }));
+        EXPECT_TRUE(client.hasReceived("HTTP/1.1 408 ")) << part;
+        EXPECT_TRUE(client.hasReceived("\r\nSaltvane-Outcome: not-run\r\n")) << client.received;
+        client.close();
+        EXPECT_TRUE(waitShutDown());
+    }
+}
+
+// Guards against refusals that the end of the process destroys with a reset.
+TEST_F(ServerShutdownTest, RefusalsSurviveTheEndOfTheServer)
+{
+    onEvent = {};
+    RawSocket client = connect();
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    ASSERT_TRUE(waitStarted(1));
+    client.isReading = false;
+    server->startShutdown();
+    ASSERT_TRUE(runner.runUntil([&] { return counters.closesFor(model::CloseReason::Stopping) > 0; }));
+    server.reset();
+    client.isReading = true;
+    EXPECT_TRUE(client.isPeerDisconnected());
+    EXPECT_TRUE(client.hasReceived("HTTP/1.1 408 ")) << client.received;
+    EXPECT_FALSE(client.peerReset);
+}
+
 } // namespace
 } // namespace saltvane::net::tests
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -22,8 +22,10 @@
 /// Interval of the checks whether the settings file has changed: no signal is needed for a reload.
 constexpr Duration SettingsCheckInterval = 2s;
 
-/// The part of the reserve before the stop time limit for requests that arrive when all others have ended.
+/// For requests that arrive when all others have ended.
 constexpr Duration MaxShutdownTime = 100ms;
+/// Sockets are read between ticks, so requests that arrived while the process did not run are still answered.
+constexpr int MinShutdownTicks = 2;
 
 /// Modification time of a file in nanoseconds since the Unix epoch; 0 if it can't be read.
 int64_t modificationTimeNs(const std::string& path)
@@ -166,7 +168,7 @@
     daemon->drainEvents();
     daemon->logWriter_.tick(now);
     if (daemon->isFinished_)
-        daemon->continueShutdown();
+        daemon->continueShutdown(now);
 }
 
 void Daemon::onSignal(struct ev_loop* /*loop*/, ev_signal* watcher, int /*events*/)
@@ -286,16 +288,17 @@
         return;
     isFinished_ = true;
     exitCode_ = finished.requestsCut == 0 ? ExitOk : ExitFailure;
-    shutdownTicksLeft_ = std::max<int64_t>(MaxShutdownTime / core_->tickInterval(), 1);
+    finishedAt_ = monotonicNow();
     LOG_TAGGED(INFO, "saltvaned") << "event=stopped requests_cut=" << finished.requestsCut;
 }
 
-void Daemon::continueShutdown()
+void Daemon::continueShutdown(Timestamp now)
 {
     for (const auto& server : httpServers_)
         server->startShutdown();
     const bool isShutDown = std::ranges::all_of(httpServers_, [](const auto& server) { return server->isShutDown(); });
-    if (isShutDown || --shutdownTicksLeft_ < 0)
+    const bool isTimeOver = ++shutdownTicks_ > MinShutdownTicks && now - finishedAt_ >= MaxShutdownTime;
+    if (isShutDown || isTimeOver)
         ev_break(loop_, EVBREAK_ALL);
 }
 
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -79,7 +79,7 @@
     void watchSettings(const std::string& path);
     void executeActions();
     /// Ends the HTTP service, then the event loop.
-    void continueShutdown();
+    void continueShutdown(Timestamp now);
 
     void execute(requests::Action action);
     void execute(const control::StorageWrite& write);
@@ -114,9 +114,8 @@
     std::deque<host::Event> events_;
     bool isDraining_ = false;
     bool isFinished_ = false;
-    /// Counted in ticks, before each of which sockets are read: requests that arrived while the process did not run are
-    /// still answered.
-    int64_t shutdownTicksLeft_ = 0;
+    Timestamp finishedAt_;
+    int shutdownTicks_ = 0; ///< Since finishedAt_.
     int exitCode_ = 0;
 };
 
--- a/testing/system/plannedstop.py
+++ b/testing/system/plannedstop.py
@@ -31,7 +31,7 @@
 RETRY_S = 0.05
 NOT_RUN_STATUSES = (408, 503)  # Callers repeat the request at the other gateway.
 # Callers that come back at once after each refusal, until the gateway accepts no connection any more.
-EAGER_CALLERS = 20
+EAGER_CALLERS = 60
 # Requests at most once that are sent right before the stop and take longer than it.
 LONG_REQUESTS = 6
 LONG_PATH = "/orders/long-"
@@ -144,7 +144,7 @@
             self.attempts.append(attempt)
             if attempt.status not in NOT_RUN_STATUSES:
                 return attempt.status in (0, 200)
-            await asyncio.sleep(float(attempt.response.headers.get("retry-after", RETRY_S)))
+            await asyncio.sleep(RETRY_S if attempt.status == 408 else float(attempt.response.headers["retry-after"]))
         attempt = await self.send(self.fronts[1])
         return attempt is not None and attempt.status == 200
 
@@ -250,6 +250,8 @@
           f"exit code {exit_code}", flush=True)
     findings = [f"{attempt.path} sent {attempt.sent_at - stopped_at:.2f} s after the stop was requested: "
                 f"its target ran it, the caller got {attempt.status}" for attempt in lost]
+    findings += [f"{attempt.path} got 408 that does not say that it was not run" for attempt in attempts
+                 if attempt.status == 408 and attempt.response.headers.get("saltvane-outcome") != "not-run"]
     findings += [f"{attempt.path} sent {attempt.sent_at - stopped_at:.2f} s after the stop was requested: not run, but its "
                  "caller got neither a response nor a refusal" for attempt in unanswered]
     if not any(attempt.status == 200 for attempt in early):
