HTTP server: connections that wait as the process ends are accepted while others end

Cause: HttpServer::acceptWaiting stopped when the number of connections had not grown, which is so too when as many ended in the same run of libmicrohttpd as were accepted; a run accepts ten at a time. Now it runs until nothing waits, bounded by the number of connections that may be accepted. Evidence: ServerShutdownTest.RequestsOnWaitingConnectionsAreAnsweredWhileOthersEnd on the code before: 29 of 40 callers are reset.

--- a/src/net/internal/httpservershutdown.cpp
+++ b/src/net/internal/httpservershutdown.cpp
@@ -22,11 +22,11 @@
 void HttpServer::acceptWaiting()
 {
     const int listening = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
-    for (size_t before = 0; isReadable(listening) && connections_.size() < acceptedConnections_;) {
-        before = connections_.size();
-        MHD_run(daemon_);
-        if (connections_.size() <= before)
+    // Bounded, since accepting may fail. The number of connections doesn't tell: others may end in the same run.
+    for (uint32_t runs = 0; runs < acceptedConnections_; ++runs) {
+        if (!isReadable(listening) || connections_.size() >= acceptedConnections_)
             return;
+        MHD_run(daemon_);
     }
 }
 
--- a/src/net/tests/servershutdowntests.cpp
+++ b/src/net/tests/servershutdowntests.cpp
@@ -49,6 +49,28 @@
     }
 }
 
+// Guards against connections that wait to be accepted and are reset because others end at the same time.
+TEST_F(ServerShutdownTest, RequestsOnWaitingConnectionsAreAnsweredWhileOthersEnd)
+{
+    constexpr int Count = 40;
+    std::vector<RawSocket> ended;
+    for (int i = 0; i < Count; ++i) {
+        ended.push_back(connect());
+        ASSERT_TRUE(exchange(ended.back(), PlainGet, "HTTP/1.1 503"));
+    }
+    std::vector<RawSocket> clients;
+    for (int i = 0; i < Count; ++i) {
+        ended[i].close();
+        clients.push_back(connect());
+        clients.back().send(PlainGet);
+    }
+    server->startShutdown();
+    for (RawSocket& client : clients) {
+        EXPECT_TRUE(runner.runUntil([&] { return client.hasReceived("\r\n\r\n") || client.isPeerDisconnected(); }));
+        EXPECT_TRUE(client.hasReceived("HTTP/1.1 503")) << client.received;
+    }
+}
+
 // Guards against requests that arrive on an idle connection while the process ends and get neither a response nor a
 // refusal.
 TEST_F(ServerShutdownTest, RequestsOnIdleConnectionsAreRefused)
