Planned stop: requests whose rest crosses the end of the process, or arrives unread before it, are refused

Found by reading, not seen with real processes by itself: a caller whose head is completed after the end of the process got no word. Cause: closeIdle left out connections with a part of a head; and what arrived while the process stood still right before its last tick was not read before the end, since libev runs timers of a turn before sockets. Now connections with a part of a head are closed with 408 (not run) like idle ones, and before its last ticks the process refuses what is unread (IHttpServer::endShutdown), and sends what is waiting for two ticks. Evidence: on the code before, with an endShutdown that does nothing, ServerShutdownTest.RequestWhoseHeadIsCompletedAfterTheEndIsRefused gets no byte, and RequestThatIsNotReadBeforeTheEndIsRefused sees the request passed on to the core after the last turn.

--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -45,6 +45,8 @@
     /// Ends the service without losing requests that have arrived: accepts the connections that wait and then no more,
     /// answers what callers have sent, and closes the connections on which no request has arrived.
     virtual void startShutdown() = 0;
+    /// After startShutdown(), before the last turns of the loop: refuses what has arrived and was not read.
+    virtual void endShutdown() = 0;
     /// After startShutdown(): whether all connections have ended.
     [[nodiscard]] virtual bool isShutDown() const = 0;
     [[nodiscard]] virtual size_t openConnections() const = 0;
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -41,6 +41,7 @@
     [[nodiscard]] bool isCallerConnected(requests::HttpHandle handle) const override;
     void stopAccepting() override;
     void startShutdown() override;
+    void endShutdown() override;
     [[nodiscard]] bool isShutDown() const override { return isShuttingDown_ && connections_.empty(); }
     [[nodiscard]] size_t openConnections() const override { return connections_.size(); }
     [[nodiscard]] model::Address boundAddress() const override { return boundAddress_; }
--- a/src/net/internal/httpservershutdown.cpp
+++ b/src/net/internal/httpservershutdown.cpp
@@ -19,6 +19,15 @@
     startLimitTimer();
 }
 
+void HttpServer::endShutdown()
+{
+    for (auto next = connections_.begin(); next != connections_.end();) {
+        HttpConnection& connection = *next++;
+        if (!connection.isInExchange())
+            close(connection, model::CloseReason::Stopping);
+    }
+}
+
 void HttpServer::acceptWaiting()
 {
     const int listening = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
@@ -34,9 +43,7 @@
 {
     for (auto next = connections_.begin(); next != connections_.end();) {
         HttpConnection& connection = *next++;
-        const bool isAwaitingRequest = connection.phase == HttpConnection::Phase::BeforeFirst
-            || connection.phase == HttpConnection::Phase::BetweenRequests;
-        if (isAwaitingRequest && !connection.isClosing && unreadBytes(connection.fd) == 0)
+        if (!connection.isInExchange() && !connection.isClosing && unreadBytes(connection.fd) == 0)
             close(connection, model::CloseReason::Stopping);
     }
 }
--- a/src/net/tests/servershutdowntests.cpp
+++ b/src/net/tests/servershutdowntests.cpp
@@ -93,6 +93,45 @@
     EXPECT_TRUE(waitShutDown());
 }
 
+// Guards against requests whose head is completed while the end of the connection is on its way, and that get no word.
+TEST_F(ServerShutdownTest, RequestWhoseHeadIsCompletedAfterTheEndIsRefused)
+{
+    constexpr std::string_view Request = PlainGet;
+    const size_t half = Request.find("Host");
+    RawSocket client = connect();
+    ASSERT_TRUE(exchange(client, Request, "HTTP/1.1 503"));
+    client.received.clear();
+    client.isReading = false;
+    client.send(Request.substr(0, half));
+    runner.runTurns(20);
+    server->startShutdown();
+    runner.runTurns(100);
+    server.reset();
+    client.send(Request.substr(half));
+    client.isReading = true;
+    EXPECT_TRUE(runner.runUntil([&] { return client.isPeerDisconnected(); }));
+    EXPECT_TRUE(client.hasReceived("HTTP/1.1 408 ")) << client.received;
+    EXPECT_TRUE(client.hasReceived("\r\nSaltvane-Outcome: not-run\r\n")) << client.received;
+}
+
+// Guards against requests that arrive while the process stands still right before its end, and that get no word.
+TEST_F(ServerShutdownTest, RequestThatIsNotReadBeforeTheEndIsRefused)
+{
+    RawSocket client = connect();
+    ASSERT_TRUE(exchange(client, PlainGet, "HTTP/1.1 503"));
+    client.received.clear();
+    const size_t started = log.http<HttpRequestStarted>().size();
+    server->startShutdown();
+    client.send(PlainGet);
+    server->endShutdown();
+    runner.runTurns(20);
+    server.reset();
+    EXPECT_TRUE(runner.runUntil([&] { return client.isPeerDisconnected(); }));
+    EXPECT_TRUE(client.hasReceived("HTTP/1.1 408 ")) << client.received;
+    EXPECT_TRUE(client.hasReceived("\r\nSaltvane-Outcome: not-run\r\n")) << client.received;
+    EXPECT_EQ(log.http<HttpRequestStarted>().size(), started);
+}
+
 // Guards against a shutdown that does not wait for responses that the core has still to send.
 TEST_F(ServerShutdownTest, LastsUntilRequestsInProgressAreAnswered)
 {
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -25,6 +25,9 @@
 /// The part of the reserve before the stop time limit for requests that arrive when all others have ended.
 constexpr Duration MaxShutdownTime = 100ms;
 
+/// Ticks after it in which responses are sent and nothing is read any more.
+constexpr int64_t ShutdownFlushTicks = 2;
+
 /// Modification time of a file in nanoseconds since the Unix epoch; 0 if it can't be read.
 int64_t modificationTimeNs(const std::string& path)
 {
@@ -295,8 +298,12 @@
     for (const auto& server : httpServers_)
         server->startShutdown();
     const bool isShutDown = std::ranges::all_of(httpServers_, [](const auto& server) { return server->isShutDown(); });
-    if (isShutDown || --shutdownTicksLeft_ < 0)
-        ev_break(loop_, EVBREAK_ALL);
+    if (isShutDown || --shutdownTicksLeft_ < -ShutdownFlushTicks)
+        return ev_break(loop_, EVBREAK_ALL);
+    if (shutdownTicksLeft_ > 0)
+        return;
+    for (const auto& server : httpServers_)
+        server->endShutdown();
 }
 
 } // namespace saltvane::saltvaned
