--- a/src/net/internal/httpservershutdown.cpp
+++ b/src/net/internal/httpservershutdown.cpp
@@ -26,6 +26,15 @@
     startLimitTimer();
 }
 
+void HttpServer::endShutdown()
+{
+    for (auto next = connections_.begin(); next != connections_.end();) {
+        HttpConnection& connection = *next++;
+        if (isAwaitingCaller(connection))
+            close(connection, model::CloseReason::Stopping);
+    }
+}
+
 void HttpServer::acceptWaiting()
 {
     const int listening = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
--- a/src/saltvaned/internal/daemon.cpp
+++ b/src/saltvaned/internal/daemon.cpp
@@ -23,9 +23,11 @@
 constexpr Duration SettingsCheckInterval = 2s;
 
 /// For requests that arrive when all others have ended.
-constexpr Duration MaxShutdownTime = 100ms;
+constexpr Duration MaxShutdownTime = 60ms;
 /// Sockets are read between ticks, so requests that arrived while the process did not run are still answered.
 constexpr int MinShutdownTicks = 2;
+/// After that time, for responses to be sent and what still arrives to be discarded.
+constexpr int ShutdownFlushTicks = 2;
 
 /// Modification time of a file in nanoseconds since the Unix epoch; 0 if it can't be read.
 int64_t modificationTimeNs(const std::string& path)
@@ -298,8 +300,13 @@
         server->startShutdown();
     const bool isShutDown = std::ranges::all_of(httpServers_, [](const auto& server) { return server->isShutDown(); });
     const bool isTimeOver = ++shutdownTicks_ > MinShutdownTicks && now - finishedAt_ >= MaxShutdownTime;
-    if (isShutDown || isTimeOver)
-        ev_break(loop_, EVBREAK_ALL);
+    if (isShutDown || shutdownFlushTicks_ > ShutdownFlushTicks)
+        return ev_break(loop_, EVBREAK_ALL);
+    if (!isTimeOver)
+        return;
+    ++shutdownFlushTicks_;
+    for (const auto& server : httpServers_)
+        server->endShutdown();
 }
 
 } // namespace saltvane::saltvaned
--- a/src/saltvaned/internal/daemon.h
+++ b/src/saltvaned/internal/daemon.h
@@ -116,6 +116,7 @@
     bool isFinished_ = false;
     Timestamp finishedAt_;
     int shutdownTicks_ = 0; ///< Since finishedAt_.
+    int shutdownFlushTicks_ = 0; ///< Since the time for the shutdown is over.
     int exitCode_ = 0;
 };
 
