HTTP client: responses with a status above 599 are broken

Statuses outside 100 to 599 are invalid (RFC 9110, section 15).

Cause: ResponseHead bounded a status from below only, and ResponseRelay took any that an owner host passed on.

Such a head is a broken one: the connection is closed, a request that may run once ends with 502, a repeatable one may be sent elsewhere. At an entry host the bound is in ResponseRelay, not in the decoder: a decoder that refuses a frame closes the link. Callers of the system test count an invalid status as no response; 000 looked to them like a missing one.

--- a/src/net/internal/responsehead.cpp
+++ b/src/net/internal/responsehead.cpp
@@ -20,6 +20,7 @@
 constexpr size_t StatusEnd = 12; ///< After "HTTP/1.1 200".
 constexpr size_t MaxQuotedBytes = 80; ///< Of a line in an error.
 constexpr int MinStatus = 100;
+constexpr int MaxStatus = 599; ///< Larger ones are invalid (RFC 9110, section 15).
 constexpr int FirstFinalStatus = 200;
 constexpr int SwitchingProtocols = 101;
 constexpr int NoContent = 204;
@@ -105,7 +106,7 @@
     if (!isFieldValue(reason) || (!reason.empty() && reason.front() != ' '))
         return failOutOfStep("bad reason phrase", statusLine);
     const auto status = parseLength(statusLine.substr(StatusOffset, StatusEnd - StatusOffset));
-    if (!status || *status < MinStatus)
+    if (!status || *status < MinStatus || *status > MaxStatus)
         return fail("bad status");
     status_ = static_cast<int>(*status);
     if (status_ == SwitchingProtocols)
--- a/src/requests/internal/responserelay.cpp
+++ b/src/requests/internal/responserelay.cpp
@@ -16,6 +16,7 @@
 namespace saltvane::requests {
 namespace {
 
+constexpr int MaxStatus = 599; ///< Larger ones are invalid (RFC 9110, section 15).
 const Completion BrokenResponse {.outcome = model::Outcome::Unknown, .reason = model::Reason::TargetFailed};
 
 bool hasNoBody(const Exchange& exchange, int status)
@@ -33,6 +34,8 @@
     if (!exchange)
         return;
     exchange->target = head.target;
+    if (head.status > MaxStatus)
+        return abortAttempt(*exchange, now);
     ResponseHead response {
         .status = head.status, .headers = responseHeaders(head.headers), .bodyLength = head.bodyLength};
     const bool isReplayed = exchange->attempt->purpose == model::ForwardPurpose::Mint
--- a/src/requests/tests/forwardtests.cpp
+++ b/src/requests/tests/forwardtests.cpp
@@ -252,6 +252,22 @@
     }
 }
 
+// Guards against callers that get a status above 599 as an answer, from an owner that passes it on.
+TEST_F(ForwardTest, ResponsesWithInvalidStatusesAreBroken)
+{
+    for (const int status : {600, 999}) {
+        for (const uint64_t length : {uint64_t {4}, LongLength}) {
+            outgoing_.clear();
+            const HttpHandle handle = post(ownKey());
+            head(length, status);
+            expectRefusal(handle, Outcome::Unknown, Reason::TargetFailed, 502);
+            EXPECT_EQ(sent<model::ForwardRequest>().size(), 1U) << status;
+            EXPECT_EQ(sent<model::ForwardCancel>().size(), 1U) << status;
+            EXPECT_EQ(creditStore_.inUse(), 0) << status;
+        }
+    }
+}
+
 TEST_F(ForwardTest, ShortChunkedResponseAbortsTheConnection)
 {
     const HttpHandle handle = call({});
--- a/testing/system/responseledger.py
+++ b/testing/system/responseledger.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 ID, DIGEST = "Saltvane-Request-Id", "Response-Digest"
+MIN_STATUS, MAX_STATUS = 100, 599  # RFC 9110, section 15.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 REASONS = {200: "OK", 204: "No Content", 304: "Not Modified", 500: "Internal Server Error", 503: "Service Unavailable"}
 
@@ -18,7 +19,7 @@
     chunk_bytes: int | None = None
 
     def head(self) -> bytes:
-        lines = [f"HTTP/1.1 {self.status} {REASONS[self.status]}", *(f"{name}: {value}" for name, value in self.headers.items())]
+        lines = [f"HTTP/1.1 {self.status:03d} {REASONS.get(self.status, 'Invalid')}", *(f"{name}: {value}" for name, value in self.headers.items())]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
     def content(self) -> bytes:
@@ -52,7 +53,7 @@
         self.given: dict[str, Response] = {}  # Responses to requests, by digest.
         self.copies: dict[str, Response] = {}  # Second responses that differ, by digest.
         self.unasked_bytes: list[bytes] = []  # Received by callers while no request was waiting.
-        self.invalid: list[str] = []  # Requests of callers that received bytes which are no response.
+        self.invalid: list[str] = []  # Requests of callers that received bytes which are no response, or an invalid status.
         # That targets accepted, by what they carried: health checks (True), requests (False).
         self.connections: collections.Counter[frozenset[bool]] = collections.Counter()
         self.faults = 0
--- a/testing/system/surplusresponses.py
+++ b/testing/system/surplusresponses.py
@@ -16,7 +16,7 @@
 import time
 
 from processes import System, free_network
-from responseledger import ID, Ledger, Outcome
+from responseledger import ID, MAX_STATUS, MIN_STATUS, Ledger, Outcome
 from routedhosts import GATEWAY, REGISTRY, SETTINGS
 from surplustargets import SURPLUS_DELAY_S, Case, Target
 
@@ -50,6 +50,10 @@
     Case("health checks", copy=None, health_checks=True),
     Case("cut and closed", copy=None, closes=True, no_body_rate=0.05),
     Case("after responses without body", no_body_rate=0.4),
+    Case("invalid statuses", copy=None, invalid_rate=0.1),
+    Case("invalid statuses, 2 targets", copy=None, invalid_rate=0.1, targets=2, callers=6),
+    Case("other status, invalid, and body", differs=True, differs_invalidly=True),
+    Case("other status, invalid, and body, 40 targets", differs=True, differs_invalidly=True, targets=MANY_TARGETS),
 ]
 
 
@@ -65,11 +69,13 @@
 
 
 async def read_response(reader: asyncio.StreamReader, outcome: Outcome):
-    """Raises an error if the response is not complete."""
+    """Raises an error if the response is not complete or its status is invalid."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     lines = head.split("\r\n")
     headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:] if line)}
     status = int(lines[0].split(" ")[1])
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        raise ValueError(f"invalid status {status}")
     body = b""
     if outcome.method == "HEAD" or status in (204, 304):
         pass
--- a/testing/system/surplustargets.py
+++ b/testing/system/surplustargets.py
@@ -1,4 +1,4 @@
-"""Targets that send surplus bytes, cut their responses or leave request ids out."""
+"""Targets that send surplus bytes or invalid statuses, cut their responses or leave request ids out."""
 import asyncio
 import contextlib
 import dataclasses
@@ -21,6 +21,7 @@
 HEARTBEAT_S = 1.0
 FAILED_RATE = 0.3  # Responses with status 500, of the requests that run.
 REFUSED_RATE = 0.12
+INVALID_STATUSES = (0, 1, 99, 600, 700, 999)
 CHUNKED_RATE = 0.1
 LARGE_RATE = 0.1
 SMALL_BODY_BYTES = (0, 300)
@@ -37,6 +38,8 @@
     targets: int = 6
     callers: int = 24
     differs: bool = False  # The second response has another status and body, and half of the time no id.
+    differs_invalidly: bool = False  # That status is invalid.
+    invalid_rate: float = 0.0  # Responses with an invalid status.
     refused_rate: float = REFUSED_RATE
     only_refusals: bool = False  # Only refusals are sent twice, one in four.
     no_body_rate: float = 0.0
@@ -104,6 +107,9 @@
     def _draw_status(self) -> int:
         if not self.is_faulty:
             return 200
+        if self.rng.random() < self.case.invalid_rate:
+            self.ledger.faults += 1
+            return self.rng.choice(INVALID_STATUSES)
         if self.rng.random() < self.case.no_body_rate:
             return self.rng.choice((204, 304))
         return 500 if self.rng.random() < FAILED_RATE else 200
@@ -180,7 +186,8 @@
     def _draw_surplus(self, response: Response, method: str) -> bytes:
         if self.case.differs:
             has_id = self.rng.random() < 0.5
-            status = self.rng.choice([status for status in (200, 500, 503) if status != response.status])
+            statuses = INVALID_STATUSES if self.case.differs_invalidly else (200, 500, 503)
+            status = self.rng.choice([status for status in statuses if status != response.status])
             response = self._make(response.request, status, b"second " + self._draw_body(response.request), has_id, True)
         elif self.case.copy_without_id:
             response = dataclasses.replace(
