Comments of the HTTP server's closes and shutdown: say what is done, not more

Read as a newcomer: one sentence had to be read twice, and two promised that no request is lost, which does not hold for connections whose handshake is not complete (docs/incidents/lost-requests.md). Comments only; clang-format and a syntax check pass, no test was run on it.

--- a/src/net/inetadapters.h
+++ b/src/net/inetadapters.h
@@ -42,8 +42,8 @@
     [[nodiscard]] virtual bool isCallerConnected(requests::HttpHandle handle) const = 0;
     /// Accepts no new connections; open ones continue.
     virtual void stopAccepting() = 0;
-    /// Ends the service without losing requests that have arrived: accepts the connections that wait and then no more,
-    /// answers what callers have sent, and closes the connections on which no request has arrived.
+    /// Begins to end the service: accepts the connections that wait and then no more, still reads and answers requests
+    /// that have arrived, and closes the connections on which none has.
     virtual void startShutdown() = 0;
     /// After startShutdown(), before the last turns of the loop: refuses what has arrived and was not read.
     virtual void endShutdown() = 0;
--- a/src/net/internal/httpserver.h
+++ b/src/net/internal/httpserver.h
@@ -109,9 +109,9 @@
     [[nodiscard]] bool isReaderStalled(HttpConnection& connection) const;
     void endBody(HttpExchange& exchange);
     void linger(HttpExchange& exchange);
-    /// The way in which connections are closed on which a caller may wait for a response, or may be about to send a
-    /// request. Responds first, then reads and discards what still arrives for a limited time: unread bytes would reset
-    /// the connection, and the caller could lose the response.
+    /// Closes a connection whose caller may still send a request or wait for a response. Responds first, then reads and
+    /// discards what still arrives for a limited time: unread bytes would reset the connection, and the caller could
+    /// lose the response.
     void close(HttpConnection& connection, model::CloseReason reason);
     /// Sends the response that is known, or that the request was not run. False: none can be sent.
     [[nodiscard]] bool respondBeforeClose(HttpConnection& connection, model::CloseReason reason);
--- a/src/net/internal/httpservershutdown.cpp
+++ b/src/net/internal/httpservershutdown.cpp
@@ -7,7 +7,7 @@
 
 #include "net/internal/socketstate.h"
 
-/// End of HttpServer's service, in which no request that has arrived is lost.
+/// End of HttpServer's service: requests that have arrived are answered or refused.
 namespace saltvane::net {
 
 namespace {
