--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -76,11 +76,11 @@
 
 
 class Host:
-    def __init__(self, deployment: "Deployment", role: str, number: int):
+    def __init__(self, deployment: "Deployment", role: str, number: int, zone: int | None = None):
         self.deployment = deployment
         self.role = role
         self.number = number
-        self.zone, self.region = ZONES[number % len(ZONES)]
+        self.zone, self.region = ZONES[(number if zone is None else zone) % len(ZONES)]
         self.name = f"{role}-{number}"
         self.ip = f"{deployment.network}.{number + (1 if role == 'registry' else 11)}"
         self.folder = deployment.folder / f"{self.name}-data"
@@ -123,13 +123,13 @@
 
 
 class Deployment:
-    def __init__(self, registries: int, gateways: int):
+    def __init__(self, registries: int, gateways: int, gateway_zones: list[int] | None = None):
         if not (ROOT / PROGRAM).exists():
             raise CannotRun(f"{PROGRAM} is not built")
         self.network = free_network()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="saltvane-review-"))
         self.registries = [Host(self, "registry", number) for number in range(registries)]
-        self.gateways = [Host(self, "gateway", number) for number in range(gateways)]
+        self.gateways = [Host(self, "gateway", number, gateway_zones and gateway_zones[number]) for number in range(gateways)]
         self.hosts = self.registries + self.gateways
 
     def listen_line(self, host: Host) -> str:
