--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,6 +10,7 @@
 
 ROUTES = 7000  # 20 times the 350 routes by which one entry of a day lets the configuration grow.
 MAX_CHANGES = 330  # "a day may be long and contain hundreds of changes"
+MAX_CHANGES_S = 75
 READ_BACK_S = 20.0  # recovery_s is 15
 FIRST, SECOND = "segment-0000000000000001", "segment-0000000000000002"
 
@@ -101,7 +102,7 @@
         plans = Plans()
         acknowledged = b""
         version = 0
-        while version < MAX_CHANGES:
+        while version < MAX_CHANGES and time.monotonic() - record.start < MAX_CHANGES_S:
             plan = plans.next(version + 1)
             status, text = operator.order("PUT", "/v1/plan", plan, {"Saltvane-Plan-Base": str(version), "Content-Type": "application/json"})
             if status != 200:
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -193,6 +193,7 @@
 
 def run(case, folder: str):
     """Runs case(record), which returns whether the rule held, and exits as the review asks."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # At the time limit: ends the processes on the way out.
     record = Record(pathlib.Path(folder).resolve())
     record.say(f"disruption: {'on' if TROUBLE else 'off (TROUBLE=0)'}")
     try:
