--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,7 +17,9 @@
 spec.loader.exec_module(case6)
 
 CONFIG_APPLY_S = 2.5
-CUT_S = 10.0  # The site's longest cut of single machines.
+# "Clients hold an answer for that long, some for three times as long": three times the look-up answers' 2 s. The client asked right before the
+# cut and leaves the gateway then; the cut ends with it.
+HOLD_S = 6.0
 REQUESTS_PER_S = 64
 KEY = "key-a"
 
@@ -113,7 +115,7 @@
     if set(ready) != {200}:
         raise CannotRun(f"gateways are not ready: {ready}")
     client = Client(alone.ip)
-    end = time.monotonic() + 2 + CUT_S
+    end = time.monotonic() + 1.5 + HOLD_S
     traffic = [asyncio.create_task(client.connection(number, end)) for number in range(8)]
     await asyncio.sleep(1.5)
     heal = None
@@ -144,7 +146,7 @@
     for sent, request, source in in_touch[:40]:
         record.say(f"  {request}: sent {sent - acknowledged:.2f} s after the acknowledgement, run for {source}, answered {client.answers.get(request)}")
     record.say(f"{len(client.sent)} requests sent; of those sent more than {CONFIG_APPLY_S} s after the key was taken away {len(late)} ran, "
-               f"{len(in_touch)} of them for gateways in touch, {sum(sent > acknowledged + 5 for sent, _, _ in in_touch)} of those sent more than 5 s after")
+               f"{len(in_touch)} of them for gateways in touch")
     return not in_touch
 
 
