--- a/src/net/internal/datafolder.cpp
+++ b/src/net/internal/datafolder.cpp
@@ -15,7 +15,6 @@
 namespace saltvane::net {
 
 namespace {
-constexpr uint64_t MaxSegmentBytes = 16 * 1024 * 1024; ///< A larger segment is followed by a new one.
 constexpr size_t TermBytes = 8;
 constexpr size_t NumberBytes = 8;
 } // namespace
@@ -38,10 +37,10 @@
     for (const LogItem& item : items)
         apply(item);
     // The write is durable here. If one of the following steps fails, the next write retries it.
-    if (write.snapshot || segment_->size() > MaxSegmentBytes)
+    if (write.snapshot || segment_->size() > options_.maxSegmentBytes)
         (void)startSegment();
     if (write.snapshot)
-        removeObsolete(write.snapshotIndex);
+        (void)removeObsolete(write.snapshotIndex);
     return Success {};
 }
 
@@ -89,17 +88,21 @@
     (void)replaceFile(disk_, path_, std::string(LastSegmentName), encodeRecord(LastSegmentPosition, number));
 }
 
-void DataFolder::removeObsolete(LogIndex snapshotIndex)
+size_t DataFolder::removeObsolete(LogIndex snapshotIndex)
 {
-    std::erase_if(snapshots_, [&](uint64_t index) {
+    size_t removed = std::erase_if(snapshots_, [&](uint64_t index) {
         return index < snapshotIndex.value && disk_.remove(pathOf(snapshotName({index}))) == 0;
     });
-    // Oldest first, so that the remaining segments are always contiguous.
     while (segments_.begin()->first != segment_->number() && segments_.begin()->second <= snapshotIndex) {
         if (disk_.remove(pathOf(segmentName(segments_.begin()->first))) != 0)
-            return;
+            break;
         segments_.erase(segments_.begin());
+        ++removed;
     }
+    // Until then each removed name may come back by itself. If this fails, open() accepts any of them.
+    if (removed > 0)
+        (void)disk_.syncFolder(path_);
+    return removed;
 }
 
 } // namespace saltvane::net
--- a/src/net/internal/datafolder.h
+++ b/src/net/internal/datafolder.h
@@ -25,12 +25,17 @@
 inline constexpr std::string_view SoftStateName = "soft-state";
 inline constexpr RecordPosition SoftStatePosition {.file = 4};
 
+struct DataFolderOptions {
+    uint64_t maxSegmentBytes = 16 * 1024 * 1024; ///< A larger segment is followed by a new one.
+};
+
 /// The data folder of one control replica. docs/STORAGE.md
 class DataFolder final : public IDataFolder {
 public:
-    DataFolder(std::string path, IDiskCalls& disk)
+    DataFolder(std::string path, IDiskCalls& disk, const DataFolderOptions& options = {})
         : path_(std::move(path))
         , disk_(disk)
+        , options_(options)
     {
     }
 
@@ -55,11 +60,14 @@
     [[nodiscard]] Result<Success, IoError> readSnapshot();
     [[nodiscard]] Result<Success, IoError> checkLastSegment();
     [[nodiscard]] Result<Success, IoError> readSegments();
+    [[nodiscard]] Result<Success, IoError> removeObsoleteAtStart();
     [[nodiscard]] Result<Success, IoError> incrementStartCount();
     [[nodiscard]] Result<Success, IoError> readSoftState();
 
     [[nodiscard]] Result<Success, IoError> checkUnformatted() const;
     [[nodiscard]] Result<Success, IoError> create();
+    /// Lets removeObsolete() drop the segments before a gap.
+    void voidSegmentsBeforeGap();
     [[nodiscard]] Result<Success, IoError> openLast(uint64_t number, const SegmentContent& content);
     [[nodiscard]] Result<Success, IoError> reconcileSnapshot();
     void apply(const LogItem& item);
@@ -69,10 +77,12 @@
     [[nodiscard]] Result<Success, IoError> writeSnapshot(const control::StorageWrite& write);
     [[nodiscard]] Result<Success, IoError> startSegment();
     void recordLastSegment();
-    void removeObsolete(LogIndex snapshotIndex);
+    /// Removes the snapshots and segments that a snapshot replaces. Returns how many were removed.
+    size_t removeObsolete(LogIndex snapshotIndex);
 
     std::string path_;
     IDiskCalls& disk_;
+    DataFolderOptions options_;
     UniqueFd lock_;
     control::RecoveredState recovered_;
     std::vector<std::string> warnings_;
--- a/src/net/internal/datafolderopen.cpp
+++ b/src/net/internal/datafolderopen.cpp
@@ -68,10 +68,10 @@
 
 Result<Success, IoError> DataFolder::open()
 {
-    constexpr std::array<Step, 11> Steps {&DataFolder::makeFolder, &DataFolder::lock, &DataFolder::listFiles,
+    constexpr std::array<Step, 12> Steps {&DataFolder::makeFolder, &DataFolder::lock, &DataFolder::listFiles,
         &DataFolder::checkFormat, &DataFolder::readReplica, &DataFolder::readSnapshot, &DataFolder::checkLastSegment,
-        &DataFolder::readSegments, &DataFolder::reconcileSnapshot, &DataFolder::incrementStartCount,
-        &DataFolder::readSoftState};
+        &DataFolder::readSegments, &DataFolder::reconcileSnapshot, &DataFolder::removeObsoleteAtStart,
+        &DataFolder::incrementStartCount, &DataFolder::readSoftState};
     for (const Step step : Steps) {
         if (auto done = (this->*step)(); !done)
             return done;
@@ -236,12 +236,22 @@
         });
         if (!content)
             return content.error();
-        if (number == last)
+        if (number == last) {
+            voidSegmentsBeforeGap();
             return openLast(number, content.value());
+        }
     }
     return Success {};
 }
 
+void DataFolder::voidSegmentsBeforeGap()
+{
+    for (auto& [number, highest] : segments_) {
+        if (number < state_.firstSegment())
+            highest = LogIndex {};
+    }
+}
+
 Result<Success, IoError> DataFolder::openLast(uint64_t number, const SegmentContent& content)
 {
     if (content.tornBytes > 0) {
@@ -273,6 +283,17 @@
     return Success {};
 }
 
+Result<Success, IoError> DataFolder::removeObsoleteAtStart()
+{
+    const size_t removed = removeObsolete(recovered_.snapshotIndex);
+    if (removed > 0) {
+        warnings_.push_back(path_ + ": removed " + std::to_string(removed)
+            + " files that came back or were left, since the snapshot of entry "
+            + std::to_string(recovered_.snapshotIndex.value) + " replaces them");
+    }
+    return Success {};
+}
+
 Result<Success, IoError> DataFolder::readSoftState()
 {
     if (std::find(names_.begin(), names_.end(), SoftStateName) == names_.end())
--- a/src/net/internal/logstate.cpp
+++ b/src/net/internal/logstate.cpp
@@ -52,19 +52,24 @@
 
 std::optional<std::string> LogState::applyStart(const SegmentStart& start)
 {
-    if (!segment_) {
-        isEmpty_ = start.segment == 1;
-        base_ = start.last;
-        hardState_ = start.hardState;
-    } else if (start.segment != *segment_ + 1) {
-        return "segment " + std::to_string(*segment_ + 1) + " is missing";
-    } else if (start.last.index != last().index || start.last.term != last().term) {
+    const bool isFollowing = segment_ && start.segment == *segment_ + 1;
+    if (isFollowing && (start.last.index != last().index || start.last.term != last().term))
         return "the segment before ends at another entry";
-    }
+    if (!isFollowing)
+        restartAt(start);
     segment_ = start.segment;
     return std::nullopt;
 }
 
+void LogState::restartAt(const SegmentStart& start)
+{
+    isEmpty_ = start.segment == 1;
+    firstSegment_ = start.segment;
+    entries_.clear();
+    base_ = start.last;
+    hardState_ = start.hardState;
+}
+
 std::optional<std::string> LogState::applyEntry(const model::LogEntry& entry)
 {
     if (entry.index.value > last().index.value + 1)
@@ -99,7 +104,8 @@
     if (base_.index == snapshot.index)
         return std::nullopt;
     return "entries " + std::to_string(snapshot.index.value + 1) + " to " + std::to_string(base_.index.value)
-        + " are neither in a snapshot nor in a segment";
+        + " are neither in a snapshot nor in a segment: the newest snapshot is of entry "
+        + std::to_string(snapshot.index.value) + ", and the log begins with segment " + std::to_string(firstSegment_);
 }
 
 } // namespace saltvane::net
--- a/src/net/internal/logstate.h
+++ b/src/net/internal/logstate.h
@@ -13,7 +13,8 @@
 
 namespace saltvane::net {
 
-/// The state that results from applying the items of all segments in order.
+/// The state that results from applying the items of all segments in order. Segments before a gap are void: what they
+/// hold has to be in the snapshot, which finish() checks.
 class LogState {
 public:
     /// Returns an error if the item cannot follow the previous ones.
@@ -28,11 +29,15 @@
     [[nodiscard]] bool isEmpty() const { return isEmpty_; }
     /// The position that the entries follow: the last snapshot's mark, or the first segment's start.
     [[nodiscard]] const SnapshotMark& base() const { return base_; }
+    /// The first of the segments that follow one another without a gap; 0 before the first start.
+    [[nodiscard]] uint64_t firstSegment() const { return firstSegment_; }
     /// Moves the entries' payloads out; the entries stay here without them.
     [[nodiscard]] std::vector<model::LogEntry> releaseEntries();
 
 private:
     [[nodiscard]] std::optional<std::string> applyStart(const SegmentStart& start);
+    /// Takes the state before the segment from its start.
+    void restartAt(const SegmentStart& start);
     [[nodiscard]] std::optional<std::string> applyEntry(const model::LogEntry& entry);
     void applyTruncate(LogIndex from);
     void applySnapshot(const SnapshotMark& mark);
@@ -40,6 +45,7 @@
 
     control::HardState hardState_;
     std::optional<uint64_t> segment_; ///< Number of the current segment.
+    uint64_t firstSegment_ = 0;
     bool isEmpty_ = true;
     SnapshotMark base_; ///< The entries follow it without a gap.
     std::deque<model::LogEntry> entries_;
