--- a/src/net/internal/logstate.cpp
+++ b/src/net/internal/logstate.cpp
@@ -41,19 +41,21 @@
     return entries;
 }
 
-std::optional<LogTerm> LogState::termAt(LogIndex index) const
+bool LogState::contains(const SnapshotMark& mark) const
 {
-    if (index == base_.index)
-        return base_.term;
-    if (index < base_.index || index > last().index)
-        return std::nullopt;
-    return entries_[index.value - base_.index.value - 1].term;
+    if (mark.index == base_.index)
+        return !isBaseTermKnown_ || mark.term == base_.term;
+    if (mark.index < base_.index || mark.index > last().index)
+        return false;
+    return entries_[mark.index.value - base_.index.value - 1].term == mark.term;
 }
 
+bool LogState::endsAt(const SnapshotMark& mark) const { return mark.index == last().index && contains(mark); }
+
 std::optional<std::string> LogState::applyStart(const SegmentStart& start)
 {
     const bool isFollowing = segment_ && start.segment == *segment_ + 1;
-    if (isFollowing && (start.last.index != last().index || start.last.term != last().term))
+    if (isFollowing && !endsAt(start.last))
         return "the segment before ends at another entry";
     if (!isFollowing)
         restartAt(start);
@@ -67,6 +69,8 @@
     firstSegment_ = start.segment;
     entries_.clear();
     base_ = start.last;
+    isBaseSnapshot_ = false;
+    isBaseTermKnown_ = true;
     hardState_ = start.hardState;
 }
 
@@ -74,8 +78,8 @@
 {
     if (entry.index.value > last().index.value + 1)
         return "entries before " + std::to_string(entry.index.value) + " are missing";
-    if (entry.index <= base_.index)
-        return std::nullopt; // Included in a snapshot.
+    if (isBaseSnapshot_ && entry.index <= base_.index)
+        return std::nullopt;
     applyTruncate(entry.index);
     entries_.push_back(entry);
     return std::nullopt;
@@ -85,17 +89,23 @@
 {
     while (!entries_.empty() && entries_.back().index >= from)
         entries_.pop_back();
+    if (from > base_.index || isBaseSnapshot_)
+        return;
+    base_ = {.index = {from.value - 1}};
+    isBaseTermKnown_ = false;
 }
 
 void LogState::applySnapshot(const SnapshotMark& mark)
 {
     if (mark.index < base_.index)
         return;
-    if (termAt(mark.index) != mark.term)
+    if (!contains(mark))
         entries_.clear(); // They belong to another log than the snapshot.
     while (!entries_.empty() && entries_.front().index <= mark.index)
         entries_.pop_front();
     base_ = mark;
+    isBaseSnapshot_ = true;
+    isBaseTermKnown_ = true;
 }
 
 std::optional<std::string> LogState::finish(const SnapshotMark& snapshot)
--- a/src/net/internal/logstate.h
+++ b/src/net/internal/logstate.h
@@ -41,13 +41,21 @@
     [[nodiscard]] std::optional<std::string> applyEntry(const model::LogEntry& entry);
     void applyTruncate(LogIndex from);
     void applySnapshot(const SnapshotMark& mark);
-    [[nodiscard]] std::optional<LogTerm> termAt(LogIndex index) const;
+    /// Whether the log holds this entry, as far as is known.
+    [[nodiscard]] bool contains(const SnapshotMark& mark) const;
+    [[nodiscard]] bool endsAt(const SnapshotMark& mark) const;
 
     control::HardState hardState_;
     std::optional<uint64_t> segment_; ///< Number of the current segment.
     uint64_t firstSegment_ = 0;
     bool isEmpty_ = true;
     SnapshotMark base_; ///< The entries follow it without a gap.
+    /// Entries up to the base are in a snapshot. False: the base is where the first segment starts, and may be
+    /// truncated.
+    bool isBaseSnapshot_ = false;
+    /// False: entries before the first segment were truncated, and the base is one whose term only an earlier segment
+    /// holds.
+    bool isBaseTermKnown_ = true;
     std::deque<model::LogEntry> entries_;
 };
 
--- a/src/net/tests/datapowerlosstests.cpp
+++ b/src/net/tests/datapowerlosstests.cpp
@@ -141,6 +141,35 @@
     }
 }
 
+// Guards against acknowledged entries that are lost, and folders that are refused, without any loss of power: the first
+// segment that remains replaces entries from before its start, and the snapshot ends at the entry before its start.
+TEST(TruncationAcrossSegmentsTest, EntriesBehindTheSnapshotAreRead)
+{
+    for (const bool nextSegmentFails : {false, true}) {
+        const TemporaryFolder folder;
+        FaultyDisk disk;
+        auto open = std::make_unique<DataFolder>(folder.path(), disk, SmallSegments);
+        ASSERT_TRUE(open->open().isOk());
+        uint64_t last = 0;
+        while (filesWith(folder.path(), "segment-").size() < 2) {
+            ++last;
+            ASSERT_TRUE(open->write(appending(last, last, 1)).isOk());
+        }
+        StorageWrite conflict = appending(last - 1, last + 2, 2);
+        conflict.truncateFrom = LogIndex {last - 1};
+        ASSERT_TRUE(open->write(conflict).isOk());
+        constexpr uint64_t SnapshotCalls = 6; // Four for its file, two for its mark.
+        if (nextSegmentFails)
+            disk.failingCall = disk.calls + SnapshotCalls;
+        ASSERT_TRUE(open->write(snapshotting(last, 2)).isOk());
+        open.reset();
+        const auto again = reopened(folder.path());
+        ASSERT_NE(again, nullptr);
+        ASSERT_EQ(again->recovered().entries.size(), 2u) << describe(again->recovered());
+        EXPECT_EQ(again->recovered().entries.back(), entry(last + 2, 2));
+    }
+}
+
 /// A disk that loses power.
 class PowerLossTest : public testing::Test {
 protected:
@@ -165,5 +194,183 @@
     EXPECT_TRUE(disk.unsyncedNames().empty());
 }
 
+/// Draws the writes of a replica, and crashes, failing calls and losses of power between them. What was acknowledged
+/// has to be there after each of them.
+class RandomReplica {
+public:
+    explicit RandomReplica(uint64_t seed)
+        : random_(seed)
+        , disk_(folder_.path(), folder_.root() / "links", seed + 1)
+    {
+    }
+    void run()
+    {
+        ASSERT_NO_FATAL_FAILURE(reopen());
+        for (int round = 0; round < Rounds; ++round) {
+            ASSERT_NO_FATAL_FAILURE(writeUntilCrash());
+            ASSERT_NO_FATAL_FAILURE(recover());
+        }
+    }
+
+private:
+    static constexpr int Rounds = 6;
+    static constexpr uint64_t MaxWrites = 30;
+    static constexpr uint64_t MaxTriesAgain = 4;
+
+    [[nodiscard]] uint64_t draw(uint64_t least, uint64_t most)
+    {
+        return boost::random::uniform_int_distribution<uint64_t>(least, most)(random_);
+    }
+    [[nodiscard]] bool oneIn(uint64_t count) { return draw(1, count) == 1; }
+    [[nodiscard]] LogIndex last() const
+    {
+        return state_.entries.empty() ? state_.snapshotIndex : state_.entries.back().index;
+    }
+
+    [[nodiscard]] StorageWrite drawAppend()
+    {
+        StorageWrite write;
+        uint64_t first = last().value + 1;
+        if (last() > committed_ && oneIn(5)) {
+            first = draw(committed_.value + 1, last().value);
+            write.truncateFrom = LogIndex {first};
+            ++term_;
+            write.hardState = control::HardState {{term_}, model::ReplicaId("v" + std::to_string(term_))};
+        }
+        const uint64_t count = draw(1, 5);
+        for (uint64_t index = first; index < first + count; ++index)
+            write.append.push_back(entry(index, term_));
+        return write;
+    }
+    [[nodiscard]] StorageWrite drawSnapshot()
+    {
+        if (oneIn(4) || committed_ <= state_.snapshotIndex) { // Sent by a leader, ahead of the log.
+            const uint64_t index = last().value + draw(1, 20);
+            StorageWrite write = snapshotting(index, term_);
+            if (oneIn(2))
+                write.append = {entry(index + 1, term_)};
+            return write;
+        }
+        const uint64_t index = draw(state_.snapshotIndex.value + 1, committed_.value);
+        const auto found = std::ranges::find(state_.entries, LogIndex {index}, &model::LogEntry::index);
+        return snapshotting(index, found->term.value);
+    }
+    [[nodiscard]] StorageWrite drawWrite()
+    {
+        if (oneIn(12)) {
+            ++term_;
+            return {.hardState = control::HardState {{term_}, model::ReplicaId("v" + std::to_string(term_))}};
+        }
+        return oneIn(7) ? drawSnapshot() : drawAppend();
+    }
+    [[nodiscard]] static RecoveredState after(RecoveredState state, const StorageWrite& write)
+    {
+        if (write.hardState)
+            state.hardState = *write.hardState;
+        if (write.truncateFrom)
+            std::erase_if(state.entries, [&](const auto& item) { return item.index >= *write.truncateFrom; });
+        if (write.snapshot) {
+            state.snapshot = *write.snapshot;
+            state.snapshotIndex = write.snapshotIndex;
+            state.snapshotTerm = write.snapshotTerm;
+            std::erase_if(state.entries, [&](const auto& item) { return item.index <= write.snapshotIndex; });
+        }
+        state.entries.insert(state.entries.end(), write.append.begin(), write.append.end());
+        return state;
+    }
+    void acknowledge()
+    {
+        state_ = after(state_, *inFlight_);
+        inFlight_.reset();
+        committed_ = std::max(committed_, state_.snapshotIndex);
+        if (last() > committed_ && oneIn(2))
+            committed_ = {draw(committed_.value, last().value)};
+    }
+    void writeUntilCrash()
+    {
+        disk_.crashAfter(draw(0, 120));
+        for (uint64_t i = 0; i < MaxWrites; ++i) {
+            if (oneIn(6))
+                disk_.failAfter(draw(0, 8));
+            inFlight_ = drawWrite();
+            uint64_t tries = 0;
+            while (!open_->write(*inFlight_)) {
+                if (++tries > MaxTriesAgain)
+                    return;
+            }
+            acknowledge();
+        }
+    }
+    void endProcess()
+    {
+        open_.reset();
+        if (oneIn(4))
+            disk_.restart();
+        else
+            disk_.losePower();
+    }
+    void recover()
+    {
+        endProcess();
+        for (int i = 0; i < 3 && oneIn(2); ++i) { // Starts that are cut short as well.
+            disk_.crashAfter(draw(0, 15));
+            open_ = std::make_unique<DataFolder>(folder_.path(), disk_, options_);
+            (void)open_->open();
+            endProcess();
+        }
+        reopen();
+    }
+    void reopen()
+    {
+        open_ = std::make_unique<DataFolder>(folder_.path(), disk_, options_);
+        const auto opened = open_->open();
+        ASSERT_TRUE(opened.isOk()) << opened.error().location << " " << opened.error().message;
+        const RecoveredState& found = open_->recovered();
+        ASSERT_TRUE(isExpected(found)) << "found " << describe(found) << ", acknowledged " << describe(state_);
+        state_ = found;
+        inFlight_.reset();
+        committed_ = std::max(committed_, state_.snapshotIndex);
+    }
+    /// The write in flight counts, does not, or only its snapshot does, which is written first.
+    [[nodiscard]] bool isExpected(const RecoveredState& found) const
+    {
+        if (isSame(found, state_))
+            return true;
+        if (!inFlight_)
+            return false;
+        if (isSame(found, after(state_, *inFlight_)))
+            return true;
+        StorageWrite snapshotOnly = *inFlight_;
+        snapshotOnly.append.clear();
+        return snapshotOnly.snapshot && isSame(found, after(state_, snapshotOnly));
+    }
+
+    boost::random::mt19937_64 random_;
+    TemporaryFolder folder_;
+    PowerLossDisk disk_;
+    DataFolderOptions options_ {.maxSegmentBytes = draw(150, 1000)};
+    std::unique_ptr<DataFolder> open_;
+    RecoveredState state_; ///< What is acknowledged.
+    std::optional<StorageWrite> inFlight_;
+    LogIndex committed_; ///< Entries up to here are never truncated.
+    uint64_t term_ = 1;
+};
+
+constexpr uint64_t FixedSeeds = 300;
+
+// Guards against acknowledged entries that are lost, and folders that are refused for good, after any order of crashes,
+// failing calls and losses of power. SALTVANE_SEEDS sets the number of seeds.
+TEST(RandomPowerLossTest, WhatIsAcknowledgedIsReadBack)
+{
+    const char* const text = std::getenv("SALTVANE_SEEDS");
+    const uint64_t seeds = text ? std::stoull(text) : FixedSeeds;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(testing::Message() << "seed " << seed);
+        RandomReplica(seed).run();
+        if (testing::Test::HasFatalFailure())
+            return;
+    }
+}
+
 } // namespace
 } // namespace saltvane::net::tests
