--- a/src/net/internal/datafolderopen.cpp
+++ b/src/net/internal/datafolderopen.cpp
@@ -111,6 +111,9 @@
     }
     if (error)
         return IoError {.location = path_, .message = "readdir: " + error.message(), .code = error.value()};
+    // The process before may have ended between the renaming of a file and the sync of the folder.
+    if (disk_.syncFolder(path_) != 0)
+        return lastError(path_, "fsync");
     std::sort(names_.begin(), names_.end());
     for (const std::string& name : names_) {
         if (const auto number = segmentNumberOf(name))
--- a/src/net/tests/datapowerlosstests.cpp
+++ b/src/net/tests/datapowerlosstests.cpp
@@ -194,6 +194,37 @@
     EXPECT_TRUE(disk.unsyncedNames().empty());
 }
 
+// Guards against a log that refers to a snapshot whose name is lost: the process ended between the renaming and the
+// sync of the folder, the next one used the snapshot, and the power failed.
+TEST_F(PowerLossTest, NamesFoundAtTheStartAreSyncedBeforeTheyAreUsed)
+{
+    bool hasUsedUnsynced = false;
+    for (uint64_t call = 0; call < 12; ++call) {
+        for (uint64_t openCall = 0; openCall < 20; ++openCall) {
+            const TemporaryFolder own;
+            PowerLossDisk ownDisk(own.path(), own.root() / "links", 1);
+            auto open = std::make_unique<DataFolder>(own.path(), ownDisk, SmallSegments);
+            ASSERT_TRUE(open->open().isOk());
+            ASSERT_TRUE(open->write(appending(1, 3, 1)).isOk());
+            ownDisk.crashAfter(call);
+            (void)open->write(snapshotting(3, 1));
+            open.reset();
+            ownDisk.restart();
+            hasUsedUnsynced = hasUsedUnsynced || !ownDisk.unsyncedNames().empty();
+            ownDisk.crashAfter(openCall);
+            open = std::make_unique<DataFolder>(own.path(), ownDisk, SmallSegments);
+            (void)open->open();
+            open.reset();
+            ownDisk.losePower(ownDisk.unsyncedNames());
+            open = std::make_unique<DataFolder>(own.path(), ownDisk, SmallSegments);
+            const auto opened = open->open();
+            ASSERT_TRUE(opened.isOk()) << call << " " << openCall << " " << opened.error().location << " "
+                                       << opened.error().message;
+        }
+    }
+    EXPECT_TRUE(hasUsedUnsynced);
+}
+
 /// Draws the writes of a replica, and crashes, failing calls and losses of power between them. What was acknowledged
 /// has to be there after each of them.
 class RandomReplica {
