Data folder: a new folder is synced in its parents

Callers saw: nothing yet. After a loss of power the whole data folder of a registry host may be gone, if it was made by the host and nothing synced its parent since.

Cause: create_directories() without a sync of the folders that hold the new names; same class as the names that are found at the start.

Evidence: PowerLossTest.NewFolderIsSyncedInItsParents, red before (three folders), passes now.

--- a/src/net/internal/datafolderopen.cpp
+++ b/src/net/internal/datafolderopen.cpp
@@ -82,9 +82,18 @@
 Result<Success, IoError> DataFolder::makeFolder()
 {
     std::error_code error;
+    std::vector<std::filesystem::path> created;
+    for (std::filesystem::path path = path_; !path.empty() && !std::filesystem::exists(path, error);
+         path = path.parent_path())
+        created.push_back(path);
     std::filesystem::create_directories(path_, error);
     if (error)
         return IoError {.location = path_, .message = "mkdir: " + error.message(), .code = error.value()};
+    for (const std::filesystem::path& path : created) {
+        const std::filesystem::path parent = path.has_parent_path() ? path.parent_path() : ".";
+        if (disk_.syncFolder(parent) != 0)
+            return lastError(parent, "fsync");
+    }
     return Success {};
 }
 
--- a/src/net/tests/datapowerlosstests.cpp
+++ b/src/net/tests/datapowerlosstests.cpp
@@ -225,6 +225,17 @@
     EXPECT_TRUE(hasUsedUnsynced);
 }
 
+// Guards against a data folder that is lost as a whole, with all that was acknowledged, since its own name was not
+// synced.
+TEST_F(PowerLossTest, NewFolderIsSyncedInItsParents)
+{
+    const fs::path parent = folder.root() / "new" / "parent";
+    DataFolder open(parent / "data", disk, SmallSegments);
+    ASSERT_TRUE(open.open().isOk());
+    for (const fs::path& path : {folder.root(), folder.root() / "new", parent})
+        EXPECT_TRUE(disk.hasSynced(path)) << path;
+}
+
 /// Draws the writes of a replica, and crashes, failing calls and losses of power between them. What was acknowledged
 /// has to be there after each of them.
 class RandomReplica {
--- a/src/net/tests/powerlossdisk.h
+++ b/src/net/tests/powerlossdisk.h
@@ -60,10 +60,12 @@
     {
         if (fails())
             return -1;
+        syncedFolders_.insert(path);
         if (std::filesystem::path(path) == folder_)
             recordNames();
         return 0;
     }
+    [[nodiscard]] bool hasSynced(const std::filesystem::path& folder) const { return syncedFolders_.contains(folder); }
 
     /// The process ends at this call, counted from the next one.
     void crashAfter(uint64_t calls) { crashingCall_ = calls_ + calls; }
@@ -184,6 +186,7 @@
     boost::random::mt19937_64 random_;
     DiskCalls real_;
     std::map<std::string, SyncedFile> synced_; ///< By name, as of the last sync of the folder.
+    std::set<std::filesystem::path> syncedFolders_;
     std::map<ino_t, uint64_t> unsynced_; ///< Bytes that were synced of files with later ones.
     uint64_t linkCount_ = 0;
     uint64_t calls_ = 0;
