Forwarded requests: the peer judges the caller's key by its own plan

Cause: a forwarded request named the account, not the key or the plan by which it was judged, and the receiver asked only whether an account of that name exists.

Why it works: the receiver looks up a digest of the presented key in its own plan. Only a newer plan rejects for good; a plan that is not newer can't know, and the sender tries another peer.

Tests: TheReceivingGatewayTrustsAuthenticatedAccountsOnly took an account by its name, which was the fault. Its checks (authenticated headers only, credits of the account) are in ForwardedKeyTest.OnlyAuthenticatedHeadersCount, with the key.

--- a/src/gateway/internal/accounttable.cpp
+++ b/src/gateway/internal/accounttable.cpp
@@ -6,26 +6,10 @@
 #include "gateway/internal/accounttable.h"
 
 #include <algorithm>
-#include <sodium.h>
 #include <unordered_set>
 
 namespace saltvane::gateway {
 
-AccountTable::AccountTable()
-{
-    static_assert(sizeof(KeyDigest) == crypto_shorthash_siphashx24_BYTES);
-    static_assert(sizeof(secret_) == crypto_shorthash_siphashx24_KEYBYTES);
-    randombytes_buf(secret_.data(), secret_.size());
-}
-
-AccountTable::KeyDigest AccountTable::digestOf(std::string_view key) const
-{
-    KeyDigest digest {};
-    crypto_shorthash_siphashx24(
-        digest.data(), reinterpret_cast<const unsigned char*>(key.data()), key.size(), secret_.data());
-    return digest;
-}
-
 void AccountTable::install(std::span<const model::AccountRef> accounts)
 {
     const auto [formerBegin, currentBegin] = std::ranges::mismatch(accounts_, accounts);
@@ -40,14 +24,14 @@
             continue;
         byName_.erase(account->account.name);
         for (const std::string& key : account->account.keys)
-            byKey_.erase(digestOf(key));
+            byKey_.erase(hasher_.digestOf(key));
     }
     for (const model::AccountRef& account : current) {
         if (!added.contains(account.get()))
             continue;
         byName_.insert_or_assign(account->account.name, account);
         for (const std::string& key : account->account.keys)
-            byKey_.insert_or_assign(digestOf(key), account);
+            byKey_.insert_or_assign(hasher_.digestOf(key), account);
     }
     accounts_.assign(accounts.begin(), accounts.end());
 }
@@ -58,9 +42,9 @@
     return found == byName_.end() ? nullptr : found->second;
 }
 
-model::AccountRef AccountTable::find(std::string_view key) const
+model::AccountRef AccountTable::find(const ClientKeyDigest& key) const
 {
-    const auto found = byKey_.find(digestOf(key));
+    const auto found = byKey_.find(key);
     return found == byKey_.end() ? nullptr : found->second;
 }
 
--- a/src/gateway/internal/decisionlog.cpp
+++ b/src/gateway/internal/decisionlog.cpp
@@ -49,6 +49,8 @@
         .add("tries", exchange.attemptedTargets.size())
         .add("peer", exchange.peer.value())
         .add("forwarded", exchange.isForwarded ? "yes" : "no")
+        .add("plan_index", exchange.plan.value)
+        .add("peer_plan_index", exchange.peerPlan ? std::to_string(exchange.peerPlan->value) : "")
         .add("choice", toString(exchange.choice))
         .add("warm", exchange.isLikelyWarm ? "yes" : "unknown")
         .addMilliseconds("send_ms", exchange.timeToFirstByte())
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "gateway/internal/clientkeydigest.h"
 #include "gateway/internal/placement.h"
 #include "gateway/internal/receivedbody.h"
 #include "gateway/internal/requesthasher.h"
@@ -53,6 +54,11 @@
     size_t targetCreditsRefused = 0; ///< Targets whose limit had no credit left for this request.
     ServiceName service;
     BundleVersion planVersion;
+    LogIndex plan; ///< Log index of the plan by which it was judged, at its arrival.
+    uint64_t judgement = 0; ///< What that plan says of it (judgementOf).
+    std::optional<ClientKeyDigest> key; ///< Of the key that the caller presented, if it was exactly one.
+    /// Plan of the gateway that forwarded it, or of the last peer that responded; none if that states none.
+    std::optional<LogIndex> peerPlan;
     Timestamp startedAt;
     Timestamp deadline; ///< The earlier of the caller's deadline and the route's.
 
--- a/src/gateway/internal/forwardedheader.cpp
+++ b/src/gateway/internal/forwardedheader.cpp
@@ -17,6 +17,8 @@
 static_assert(KeyContext.size() <= crypto_generichash_KEYBYTES_MAX);
 constexpr char Separator = ';';
 constexpr Duration MaxElapsed = 1h;
+/// Keeps a code of one header from being one of the other.
+constexpr std::string_view PlanLabel = "plan;";
 
 std::optional<uint64_t> parseNumber(std::string_view text)
 {
@@ -26,6 +28,23 @@
     return isWhole ? std::optional(value) : std::nullopt;
 }
 
+std::string toHex(const ClientKeyDigest& digest)
+{
+    std::string hex(digest.size() * 2 + 1, '\0');
+    sodium_bin2hex(hex.data(), hex.size(), digest.data(), digest.size());
+    hex.pop_back();
+    return hex;
+}
+
+std::optional<ClientKeyDigest> keyDigestFrom(std::string_view hex)
+{
+    ClientKeyDigest digest {};
+    size_t size = 0;
+    const bool isHex
+        = sodium_hex2bin(digest.data(), digest.size(), hex.data(), hex.size(), nullptr, &size, nullptr) == 0;
+    return isHex && size == digest.size() ? std::optional(digest) : std::nullopt;
+}
+
 } // namespace
 
 ForwardedHeaderCodec::ForwardedHeaderCodec(std::string_view linkKey)
@@ -51,23 +70,59 @@
     return text + Separator + code;
 }
 
-std::optional<ForwardedInfo> ForwardedHeaderCodec::decode(std::string_view value, const Request& request) const
+std::optional<std::string_view> ForwardedHeaderCodec::verifiedText(
+    std::string_view value, std::string_view label, const Request& request) const
 {
     const size_t codeAt = value.rfind(Separator);
-    const size_t elapsedAt = value.find(Separator);
-    if (codeAt == std::string_view::npos || elapsedAt == codeAt)
+    if (codeAt == std::string_view::npos)
         return std::nullopt;
     const std::string_view text = value.substr(0, codeAt);
     const std::string_view code = value.substr(codeAt + 1);
-    const std::string expected = codeOf(text, request);
+    const std::string expected = codeOf(std::string(label).append(text), request);
     if (code.size() != expected.size() || sodium_memcmp(code.data(), expected.data(), expected.size()) != 0)
         return std::nullopt;
-    const auto attempts = parseNumber(text.substr(0, elapsedAt));
-    const auto elapsedMs = parseNumber(text.substr(elapsedAt + 1));
+    return text;
+}
+
+std::optional<ForwardedInfo> ForwardedHeaderCodec::decode(std::string_view value, const Request& request) const
+{
+    const std::optional<std::string_view> text = verifiedText(value, {}, request);
+    const size_t elapsedAt = text ? text->find(Separator) : std::string_view::npos;
+    if (elapsedAt == std::string_view::npos)
+        return std::nullopt;
+    const auto attempts = parseNumber(text->substr(0, elapsedAt));
+    const auto elapsedMs = parseNumber(text->substr(elapsedAt + 1));
     if (!attempts || !elapsedMs || std::chrono::milliseconds(*elapsedMs) > MaxElapsed)
         return std::nullopt;
     return ForwardedInfo {
         .attempts = static_cast<uint32_t>(*attempts), .elapsed = std::chrono::milliseconds(*elapsedMs)};
 }
 
+std::string ForwardedHeaderCodec::encodePlan(const ForwardedPlan& plan, const Request& request) const
+{
+    std::string text = std::to_string(plan.plan.value) + Separator + std::to_string(plan.judgement) + Separator;
+    if (plan.key)
+        text += toHex(*plan.key);
+    const std::string code = codeOf(std::string(PlanLabel).append(text), request);
+    return text + Separator + code;
+}
+
+std::optional<ForwardedPlan> ForwardedHeaderCodec::decodePlan(std::string_view value, const Request& request) const
+{
+    const std::optional<std::string_view> text = verifiedText(value, PlanLabel, request);
+    const size_t judgementAt = text ? text->find(Separator) : std::string_view::npos;
+    const size_t keyAt = text ? text->rfind(Separator) : std::string_view::npos;
+    if (judgementAt == keyAt)
+        return std::nullopt;
+    const auto plan = parseNumber(text->substr(0, judgementAt));
+    const auto judgement = parseNumber(text->substr(judgementAt + 1, keyAt - judgementAt - 1));
+    if (!plan || !judgement)
+        return std::nullopt;
+    const std::string_view keyText = text->substr(keyAt + 1);
+    const std::optional<ClientKeyDigest> key = keyDigestFrom(keyText);
+    if (!keyText.empty() && !key)
+        return std::nullopt;
+    return ForwardedPlan {.plan = {*plan}, .judgement = *judgement, .key = key};
+}
+
 } // namespace saltvane::gateway
--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -89,6 +89,7 @@
     , backpressure_(settings_.headers, targets_)
     , link_(settings_.linkMegabitsPerSecond)
     , bodyBudget_(settings_.limits.memoryBytes)
+    , keyHasher_(settings_.linkKey)
     , runner_({.headers = settings_.headers,
           .digestKey = deriveDigestKey(settings_.linkKey),
           .targets = targets_,
@@ -99,6 +100,7 @@
           .reachability = reachability_,
           .peers = peers_,
           .forwardedHeader = ForwardedHeaderCodec(settings_.linkKey),
+          .keyHasher = keyHasher_,
           .backpressure = backpressure_,
           .counters = counters_,
           .latencies = latencies_,
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -117,6 +117,7 @@
     DecisionLog decisions_;
     TokenBucket slowStartLineBudget_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
     TokenBucket surplusLogBudget_ {{.perSecond = 5, .burst = 20}};
+    ClientKeyHasher keyHasher_;
     RequestRunner runner_;
     PlanInstaller planInstaller_;
     Timestamp planProvenAt_ {}; ///< When the plan in force was last proven to be the newest.
--- a/src/gateway/internal/gatewayplan.cpp
+++ b/src/gateway/internal/gatewayplan.cpp
@@ -54,7 +54,7 @@
     if (!parsed->plan)
         return log(host::LogSeverity::Error, "event=plan_unreadable version=" + std::to_string(source.version.value));
     if (!routes_)
-        routes_ = std::make_shared<RouteTable>();
+        routes_ = std::make_shared<RouteTable>(keyHasher_);
     routes_->install(std::move(parsed->plan.value()), source.position);
     split_.install(routes_->plan());
     targets_.install(routes_->plan());
--- a/src/gateway/internal/requestcompletion.cpp
+++ b/src/gateway/internal/requestcompletion.cpp
@@ -49,16 +49,32 @@
         now);
 }
 
-void RequestRunner::refuseOnArrival(
-    const requests::HttpRequestStarted& request, const PlannedRoute* route, const EarlyRefusal& refusal, Timestamp now)
+void RequestRunner::rejectFinally(
+    Exchange& exchange, int status, model::Reason reason, bool isConnectionClosed, Timestamp now)
+{
+    if (exchange.mayHaveRun)
+        return fail(exchange, reason, now);
+    options_.counters.addRefusal(reason);
+    respondWithError(exchange, status, reason, Duration::zero(), isConnectionClosed);
+    finish(
+        exchange, {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = reason, .status = status}, now);
+}
+
+void RequestRunner::refuseOnArrival(const requests::HttpRequestStarted& request, const PlannedRoute* route,
+    const Origin& origin, const EarlyRefusal& refusal, Timestamp now)
 {
     Exchange exchange {.handle = request.handle,
         .id = RequestId(requests::firstFieldValue(request.headers, options_.headers.requestId)),
-        .startedAt = now};
+        .startedAt = now,
+        .isForwarded = origin.forwarded.has_value()};
     if (route != nullptr)
         exchange.route = route->route;
-    if (routes_)
+    if (routes_) {
         exchange.planVersion = routes_->plan().version;
+        exchange.plan = routes_->planPosition().index;
+    }
+    if (origin.plan)
+        exchange.peerPlan = origin.plan->plan;
     const int status = refusal.status == 0 ? StatusUnavailable : refusal.status;
     options_.onDecided(
         {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = refusal.reason, .status = status}, now);
@@ -87,6 +103,8 @@
     // Senders keep connections for many requests: by the id they can tell that the response belongs to this one.
     if (!exchange.id.isEmpty())
         response.headers.push_back({.name = options_.headers.requestId, .value = exchange.id.value()});
+    if (exchange.isForwarded)
+        addForwardedPlan(response.headers, exchange);
     if (isNotRun)
         response.headers.push_back({.name = std::string(requests::RetryAfterHeader),
             .value = secondsText(stopAt_ ? StoppingRetryAfter : retryAfter)});
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -24,6 +24,14 @@
 constexpr double MaxRetryAfterSeconds = 60;
 constexpr int FirstServerErrorStatus = 500;
 
+/// Whether a peer refused the request finally, by what its plan says of it.
+bool isByPlan(const requests::TargetResponseHead& head, model::Reason reason)
+{
+    static constexpr std::array Reasons {
+        model::Reason::UnknownService, model::Reason::UnknownKey, model::Reason::BodyTooLarge};
+    return head.status < FirstServerErrorStatus && std::ranges::find(Reasons, reason) != Reasons.end();
+}
+
 /// Whether another gateway may be able to serve what one refused for this reason.
 bool concernsPeerOnly(model::Reason reason)
 {
@@ -44,19 +52,6 @@
 
 } // namespace
 
-std::optional<ForwardedInfo> RequestRunner::forwardedInfoOf(const requests::HttpRequestStarted& request) const
-{
-    const std::string_view value = requests::firstFieldValue(request.headers, ForwardedHeader);
-    if (value.empty())
-        return std::nullopt;
-    return options_.forwardedHeader.decode(value,
-        {.id = requests::firstFieldValue(request.headers, options_.headers.requestId),
-            .clientAccount = requests::firstFieldValue(request.headers, options_.headers.clientAccount),
-            .method = request.method,
-            .host = requests::firstFieldValue(request.headers, "Host"),
-            .path = request.path});
-}
-
 void RequestRunner::forward(Exchange& exchange, Timestamp now)
 {
     if (!canCompleteBeforeStop(exchange, now))
@@ -109,14 +104,17 @@
     scheduleStallCheck(exchange, now + std::max(slowest, exchange.route.objective) * 2);
 
     std::vector<model::Header> headers = exchange.headers;
+    const ForwardedHeaderCodec::Request bound {.id = exchange.id.value(),
+        .clientAccount = requests::firstFieldValue(exchange.headers, options_.headers.clientAccount),
+        .method = exchange.method,
+        .host = requests::firstFieldValue(exchange.headers, "Host"),
+        .path = exchange.path};
     headers.push_back({.name = std::string(ForwardedHeader),
         .value = options_.forwardedHeader.encode(
-            {.attempts = exchange.maxAttempts - exchange.possibleRuns, .elapsed = now - exchange.startedAt},
-            {.id = exchange.id.value(),
-                .clientAccount = requests::firstFieldValue(headers, options_.headers.clientAccount),
-                .method = exchange.method,
-                .host = requests::firstFieldValue(headers, "Host"),
-                .path = exchange.path})});
+            {.attempts = exchange.maxAttempts - exchange.possibleRuns, .elapsed = now - exchange.startedAt}, bound)});
+    headers.push_back({.name = std::string(ForwardedPlanHeader),
+        .value = options_.forwardedHeader.encodePlan(
+            {.plan = exchange.plan, .judgement = exchange.judgement, .key = exchange.key}, bound)});
     headers.push_back({.name = options_.headers.deadline, .value = millisecondsText(exchange.deadline - now)});
     actions_.emplace_back(requests::TargetStart {.dispatch = exchange.dispatch,
         .target = TargetId(peer.record.host.value()),
@@ -138,8 +136,18 @@
             requests::TargetRequestBody {.dispatch = exchange.dispatch, .bytes = exchange.body.bytes, .isLast = true});
 }
 
+void RequestRunner::addForwardedPlan(std::vector<model::Header>& headers, const Exchange& exchange) const
+{
+    headers.push_back({.name = std::string(ForwardedPlanHeader),
+        .value = options_.forwardedHeader.encodePlan(
+            {.plan = exchange.plan, .judgement = exchange.judgement}, {.id = exchange.id.value()})});
+}
+
 void RequestRunner::onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
 {
+    const std::optional<ForwardedPlan> plan = options_.forwardedHeader.decodePlan(
+        requests::firstFieldValue(head.headers, ForwardedPlanHeader), {.id = exchange.id.value()});
+    exchange.peerPlan = plan ? std::optional(plan->plan) : std::nullopt;
     const std::string_view reasonText = requests::firstFieldValue(head.headers, requests::ReasonHeader);
     const bool isError = !reasonText.empty();
     const std::string_view id = requests::firstFieldValue(head.headers, options_.headers.requestId);
@@ -173,7 +181,11 @@
         exchange.recordPossibleRun();
         return fail(exchange, reason, now);
     }
-    if (!concernsPeerOnly(reason))
+    // A peer with an older plan can't tell whether a newer one permits the request.
+    const bool isFinal = exchange.peerPlan && *exchange.peerPlan >= exchange.plan;
+    if (isByPlan(head, reason) && isFinal)
+        return rejectFinally(exchange, head.status, reason, false, now);
+    if (!concernsPeerOnly(reason) && !isByPlan(head, reason))
         return refuse(exchange, reason, retryAfterOf(head), now);
     if (Peer* peer = options_.peers.find(exchange.peer))
         peer->unavailableUntil = now + PeerSet::RefusalBackoff;
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -4,6 +4,7 @@
  * Copyright (c) 2026 the saltvane authors
  */
 #include "base/unitinterval.h"
+#include "gateway/internal/requestjudgement.h"
 #include "gateway/internal/requestrunner.h"
 #include "requests/headerfilter.h"
 
@@ -42,24 +43,49 @@
 
 } // namespace
 
-model::AccountRef RequestRunner::accountOf(const requests::HttpRequestStarted& request) const
+std::optional<ClientKeyDigest> RequestRunner::presentedKeyOf(const requests::HttpRequestStarted& request) const
 {
     const auto isKey
         = [&](const model::Header& header) { return model::isSameFieldName(header.name, options_.headers.clientKey); };
     // With two keys it is ambiguous which one is meant.
     if (std::ranges::count_if(request.headers, isKey) != 1)
-        return nullptr;
-    return routes_->findAccount(std::ranges::find_if(request.headers, isKey)->value);
+        return std::nullopt;
+    return options_.keyHasher.digestOf(std::ranges::find_if(request.headers, isKey)->value);
+}
+
+RequestRunner::Origin RequestRunner::originOf(const requests::HttpRequestStarted& request) const
+{
+    const std::string_view forwarded = requests::firstFieldValue(request.headers, ForwardedHeader);
+    if (forwarded.empty())
+        return {.key = presentedKeyOf(request)};
+    const ForwardedHeaderCodec::Request bound {
+        .id = requests::firstFieldValue(request.headers, options_.headers.requestId),
+        .clientAccount = requests::firstFieldValue(request.headers, options_.headers.clientAccount),
+        .method = request.method,
+        .host = requests::firstFieldValue(request.headers, "Host"),
+        .path = request.path};
+    Origin origin {.forwarded = options_.forwardedHeader.decode(forwarded, bound)};
+    if (!origin.forwarded)
+        return {.key = presentedKeyOf(request)};
+    origin.plan
+        = options_.forwardedHeader.decodePlan(requests::firstFieldValue(request.headers, ForwardedPlanHeader), bound);
+    if (origin.plan)
+        origin.key = origin.plan->key;
+    return origin;
 }
 
-model::AccountRef RequestRunner::claimedAccountOf(const requests::HttpRequestStarted& request) const
+RequestRunner::PlanOrder RequestRunner::planOrder(const Origin& origin) const
 {
-    const std::string_view name = requests::firstFieldValue(request.headers, options_.headers.clientAccount);
-    return routes_->findAccountNamed(model::ClientAccountName(std::string(name)));
+    if (!origin.plan)
+        return PlanOrder::Unknown;
+    const auto order = routes_->planPosition().index <=> origin.plan->plan;
+    if (order == 0)
+        return PlanOrder::Same;
+    return order < 0 ? PlanOrder::Older : PlanOrder::Newer;
 }
 
 std::unique_ptr<Exchange> RequestRunner::makeExchange(
-    const requests::HttpRequestStarted& request, PlannedRoute& route, Origin origin, Timestamp now) const
+    const requests::HttpRequestStarted& request, PlannedRoute& route, const Origin& origin, Timestamp now) const
 {
     const settings::HeaderNames& names = options_.headers;
     auto exchange = std::make_unique<Exchange>();
@@ -69,7 +95,7 @@
     exchange->id = RequestId(requests::firstFieldValue(request.headers, names.requestId));
     exchange->method = request.method;
     exchange->path = request.path;
-    exchange->account = std::move(origin.account);
+    exchange->account = origin.account;
     exchange->isForwarded = origin.forwarded.has_value();
     const bool mayClaimAccount = !routes_->plan().hasAccounts;
     const std::string_view claimed = requests::firstFieldValue(request.headers, names.clientAccount);
@@ -86,6 +112,7 @@
             || model::isSameFieldName(header.name, names.expectedTarget)
             || model::isSameFieldName(header.name, names.clientKey)
             || model::isSameFieldName(header.name, ForwardedHeader)
+            || model::isSameFieldName(header.name, ForwardedPlanHeader)
             || (!mayClaimAccount && model::isSameFieldName(header.name, names.clientAccount))
             || model::isSameFieldName(header.name, "Expect");
     });
@@ -96,6 +123,11 @@
     exchange->route = route.route;
     exchange->service = route.nextService();
     exchange->planVersion = routes_->plan().version;
+    exchange->plan = routes_->planPosition().index;
+    exchange->judgement = judgementOf(route.route, exchange->account ? &exchange->account->account : nullptr);
+    exchange->key = origin.key;
+    if (origin.plan)
+        exchange->peerPlan = origin.plan->plan;
     exchange->startedAt = now - (origin.forwarded ? origin.forwarded->elapsed : Duration::zero());
     exchange->maxAttempts
         = std::min(route.route.attempts, origin.forwarded ? origin.forwarded->attempts : route.route.attempts);
@@ -112,48 +144,62 @@
         || options_.placement.hasTargets(exchange.service, exchange.route, account);
 }
 
-void RequestRunner::accept(const requests::HttpRequestStarted& request, Timestamp now)
+std::optional<RequestRunner::EarlyRefusal> RequestRunner::refusalByState(Timestamp now) const
 {
-    options_.counters.add(model::Counter::Requests);
     if (isRefusing_)
-        return refuseOnArrival(
-            request, nullptr, {.reason = model::Reason::Stopping, .retryAfter = StoppingRetryAfter}, now);
+        return EarlyRefusal {.reason = model::Reason::Stopping, .retryAfter = StoppingRetryAfter};
     if (!routes_)
-        return refuseOnArrival(
-            request, nullptr, {.reason = model::Reason::NotReady, .retryAfter = NotReadyRetryAfter}, now);
+        return EarlyRefusal {.reason = model::Reason::NotReady, .retryAfter = NotReadyRetryAfter};
     if (options_.isRegistryLate(now))
-        return refuseOnArrival(
-            request, nullptr, {.reason = model::Reason::StaleState, .retryAfter = NotReadyRetryAfter}, now);
-    PlannedRoute* route = routes_->find(requests::firstFieldValue(request.headers, "Host"), request.path);
-    if (route == nullptr && isPlanUncertain_)
-        return refuseOnArrival(
-            request, nullptr, {.reason = model::Reason::NotReady, .retryAfter = NotReadyRetryAfter}, now);
+        return EarlyRefusal {.reason = model::Reason::StaleState, .retryAfter = NotReadyRetryAfter};
+    return std::nullopt;
+}
+
+std::optional<RequestRunner::EarlyRefusal> RequestRunner::refusalByPlan(
+    const requests::HttpRequestStarted& request, const PlannedRoute* route, Origin& origin) const
+{
+    const PlanOrder order = planOrder(origin);
+    // What a gateway has found in a plan may be missing here because that plan is newer, or because this one is.
+    const bool mayBeInNewerPlan = isPlanUncertain_ || (origin.forwarded && order != PlanOrder::Newer);
+    const EarlyRefusal notKnownYet {.reason = model::Reason::NotReady, .retryAfter = NotReadyRetryAfter};
     if (route == nullptr)
-        return refuseOnArrival(
-            request, nullptr, {.status = StatusNotFound, .reason = model::Reason::UnknownService}, now);
-    const bool needsKey = routes_->plan().hasAccounts && !route->route.isPublic;
-    Origin origin {.forwarded = forwardedInfoOf(request)};
-    if (needsKey)
-        origin.account = origin.forwarded ? claimedAccountOf(request) : accountOf(request);
-    if (needsKey && !origin.account && (isPlanUncertain_ || origin.forwarded))
-        return refuseOnArrival(
-            request, route, {.reason = model::Reason::NotReady, .retryAfter = NotReadyRetryAfter}, now);
-    if (needsKey && !origin.account)
-        return refuseOnArrival(
-            request, route, {.status = StatusUnauthorized, .reason = model::Reason::UnknownKey}, now);
-    if (request.bodyLength.value_or(0) > bodies_.maxBodyBytes())
-        return refuseOnArrival(request, route, {.status = StatusTooLarge, .reason = model::Reason::BodyTooLarge}, now);
+        return mayBeInNewerPlan ? notKnownYet
+                                : EarlyRefusal {.status = StatusNotFound, .reason = model::Reason::UnknownService};
+    if (routes_->plan().hasAccounts && !route->route.isPublic) {
+        // The name of an account does not tell which key the caller presented: it may hold another one by now.
+        if (origin.key)
+            origin.account = routes_->findAccount(*origin.key);
+        if (!origin.account)
+            return mayBeInNewerPlan ? notKnownYet
+                                    : EarlyRefusal {.status = StatusUnauthorized, .reason = model::Reason::UnknownKey};
+    }
+    if (request.bodyLength.value_or(0) <= bodies_.maxBodyBytes())
+        return std::nullopt;
+    if (order == PlanOrder::Older)
+        return notKnownYet;
+    return EarlyRefusal {.status = StatusTooLarge, .reason = model::Reason::BodyTooLarge};
+}
+
+void RequestRunner::accept(const requests::HttpRequestStarted& request, Timestamp now)
+{
+    options_.counters.add(model::Counter::Requests);
+    Origin origin = originOf(request);
+    if (const auto refusal = refusalByState(now))
+        return refuseOnArrival(request, nullptr, origin, *refusal, now);
+    PlannedRoute* route = routes_->find(requests::firstFieldValue(request.headers, "Host"), request.path);
+    if (const auto refusal = refusalByPlan(request, route, origin))
+        return refuseOnArrival(request, route, origin, *refusal, now);
     const bool isLarge = route->route.kind == model::RouteKind::LargeRead;
     if (isLarge && !options_.link.canCarry(route->route))
         return refuseOnArrival(
-            request, route, {.reason = model::Reason::LinkLimitReached, .retryAfter = DefaultRetryAfter}, now);
-    std::unique_ptr<Exchange> newExchange = makeExchange(request, *route, std::move(origin), now);
+            request, route, origin, {.reason = model::Reason::LinkLimitReached, .retryAfter = DefaultRetryAfter}, now);
+    std::unique_ptr<Exchange> newExchange = makeExchange(request, *route, origin, now);
     if (!canCompleteBeforeStop(*newExchange, now))
         return refuseOnArrival(
-            request, route, {.reason = model::Reason::Stopping, .retryAfter = StoppingRetryAfter}, now);
+            request, route, origin, {.reason = model::Reason::Stopping, .retryAfter = StoppingRetryAfter}, now);
     if (request.bodyLength != 0 && !mayFindTarget(*newExchange))
         return refuseOnArrival(
-            request, route, {.reason = model::Reason::NoTarget, .retryAfter = UnreachableRetryAfter}, now);
+            request, route, origin, {.reason = model::Reason::NoTarget, .retryAfter = UnreachableRetryAfter}, now);
     newExchange->isInLinkBudget = isLarge;
     if (isLarge)
         options_.link.recordStart();
@@ -205,11 +251,8 @@
         const Duration spread = fromSeconds(toSeconds(NoMemoryRetrySpread) * toUnitInterval(hash));
         return refuse(exchange, reason, NoMemoryRetryAfter + spread, now);
     }
-    options_.counters.addRefusal(reason);
     const int status = model::httpStatus(model::Outcome::NotRun, reason);
-    respondWithError(exchange, status, reason, Duration::zero(), reason == model::Reason::BodyTimeout);
-    finish(
-        exchange, {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = reason, .status = status}, now);
+    rejectFinally(exchange, status, reason, reason == model::Reason::BodyTimeout, now);
 }
 
 void RequestRunner::install(std::shared_ptr<const RouteTable> routes)
--- a/src/gateway/internal/requestresponses.cpp
+++ b/src/gateway/internal/requestresponses.cpp
@@ -87,10 +87,13 @@
         .headers = requests::endToEndHeaders(head.headers),
         .bodyLength = head.bodyLength,
         .isLast = false};
-    // To the gateway that forwarded the request, this header marks a response of this gateway's own.
+    std::erase_if(exchange.response.headers, [&](const model::Header& header) {
+        // To the gateway that forwarded the request, this header marks a response of this gateway's own.
+        const bool isMark = exchange.isForwarded && model::isSameFieldName(header.name, requests::ReasonHeader);
+        return isMark || model::isSameFieldName(header.name, ForwardedPlanHeader);
+    });
     if (exchange.isForwarded)
-        std::erase_if(exchange.response.headers,
-            [](const model::Header& header) { return model::isSameFieldName(header.name, requests::ReasonHeader); });
+        addForwardedPlan(exchange.response.headers, exchange);
     if (head.bodyLength.value_or(0) > MaxBufferedResponseBytes)
         startStreaming(exchange);
 }
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -61,6 +61,7 @@
         TargetReachability& reachability;
         PeerSet& peers;
         ForwardedHeaderCodec forwardedHeader;
+        const ClientKeyHasher& keyHasher;
         BackpressureMonitor& backpressure;
         model::Counters& counters;
         RequestLatencies& latencies;
@@ -139,15 +140,19 @@
     /// The sender of a request: a caller, or a gateway that forwards it.
     struct Origin {
         model::AccountRef account; ///< Null if the route requires no account.
+        std::optional<ClientKeyDigest> key; ///< Of the key that the caller presented, if it was exactly one.
         std::optional<ForwardedInfo> forwarded; ///< Set if another gateway forwarded it.
+        /// By which plan that gateway judged it; none from gateways of earlier versions, which state none.
+        std::optional<ForwardedPlan> plan;
     };
+    [[nodiscard]] Origin originOf(const requests::HttpRequestStarted& request) const;
+    /// How the plan in force compares with the one by which the forwarding gateway judged the request.
+    enum class PlanOrder { Unknown, Older, Same, Newer };
+    [[nodiscard]] PlanOrder planOrder(const Origin& origin) const;
     [[nodiscard]] std::unique_ptr<Exchange> makeExchange(
-        const requests::HttpRequestStarted& request, PlannedRoute& route, Origin origin, Timestamp now) const;
-    /// Returns the client account that holds the request's key, or null.
-    [[nodiscard]] model::AccountRef accountOf(const requests::HttpRequestStarted& request) const;
-    /// The client account that the forwarding gateway names, or null.
-    [[nodiscard]] model::AccountRef claimedAccountOf(const requests::HttpRequestStarted& request) const;
-    [[nodiscard]] std::optional<ForwardedInfo> forwardedInfoOf(const requests::HttpRequestStarted& request) const;
+        const requests::HttpRequestStarted& request, PlannedRoute& route, const Origin& origin, Timestamp now) const;
+    /// The digest of the client key in the request's headers; none if there is not exactly one key.
+    [[nodiscard]] std::optional<ClientKeyDigest> presentedKeyOf(const requests::HttpRequestStarted& request) const;
     /// The limit of the request's account by the plan in force; none if the plan sets none.
     [[nodiscard]] std::optional<model::AccountLimitNotice> accountLimitOf(const Exchange& exchange) const;
     /// Returns false if the request has to wait for a credit of its account's limit.
@@ -201,6 +206,8 @@
     /// The peer to forward the request to, if it may run once more after this number of possible runs; else null.
     [[nodiscard]] Peer* choosePeer(const Exchange& exchange, uint32_t possibleRuns, Timestamp now);
     void sendTo(Peer& peer, Exchange& exchange, Timestamp now);
+    /// States by which plan a forwarded request was judged.
+    void addForwardedPlan(std::vector<model::Header>& headers, const Exchange& exchange) const;
     void onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now);
     /// The peer responded with an error of its own.
     void onPeerError(const requests::TargetResponseHead& head, model::Reason reason, Exchange& exchange, Timestamp now);
@@ -265,8 +272,15 @@
         model::Reason reason = model::Reason::None;
         Duration retryAfter {};
     };
-    void refuseOnArrival(const requests::HttpRequestStarted& request, const PlannedRoute* route,
+    /// Why this host takes no request now, whatever the plan says.
+    [[nodiscard]] std::optional<EarlyRefusal> refusalByState(Timestamp now) const;
+    /// Why the plan permits no such request. Otherwise sets the origin's account. `route`: null if none matches.
+    [[nodiscard]] std::optional<EarlyRefusal> refusalByPlan(
+        const requests::HttpRequestStarted& request, const PlannedRoute* route, Origin& origin) const;
+    void refuseOnArrival(const requests::HttpRequestStarted& request, const PlannedRoute* route, const Origin& origin,
         const EarlyRefusal& refusal, Timestamp now);
+    /// The caller is told that sending the request again is of no use.
+    void rejectFinally(Exchange& exchange, int status, model::Reason reason, bool isConnectionClosed, Timestamp now);
     /// Callers send a refused request again on a new connection. Closing the old one keeps a gateway's connections and
     /// memory at what its callers use.
     void respondWithError(const Exchange& exchange, int status, model::Reason reason, Duration retryAfter,
--- a/src/gateway/internal/routetable.h
+++ b/src/gateway/internal/routetable.h
@@ -39,6 +39,11 @@
 /// A plan indexed for look-up by host name and longest path prefix.
 class RouteTable {
 public:
+    explicit RouteTable(const ClientKeyHasher& hasher)
+        : accounts_(hasher)
+    {
+    }
+
     /// Replaces the plan and keeps the state of routes that are in both; the cost is proportional to the number of
     /// changed routes.
     void install(model::RoutePlan plan, const LogPosition& position = {});
@@ -46,7 +51,7 @@
     /// Returns null if no route matches. `host` may include a port.
     [[nodiscard]] PlannedRoute* find(std::string_view host, std::string_view target) const;
     /// Returns null if no client account holds the key.
-    [[nodiscard]] model::AccountRef findAccount(std::string_view key) const { return accounts_.find(key); }
+    [[nodiscard]] model::AccountRef findAccount(const ClientKeyDigest& key) const { return accounts_.find(key); }
     /// Returns null if there is no client account of this name.
     [[nodiscard]] model::AccountRef findAccountNamed(const model::ClientAccountName& name) const
     {
--- a/src/gateway/tests/accounttabletests.cpp
+++ b/src/gateway/tests/accounttabletests.cpp
@@ -14,13 +14,17 @@
 
 namespace saltvane::gateway::test {
 
+namespace {
+const ClientKeyHasher Hasher("secret");
+} // namespace
+
 /// After any series of updates, each key belongs to the account that the last update assigns it to.
 TEST(AccountTableTest, UpdatedTableMatchesFreshTable)
 {
     constexpr size_t Keys = 12;
     std::mt19937 random(11); // NOLINT(cert-msc32-c,cert-msc51-cpp): reproducible sequence.
     const auto draw = [&](size_t below) { return random() % below; };
-    AccountTable table;
+    AccountTable table {Hasher};
     std::vector<model::AccountRef> accounts;
     std::map<std::string, size_t> holders; ///< Account number by key.
     for (int round = 0; round < 2000; ++round) {
@@ -47,7 +51,7 @@
         table.install(accounts);
         for (size_t key = 0; key < Keys; ++key) {
             const std::string text = "key-" + std::to_string(key);
-            const model::AccountRef found = table.find(text);
+            const model::AccountRef found = table.find(Hasher.digestOf(text));
             const auto holder = holders.find(text);
             ASSERT_EQ(found ? found->account.name.value() : "",
                 holder == holders.end() ? "" : "account-" + std::to_string(holder->second))
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -111,8 +111,9 @@
     static CallerRequest receivedAt(const requests::TargetStart& start)
     {
         CallerRequest received {.path = start.path, .id = header(start.headers, "Saltvane-Request-Id")};
-        received.extraHeaders
-            = {{.name = std::string(ForwardedHeader), .value = header(start.headers, std::string(ForwardedHeader))}};
+        for (const std::string_view name : {ForwardedHeader, ForwardedPlanHeader})
+            received.extraHeaders.push_back(
+                {.name = std::string(name), .value = header(start.headers, std::string(name))});
         return received;
     }
 };
@@ -517,22 +518,206 @@
     EXPECT_EQ(toString(onlyStart().address), "10.0.0.4:8000");
 }
 
-// Guards against a receiving gateway that asks a forwarded request for a key, or believes any account's name.
-TEST_F(ForwardedAccountTest, TheReceivingGatewayTrustsAuthenticatedAccountsOnly)
+/// A gateway that receives requests from another one, whose plan is older or newer.
+class ForwardedKeyTest : public ForwardedAccountTest {
+protected:
+    static constexpr LogIndex Older {0};
+    static constexpr LogIndex Newer {1'000'000};
+    static constexpr uint64_t Judgement = 1; ///< Of a plan that says something else of the request.
+
+    /// A request that another gateway forwards. `key`: that its caller presented; `account`: that it found.
+    static CallerRequest forwarded(
+        const std::string& path, const std::string& key, const std::string& account, std::optional<LogIndex> plan)
+    {
+        const ForwardedHeaderCodec codec("");
+        const ForwardedHeaderCodec::Request bound {
+            .id = "try-9", .clientAccount = account, .method = "GET", .host = "prices.example", .path = path};
+        CallerRequest received {.path = path, .id = "try-9"};
+        received.extraHeaders
+            = {{.name = std::string(ForwardedHeader), .value = codec.encode({.attempts = 2, .elapsed = 5ms}, bound)},
+                {.name = "Saltvane-Client-Account", .value = account}};
+        if (plan) {
+            ForwardedPlan stated {.plan = *plan, .judgement = Judgement};
+            if (!key.empty())
+                stated.key = ClientKeyHasher("").digestOf(key);
+            received.extraHeaders.push_back(
+                {.name = std::string(ForwardedPlanHeader), .value = codec.encodePlan(stated, bound)});
+        }
+        return received;
+    }
+    /// Of the gateway's response to the request: its status, its reason and whether it names its plan.
+    struct Refusal {
+        int status = 0;
+        std::string reason;
+        bool namesPlan = false;
+        auto operator<=>(const Refusal&) const = default;
+    };
+    Refusal refusalOf(const CallerRequest& received)
+    {
+        request(received);
+        EXPECT_TRUE(takeStarts().empty());
+        const auto response = takeResponse();
+        if (!response)
+            return {};
+        const std::string plan = header(response->headers, std::string(ForwardedPlanHeader));
+        return {.status = response->status,
+            .reason = header(response->headers, "Saltvane-Reason"),
+            .namesPlan = ForwardedHeaderCodec("").decodePlan(plan, {.id = received.id}).has_value()};
+    }
+    /// The account as which the gateway runs the request; no value if it does not run it.
+    std::optional<std::string> accountOfRun(const CallerRequest& received)
+    {
+        request(received);
+        const std::vector<requests::TargetStart> starts = takeStarts();
+        if (starts.size() != 1)
+            return std::nullopt;
+        EXPECT_EQ(header(starts.front().headers, std::string(ForwardedPlanHeader)), "");
+        const std::string account = header(starts.front().headers, "Saltvane-Client-Account");
+        answer(starts.front(), {.id = received.id});
+        (void)takeResponse();
+        return account;
+    }
+    static constexpr auto UnknownKey = "unknown-key";
+    static constexpr auto NotReady = "not-ready";
+};
+
+// Guards against a receiving gateway that believes any account's name, or lets callers pass for a gateway.
+TEST_F(ForwardedKeyTest, OnlyAuthenticatedHeadersCount)
 {
-    const ForwardedHeaderCodec codec("");
-    const std::string value = codec.encode({.attempts = 2, .elapsed = 5ms},
-        {.id = "try-9", .clientAccount = "limited", .method = "GET", .host = "prices.example", .path = "/read/1"});
-    CallerRequest received {.id = "try-9"};
-    received.extraHeaders = {{.name = std::string(ForwardedHeader), .value = value},
-        {.name = "Saltvane-Client-Account", .value = "limited"}};
+    CallerRequest received = forwarded("/read/1", "key-l", "limited", Older);
     request(received);
     EXPECT_EQ(takeCreditRequests().size(), 1U);
-    received.extraHeaders.back().value = "acme";
-    request(received);
+    received.extraHeaders[1].value = "acme";
+    EXPECT_EQ(refusalOf(received).status, 401);
+    received = forwarded("/read/1", "key-a", "acme", Older);
+    received.extraHeaders[2].value.replace(0, 1, "9");
+    EXPECT_EQ(refusalOf(received).reason, NotReady) << "without a valid plan header no key is known";
+}
+
+// Guards against keys that were taken away and still open gateways in touch: a gateway that is cut off judges by an
+// older plan, and hands the request to them.
+TEST_F(ForwardedKeyTest, KeyThatWasTakenAwayIsRejectedByTheNewerPlan)
+{
+    EXPECT_EQ(accountOfRun(forwarded("/read/1", "key-a", "acme", Older)), "acme");
+    const Refusal rejected {.status = 401, .reason = UnknownKey, .namesPlan = true};
+    EXPECT_EQ(refusalOf(forwarded("/read/1", "key-gone", "acme", Older)), rejected);
+    installPlan(3, {}, R"([{"name":"acme","keys":["key-b"]}])");
+    EXPECT_EQ(refusalOf(forwarded("/read/1", "key-a", "acme", Older)), rejected);
+    EXPECT_EQ(accountOfRun(forwarded("/read/1", "key-b", "acme", Older)), "acme");
+}
+
+// Guards against requests that run as an account which holds their key no more: the key has moved, or the account was
+// made again under its name.
+TEST_F(ForwardedKeyTest, AccountIsTheOneThatHoldsTheKey)
+{
+    EXPECT_EQ(accountOfRun(forwarded("/read/1", "key-a", "southern", Older)), "acme");
+    EXPECT_EQ(accountOfRun(forwarded("/read/1", "key-a", "former", Older)), "acme");
+}
+
+// Guards against a gateway that tells callers for good that a key or route does not exist which only a newer plan has.
+TEST_F(ForwardedKeyTest, OlderPlanRejectsNothingForGood)
+{
+    const Refusal notReady {.status = 503, .reason = NotReady, .namesPlan = true};
+    EXPECT_EQ(refusalOf(forwarded("/read/1", "key-new", "acme", Newer)), notReady);
+    EXPECT_EQ(refusalOf(forwarded("/new-route/1", "key-a", "acme", Newer)), notReady);
+    EXPECT_EQ(refusalOf(forwarded("/new-route/1", "key-a", "acme", Older)).status, 404);
+    CallerRequest large = forwarded("/read/1", "key-a", "acme", Newer);
+    large.bodyLength = uint64_t {1} << 40U;
+    EXPECT_EQ(refusalOf(large), notReady);
+}
+
+// Guards against routes that are public for one of the two gateways only: the key counts by the plan of the receiver.
+TEST_F(ForwardedKeyTest, RoutesThatArePublicForOneGatewayOnly)
+{
+    EXPECT_EQ(refusalOf(forwarded("/read/1", "", "", Older)).status, 401);
+    EXPECT_EQ(accountOfRun(forwarded("/read/1", "key-a", "", Older)), "acme");
+    installPlan(3);
+    EXPECT_EQ(accountOfRun(forwarded("/read/1", "key-a", "acme", Older)).has_value(), true);
+}
+
+// Guards against gateways of the version before, which state neither a plan nor a key: a peer can't judge their
+// requests where a key is needed.
+TEST_F(ForwardedKeyTest, WithoutAStatedPlanOnlyRequestsThatNeedNoKeyRun)
+{
+    EXPECT_EQ(refusalOf(forwarded("/read/1", "", "acme", std::nullopt)).reason, NotReady);
+    installPlan(3);
+    EXPECT_TRUE(accountOfRun(forwarded("/read/1", "", "", std::nullopt)).has_value());
+}
+
+/// A gateway that hands requests to peers, whose plan is older or newer.
+class PeerRejectionTest : public ForwardedKeyTest {
+protected:
+    void rejectAsPeer(
+        const requests::TargetStart& start, int status, const std::string& reason, const std::optional<LogIndex>& plan)
+    {
+        const std::string id = header(start.headers, "Saltvane-Request-Id");
+        TargetResponse from {
+            .status = status, .id = id, .extraHeaders = {{.name = "Saltvane-Reason", .value = reason}}};
+        if (plan)
+            from.extraHeaders.push_back({.name = std::string(ForwardedPlanHeader),
+                .value = ForwardedHeaderCodec("").encodePlan({.plan = *plan}, {.id = id})});
+        answer(start, from);
+    }
+    CallerRequest callerWithKey(const std::string& id)
+    {
+        return {.id = id, .extraHeaders = {{.name = "Saltvane-Client-Key", .value = "key-a"}}};
+    }
+};
+
+// Guards against callers that wander from peer to peer with a key that was taken away, and are told to come back.
+TEST_F(PeerRejectionTest, RejectionByANewerPlanIsFinal)
+{
+    isolateWithKey();
+    const std::vector<std::pair<int, std::string>> rejections {
+        {401, UnknownKey}, {404, "unknown-service"}, {413, "body-too-large"}};
+    for (const auto& [status, reason] : rejections) {
+        request(callerWithKey("try-" + reason));
+        rejectAsPeer(onlyStart(), status, reason, Newer);
+        const auto response = takeResponse();
+        ASSERT_TRUE(response) << reason;
+        EXPECT_EQ(response->status, status);
+        EXPECT_EQ(header(response->headers, std::string(ForwardedPlanHeader)), "");
+        EXPECT_EQ(header(response->headers, "Retry-After"), "");
+    }
+}
+
+// Guards against callers that are told for good what only an older plan says, or a gateway that states no plan.
+TEST_F(PeerRejectionTest, RejectionByAnOlderPlanConcernsThePeerOnly)
+{
+    isolateWithKey();
+    for (const std::optional<LogIndex>& plan : {std::optional(Older), std::optional<LogIndex>()}) {
+        for (const auto& [status, reason] : std::vector<std::pair<int, std::string>> {
+                 {401, UnknownKey}, {404, "unknown-service"}, {413, "body-too-large"}}) {
+            request(callerWithKey("try-" + reason));
+            rejectAsPeer(onlyStart(), status, reason, plan);
+            EXPECT_FALSE(takeResponse()) << reason;
+            const requests::TargetStart next = onlyStart();
+            EXPECT_TRUE(isToPeer(next)) << reason;
+            answer(next, {.id = "try-" + reason});
+            EXPECT_EQ(takeResponse()->status, 200);
+            awaitPeers();
+            isolateWithKey();
+        }
+    }
+}
+
+// Guards against peers that can't judge the key, and against keys or digests of them that targets or callers get.
+TEST_F(PeerRejectionTest, PeersAreToldThePlanAndADigestOfTheKey)
+{
+    isolateWithKey();
+    request(callerWithKey("try-9"));
+    const requests::TargetStart start = onlyStart();
+    const std::string value = header(start.headers, std::string(ForwardedPlanHeader));
+    const auto stated = ForwardedHeaderCodec("").decodePlan(
+        value, {.id = "try-9", .clientAccount = "acme", .method = "GET", .host = "prices.example", .path = start.path});
+    ASSERT_TRUE(stated);
+    EXPECT_GT(stated->plan, Older);
+    EXPECT_EQ(stated->key, ClientKeyHasher("").digestOf("key-a"));
+    EXPECT_EQ(value.find("key-a"), std::string::npos);
+    answer(start, {.id = "try-9", .extraHeaders = {{.name = std::string(ForwardedPlanHeader), .value = "1;1;;"}}});
     const auto response = takeResponse();
     ASSERT_TRUE(response);
-    EXPECT_EQ(response->status, 401);
+    EXPECT_EQ(header(response->headers, std::string(ForwardedPlanHeader)), "");
 }
 
 // Guards against headers that are accepted for another request, or after a change of any part.
@@ -563,4 +748,34 @@
         EXPECT_FALSE(codec.decode(text, request)) << text;
 }
 
+// Guards against plans that are accepted for another request, after a change of any part, or from the other header.
+TEST(ForwardedHeaderTest, PlanIsBoundToItsRequest)
+{
+    const ForwardedHeaderCodec codec("secret");
+    const ForwardedHeaderCodec::Request request {
+        .id = "try-1", .clientAccount = "acme", .method = "GET", .host = "h", .path = "/p?q"};
+    const std::optional<ClientKeyDigest> key = ClientKeyHasher("secret").digestOf("key-a");
+    for (const ForwardedPlan& plan :
+        {ForwardedPlan {.plan = {7}, .judgement = 1234, .key = key}, ForwardedPlan {.plan = {7}}}) {
+        const std::string value = codec.encodePlan(plan, request);
+        EXPECT_EQ(codec.decodePlan(value, request), plan);
+        ForwardedHeaderCodec::Request other = request;
+        other.id = "try-2";
+        EXPECT_FALSE(codec.decodePlan(value, other));
+        other = request;
+        other.clientAccount = "else";
+        EXPECT_FALSE(codec.decodePlan(value, other));
+        EXPECT_FALSE(ForwardedHeaderCodec("other secret").decodePlan(value, request));
+        EXPECT_FALSE(codec.decode(value, request));
+        for (size_t i = 0; i < value.size(); ++i) {
+            std::string changed = value;
+            changed[i] = changed[i] == '1' ? '2' : '1';
+            EXPECT_FALSE(codec.decodePlan(changed, request)) << i;
+        }
+    }
+    EXPECT_FALSE(codec.decodePlan(codec.encode({.attempts = 3, .elapsed = 12ms}, request), request));
+    for (const std::string& text : {std::string(), std::string(";"), std::string(";;"), std::string(";;;")})
+        EXPECT_FALSE(codec.decodePlan(text, request)) << text;
+}
+
 } // namespace saltvane::gateway::test
--- a/src/gateway/tests/routetabletests.cpp
+++ b/src/gateway/tests/routetabletests.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+const ClientKeyHasher Hasher("secret");
+
 model::RouteRef routeTo(const std::string& host, const std::string& prefix, const std::string& service)
 {
     return model::makeRoute({.host = host,
@@ -32,7 +34,7 @@
 {
     const auto first = routeTo("h", "/a/", "first");
     const auto second = routeTo("h", "/a/", "second");
-    RouteTable table;
+    RouteTable table {Hasher};
     table.install({.routes = {first, second}});
     EXPECT_EQ(serviceAt(table, "h", "/a/1"), "first");
     table.install({.routes = {second, first}});
@@ -46,7 +48,7 @@
 TEST(RouteTableTest, UnchangedRouteKeepsItsWeights)
 {
     const auto unchanged = routeTo("h", "/a/", "one");
-    RouteTable table;
+    RouteTable table {Hasher};
     table.install({.routes = {unchanged}});
     const ServiceName first = table.find("h", "/a/")->nextService();
     table.install({.routes = {routeTo("h", "/b/", "two"), unchanged}});
@@ -58,7 +60,7 @@
 {
     std::mt19937 random(3); // NOLINT(cert-msc32-c,cert-msc51-cpp): reproducible sequence.
     const auto draw = [&](size_t below) { return random() % below; };
-    RouteTable table;
+    RouteTable table {Hasher};
     std::vector<model::RouteRef> routes;
     for (int round = 0; round < 1000; ++round) {
         for (size_t change = draw(4); change > 0; --change) {
@@ -72,7 +74,7 @@
         if (!routes.empty() && draw(5) == 0)
             std::swap(routes.front(), routes.back());
         table.install({.routes = routes});
-        RouteTable fresh;
+        RouteTable fresh {Hasher};
         fresh.install({.routes = routes});
         for (const char* host : {"h0", "h1:80", "h2", "h3"}) {
             for (const char* path : {"/a/", "/a/b/c", "/c/"})
