Forwarded requests: a gateway does not go back to its plan after a peer has shown a newer one

Why it works: the response states the peer's plan and what it says of the request. Where that differs, requests of the route or with the key go to peers only, until a plan as new is in force here; those dispatched before are withheld.

--- a/src/gateway/internal/gatewaycore.cpp
+++ b/src/gateway/internal/gatewaycore.cpp
@@ -117,6 +117,8 @@
                       decision, {.plan = replica_->age(now), .registry = replica_->provenAnswerAge(now)}, now);
               },
           .onTargetAnswered = [this](bool isNewConnection, Timestamp now) { onTargetAnswered(isNewConnection, now); },
+          .onSuperseded = [this](const model::RouteName& route, LogIndex newerPlan,
+                              Timestamp now) { logSuperseded(route, newerPlan, now); },
           .onSurplusBytes
           = [this](const model::TargetIncarnation& target, Timestamp now) { onSurplusBytes(target, now); }})
 {
@@ -315,6 +317,16 @@
     }
 }
 
+void GatewayCore::logSuperseded(const model::RouteName& route, LogIndex newerPlan, Timestamp now)
+{
+    if (!supersededLineBudget_.trySpend(now))
+        return;
+    LogText line("rule_superseded");
+    line.add("route", route.value()).add("plan_index", routes_->planPosition().index.value);
+    line.add("peer_plan_index", newerPlan.value);
+    log(host::LogSeverity::Warning, line.text());
+}
+
 void GatewayCore::updateSplit(Timestamp now)
 {
     if (!routes_)
--- a/src/gateway/internal/gatewaycore.h
+++ b/src/gateway/internal/gatewaycore.h
@@ -86,6 +86,7 @@
     void probeTargets(Timestamp now);
     void onTargetAnswered(bool isNewConnection, Timestamp now);
     void onSurplusBytes(const model::TargetIncarnation& targetIncarnation, Timestamp now);
+    void logSuperseded(const model::RouteName& route, LogIndex newerPlan, Timestamp now);
     /// Asks a registry host which gateways may carry requests for this one.
     void requestPeers(Timestamp now);
     [[nodiscard]] Duration peerRequestInterval() const;
@@ -116,6 +117,7 @@
     LimitCredits credits_;
     DecisionLog decisions_;
     TokenBucket slowStartLineBudget_ {{.perSecond = 5, .burst = 20}}; ///< Log lines.
+    TokenBucket supersededLineBudget_ {{.perSecond = 5, .burst = 20}};
     TokenBucket surplusLogBudget_ {{.perSecond = 5, .burst = 20}};
     ClientKeyHasher keyHasher_;
     RequestRunner runner_;
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -56,8 +56,11 @@
 {
     if (!canCompleteBeforeStop(exchange, now))
         return refuse(exchange, model::Reason::Stopping, StoppingRetryAfter, now);
-    if (!tryForward(exchange, now))
-        refuse(exchange, model::Reason::NoTarget, UnreachableRetryAfter, now);
+    if (tryForward(exchange, now))
+        return;
+    if (isSuperseded(exchange))
+        return refuse(exchange, model::Reason::StaleState, NotReadyRetryAfter, now);
+    refuse(exchange, model::Reason::NoTarget, UnreachableRetryAfter, now);
 }
 
 Peer* RequestRunner::choosePeer(const Exchange& exchange, uint32_t possibleRuns, Timestamp now)
@@ -163,15 +166,30 @@
     if (Peer* peer = options_.peers.find(exchange.peer))
         peer->answeredAt = now;
     if (isError)
-        return onPeerError(head, model::reasonFrom(reasonText).value_or(model::Reason::PeerLost), exchange, now);
+        return onPeerError(head, model::reasonFrom(reasonText).value_or(model::Reason::PeerLost), plan, exchange, now);
+    if (plan)
+        recordPeerPlan(*plan, exchange, now);
     exchange.timeToHead = now - exchange.sentAt;
     options_.latencies.add(exchange.route.kind, Stage::Target, exchange.timeToHead);
     checks_.erase({exchange.nextCheckAt, exchange.handle});
     startResponse(exchange, head);
 }
 
-void RequestRunner::onPeerError(
-    const requests::TargetResponseHead& head, model::Reason reason, Exchange& exchange, Timestamp now)
+void RequestRunner::recordPeerPlan(const ForwardedPlan& peerPlan, const Exchange& exchange, Timestamp now)
+{
+    if (peerPlan.plan <= std::max(exchange.plan, routes_->planPosition().index))
+        return;
+    bool isNew = false;
+    if (peerPlan.judgement.route != exchange.judgement.route)
+        isNew = superseded_.recordRoute(exchange.route.name, peerPlan.plan);
+    if (peerPlan.judgement.account != exchange.judgement.account && exchange.key)
+        isNew = superseded_.recordKey(*exchange.key, peerPlan.plan) || isNew;
+    if (isNew)
+        options_.onSuperseded(exchange.route.name, peerPlan.plan, now);
+}
+
+void RequestRunner::onPeerError(const requests::TargetResponseHead& head, model::Reason reason,
+    const std::optional<ForwardedPlan>& plan, Exchange& exchange, Timestamp now)
 {
     actions_.emplace_back(requests::TargetCancel {.dispatch = exchange.dispatch});
     releaseTarget(exchange);
@@ -182,9 +200,10 @@
         return fail(exchange, reason, now);
     }
     // A peer with an older plan can't tell whether a newer one permits the request.
-    const bool isFinal = exchange.peerPlan && *exchange.peerPlan >= exchange.plan;
-    if (isByPlan(head, reason) && isFinal)
+    if (isByPlan(head, reason) && plan && plan->plan >= exchange.plan) {
+        recordPeerPlan(*plan, exchange, now);
         return rejectFinally(exchange, head.status, reason, false, now);
+    }
     if (!concernsPeerOnly(reason) && !isByPlan(head, reason))
         return refuse(exchange, reason, retryAfterOf(head), now);
     if (Peer* peer = options_.peers.find(exchange.peer))
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -140,7 +140,7 @@
 bool RequestRunner::mayFindTarget(const Exchange& exchange) const
 {
     const model::ClientAccount* account = exchange.account ? &exchange.account->account : nullptr;
-    return !options_.reachability.isReachable()
+    return !options_.reachability.isReachable() || isSuperseded(exchange)
         || options_.placement.hasTargets(exchange.service, exchange.route, account);
 }
 
@@ -264,6 +264,7 @@
 void RequestRunner::install(std::shared_ptr<const RouteTable> routes)
 {
     routes_ = std::move(routes);
+    superseded_.onPlan(routes_->planPosition().index);
     bodies_.setLimits(routes_->plan().limits);
 }
 
--- a/src/gateway/internal/requestrunner.cpp
+++ b/src/gateway/internal/requestrunner.cpp
@@ -179,7 +179,7 @@
         return refuse(exchange, model::Reason::Stopping, StoppingRetryAfter, now);
     if (const std::optional<Duration> wait = options_.quarantine.retryDelay(exchange.digest, now))
         return refuse(exchange, model::Reason::RequestQuarantined, *wait, now);
-    if (!options_.reachability.isReachable())
+    if (!options_.reachability.isReachable() || isSuperseded(exchange))
         return forward(exchange, now);
     if (!tryAcquireCredit(exchange, now))
         return;
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -17,6 +17,7 @@
 #include "gateway/internal/quarantine.h"
 #include "gateway/internal/requestlatencies.h"
 #include "gateway/internal/retryallowance.h"
+#include "gateway/internal/supersededrules.h"
 #include "gateway/internal/targetreachability.h"
 #include "gateway/internal/targetset.h"
 #include "host/hosttypes.h"
@@ -75,6 +76,8 @@
         std::function<void(const Decision&, Timestamp)> onDecided;
         /// A target answered something.
         std::function<void(bool isNewConnection, Timestamp)> onTargetAnswered;
+        /// A peer has shown that a newer plan changes this route, or one of its callers' accounts.
+        std::function<void(const model::RouteName&, LogIndex newerPlan, Timestamp)> onSuperseded;
         /// A target or, with an empty id, a peer sent bytes that no request waited for.
         std::function<void(const model::TargetIncarnation&, Timestamp)> onSurplusBytes;
     };
@@ -206,11 +209,19 @@
     /// The peer to forward the request to, if it may run once more after this number of possible runs; else null.
     [[nodiscard]] Peer* choosePeer(const Exchange& exchange, uint32_t possibleRuns, Timestamp now);
     void sendTo(Peer& peer, Exchange& exchange, Timestamp now);
+    /// Whether a newer plan than the one in force says something else of the request.
+    [[nodiscard]] bool isSuperseded(const Exchange& exchange) const
+    {
+        return superseded_.contains(exchange.route.name, exchange.key);
+    }
+    /// A peer has judged the request by this plan, and acted by it.
+    void recordPeerPlan(const ForwardedPlan& peerPlan, const Exchange& exchange, Timestamp now);
     /// States by which plan a forwarded request was judged.
     void addForwardedPlan(std::vector<model::Header>& headers, const Exchange& exchange) const;
     void onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now);
     /// The peer responded with an error of its own.
-    void onPeerError(const requests::TargetResponseHead& head, model::Reason reason, Exchange& exchange, Timestamp now);
+    void onPeerError(const requests::TargetResponseHead& head, model::Reason reason,
+        const std::optional<ForwardedPlan>& plan, Exchange& exchange, Timestamp now);
     void onPeerFailed(requests::TargetFailed& failed, Exchange& exchange, Timestamp now);
     /// No response of the peer will arrive, and it may have run the request.
     void onPeerLost(Exchange& exchange, Timestamp now);
@@ -297,6 +308,7 @@
     Options options_;
     BodyReceiver bodies_;
     std::shared_ptr<const RouteTable> routes_;
+    SupersededRules superseded_;
     Exchanges exchanges_;
     std::unordered_map<requests::DispatchId, Exchange*> dispatches_;
     std::set<std::pair<Timestamp, requests::HttpHandle>> deadlines_;
--- a/src/gateway/internal/requestwithholding.cpp
+++ b/src/gateway/internal/requestwithholding.cpp
@@ -32,6 +32,8 @@
         return model::Reason::RequestQuarantined;
     if (exchange.isAtPeer)
         return model::Reason::None;
+    if (isSuperseded(exchange))
+        return model::Reason::StaleState;
     const GatewayTarget* target = options_.targets.find(exchange.target);
     if (target == nullptr)
         return model::Reason::NoTarget;
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -724,6 +724,110 @@
     }
 }
 
+/// A gateway that reaches targets again, after a peer has shown it what a newer plan says.
+class SupersededRuleTest : public PeerRejectionTest {
+protected:
+    SupersededRuleTest() { isolateWithKey(); }
+    void reachTargets()
+    {
+        awaitPeers();
+        advance(300ms);
+        for (const requests::TargetStart& probe : takeProbes())
+            answer(probe, {.id = ""});
+        ASSERT_FALSE(isIsolated());
+    }
+    /// A peer runs a request by a plan that changes the route or the account.
+    void runAtPeer(const RequestJudgement& change, LogIndex plan = Newer)
+    {
+        request(callerWithKey("shown"));
+        const requests::TargetStart start = onlyStart();
+        const auto own = ForwardedHeaderCodec("").decodePlan(header(start.headers, std::string(ForwardedPlanHeader)),
+            {.id = "shown", .clientAccount = "acme", .method = "GET", .host = "prices.example", .path = start.path});
+        ASSERT_TRUE(own);
+        const RequestJudgement judgement {
+            .route = own->judgement.route + change.route, .account = own->judgement.account + change.account};
+        answer(start,
+            {.id = "shown",
+                .extraHeaders = {{.name = std::string(ForwardedPlanHeader),
+                    .value
+                    = ForwardedHeaderCodec("").encodePlan({.plan = plan, .judgement = judgement}, {.id = "shown"})}}});
+        EXPECT_EQ(takeResponse()->status, 200);
+    }
+    bool goesToPeer(const std::string& key, const std::string& path = "/read/1")
+    {
+        CallerRequest caller {.path = path, .id = "next"};
+        caller.extraHeaders = {{.name = "Saltvane-Client-Key", .value = key}};
+        request(caller);
+        const requests::TargetStart start = onlyStart();
+        answer(start, {.id = "next"});
+        (void)takeResponse();
+        return isToPeer(start);
+    }
+};
+
+// Guards against gateways that go back to their older plan after a peer has shown a newer one's effect to their
+// callers.
+TEST_F(SupersededRuleTest, RequestsOfAChangedRouteGoToPeersOnly)
+{
+    runAtPeer({.route = 1});
+    reachTargets();
+    EXPECT_TRUE(goesToPeer("key-a"));
+    EXPECT_TRUE(goesToPeer("key-l"));
+    EXPECT_FALSE(goesToPeer("key-a", "/write/1")) << "another route";
+}
+
+TEST_F(SupersededRuleTest, RequestsWithAKeyOfAChangedAccountGoToPeersOnly)
+{
+    runAtPeer({.account = 1});
+    reachTargets();
+    EXPECT_TRUE(goesToPeer("key-a"));
+    EXPECT_TRUE(goesToPeer("key-a", "/write/1"));
+    EXPECT_FALSE(goesToPeer("key-s"));
+}
+
+TEST_F(SupersededRuleTest, RequestsWithAKeyThatANewerPlanRejectsGoToPeersOnly)
+{
+    request(callerWithKey("rejected"));
+    rejectAsPeer(onlyStart(), 401, UnknownKey, Newer);
+    EXPECT_EQ(takeResponse()->status, 401);
+    reachTargets();
+    EXPECT_TRUE(goesToPeer("key-a"));
+}
+
+// Guards against requests that go to peers although nothing has changed for them.
+TEST_F(SupersededRuleTest, UnchangedRequestsAndOlderPlansChangeNothing)
+{
+    runAtPeer({});
+    runAtPeer({.route = 1}, Older);
+    reachTargets();
+    EXPECT_FALSE(goesToPeer("key-a"));
+}
+
+// Guards against gateways that go on using peers after they got the newer plan themselves.
+TEST_F(SupersededRuleTest, ANewerPlanInForceEndsIt)
+{
+    runAtPeer({.route = 1}, {3}); // The log index of the next plan is 3 or more.
+    reachTargets();
+    EXPECT_TRUE(goesToPeer("key-a"));
+    installPlan(3, {}, Accounts);
+    EXPECT_FALSE(goesToPeer("key-a"));
+}
+
+// Guards against callers that wait where no peer is left, and against requests that are sent after the fact became
+// known.
+TEST_F(SupersededRuleTest, WithoutAPeerRequestsAreRefusedAtOnce)
+{
+    runAtPeer({.route = 1});
+    reachTargets();
+    deliver(model::PeerReport {});
+    request(callerWithKey("next"));
+    EXPECT_TRUE(takeStarts().empty());
+    const auto response = takeResponse();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_EQ(header(response->headers, "Saltvane-Reason"), "stale-state");
+}
+
 // Guards against peers that can't judge the key, and against keys or digests of them that targets or callers get.
 TEST_F(PeerRejectionTest, PeersAreToldThePlanAndADigestOfTheKey)
 {
--- a/testing/fleet/forwardedplantests.cpp
+++ b/testing/fleet/forwardedplantests.cpp
@@ -322,4 +322,20 @@
     EXPECT_EQ(served(sentAfterLimit("key-a")), 1.0);
 }
 
+// Guards against a gateway that is cut off and runs requests by its older plan after a peer has answered earlier ones
+// by the newer plan.
+TEST_F(ForwardedPlanTest, RequestsDoNotGoBackAfterAPeerHasShownTheNewerPlan)
+{
+    sendWith({"key-a", "key-b"});
+    fleet_.run(1500ms);
+    fleet_.cutOffGateway(0, 8s);
+    fleet_.run(200ms);
+    putPlan({.service = "new"});
+    sendUntilCutEnds();
+    ASSERT_TRUE(newServiceSeenAt_);
+    EXPECT_EQ(runsThatWentBack(), 0U) << "of " << requests_.size() << " requests";
+    for (const char* key : {"key-a", "key-b"})
+        EXPECT_EQ(served(sentAfterLimit(key)), 1.0) << key;
+}
+
 } // namespace saltvane::fleet::test
