Forwarded requests: judgements are computed for them alone; superseded routes go by host and prefix

Every request computed the digests of its route and account, though only forwarded ones need them. Superseded routes went by their names, which need not be unique: one change would have sent other routes' requests to peers as well. Weights and limits are compared exactly.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -56,7 +56,6 @@
     ServiceName service;
     BundleVersion planVersion;
     LogIndex plan; ///< Log index of the plan by which it was judged, at its arrival.
-    RequestJudgement judgement; ///< What that plan says of it.
     std::optional<ClientKeyDigest> key; ///< Of the key that the caller presented, if it was exactly one.
     /// Plan of the gateway that forwarded it, or of the last peer that responded; none if that states none.
     std::optional<LogIndex> peerPlan;
@@ -115,6 +114,12 @@
     bool isResponseStarted = false; ///< The head was sent to the caller.
     bool mayHaveRun = false; ///< A byte may have reached a target that did not report that it did not run the request.
 
+    /// What the plan of its arrival says of it. Computed for forwarded requests only.
+    [[nodiscard]] RequestJudgement judgement() const
+    {
+        // Without a matching route, the exchange has none.
+        return judgementOf(route.services.empty() ? nullptr : &route, account ? &account->account : nullptr);
+    }
     /// An attempt may have been run although no response to it is known.
     void recordPossibleRun()
     {
--- a/src/gateway/internal/requestcompletion.cpp
+++ b/src/gateway/internal/requestcompletion.cpp
@@ -72,7 +72,6 @@
     if (routes_) {
         exchange.planVersion = routes_->plan().version;
         exchange.plan = routes_->planPosition().index;
-        exchange.judgement = judgementOf(route == nullptr ? nullptr : &route->route, nullptr);
     }
     if (origin.plan)
         exchange.peerPlan = origin.plan->plan;
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -117,7 +117,7 @@
             {.attempts = exchange.maxAttempts - exchange.possibleRuns, .elapsed = now - exchange.startedAt}, bound)});
     headers.push_back({.name = std::string(ForwardedPlanHeader),
         .value = options_.forwardedHeader.encodePlan(
-            {.plan = exchange.plan, .judgement = exchange.judgement, .key = exchange.key}, bound)});
+            {.plan = exchange.plan, .judgement = exchange.judgement(), .key = exchange.key}, bound)});
     headers.push_back({.name = options_.headers.deadline, .value = millisecondsText(exchange.deadline - now)});
     actions_.emplace_back(requests::TargetStart {.dispatch = exchange.dispatch,
         .target = TargetId(peer.record.host.value()),
@@ -143,7 +143,7 @@
 {
     headers.push_back({.name = std::string(ForwardedPlanHeader),
         .value = options_.forwardedHeader.encodePlan(
-            {.plan = exchange.plan, .judgement = exchange.judgement}, {.id = exchange.id.value()})});
+            {.plan = exchange.plan, .judgement = exchange.judgement()}, {.id = exchange.id.value()})});
 }
 
 void RequestRunner::onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
@@ -179,10 +179,11 @@
 {
     if (peerPlan.plan <= std::max(exchange.plan, routes_->planPosition().index))
         return;
+    const RequestJudgement own = exchange.judgement();
     bool isNew = false;
-    if (peerPlan.judgement.route != exchange.judgement.route)
-        isNew = superseded_.recordRoute(exchange.route.name, peerPlan.plan);
-    if (peerPlan.judgement.account != exchange.judgement.account && exchange.key)
+    if (peerPlan.judgement.route != own.route)
+        isNew = superseded_.recordRoute(exchange.route, peerPlan.plan);
+    if (peerPlan.judgement.account != own.account && exchange.key)
         isNew = superseded_.recordKey(*exchange.key, peerPlan.plan) || isNew;
     if (isNew)
         options_.onSuperseded(exchange.route.name, peerPlan.plan, now);
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -124,7 +124,6 @@
     exchange->service = route.nextService();
     exchange->planVersion = routes_->plan().version;
     exchange->plan = routes_->planPosition().index;
-    exchange->judgement = judgementOf(&route.route, exchange->account ? &exchange->account->account : nullptr);
     exchange->key = origin.key;
     if (origin.plan)
         exchange->peerPlan = origin.plan->plan;
--- a/src/gateway/internal/requestjudgement.cpp
+++ b/src/gateway/internal/requestjudgement.cpp
@@ -5,6 +5,9 @@
  */
 #include "gateway/internal/requestjudgement.h"
 
+#include "base/logtext.h"
+
+#include <concepts>
 #include <string>
 #include <string_view>
 #include <xxhash.h>
@@ -22,7 +25,8 @@
         bytes_ += text;
         return *this;
     }
-    template <typename T> FieldBytes& addNumber(T number) { return add(std::to_string(number)); }
+    template <std::integral T> FieldBytes& addNumber(T number) { return add(std::to_string(number)); }
+    FieldBytes& addNumber(double number) { return add(shortestDecimal(number)); }
     FieldBytes& add(const std::vector<RegionName>& regions)
     {
         addNumber(regions.size());
--- a/src/gateway/internal/requestrunner.h
+++ b/src/gateway/internal/requestrunner.h
@@ -212,7 +212,7 @@
     /// Whether a newer plan than the one in force says something else of the request.
     [[nodiscard]] bool isSuperseded(const Exchange& exchange) const
     {
-        return superseded_.contains(exchange.route.name, exchange.key);
+        return superseded_.contains(exchange.route, exchange.key);
     }
     /// A peer has judged the request by this plan, and acted by it.
     void recordPeerPlan(const ForwardedPlan& peerPlan, const Exchange& exchange, Timestamp now);
--- a/src/gateway/internal/supersededrules.cpp
+++ b/src/gateway/internal/supersededrules.cpp
@@ -18,11 +18,13 @@
     return isNew;
 }
 
+std::string patternOf(const model::Route& route) { return route.host + route.pathPrefix; }
+
 } // namespace
 
-bool SupersededRules::recordRoute(const model::RouteName& route, LogIndex newerPlan)
+bool SupersededRules::recordRoute(const model::Route& route, LogIndex newerPlan)
 {
-    return record(routes_, route, newerPlan);
+    return record(routes_, patternOf(route), newerPlan);
 }
 
 bool SupersededRules::recordKey(const ClientKeyDigest& key, LogIndex newerPlan)
@@ -30,9 +32,9 @@
     return record(keys_, key, newerPlan);
 }
 
-bool SupersededRules::contains(const model::RouteName& route, const std::optional<ClientKeyDigest>& key) const
+bool SupersededRules::contains(const model::Route& route, const std::optional<ClientKeyDigest>& key) const
 {
-    return routes_.contains(route) || (key && keys_.contains(*key));
+    return (!routes_.empty() && routes_.contains(patternOf(route))) || (key && keys_.contains(*key));
 }
 
 void SupersededRules::onPlan(LogIndex plan)
--- a/src/gateway/internal/supersededrules.h
+++ b/src/gateway/internal/supersededrules.h
@@ -10,6 +10,7 @@
 #include "model/routeplan.h"
 
 #include <optional>
+#include <string>
 #include <unordered_map>
 
 namespace saltvane::gateway {
@@ -20,15 +21,16 @@
 class SupersededRules {
 public:
     /// The return value is false if it was known.
-    bool recordRoute(const model::RouteName& route, LogIndex newerPlan);
+    bool recordRoute(const model::Route& route, LogIndex newerPlan);
     bool recordKey(const ClientKeyDigest& key, LogIndex newerPlan);
     /// `key`: none if the caller presented none.
-    [[nodiscard]] bool contains(const model::RouteName& route, const std::optional<ClientKeyDigest>& key) const;
+    [[nodiscard]] bool contains(const model::Route& route, const std::optional<ClientKeyDigest>& key) const;
     /// Drops what this plan, which is in force now, contains.
     void onPlan(LogIndex plan);
 
 private:
-    std::unordered_map<model::RouteName, LogIndex> routes_; ///< The newest plan known to change the route.
+    /// The newest plan known to change the route, by host name and path prefix: names need not be unique.
+    std::unordered_map<std::string, LogIndex> routes_;
     std::unordered_map<ClientKeyDigest, LogIndex, ClientKeyDigestHash> keys_;
 };
 
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -813,8 +813,28 @@
     EXPECT_FALSE(goesToPeer("key-a"));
 }
 
-// Guards against callers that wait where no peer is left, and against requests that are sent after the fact became
-// known.
+// Guards against requests that were dispatched to a target before the fact became known, and are sent after it.
+TEST_F(SupersededRuleTest, RequestsDispatchedBeforeAreWithheld)
+{
+    request(callerWithKey("shown"));
+    const requests::TargetStart shown = onlyStart();
+    advance(300ms);
+    for (const requests::TargetStart& probe : takeProbes())
+        answer(probe, {.id = ""});
+    request(callerWithKey("next"));
+    const requests::TargetStart next = onlyStart();
+    ASSERT_FALSE(isToPeer(next));
+    answer(shown,
+        {.id = "shown",
+            .extraHeaders = {{.name = std::string(ForwardedPlanHeader),
+                .value = ForwardedHeaderCodec("").encodePlan(
+                    {.plan = Newer, .judgement = OtherJudgement}, {.id = "shown"})}}});
+    EXPECT_EQ(gateway_->recheckDispatch(next.dispatch, now_), model::Reason::StaleState);
+    withhold(next, model::Reason::StaleState);
+    EXPECT_TRUE(isToPeer(onlyStart()));
+}
+
+// Guards against callers that wait where no peer is left.
 TEST_F(SupersededRuleTest, WithoutAPeerRequestsAreRefusedAtOnce)
 {
     runAtPeer({.route = 1});
