--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -56,7 +56,6 @@
     ServiceName service;
     BundleVersion planVersion;
     LogIndex plan; ///< Log index of the plan by which it was judged, at its arrival.
-    std::optional<ClientKeyDigest> key; ///< Of the key that the caller presented, if it was exactly one.
     /// Plan of the gateway that forwarded it, or of the last peer that responded; none if that states none.
     std::optional<LogIndex> peerPlan;
     Timestamp startedAt;
@@ -112,6 +111,7 @@
     bool isResponseOverlong = false; ///< The streamed response is counted as overlong at its target.
     bool isResponseBroken = false; ///< The present target's response was counted as broken.
     bool isResponseStarted = false; ///< The head was sent to the caller.
+    std::optional<ClientKeyDigest> key; ///< Of the key that the caller presented, if it was exactly one.
     bool mayHaveRun = false; ///< A byte may have reached a target that did not report that it did not run the request.
 
     /// What the plan of its arrival says of it. Computed for forwarded requests only.
