--- a/testing/fleet/rolloutfleet.cpp
+++ b/testing/fleet/rolloutfleet.cpp
@@ -131,7 +131,9 @@
     std::uniform_int_distribution<int64_t> processingTime(MinProcessingTime.count(), MaxProcessingTime.count());
     const double rounds = std::max(1.0, static_cast<double>(target.inFlight) / options_.slots);
     const auto object = std::ranges::find(start.headers, "Saltvane-Object", &model::Header::name);
-    const double coldFactor = target.warmObjects.insert(object->value).second ? ColdFactor : 1;
+    // Health checks name none.
+    const bool isCold = object != start.headers.end() && target.warmObjects.insert(object->value).second;
+    const double coldFactor = isCold ? ColdFactor : 1;
     const double slowdown = coldFactor * (isBad ? options_.newVersion.slowdown : 1);
     const bool isFailed = isBad && std::bernoulli_distribution(options_.newVersion.failedFraction)(random_);
     if (isFailed || (isBad && options_.newVersion.slowdown > 1))
@@ -143,7 +145,7 @@
         .gateway = gateway,
         .target = static_cast<size_t>(found - targets_.begin()),
         .dispatch = start.dispatch,
-        .id = id->value,
+        .id = id == start.headers.end() ? std::string() : id->value,
         .status = isFailed ? StatusFailed : StatusOk});
 }
 
