--- a/src/control/tests/fakecluster.cpp
+++ b/src/control/tests/fakecluster.cpp
@@ -64,6 +64,16 @@
     return current->replica->replicas().size();
 }
 
+bool FakeCluster::hasAllVoters()
+{
+    if (voters() != size())
+        return false;
+    return std::ranges::all_of(leader()->replica->replicas(), [this](const ReplicaInfo& info) {
+        return std::ranges::any_of(hosts_,
+            [&info](const auto& host) { return host->id == info.host && host->disk->replica() == info.replica; });
+    });
+}
+
 bool FakeCluster::isMember(size_t number)
 {
     const FakeHost* current = leader();
--- a/src/control/tests/fakecluster.h
+++ b/src/control/tests/fakecluster.h
@@ -66,7 +66,8 @@
     [[nodiscard]] size_t numberOf(const FakeHost& host) const;
     /// Members of the leader's committed configuration; 0 without a leader, or while some are not voters.
     [[nodiscard]] size_t voters();
-    [[nodiscard]] bool hasAllVoters() { return voters() == size(); }
+    /// Whether the members of that configuration are the replicas on the present disks of all hosts.
+    [[nodiscard]] bool hasAllVoters();
     /// Whether the leader's committed configuration contains the host.
     [[nodiscard]] bool isMember(size_t number);
     [[nodiscard]] bool isUp(size_t number) const { return hosts_[number]->replica != nullptr; }
