--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -78,10 +78,10 @@
 {
     if (!origin.plan)
         return PlanOrder::Unknown;
-    const auto order = routes_->planPosition().index <=> origin.plan->plan;
-    if (order == 0)
+    const LogIndex own = routes_->planPosition().index;
+    if (own == origin.plan->plan)
         return PlanOrder::Same;
-    return order < 0 ? PlanOrder::Older : PlanOrder::Newer;
+    return own < origin.plan->plan ? PlanOrder::Older : PlanOrder::Newer;
 }
 
 std::unique_ptr<Exchange> RequestRunner::makeExchange(
