Forwarded requests: a log index is called one

Cause: read as a newcomer, plan->plan and peerPlan.plan have to be guessed: a plan's log index beside plans and versions; isByPlan doesn't say that it asks for a rejection. Now planIndex and peerPlanIndex, as the log fields are named, and isRejectionByPlan. Conclusion: names only.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -55,9 +55,9 @@
     size_t targetCreditsRefused = 0; ///< Targets whose limit had no credit left for this request.
     ServiceName service;
     BundleVersion planVersion;
-    LogIndex plan; ///< Log index of the plan by which it was judged, at its arrival.
+    LogIndex planIndex; ///< Log index of the plan by which it was judged, at its arrival.
     /// Plan of the gateway that forwarded it, or of the last peer that responded; none if that states none.
-    std::optional<LogIndex> peerPlan;
+    std::optional<LogIndex> peerPlanIndex;
     Timestamp startedAt;
     Timestamp deadline; ///< The earlier of the caller's deadline and the route's.
 
--- a/src/gateway/internal/forwardedheader.cpp
+++ b/src/gateway/internal/forwardedheader.cpp
@@ -101,8 +101,8 @@
 
 std::string ForwardedHeaderCodec::encodePlan(const ForwardedPlan& plan, const Request& request) const
 {
-    std::string text = std::to_string(plan.plan.value) + Separator + std::to_string(plan.judgement.route) + Separator
-        + std::to_string(plan.judgement.account) + Separator;
+    std::string text = std::to_string(plan.planIndex.value) + Separator + std::to_string(plan.judgement.route)
+        + Separator + std::to_string(plan.judgement.account) + Separator;
     if (plan.key)
         text += toHex(*plan.key);
     const std::string code = codeOf(std::string(PlanLabel).append(text), request);
@@ -127,7 +127,7 @@
     if (!text->empty() && !key)
         return std::nullopt;
     const auto [plan, route, account] = numbers;
-    return ForwardedPlan {.plan = {plan}, .judgement = {.route = route, .account = account}, .key = key};
+    return ForwardedPlan {.planIndex = {plan}, .judgement = {.route = route, .account = account}, .key = key};
 }
 
 } // namespace saltvane::gateway
--- a/src/gateway/internal/forwardedheader.h
+++ b/src/gateway/internal/forwardedheader.h
@@ -27,7 +27,7 @@
 
 /// By which plan a gateway has judged a forwarded request.
 struct ForwardedPlan {
-    LogIndex plan; ///< Log index at which the plan came into force; a higher one is newer.
+    LogIndex planIndex; ///< Log index at which the plan came into force; a higher one is newer.
     RequestJudgement judgement; ///< What that plan says of the request.
     std::optional<ClientKeyDigest> key; ///< Of the key that the caller presented, if it was exactly one.
     auto operator<=>(const ForwardedPlan&) const = default;
--- a/src/gateway/internal/requestcompletion.cpp
+++ b/src/gateway/internal/requestcompletion.cpp
@@ -71,10 +71,10 @@
         exchange.route = route->route;
     if (routes_) {
         exchange.planVersion = routes_->plan().version;
-        exchange.plan = routes_->planPosition().index;
+        exchange.planIndex = routes_->planPosition().index;
     }
     if (origin.plan)
-        exchange.peerPlan = origin.plan->plan;
+        exchange.peerPlanIndex = origin.plan->planIndex;
     const int status = refusal.status == 0 ? StatusUnavailable : refusal.status;
     options_.onDecided(
         {.exchange = exchange, .outcome = model::Outcome::NotRun, .reason = refusal.reason, .status = status}, now);
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -25,7 +25,7 @@
 constexpr int FirstServerErrorStatus = 500;
 
 /// Whether a peer refused the request finally, by what its plan says of it.
-bool isByPlan(const requests::TargetResponseHead& head, model::Reason reason)
+bool isRejectionByPlan(const requests::TargetResponseHead& head, model::Reason reason)
 {
     static constexpr std::array Reasons {
         model::Reason::UnknownService, model::Reason::UnknownKey, model::Reason::BodyTooLarge};
@@ -117,7 +117,7 @@
             {.attempts = exchange.maxAttempts - exchange.possibleRuns, .elapsed = now - exchange.startedAt}, bound)});
     headers.push_back({.name = std::string(ForwardedPlanHeader),
         .value = options_.forwardedHeader.encodePlan(
-            {.plan = exchange.plan, .judgement = exchange.judgement(), .key = exchange.key}, bound)});
+            {.planIndex = exchange.planIndex, .judgement = exchange.judgement(), .key = exchange.key}, bound)});
     headers.push_back({.name = options_.headers.deadline, .value = millisecondsText(exchange.deadline - now)});
     actions_.emplace_back(requests::TargetStart {.dispatch = exchange.dispatch,
         .target = TargetId(peer.record.host.value()),
@@ -143,14 +143,14 @@
 {
     headers.push_back({.name = std::string(ForwardedPlanHeader),
         .value = options_.forwardedHeader.encodePlan(
-            {.plan = exchange.plan, .judgement = exchange.judgement()}, {.id = exchange.id.value()})});
+            {.planIndex = exchange.planIndex, .judgement = exchange.judgement()}, {.id = exchange.id.value()})});
 }
 
 void RequestRunner::onPeerHead(requests::TargetResponseHead& head, Exchange& exchange, Timestamp now)
 {
     const std::optional<ForwardedPlan> plan = options_.forwardedHeader.decodePlan(
         requests::firstFieldValue(head.headers, ForwardedPlanHeader), {.id = exchange.id.value()});
-    exchange.peerPlan = plan ? std::optional(plan->plan) : std::nullopt;
+    exchange.peerPlanIndex = plan ? std::optional(plan->planIndex) : std::nullopt;
     const std::string_view reasonText = requests::firstFieldValue(head.headers, requests::ReasonHeader);
     const bool isError = !reasonText.empty();
     const std::string_view id = requests::firstFieldValue(head.headers, options_.headers.requestId);
@@ -177,16 +177,16 @@
 
 void RequestRunner::recordPeerPlan(const ForwardedPlan& peerPlan, const Exchange& exchange, Timestamp now)
 {
-    if (peerPlan.plan <= std::max(exchange.plan, routes_->planPosition().index))
+    if (peerPlan.planIndex <= std::max(exchange.planIndex, routes_->planPosition().index))
         return;
     const RequestJudgement own = exchange.judgement();
     bool isNew = false;
     if (peerPlan.judgement.route != own.route)
-        isNew = superseded_.recordRoute(exchange.route, peerPlan.plan);
+        isNew = superseded_.recordRoute(exchange.route, peerPlan.planIndex);
     if (peerPlan.judgement.account != own.account && exchange.key)
-        isNew = superseded_.recordKey(*exchange.key, peerPlan.plan) || isNew;
+        isNew = superseded_.recordKey(*exchange.key, peerPlan.planIndex) || isNew;
     if (isNew)
-        options_.onSuperseded(exchange.route.name, peerPlan.plan, now);
+        options_.onSuperseded(exchange.route.name, peerPlan.planIndex, now);
 }
 
 void RequestRunner::onPeerError(const requests::TargetResponseHead& head, model::Reason reason,
@@ -201,11 +201,11 @@
         return fail(exchange, reason, now);
     }
     // A peer with an older plan can't tell whether a newer one permits the request.
-    if (isByPlan(head, reason) && plan && plan->plan >= exchange.plan) {
+    if (isRejectionByPlan(head, reason) && plan && plan->planIndex >= exchange.planIndex) {
         recordPeerPlan(*plan, exchange, now);
         return rejectFinally(exchange, head.status, reason, false, now);
     }
-    if (!concernsPeerOnly(reason) && !isByPlan(head, reason))
+    if (!concernsPeerOnly(reason) && !isRejectionByPlan(head, reason))
         return refuse(exchange, reason, retryAfterOf(head), now);
     if (Peer* peer = options_.peers.find(exchange.peer))
         peer->unavailableUntil = now + PeerSet::RefusalBackoff;
--- a/src/gateway/internal/requestintake.cpp
+++ b/src/gateway/internal/requestintake.cpp
@@ -79,9 +79,9 @@
     if (!origin.plan)
         return PlanOrder::Unknown;
     const LogIndex own = routes_->planPosition().index;
-    if (own == origin.plan->plan)
+    if (own == origin.plan->planIndex)
         return PlanOrder::Same;
-    return own < origin.plan->plan ? PlanOrder::Older : PlanOrder::Newer;
+    return own < origin.plan->planIndex ? PlanOrder::Older : PlanOrder::Newer;
 }
 
 std::unique_ptr<Exchange> RequestRunner::makeExchange(
@@ -123,10 +123,10 @@
     exchange->route = route.route;
     exchange->service = route.nextService();
     exchange->planVersion = routes_->plan().version;
-    exchange->plan = routes_->planPosition().index;
+    exchange->planIndex = routes_->planPosition().index;
     exchange->key = origin.key;
     if (origin.plan)
-        exchange->peerPlan = origin.plan->plan;
+        exchange->peerPlanIndex = origin.plan->planIndex;
     exchange->startedAt = now - (origin.forwarded ? origin.forwarded->elapsed : Duration::zero());
     exchange->maxAttempts
         = std::min(route.route.attempts, origin.forwarded ? origin.forwarded->attempts : route.route.attempts);
--- a/src/gateway/tests/forwardingtests.cpp
+++ b/src/gateway/tests/forwardingtests.cpp
@@ -537,7 +537,7 @@
             = {{.name = std::string(ForwardedHeader), .value = codec.encode({.attempts = 2, .elapsed = 5ms}, bound)},
                 {.name = "Saltvane-Client-Account", .value = account}};
         if (plan) {
-            ForwardedPlan stated {.plan = *plan, .judgement = judgement};
+            ForwardedPlan stated {.planIndex = *plan, .judgement = judgement};
             if (!key.empty())
                 stated.key = ClientKeyHasher("").digestOf(key);
             received.extraHeaders.push_back(
@@ -678,7 +678,7 @@
             .status = status, .id = id, .extraHeaders = {{.name = "Saltvane-Reason", .value = reason}}};
         if (plan)
             from.extraHeaders.push_back({.name = std::string(ForwardedPlanHeader),
-                .value = ForwardedHeaderCodec("").encodePlan({.plan = *plan}, {.id = id})});
+                .value = ForwardedHeaderCodec("").encodePlan({.planIndex = *plan}, {.id = id})});
         answer(start, from);
     }
     CallerRequest callerWithKey(const std::string& id)
@@ -749,8 +749,8 @@
         answer(start,
             {.id = "shown",
                 .extraHeaders = {{.name = std::string(ForwardedPlanHeader),
-                    .value
-                    = ForwardedHeaderCodec("").encodePlan({.plan = plan, .judgement = judgement}, {.id = "shown"})}}});
+                    .value = ForwardedHeaderCodec("").encodePlan(
+                        {.planIndex = plan, .judgement = judgement}, {.id = "shown"})}}});
         EXPECT_EQ(takeResponse()->status, 200);
     }
     bool goesToPeer(const std::string& key, const std::string& path = "/read/1")
@@ -828,7 +828,7 @@
         {.id = "shown",
             .extraHeaders = {{.name = std::string(ForwardedPlanHeader),
                 .value = ForwardedHeaderCodec("").encodePlan(
-                    {.plan = Newer, .judgement = OtherJudgement}, {.id = "shown"})}}});
+                    {.planIndex = Newer, .judgement = OtherJudgement}, {.id = "shown"})}}});
     EXPECT_EQ(gateway_->recheckDispatch(next.dispatch, now_), model::Reason::StaleState);
     withhold(next, model::Reason::StaleState);
     EXPECT_TRUE(isToPeer(onlyStart()));
@@ -858,7 +858,7 @@
     const auto stated = ForwardedHeaderCodec("").decodePlan(
         value, {.id = "try-9", .clientAccount = "acme", .method = "GET", .host = "prices.example", .path = start.path});
     ASSERT_TRUE(stated);
-    EXPECT_GT(stated->plan, Older);
+    EXPECT_GT(stated->planIndex, Older);
     EXPECT_EQ(stated->key, ClientKeyHasher("").digestOf("key-a"));
     EXPECT_EQ(value.find("key-a"), std::string::npos);
     answer(start, {.id = "try-9", .extraHeaders = {{.name = std::string(ForwardedPlanHeader), .value = "1;1;1;;"}}});
@@ -903,8 +903,8 @@
         .id = "try-1", .clientAccount = "acme", .method = "GET", .host = "h", .path = "/p?q"};
     const std::optional<ClientKeyDigest> key = ClientKeyHasher("secret").digestOf("key-a");
     for (const ForwardedPlan& plan :
-        {ForwardedPlan {.plan = {7}, .judgement = {.route = 12, .account = 34}, .key = key},
-            ForwardedPlan {.plan = {7}}}) {
+        {ForwardedPlan {.planIndex = {7}, .judgement = {.route = 12, .account = 34}, .key = key},
+            ForwardedPlan {.planIndex = {7}}}) {
         const std::string value = codec.encodePlan(plan, request);
         EXPECT_EQ(codec.decodePlan(value, request), plan);
         ForwardedHeaderCodec::Request other = request;
